--- /dev/null
+++ b/internal/deps/deps.go
@@ -0,0 +1,28 @@
+package deps
+
+import (
+	_ "github.com/HdrHistogram/hdrhistogram-go"
+	_ "github.com/Shopify/toxiproxy/v2"
+	_ "github.com/anishathalye/porcupine"
+	_ "github.com/cespare/xxhash/v2"
+	_ "github.com/go-playground/validator/v10"
+	_ "github.com/goccy/go-yaml"
+	_ "github.com/google/go-cmp/cmp"
+	_ "github.com/joomcode/errorx"
+	_ "github.com/klauspost/compress/zstd"
+	_ "github.com/peterbourgon/ff/v3/ffcli"
+	_ "github.com/peterbourgon/ff/v3/ffyaml"
+	_ "github.com/phuslu/log"
+	_ "github.com/prometheus/client_golang/prometheus/promhttp"
+	_ "github.com/thejerf/suture/v4"
+	_ "github.com/twitchtv/twirp"
+	_ "go.uber.org/goleak"
+	_ "golang.org/x/sync/errgroup"
+	_ "golang.org/x/sync/singleflight"
+	_ "golang.org/x/time/rate"
+	_ "gonum.org/v1/plot"
+	_ "gonum.org/v1/plot/plotter"
+	_ "gonum.org/v1/plot/vg/vgimg"
+	_ "google.golang.org/protobuf/proto"
+	_ "pgregory.net/rapid"
+)
--- /dev/null
+++ b/pkg/model/doc.go
@@ -0,0 +1,7 @@
+// Package model holds the three kinds of resource that operators declare
+// (Service, Route and Secret), the canonical encoding of each, and the content
+// address derived from that encoding.
+//
+// Values of this package are plain data. Once a resource has been placed in a
+// snapshot nobody may change it; code that needs a variation makes a copy.
+package model
--- /dev/null
+++ b/pkg/rollout/readiness.go
@@ -0,0 +1,59 @@
+package rollout
+
+import "github.com/cespare/xxhash/v2"
+
+// MemberSum is an order-free sum over a set of members: how many there are,
+// and the sum of a hash of each member's identifier and incarnation. Two sets
+// with the same sum are taken to be the same set, so that a relay can add up
+// the sums of its children without listing the members, and a member counted
+// twice while it moves between parents shows as a difference.
+type MemberSum struct {
+	Count uint32
+	Hash  uint64
+}
+
+// SumOf returns the sum of a set with this one member.
+func SumOf(nodeID string, incarnation uint64) MemberSum {
+	digest := xxhash.New()
+	_, _ = digest.WriteString(nodeID)
+	var suffix [9]byte
+	for i := range 8 {
+		suffix[i+1] = byte(incarnation >> (8 * i))
+	}
+	_, _ = digest.Write(suffix[:])
+	return MemberSum{Count: 1, Hash: digest.Sum64()}
+}
+
+// Plus returns the sum of the union of two disjoint sets.
+func (s MemberSum) Plus(other MemberSum) MemberSum {
+	return MemberSum{Count: s.Count + other.Count, Hash: s.Hash + other.Hash}
+}
+
+// Minus returns the sum without the members of a subset.
+func (s MemberSum) Minus(other MemberSum) MemberSum {
+	return MemberSum{Count: s.Count - other.Count, Hash: s.Hash - other.Hash}
+}
+
+// MaxListedNodes bounds the nodes that a summary lists by name.
+const MaxListedNodes = 8
+
+// NodeReason names a node and says why it refused a version or lags behind.
+type NodeReason struct {
+	Node   string
+	Reason string
+}
+
+// Readiness sums up a subtree: who has staged the proposed version, who
+// refuses it, who runs the committed one, and some of those who do not yet.
+type Readiness struct {
+	// Proposed is the version that Ready and Refused speak of; zero when none.
+	Proposed Version
+	Ready    MemberSum
+	// Refused lists refusals, at most MaxListedNodes of them.
+	Refused []NodeReason
+	// Committed is the version that InForce speaks of.
+	Committed Version
+	InForce   MemberSum
+	// Lagging lists some of the nodes counted in neither sum they should be in.
+	Lagging []NodeReason
+}
--- /dev/null
+++ b/pkg/store/store.go
@@ -0,0 +1,91 @@
+package store
+
+import (
+	"context"
+	"time"
+)
+
+// Record is one key as the store holds it.
+type Record struct {
+	Key   string
+	Value []byte
+	// ModifyIndex rises whenever the record is written; compare-and-swap names it.
+	ModifyIndex uint64
+	// Session is the session that holds the key, or empty.
+	Session string
+}
+
+// ReadOptions changes how Get answers.
+type ReadOptions struct {
+	// Consistent asks for an answer that reflects every write completed before the read.
+	Consistent bool
+	// WaitIndex, when not zero, holds the answer back until the key's index
+	// passes it or Wait has gone by.
+	WaitIndex uint64
+	Wait      time.Duration
+}
+
+// Verb is what one operation of a transaction does.
+type Verb string
+
+// The verbs of a transaction.
+const (
+	// VerbSet writes the value whatever is there.
+	VerbSet Verb = "set"
+	// VerbCompareAndSwap writes if the key's index is Index; zero means that the key must not exist.
+	VerbCompareAndSwap Verb = "cas"
+	// VerbCheckIndex fails the transaction unless the key's index is Index.
+	VerbCheckIndex Verb = "check-index"
+	// VerbDelete removes the key.
+	VerbDelete Verb = "delete"
+)
+
+// Operation is one step of a transaction. All steps take effect or none.
+type Operation struct {
+	Verb  Verb
+	Key   string
+	Value []byte
+	Index uint64
+}
+
+// Store is the platform's key-value service. All methods may be called from
+// several goroutines. Errors are those of this package: see errors.go for which
+// of them tell that a write did not take effect.
+type Store interface {
+	// Get returns a record and the index to wait on next. A missing key is ErrNotFound;
+	// the index is valid then too.
+	Get(ctx context.Context, key string, options ReadOptions) (Record, uint64, error)
+	// List returns all records below a prefix, ordered by key.
+	List(ctx context.Context, prefix string) ([]Record, error)
+	// Transact carries out all operations or none. ErrConflict tells that a compare failed.
+	Transact(ctx context.Context, operations []Operation) error
+	// CreateSession opens a session that lapses unless it is renewed within ttl.
+	CreateSession(ctx context.Context, name string, ttl time.Duration) (string, error)
+	// RenewSession prolongs a session; ErrSessionGone tells that it has lapsed.
+	RenewSession(ctx context.Context, session string) error
+	// DestroySession ends a session and frees the keys that it holds.
+	DestroySession(ctx context.Context, session string) error
+	// Acquire makes session the holder of key and writes value; false tells
+	// that another session holds it.
+	Acquire(ctx context.Context, key string, value []byte, session string) (bool, error)
+	// Release gives up the key if session holds it.
+	Release(ctx context.Context, key string, session string) error
+}
+
+// Machine is one entry of the platform's list of machines. The list lags.
+type Machine struct {
+	Node           string
+	Region         string
+	Zone           string
+	Service        string
+	ControlAddress string
+	CallAddress    string
+	// Leaving tells that the platform is about to take the machine away.
+	Leaving bool
+}
+
+// MachineList is the platform's lagging list of machines; it is a hint only.
+type MachineList interface {
+	// Machines returns the machines that the platform believes to exist.
+	Machines(ctx context.Context) ([]Machine, error)
+}
