--- /dev/null
+++ b/pkg/snapshot/snapshot.go
@@ -0,0 +1,166 @@
+package snapshot
+
+import (
+	"iter"
+	"sort"
+
+	"github.com/levertide/levertide/pkg/model"
+)
+
+// Snapshot is an immutable, numbered and closed set of resources. It may be
+// used by several goroutines.
+type Snapshot struct {
+	version uint64
+	digest  model.Digest
+	entries []*entry
+}
+
+// New builds a snapshot. It fails with ErrDanglingReference, ErrDuplicate or
+// model.ErrMalformed, and keeps the pointers inside the given resources.
+func New(version uint64, resources []model.Resource) (*Snapshot, error) {
+	entries := make([]*entry, 0, len(resources))
+	for _, resource := range resources {
+		if err := resource.CheckShape(); err != nil {
+			return nil, err
+		}
+		entries = append(entries, newEntry(resource))
+	}
+	if err := sortEntries(entries); err != nil {
+		return nil, err
+	}
+	return fromEntries(version, entries)
+}
+
+// Empty returns the snapshot without resources, version zero, from which a
+// delta to a whole snapshot starts.
+func Empty() *Snapshot { return emptySnapshot }
+
+var emptySnapshot = &Snapshot{digest: digestEntries(nil)}
+
+// fromEntries takes over entries that are sorted and free of duplicates.
+func fromEntries(version uint64, entries []*entry) (*Snapshot, error) {
+	snapshot := &Snapshot{version: version, entries: entries}
+	if err := snapshot.checkClosed(); err != nil {
+		return nil, err
+	}
+	snapshot.digest = digestEntries(entries)
+	return snapshot, nil
+}
+
+func (s *Snapshot) checkClosed() error {
+	for name, route := range s.Routes() {
+		if _, found := s.Service(route.Service); !found {
+			return ErrDanglingReference.New("route %s names service %s, which is not in the set", name, route.Service)
+		}
+		if route.Credential == nil {
+			continue
+		}
+		if _, found := s.Secret(route.Credential.Secret); !found {
+			return ErrDanglingReference.New("route %s names secret %s, which is not in the set", name, route.Credential.Secret)
+		}
+	}
+	return nil
+}
+
+// Version returns the number of the snapshot.
+func (s *Snapshot) Version() uint64 { return s.version }
+
+// Digest returns the content address of the whole set. The version number is
+// no part of it: equal contents have equal digests.
+func (s *Snapshot) Digest() model.Digest { return s.digest }
+
+// Len returns how many resources there are.
+func (s *Snapshot) Len() int { return len(s.entries) }
+
+// WithVersion returns the same content under another number.
+func (s *Snapshot) WithVersion(version uint64) *Snapshot {
+	if version == s.version {
+		return s
+	}
+	return &Snapshot{version: version, digest: s.digest, entries: s.entries}
+}
+
+// Keys returns the keys of all resources in order.
+func (s *Snapshot) Keys() []model.Key {
+	keys := make([]model.Key, len(s.entries))
+	for i, item := range s.entries {
+		keys[i] = item.key()
+	}
+	return keys
+}
+
+// Resource returns the resource with the given key.
+func (s *Snapshot) Resource(key model.Key) (model.Resource, bool) {
+	place, found := findEntry(s.entries, key)
+	if !found {
+		return model.Resource{}, false
+	}
+	return s.entries[place].resource, true
+}
+
+// ResourceDigest returns the content address of the resource with the given key.
+func (s *Snapshot) ResourceDigest(key model.Key) (model.Digest, bool) {
+	place, found := findEntry(s.entries, key)
+	if !found {
+		return model.Digest{}, false
+	}
+	return s.entries[place].digest, true
+}
+
+// Service returns the service with the given name.
+func (s *Snapshot) Service(name string) (*model.Service, bool) {
+	resource, found := s.Resource(model.Key{Kind: model.KindService, Name: name})
+	return resource.Service, found
+}
+
+// Route returns the route with the given name.
+func (s *Snapshot) Route(name string) (*model.Route, bool) {
+	resource, found := s.Resource(model.Key{Kind: model.KindRoute, Name: name})
+	return resource.Route, found
+}
+
+// Secret returns the secret with the given name.
+func (s *Snapshot) Secret(name string) (*model.Secret, bool) {
+	resource, found := s.Resource(model.Key{Kind: model.KindSecret, Name: name})
+	return resource.Secret, found
+}
+
+// Resources yields all resources in the order of their keys.
+func (s *Snapshot) Resources() iter.Seq[model.Resource] {
+	return func(yield func(model.Resource) bool) {
+		for _, item := range s.entries {
+			if !yield(item.resource) {
+				return
+			}
+		}
+	}
+}
+
+// Services yields all services in the order of their names.
+func (s *Snapshot) Services() iter.Seq2[string, *model.Service] {
+	return func(yield func(string, *model.Service) bool) {
+		for _, item := range s.ofKind(model.KindService) {
+			if !yield(item.key().Name, item.resource.Service) {
+				return
+			}
+		}
+	}
+}
+
+// Routes yields all routes in the order of their names.
+func (s *Snapshot) Routes() iter.Seq2[string, *model.Route] {
+	return func(yield func(string, *model.Route) bool) {
+		for _, item := range s.ofKind(model.KindRoute) {
+			if !yield(item.key().Name, item.resource.Route) {
+				return
+			}
+		}
+	}
+}
+
+// ofKind returns the entries of one kind, which lie side by side.
+func (s *Snapshot) ofKind(kind model.Kind) []*entry {
+	first := sort.Search(len(s.entries), func(i int) bool { return s.entries[i].key().Kind >= kind })
+	rest := s.entries[first:]
+	return rest[:sort.Search(len(rest), func(i int) bool { return rest[i].key().Kind > kind })]
+}
