--- /dev/null
+++ b/internal/settings/keys.go
@@ -0,0 +1,113 @@
+package settings
+
+import (
+	"flag"
+	"strconv"
+	"strings"
+	"time"
+)
+
+// Key describes one setting for help texts and documents.
+type Key struct {
+	// Name is the flag, the key in the settings file and, in upper case with
+	// the prefix LEVERTIDE_, the environment variable.
+	Name string
+	// Usage says what the setting does.
+	Usage string
+	// Allowed says which values are accepted.
+	Allowed string
+	// Default is the value used when none is given.
+	Default string
+
+	bind func(*Settings) flag.Value
+}
+
+// EnvironmentVariable returns the name of the variable that sets the key.
+func (k Key) EnvironmentVariable() string {
+	return environmentPrefix + "_" + strings.ToUpper(strings.ReplaceAll(k.Name, "-", "_"))
+}
+
+const (
+	allowedIdentifier = "1 to 63 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
+	allowedListener   = "IP:port, port 0 for any free one; a loopback address unless TLS is set"
+	allowedEndpoint   = "IP:port with a port from 1 to 65535"
+	allowedPEM        = "path of a readable PEM file; tls-ca, tls-cert and tls-key are set together or not at all"
+	allowedBound      = "duration from 100ms to 60s, such as 2s"
+	loopbackAnyPort   = "127.0.0.1:0"
+)
+
+// Keys returns every setting in the order of the documents.
+func Keys() []Key {
+	return []Key{
+		{"node-id", "name of this node, shared with no other live node", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.NodeID) }},
+		{"region", "region that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Region) }},
+		{"zone", "zone that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Zone) }},
+		{"service", "service of the worker beside the node; empty for none", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Service) }},
+		{"worker-address", "address of the worker beside the node", allowedEndpoint + "; required with service", "", func(s *Settings) flag.Value { return (*textValue)(&s.WorkerAddress) }},
+		{"gateway", "hold every resource, whatever the service calls", "true or false", "false", func(s *Settings) flag.Value { return (*switchValue)(&s.Gateway) }},
+		{"caller-address", "listener for callers", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.CallerAddress) }},
+		{"call-address", "listener for calls from other nodes", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.CallAddress) }},
+		{"control-address", "listener for control messages from other nodes", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.ControlAddress) }},
+		{"admin-address", "listener for health, metrics and status", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.AdminAddress) }},
+		{"advertise-call-address", "address at which other nodes reach call-address, when it differs", allowedEndpoint, "", func(s *Settings) flag.Value { return (*textValue)(&s.AdvertiseCallAddress) }},
+		{"advertise-control-address", "address at which other nodes reach control-address, when it differs", allowedEndpoint, "", func(s *Settings) flag.Value { return (*textValue)(&s.AdvertiseControlAddress) }},
+		{"source-address", "local address of outgoing connections", "IP address", "", func(s *Settings) flag.Value { return (*textValue)(&s.SourceAddress) }},
+		{"seeds", "control addresses of some other nodes, for a start while the store is down", "comma-separated list or YAML list; each " + allowedEndpoint, "", func(s *Settings) flag.Value { return (*listValue)(&s.Seeds) }},
+		{"store-address", "servers of the platform's key-value service", "comma-separated list or YAML list of at least one; each IP:port or http(s)://IP:port", "", func(s *Settings) flag.Value { return (*listValue)(&s.StoreAddresses) }},
+		{"fan-out", "children of one relay; 0 works it out from the byte budget", "whole number from 0 to 256", "0", func(s *Settings) flag.Value { return (*numberValue)(&s.FanOut) }},
+		{"hold", "how long a watch may be held before it is answered", allowedBound, "3s", func(s *Settings) flag.Value { return (*durationValue)(&s.Hold) }},
+		{"silent-bound", "how long silent nodes may hold up a rollout", allowedBound, "2s", func(s *Settings) flag.Value { return (*durationValue)(&s.SilentBound) }},
+		{"drain-bound", "how long a planned stop waits for calls in flight", "duration from 0s to 1h", "10m", func(s *Settings) flag.Value { return (*durationValue)(&s.DrainBound) }},
+		{"max-resources", "most resources in a version that the node accepts", "whole number from 1 to 1000000", "20000", func(s *Settings) flag.Value { return (*numberValue)(&s.MaxResources) }},
+		{"tls-ca", "certificates of the authorities that nodes are checked against", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSCA) }},
+		{"tls-cert", "certificate of this node", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSCert) }},
+		{"tls-key", "private key of this node", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSKey) }},
+		{"log-level", "lowest level of events that are written", "debug, info, warn or error", "info", func(s *Settings) flag.Value { return (*textValue)(&s.LogLevel) }},
+	}
+}
+
+type textValue string
+
+func (v *textValue) Set(text string) error { *v = textValue(text); return nil }
+func (v *textValue) String() string        { return string(*v) }
+
+type switchValue bool
+
+func (v *switchValue) Set(text string) error {
+	parsed, err := strconv.ParseBool(text)
+	*v = switchValue(parsed)
+	return err
+}
+func (v *switchValue) String() string   { return strconv.FormatBool(bool(*v)) }
+func (v *switchValue) IsBoolFlag() bool { return true }
+
+type numberValue int
+
+func (v *numberValue) Set(text string) error {
+	parsed, err := strconv.Atoi(text)
+	*v = numberValue(parsed)
+	return err
+}
+func (v *numberValue) String() string { return strconv.Itoa(int(*v)) }
+
+type durationValue time.Duration
+
+func (v *durationValue) Set(text string) error {
+	parsed, err := time.ParseDuration(text)
+	*v = durationValue(parsed)
+	return err
+}
+func (v *durationValue) String() string { return time.Duration(*v).String() }
+
+// listValue collects repeated flags, comma-separated text and YAML lists.
+type listValue []string
+
+func (v *listValue) Set(text string) error {
+	for item := range strings.SplitSeq(text, ",") {
+		if trimmed := strings.TrimSpace(item); trimmed != "" {
+			*v = append(*v, trimmed)
+		}
+	}
+	return nil
+}
+func (v *listValue) String() string { return strings.Join(*v, ",") }
