--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -34,7 +34,8 @@
 	VerbSet Verb = "set"
 	// VerbCompareAndSwap writes if the key's index is Index; zero means that the key must not exist.
 	VerbCompareAndSwap Verb = "cas"
-	// VerbCheckIndex fails the transaction unless the key's index is Index.
+	// VerbCheckIndex fails the transaction unless the key's index is Index; zero
+	// means that the key must not exist.
 	VerbCheckIndex Verb = "check-index"
 	// VerbDelete removes the key.
 	VerbDelete Verb = "delete"
@@ -55,9 +56,13 @@
 	// Get returns a record and the index to wait on next. A missing key is ErrNotFound;
 	// the index is valid then too.
 	Get(ctx context.Context, key string, options ReadOptions) (Record, uint64, error)
+	// GetMany returns the records of at most MaxTransactionOperations keys in one
+	// request, in the order of the keys; keys that do not exist are left out.
+	GetMany(ctx context.Context, keys []string, consistent bool) ([]Record, error)
 	// List returns all records below a prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]Record, error)
-	// Transact carries out all operations or none. ErrConflict tells that a compare failed.
+	// Transact carries out all operations or none. ErrConflict tells that a
+	// compare failed, ErrTooLarge that the bounds of a transaction are exceeded.
 	Transact(ctx context.Context, operations []Operation) error
 	// CreateSession opens a session that lapses unless it is renewed within ttl.
 	CreateSession(ctx context.Context, name string, ttl time.Duration) (string, error)
