--- /dev/null
+++ b/internal/lab/process/process_test.go
@@ -0,0 +1,88 @@
+package process_test
+
+import (
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/levertide/levertide/internal/lab/process"
+)
+
+const longBound = 30 * time.Second
+
+func TestLinesAndExitCode(t *testing.T) {
+	var errorLines, outputLines []string
+	started, err := process.Start(process.Options{
+		Name:         "shell",
+		Path:         "/bin/sh",
+		Arguments:    []string{"-c", "echo one >&2; echo two; echo three >&2; exit 7"},
+		OnErrorLine:  func(line []byte) { errorLines = append(errorLines, string(line)) },
+		OnOutputLine: func(line []byte) { outputLines = append(outputLines, string(line)) },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-started.Done()
+	if diff := cmp.Diff([]string{"one", "three"}, errorLines); diff != "" {
+		t.Errorf("standard error (-want +got):\n%s", diff)
+	}
+	if diff := cmp.Diff([]string{"two"}, outputLines); diff != "" {
+		t.Errorf("standard output (-want +got):\n%s", diff)
+	}
+	if started.ExitCode() != 7 {
+		t.Errorf("exit code %d, want 7", started.ExitCode())
+	}
+}
+
+func TestGroupStopsEveryProcess(t *testing.T) {
+	var group process.Group
+	ready := make(chan struct{}, 2)
+	orderly := startShell(t, &group, "echo ready; read line", ready)
+	stubborn := startShell(t, &group, "trap '' TERM; echo ready; while :; do read line; done", ready)
+	<-ready
+	<-ready
+	if got := len(group.Running()); got != 2 {
+		t.Fatalf("%d running, want 2", got)
+	}
+	orderly.Signal(syscall.SIGTERM)
+	<-orderly.Done()
+	if killed := group.StopAll(100 * time.Millisecond); killed != 1 {
+		t.Errorf("%d killed, want 1", killed)
+	}
+	<-stubborn.Done()
+	if _, err := group.Start(process.Options{Name: "late", Path: "/bin/true"}); err == nil {
+		t.Error("a stopped group started a process")
+	}
+}
+
+func TestUsageOfRunningProcess(t *testing.T) {
+	var group process.Group
+	ready := make(chan struct{}, 1)
+	running := startShell(t, &group, "echo ready; read line", ready)
+	defer group.StopAll(longBound)
+	<-ready
+	usage, err := running.Usage()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if usage.Resident == 0 {
+		t.Error("no resident memory")
+	}
+}
+
+func startShell(t *testing.T, group *process.Group, script string, ready chan<- struct{}) *process.Process {
+	t.Helper()
+	started, err := group.Start(process.Options{
+		Name:         "shell",
+		Path:         "/bin/sh",
+		Arguments:    []string{"-c", script},
+		Input:        true,
+		OnOutputLine: func([]byte) { ready <- struct{}{} },
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return started
+}
