Add the membership table and the topology plan

Every node keeps the newest record of each member and works out its own place in the distribution tree. A node's parents precede it in an order that is a fixed function of identifiers, or read the store themselves, so that split views form no loop. Zone relays of one region form a heap with the same fan-out, which keeps a region of many zones within a relay's budget.

--- /dev/null
+++ b/pkg/topology/fanout.go
@@ -0,0 +1,57 @@
+package topology
+
+import "math"
+
+// Bounds of the fan-out that FanOut returns.
+const (
+	MinFanOut = 2
+	MaxFanOut = 32
+)
+
+// Budget says what a relay may send and receive, and what its children cost.
+// Zero fields of cost mean the defaults.
+type Budget struct {
+	// BytesPerSecond bounds all control bytes of a node, both ways, averaged
+	// over a window of minutes.
+	BytesPerSecond float64
+	// HoldSeconds is how long a watch is held when nothing changes.
+	HoldSeconds float64
+	// IdlePollBytes is what one watch without news costs, request and answer,
+	// with HTTP and TCP/IP headers.
+	IdlePollBytes float64
+	// ChangeBytes is what one change of the configuration costs for each child:
+	// the staged difference, the commit and the reports.
+	ChangeBytes float64
+	// ChangesPerDay is how often the configuration changes.
+	ChangesPerDay float64
+	// DirectoryBytesPerSecond is what changes of membership cost for each child.
+	DirectoryBytesPerSecond float64
+	// OtherChildren is how many children a relay may have besides those of its
+	// zone: relays of other zones and regions.
+	OtherChildren int
+	// Reserve is the share of the budget, 0 to 1, kept for bursts.
+	Reserve float64
+}
+
+const secondsPerDay = 86400
+
+// childBytesPerSecond returns what one child costs.
+func (b Budget) childBytesPerSecond() float64 {
+	idle := b.IdlePollBytes / max(b.HoldSeconds, math.SmallestNonzeroFloat64)
+	changes := b.ChangeBytes * b.ChangesPerDay / secondsPerDay
+	return idle + changes + b.DirectoryBytesPerSecond
+}
+
+// FanOut returns how many children of its zone a relay can serve within the
+// budget, at least MinFanOut and at most MaxFanOut. The relay's own parent
+// counts as one more child.
+func FanOut(budget Budget) int {
+	child := budget.childBytesPerSecond()
+	if child <= 0 || math.IsNaN(child) {
+		return MaxFanOut
+	}
+	usable := budget.BytesPerSecond * (1 - budget.Reserve)
+	connections := math.Floor(usable / child)
+	children := connections - 1 - float64(budget.OtherChildren)
+	return int(min(max(children, MinFanOut), MaxFanOut))
+}
--- /dev/null
+++ b/pkg/topology/peer.go
@@ -0,0 +1,96 @@
+package topology
+
+// Peer is one live node as the plan needs to know it.
+type Peer struct {
+	ID             string
+	Region         string
+	Zone           string
+	ControlAddress string
+	// Reader tells that the node reads the platform's store.
+	Reader bool
+}
+
+// Defaults of Options.
+const (
+	DefaultFanOut  = 8
+	DefaultReaders = 3
+	// MaxParents bounds the candidates that a plan lists. A node for which all
+	// of them fail plans again without them.
+	MaxParents = 8
+)
+
+// Options shapes the tree. All nodes of a system use the same.
+type Options struct {
+	// FanOut is how many children a node has inside its zone, and how many
+	// zones of its region a zone relay serves. Zero means DefaultFanOut.
+	FanOut int
+	// Readers is how many nodes may read the store. Zero means DefaultReaders.
+	Readers int
+}
+
+func (o Options) withDefaults() Options {
+	if o.FanOut <= 0 {
+		o.FanOut = DefaultFanOut
+	}
+	if o.Readers <= 0 {
+		o.Readers = DefaultReaders
+	}
+	return o
+}
+
+// Role is a node's place in the tree.
+type Role uint8
+
+// The roles, from the widest part of the tree to its root.
+const (
+	// RoleLeaf serves no other node.
+	RoleLeaf Role = iota
+	// RoleRelay serves nodes of its own zone.
+	RoleRelay
+	// RoleZoneRelay serves its zone, and other zones of its region.
+	RoleZoneRelay
+	// RoleRegionRelay also serves relays of other regions.
+	RoleRegionRelay
+)
+
+var roleNames = [...]string{"leaf", "relay", "zone-relay", "region-relay"}
+
+// String returns the role's name in lower case.
+func (r Role) String() string {
+	if int(r) >= len(roleNames) {
+		return "unknown"
+	}
+	return roleNames[r]
+}
+
+// NotInApex is the apex index of a node that is not the relay of its zone.
+const NotInApex = -1
+
+// Assignment is a node's own place in the tree.
+type Assignment struct {
+	Role Role
+	// Rank is the node's place among the members of its zone; 0 is the zone relay.
+	Rank int
+	// ReaderCandidate tells that the node is to try for a lease to read the store.
+	ReaderCandidate bool
+	// ApexIndex is the node's place among the relays of all zones, or NotInApex.
+	ApexIndex int
+	// Parents lists the nodes to pull from, in order of preference.
+	Parents []Peer
+	// FullScope tells that the node holds the whole configuration, because
+	// others may pull from it.
+	FullScope bool
+	// mustRead lists the parents that follow the node in the order of keys.
+	mustRead []string
+}
+
+// MustRead tells that the node may stay with this parent only as long as the
+// parent itself says that it reads the store; otherwise a loop could form.
+func (a *Assignment) MustRead(parent string) bool {
+	for _, id := range a.mustRead {
+		if id == parent {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/pkg/topology/plan.go
@@ -0,0 +1,163 @@
+package topology
+
+import (
+	"cmp"
+	"iter"
+	"slices"
+)
+
+// Plan returns the place of the node self among the live members, of which it
+// is one. If live does not hold it, the assignment is that of a leaf without
+// parents.
+func Plan(self string, live []Peer, options Options) Assignment {
+	return PlanSeq(self, slices.Values(live), options)
+}
+
+// PlanSeq is Plan over a sequence, which it runs through twice. It spares the
+// caller a copy of the members.
+func PlanSeq(self string, live iter.Seq[Peer], options Options) Assignment {
+	options = options.withDefaults()
+	own, found := findSelf(self, live)
+	if !found {
+		return Assignment{Role: RoleLeaf, ApexIndex: NotInApex}
+	}
+	members := surveyMembers(own, live)
+	assignment := Assignment{Rank: members.rank(), ApexIndex: NotInApex}
+	assignment.FullScope = assignment.Rank < relayCount(len(members.members), options.FanOut)
+	assignment.Role = members.role(assignment)
+	if assignment.Rank == 0 {
+		assignment.ApexIndex = members.apexIndex(members.ownZone())
+		assignment.ReaderCandidate = assignment.ApexIndex < options.Readers
+	}
+	members.chooseParents(&assignment, options)
+	return assignment
+}
+
+func (s *survey) role(assignment Assignment) Role {
+	switch {
+	case assignment.Rank == 0 && s.zones[s.ownZone()].indexInRegion == 0:
+		return RoleRegionRelay
+	case assignment.Rank == 0:
+		return RoleZoneRelay
+	case assignment.FullScope:
+		return RoleRelay
+	default:
+		return RoleLeaf
+	}
+}
+
+// relayCount returns how many of a zone's members hold the whole
+// configuration: those that have children, and at least the zone relay's own
+// children, one of which takes its place when it dies.
+func relayCount(zoneSize, fanOut int) int {
+	withChildren := 0
+	if zoneSize > 1 {
+		withChildren = (zoneSize-2)/fanOut + 1
+	}
+	return min(zoneSize, max(withChildren, fanOut+1))
+}
+
+func (s *survey) chooseParents(assignment *Assignment, options Options) {
+	switch {
+	case s.self.Reader:
+		assignment.Parents = s.earlierReaders()
+	case assignment.Rank > 0:
+		assignment.Parents = s.zoneParents(assignment.Rank, options.FanOut)
+	case assignment.Role == RoleZoneRelay:
+		assignment.Parents = s.regionParents(options.FanOut)
+	default:
+		s.chooseApexParents(assignment)
+	}
+}
+
+// earlierReaders lists the readers that precede this one. The reader that
+// reaches none of them coordinates.
+func (s *survey) earlierReaders() []Peer {
+	var parents []Peer
+	for _, reader := range s.readers {
+		if reader.key.Compare(s.selfKey) < 0 && len(parents) < MaxParents {
+			parents = append(parents, reader.peer)
+		}
+	}
+	return parents
+}
+
+// zoneParents lists the parents of a node inside its zone.
+func (s *survey) zoneParents(rank, fanOut int) []Peer {
+	earlier := s.members[:min(rank, relayCount(len(s.members), fanOut))]
+	return s.heapParents(len(earlier), (rank-1)/fanOut, func(index int) (Peer, Key) {
+		return earlier[index].peer, earlier[index].key
+	})
+}
+
+// regionParents lists the parents of a zone relay inside its region.
+func (s *survey) regionParents(fanOut int) []Peer {
+	index := s.zones[s.ownZone()].indexInRegion
+	zones := s.regionZones()
+	return s.heapParents(index, (index-1)/fanOut, func(index int) (Peer, Key) {
+		return zones[index].relay, zones[index].key
+	})
+}
+
+// heapParents lists the preferred one of count candidates first, the first
+// candidate of all last, and between them others in an order of the child's
+// own, so that the children of a dead parent spread.
+func (s *survey) heapParents(count, preferred int, candidate func(int) (Peer, Key)) []Peer {
+	type ranked struct {
+		index int
+		score uint64
+	}
+	others := make([]ranked, 0, count)
+	for index := 1; index < count; index++ {
+		if index == preferred {
+			continue
+		}
+		_, key := candidate(index)
+		others = append(others, ranked{index, pairScore(s.selfKey.member, key.member)})
+	}
+	slices.SortFunc(others, func(a, b ranked) int { return cmp.Compare(a.score, b.score) })
+	parents := make([]Peer, 0, min(count, MaxParents))
+	first, _ := candidate(preferred)
+	parents = append(parents, first)
+	for _, other := range others[:min(len(others), MaxParents-2)] {
+		peer, _ := candidate(other.index)
+		parents = append(parents, peer)
+	}
+	if preferred != 0 {
+		root, _ := candidate(0)
+		parents = append(parents, root)
+	}
+	return parents
+}
+
+// chooseApexParents lists the parents of a region relay that does not read the
+// store: the readers, spread over the regions, and then the relays of earlier
+// regions. Readers that follow the node in the order of keys must really read.
+func (s *survey) chooseApexParents(assignment *Assignment) {
+	region := s.regionIndex()
+	for offset := range min(len(s.readers), MaxParents/2) {
+		reader := s.readers[(region+offset)%len(s.readers)]
+		assignment.Parents = append(assignment.Parents, reader.peer)
+		if reader.key.Compare(s.selfKey) > 0 {
+			assignment.mustRead = append(assignment.mustRead, reader.peer.ID)
+		}
+	}
+	for index := range s.zones {
+		zone := &s.zones[index]
+		earlier := zone.indexInRegion == 0 && zone.key.Compare(s.selfKey) < 0
+		if earlier && !zone.relay.Reader && len(assignment.Parents) < MaxParents {
+			assignment.Parents = append(assignment.Parents, zone.relay)
+		}
+	}
+}
+
+// regionIndex returns how many regions precede the node's own.
+func (s *survey) regionIndex() int {
+	regions := 0
+	for index := range s.ownZone() {
+		if s.zones[index].indexInRegion == 0 && s.zones[index].region != s.self.Region {
+			regions++
+		}
+	}
+	return regions
+}
