--- /dev/null
+++ b/pkg/snapshot/main_test.go
@@ -0,0 +1,100 @@
+package snapshot_test
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// TestMain fixes the seed, so that every run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("rapid.seed", "1"); err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(2)
+	}
+	os.Exit(m.Run())
+}
+
+func service(name string, slots int, calls []string) model.Resource {
+	return model.Resource{
+		Key:     model.Key{Kind: model.KindService, Name: name},
+		Service: &model.Service{Slots: slots, Calls: calls},
+	}
+}
+
+func secret(name, value string) model.Resource {
+	return model.Resource{Key: model.Key{Kind: model.KindSecret, Name: name}, Secret: &model.Secret{Value: value}}
+}
+
+func route(name, service, secret string) model.Resource {
+	resource := model.Resource{
+		Key:   model.Key{Kind: model.KindRoute, Name: name},
+		Route: &model.Route{Match: model.Match{Host: "*", PathPrefix: "/" + name}, Service: service},
+	}
+	if secret != "" {
+		resource.Route.Credential = &model.Credential{Secret: secret, Header: "Authorization"}
+	}
+	return resource
+}
+
+func build(t testing.TB, version uint64, resources ...model.Resource) *snapshot.Snapshot {
+	t.Helper()
+	built, err := snapshot.New(version, resources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return built
+}
+
+// drawSnapshot draws a closed set from a small pool of names, so that two
+// draws often share, change and lack the same resources.
+func drawSnapshot(t *rapid.T, version uint64) *snapshot.Snapshot {
+	services := drawNames(t, "service")
+	secrets := drawNames(t, "secret")
+	var resources []model.Resource
+	for _, name := range services {
+		calls := rapid.SliceOfDistinct(rapid.SampledFrom(services), rapid.ID).Draw(t, "calls")
+		if rapid.Bool().Draw(t, "calls everything") {
+			calls = nil
+		}
+		resources = append(resources, service(name, rapid.IntRange(1, 3).Draw(t, "slots"), calls))
+	}
+	for _, name := range secrets {
+		resources = append(resources, secret(name, rapid.SampledFrom([]string{"a", "b"}).Draw(t, "value")))
+	}
+	if len(services) > 0 {
+		for _, name := range drawNames(t, "route") {
+			credential := rapid.SampledFrom(append(secrets, "")).Draw(t, "credential")
+			resources = append(resources, route(name, rapid.SampledFrom(services).Draw(t, "target"), credential))
+		}
+	}
+	built, err := snapshot.New(version, rapid.Permutation(resources).Draw(t, "order"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	return built
+}
+
+func drawNames(t *rapid.T, label string) []string {
+	var names []string
+	for i := range 5 {
+		if rapid.Bool().Draw(t, label) {
+			names = append(names, fmt.Sprintf("%s-%d", label, i))
+		}
+	}
+	return names
+}
+
+func drawScope(t *rapid.T) snapshot.Scope {
+	return snapshot.Scope{
+		All:     rapid.IntRange(0, 9).Draw(t, "all") == 0,
+		Service: fmt.Sprintf("service-%d", rapid.IntRange(0, 5).Draw(t, "scope")),
+	}
+}
--- /dev/null
+++ b/pkg/snapshot/property_test.go
@@ -0,0 +1,149 @@
+package snapshot_test
+
+import (
+	"slices"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// overTheWire encodes and decodes a delta.
+func overTheWire(t *rapid.T, delta snapshot.Delta) snapshot.Delta {
+	payload, err := delta.Encode()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if delta.Empty() != (len(payload) == 0) {
+		t.Fatalf("empty: %v, payload of %d bytes", delta.Empty(), len(payload))
+	}
+	received, err := snapshot.DecodeDelta(delta, payload)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return received
+}
+
+func requireSame(t *rapid.T, got, want *snapshot.Snapshot) {
+	if got.Version() != want.Version() || got.Digest() != want.Digest() || !slices.Equal(got.Keys(), want.Keys()) {
+		t.Fatalf("got version %d %v, want version %d %v", got.Version(), got.Keys(), want.Version(), want.Keys())
+	}
+}
+
+func TestApplyOfDiffGivesTarget(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, target := drawSnapshot(t, 1), drawSnapshot(t, 2)
+		delta := overTheWire(t, snapshot.Diff(base, target))
+		applied, err := delta.Apply(base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSame(t, applied, target)
+		whole, err := overTheWire(t, snapshot.Diff(nil, target)).Apply(nil)
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSame(t, whole, target)
+	})
+}
+
+func TestRestrictedDeltasFollowTheWholeOnes(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, target, scope := drawSnapshot(t, 1), drawSnapshot(t, 2), drawScope(t)
+		delta := overTheWire(t, snapshot.Diff(base.Restrict(scope), target.Restrict(scope)))
+		applied, err := delta.Apply(base.Restrict(scope))
+		if err != nil {
+			t.Fatal(err)
+		}
+		whole, err := snapshot.Diff(base, target).Apply(base)
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSame(t, applied, whole.Restrict(scope))
+	})
+}
+
+func TestRestrictIsClosedAndIdempotent(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		whole, scope := drawSnapshot(t, 7), drawScope(t)
+		part := whole.Restrict(scope)
+		rebuilt, err := snapshot.New(part.Version(), slices.Collect(part.Resources()))
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSame(t, rebuilt, part)
+		requireSame(t, part.Restrict(scope), part)
+		for _, key := range part.Keys() {
+			held, _ := part.ResourceDigest(key)
+			if original, found := whole.ResourceDigest(key); !found || held != original {
+				t.Fatalf("%s is not the one of the whole", key)
+			}
+		}
+		requireReach(t, whole, part, scope)
+	})
+}
+
+// requireReach checks that the part holds just what the scope asks for.
+func requireReach(t *rapid.T, whole, part *snapshot.Snapshot, scope snapshot.Scope) {
+	own, found := whole.Service(scope.Service)
+	reaches := func(name string) bool {
+		return scope.All || found && (own.Calls == nil || name == scope.Service || slices.Contains(own.Calls, name))
+	}
+	for name := range whole.Services() {
+		if _, held := part.Service(name); held != reaches(name) {
+			t.Fatalf("service %s held: %v", name, held)
+		}
+	}
+	for name, route := range whole.Routes() {
+		if _, held := part.Route(name); held != reaches(route.Service) {
+			t.Fatalf("route %s held: %v", name, held)
+		}
+	}
+}
+
+func TestApplyElsewhereIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, target, other := drawSnapshot(t, 1), drawSnapshot(t, 2), drawSnapshot(t, 3)
+		applied, err := snapshot.Diff(base, target).Apply(other)
+		if base.Digest() != other.Digest() {
+			requireType(t, err, snapshot.ErrBaseMismatch)
+			return
+		}
+		if err != nil {
+			t.Fatal(err)
+		}
+		requireSame(t, applied, target)
+	})
+}
+
+func TestTamperedDeltaIsRefused(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		base, target := drawSnapshot(t, 1), drawSnapshot(t, 2)
+		delta := snapshot.Diff(base, target)
+		delta.Upserts = append(slices.Clone(delta.Upserts), secret("intruder", "x"))
+		_, err := delta.Apply(base)
+		requireType(t, err, snapshot.ErrDigestMismatch)
+	})
+}
+
+func TestDigestDependsOnContentOnly(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := drawSnapshot(t, 1), drawSnapshot(t, 2)
+		same := slices.Equal(one.Keys(), two.Keys())
+		for _, key := range one.Keys() {
+			left, _ := model.Encode(mustResource(one, key))
+			right, _ := model.Encode(mustResource(two, key))
+			same = same && string(left) == string(right)
+		}
+		if same != (one.Digest() == two.Digest()) {
+			t.Fatalf("same content: %v, same digest: %v", same, !same)
+		}
+	})
+}
+
+func mustResource(s *snapshot.Snapshot, key model.Key) model.Resource {
+	resource, _ := s.Resource(key)
+	return resource
+}
