Add admission gate and endpoint balancer

First working form of both parts. Pick and Admit hand out values instead of pointers or closures: a closure for each request would allocate, and a permit with a generation makes a second release harmless.

--- /dev/null
+++ b/pkg/admission/gate.go
@@ -0,0 +1,264 @@
+package admission
+
+import (
+	"context"
+	"errors"
+	"sync"
+	"time"
+)
+
+const (
+	// SlotsFullLoad is the Load of a gate whose slots are all taken and whose
+	// queue is empty.
+	SlotsFullLoad = 0.75
+
+	minimumRetryAfter = 50 * time.Millisecond
+	maximumRetryAfter = 5 * time.Second
+)
+
+// Gate admits requests to one worker. Use New.
+type Gate struct {
+	now func() time.Time
+
+	mutex       sync.Mutex
+	options     Options
+	limit       int // in force now
+	inFlight    int
+	queue       waitQueue
+	permits     permitTable
+	adaptive    adaptiveLimit
+	warmUntil   time.Time // zero when the worker is warm
+	serviceTime float64   // seconds, moving average
+	draining    bool
+	idle        chan struct{} // closed when draining and nothing is left; nil unless waited for
+	counts      Counts
+}
+
+// Counts are totals since the gate was made.
+type Counts struct {
+	Admitted uint64
+	Shed     uint64
+}
+
+// Stats is the state of a gate at one moment.
+type Stats struct {
+	Limit    int
+	InFlight int
+	Waiting  int
+	Draining bool
+	Counts   Counts
+}
+
+// New returns a gate for a worker that is taken to be warm. Call WorkerStarted
+// for one that is not.
+func New(options Options) *Gate {
+	options = options.withDefaults()
+	g := &Gate{now: options.Now, options: options}
+	g.adaptive.reset(options.Slots)
+	g.refreshLimit()
+	return g
+}
+
+// Admit waits for a slot. On success the caller must call Release on the permit
+// exactly once, whatever becomes of the request. An error is always of type
+// ErrShed: nothing of the request may have been sent to the worker.
+func (g *Gate) Admit(ctx context.Context, priority Priority) (Permit, error) {
+	priority = min(priority, PriorityHigh)
+	if err := ctx.Err(); err != nil {
+		return Permit{}, g.shed(contextReason(err))
+	}
+	g.mutex.Lock()
+	if g.draining {
+		return Permit{}, g.unlockAndShed(ReasonDraining)
+	}
+	if !g.warmUntil.IsZero() {
+		g.refreshLimit()
+		g.dispatch()
+	}
+	if g.inFlight < g.limit {
+		permit := g.take()
+		g.mutex.Unlock()
+		return permit, nil
+	}
+	return g.enqueue(ctx, priority)
+}
+
+// enqueue is called with the mutex held and returns with it released.
+func (g *Gate) enqueue(ctx context.Context, priority Priority) (Permit, error) {
+	g.adaptive.markReached()
+	wait, reason := g.waitBound(ctx, priority)
+	if wait <= 0 {
+		return Permit{}, g.unlockAndShed(reason)
+	}
+	if g.queue.length >= g.options.Queue && !g.displace(priority) {
+		return Permit{}, g.unlockAndShed(ReasonQueueFull)
+	}
+	w := getWaiter(priority, wait)
+	g.queue.push(w)
+	g.mutex.Unlock()
+	return g.await(ctx, w, reason)
+}
+
+// waitBound returns the longest wait for a newcomer and the reason to give when
+// it has passed. Zero means that waiting is no use.
+func (g *Gate) waitBound(ctx context.Context, priority Priority) (time.Duration, Reason) {
+	deadline, ok := ctx.Deadline()
+	if !ok {
+		return g.options.QueueWait, ReasonQueueWait
+	}
+	remaining := deadline.Sub(g.now())
+	if remaining <= g.expectedWait(priority) {
+		return 0, ReasonDeadline
+	}
+	if remaining < g.options.QueueWait {
+		return remaining, ReasonDeadline
+	}
+	return g.options.QueueWait, ReasonQueueWait
+}
+
+// expectedWait estimates the wait of a newcomer from the moving average of the
+// time that a request keeps its slot.
+func (g *Gate) expectedWait(priority Priority) time.Duration {
+	ahead := float64(g.queue.ahead(priority))
+	seconds := ahead * g.serviceTime / float64(g.limit)
+	return time.Duration(seconds * float64(time.Second))
+}
+
+// displace makes room in a full queue by refusing a waiter of lower priority.
+func (g *Gate) displace(priority Priority) bool {
+	w := g.queue.popBelow(priority)
+	if w == nil {
+		return false
+	}
+	w.decide(verdictDisplaced)
+	return true
+}
+
+func (g *Gate) await(ctx context.Context, w *waiter, timeoutReason Reason) (Permit, error) {
+	defer putWaiter(w)
+	select {
+	case <-w.decided:
+		return g.settle(w)
+	case <-w.timer.C:
+		return g.withdraw(w, timeoutReason)
+	case <-ctx.Done():
+		return g.withdraw(w, contextReason(ctx.Err()))
+	}
+}
+
+// withdraw takes the waiter out of the queue, unless its verdict already stands.
+func (g *Gate) withdraw(w *waiter, reason Reason) (Permit, error) {
+	g.mutex.Lock()
+	if w.queued {
+		g.queue.remove(w)
+		return Permit{}, g.unlockAndShed(reason)
+	}
+	g.mutex.Unlock()
+	<-w.decided
+	return g.settle(w)
+}
+
+func (g *Gate) settle(w *waiter) (Permit, error) {
+	if w.verdict == verdictDisplaced {
+		return Permit{}, g.shed(ReasonDisplaced)
+	}
+	return w.permit, nil
+}
+
+// take is called with the mutex held and a slot free.
+func (g *Gate) take() Permit {
+	g.inFlight++
+	g.counts.Admitted++
+	return g.permits.take(g)
+}
+
+func (g *Gate) release(p Permit, result Result) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if !g.permits.give(p) {
+		return
+	}
+	g.inFlight--
+	g.observe(result)
+	g.dispatch()
+	g.signalIdle()
+}
+
+func (g *Gate) observe(result Result) {
+	if result.Latency > 0 {
+		g.serviceTime += (result.Latency.Seconds() - g.serviceTime) * serviceWeight
+	}
+	changed := g.adaptive.observe(result, g.options.Slots, g.now())
+	if changed || !g.warmUntil.IsZero() {
+		g.refreshLimit()
+	}
+}
+
+// dispatch hands free slots to waiters, the highest priority first.
+func (g *Gate) dispatch() {
+	for g.inFlight < g.limit {
+		w := g.queue.popFirst()
+		if w == nil {
+			return
+		}
+		w.permit = g.take()
+		w.decide(verdictGranted)
+	}
+}
+
+// Load returns how busy the gate is, from 0 to 1. Up to SlotsFullLoad it is the
+// share of slots taken; above that, the share of the queue. A draining gate is
+// at 1.
+func (g *Gate) Load() float64 {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.draining {
+		return 1
+	}
+	load := SlotsFullLoad * min(float64(g.inFlight)/float64(g.limit), 1)
+	if g.options.Queue > 0 {
+		load += (1 - SlotsFullLoad) * float64(g.queue.length) / float64(g.options.Queue)
+	}
+	return min(load, 1)
+}
+
+// Stats returns the gate's state.
+func (g *Gate) Stats() Stats {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return Stats{
+		Limit:    g.limit,
+		InFlight: g.inFlight,
+		Waiting:  g.queue.length,
+		Draining: g.draining,
+		Counts:   g.counts,
+	}
+}
+
+func (g *Gate) shed(reason Reason) error {
+	g.mutex.Lock()
+	return g.unlockAndShed(reason)
+}
+
+func (g *Gate) unlockAndShed(reason Reason) error {
+	g.counts.Shed++
+	after := g.retryAfter()
+	g.mutex.Unlock()
+	return newShed(reason, after)
+}
+
+// retryAfter estimates when the queue as it stands will have been served.
+func (g *Gate) retryAfter() time.Duration {
+	if g.draining {
+		return maximumRetryAfter
+	}
+	expected := g.expectedWait(PriorityLow)
+	return min(max(expected, minimumRetryAfter), maximumRetryAfter)
+}
+
+func contextReason(err error) Reason {
+	if errors.Is(err, context.DeadlineExceeded) {
+		return ReasonDeadline
+	}
+	return ReasonCanceled
+}
--- /dev/null
+++ b/pkg/admission/lifecycle.go
@@ -0,0 +1,106 @@
+package admission
+
+import (
+	"context"
+	"time"
+)
+
+// slowStartFloor is the share of the slots that a worker gets when it has just
+// started.
+const slowStartFloor = 0.2
+
+// SetLimits takes new figures from the worker. A value of zero or less leaves
+// that figure as it was. Requests in flight keep their slots.
+func (g *Gate) SetLimits(slots, connections int) {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if slots > 0 && slots != g.options.Slots {
+		g.options.Slots = slots
+		g.adaptive.reset(slots)
+	}
+	if connections > 0 {
+		g.options.Connections = connections
+	}
+	g.refreshLimit()
+	g.dispatch()
+}
+
+// WorkerStarted tells that the worker has just started: it ends a drain, begins
+// slow start and forgets what was learnt of the worker before.
+func (g *Gate) WorkerStarted() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.draining = false
+	g.serviceTime = 0
+	g.adaptive.reset(g.options.Slots)
+	if g.options.SlowStart > 0 {
+		g.warmUntil = g.now().Add(g.options.SlowStart)
+	}
+	g.refreshLimit()
+	g.dispatch()
+}
+
+// Drain refuses all further requests. Those in flight and those in the queue
+// are served.
+func (g *Gate) Drain() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.draining = true
+	g.signalIdle()
+}
+
+// WaitIdle returns nil once the gate is draining and has nothing in flight or
+// waiting, or the context's error.
+func (g *Gate) WaitIdle(ctx context.Context) error {
+	idle := g.idleSignal()
+	select {
+	case <-idle:
+		return nil
+	case <-ctx.Done():
+		return ctx.Err()
+	}
+}
+
+func (g *Gate) idleSignal() <-chan struct{} {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	if g.idle == nil {
+		g.idle = make(chan struct{})
+	}
+	idle := g.idle
+	g.signalIdle()
+	return idle
+}
+
+// signalIdle wakes those in WaitIdle when there is nothing left.
+func (g *Gate) signalIdle() {
+	if !g.draining || g.inFlight > 0 || g.queue.length > 0 || g.idle == nil {
+		return
+	}
+	close(g.idle)
+	g.idle = nil
+}
+
+// refreshLimit works out the number of slots in force.
+func (g *Gate) refreshLimit() {
+	limit := min(g.options.Slots, g.options.Connections)
+	if !g.options.FixedLimit {
+		limit = min(limit, int(g.adaptive.value))
+	}
+	g.limit = max(min(limit, g.warmLimit()), 1)
+}
+
+// warmLimit returns the slots that slow start allows now.
+func (g *Gate) warmLimit() int {
+	if g.warmUntil.IsZero() {
+		return g.options.Slots
+	}
+	remaining := g.warmUntil.Sub(g.now())
+	if remaining <= 0 {
+		g.warmUntil = time.Time{}
+		return g.options.Slots
+	}
+	passed := 1 - float64(remaining)/float64(g.options.SlowStart)
+	share := slowStartFloor + (1-slowStartFloor)*passed
+	return int(share * float64(g.options.Slots))
+}
--- /dev/null
+++ b/pkg/admission/queue.go
@@ -0,0 +1,136 @@
+package admission
+
+import (
+	"sync"
+	"time"
+)
+
+// verdict is what became of a waiting request.
+type verdict uint8
+
+const (
+	verdictNone verdict = iota
+	verdictGranted
+	verdictDisplaced
+)
+
+// waiter is one request in the queue. Its fields are guarded by the gate's
+// mutex; decided carries one value once the verdict stands.
+type waiter struct {
+	previous, next *waiter
+	priority       Priority
+	queued         bool
+	verdict        verdict
+	permit         Permit
+	decided        chan struct{}
+	timer          *time.Timer
+}
+
+var waiterPool = sync.Pool{New: func() any {
+	timer := time.NewTimer(time.Hour)
+	timer.Stop()
+	return &waiter{decided: make(chan struct{}, 1), timer: timer}
+}}
+
+// getWaiter takes a waiter whose timer fires after wait.
+func getWaiter(priority Priority, wait time.Duration) *waiter {
+	w := waiterPool.Get().(*waiter)
+	w.priority = priority
+	w.verdict = verdictNone
+	w.permit = Permit{}
+	w.timer.Reset(wait)
+	return w
+}
+
+func putWaiter(w *waiter) {
+	w.timer.Stop()
+	waiterPool.Put(w)
+}
+
+// decide sets the verdict and wakes the request. The waiter has left the queue.
+func (w *waiter) decide(v verdict) {
+	w.verdict = v
+	w.decided <- struct{}{}
+}
+
+// waitList is a first-in first-out list of waiters of one priority.
+type waitList struct {
+	first, last *waiter
+	length      int
+}
+
+func (l *waitList) push(w *waiter) {
+	w.previous, w.next = l.last, nil
+	if l.last == nil {
+		l.first = w
+	} else {
+		l.last.next = w
+	}
+	l.last = w
+	l.length++
+	w.queued = true
+}
+
+func (l *waitList) remove(w *waiter) {
+	if w.previous == nil {
+		l.first = w.next
+	} else {
+		w.previous.next = w.next
+	}
+	if w.next == nil {
+		l.last = w.previous
+	} else {
+		w.next.previous = w.previous
+	}
+	w.previous, w.next = nil, nil
+	l.length--
+	w.queued = false
+}
+
+// waitQueue keeps the waiters of all priorities.
+type waitQueue struct {
+	lists  [priorityCount]waitList
+	length int
+}
+
+func (q *waitQueue) push(w *waiter) {
+	q.lists[w.priority].push(w)
+	q.length++
+}
+
+func (q *waitQueue) remove(w *waiter) {
+	q.lists[w.priority].remove(w)
+	q.length--
+}
+
+// popFirst removes the oldest waiter of the highest priority; nil when empty.
+func (q *waitQueue) popFirst() *waiter {
+	for p := priorityCount - 1; p >= 0; p-- {
+		if w := q.lists[p].first; w != nil {
+			q.remove(w)
+			return w
+		}
+	}
+	return nil
+}
+
+// popBelow removes the newest waiter of the lowest priority, if that is lower
+// than priority; nil otherwise.
+func (q *waitQueue) popBelow(priority Priority) *waiter {
+	for p := Priority(0); p < priority; p++ {
+		if w := q.lists[p].last; w != nil {
+			q.remove(w)
+			return w
+		}
+	}
+	return nil
+}
+
+// ahead counts the waiters that are served before a newcomer of priority.
+func (q *waitQueue) ahead(priority Priority) int {
+	count := 0
+	for p := priority; p < priorityCount; p++ {
+		count += q.lists[p].length
+	}
+	return count
+}
--- /dev/null
+++ b/pkg/balance/done.go
@@ -0,0 +1,86 @@
+package balance
+
+import "time"
+
+// Outcome is what became of a request, as far as the endpoint is to blame.
+type Outcome uint8
+
+// The outcomes.
+const (
+	// Answered: the worker's whole answer came.
+	Answered Outcome = iota
+	// Shed: the endpoint is alive and refused before running.
+	Shed
+	// Failed: no connection, no answer in time, or an answer cut short.
+	Failed
+	// Canceled: the caller gave up. It says nothing of the endpoint.
+	Canceled
+)
+
+const failureRateWeight = 0.1
+
+// Result is what was seen of a request.
+type Result struct {
+	Outcome Outcome
+	// Latency is the time to the first byte of the answer; zero when unknown.
+	Latency time.Duration
+	// Load is the load that the endpoint reported, from 0 to 1, when LoadKnown.
+	Load      float64
+	LoadKnown bool
+	// Draining tells that the endpoint said that it drains.
+	Draining bool
+}
+
+// Done tells what became of the request. Further calls on the same Pick do nothing.
+func (p *Pick) Done(result Result) {
+	if p.state == nil {
+		return
+	}
+	state := p.state
+	p.state = nil
+	state.outstanding.Add(-1)
+	p.balancer.observe(state, result)
+}
+
+func (b *Balancer) observe(state *endpointState, result Result) {
+	now := b.now()
+	if result.LoadKnown {
+		state.reportLoad(result.Load, now)
+	}
+	if result.Draining {
+		state.drainUntil.Store(now + int64(b.options.DrainHold))
+	}
+	switch result.Outcome {
+	case Answered:
+		state.succeeded()
+	case Failed:
+		if state.failed(b.options) {
+			b.eject(state, now)
+		}
+	case Shed, Canceled:
+	}
+}
+
+func (s *endpointState) succeeded() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failures = 0
+	s.samples++
+	s.failureRate -= s.failureRate * failureRateWeight
+	if s.samples >= ejectionsForgottenAfter {
+		s.ejections = 0
+	}
+}
+
+// failed reports whether the endpoint deserves ejection.
+func (s *endpointState) failed(options Options) bool {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.failures++
+	s.samples++
+	s.failureRate += (1 - s.failureRate) * failureRateWeight
+	if s.failures >= options.FailuresToEject || s.onProbation() {
+		return true
+	}
+	return s.samples >= options.FailureRateSamples && s.failureRate > options.FailureRate
+}
--- /dev/null
+++ b/pkg/balance/ejection.go
@@ -0,0 +1,75 @@
+package balance
+
+import "time"
+
+// ejectionsForgottenAfter is the number of requests after an ejection at which
+// a success makes the next ejection a first one again.
+const ejectionsForgottenAfter = 100
+
+// eject takes the endpoint out of use for a time, unless too many are out.
+func (b *Balancer) eject(state *endpointState, now int64) {
+	b.update.Lock()
+	defer b.update.Unlock()
+	if state.ejected(now) || !b.mayEject(state, now) {
+		return
+	}
+	until := now + int64(b.ejectionTime(state.startEjection()))
+	state.slowFrom.Store(until)
+	state.ejectedUntil.Store(until)
+	b.set.Load().summaryAt.Store(noTime)
+}
+
+// mayEject reports whether one more endpoint of the present set may be ejected.
+func (b *Balancer) mayEject(state *endpointState, now int64) bool {
+	set := b.set.Load()
+	if set == nil || set.states[state.id] != state {
+		return false
+	}
+	ejected := 0
+	for _, tier := range set.tiers {
+		for i := range tier {
+			if tier[i].state.ejected(now) {
+				ejected++
+			}
+		}
+	}
+	return ejected < b.options.ejectionCap(set.total)
+}
+
+// ejectionCap returns how many of total endpoints may be ejected at one time.
+func (o Options) ejectionCap(total int) int {
+	if total < 2 {
+		return 0
+	}
+	return max(int(o.EjectedFraction*float64(total)), 1)
+}
+
+// onProbation reports whether the endpoint has not yet succeeded since its last
+// ejection; one failure is enough then.
+func (s *endpointState) onProbation() bool {
+	return s.ejections > 0 && s.samples == s.failures
+}
+
+// startEjection resets the count of failures and returns how many ejections
+// came before.
+func (s *endpointState) startEjection() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	before := s.ejections
+	s.ejections++
+	s.failures = 0
+	s.samples = 0
+	s.failureRate = 0
+	return before
+}
+
+func (b *Balancer) ejectionTime(before int) time.Duration {
+	length := b.options.EjectionTime
+	for range before {
+		length *= 2
+		if length >= b.options.MaximumEjection {
+			return b.options.MaximumEjection
+		}
+	}
+	return length
+}
