--- a/pkg/store/errors.go
+++ b/pkg/store/errors.go
@@ -7,7 +7,7 @@
 )
 
 // Namespace holds the types of all errors that a Store returns.
-var Namespace = errorx.NewNamespace("store").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+var Namespace = errorx.NewNamespace("levertide.store").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 // TraitNotWritten marks errors after which the request certainly had no effect.
 var TraitNotWritten = errorx.RegisterTrait("not-written")
--- a/pkg/store/memory/fault.go
+++ b/pkg/store/memory/fault.go
@@ -10,6 +10,7 @@
 	RequestGet            RequestKind = "get"
 	RequestGetMany        RequestKind = "get-many"
 	RequestList           RequestKind = "list"
+	RequestListKeys       RequestKind = "list-keys"
 	RequestTransact       RequestKind = "transact"
 	RequestCreateSession  RequestKind = "create-session"
 	RequestRenewSession   RequestKind = "renew-session"
--- a/pkg/store/memory/store.go
+++ b/pkg/store/memory/store.go
@@ -154,6 +154,24 @@
 	return records, nil
 }
 
+// ListKeys implements store.Store.
+func (s *Store) ListKeys(_ context.Context, prefix string) ([]string, error) {
+	fault := s.intercept(Request{Kind: RequestListKeys, Keys: []string{prefix}})
+	if err := fault.readError(); err != nil {
+		return nil, err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	var keys []string
+	for key := range s.records {
+		if strings.HasPrefix(key, prefix) {
+			keys = append(keys, key)
+		}
+	}
+	slices.Sort(keys)
+	return keys, nil
+}
+
 // Transact implements store.Store.
 func (s *Store) Transact(_ context.Context, operations []store.Operation) error {
 	if err := store.FitsTransaction(operations); err != nil {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -61,6 +61,8 @@
 	GetMany(ctx context.Context, keys []string, consistent bool) ([]Record, error)
 	// List returns all records below a prefix, ordered by key.
 	List(ctx context.Context, prefix string) ([]Record, error)
+	// ListKeys returns the keys below a prefix in order, without their values.
+	ListKeys(ctx context.Context, prefix string) ([]string, error)
 	// Transact carries out all operations or none. ErrConflict tells that a
 	// compare failed, ErrTooLarge that the bounds of a transaction are exceeded.
 	Transact(ctx context.Context, operations []Operation) error
