Add the participant and the coordinator of a rollout

Both are plain state machines. A participant never activates before its floor is known, below it, or below what it runs, and ignores a head that takes back what an earlier one said.

--- /dev/null
+++ b/pkg/rollout/coordinator.go
@@ -0,0 +1,172 @@
+package rollout
+
+import "time"
+
+// Defaults of CoordinatorOptions.
+const (
+	DefaultSilentBound = 2 * time.Second
+	// maximumAgeFactor times the silent bound is the default of MaximumAge.
+	maximumAgeFactor = 5
+)
+
+// CoordinatorOptions shapes a Coordinator.
+type CoordinatorOptions struct {
+	// SilentBound is how long nodes that say nothing hold up a proposal that at
+	// least half of the live members have staged. Zero means DefaultSilentBound.
+	SilentBound time.Duration
+	// MaximumAge is how long a proposal waits for half of the members. Zero
+	// means five times the silent bound.
+	MaximumAge time.Duration
+}
+
+// Coordinator decides about the proposed version. Two coordinators at once do
+// no harm: what they decide takes effect by compare-and-swap of the head.
+type Coordinator struct {
+	options CoordinatorOptions
+
+	head      Head
+	headKnown bool
+	highest   watermark
+	// regressed is set while the store shows less than it once did.
+	regressed bool
+	// since is when the present proposal was first seen.
+	since time.Time
+
+	live      MemberSum
+	readiness Readiness
+	// refused remembers the first refusal of the present proposal.
+	refused *NodeReason
+}
+
+// NewCoordinator returns a coordinator that knows nothing yet.
+func NewCoordinator(options CoordinatorOptions) *Coordinator {
+	if options.SilentBound <= 0 {
+		options.SilentBound = DefaultSilentBound
+	}
+	if options.MaximumAge <= 0 {
+		options.MaximumAge = maximumAgeFactor * options.SilentBound
+	}
+	return &Coordinator{options: options}
+}
+
+// ObserveHead takes in the head as the store has it. While the store shows
+// less than it once did, nothing is decided.
+func (c *Coordinator) ObserveHead(head Head, now time.Time) {
+	if _, lower := c.highest.regression(head); c.headKnown && lower {
+		c.regressed = true
+		return
+	}
+	if c.headKnown && head.Generation == c.head.Generation && !head.sameRecord(c.head) {
+		c.regressed = true
+		return
+	}
+	c.regressed = false
+	isNew := !c.headKnown || head.Proposed != c.head.Proposed || head.ApplyID != c.head.ApplyID
+	c.head, c.headKnown = head, true
+	c.highest.raise(head)
+	if isNew {
+		c.since = now
+		c.refused = nil
+	}
+}
+
+// ObserveMembers takes in the sum of the live members.
+func (c *Coordinator) ObserveMembers(live MemberSum, _ time.Time) { c.live = live }
+
+// ObserveReadiness takes in the summary of all nodes that the coordinator
+// hears of, its own included.
+func (c *Coordinator) ObserveReadiness(readiness Readiness, _ time.Time) {
+	c.readiness = readiness
+	about := c.head.Proposed != 0 && readiness.Proposed == c.head.Proposed
+	if about && c.refused == nil && len(readiness.Refused) > 0 {
+		first := readiness.Refused[0]
+		c.refused = &first
+	}
+}
+
+// Decision is what a coordinator is to do.
+type Decision interface{ isDecision() }
+
+// Wait tells that nothing can be decided. Until is when to ask again if
+// nothing is observed before; zero means that only an observation can help.
+type Wait struct{ Until time.Time }
+
+// CommitVersion tells to commit the proposed version, although Silent live
+// members have not staged it.
+type CommitVersion struct {
+	Version Version
+	ApplyID string
+	Silent  uint32
+}
+
+// AbortVersion tells to abort the proposed version.
+type AbortVersion struct {
+	Version   Version
+	Rejection Rejection
+}
+
+func (Wait) isDecision()          {}
+func (CommitVersion) isDecision() {}
+func (AbortVersion) isDecision()  {}
+
+// Decide returns what to do about the proposed version.
+func (c *Coordinator) Decide(now time.Time) Decision {
+	if !c.headKnown || c.regressed || c.head.Proposed == 0 {
+		return Wait{}
+	}
+	if c.refused != nil {
+		return c.abort(now)
+	}
+	ready := c.ready()
+	if ready == c.live && ready.Count > 0 {
+		return c.commit(0)
+	}
+	deadline := c.since.Add(c.patience(ready))
+	if now.Before(deadline) {
+		return Wait{Until: deadline}
+	}
+	return c.commit(c.silent(ready))
+}
+
+// ready returns the sum of the members that have staged the present proposal.
+func (c *Coordinator) ready() MemberSum {
+	if c.readiness.Proposed != c.head.Proposed {
+		return MemberSum{}
+	}
+	return c.readiness.Ready
+}
+
+// patience returns how long silent members hold up the proposal.
+func (c *Coordinator) patience(ready MemberSum) time.Duration {
+	half := c.live.Count > 0 && 2*uint64(ready.Count) >= uint64(c.live.Count)
+	if half {
+		return c.options.SilentBound
+	}
+	return c.options.MaximumAge
+}
+
+// silent returns how many live members have not staged the proposal. Members
+// counted twice while they move between parents do not make it negative.
+func (c *Coordinator) silent(ready MemberSum) uint32 {
+	if ready.Count >= c.live.Count {
+		return 0
+	}
+	return c.live.Count - ready.Count
+}
+
+func (c *Coordinator) commit(silent uint32) Decision {
+	return CommitVersion{Version: c.head.Proposed, ApplyID: c.head.ApplyID, Silent: silent}
+}
+
+func (c *Coordinator) abort(now time.Time) Decision {
+	return AbortVersion{
+		Version: c.head.Proposed,
+		Rejection: Rejection{
+			Version: c.head.Proposed,
+			ApplyID: c.head.ApplyID,
+			Node:    c.refused.Node,
+			Reason:  c.refused.Reason,
+			At:      now,
+		},
+	}
+}
--- a/pkg/rollout/head.go
+++ b/pkg/rollout/head.go
@@ -38,3 +38,32 @@
 	Reason  string    `json:"reason"`
 	At      time.Time `json:"at"`
 }
+
+// names reports whether the head proposes or has committed the version that
+// the given apply proposed. A version committed by another apply under the
+// same number is told apart as long as the head still speaks of that apply.
+func (h Head) names(version Version, applyID string) bool {
+	switch version {
+	case h.Proposed:
+		return h.ApplyID == applyID
+	case h.Committed:
+		return h.ApplyID == applyID || !h.lastChangeCommitted()
+	default:
+		return false
+	}
+}
+
+// lastChangeCommitted reports whether ApplyID is the apply of the committed
+// version: nothing is proposed, and the last change was no abort.
+func (h Head) lastChangeCommitted() bool {
+	aborted := h.LastRejected != nil && h.LastRejected.ApplyID == h.ApplyID
+	return h.Proposed == 0 && !aborted
+}
+
+// sameRecord reports whether two heads of one generation are the same record.
+func (h Head) sameRecord(other Head) bool {
+	return h.Committed == other.Committed &&
+		h.Proposed == other.Proposed &&
+		h.HighestUsed == other.HighestUsed &&
+		h.ApplyID == other.ApplyID
+}
--- /dev/null
+++ b/pkg/rollout/participant.go
@@ -0,0 +1,265 @@
+package rollout
+
+import (
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// ParticipantOptions shapes a Participant.
+type ParticipantOptions struct {
+	// Node is the node's identifier, named in refusals.
+	Node string
+	// Validate says whether this node can run a snapshot. Nil accepts every one.
+	Validate func(*snapshot.Snapshot) error
+}
+
+// Participant is the node's side of a rollout. It stages what is proposed,
+// puts in force what is committed, and never goes back.
+type Participant struct {
+	options ParticipantOptions
+
+	head      Head
+	headKnown bool
+	// highest keeps the highest numbers of any head seen, ignored ones included.
+	highest watermark
+
+	floor      Version
+	floorKnown bool
+
+	inForce *snapshot.Snapshot
+	// staged is the whole proposed snapshot, candidate the whole committed one
+	// that waits for the floor to be known. Each is nil when there is none.
+	staged    *snapshot.Snapshot
+	candidate *snapshot.Snapshot
+	// stagedApplyID is the apply that proposed the staged snapshot.
+	stagedApplyID string
+
+	// refused is the version that Validate refused last, with its reason.
+	refused refusal
+	// fetching holds the versions asked for and neither delivered nor failed.
+	fetching map[Version]struct{}
+
+	alarms  []string
+	actions []Action
+}
+
+// refusal is a version that the node cannot run.
+type refusal struct {
+	version Version
+	applyID string
+	reason  string
+}
+
+// NewParticipant returns a participant that knows neither head nor floor.
+func NewParticipant(options ParticipantOptions) *Participant {
+	return &Participant{options: options, fetching: make(map[Version]struct{})}
+}
+
+// LearnFloor tells the lowest version that the node may run after its start.
+// Until it is called nothing is put in force. A lower floor than one known
+// already changes nothing.
+func (p *Participant) LearnFloor(version Version) []Action {
+	if p.floorKnown && version <= p.floor {
+		return nil
+	}
+	p.floorKnown = true
+	p.floor = max(p.floor, version)
+	p.changed()
+	p.advance()
+	return p.takeActions()
+}
+
+// ObserveHead takes in a head record. One that is older than the newest seen
+// is ignored. One that takes back what was committed raises an alarm and is
+// ignored too. A repeated head asks again for versions whose fetch has failed.
+func (p *Participant) ObserveHead(head Head) []Action {
+	if !p.accepts(head) {
+		return p.takeActions()
+	}
+	if !p.headKnown || head.Generation > p.head.Generation {
+		p.head = head
+		p.headKnown = true
+		p.highest.raise(head)
+		p.dropAborted()
+		p.changed()
+	}
+	p.advance()
+	return p.takeActions()
+}
+
+// accepts reports whether a head follows, or repeats, the one adopted last.
+func (p *Participant) accepts(head Head) bool {
+	if !p.headKnown {
+		return true
+	}
+	if head.Generation < p.head.Generation {
+		return false
+	}
+	if head.Generation == p.head.Generation {
+		return p.acceptsRepeated(head)
+	}
+	if text, lower := p.highest.regression(head); lower {
+		p.alarm(text)
+		return false
+	}
+	return true
+}
+
+func (p *Participant) acceptsRepeated(head Head) bool {
+	if head.sameRecord(p.head) {
+		return true
+	}
+	p.alarm(overwrittenText(p.head, head))
+	return false
+}
+
+// Deliver hands over a whole snapshot. One that is neither proposed nor
+// committed is ignored. One that Validate refuses is never run.
+func (p *Participant) Deliver(delivered *snapshot.Snapshot) []Action {
+	version := delivered.Version()
+	delete(p.fetching, version)
+	if !p.wants(version) {
+		return p.takeActions()
+	}
+	if err := p.validate(delivered); err != nil {
+		p.refuse(version, err)
+		return p.takeActions()
+	}
+	if version == p.head.Committed {
+		p.candidate = delivered
+	} else {
+		p.staged = delivered
+		p.stagedApplyID = p.head.ApplyID
+	}
+	p.changed()
+	p.advance()
+	return p.takeActions()
+}
+
+func (p *Participant) validate(delivered *snapshot.Snapshot) error {
+	if p.options.Validate == nil {
+		return nil
+	}
+	return p.options.Validate(delivered)
+}
+
+func (p *Participant) refuse(version Version, err error) {
+	p.refused = refusal{version: version, applyID: p.head.ApplyID, reason: err.Error()}
+	p.changed()
+}
+
+// FetchFailed tells that a version asked for could not be had. It is asked for
+// again at the next ObserveHead, a repeated head included.
+func (p *Participant) FetchFailed(version Version) { delete(p.fetching, version) }
+
+// wants reports whether the node lacks a version that the head names.
+func (p *Participant) wants(version Version) bool {
+	if !p.headKnown || version == 0 || version <= p.inForceVersion() {
+		return false
+	}
+	if p.refused.version == version {
+		return false
+	}
+	switch version {
+	case p.head.Committed:
+		return versionOf(p.candidate) != version && versionOf(p.staged) != version
+	case p.head.Proposed:
+		return versionOf(p.staged) != version
+	default:
+		return false
+	}
+}
+
+// dropAborted forgets what the head no longer names.
+func (p *Participant) dropAborted() {
+	if p.staged != nil && !p.stagedStillNamed() {
+		p.staged, p.stagedApplyID = nil, ""
+	}
+	if p.candidate != nil && p.candidate.Version() != p.head.Committed {
+		p.candidate = nil
+	}
+	if !p.refusalStillNamed() {
+		p.refused = refusal{}
+	}
+	for version := range p.fetching {
+		if version != p.head.Committed && version != p.head.Proposed {
+			delete(p.fetching, version)
+		}
+	}
+}
+
+// stagedStillNamed reports whether the staged snapshot is the one that the head
+// proposes or has committed. The apply identifier tells it from another
+// snapshot under the same number, which a store restored from an older copy
+// can give out.
+func (p *Participant) stagedStillNamed() bool {
+	version := p.staged.Version()
+	return p.head.names(version, p.stagedApplyID)
+}
+
+func (p *Participant) refusalStillNamed() bool {
+	return p.refused.version != 0 && p.head.names(p.refused.version, p.refused.applyID)
+}
+
+// advance puts in force what may be, and asks for what is missing.
+func (p *Participant) advance() {
+	if !p.headKnown {
+		return
+	}
+	if p.staged != nil && p.staged.Version() == p.head.Committed {
+		p.candidate, p.staged, p.stagedApplyID = p.staged, nil, ""
+	}
+	p.activate()
+	p.fetch(p.head.Committed)
+	p.fetch(p.head.Proposed)
+}
+
+// activate puts the committed snapshot in force if nothing forbids it.
+func (p *Participant) activate() {
+	next := p.candidate
+	if next == nil || !p.floorKnown || next.Version() < p.floor {
+		return
+	}
+	p.candidate = nil
+	if next.Version() <= p.inForceVersion() {
+		return
+	}
+	p.inForce = next
+	p.actions = append(p.actions, Activate{Snapshot: next})
+	p.changed()
+}
+
+func (p *Participant) fetch(version Version) {
+	if !p.wants(version) {
+		return
+	}
+	if _, under := p.fetching[version]; under {
+		return
+	}
+	p.fetching[version] = struct{}{}
+	p.actions = append(p.actions, FetchVersion{Version: version})
+}
+
+// changed asks for one StateChanged at the end of the present call.
+func (p *Participant) changed() {
+	for _, action := range p.actions {
+		if _, already := action.(StateChanged); already {
+			return
+		}
+	}
+	p.actions = append(p.actions, StateChanged{})
+}
+
+func (p *Participant) takeActions() []Action {
+	actions := p.actions
+	p.actions = nil
+	return actions
+}
+
+func (p *Participant) inForceVersion() Version { return versionOf(p.inForce) }
+
+func versionOf(s *snapshot.Snapshot) Version {
+	if s == nil {
+		return 0
+	}
+	return s.Version()
+}
--- a/pkg/rollout/readiness.go
+++ b/pkg/rollout/readiness.go
@@ -1,6 +1,11 @@
 package rollout
 
-import "github.com/cespare/xxhash/v2"
+import (
+	"cmp"
+	"slices"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // MemberSum is an order-free sum over a set of members: how many there are,
 // and the sum of a hash of each member's identifier and incarnation. Two sets
@@ -57,3 +62,37 @@
 	// Lagging lists some of the nodes counted in neither sum they should be in.
 	Lagging []NodeReason
 }
+
+// MergeReadiness sums up two disjoint subtrees. Of two that speak of different
+// versions, the sums of the higher version count.
+func MergeReadiness(a, b Readiness) Readiness {
+	merged := Readiness{
+		Proposed:  max(a.Proposed, b.Proposed),
+		Committed: max(a.Committed, b.Committed),
+	}
+	for _, part := range [...]Readiness{a, b} {
+		if part.Proposed == merged.Proposed {
+			merged.Ready = merged.Ready.Plus(part.Ready)
+			merged.Refused = mergeReasons(merged.Refused, part.Refused)
+		}
+		if part.Committed == merged.Committed {
+			merged.InForce = merged.InForce.Plus(part.InForce)
+		}
+		merged.Lagging = mergeReasons(merged.Lagging, part.Lagging)
+	}
+	return merged
+}
+
+// mergeReasons returns the first MaxListedNodes reasons of both lists in the
+// order of their nodes, so that the order of merging does not matter.
+func mergeReasons(a, b []NodeReason) []NodeReason {
+	if len(b) == 0 {
+		return a
+	}
+	merged := slices.Concat(a, b)
+	slices.SortFunc(merged, func(left, right NodeReason) int {
+		return cmp.Or(cmp.Compare(left.Node, right.Node), cmp.Compare(left.Reason, right.Reason))
+	})
+	merged = slices.Compact(merged)
+	return merged[:min(len(merged), MaxListedNodes)]
+}
