--- /dev/null
+++ b/internal/lab/experiment/file.go
@@ -0,0 +1,126 @@
+package experiment
+
+import "time"
+
+// File is one experiment.
+type File struct {
+	// Name identifies the experiment in reports.
+	Name string `yaml:"name" validate:"required"`
+	// Seed fixes every choice that the lab makes at random.
+	Seed uint64 `yaml:"seed"`
+	// Deployment runs real processes; Size runs the full-size emulation.
+	// Exactly one of the two is set.
+	Deployment *Deployment `yaml:"deployment" validate:"omitempty"`
+	Size       *Size       `yaml:"size" validate:"omitempty"`
+	// FileSet lists directories, relative to the experiment file, that are
+	// applied as one set before the timeline starts.
+	FileSet []string `yaml:"fileSet"`
+	// Load is the work that callers give the mesh; nil means none.
+	Load *Load `yaml:"load" validate:"omitempty"`
+	// Timeline lists changes and faults in the order in which they happen.
+	Timeline []Event `yaml:"timeline" validate:"dive"`
+	// Duration is how long calls go on after the timeline has started.
+	Duration time.Duration `yaml:"duration" validate:"min=0"`
+
+	// directory is where the file was read from.
+	directory string
+}
+
+// Deployment is a mesh of real processes: a node beside each worker.
+type Deployment struct {
+	Region string   `yaml:"region" validate:"required"`
+	Zones  []string `yaml:"zones" validate:"required,min=1,max=50,unique,dive,required"`
+	// ZoneDelay, ClientDelay and StoreDelay are one-way delays between zones,
+	// from callers to every zone, and from every zone to the store.
+	ZoneDelay   time.Duration `yaml:"zoneDelay" validate:"min=0,max=1000000000"`
+	ClientDelay time.Duration `yaml:"clientDelay" validate:"min=0,max=1000000000"`
+	StoreDelay  time.Duration `yaml:"storeDelay" validate:"min=0,max=1000000000"`
+	// Services lists the workers of each service.
+	Services []Workers `yaml:"services" validate:"required,min=1,unique=Name,dive"`
+	// Gateways is how many nodes without a worker take calls as well.
+	Gateways int `yaml:"gateways" validate:"min=0,max=16"`
+	// Worker describes each worker.
+	Worker Worker `yaml:"worker"`
+}
+
+// Workers says how many workers a service has.
+type Workers struct {
+	Name    string `yaml:"name" validate:"required"`
+	Workers int    `yaml:"workers" validate:"min=1,max=100"`
+}
+
+// Worker describes one worker.
+type Worker struct {
+	Slots       int `yaml:"slots" validate:"min=1,max=1000"`
+	Connections int `yaml:"connections" validate:"min=1,max=100000"`
+	// ConnectionDelay is how long a worker takes to accept a connection, and
+	// ProbeDelay how long it takes to answer a probe.
+	ConnectionDelay time.Duration `yaml:"connectionDelay" validate:"min=0"`
+	ProbeDelay      time.Duration `yaml:"probeDelay" validate:"min=0"`
+}
+
+// Size is the shape of a full-size emulation.
+type Size struct {
+	Nodes    int `yaml:"nodes" validate:"min=1,max=5000"`
+	Services int `yaml:"services" validate:"min=1,max=1000"`
+	Regions  int `yaml:"regions" validate:"min=1,max=22"`
+	Zones    int `yaml:"zones" validate:"min=1,max=22,gtefield=Regions"`
+	// RealPerZone is how many nodes of each zone are processes of their own.
+	RealPerZone int `yaml:"realPerZone" validate:"min=0,max=8"`
+	// Changes is how many versions are applied in the quiet phase, and
+	// ChangeInterval the time between two of them.
+	Changes        int           `yaml:"changes" validate:"min=1,max=10000"`
+	ChangeInterval time.Duration `yaml:"changeInterval" validate:"min=100000000"`
+	// ZoneDelay and RegionDelay are the one-way delays between zones of one
+	// region and between regions.
+	ZoneDelay   time.Duration `yaml:"zoneDelay" validate:"min=0"`
+	RegionDelay time.Duration `yaml:"regionDelay" validate:"min=0"`
+	// Herds names the herds that follow the quiet phase, in order.
+	Herds []Herd `yaml:"herds" validate:"dive,oneof=rack zone region-cut zone-relays store-down rolling-replacement"`
+	// Baselines says whether the same work is also given to the baselines.
+	Baselines bool `yaml:"baselines"`
+}
+
+// Herd names one kind of mass failure of the full-size emulation.
+type Herd string
+
+// The herds.
+const (
+	HerdRack               Herd = "rack"
+	HerdZone               Herd = "zone"
+	HerdRegionCut          Herd = "region-cut"
+	HerdZoneRelays         Herd = "zone-relays"
+	HerdStoreDown          Herd = "store-down"
+	HerdRollingReplacement Herd = "rolling-replacement"
+)
+
+// Herds returns every herd in the order in which a full run has them.
+func Herds() []Herd {
+	return []Herd{HerdRack, HerdZone, HerdRegionCut, HerdZoneRelays, HerdStoreDown, HerdRollingReplacement}
+}
+
+// Load is the work that callers give a deployment.
+type Load struct {
+	// CallsPerSecond is the rate over all kinds of call together.
+	CallsPerSecond float64 `yaml:"callsPerSecond" validate:"gt=0,max=10000"`
+	// Calls lists the kinds of call.
+	Calls []Call `yaml:"calls" validate:"required,min=1,dive"`
+}
+
+// Call is one kind of call.
+type Call struct {
+	Host   string `yaml:"host" validate:"required"`
+	Path   string `yaml:"path" validate:"required,startswith=/"`
+	Method string `yaml:"method" validate:"oneof=GET HEAD POST PUT"`
+	// Share is the call's part of the rate, relative to the other shares.
+	Share int `yaml:"share" validate:"min=1,max=1000"`
+	// Body is the size of the request body in bytes.
+	Body int `yaml:"body" validate:"min=0,max=67108864"`
+	// Repeatable tells that executing the call twice is no fault.
+	Repeatable bool `yaml:"repeatable"`
+	// After names the step of the timeline that adds the call's route;
+	// the call is made only after that step. Empty means from the start.
+	After string `yaml:"after"`
+	// Until names the step that removes the call's route.
+	Until string `yaml:"until"`
+}
