Add routing table, call outcomes and retry bounds

Splitting the allowance evenly between attempts was ruled out, since it starves the level next to the fault.

--- /dev/null
+++ b/pkg/outcome/doc.go
@@ -0,0 +1,9 @@
+// Package outcome defines what a caller can be told about a request: a small
+// set of outcomes, the reasons for them, the response headers that carry both,
+// and the errors that stand for them.
+//
+// An outcome says whether the request may have run. NotRun is claimed only when
+// nothing of the request reached a worker, or when the worker itself said that
+// it refused the request before running it. When there is any doubt the
+// outcome is Unknown.
+package outcome
--- /dev/null
+++ b/pkg/outcome/reason.go
@@ -0,0 +1,116 @@
+package outcome
+
+import "net/http"
+
+// Reason says why a request got no answer from a worker. The values are part
+// of the interface to callers.
+type Reason string
+
+// The reasons that go with NotRun.
+const (
+	// Malformed: the request breaks a rule of HTTP or a documented limit.
+	Malformed Reason = "malformed"
+	// Unsupported: the request asks for something that is not offered, such as
+	// an upgrade of the connection.
+	Unsupported Reason = "unsupported"
+	// NoRoute: no route matches host and path.
+	NoRoute Reason = "no-route"
+	// MethodNotAllowed: routes match host and path, but none takes the method.
+	MethodNotAllowed Reason = "method-not-allowed"
+	// NotReady: the node has no configuration in force yet.
+	NotReady Reason = "not-ready"
+	// NoWorker: the service has no worker that may be tried.
+	NoWorker Reason = "no-worker"
+	// Unreachable: no connection was made, or nothing was written on it.
+	Unreachable Reason = "unreachable"
+	// Overloaded: the worker's node shed the request.
+	Overloaded Reason = "overloaded"
+	// Draining: the node or its worker is leaving.
+	Draining Reason = "draining"
+	// RefusedByOwnWorker: the worker answered that it did not run the request.
+	RefusedByOwnWorker Reason = "refused-by-worker"
+	// Misdirected: the node asked does not serve the route.
+	Misdirected Reason = "misdirected"
+	// DeadlineBeforeStart: the deadline passed before a worker was reached.
+	DeadlineBeforeStart Reason = "deadline-before-start"
+	// CanceledBeforeStart: the caller gave up before a worker was reached.
+	CanceledBeforeStart Reason = "canceled-before-start"
+)
+
+// The reasons that go with Unknown.
+const (
+	// ConnectionLost: the connection broke after something was written on it
+	// and before the head of an answer came.
+	ConnectionLost Reason = "connection-lost"
+	// Timeout: the deadline passed while the worker had the request.
+	Timeout Reason = "timeout"
+	// Canceled: the caller gave up while the worker had the request.
+	Canceled Reason = "canceled"
+	// UploadFailed: the caller's body broke off, or came too slowly.
+	UploadFailed Reason = "upload-failed"
+	// InvalidAnswer: the worker's answer breaks HTTP, or its end cannot be told.
+	InvalidAnswer Reason = "invalid-answer"
+	// NotSpecified: a node reported Unknown without a reason known here.
+	NotSpecified Reason = "not-specified"
+)
+
+// description is what one reason means to callers.
+type description struct {
+	outcome Outcome
+	status  int
+	message string
+}
+
+var descriptions = map[Reason]description{
+	Malformed:           {NotRun, http.StatusBadRequest, "the request is malformed"},
+	Unsupported:         {NotRun, http.StatusNotImplemented, "the request is not supported"},
+	NoRoute:             {NotRun, http.StatusNotFound, "no route matches the request"},
+	MethodNotAllowed:    {NotRun, http.StatusMethodNotAllowed, "no route takes this method"},
+	NotReady:            {NotRun, http.StatusServiceUnavailable, "the node has no configuration in force"},
+	NoWorker:            {NotRun, http.StatusServiceUnavailable, "the service has no worker"},
+	Unreachable:         {NotRun, http.StatusServiceUnavailable, "no worker could be reached"},
+	Overloaded:          {NotRun, http.StatusServiceUnavailable, "the service is overloaded"},
+	Draining:            {NotRun, http.StatusServiceUnavailable, "the node is leaving"},
+	RefusedByOwnWorker:  {NotRun, http.StatusServiceUnavailable, "the worker refused the request"},
+	Misdirected:         {NotRun, http.StatusServiceUnavailable, "the node does not serve the route"},
+	DeadlineBeforeStart: {NotRun, http.StatusGatewayTimeout, "the deadline passed before the request was started"},
+	CanceledBeforeStart: {NotRun, http.StatusServiceUnavailable, "the request was canceled before it was started"},
+	ConnectionLost:      {Unknown, http.StatusBadGateway, "the connection was lost before an answer came"},
+	Timeout:             {Unknown, http.StatusGatewayTimeout, "the deadline passed before an answer came"},
+	Canceled:            {Unknown, http.StatusBadGateway, "the request was canceled before an answer came"},
+	UploadFailed:        {Unknown, http.StatusRequestTimeout, "the body of the request did not arrive"},
+	InvalidAnswer:       {Unknown, http.StatusBadGateway, "the answer is not valid"},
+	NotSpecified:        {Unknown, http.StatusBadGateway, "the request failed"},
+}
+
+// Outcome returns the outcome that the reason goes with; Unknown for a value
+// that is not defined here.
+func (r Reason) Outcome() Outcome { return r.describe().outcome }
+
+// Status returns the HTTP status that a response with this reason has.
+func (r Reason) Status() int { return r.describe().status }
+
+// Message returns a sentence for people.
+func (r Reason) Message() string { return r.describe().message }
+
+// Known reports whether the reason is one of those defined here.
+func (r Reason) Known() bool {
+	_, ok := descriptions[r]
+	return ok
+}
+
+func (r Reason) describe() description {
+	if found, ok := descriptions[r]; ok {
+		return found
+	}
+	return descriptions[NotSpecified]
+}
+
+// Reasons returns all reasons, in no particular order.
+func Reasons() []Reason {
+	reasons := make([]Reason, 0, len(descriptions))
+	for reason := range descriptions {
+		reasons = append(reasons, reason)
+	}
+	return reasons
+}
--- /dev/null
+++ b/pkg/retry/allowance.go
@@ -0,0 +1,62 @@
+package retry
+
+import "strconv"
+
+// AttemptsLeftHeader carries an Allowance in a request.
+const AttemptsLeftHeader = "Levertide-Attempts-Left"
+
+// Bounds of an Allowance.
+const (
+	// DefaultAllowance is what a call starts with when its caller names none.
+	DefaultAllowance Allowance = 2
+	// MaximumAllowance is the largest value that can be carried.
+	MaximumAllowance Allowance = 10
+)
+
+// Allowance is how many attempts, beyond the first of each level, may still be
+// made for a call and for all calls made on its behalf.
+type Allowance uint8
+
+// ParseAllowance reads the value of AttemptsLeftHeader. It reports false for
+// anything but one decimal number; numbers above MaximumAllowance are lowered.
+func ParseAllowance(value string) (Allowance, bool) {
+	number, ok := parseDecimal(value)
+	if !ok {
+		return 0, false
+	}
+	return Allowance(min(number, uint64(MaximumAllowance))), true
+}
+
+// String returns the value of AttemptsLeftHeader.
+func (a Allowance) String() string { return strconv.Itoa(int(a)) }
+
+// Share splits an allowance for one attempt: what the attempt carries to the
+// level below, and what is kept back. One attempt is kept back when the request
+// may be sent again although an attempt may have run, because the level
+// below may have spent everything that it was given. Otherwise all is
+// carried: a second attempt will be made only if the first did not run, and
+// then nothing of what it carried was spent.
+func (a Allowance) Share(repeatable bool) (carried, kept Allowance) {
+	if repeatable && a > 0 {
+		return a - 1, 1
+	}
+	return a, 0
+}
+
+// AfterNotRun returns the allowance that is left for the next attempt after one
+// that did not run. It reports false when none may be made.
+func (a Allowance) AfterNotRun() (Allowance, bool) {
+	if a == 0 {
+		return 0, false
+	}
+	return a - 1, true
+}
+
+// AfterUnknown returns the allowance that is left for the next attempt after
+// one that may have run. It reports false when none may be made.
+func (a Allowance) AfterUnknown(repeatable bool) (Allowance, bool) {
+	if !repeatable || a == 0 {
+		return 0, false
+	}
+	return 0, true
+}
--- /dev/null
+++ b/pkg/routing/match.go
@@ -0,0 +1,138 @@
+package routing
+
+import "strings"
+
+// maximumHostLength is the longest host name that is looked up.
+const maximumHostLength = 255
+
+// MatchResult says what became of a look-up.
+type MatchResult uint8
+
+// The results of a look-up.
+const (
+	// Matched: the route returned takes the request.
+	Matched MatchResult = iota
+	// NoRoute: no route matches host and path.
+	NoRoute
+	// MethodNotAllowed: routes match host and path, but none takes the method.
+	MethodNotAllowed
+)
+
+// Match returns the most specific route that takes a request. Host is the Host
+// header, with or without a port; path is the decoded path. The route is nil
+// unless the result is Matched.
+func (t *Table) Match(host, path, method string) (*Route, MatchResult) {
+	search := search{path: path, method: method}
+	if route := t.find(&search, host); route != nil {
+		return route, Matched
+	}
+	if search.pathMatched {
+		return nil, MethodNotAllowed
+	}
+	return nil, NoRoute
+}
+
+// search is a look-up in progress.
+type search struct {
+	path, method string
+	pathMatched  bool
+}
+
+func (t *Table) find(search *search, host string) *Route {
+	var buffer [maximumHostLength]byte
+	name := normalizeHost(&buffer, host)
+	if len(name) > 0 {
+		if route := search.in(t.exact[string(name)]); route != nil {
+			return route
+		}
+		if route := t.findSuffix(search, name); route != nil {
+			return route
+		}
+	}
+	return search.in(t.any)
+}
+
+func (t *Table) findSuffix(search *search, name []byte) *Route {
+	if len(t.suffixes) == 0 {
+		return nil
+	}
+	for i := 1; i < len(name); i++ {
+		if name[i] != '.' {
+			continue
+		}
+		if route := search.in(t.suffixes[string(name[i:])]); route != nil {
+			return route
+		}
+	}
+	return nil
+}
+
+// normalizeHost returns the host in lower case without port and trailing dot;
+// it is empty when the host is too long for any name.
+func normalizeHost(buffer *[maximumHostLength]byte, host string) []byte {
+	host = strings.TrimSuffix(withoutPort(host), ".")
+	if len(host) > maximumHostLength {
+		return nil
+	}
+	for i := range len(host) {
+		buffer[i] = lower(host[i])
+	}
+	return buffer[:len(host)]
+}
+
+func withoutPort(host string) string {
+	colon := strings.LastIndexByte(host, ':')
+	if colon < 0 || strings.IndexByte(host[colon:], ']') >= 0 {
+		return host
+	}
+	return host[:colon]
+}
+
+func lower(character byte) byte {
+	if character >= 'A' && character <= 'Z' {
+		return character + ('a' - 'A')
+	}
+	return character
+}
+
+// in returns the most specific route of one host, or nil.
+func (s *search) in(paths *pathTable) *Route {
+	if paths == nil {
+		return nil
+	}
+	if route := s.take(paths.exact[s.path]); route != nil {
+		return route
+	}
+	return s.longestPrefix(&paths.prefix)
+}
+
+func (s *search) longestPrefix(node *prefixNode) *Route {
+	if s.path == "" || s.path[0] != '/' {
+		return nil
+	}
+	best := s.take(&node.methods)
+	rest := s.path[1:]
+	for node.children != nil {
+		segment, after, more := strings.Cut(rest, "/")
+		node = node.children[segment]
+		if node == nil {
+			return best
+		}
+		if route := s.take(&node.methods); route != nil {
+			best = route
+		}
+		if !more {
+			return best
+		}
+		rest = after
+	}
+	return best
+}
+
+func (s *search) take(methods *methodTable) *Route {
+	if methods == nil || methods.empty() {
+		return nil
+	}
+	s.pathMatched = true
+	return methods.find(s.method)
+}
--- /dev/null
+++ b/pkg/routing/match_test.go
@@ -0,0 +1,226 @@
+package routing
+
+import (
+	"flag"
+	"fmt"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	_ = flag.Set("rapid.seed", "1")
+	os.Exit(m.Run())
+}
+
+func compile(t testing.TB, matches map[string]model.Match) *Table {
+	t.Helper()
+	table, err := tryCompile(t, matches)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return table
+}
+
+func tryCompile(t testing.TB, matches map[string]model.Match) (*Table, error) {
+	t.Helper()
+	resources := []model.Resource{{
+		Key:     model.Key{Kind: model.KindService, Name: "ledger"},
+		Service: &model.Service{Slots: 1, Connections: 1},
+	}}
+	for name, match := range matches {
+		resources = append(resources, model.Resource{
+			Key:   model.Key{Kind: model.KindRoute, Name: name},
+			Route: &model.Route{Match: match, Service: "ledger"},
+		})
+	}
+	source, err := snapshot.New(7, resources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return Compile(source)
+}
+
+func TestPrecedence(t *testing.T) {
+	table := compile(t, map[string]model.Match{
+		"any":        {Host: "*", PathPrefix: "/"},
+		"wide":       {Host: "*.example.com", PathPrefix: "/"},
+		"narrow":     {Host: "*.eu.example.com", PathPrefix: "/"},
+		"host":       {Host: "a.eu.example.com", PathPrefix: "/books"},
+		"host-deep":  {Host: "a.eu.example.com", PathPrefix: "/books/open/"},
+		"host-exact": {Host: "a.eu.example.com", Path: "/books/open/1"},
+		"host-post":  {Host: "a.eu.example.com", PathPrefix: "/books", Methods: []string{"POST"}},
+		"put-only":   {Host: "put.example.org", PathPrefix: "/", Methods: []string{"PUT"}},
+	})
+	cases := []struct{ host, path, method, want string }{
+		{"other.org", "/x", "GET", "any"},
+		{"b.example.com:8080", "/x", "GET", "wide"},
+		{"B.EU.Example.com.", "/x", "GET", "narrow"},
+		{"x.y.eu.example.com", "/x", "GET", "narrow"},
+		{"a.eu.example.com", "/books", "GET", "host"},
+		{"a.eu.example.com", "/books/", "GET", "host"},
+		{"a.eu.example.com", "/books/1", "POST", "host-post"},
+		{"a.eu.example.com", "/books/open", "POST", "host-deep"},
+		{"a.eu.example.com", "/books/open/1", "GET", "host-exact"},
+		{"a.eu.example.com", "/bookshop", "GET", "narrow"},
+		{"example.com", "/x", "GET", "any"},
+		{"put.example.org", "/x", "PUT", "put-only"},
+		{"put.example.org", "/x", "GET", "any"},
+		{"[::1]:80", "/", "GET", "any"},
+		{strings.Repeat("a", 300), "/", "GET", "any"},
+	}
+	for _, c := range cases {
+		route, result := table.Match(c.host, c.path, c.method)
+		if result != Matched || route.Name != c.want {
+			t.Errorf("Match(%q, %q, %q) = %v, want %s", c.host, c.path, c.method, route, c.want)
+		}
+	}
+}
+
+func TestNoMatchSaysWhy(t *testing.T) {
+	table := compile(t, map[string]model.Match{
+		"post": {Host: "a.example", Path: "/file", Methods: []string{"POST"}},
+	})
+	cases := []struct {
+		host, path, method string
+		want               MatchResult
+	}{
+		{"a.example", "/file", "GET", MethodNotAllowed},
+		{"a.example", "/file/", "POST", NoRoute},
+		{"b.example", "/file", "POST", NoRoute},
+		{"", "", "", NoRoute},
+	}
+	for _, c := range cases {
+		if route, result := table.Match(c.host, c.path, c.method); result != c.want || route != nil {
+			t.Errorf("Match(%q, %q, %q) = %v %d, want %d", c.host, c.path, c.method, route, result, c.want)
+		}
+	}
+}
+
+func TestAmbiguousRoutesAreRefused(t *testing.T) {
+	pairs := [][2]model.Match{
+		{{Host: "a.example", PathPrefix: "/x"}, {Host: "A.example", PathPrefix: "/x/"}},
+		{{Host: "*", Path: "/x"}, {Host: "*", Path: "/x"}},
+		{{Host: "*", Path: "/x", Methods: []string{"GET", "PUT"}}, {Host: "*", Path: "/x", Methods: []string{"PUT"}}},
+	}
+	for _, pair := range pairs {
+		if _, err := tryCompile(t, map[string]model.Match{"one": pair[0], "two": pair[1]}); err == nil {
+			t.Errorf("%v and %v were accepted", pair[0], pair[1])
+		}
+	}
+}
+
+// specificity orders matching routes as the package comment does.
+func specificity(match model.Match, host, path, method string) ([3]int, bool) {
+	var rank [3]int
+	switch {
+	case match.Host == host:
+		rank[0] = 1000
+	case match.Host == "*":
+		rank[0] = 0
+	case strings.HasPrefix(match.Host, "*.") && strings.HasSuffix(host, match.Host[1:]) && host != match.Host[1:]:
+		rank[0] = len(match.Host)
+	default:
+		return rank, false
+	}
+	prefix := strings.TrimSuffix(match.PathPrefix, "/")
+	switch {
+	case match.Path != "" && match.Path == path:
+		rank[1] = 1000
+	case match.PathPrefix != "" && (path == prefix || strings.HasPrefix(path, prefix+"/")):
+		rank[1] = len(prefix)
+	default:
+		return rank, false
+	}
+	if len(match.Methods) == 0 {
+		return rank, true
+	}
+	rank[2] = 1
+	return rank, slices.Contains(match.Methods, method)
+}
+
+func TestMatchAgreesWithThePlainRule(t *testing.T) {
+	hosts := rapid.SampledFrom([]string{"*", "a.b", "*.b", "*.a.b", "c.a.b", "b"})
+	paths := rapid.SampledFrom([]string{"/", "/x", "/x/y", "/x/y/z", "/xy", "/x/"})
+	methods := rapid.SampledFrom([]string{"GET", "POST"})
+	rapid.Check(t, func(rt *rapid.T) {
+		matches := map[string]model.Match{}
+		for i := range rapid.IntRange(0, 12).Draw(rt, "routes") {
+			match := model.Match{Host: hosts.Draw(rt, "host")}
+			if path := paths.Draw(rt, "path"); rapid.Bool().Draw(rt, "exact") {
+				match.Path = path
+			} else {
+				match.PathPrefix = path
+			}
+			if rapid.Bool().Draw(rt, "listed") {
+				match.Methods = []string{methods.Draw(rt, "method")}
+			}
+			name := fmt.Sprintf("route-%d", i)
+			matches[name] = match
+			if _, err := tryCompile(t, matches); err != nil {
+				delete(matches, name)
+			}
+		}
+		table := compile(t, matches)
+		host := rapid.SampledFrom([]string{"a.b", "b", "x.b", "x.a.b", "c.a.b", "other"}).Draw(rt, "request host")
+		path, method := paths.Draw(rt, "request path"), methods.Draw(rt, "request method")
+		want, best := "", [3]int{-1}
+		for name, match := range matches {
+			rank, ok := specificity(match, host, path, method)
+			if ok && slices.Compare(rank[:], best[:]) > 0 {
+				want, best = name, rank
+			}
+		}
+		got := ""
+		if route, result := table.Match(host, path, method); result == Matched {
+			got = route.Name
+		}
+		if got != want {
+			rt.Fatalf("%s %s %s: got %q, want %q of %v", method, host, path, got, want, matches)
+		}
+	})
+}
+
+func FuzzMatch(f *testing.F) {
+	table := compile(f, map[string]model.Match{
+		"deep":   {Host: "*.example.com", PathPrefix: "/a/b"},
+		"exact":  {Host: "a.example.com", Path: "/a/b/c", Methods: []string{"GET"}},
+		"prefix": {Host: "*", PathPrefix: "/a"},
+	})
+	f.Add("a.example.com:80", "/a/b/c", "GET")
+	f.Add("[::1]", "//", "POST")
+	f.Fuzz(func(t *testing.T, host, path, method string) {
+		route, result := table.Match(host, path, method)
+		if (route != nil) != (result == Matched) {
+			t.Fatalf("route %v with result %d", route, result)
+		}
+		if route != nil && path != "/a" && !strings.HasPrefix(path, "/a/") {
+			t.Fatalf("%q matched %s", path, route.Name)
+		}
+	})
+}
+
+func BenchmarkMatch(b *testing.B) {
+	for _, services := range []int{10, 310} {
+		matches := map[string]model.Match{}
+		for i := range services {
+			matches[fmt.Sprintf("read-%d", i)] = model.Match{Host: fmt.Sprintf("s%d.example.com", i), PathPrefix: "/books"}
+			matches[fmt.Sprintf("file-%d", i)] = model.Match{Host: fmt.Sprintf("s%d.example.com", i), Path: "/books/file", Methods: []string{"POST"}}
+		}
+		matches["rest"] = model.Match{Host: "*", PathPrefix: "/"}
+		table := compile(b, matches)
+		b.Run(fmt.Sprintf("services=%d", services), func(b *testing.B) {
+			b.ReportAllocs()
+			for b.Loop() {
+				table.Match("s7.example.com:8080", "/books/open/1/pages", "GET")
+			}
+		})
+	}
+}
--- /dev/null
+++ b/pkg/routing/table.go
@@ -0,0 +1,211 @@
+package routing
+
+import (
+	"slices"
+	"strings"
+
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// anyHost is the host of routes that take every host; anySubdomain begins the
+// host of routes that take every sub-domain.
+const (
+	anyHost      = "*"
+	anySubdomain = "*."
+)
+
+// Table finds routes. It is immutable and safe for concurrent use.
+type Table struct {
+	version  uint64
+	exact    map[string]*pathTable
+	suffixes map[string]*pathTable // keys begin with a dot
+	any      *pathTable
+	routes   map[string]*Route
+}
+
+// Compile builds the table of a snapshot. Errors are of type ErrInvalidRoute or
+// ErrAmbiguousRoute.
+func Compile(source *snapshot.Snapshot) (*Table, error) {
+	table := &Table{
+		version:  source.Version(),
+		exact:    map[string]*pathTable{},
+		suffixes: map[string]*pathTable{},
+		any:      newPathTable(),
+		routes:   map[string]*Route{},
+	}
+	for name, config := range source.Routes() {
+		route, err := newRoute(name, config, source)
+		if err != nil {
+			return nil, err
+		}
+		if err := table.add(route); err != nil {
+			return nil, err
+		}
+	}
+	return table, nil
+}
+
+// Version returns the version of the snapshot that the table was compiled from.
+func (t *Table) Version() uint64 { return t.version }
+
+// Len returns the number of routes.
+func (t *Table) Len() int { return len(t.routes) }
+
+// Route returns a route by its name.
+func (t *Table) Route(name string) (*Route, bool) {
+	route, ok := t.routes[name]
+	return route, ok
+}
+
+func (t *Table) add(route *Route) error {
+	paths, err := t.pathsOf(route)
+	if err != nil {
+		return err
+	}
+	entry, err := paths.entryOf(route)
+	if err != nil {
+		return err
+	}
+	if other := entry.add(route); other != nil {
+		return ErrAmbiguousRoute.New("routes %q and %q take the same requests", other.Name, route.Name)
+	}
+	t.routes[route.Name] = route
+	return nil
+}
+
+func (t *Table) pathsOf(route *Route) (*pathTable, error) {
+	host := strings.ToLower(strings.TrimSuffix(route.Config.Match.Host, "."))
+	switch {
+	case host == anyHost:
+		return t.any, nil
+	case strings.HasPrefix(host, anySubdomain) && validName(host[len(anySubdomain):]):
+		return pathTableFor(t.suffixes, host[len(anyHost):]), nil
+	case validName(host):
+		return pathTableFor(t.exact, host), nil
+	default:
+		return nil, ErrInvalidRoute.New("route %q has no valid host", route.Name)
+	}
+}
+
+func validName(host string) bool {
+	return host != "" && len(host) <= maximumHostLength && !strings.Contains(host, "*")
+}
+
+func pathTableFor(tables map[string]*pathTable, key string) *pathTable {
+	table, ok := tables[key]
+	if !ok {
+		table = newPathTable()
+		tables[key] = table
+	}
+	return table
+}
+
+// pathTable holds the routes of one host.
+type pathTable struct {
+	exact  map[string]*methodTable
+	prefix prefixNode
+}
+
+// prefixNode is one segment of the prefixes of a host.
+type prefixNode struct {
+	children map[string]*prefixNode
+	methods  methodTable
+}
+
+func newPathTable() *pathTable {
+	return &pathTable{exact: map[string]*methodTable{}}
+}
+
+func (p *pathTable) entryOf(route *Route) (*methodTable, error) {
+	match := route.Config.Match
+	switch {
+	case match.Path != "" && match.PathPrefix == "" && match.Path[0] == '/':
+		return p.exactEntry(match.Path), nil
+	case match.PathPrefix != "" && match.Path == "" && match.PathPrefix[0] == '/':
+		return p.prefixEntry(match.PathPrefix), nil
+	default:
+		return nil, ErrInvalidRoute.New("route %q must have either a path or a path prefix, and it must begin with a slash", route.Name)
+	}
+}
+
+func (p *pathTable) exactEntry(path string) *methodTable {
+	entry, ok := p.exact[path]
+	if !ok {
+		entry = &methodTable{}
+		p.exact[path] = entry
+	}
+	return entry
+}
+
+func (p *pathTable) prefixEntry(prefix string) *methodTable {
+	node := &p.prefix
+	trimmed := strings.TrimSuffix(prefix[1:], "/")
+	if trimmed == "" {
+		return &node.methods
+	}
+	for segment := range strings.SplitSeq(trimmed, "/") {
+		node = node.child(segment)
+	}
+	return &node.methods
+}
+
+func (n *prefixNode) child(segment string) *prefixNode {
+	if n.children == nil {
+		n.children = map[string]*prefixNode{}
+	}
+	child, ok := n.children[segment]
+	if !ok {
+		child = &prefixNode{}
+		n.children[segment] = child
+	}
+	return child
+}
+
+// methodTable holds the routes of one host and path.
+type methodTable struct {
+	listed []listedMethod
+	any    *Route
+}
+
+type listedMethod struct {
+	method string
+	route  *Route
+}
+
+// add returns the route that already takes the same requests, if there is one.
+func (m *methodTable) add(route *Route) *Route {
+	methods := slices.Clone(route.Config.Match.Methods)
+	if len(methods) == 0 {
+		if m.any != nil {
+			return m.any
+		}
+		m.any = route
+		return nil
+	}
+	slices.Sort(methods)
+	for _, method := range slices.Compact(methods) {
+		if other := m.listedFor(method); other != nil {
+			return other
+		}
+		m.listed = append(m.listed, listedMethod{method: method, route: route})
+	}
+	return nil
+}
+
+func (m *methodTable) listedFor(method string) *Route {
+	for i := range m.listed {
+		if m.listed[i].method == method {
+			return m.listed[i].route
+		}
+	}
+	return nil
+}
+
+func (m *methodTable) find(method string) *Route {
+	if route := m.listedFor(method); route != nil {
+		return route
+	}
+	return m.any
+}
+
+func (m *methodTable) empty() bool { return m.any == nil && len(m.listed) == 0 }
