Add mutual TLS identities and numbered events

Files that cannot be used leave the former ones in use. Events are typed methods over a catalogue that a test compares with what is written and with docs/EVENTS.md; telemetry builds once internal/control does.

--- /dev/null
+++ b/internal/identity/files.go
@@ -0,0 +1,144 @@
+package identity
+
+import (
+	"context"
+	"crypto/tls"
+	"crypto/x509"
+	"os"
+	"sync/atomic"
+	"time"
+)
+
+// DefaultPollInterval is how often the files are looked at for changes.
+const DefaultPollInterval = 2 * time.Second
+
+// Files names the PEM files of one node.
+type Files struct {
+	Authorities string
+	Certificate string
+	Key         string
+}
+
+// Events is told about certificate files.
+type Events interface {
+	CertificatesLoaded(identity string, expires time.Time)
+	CertificatesFailed(err error)
+}
+
+// Keeper holds the certificates of one node and reads them again when the
+// files change. It is a suture service.
+type Keeper struct {
+	files   Files
+	events  Events
+	poll    time.Duration
+	current atomic.Pointer[material]
+	stamp   stamp
+}
+
+// material is what one reading of the files gave.
+type material struct {
+	authorities *x509.CertPool
+	certificate tls.Certificate
+	identity    Identity
+}
+
+// stamp tells whether any of the files has changed.
+type stamp [3]struct {
+	modified time.Time
+	size     int64
+}
+
+// NewKeeper reads the files for the first time. ErrFiles tells that they cannot be used.
+func NewKeeper(files Files, events Events, poll time.Duration) (*Keeper, error) {
+	keeper := &Keeper{files: files, events: events, poll: poll, stamp: files.stamp()}
+	loaded, err := files.load()
+	if err != nil {
+		return nil, err
+	}
+	keeper.use(loaded)
+	return keeper, nil
+}
+
+// Identity returns what the node's own certificate says.
+func (k *Keeper) Identity() Identity { return k.current.Load().identity }
+
+// Serve looks at the files until the context ends.
+func (k *Keeper) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(k.poll)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+			k.refresh()
+		}
+	}
+}
+
+// String names the part in events.
+func (k *Keeper) String() string { return "certificates" }
+
+// refresh keeps the former certificates when the new ones cannot be used, as
+// while one of two files has been replaced.
+func (k *Keeper) refresh() {
+	latest := k.files.stamp()
+	if latest == k.stamp {
+		return
+	}
+	k.stamp = latest
+	loaded, err := k.files.load()
+	if err == nil {
+		err = sameHolder(loaded.identity, k.Identity())
+	}
+	if err != nil {
+		k.events.CertificatesFailed(err)
+		return
+	}
+	k.use(loaded)
+}
+
+func sameHolder(offered, held Identity) error {
+	if offered == held {
+		return nil
+	}
+	return ErrMismatch.New("the new certificate is for %s, not for %s", offered, held)
+}
+
+func (k *Keeper) use(loaded *material) {
+	k.current.Store(loaded)
+	k.events.CertificatesLoaded(loaded.identity.String(), loaded.certificate.Leaf.NotAfter)
+}
+
+func (f Files) stamp() stamp {
+	var result stamp
+	for index, path := range []string{f.Authorities, f.Certificate, f.Key} {
+		information, err := os.Stat(path)
+		if err != nil {
+			continue
+		}
+		result[index].modified = information.ModTime()
+		result[index].size = information.Size()
+	}
+	return result
+}
+
+func (f Files) load() (*material, error) {
+	pem, err := os.ReadFile(f.Authorities)
+	if err != nil {
+		return nil, ErrFiles.Wrap(err, "authorities")
+	}
+	authorities := x509.NewCertPool()
+	if !authorities.AppendCertsFromPEM(pem) {
+		return nil, ErrFiles.New("%s holds no certificate", f.Authorities)
+	}
+	certificate, err := tls.LoadX509KeyPair(f.Certificate, f.Key)
+	if err != nil {
+		return nil, ErrFiles.Wrap(err, "certificate and key")
+	}
+	identity, err := FromCertificate(certificate.Leaf)
+	if err != nil {
+		return nil, ErrFiles.Wrap(err, "certificate %s", f.Certificate)
+	}
+	return &material{authorities: authorities, certificate: certificate, identity: identity}, nil
+}
--- /dev/null
+++ b/internal/identity/issue.go
@@ -0,0 +1,152 @@
+package identity
+
+import (
+	"crypto/ecdsa"
+	"crypto/elliptic"
+	"crypto/rand"
+	"crypto/x509"
+	"crypto/x509/pkix"
+	"encoding/pem"
+	"math/big"
+	"net/url"
+	"os"
+	"path/filepath"
+	"time"
+)
+
+// Names of the files that Write leaves in a directory.
+const (
+	AuthorityFile   = "ca.pem"
+	CertificateFile = "cert.pem"
+	KeyFile         = "key.pem"
+)
+
+const (
+	authorityValidity = 10 * 365 * 24 * time.Hour
+	clockTolerance    = 5 * time.Minute
+	serialNumberBits  = 127
+	privateFileMode   = 0o600
+	directoryMode     = 0o700
+)
+
+// Authority issues throw-away certificates for tests and the lab. It is held in
+// memory only.
+type Authority struct {
+	certificate *x509.Certificate
+	key         *ecdsa.PrivateKey
+}
+
+// Bundle is what one node needs, as PEM.
+type Bundle struct {
+	Authorities []byte
+	Certificate []byte
+	Key         []byte
+}
+
+// GenerateAuthority makes a new authority.
+func GenerateAuthority() (*Authority, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return nil, ErrFiles.Wrap(err, "key of the authority")
+	}
+	template, err := newTemplate("levertide throw-away authority", authorityValidity)
+	if err != nil {
+		return nil, err
+	}
+	template.IsCA = true
+	template.BasicConstraintsValid = true
+	template.KeyUsage = x509.KeyUsageCertSign
+	encoded, err := x509.CreateCertificate(rand.Reader, template, template, &key.PublicKey, key)
+	if err != nil {
+		return nil, ErrFiles.Wrap(err, "certificate of the authority")
+	}
+	certificate, err := x509.ParseCertificate(encoded)
+	if err != nil {
+		return nil, ErrFiles.Wrap(err, "certificate of the authority")
+	}
+	return &Authority{certificate: certificate, key: key}, nil
+}
+
+// Issue makes a key and a certificate for an identity.
+func (a *Authority) Issue(holder Identity, validity time.Duration) (Bundle, error) {
+	template, err := newTemplate(holder.Node, validity)
+	if err != nil {
+		return Bundle{}, err
+	}
+	template.URIs = []*url.URL{holder.URI()}
+	return a.sign(template)
+}
+
+func (a *Authority) sign(template *x509.Certificate) (Bundle, error) {
+	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
+	if err != nil {
+		return Bundle{}, ErrFiles.Wrap(err, "key")
+	}
+	template.KeyUsage = x509.KeyUsageDigitalSignature
+	template.ExtKeyUsage = []x509.ExtKeyUsage{x509.ExtKeyUsageServerAuth, x509.ExtKeyUsageClientAuth}
+	encoded, err := x509.CreateCertificate(rand.Reader, template, a.certificate, &key.PublicKey, a.key)
+	if err != nil {
+		return Bundle{}, ErrFiles.Wrap(err, "certificate")
+	}
+	encodedKey, err := x509.MarshalPKCS8PrivateKey(key)
+	if err != nil {
+		return Bundle{}, ErrFiles.Wrap(err, "key")
+	}
+	return Bundle{
+		Authorities: encodePEM("CERTIFICATE", a.certificate.Raw),
+		Certificate: encodePEM("CERTIFICATE", encoded),
+		Key:         encodePEM("PRIVATE KEY", encodedKey),
+	}, nil
+}
+
+// Write leaves the bundle in a directory, which is made if needed, and returns
+// the names of the files. Each file is replaced as a whole.
+func (b Bundle) Write(directory string) (Files, error) {
+	if err := os.MkdirAll(directory, directoryMode); err != nil {
+		return Files{}, ErrFiles.Wrap(err, "directory")
+	}
+	files := Files{
+		Authorities: filepath.Join(directory, AuthorityFile),
+		Certificate: filepath.Join(directory, CertificateFile),
+		Key:         filepath.Join(directory, KeyFile),
+	}
+	contents := []struct {
+		path    string
+		content []byte
+	}{{files.Authorities, b.Authorities}, {files.Certificate, b.Certificate}, {files.Key, b.Key}}
+	for _, file := range contents {
+		if err := replaceFile(file.path, file.content); err != nil {
+			return Files{}, err
+		}
+	}
+	return files, nil
+}
+
+func replaceFile(path string, content []byte) error {
+	temporary := path + ".new"
+	if err := os.WriteFile(temporary, content, privateFileMode); err != nil {
+		return ErrFiles.Wrap(err, "write")
+	}
+	if err := os.Rename(temporary, path); err != nil {
+		return ErrFiles.Wrap(err, "replace")
+	}
+	return nil
+}
+
+func newTemplate(name string, validity time.Duration) (*x509.Certificate, error) {
+	serial, err := rand.Int(rand.Reader, new(big.Int).Lsh(big.NewInt(1), serialNumberBits))
+	if err != nil {
+		return nil, ErrFiles.Wrap(err, "serial number")
+	}
+	now := time.Now()
+	return &x509.Certificate{
+		SerialNumber: serial,
+		Subject:      pkix.Name{CommonName: name},
+		NotBefore:    now.Add(-clockTolerance),
+		NotAfter:     now.Add(validity),
+	}, nil
+}
+
+func encodePEM(kind string, content []byte) []byte {
+	return pem.EncodeToMemory(&pem.Block{Type: kind, Bytes: content})
+}
--- /dev/null
+++ b/internal/telemetry/catalogue.go
@@ -0,0 +1,115 @@
+package telemetry
+
+import (
+	"fmt"
+	"slices"
+	"strings"
+)
+
+// Level orders events by urgency.
+type Level string
+
+// The levels, from the least urgent.
+const (
+	LevelDebug   Level = "debug"
+	LevelInfo    Level = "info"
+	LevelWarning Level = "warn"
+	LevelError   Level = "error"
+)
+
+// Event is one entry of the catalogue.
+type Event struct {
+	// Number identifies the event for good.
+	Number int
+	Name   string
+	Level  Level
+	// Fields are the names of the values that each line carries besides time,
+	// level, event, name and node.
+	Fields []string
+	// Meaning says what happened and, where it matters, what to do.
+	Meaning string
+}
+
+// Field names that several events share.
+const (
+	fieldVersion = "version"
+	fieldDigest  = "digest"
+	fieldReason  = "reason"
+	fieldError   = "error"
+)
+
+// Events of the process.
+var (
+	eventStarted       = Event{101, "node started", LevelInfo, []string{"program_version", "region", "zone", "service", "incarnation"}, "The process runs; it is not ready yet."}
+	eventListening     = Event{102, "node listening", LevelInfo, []string{"caller_address", "call_address", "control_address", "admin_address"}, "The listeners are open at these addresses."}
+	eventReady         = Event{103, "node ready", LevelInfo, []string{}, "Calls are taken from now on."}
+	eventUnready       = Event{104, "node unready", LevelWarning, []string{fieldReason}, "Calls are answered not-run; the reason says what is waited for."}
+	eventStopRequested = Event{105, "stop requested", LevelInfo, []string{"signal"}, "A planned stop begins; the node is marked as leaving."}
+	eventDrained       = Event{106, "calls drained", LevelInfo, []string{"duration_milliseconds"}, "The calls in flight have ended."}
+	eventDrainExceeded = Event{107, "drain bound exceeded", LevelWarning, []string{"duration_milliseconds", "calls_in_flight"}, "Calls still run at the end of drain-bound and are cut off."}
+	eventStopped       = Event{108, "node stopped", LevelInfo, []string{}, "The process is about to end."}
+	eventPartFailed    = Event{109, "part failed", LevelError, []string{"part", fieldError}, "A part of the node ended unexpectedly and is started again."}
+	eventWorkerHealth  = Event{110, "worker health changed", LevelInfo, []string{"healthy", fieldReason}, "The worker's health endpoint changed its answer. It is a hint only."}
+	eventStartFailed   = Event{111, "start failed", LevelError, []string{fieldError}, "A listener or a file cannot be opened; the process ends with exit code 1."}
+)
+
+// Events of versions. Checkers outside the process rely on them.
+var (
+	eventVersionStaged    = Event{201, "version staged", LevelInfo, []string{fieldVersion}, "The version is built completely beside the one in force."}
+	eventVersionInForce   = Event{202, "version in force", LevelInfo, []string{fieldVersion, fieldDigest}, "The version is in force on this node, whole. The number never falls within a process."}
+	eventVersionRefused   = Event{203, "version refused", LevelWarning, []string{fieldVersion, fieldReason}, "This node refuses the proposed version, which is therefore aborted everywhere."}
+	eventFloorLearned     = Event{204, "floor learned", LevelInfo, []string{fieldVersion, "source"}, "The lowest version that this process may run, and who told it."}
+	eventFloorMissing     = Event{205, "floor missing", LevelWarning, []string{fieldReason}, "The process may run nothing yet, for neither the store nor enough peers told the floor."}
+	eventVersionCommitted = Event{206, "version committed", LevelInfo, []string{fieldVersion, "silent"}, "This node, as coordinator, committed the version; silent counts the nodes that had not reported within the bound."}
+	eventVersionAborted   = Event{207, "version aborted", LevelWarning, []string{fieldVersion, "refused_by", fieldReason}, "This node, as coordinator, aborted the version; its number is not used again."}
+)
+
+// Events of the distribution tree and of members.
+var (
+	eventParentChanged = Event{301, "parent changed", LevelInfo, []string{"parent"}, "The node pulls from another parent; empty for none."}
+	eventRoleChanged   = Event{302, "role changed", LevelInfo, []string{"role"}, "The node's part in the distribution tree: leaf, relay, reader or coordinator."}
+	eventMemberLost    = Event{303, "member lost", LevelWarning, []string{"member"}, "A child of this node was not heard from within the bound and gets no calls."}
+	eventPeerRefused   = Event{304, "peer refused", LevelWarning, []string{"peer", fieldReason}, "A request of another node was turned away."}
+)
+
+// Events of the store.
+var (
+	eventStoreReachable   = Event{401, "store reachable", LevelInfo, []string{}, "The store answers again."}
+	eventStoreUnreachable = Event{402, "store unreachable", LevelWarning, []string{fieldError}, "The store does not answer. The version in force stays; applies wait."}
+	eventStoreRegressed   = Event{403, "store regressed", LevelError, []string{fieldError}, "The store offers an older head than one seen before, as after a restore of an old copy. Nothing is taken from it; see OPERATING.md."}
+	eventAlarm            = Event{404, "alarm", LevelError, []string{"text"}, "A condition that needs an operator; see OPERATING.md."}
+	eventLeaseAcquired    = Event{405, "reader lease acquired", LevelInfo, []string{"slot"}, "This node is one of the few that read the store."}
+	eventLeaseLost        = Event{406, "reader lease lost", LevelWarning, []string{"slot"}, "This node no longer reads the store by this lease."}
+)
+
+// Events of certificates.
+var (
+	eventCertificatesLoaded = Event{501, "certificates loaded", LevelInfo, []string{"identity", "expires"}, "New certificate files were read and are used for new connections."}
+	eventCertificatesFailed = Event{502, "certificates not loaded", LevelError, []string{fieldError}, "Changed certificate files cannot be used; the former ones stay in use."}
+)
+
+// Catalogue returns every event, ordered by number.
+func Catalogue() []Event {
+	events := []Event{
+		eventStarted, eventListening, eventReady, eventUnready, eventStopRequested, eventDrained,
+		eventDrainExceeded, eventStopped, eventPartFailed, eventWorkerHealth, eventStartFailed,
+		eventVersionStaged, eventVersionInForce, eventVersionRefused, eventFloorLearned,
+		eventFloorMissing, eventVersionCommitted, eventVersionAborted,
+		eventParentChanged, eventRoleChanged, eventMemberLost, eventPeerRefused,
+		eventStoreReachable, eventStoreUnreachable, eventStoreRegressed, eventAlarm, eventLeaseAcquired, eventLeaseLost,
+		eventCertificatesLoaded, eventCertificatesFailed,
+	}
+	slices.SortFunc(events, func(a, b Event) int { return a.Number - b.Number })
+	return events
+}
+
+// MarkdownTable returns the table of events that docs/EVENTS.md shows.
+func MarkdownTable() string {
+	var table strings.Builder
+	table.WriteString("| event | name | level | fields | meaning |\n|---|---|---|---|---|\n")
+	for _, event := range Catalogue() {
+		fmt.Fprintf(&table, "| %d | %s | %s | %s | %s |\n",
+			event.Number, event.Name, event.Level, strings.Join(event.Fields, ", "), event.Meaning)
+	}
+	return table.String()
+}
--- /dev/null
+++ b/internal/telemetry/log_test.go
@@ -0,0 +1,133 @@
+package telemetry
+
+import (
+	"bytes"
+	"encoding/json"
+	"errors"
+	"os"
+	"slices"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/google/go-cmp/cmp"
+
+	"github.com/levertide/levertide/internal/control"
+	"github.com/levertide/levertide/pkg/model"
+)
+
+// writeAll writes each event once.
+func writeAll(l *Log) {
+	l.Started("v1", "r", "z", "s", 7)
+	l.Listening("1", "2", "3", "4")
+	l.Ready()
+	l.Unready("reason")
+	l.StopRequested("terminated")
+	l.Drained(time.Second)
+	l.DrainExceeded(time.Second, 3)
+	l.Stopped()
+	l.PartFailed("control", "reason")
+	l.StartFailed(errors.New("fault"))
+	l.WorkerHealth(true, "reason")
+	l.VersionStaged(1)
+	l.VersionInForce(1, model.Digest{})
+	l.VersionRefused(1, "reason")
+	l.FloorLearned(1, "store")
+	l.ParentChanged("p")
+	l.RoleChanged(control.RoleRelay)
+	l.MemberLost("m")
+	l.PeerRefused("p", "reason")
+	l.FloorMissing("reason")
+	l.VersionCommitted(1, 0)
+	l.VersionAborted(1, "n2", "reason")
+	l.ReaderLeaseAcquired(1)
+	l.ReaderLeaseLost(1)
+	l.StoreReachable()
+	l.StoreUnreachable(errors.New("fault"))
+	l.StoreRegressed(errors.New("fault"))
+	l.Alarm("text")
+	l.CertificatesLoaded("identity", time.Unix(0, 0))
+	l.CertificatesFailed(errors.New("fault"))
+}
+
+func decode(t *testing.T, output []byte) []map[string]any {
+	t.Helper()
+	var lines []map[string]any
+	decoder := json.NewDecoder(bytes.NewReader(output))
+	for decoder.More() {
+		var line map[string]any
+		if err := decoder.Decode(&line); err != nil {
+			t.Fatal(err)
+		}
+		lines = append(lines, line)
+	}
+	return lines
+}
+
+func TestEachEventCarriesItsCatalogueEntry(t *testing.T) {
+	var output bytes.Buffer
+	writeAll(NewLog(&output, "n1", LevelDebug))
+	written := make(map[int]map[string]any)
+	for _, line := range decode(t, output.Bytes()) {
+		written[int(line["event"].(float64))] = line
+	}
+	if len(written) != len(Catalogue()) {
+		t.Errorf("%d events written, %d in the catalogue", len(written), len(Catalogue()))
+	}
+	for _, event := range Catalogue() {
+		line := written[event.Number]
+		if line["name"] != event.Name || line["level"] != string(event.Level) || line["node"] != "n1" {
+			t.Errorf("event %d: %v", event.Number, line)
+		}
+		if difference := cmp.Diff(sorted(event.Fields), fieldsOf(line)); difference != "" {
+			t.Errorf("fields of event %d: %s", event.Number, difference)
+		}
+	}
+}
+
+func fieldsOf(line map[string]any) []string {
+	fields := []string{}
+	for name := range line {
+		if !slices.Contains([]string{"time", "level", "event", "name", "node"}, name) {
+			fields = append(fields, name)
+		}
+	}
+	slices.Sort(fields)
+	return fields
+}
+
+func TestNumbersAreUnique(t *testing.T) {
+	seen := make(map[int]bool)
+	for _, event := range Catalogue() {
+		if seen[event.Number] {
+			t.Errorf("number %d stands twice", event.Number)
+		}
+		seen[event.Number] = true
+	}
+}
+
+func TestLowerLevelsAreLeftOut(t *testing.T) {
+	var output bytes.Buffer
+	writeAll(NewLog(&output, "n1", LevelError))
+	for _, line := range decode(t, output.Bytes()) {
+		if line["level"] != string(LevelError) {
+			t.Errorf("written: %v", line)
+		}
+	}
+}
+
+func TestDocumentListsEveryEvent(t *testing.T) {
+	document, err := os.ReadFile("../../docs/EVENTS.md")
+	if err != nil {
+		t.Fatal(err)
+	}
+	if !strings.Contains(string(document), MarkdownTable()) {
+		t.Errorf("docs/EVENTS.md does not hold this table:\n%s", MarkdownTable())
+	}
+}
+
+func sorted(names []string) []string {
+	ordered := append([]string{}, names...)
+	slices.Sort(ordered)
+	return ordered
+}
