Add the version store over the head protocol

After a lost answer the head is read back; while it has not moved the same transaction is sent again, which can succeed at most once because both compare the same index. Sweeping writes a record that proposals compare: a resource already stored is not rewritten by the platform, so its index alone would not show a proposal that relies on it.

--- /dev/null
+++ b/pkg/versionstore/propose.go
@@ -0,0 +1,230 @@
+package versionstore
+
+import (
+	"context"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/store"
+)
+
+// proposeAttempts bounds how often a proposal starts over because old
+// versions were swept at the same time.
+const proposeAttempts = 5
+
+// ProposeRequest asks for a set of resources to become the next version.
+type ProposeRequest struct {
+	// ApplyID is unique to this apply. A request that is sent again under the
+	// same identifier is not written twice.
+	ApplyID  string
+	Operator string
+	// Base is the version that the resources were based on; it must still be
+	// the committed one.
+	Base      rollout.Version
+	Resources []model.Resource
+	// KnownHead is set only after the platform's store was restored from an
+	// older copy: the newest head that the nodes hold. A store that is behind
+	// it is then brought past it instead of being refused.
+	KnownHead *rollout.Head
+}
+
+// ProposeResult says what an apply became.
+type ProposeResult struct {
+	// Version is the number given to the resources.
+	Version rollout.Version
+	// Head is the newest head known to carry the proposal, or a later one.
+	Head rollout.Head
+}
+
+// Propose writes the resources and names them in the head as the version to
+// stage next. ErrConflict and ErrRolloutInProgress tell that nothing was
+// proposed, and so do errors that store.NotWritten reports. After
+// ErrUnknownOutcome, Resolve tells more.
+func (v *VersionStore) Propose(ctx context.Context, request ProposeRequest) (ProposeResult, error) {
+	if request.ApplyID == "" {
+		return ProposeResult{}, ErrInvalidRequest.New("an apply needs an identifier")
+	}
+	set, err := newContent(request.Resources, v.config)
+	if err != nil {
+		return ProposeResult{}, err
+	}
+	for range proposeAttempts {
+		result, again, err := v.proposeOnce(ctx, request, set)
+		if !again {
+			return result, err
+		}
+	}
+	return ProposeResult{}, withHead(ErrConflict.New("the store changed during each attempt"), v.guard.newest())
+}
+
+// proposeOnce makes one attempt; again tells that it is worth another.
+func (v *VersionStore) proposeOnce(ctx context.Context, request ProposeRequest, set content) (result ProposeResult, again bool, err error) {
+	state, sweepIndex, err := v.readForProposal(ctx, request)
+	if err != nil {
+		return ProposeResult{}, false, err
+	}
+	if refusal := checkProposal(state.head, request); refusal != nil {
+		result, err = v.writtenBefore(ctx, request, refusal)
+		return result, false, err
+	}
+	change, err := v.proposal(state, sweepIndex, request, set)
+	if err != nil {
+		return ProposeResult{}, false, err
+	}
+	if err := v.writeResources(ctx, set, request.Base); err != nil {
+		return ProposeResult{}, false, err
+	}
+	outcome, err := v.swapHead(ctx, change)
+	if err != nil {
+		return ProposeResult{}, false, err
+	}
+	switch outcome {
+	case swapDone:
+		return ProposeResult{Version: change.to.Proposed, Head: change.to}, false, nil
+	case swapSuperseded:
+		result, err = v.supersededProposal(ctx, request, change.to.Proposed)
+		return result, false, err
+	default:
+		return ProposeResult{}, true, nil
+	}
+}
+
+// readForProposal reads the head and the index of the sweep record in one request.
+func (v *VersionStore) readForProposal(ctx context.Context, request ProposeRequest) (headState, uint64, error) {
+	seenBefore := v.guard.newest()
+	records, err := v.store.GetMany(ctx, []string{v.headKey(), v.sweepKey()}, true)
+	if err != nil {
+		return headState{}, 0, err
+	}
+	var state headState
+	var sweepIndex uint64
+	for _, record := range records {
+		if record.Key == v.sweepKey() {
+			sweepIndex = record.ModifyIndex
+			continue
+		}
+		head, err := decodeHead(record.Value)
+		if err != nil {
+			return headState{}, 0, err
+		}
+		state = headState{head: head, modifyIndex: record.ModifyIndex}
+	}
+	if known := request.KnownHead; known != nil && state.head.Generation < known.Generation {
+		state.head = *known
+	}
+	return state, sweepIndex, v.guard.check(state.head, seenBefore)
+}
+
+func checkProposal(head rollout.Head, request ProposeRequest) error {
+	switch {
+	case head.ApplyID == request.ApplyID:
+		return withHead(ErrConflict.New("apply %s was written before", request.ApplyID), head)
+	case head.Committed != request.Base:
+		return withHead(ErrConflict.New("the files are based on version %d, but version %d is committed", request.Base, head.Committed), head)
+	case head.Proposed != 0:
+		return withHead(ErrRolloutInProgress.New("version %d is being rolled out", head.Proposed), head)
+	default:
+		return nil
+	}
+}
+
+// writtenBefore tells a proposal that was refused because an earlier attempt
+// of the same apply took effect from one that was overtaken.
+func (v *VersionStore) writtenBefore(ctx context.Context, request ProposeRequest, refusal error) (ProposeResult, error) {
+	state, err := v.Resolve(ctx, request.ApplyID)
+	if err != nil {
+		return ProposeResult{}, err
+	}
+	if state.Phase == ApplyNotWritten {
+		return ProposeResult{}, refusal
+	}
+	return ProposeResult{Version: state.Version, Head: state.Head}, nil
+}
+
+// proposal builds the change of the head, within the bounds of a transaction.
+func (v *VersionStore) proposal(state headState, sweepIndex uint64, request ProposeRequest, set content) (headChange, error) {
+	now := v.config.Now()
+	next := state.head
+	next.Generation++
+	next.HighestUsed++
+	next.Proposed = next.HighestUsed
+	next.ApplyID = request.ApplyID
+	next.ChangedAt = now
+	value, err := encodeRecord(VersionRecord{
+		Number:    next.Proposed,
+		ApplyID:   request.ApplyID,
+		Operator:  request.Operator,
+		CreatedAt: now,
+		Base:      request.Base,
+		Resources: set.references,
+		Snapshot:  set.digest,
+	})
+	if err != nil {
+		return headChange{}, err
+	}
+	if len(value) > store.MaxValueBytes {
+		return headChange{}, ErrTooLarge.New("the record of %d resources takes %d bytes, the limit is %d",
+			len(set.references), len(value), store.MaxValueBytes)
+	}
+	return headChange{from: state, to: next, with: []store.Operation{
+		{Verb: store.VerbCheckIndex, Key: v.sweepKey(), Index: sweepIndex},
+		{Verb: store.VerbCompareAndSwap, Key: v.versionKey(next.Proposed), Value: value},
+	}}, nil
+}
+
+// writeResources stores what the base version does not hold. Content-addressed
+// records may be written any number of times.
+func (v *VersionStore) writeResources(ctx context.Context, set content, base rollout.Version) error {
+	known, err := v.knownReferences(ctx, base)
+	if err != nil {
+		return err
+	}
+	for _, batch := range v.writes(set, known) {
+		if err := v.writeRepeatably(ctx, batch); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (v *VersionStore) knownReferences(ctx context.Context, base rollout.Version) ([]ResourceReference, error) {
+	if base == 0 {
+		return nil, nil
+	}
+	record, err := v.ReadVersion(ctx, base)
+	if errorx.IsOfType(err, ErrVersionNotFound) || errorx.IsOfType(err, ErrCorrupt) {
+		return nil, nil
+	}
+	return record.Resources, err
+}
+
+// writeRepeatably sends operations whose repetition changes nothing until an
+// answer arrives.
+func (v *VersionStore) writeRepeatably(ctx context.Context, operations []store.Operation) error {
+	ctx, cancel := context.WithTimeout(ctx, v.config.SettleTimeout)
+	defer cancel()
+	for attempt := 0; ; attempt++ {
+		err := v.store.Transact(ctx, operations)
+		if !errorx.IsOfType(err, store.ErrUnknownOutcome) {
+			return err
+		}
+		if !v.pause(ctx, attempt) {
+			return store.ErrUnreachable.Wrap(err, "the resources could not be written, and no version names them")
+		}
+	}
+}
+
+// supersededProposal tells, from the version record, who was given the number.
+func (v *VersionStore) supersededProposal(ctx context.Context, request ProposeRequest, version rollout.Version) (ProposeResult, error) {
+	record, err := v.ReadVersion(ctx, version)
+	if err != nil {
+		return ProposeResult{}, ErrUnknownOutcome.Wrap(err, "version %d could not be read back", version)
+	}
+	head := v.guard.newest()
+	if record.ApplyID != request.ApplyID {
+		return ProposeResult{}, withHead(ErrConflict.New("version %d belongs to another apply", version), head)
+	}
+	return ProposeResult{Version: version, Head: head}, nil
+}
