--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -25,6 +25,7 @@
 	limit       int // in force now
 	inFlight    int
 	queue       waitQueue
+	waiters     waiterPool
 	permits     permitTable
 	adaptive    adaptiveLimit
 	warmUntil   time.Time // zero when the worker is warm
@@ -93,7 +94,7 @@
 	if g.queue.length >= g.options.Queue && !g.displace(priority) {
 		return Permit{}, g.unlockAndShed(ReasonQueueFull)
 	}
-	w := getWaiter(priority, wait)
+	w := g.waiters.get(priority, wait)
 	g.queue.push(w)
 	g.mutex.Unlock()
 	return g.await(ctx, w, reason)
@@ -135,9 +136,9 @@
 }
 
 func (g *Gate) await(ctx context.Context, w *waiter, timeoutReason Reason) (Permit, error) {
-	defer putWaiter(w)
 	select {
 	case <-w.decided:
+		g.mutex.Lock()
 		return g.settle(w)
 	case <-w.timer.C:
 		return g.withdraw(w, timeoutReason)
@@ -151,18 +152,22 @@
 	g.mutex.Lock()
 	if w.queued {
 		g.queue.remove(w)
+		g.waiters.put(w)
 		return Permit{}, g.unlockAndShed(reason)
 	}
-	g.mutex.Unlock()
-	<-w.decided
+	<-w.decided // sent before the mutex was free
 	return g.settle(w)
 }
 
+// settle is called with the mutex held and returns with it released.
 func (g *Gate) settle(w *waiter) (Permit, error) {
-	if w.verdict == verdictDisplaced {
-		return Permit{}, g.shed(ReasonDisplaced)
+	permit, displaced := w.permit, w.verdict == verdictDisplaced
+	g.waiters.put(w)
+	if displaced {
+		return Permit{}, g.unlockAndShed(ReasonDisplaced)
 	}
-	return w.permit, nil
+	g.mutex.Unlock()
+	return permit, nil
 }
 
 // take is called with the mutex held and a slot free.
--- /dev/null
+++ b/pkg/admission/gate_test.go
@@ -0,0 +1,181 @@
+package admission_test
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/levertide/levertide/pkg/admission"
+)
+
+func mustAdmit(t *testing.T, gate *admission.Gate) admission.Permit {
+	t.Helper()
+	permit, err := gate.Admit(context.Background(), admission.PriorityNormal)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return permit
+}
+
+func wantShed(t *testing.T, err error, reason admission.Reason) {
+	t.Helper()
+	if !admission.IsShed(err) || admission.ReasonOf(err) != reason {
+		t.Errorf("error %v, want a refusal for %s", err, reason)
+	}
+}
+
+func TestSlowStartGivesSlotsLittleByLittle(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := admission.New(admission.Options{Slots: 10, SlowStart: 10 * time.Second})
+		gate.WorkerStarted()
+		for _, want := range []int{2, 4, 6, 8, 10} {
+			mustAdmit(t, gate).Release(admission.Result{})
+			if got := gate.Stats().Limit; got != want {
+				t.Errorf("limit %d, want %d", got, want)
+			}
+			time.Sleep(2500 * time.Millisecond)
+		}
+	})
+}
+
+// runWindows runs windows of requests that use all slots and answer in latency.
+func runWindows(t *testing.T, gate *admission.Gate, windows int, result admission.Result) {
+	t.Helper()
+	for range windows * 20 {
+		var permits []admission.Permit
+		for range gate.Stats().Limit {
+			permits = append(permits, mustAdmit(t, gate))
+		}
+		_, err := gate.Admit(canceledSoon(t), admission.PriorityLow)
+		wantShed(t, err, admission.ReasonDeadline)
+		time.Sleep(10 * time.Millisecond)
+		for _, permit := range permits {
+			permit.Release(result)
+		}
+	}
+}
+
+// canceledSoon returns a context that ends while its request waits in the queue.
+func canceledSoon(t *testing.T) context.Context {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), time.Millisecond)
+	t.Cleanup(cancel)
+	return ctx
+}
+
+func TestAdaptiveLimit(t *testing.T) {
+	steps := []struct {
+		name    string
+		result  admission.Result
+		lowest  int
+		highest int
+	}{
+		{"quick answers keep all slots", admission.Result{Latency: 10 * time.Millisecond}, 8, 8},
+		{"slow answers halve them at most", admission.Result{Latency: 40 * time.Millisecond}, 4, 6},
+		{"quick answers bring them back", admission.Result{Latency: 10 * time.Millisecond}, 8, 8},
+		{"refusals by the worker go to one", admission.Result{Refused: true}, 1, 1},
+	}
+	synctest.Test(t, func(t *testing.T) {
+		gate := admission.New(admission.Options{Slots: 8})
+		for _, step := range steps {
+			runWindows(t, gate, 12, step.result)
+			if got := gate.Stats().Limit; got < step.lowest || got > step.highest {
+				t.Errorf("%s: limit %d, want %d to %d", step.name, got, step.lowest, step.highest)
+			}
+		}
+	})
+}
+
+func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := admission.New(admission.Options{Slots: 1, Queue: 5, QueueWait: time.Minute})
+		for range 100 {
+			permit := mustAdmit(t, gate)
+			permit.Release(admission.Result{Latency: time.Second})
+		}
+		permit := mustAdmit(t, gate)
+		waiting := make(chan error, 1)
+		go func() {
+			next, err := gate.Admit(context.Background(), admission.PriorityNormal)
+			next.Release(admission.Result{})
+			waiting <- err
+		}()
+		synctest.Wait()
+		start := time.Now()
+		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
+		defer cancel()
+		_, err := gate.Admit(ctx, admission.PriorityNormal)
+		wantShed(t, err, admission.ReasonDeadline)
+		if waited := time.Since(start); waited != 0 {
+			t.Errorf("waited %v for a slot that could not come in time", waited)
+		}
+		permit.Release(admission.Result{})
+		if err := <-waiting; err != nil {
+			t.Error(err)
+		}
+	})
+}
+
+func TestDrainServesTheQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := admission.New(admission.Options{Slots: 1})
+		permit := mustAdmit(t, gate)
+		served := make(chan error, 1)
+		go func() {
+			next, err := gate.Admit(context.Background(), admission.PriorityLow)
+			next.Release(admission.Result{})
+			served <- err
+		}()
+		synctest.Wait()
+		gate.Drain()
+		_, err := gate.Admit(context.Background(), admission.PriorityHigh)
+		wantShed(t, err, admission.ReasonDraining)
+		if load := gate.Load(); load != 1 {
+			t.Errorf("load %v of a draining gate", load)
+		}
+		if err := gate.WaitIdle(canceledSoon(t)); err == nil {
+			t.Error("idle with a request in flight")
+		}
+		permit.Release(admission.Result{})
+		if err := <-served; err != nil {
+			t.Errorf("waiting request refused: %v", err)
+		}
+		if err := gate.WaitIdle(context.Background()); err != nil {
+			t.Error(err)
+		}
+		gate.WorkerStarted()
+		mustAdmit(t, gate).Release(admission.Result{})
+	})
+}
+
+func TestLoadRisesWithSlotsAndQueue(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		gate := admission.New(admission.Options{Slots: 2, Queue: 1})
+		first := mustAdmit(t, gate)
+		second := mustAdmit(t, gate)
+		if load := gate.Load(); load != admission.SlotsFullLoad {
+			t.Errorf("load %v with all slots taken", load)
+		}
+		go func() {
+			next, _ := gate.Admit(context.Background(), admission.PriorityNormal)
+			next.Release(admission.Result{})
+		}()
+		synctest.Wait()
+		if load := gate.Load(); load != 1 {
+			t.Errorf("load %v with a full queue", load)
+		}
+		first.Release(admission.Result{})
+		second.Release(admission.Result{})
+	})
+}
+
+func TestAdmitDoesNotAllocate(t *testing.T) {
+	gate := admission.New(admission.Options{})
+	allocations := testing.AllocsPerRun(1000, func() {
+		mustAdmit(t, gate).Release(admission.Result{Latency: time.Millisecond})
+	})
+	if allocations != 0 {
+		t.Errorf("%v allocations for an admission", allocations)
+	}
+}
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -1,9 +1,6 @@
 package admission
 
-import (
-	"sync"
-	"time"
-)
+import "time"
 
 // verdict is what became of a waiting request.
 type verdict uint8
@@ -26,15 +23,17 @@
 	timer          *time.Timer
 }
 
-var waiterPool = sync.Pool{New: func() any {
-	timer := time.NewTimer(time.Hour)
-	timer.Stop()
-	return &waiter{decided: make(chan struct{}, 1), timer: timer}
-}}
+// waiterPool keeps waiters for another use. It belongs to one gate.
+type waiterPool struct{ free []*waiter }
 
-// getWaiter takes a waiter whose timer fires after wait.
-func getWaiter(priority Priority, wait time.Duration) *waiter {
-	w := waiterPool.Get().(*waiter)
+// get returns a waiter whose timer fires after wait.
+func (p *waiterPool) get(priority Priority, wait time.Duration) *waiter {
+	if len(p.free) == 0 {
+		return newWaiter(priority, wait)
+	}
+	last := len(p.free) - 1
+	w := p.free[last]
+	p.free = p.free[:last]
 	w.priority = priority
 	w.verdict = verdictNone
 	w.permit = Permit{}
@@ -42,9 +41,18 @@
 	return w
 }
 
-func putWaiter(w *waiter) {
+// put takes a waiter whose verdict, if any, was received.
+func (p *waiterPool) put(w *waiter) {
 	w.timer.Stop()
-	waiterPool.Put(w)
+	p.free = append(p.free, w)
+}
+
+func newWaiter(priority Priority, wait time.Duration) *waiter {
+	return &waiter{
+		priority: priority,
+		decided:  make(chan struct{}, 1),
+		timer:    time.NewTimer(wait),
+	}
 }
 
 // decide sets the verdict and wakes the request. The waiter has left the queue.
--- a/pkg/balance/balancer.go
+++ b/pkg/balance/balancer.go
@@ -41,8 +41,10 @@
 func (b *Balancer) Update(endpoints []Endpoint) {
 	b.update.Lock()
 	defer b.update.Unlock()
-	previous := b.set.Load()
-	b.set.Store(newEndpointSet(endpoints, previous, b.options, b.now()))
+	now := b.now()
+	set := newEndpointSet(endpoints, b.set.Load(), b.options, now)
+	b.readmitBeyondCap(set, now)
+	b.set.Store(set)
 }
 
 // now returns nanoseconds since the balancer was made.
--- a/pkg/balance/ejection.go
+++ b/pkg/balance/ejection.go
@@ -1,6 +1,10 @@
 package balance
 
-import "time"
+import (
+	"cmp"
+	"slices"
+	"time"
+)
 
 // ejectionsForgottenAfter is the number of requests after an ejection at which
 // a success makes the next ejection a first one again.
@@ -25,15 +29,36 @@
 	if set == nil || set.states[state.id] != state {
 		return false
 	}
-	ejected := 0
-	for _, tier := range set.tiers {
+	return len(set.ejectedStates(now)) < b.options.ejectionCap(set.total)
+}
+
+func (s *endpointSet) ejectedStates(now int64) []*endpointState {
+	var ejected []*endpointState
+	for _, tier := range s.tiers {
 		for i := range tier {
 			if tier[i].state.ejected(now) {
-				ejected++
+				ejected = append(ejected, tier[i].state)
 			}
 		}
 	}
-	return ejected < b.options.ejectionCap(set.total)
+	return ejected
+}
+
+// readmitBeyondCap ends the ejections that are nearest to their end, as many as
+// a set that has shrunk has too many.
+func (b *Balancer) readmitBeyondCap(set *endpointSet, now int64) {
+	ejected := set.ejectedStates(now)
+	excess := len(ejected) - b.options.ejectionCap(set.total)
+	if excess <= 0 {
+		return
+	}
+	slices.SortFunc(ejected, func(a, b *endpointState) int {
+		return cmp.Compare(a.ejectedUntil.Load(), b.ejectedUntil.Load())
+	})
+	for _, state := range ejected[:excess] {
+		state.slowFrom.Store(now)
+		state.ejectedUntil.Store(now)
+	}
 }
 
 // ejectionCap returns how many of total endpoints may be ejected at one time.
