--- a/pkg/admission/errors.go
+++ b/pkg/admission/errors.go
@@ -4,6 +4,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/outcome"
 )
 
 // Reason tells why a request was refused.
@@ -30,8 +32,8 @@
 var (
 	namespace = errorx.NewNamespace("admission")
 
-	// ErrShed is the type of all refusals. The request did not run.
-	ErrShed = namespace.NewType("shed").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+	// ErrShed is the type of all refusals. They carry outcome.TraitNotRun.
+	ErrShed = namespace.NewType("shed", outcome.TraitNotRun).ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
 	propertyReason     = errorx.RegisterPrintableProperty("reason")
 	propertyRetryAfter = errorx.RegisterPrintableProperty("retry_after")
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"github.com/levertide/levertide/pkg/admission"
+	"github.com/levertide/levertide/pkg/outcome"
 )
 
 func mustAdmit(t *testing.T, gate *admission.Gate) admission.Permit {
@@ -20,6 +21,9 @@
 
 func wantShed(t *testing.T, err error, reason admission.Reason) {
 	t.Helper()
+	if outcome.Of(err) != outcome.NotRun {
+		t.Errorf("%v does not say not-run", err)
+	}
 	if !admission.IsShed(err) || admission.ReasonOf(err) != reason {
 		t.Errorf("error %v, want a refusal for %s", err, reason)
 	}
