Add the Consul adapter

A write is reported as unreachable only when no connection was made; from then on a missing answer, or a 5xx other than the one for a missing leader, is an unknown outcome. GetBody is cleared so that the transport never sends a write twice.

--- /dev/null
+++ b/internal/platform/consul/client.go
@@ -0,0 +1,72 @@
+package consul
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"strings"
+	"time"
+
+	"github.com/levertide/levertide/pkg/store"
+)
+
+// Defaults of Config.
+const (
+	DefaultTimeout     = 5 * time.Second
+	DefaultDialTimeout = 2 * time.Second
+
+	maxIdleConnections = 4
+	idleTimeout        = 90 * time.Second
+)
+
+// Config configures a Client; zero fields other than Address take the defaults.
+type Config struct {
+	// Address is "http://host:port" or "https://host:port".
+	Address string
+	// Token is sent with each request when it is not empty.
+	Token string
+	// Client names this process to the platform, in the User-Agent header.
+	Client string
+	// Timeout bounds one request; a blocked read has its wait on top.
+	Timeout time.Duration
+	// LockDelay is how long the keys of a lapsed session stay closed. Leases
+	// only limit load, so that zero, the default, does no harm.
+	LockDelay time.Duration
+	// Dial makes connections; nil means TCP.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// TLS is used with https addresses; nil means the system's defaults.
+	TLS *tls.Config
+}
+
+// Client speaks with one Consul agent. It may be used by several goroutines.
+type Client struct {
+	config    Config
+	transport *http.Transport
+}
+
+var (
+	_ store.Store       = (*Client)(nil)
+	_ store.MachineList = (*Client)(nil)
+)
+
+// New returns a client. It makes no connection before the first request.
+func New(config Config) *Client {
+	config.Address = strings.TrimSuffix(config.Address, "/")
+	if config.Timeout <= 0 {
+		config.Timeout = DefaultTimeout
+	}
+	if config.Dial == nil {
+		config.Dial = (&net.Dialer{Timeout: DefaultDialTimeout}).DialContext
+	}
+	return &Client{config: config, transport: &http.Transport{
+		DialContext:         config.Dial,
+		TLSClientConfig:     config.TLS,
+		MaxIdleConnsPerHost: maxIdleConnections,
+		IdleConnTimeout:     idleTimeout,
+		DisableCompression:  true,
+	}}
+}
+
+// Close drops the idle connections.
+func (c *Client) Close() { c.transport.CloseIdleConnections() }
--- /dev/null
+++ b/internal/platform/consul/request.go
@@ -0,0 +1,147 @@
+package consul
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"io"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"strconv"
+	"strings"
+	"sync/atomic"
+	"time"
+
+	"github.com/levertide/levertide/internal/platform/consul/wire"
+	"github.com/levertide/levertide/pkg/store"
+)
+
+// maxAnswerBytes bounds an answer that is read into memory.
+const maxAnswerBytes = 256 << 20
+
+// maxErrorBytes bounds the part of an error's body that is shown.
+const maxErrorBytes = 200
+
+// request is one call of the API.
+type request struct {
+	method string
+	path   string
+	query  url.Values
+	body   []byte
+	// write tells that the call may change something.
+	write bool
+	// wait is how long the server may hold the answer back.
+	wait time.Duration
+}
+
+// answer is a complete answer of the API.
+type answer struct {
+	status int
+	header http.Header
+	body   []byte
+}
+
+func (a answer) index() uint64 {
+	index, err := strconv.ParseUint(a.header.Get(wire.HeaderIndex), 10, 64)
+	if err != nil {
+		return 0
+	}
+	return index
+}
+
+// decode reads the JSON body. An answer that cannot be read is as good as lost.
+func (a answer) decode(into any, call request) error {
+	if err := json.Unmarshal(a.body, into); err != nil {
+		return call.lost(err)
+	}
+	return nil
+}
+
+// lost is the error for an answer that was not received whole.
+func (r request) lost(cause error) error {
+	if r.write {
+		return store.ErrUnknownOutcome.Wrap(cause, "the answer to %s %s was lost", r.method, r.path)
+	}
+	return store.ErrUnreachable.Wrap(cause, "%s %s was not answered", r.method, r.path)
+}
+
+// send carries out a call. Statuses 200, 404 and 409 are returned as answers,
+// all others as errors.
+func (c *Client) send(ctx context.Context, call request) (answer, error) {
+	// Consul adds up to a sixteenth of the wait, to spread answers.
+	ctx, cancel := context.WithTimeout(ctx, c.config.Timeout+call.wait+call.wait/16)
+	defer cancel()
+	var connected atomic.Bool
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{
+		GotConn: func(httptrace.GotConnInfo) { connected.Store(true) },
+	})
+	message, err := c.build(ctx, call)
+	if err != nil {
+		return answer{}, store.ErrRefused.Wrap(err, "%s %s cannot be sent", call.method, call.path)
+	}
+	response, err := c.transport.RoundTrip(message)
+	if err != nil && !connected.Load() {
+		return answer{}, store.ErrUnreachable.Wrap(err, "%s %s was not sent", call.method, call.path)
+	}
+	if err != nil {
+		return answer{}, call.lost(err)
+	}
+	defer func() { _ = response.Body.Close() }() // the body has been read by then
+	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes))
+	if err != nil {
+		return answer{}, call.lost(err)
+	}
+	received := answer{status: response.StatusCode, header: response.Header, body: body}
+	return received, received.failure(call)
+}
+
+func (c *Client) build(ctx context.Context, call request) (*http.Request, error) {
+	address := c.config.Address + (&url.URL{Path: call.path}).EscapedPath()
+	if len(call.query) > 0 {
+		address += "?" + call.query.Encode()
+	}
+	message, err := http.NewRequestWithContext(ctx, call.method, address, bytes.NewReader(call.body))
+	if err != nil {
+		return nil, err
+	}
+	// Without GetBody the transport cannot send the body a second time.
+	message.GetBody = nil
+	if c.config.Token != "" {
+		message.Header.Set(wire.HeaderToken, c.config.Token)
+	}
+	if c.config.Client != "" {
+		message.Header.Set("User-Agent", c.config.Client)
+	}
+	return message, nil
+}
+
+// failure turns a status that is no answer into an error.
+func (a answer) failure(call request) error {
+	text := string(a.body[:min(len(a.body), maxErrorBytes)])
+	switch {
+	case a.status == http.StatusOK, a.status == http.StatusNotFound, a.status == http.StatusConflict:
+		return nil
+	case a.status == http.StatusTooManyRequests,
+		a.status == http.StatusServiceUnavailable && strings.Contains(text, wire.TextRateLimit):
+		return store.RateLimited(a.retryAfter())
+	case a.status == http.StatusRequestEntityTooLarge:
+		return store.ErrTooLarge.New("%s %s: %s", call.method, call.path, text)
+	case strings.Contains(text, wire.TextInvalidSession):
+		return store.ErrSessionGone.New("%s %s: %s", call.method, call.path, text)
+	case a.status < http.StatusInternalServerError:
+		return store.ErrRefused.New("%s %s: status %d: %s", call.method, call.path, a.status, text)
+	case strings.Contains(text, wire.TextNoLeader), !call.write:
+		return store.ErrUnreachable.New("%s %s: status %d: %s", call.method, call.path, a.status, text)
+	default:
+		return store.ErrUnknownOutcome.New("%s %s: status %d: %s", call.method, call.path, a.status, text)
+	}
+}
+
+func (a answer) retryAfter() time.Duration {
+	seconds, err := strconv.Atoi(a.header.Get(wire.HeaderRetryAfter))
+	if err != nil || seconds < 0 {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
--- a/pkg/versionstore/swap.go
+++ b/pkg/versionstore/swap.go
@@ -81,7 +81,7 @@
 		found, err := v.readCheckedHead(ctx, store.ReadOptions{Consistent: true})
 		switch {
 		case errorx.IsOfType(err, ErrStoreRegressed):
-			return swapUnknown, err
+			return swapUnknown, ErrUnknownOutcome.Wrap(err, "the store went back while a write of the head was settled")
 		case err == nil && found.modifyIndex != change.from.modifyIndex:
 			return compareMoved(change, found), nil
 		case err == nil && refused:
