--- a/pkg/topology/doc.go
+++ b/pkg/topology/doc.go
@@ -3,6 +3,8 @@
 // message of its own.
 //
 // Nodes are ordered by a Key that is a fixed function of region, zone and
-// identifier. A node's parents always precede it in that order, or else read
-// the store themselves, so that nodes with different views cannot form a loop.
+// identifier. A node's parents precede it in that order, or else read the store
+// themselves; a node that reads the store has only earlier readers as parents.
+// So nodes with different views cannot form a loop, as long as a node leaves a
+// parent for which Assignment.MustRead holds and which does not read.
 package topology
--- a/pkg/topology/peer.go
+++ b/pkg/topology/peer.go
@@ -80,7 +80,7 @@
 	// FullScope tells that the node holds the whole configuration, because
 	// others may pull from it.
 	FullScope bool
-	// mustRead lists the parents that follow the node in the order of keys.
+	// mustRead lists the parents that may serve only while they read the store.
 	mustRead []string
 }
 
--- a/pkg/topology/plan.go
+++ b/pkg/topology/plan.go
@@ -60,7 +60,7 @@
 func (s *survey) chooseParents(assignment *Assignment, options Options) {
 	switch {
 	case s.self.Reader:
-		assignment.Parents = s.earlierReaders()
+		s.chooseEarlierReaders(assignment)
 	case assignment.Rank > 0:
 		assignment.Parents = s.zoneParents(assignment.Rank, options.FanOut)
 	case assignment.Role == RoleZoneRelay:
@@ -70,16 +70,15 @@
 	}
 }
 
-// earlierReaders lists the readers that precede this one. The reader that
-// reaches none of them coordinates.
-func (s *survey) earlierReaders() []Peer {
-	var parents []Peer
+// chooseEarlierReaders lists the readers that precede this one, which must
+// really read. The reader that reaches none of them coordinates.
+func (s *survey) chooseEarlierReaders(assignment *Assignment) {
 	for _, reader := range s.readers {
-		if reader.key.Compare(s.selfKey) < 0 && len(parents) < MaxParents {
-			parents = append(parents, reader.peer)
+		if reader.key.Compare(s.selfKey) < 0 && len(assignment.Parents) < MaxParents {
+			assignment.Parents = append(assignment.Parents, reader.peer)
+			assignment.mustRead = append(assignment.mustRead, reader.peer.ID)
 		}
 	}
-	return parents
 }
 
 // zoneParents lists the parents of a node inside its zone.
