--- /dev/null
+++ b/pkg/manifest/set.go
@@ -0,0 +1,109 @@
+package manifest
+
+import (
+	"strings"
+
+	"github.com/levertide/levertide/pkg/model"
+)
+
+// Document is one resource and the place where it is declared.
+type Document struct {
+	Resource model.Resource
+	File     string
+	// Line is where the document's content starts, counted from one.
+	Line int
+
+	positions map[string]position
+}
+
+// position is a place in a file.
+type position struct{ line, column int }
+
+// FileSet is all that a set of paths declares.
+type FileSet struct {
+	documents []*Document
+	byKey     map[model.Key]*Document
+	complete  bool
+}
+
+func newFileSet() *FileSet {
+	return &FileSet{byKey: map[model.Key]*Document{}, complete: true}
+}
+
+// Documents returns the documents without faults, in the order of files and lines.
+func (s *FileSet) Documents() []Document {
+	var documents []Document
+	for _, document := range s.documents {
+		if document.readable() {
+			documents = append(documents, *document)
+		}
+	}
+	return documents
+}
+
+// Resources returns the resources of all documents without faults.
+func (s *FileSet) Resources() []model.Resource {
+	var resources []model.Resource
+	for _, document := range s.documents {
+		if document.readable() {
+			resources = append(resources, document.Resource)
+		}
+	}
+	return resources
+}
+
+// readable reports whether the body could be read, not only kind and name.
+func (d *Document) readable() bool { return d.Resource.CheckShape() == nil }
+
+// Declared reports whether some document has this key, be its body readable or not.
+func (s *FileSet) Declared(key model.Key) bool {
+	_, found := s.byKey[key]
+	return found
+}
+
+// Complete reports whether the key of every document could be read. When it is
+// false a resource that seems to be missing may stand in an unreadable document.
+func (s *FileSet) Complete() bool { return s.complete }
+
+// Position returns the place of a field of a resource. For a field that is not
+// written in the file it is the place of the nearest enclosing one that is.
+func (s *FileSet) Position(key model.Key, field string) (file string, line, column int) {
+	document, found := s.byKey[key]
+	if !found {
+		return "", 0, 0
+	}
+	for {
+		if place, found := document.positions[field]; found {
+			return document.File, place.line, place.column
+		}
+		if field == "" {
+			return document.File, document.Line, 1
+		}
+		field = enclosingField(field)
+	}
+}
+
+// enclosingField cuts the last step, ".name" or "[index]", off a field path.
+func enclosingField(field string) string {
+	return field[:max(strings.LastIndexAny(field, ".["), 0)]
+}
+
+// add takes in a document, unless its key is declared already.
+func (s *FileSet) add(document *Document) []Fault {
+	key := document.Resource.Key
+	if first, found := s.byKey[key]; found {
+		place := document.positions["name"]
+		_, line, column := s.Position(key, "name")
+		return []Fault{{
+			File:    document.File,
+			Line:    place.line,
+			Column:  place.column,
+			Field:   "name",
+			Message: key.String() + " is declared already at " + location(first.File, line, column),
+			Hint:    "rename one of them or remove it",
+		}}
+	}
+	s.byKey[key] = document
+	s.documents = append(s.documents, document)
+	return nil
+}
