--- /dev/null
+++ b/internal/lab/platform/server.go
@@ -0,0 +1,187 @@
+package platform
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/platform/consul/wire"
+	"github.com/levertide/levertide/pkg/store/memory"
+)
+
+const (
+	readHeaderTimeout = 5 * time.Second
+	// tick is how often sessions are looked at while no request arrives.
+	tick = 100 * time.Millisecond
+	// reopenInterval is how often opening the listener again is tried.
+	reopenInterval = 50 * time.Millisecond
+)
+
+// Config configures a Server; its zero value is valid.
+type Config struct {
+	// MinimumSessionTTL is the shortest time to live that a session may ask
+	// for; zero means that of the published API.
+	MinimumSessionTTL time.Duration
+	// Now is the clock for sessions and for the lag of the machine list; nil
+	// means time.Now.
+	Now func() time.Time
+	// Seed chooses which answers are lost when only a share of them is.
+	Seed uint64
+}
+
+// Server is the stand-in. It may be used by several goroutines.
+type Server struct {
+	config    Config
+	store     *memory.Store
+	start     time.Time
+	faults    faultState
+	counters  counters
+	catalogue catalogue
+	handler   http.Handler
+
+	mutex    sync.Mutex
+	address  string
+	server   *http.Server
+	closed   bool
+	stop     chan struct{}
+	stopOnce sync.Once
+	running  sync.WaitGroup
+}
+
+// New returns a server with an empty store. Close ends it.
+func New(config Config) *Server {
+	if config.MinimumSessionTTL <= 0 {
+		config.MinimumSessionTTL = wire.MinimumSessionTTL
+	}
+	if config.Now == nil {
+		config.Now = time.Now
+	}
+	server := &Server{
+		config: config,
+		store:  memory.New(memory.Options{}),
+		start:  config.Now(),
+		stop:   make(chan struct{}),
+	}
+	server.faults.init(config.Seed)
+	server.counters.init()
+	server.catalogue.init()
+	server.handler = server.routes()
+	server.running.Go(server.advanceUntilStopped)
+	return server
+}
+
+// Handler returns the published API, with faults and counters. It is for
+// embedding; with it, an outage that refuses connections breaks them instead.
+func (s *Server) Handler() http.Handler { return s.handler }
+
+// Listen starts to serve on a TCP address and returns the one taken.
+func (s *Server) Listen(address string) (string, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return "", err
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.address = listener.Addr().String()
+	s.serveLocked(listener)
+	return s.address, nil
+}
+
+func (s *Server) serveLocked(listener net.Listener) {
+	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout}
+	s.server = server
+	s.running.Go(func() {
+		err := server.Serve(listener)
+		if err != nil && !errors.Is(err, http.ErrServerClosed) {
+			_ = listener.Close() // clients see refused connections
+		}
+	})
+}
+
+// setListening opens or closes the listener to match an outage.
+func (s *Server) setListening(listening bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.address == "" || s.closed {
+		return
+	}
+	if !listening && s.server != nil {
+		_ = s.server.Close() // the connections are to break
+		s.server = nil
+	}
+	if listening && s.server == nil {
+		s.reopenLocked()
+	}
+}
+
+func (s *Server) reopenLocked() {
+	for {
+		listener, err := net.Listen("tcp", s.address)
+		if err == nil {
+			s.serveLocked(listener)
+			return
+		}
+		select {
+		case <-s.stop:
+			return
+		case <-time.After(reopenInterval):
+		}
+	}
+}
+
+// Close ends the server and all its connections.
+func (s *Server) Close() {
+	s.stopOnce.Do(func() { close(s.stop) })
+	s.mutex.Lock()
+	s.closed = true
+	server := s.server
+	s.server = nil
+	s.mutex.Unlock()
+	if server != nil {
+		_ = server.Close() // nothing is left to be answered
+	}
+	s.running.Wait()
+}
+
+func (s *Server) advanceUntilStopped() {
+	ticker := time.NewTicker(tick)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-s.stop:
+			return
+		case <-ticker.C:
+			s.advance()
+		}
+	}
+}
+
+// advance lets sessions lapse that have come to their end.
+func (s *Server) advance() { s.store.Advance(s.config.Now().Sub(s.start)) }
+
+// LapseSessions ends every session at once and returns how many there were.
+func (s *Server) LapseSessions() int { return s.store.LapseSessions() }
+
+// State returns a copy of the store's content.
+func (s *Server) State() memory.State { return s.store.State() }
+
+// Restore puts an older copy of the content back; indexes go back with it.
+func (s *Server) Restore(state memory.State) { s.store.Restore(state) }
+
+// blockedContext ends with the request, with the server, or with an outage.
+func (s *Server) blockedContext(request *http.Request, wait time.Duration) (context.Context, context.CancelFunc) {
+	ctx, cancel := context.WithTimeout(request.Context(), wait)
+	outage := s.faults.outageBegins()
+	go func() {
+		select {
+		case <-ctx.Done():
+		case <-outage:
+		case <-s.stop:
+		}
+		cancel()
+	}()
+	return ctx, cancel
+}
