--- /dev/null
+++ b/internal/lab/report/input.go
@@ -0,0 +1,89 @@
+package report
+
+import (
+	"encoding/json"
+	"os"
+	"path/filepath"
+	"strings"
+
+	"github.com/levertide/levertide/internal/lab/results"
+)
+
+// named is one result and the name of the file that it came from.
+type named[T any] struct {
+	Name   string
+	Result T
+}
+
+// input is everything that a report shows.
+type input struct {
+	scales      []named[results.Scale]
+	slopes      []named[results.Slopes]
+	experiments []named[results.Experiment]
+	loads       []named[results.Load]
+}
+
+// empty reports whether there is nothing to show.
+func (i input) empty() bool {
+	return len(i.scales)+len(i.slopes)+len(i.experiments)+len(i.loads) == 0
+}
+
+// kindFields are the fields that tell the kinds of result apart.
+type kindFields struct {
+	HollowNodes *json.RawMessage `json:"hollow_nodes"`
+	Points      *json.RawMessage `json:"points"`
+	Experiment  *json.RawMessage `json:"experiment"`
+	Added       *json.RawMessage `json:"added_ms"`
+}
+
+// readInput reads every JSON file of a directory; files of other kinds are left out.
+func readInput(directory string) (input, error) {
+	paths, err := filepath.Glob(filepath.Join(directory, "*.json"))
+	if err != nil {
+		return input{}, ErrInput.Wrap(err, "list %s", directory)
+	}
+	var read input
+	for _, path := range paths {
+		content, err := os.ReadFile(path)
+		if err != nil {
+			return input{}, ErrInput.Wrap(err, "read %s", path)
+		}
+		if err := read.add(strings.TrimSuffix(filepath.Base(path), ".json"), content); err != nil {
+			return input{}, ErrInput.Wrap(err, "parse %s", path)
+		}
+	}
+	if read.empty() {
+		return input{}, ErrInput.New("%s holds no results of experiments", directory)
+	}
+	return read, nil
+}
+
+// add parses one file by its kind.
+func (i *input) add(name string, content []byte) error {
+	var kind kindFields
+	if err := json.Unmarshal(content, &kind); err != nil {
+		return err
+	}
+	switch {
+	case kind.HollowNodes != nil:
+		return parseInto(&i.scales, name, content)
+	case kind.Points != nil:
+		return parseInto(&i.slopes, name, content)
+	case kind.Experiment != nil:
+		return parseInto(&i.experiments, name, content)
+	case kind.Added != nil:
+		return parseInto(&i.loads, name, content)
+	default:
+		return nil
+	}
+}
+
+// parseInto appends one parsed result.
+func parseInto[T any](list *[]named[T], name string, content []byte) error {
+	var result T
+	if err := json.Unmarshal(content, &result); err != nil {
+		return err
+	}
+	*list = append(*list, named[T]{Name: name, Result: result})
+	return nil
+}
--- /dev/null
+++ b/internal/lab/results/other.go
@@ -0,0 +1,20 @@
+package results
+
+// Load is what a load run measured, as "levertide-lab load --json" writes it.
+type Load struct {
+	Calls          *int       `json:"calls"`
+	CallsPerSecond *float64   `json:"calls_per_second"`
+	Direct         *Quantiles `json:"direct_ms"`
+	Through        *Quantiles `json:"through_ms"`
+	Added          *Quantiles `json:"added_ms"`
+	NotRun         *int       `json:"not_run"`
+	Unknown        *int       `json:"unknown"`
+	WrongAnswers   *int       `json:"wrong_answers"`
+	Duplicates     *int       `json:"duplicate_executions"`
+}
+
+// Fuzz is what a fuzz run found, as "levertide-lab fuzz --json" writes it.
+type Fuzz struct {
+	Seed  uint64 `json:"seed"`
+	Steps int    `json:"steps"`
+}
