Add the data plane: caller and peer handlers

Calls go from the caller's node to the worker's node and from there to the worker, over net/http on both sides. http.Transport is kept from resending by itself: bodies are there but cannot be rewound, and the idempotency key of an empty POST is written in lower case. Whether anything of a request was written is read from the connection, not from traces of the transport, whose buffers make them unreliable.

--- /dev/null
+++ b/internal/dataplane/attempt.go
@@ -0,0 +1,262 @@
+package dataplane
+
+import (
+	"context"
+	"errors"
+	"math/rand/v2"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/levertide/levertide/pkg/balance"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/retry"
+)
+
+// noWorkerRetryAfter is what a caller is told to wait when a service has no worker.
+const noWorkerRetryAfter = time.Second
+
+// run makes attempts until one is answered or no further one is allowed.
+func (c *callerCall) run() {
+	c.destination.budget.Earn()
+	var tried [retry.MaximumAllowance + 1]string
+	var failure error
+	for c.report.Attempts = 0; ; {
+		c.destination.refresh(c.plane.config.Directory)
+		pick, err := c.destination.balancer.Pick(tried[:c.report.Attempts]...)
+		if err != nil {
+			c.giveUp(failure)
+			return
+		}
+		tried[c.report.Attempts] = pick.Endpoint.ID
+		c.report.Attempts++
+		result, seen, err := c.attempt(pick.Endpoint)
+		if err == nil {
+			c.conclude(result, &pick, seen)
+			return
+		}
+		pick.Done(seen)
+		failure = err
+		if !c.mayTryAgain(err) || !c.pause(err) {
+			c.giveUp(failure)
+			return
+		}
+	}
+}
+
+// conclude delivers an answer and tells the balancer how it went.
+func (c *callerCall) conclude(result *answer, pick *balance.Pick, seen balance.Result) {
+	c.relay.close()
+	err := c.deliver(result)
+	if err != nil && !c.callerGone() {
+		seen.Outcome = balance.Failed
+	}
+	result.close()
+	pick.Done(seen)
+	if err != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+// callerGone reports whether the call ended because its caller left.
+func (c *callerCall) callerGone() bool {
+	return c.life.ctx.Err() != nil && !errors.Is(context.Cause(c.life.ctx), errDeadline)
+}
+
+// giveUp answers with the last failure, or says that there is no worker.
+func (c *callerCall) giveUp(failure error) {
+	c.relay.close()
+	if failure == nil {
+		failure = outcome.WithRetryAfter(outcome.NoWorker, noWorkerRetryAfter)
+	}
+	c.fail(failure)
+}
+
+// attempt sends the request to one node, or straight to the worker of this one.
+func (c *callerCall) attempt(endpoint balance.Endpoint) (*answer, balance.Result, error) {
+	if endpoint.ID == c.plane.config.Node && c.plane.worker != nil {
+		return c.attemptHere()
+	}
+	return c.attemptPeer(endpoint)
+}
+
+func (c *callerCall) attemptHere() (*answer, balance.Result, error) {
+	worker := c.plane.worker
+	result, err := worker.ask(workerCall{
+		inbound:   c.request,
+		route:     c.route,
+		body:      c.body,
+		life:      c.life,
+		relay:     &c.relay,
+		allowance: c.carried(),
+		expect:    c.request.Header.Get("Expect") != "",
+	})
+	seen := balance.Result{
+		Load:      worker.gate.Load().Load(),
+		LoadKnown: true,
+		Draining:  c.plane.draining.Load(),
+	}
+	if err != nil {
+		seen.Outcome = blame(err)
+		return nil, seen, err
+	}
+	seen.Latency = result.latency
+	return result, seen, nil
+}
+
+func (c *callerCall) attemptPeer(endpoint balance.Endpoint) (*answer, balance.Result, error) {
+	sending := sending{
+		transport: c.plane.peers,
+		request:   c.peerRequest(endpoint.Address),
+		body:      c.body,
+		relay:     &c.relay,
+	}
+	began := time.Now()
+	response, err := sending.do(c.life.ctx)
+	if err != nil {
+		return nil, balance.Result{Outcome: blame(err)}, err
+	}
+	seen := readMarks(response.Header)
+	seen.Latency = time.Since(began)
+	if err := failureOf(response, seen.LoadKnown); err != nil {
+		discard(response)
+		seen.Outcome = blame(err)
+		return nil, seen, err
+	}
+	return &answer{response: response, latency: seen.Latency}, seen, nil
+}
+
+// peerRequest returns the request to another node, without its body.
+func (c *callerCall) peerRequest(address string) *http.Request {
+	header := outgoingHeader(c.request)
+	header[routeHeader] = []string{c.route.Name}
+	header[retry.AttemptsLeftHeader] = []string{c.carried().String()}
+	if left, ok := c.life.left(); ok {
+		header[retry.DeadlineHeader] = []string{retry.FormatDeadline(left)}
+	}
+	if c.body.streamed {
+		// A long body is held back until the other node has admitted the request.
+		header["Expect"] = []string{expectContinue}
+		if c.request.Header.Get("Expect") != "" {
+			header[expectHeader] = []string{expectForward}
+		}
+	}
+	scheme := schemePlain
+	if c.plane.config.PeerTLS != nil {
+		scheme = schemeEncrypted
+	}
+	return outgoingRequest(c.request, scheme, address, header)
+}
+
+// carried is the allowance that the next attempt carries.
+func (c *callerCall) carried() retry.Allowance {
+	carried, _ := c.allowance.Share(c.repeatable)
+	return carried
+}
+
+// readMarks reads what another node says of itself.
+func readMarks(header http.Header) balance.Result {
+	seen := balance.Result{Draining: header.Get(drainingHeader) == drainingMark}
+	load, err := strconv.ParseUint(header.Get(loadHeader), 10, 16)
+	if err == nil {
+		seen.Load = min(float64(load)/loadScale, 1)
+		seen.LoadKnown = true
+	}
+	return seen
+}
+
+// failureOf returns the failure that another node reported, or nil for an
+// answer. An answer without marks does not come from a node's PeerHandler.
+func failureOf(response *http.Response, marked bool) error {
+	if !marked {
+		return outcome.New(outcome.InvalidAnswer)
+	}
+	reported, reason := outcome.FromResponse(response.Header)
+	if reported == outcome.Answered {
+		if !endsDetectably(response) {
+			return outcome.New(outcome.InvalidAnswer)
+		}
+		return nil
+	}
+	if !reason.Known() || reason.Outcome() != reported {
+		reason = defaultReason(reported)
+	}
+	seconds, err := strconv.ParseUint(response.Header.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return outcome.New(reason)
+	}
+	return outcome.WithRetryAfter(reason, time.Duration(seconds)*time.Second)
+}
+
+// defaultReason stands for a reason that this node does not know.
+func defaultReason(reported outcome.Outcome) outcome.Reason {
+	if reported == outcome.NotRun {
+		return outcome.Unreachable
+	}
+	return outcome.NotSpecified
+}
+
+// blame tells the balancer what a failure says of the node.
+func blame(err error) balance.Outcome {
+	switch outcome.ReasonOf(err) {
+	case outcome.Overloaded, outcome.Draining, outcome.RefusedByOwnWorker, outcome.Misdirected,
+		outcome.NotReady, outcome.Malformed, outcome.DeadlineBeforeStart:
+		return balance.Shed
+	case outcome.Canceled, outcome.CanceledBeforeStart, outcome.UploadFailed, outcome.BodyNotReceived:
+		return balance.Canceled
+	default:
+		return balance.Failed
+	}
+}
+
+// mayTryAgain decides whether another attempt is allowed, and pays for it.
+func (c *callerCall) mayTryAgain(failure error) bool {
+	if c.life.ctx.Err() != nil || !c.body.repeatable() {
+		return false
+	}
+	next, ok := c.nextAllowance(failure)
+	if !ok {
+		return false
+	}
+	if !c.plane.config.NoRetryBudget && costly(failure) && !c.destination.budget.Spend(time.Now()) {
+		return false
+	}
+	c.allowance = next
+	return true
+}
+
+func (c *callerCall) nextAllowance(failure error) (retry.Allowance, bool) {
+	switch outcome.ReasonOf(failure) {
+	case outcome.DeadlineBeforeStart, outcome.CanceledBeforeStart, outcome.BodyNotReceived, outcome.Malformed,
+		outcome.Canceled, outcome.UploadFailed:
+		return 0, false
+	}
+	if outcome.Of(failure) == outcome.NotRun {
+		return c.allowance.AfterNotRun()
+	}
+	if c.plane.config.NoRetryBudget && c.repeatable {
+		return c.allowance.AfterNotRun()
+	}
+	return c.allowance.AfterUnknown(c.repeatable)
+}
+
+// costly reports whether the retry counts against the budget of the service. A
+// node that is leaving refuses at no cost, and is not asked again.
+func costly(failure error) bool { return outcome.ReasonOf(failure) != outcome.Draining }
+
+// pause waits before the next attempt. It reports false when the call ended
+// meanwhile. Only a sign of overload makes it wait the first time.
+func (c *callerCall) pause(failure error) bool {
+	retryNumber := c.report.Attempts - 1
+	if retryNumber == 0 && outcome.ReasonOf(failure) != outcome.Overloaded {
+		return true
+	}
+	timer := time.NewTimer(c.plane.config.Backoff.PauseAt(retryNumber, rand.Float64()))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-c.life.ctx.Done():
+		return false
+	}
+}
--- /dev/null
+++ b/internal/dataplane/body.go
@@ -0,0 +1,247 @@
+package dataplane
+
+import (
+	"bytes"
+	"io"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// lingerTime is how long the rest of a body that nobody wants is still read, so
+// that the caller gets to see the answer.
+const lingerTime = time.Second
+
+// identityEncoding keeps the transport from probing or chunking an empty body.
+var identityEncoding = []string{"identity"}
+
+// chunkedEncoding keeps the transport from probing a body of unknown length.
+var chunkedEncoding = []string{"chunked"}
+
+// requestBody is the body of one call. A short body of declared length is read
+// whole beforehand and can be sent any number of times. Any other is streamed,
+// and can be sent again only while nothing of it was read.
+type requestBody struct {
+	request  *http.Request
+	control  *http.ResponseController
+	pace     pace
+	buffered []byte
+	streamed bool
+	// moved is called after each part read from a streamed body.
+	moved func()
+
+	started     atomic.Bool // something was read of a streamed body
+	complete    atomic.Bool // the end was seen
+	failed      atomic.Bool // the caller's side broke off or was too slow
+	interrupted atomic.Bool
+
+	mutex   sync.Mutex // held while the body is read
+	closed  bool
+	trailer http.Header
+}
+
+func newRequestBody(r *http.Request, control *http.ResponseController, limits *Limits) *requestBody {
+	b := &requestBody{
+		request: r,
+		control: control,
+		pace:    pace{grace: limits.Grace, rate: limits.MinimumRate},
+	}
+	if r.ContentLength == 0 {
+		b.complete.Store(true)
+		return b
+	}
+	b.streamed = r.ContentLength < 0 || r.ContentLength > int64(limits.BufferedBody)
+	// An answer that begins before the body has ended must not wait for it.
+	_ = control.EnableFullDuplex()
+	return b
+}
+
+// prepare reads a short body whole.
+func (b *requestBody) prepare() error {
+	if b.streamed || b.complete.Load() {
+		return nil
+	}
+	b.buffered = make([]byte, b.request.ContentLength)
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	read := 0
+	for read < len(b.buffered) {
+		n, err := b.readSource(b.buffered[read:])
+		read += n
+		if err != nil && read < len(b.buffered) {
+			return err
+		}
+	}
+	b.finish()
+	return nil
+}
+
+// repeatable reports whether the body can be sent from its beginning.
+func (b *requestBody) repeatable() bool { return !b.streamed || !b.started.Load() }
+
+// attach gives the body to an outgoing request in a form that http.Transport
+// cannot send twice by itself: a body that is there and has no GetBody.
+func (b *requestBody) attach(out *http.Request) {
+	switch {
+	case b.streamed:
+		out.ContentLength = b.request.ContentLength
+		out.Trailer = b.outgoingTrailer()
+		if out.ContentLength < 0 {
+			out.TransferEncoding = chunkedEncoding
+		}
+		out.Body = &streamReader{body: b}
+	case len(b.buffered) > 0:
+		out.ContentLength = b.request.ContentLength
+		out.Body = io.NopCloser(bytes.NewReader(b.buffered))
+	case needsContentLength(out.Method):
+		// The transport repeats such a request only if it has an idempotency
+		// key, which it looks up under its canonical name.
+		out.Body = nil
+		hideIdempotencyKey(out.Header)
+	default:
+		out.Body = emptyBody{}
+		out.TransferEncoding = identityEncoding
+	}
+}
+
+// needsContentLength lists the methods that say "Content-Length: 0".
+func needsContentLength(method string) bool {
+	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
+}
+
+// hideIdempotencyKey writes the names of the keys in lower case, which means the
+// same to every receiver.
+func hideIdempotencyKey(header http.Header) {
+	renameHeader(header, "Idempotency-Key", "idempotency-key")
+	renameHeader(header, "X-Idempotency-Key", "x-idempotency-key")
+}
+
+func renameHeader(header http.Header, from, to string) {
+	if values, ok := header[from]; ok {
+		header[to] = values
+		delete(header, from)
+	}
+}
+
+// outgoingTrailer announces the trailers that the caller announced. Their values
+// are filled in at the end of the body.
+func (b *requestBody) outgoingTrailer() http.Header {
+	if len(b.request.Trailer) == 0 {
+		return nil
+	}
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.trailer = make(http.Header, len(b.request.Trailer))
+	for name := range b.request.Trailer {
+		if forwardable(name) {
+			b.trailer[name] = nil
+		}
+	}
+	return b.trailer
+}
+
+// readSource reads from the caller within the bounds of its pace. The mutex is held.
+func (b *requestBody) readSource(p []byte) (int, error) {
+	remaining := b.pace.remaining()
+	if remaining <= 0 {
+		b.failed.Store(true)
+		return 0, errTooSlow
+	}
+	began := time.Now()
+	_ = b.control.SetReadDeadline(began.Add(remaining))
+	if b.interrupted.Load() {
+		b.failed.Store(true)
+		return 0, errBodyClosed
+	}
+	n, err := b.request.Body.Read(p)
+	b.pace.step(n, time.Since(began))
+	if err != nil && err != io.EOF {
+		b.failed.Store(true)
+	}
+	return n, err
+}
+
+// finish notes that the end was seen. The mutex is held.
+func (b *requestBody) finish() {
+	// From now on the server watches the connection for the caller's leaving; a
+	// deadline would look like that.
+	_ = b.control.SetReadDeadline(time.Time{})
+	b.complete.Store(true)
+	for name := range b.trailer {
+		b.trailer[name] = b.request.Trailer[name]
+	}
+}
+
+// interrupt frees a reader that waits for the caller.
+func (b *requestBody) interrupt() {
+	if b.complete.Load() {
+		return
+	}
+	b.interrupted.Store(true)
+	_ = b.control.SetReadDeadline(time.Now())
+}
+
+// release ends all reading. It must be called before the handler returns.
+func (b *requestBody) release() {
+	if b.complete.Load() {
+		return
+	}
+	b.interrupt()
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	b.closed = true
+	if b.complete.Load() {
+		_ = b.control.SetReadDeadline(time.Time{})
+		return
+	}
+	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
+}
+
+// streamReader is a streamed body as one attempt sends it.
+type streamReader struct {
+	body   *requestBody
+	closed atomic.Bool
+	ended  bool
+}
+
+// Read implements io.Reader.
+func (s *streamReader) Read(p []byte) (int, error) {
+	b := s.body
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	if b.closed || s.closed.Load() {
+		return 0, errBodyClosed
+	}
+	if s.ended {
+		return 0, io.EOF
+	}
+	b.started.Store(true)
+	n, err := b.readSource(p)
+	if err == io.EOF {
+		s.ended = true
+		b.finish()
+	}
+	if n > 0 || err == io.EOF {
+		b.moved()
+	}
+	return n, err
+}
+
+// Close implements io.Closer. Reading goes on only in another attempt.
+func (s *streamReader) Close() error {
+	s.closed.Store(true)
+	return nil
+}
+
+// emptyBody is a body without content that is neither nil nor http.NoBody.
+type emptyBody struct{}
+
+// Read implements io.Reader.
+func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
+
+// Close implements io.Closer.
+func (emptyBody) Close() error { return nil }
+
+// reusable reports whether the connection can take another request after this one.
+func (b *requestBody) reusable() bool { return b.complete.Load() && !b.interrupted.Load() }
--- /dev/null
+++ b/internal/dataplane/config.go
@@ -0,0 +1,120 @@
+package dataplane
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/levertide/levertide/pkg/balance"
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// Config sets up a Plane.
+type Config struct {
+	// Node is the identifier of this node, Region and Zone say where it is.
+	Node, Region, Zone string
+	// Service is what the worker beside this node answers for; empty without one.
+	Service string
+	// WorkerAddress is host:port of the worker; empty without one.
+	WorkerAddress string
+	// Current returns the snapshot in force; nil while there is none.
+	Current func() *snapshot.Snapshot
+	// Directory returns the members as this node knows them.
+	Directory func() *membership.View
+	// Dial opens connections to nodes and to the worker. Nil means net.Dialer.
+	Dial func(ctx context.Context, network, address string) (net.Conn, error)
+	// PeerTLS is the client side of the connections between nodes; nil means
+	// that they are not encrypted.
+	PeerTLS *tls.Config
+	// Observer is told what happens; nil means that nobody is.
+	Observer Observer
+	// Limits bound sizes and times. Zero fields take their defaults.
+	Limits Limits
+	// Budget bounds the share of retries to each service.
+	Budget retry.BudgetOptions
+	// NoRetryBudget switches the bounds on retries off, for comparisons: every
+	// call starts with the largest allowance at every level, and Budget is not
+	// asked. Never set it where it matters.
+	NoRetryBudget bool
+	// Backoff spreads retries; zero means retry.DefaultBackoff.
+	Backoff retry.Backoff
+	// Balance sets up the choice of worker; Region and Zone are filled in.
+	Balance balance.Options
+}
+
+// Limits bound the sizes and times of calls.
+type Limits struct {
+	// HeaderBytes bounds the head of a request and of an answer. Default 64 KB.
+	HeaderBytes int
+	// BufferedBody is the size up to which a body of declared length is read
+	// whole before a worker is chosen. Longer ones are streamed. Default 16 KB.
+	BufferedBody int
+	// Grace is how long a caller may in total keep the node waiting for its
+	// body, or in taking its answer, beyond what MinimumRate allows. Default 20 s.
+	Grace time.Duration
+	// MinimumRate is the slowest lasting transfer to or from a caller, in bytes
+	// a second. Default 1024.
+	MinimumRate int64
+	// Stall bounds the silence of a worker within its answer. Default 60 s.
+	Stall time.Duration
+	// Connect bounds the opening of a connection. Default 1 s.
+	Connect time.Duration
+	// PeerIdle is how long an unused connection to another node is kept. It must
+	// be shorter than the other node's PeerServerIdle. Default 60 s.
+	PeerIdle time.Duration
+	// WorkerIdle is how long an unused connection to the worker is kept. It must
+	// be shorter than the worker's own bound. Default 4 s.
+	WorkerIdle time.Duration
+	// PeerIdleConnections bounds the unused connections to one node. Default 64.
+	PeerIdleConnections int
+	// CallerIdle is how long an unused connection of a caller is kept. Default 60 s.
+	CallerIdle time.Duration
+	// PeerServerIdle is how long an unused connection of another node is kept.
+	// Default 300 s.
+	PeerServerIdle time.Duration
+	// DrainNotice is how long a draining node still takes calls from callers,
+	// so that they can turn elsewhere. Default 2 s.
+	DrainNotice time.Duration
+}
+
+// The defaults of Limits.
+const (
+	DefaultHeaderBytes         = 64 << 10
+	DefaultBufferedBody        = 16 << 10
+	DefaultGrace               = 20 * time.Second
+	DefaultMinimumRate         = 1024
+	DefaultStall               = 60 * time.Second
+	DefaultConnect             = time.Second
+	DefaultPeerIdle            = 60 * time.Second
+	DefaultWorkerIdle          = 4 * time.Second
+	DefaultPeerIdleConnections = 64
+	DefaultCallerIdle          = 60 * time.Second
+	DefaultPeerServerIdle      = 300 * time.Second
+	DefaultDrainNotice         = 2 * time.Second
+)
+
+func (l Limits) withDefaults() Limits {
+	defaultTo(&l.HeaderBytes, DefaultHeaderBytes)
+	defaultTo(&l.BufferedBody, DefaultBufferedBody)
+	defaultTo(&l.Grace, DefaultGrace)
+	defaultTo(&l.MinimumRate, DefaultMinimumRate)
+	defaultTo(&l.Stall, DefaultStall)
+	defaultTo(&l.Connect, DefaultConnect)
+	defaultTo(&l.PeerIdle, DefaultPeerIdle)
+	defaultTo(&l.WorkerIdle, DefaultWorkerIdle)
+	defaultTo(&l.PeerIdleConnections, DefaultPeerIdleConnections)
+	defaultTo(&l.CallerIdle, DefaultCallerIdle)
+	defaultTo(&l.PeerServerIdle, DefaultPeerServerIdle)
+	defaultTo(&l.DrainNotice, DefaultDrainNotice)
+	return l
+}
+
+func defaultTo[T comparable](field *T, value T) {
+	var zero T
+	if *field == zero {
+		*field = value
+	}
+}
--- /dev/null
+++ b/internal/dataplane/conn.go
@@ -0,0 +1,63 @@
+package dataplane
+
+import (
+	"io"
+	"net"
+	"sync"
+	"sync/atomic"
+)
+
+// The states of a trackedConn, as far as the request on it is concerned.
+const (
+	connUntouched int32 = iota // nothing was written since the request got it
+	connWritten                // something may have been written
+	connSealed                 // nothing was written and nothing ever will be
+)
+
+// trackedConn knows whether anything of a request was handed to the network.
+type trackedConn struct {
+	net.Conn
+	state atomic.Int32
+}
+
+// begin is called when a request gets the connection.
+func (c *trackedConn) begin() { c.state.Store(connUntouched) }
+
+// seal forbids further writes and reports whether nothing was written since
+// begin. When it reports true, nothing of the request can reach the other side.
+func (c *trackedConn) seal() bool {
+	return c.state.CompareAndSwap(connUntouched, connSealed) || c.state.Load() == connSealed
+}
+
+// claim notes that bytes are about to be written. It reports false when the
+// connection is sealed.
+func (c *trackedConn) claim() bool {
+	return c.state.CompareAndSwap(connUntouched, connWritten) || c.state.Load() == connWritten
+}
+
+// Write implements net.Conn.
+func (c *trackedConn) Write(p []byte) (int, error) {
+	if !c.claim() {
+		return 0, net.ErrClosed
+	}
+	return c.Conn.Write(p)
+}
+
+// ReadFrom implements io.ReaderFrom with a shared buffer, so that an upload
+// takes no buffer of its own in the transport.
+func (c *trackedConn) ReadFrom(source io.Reader) (int64, error) {
+	buffer := getBuffer()
+	defer putBuffer(buffer)
+	return io.CopyBuffer(writerOnly{c}, source, buffer[:])
+}
+
+// writerOnly hides ReadFrom, which would call itself.
+type writerOnly struct{ io.Writer }
+
+// copyBufferSize is the size of the buffers that bodies are copied with.
+const copyBufferSize = 32 << 10
+
+var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
+
+func getBuffer() *[copyBufferSize]byte       { return copyBuffers.Get().(*[copyBufferSize]byte) }
+func putBuffer(buffer *[copyBufferSize]byte) { copyBuffers.Put(buffer) }
--- /dev/null
+++ b/internal/dataplane/destination.go
@@ -0,0 +1,81 @@
+package dataplane
+
+import (
+	"sync"
+	"sync/atomic"
+
+	"github.com/levertide/levertide/pkg/balance"
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/retry"
+)
+
+// destination is what is known of the workers of one service.
+type destination struct {
+	name     string
+	balancer *balance.Balancer
+	budget   *retry.Budget
+
+	updating sync.Mutex
+	view     atomic.Pointer[membership.View]
+}
+
+// destinations keeps one destination for each service ever called.
+type destinations struct {
+	make  func(name string) *destination
+	mutex sync.Mutex
+	known map[string]*destination
+}
+
+func (d *destinations) get(name string) *destination {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	if found, ok := d.known[name]; ok {
+		return found
+	}
+	if d.known == nil {
+		d.known = map[string]*destination{}
+	}
+	made := d.make(name)
+	d.known[name] = made
+	return made
+}
+
+func (p *Plane) newDestination(name string) *destination {
+	return &destination{
+		name:     name,
+		balancer: balance.New(p.config.Balance),
+		budget:   retry.NewBudget(p.config.Budget),
+	}
+}
+
+// refresh hands the members to the balancer when they have changed.
+func (d *destination) refresh(directory func() *membership.View) {
+	view := directory()
+	if view == nil || view == d.view.Load() {
+		return
+	}
+	d.updating.Lock()
+	defer d.updating.Unlock()
+	view = directory()
+	if view == d.view.Load() {
+		return
+	}
+	d.balancer.Update(endpointsOf(view, d.name))
+	d.view.Store(view)
+}
+
+func endpointsOf(view *membership.View, service string) []balance.Endpoint {
+	members := view.ByService(service)
+	endpoints := make([]balance.Endpoint, 0, len(members))
+	for _, member := range members {
+		endpoints = append(endpoints, balance.Endpoint{
+			ID:          member.ID,
+			Zone:        member.Zone,
+			Region:      member.Region,
+			Address:     member.CallAddress,
+			Leaving:     member.State != membership.StateLive,
+			Incarnation: member.Incarnation,
+		})
+	}
+	return endpoints
+}
--- /dev/null
+++ b/internal/dataplane/header.go
@@ -0,0 +1,109 @@
+package dataplane
+
+import (
+	"net/http"
+	"net/textproto"
+	"slices"
+	"strings"
+)
+
+// The headers between nodes.
+const (
+	// headerPrefix begins all headers of the system.
+	headerPrefix = "Levertide-"
+	// routeHeader names the route that the caller's node chose.
+	routeHeader = "Levertide-Route"
+	// loadHeader carries the load of the worker's node in thousandths. Every
+	// answer of a PeerHandler has it.
+	loadHeader = "Levertide-Load"
+	// drainingHeader is drainingMark when the worker's node is leaving.
+	drainingHeader = "Levertide-Draining"
+	// expectHeader is expectForward when the caller itself sent Expect.
+	expectHeader = "Levertide-Expect"
+
+	drainingMark  = "1"
+	expectForward = "1"
+	loadScale     = 1000
+
+	expectContinue = "100-continue"
+	connectionName = "Connection"
+	closeValue     = "close"
+	viaEntry       = "1.1 levertide"
+)
+
+// forwardable reports whether a header with this canonical name goes on to the
+// next leg: it does not when it belongs to one connection or to the system.
+func forwardable(name string) bool {
+	switch name {
+	case connectionName, "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
+		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Host":
+		return false
+	}
+	return !strings.HasPrefix(name, headerPrefix)
+}
+
+// copyForwardable copies the headers that go on to the next leg. The values are
+// shared, not copied.
+func copyForwardable(target, source http.Header) {
+	for name, values := range source {
+		if forwardable(name) {
+			target[name] = values
+		}
+	}
+	for _, list := range source[connectionName] {
+		removeListed(target, list)
+	}
+}
+
+// removeListed removes the headers that a Connection header names.
+func removeListed(target http.Header, list string) {
+	for name := range strings.SplitSeq(list, ",") {
+		name = textproto.TrimString(name)
+		if name != "" && !strings.EqualFold(name, closeValue) {
+			target.Del(name)
+		}
+	}
+}
+
+// outgoingHeader returns the headers of a request for the next leg, with room
+// for those that the leg adds.
+func outgoingHeader(r *http.Request) http.Header {
+	const added = 8
+	header := make(http.Header, len(r.Header)+added)
+	copyForwardable(header, r.Header)
+	delete(header, "Content-Length")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps the transport from adding its own
+	}
+	if via := header["Via"]; len(via) == 0 || via[len(via)-1] != viaEntry {
+		header["Via"] = append(slices.Clip(via), viaEntry)
+	}
+	if acceptsTrailers(r.Header) {
+		header["Te"] = []string{"trailers"}
+	}
+	return header
+}
+
+func acceptsTrailers(header http.Header) bool {
+	for _, value := range header["Te"] {
+		for coding := range strings.SplitSeq(value, ",") {
+			if strings.EqualFold(textproto.TrimString(coding), "trailers") {
+				return true
+			}
+		}
+	}
+	return false
+}
+
+// single returns the value of a header that may be there at most once.
+func single(header http.Header, name string) (value string, present, ok bool) {
+	values := header[name]
+	switch len(values) {
+	case 0:
+		return "", false, true
+	case 1:
+		return values[0], true, true
+	default:
+		return "", true, false
+	}
+}
--- /dev/null
+++ b/internal/dataplane/pace.go
@@ -0,0 +1,27 @@
+package dataplane
+
+import "time"
+
+// pace bounds how long one side may keep a transfer waiting. Only the time spent
+// waiting for that side counts: it may add up to a grace, plus the time that the
+// bytes moved so far take at the slowest rate allowed. A transfer that moves on
+// at that rate is never cut, however long it is.
+type pace struct {
+	grace  time.Duration
+	rate   int64 // bytes a second
+	waited time.Duration
+	moved  int64
+}
+
+// remaining returns how long the next step may take; zero or less when the
+// bound is used up.
+func (p *pace) remaining() time.Duration {
+	earned := time.Duration(float64(p.moved) / float64(p.rate) * float64(time.Second))
+	return p.grace + earned - p.waited
+}
+
+// step counts a step that moved bytes and took some time.
+func (p *pace) step(bytes int, took time.Duration) {
+	p.moved += int64(bytes)
+	p.waited += took
+}
--- /dev/null
+++ b/internal/dataplane/runtime.go
@@ -0,0 +1,104 @@
+package dataplane
+
+import (
+	"github.com/levertide/levertide/pkg/admission"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/routing"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// runtime is one snapshot made ready for calls. It is immutable but for the
+// destinations, which live on from version to version.
+type runtime struct {
+	snapshot     *snapshot.Snapshot
+	table        *routing.Table
+	destinations map[string]*destination
+}
+
+// stagedTable is a table compiled before its snapshot came in force.
+type stagedTable struct {
+	snapshot *snapshot.Snapshot
+	table    *routing.Table
+}
+
+// current returns the runtime of the snapshot in force, or nil.
+func (p *Plane) current() *runtime {
+	inForce := p.config.Current()
+	used := p.runtime.Load()
+	if used != nil && (inForce == nil || used.snapshot == inForce) {
+		return used
+	}
+	if inForce == nil {
+		return nil
+	}
+	return p.activate()
+}
+
+// activate swaps the runtime. The snapshot in force is asked for again under the
+// lock, so that a slow caller cannot bring an older one back.
+func (p *Plane) activate() *runtime {
+	p.compiling.Lock()
+	defer p.compiling.Unlock()
+	inForce := p.config.Current()
+	used := p.runtime.Load()
+	if inForce == nil || used != nil && used.snapshot == inForce {
+		return used
+	}
+	table, err := p.compile(inForce)
+	if err != nil {
+		p.config.Observer.RuntimeRejected(inForce.Version(), err)
+		return used
+	}
+	next := &runtime{snapshot: inForce, table: table, destinations: map[string]*destination{}}
+	for name := range inForce.Services() {
+		next.destinations[name] = p.destinations.get(name)
+	}
+	p.applyWorkerLimits(inForce)
+	p.runtime.Store(next)
+	p.config.Observer.RuntimeInForce(inForce.Version(), table.Len())
+	return next
+}
+
+// compile returns the table of a snapshot, from the stage if it is there.
+func (p *Plane) compile(source *snapshot.Snapshot) (*routing.Table, error) {
+	if staged := p.staged.Load(); staged != nil && staged.snapshot == source {
+		return staged.table, nil
+	}
+	table, err := routing.Compile(source)
+	if err != nil {
+		return nil, err
+	}
+	p.staged.Store(&stagedTable{snapshot: source, table: table})
+	return table, nil
+}
+
+func (p *Plane) applyWorkerLimits(inForce *snapshot.Snapshot) {
+	if p.worker == nil {
+		return
+	}
+	if service, ok := inForce.Service(p.config.Service); ok {
+		p.worker.applyLimits(service)
+	}
+}
+
+// gateOptions returns the admission options that a service asks for.
+func gateOptions(service *model.Service) admission.Options {
+	return admission.Options{
+		Slots:       service.Slots,
+		Connections: service.Connections,
+		Queue:       service.Queue,
+		SlowStart:   service.SlowStart,
+	}
+}
+
+// priorityOf returns the admission priority of a route.
+func priorityOf(route *routing.Route) admission.Priority {
+	switch route.Config.Priority {
+	case model.PriorityLow:
+		return admission.PriorityLow
+	case model.PriorityHigh:
+		return admission.PriorityHigh
+	default:
+		return admission.PriorityNormal
+	}
+}
--- /dev/null
+++ b/internal/dataplane/server.go
@@ -0,0 +1,37 @@
+package dataplane
+
+import (
+	"net/http"
+	"time"
+)
+
+const (
+	// readHeaderTime bounds the arrival of a request's head.
+	readHeaderTime = 10 * time.Second
+	// addedHeaderBytes is room for what a node adds to the head of a request.
+	addedHeaderBytes = 8 << 10
+)
+
+// CallerServer returns a server for callers with the bounds of Limits. It
+// listens on nothing by itself.
+func (p *Plane) CallerServer() *http.Server {
+	return &http.Server{
+		Handler:                      p.CallerHandler(),
+		ReadHeaderTimeout:            readHeaderTime,
+		IdleTimeout:                  p.limits.CallerIdle,
+		MaxHeaderBytes:               p.limits.HeaderBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+}
+
+// PeerServer returns a server for other nodes. Give it a listener that demands
+// the certificates of nodes.
+func (p *Plane) PeerServer() *http.Server {
+	return &http.Server{
+		Handler:                      p.PeerHandler(),
+		ReadHeaderTimeout:            readHeaderTime,
+		IdleTimeout:                  p.limits.PeerServerIdle,
+		MaxHeaderBytes:               p.limits.HeaderBytes + addedHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+}
--- /dev/null
+++ b/internal/dataplane/worker.go
@@ -0,0 +1,169 @@
+package dataplane
+
+import (
+	"net/http"
+	"net/url"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/levertide/levertide/pkg/admission"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/routing"
+)
+
+// refusedRetryAfter is what a caller is told to wait after the worker itself
+// refused a request.
+const refusedRetryAfter = time.Second
+
+// workerLeg is the way from this node to its worker.
+type workerLeg struct {
+	address   string
+	transport *http.Transport
+	gate      atomic.Pointer[admission.Gate]
+
+	mutex   sync.Mutex
+	applied bool // the gate has the options of a service
+}
+
+func newWorkerLeg(config *Config) *workerLeg {
+	leg := &workerLeg{address: config.WorkerAddress, transport: newWorkerTransport(config)}
+	leg.gate.Store(admission.New(admission.Options{}))
+	return leg
+}
+
+// applyLimits gives the gate the limits of a service. The queue and the length
+// of slow start are taken from the first version only; slots and connections
+// follow every version.
+func (l *workerLeg) applyLimits(service *model.Service) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if l.applied {
+		l.gate.Load().SetLimits(service.Slots, service.Connections)
+		return
+	}
+	l.applied = true
+	l.gate.Store(admission.New(gateOptions(service)))
+}
+
+// workerCall is one request for the worker.
+type workerCall struct {
+	inbound   *http.Request
+	route     *routing.Route
+	body      *requestBody
+	life      *lifetime
+	relay     *informationalRelay
+	allowance retry.Allowance
+	// expect tells that the caller itself asked for 100-continue.
+	expect bool
+}
+
+// answer is the head of a worker's answer, with the body to come.
+type answer struct {
+	response *http.Response
+	latency  time.Duration
+	permit   admission.Permit
+	measured time.Duration // for the gate; zero when it means nothing
+}
+
+// close ends the exchange and gives the slot back.
+func (a *answer) close() {
+	_ = a.response.Body.Close()
+	a.permit.Release(admission.Result{Latency: a.measured})
+}
+
+// ask admits a request and sends it to the worker.
+func (l *workerLeg) ask(call workerCall) (*answer, error) {
+	permit, err := l.gate.Load().Admit(call.life.admission(), priorityOf(call.route))
+	if err != nil {
+		return nil, shedError(err)
+	}
+	began := time.Now()
+	sending := sending{
+		transport: l.transport,
+		request:   l.request(call),
+		body:      call.body,
+		relay:     call.relay,
+	}
+	response, err := sending.do(call.life.ctx)
+	if err != nil {
+		permit.Release(admission.Result{})
+		return nil, err
+	}
+	return l.accept(call, response, permit, time.Since(began))
+}
+
+// accept sorts out answers that are none.
+func (l *workerLeg) accept(call workerCall, response *http.Response, permit admission.Permit, latency time.Duration) (*answer, error) {
+	if outcome.RefusedByWorker(response.StatusCode, response.Header) {
+		discard(response)
+		permit.Release(admission.Result{Refused: true})
+		return nil, outcome.WithRetryAfter(outcome.RefusedByOwnWorker, refusedRetryAfter)
+	}
+	if !endsDetectably(response) {
+		_ = response.Body.Close()
+		permit.Release(admission.Result{})
+		return nil, outcome.New(outcome.InvalidAnswer)
+	}
+	result := &answer{response: response, latency: latency, permit: permit, measured: latency}
+	if call.body.streamed {
+		result.measured = 0
+	}
+	return result, nil
+}
+
+func (l *workerLeg) request(call workerCall) *http.Request {
+	header := outgoingHeader(call.inbound)
+	if left, ok := call.life.left(); ok {
+		header[retry.DeadlineHeader] = []string{retry.FormatDeadline(left)}
+	}
+	header[retry.AttemptsLeftHeader] = []string{call.allowance.String()}
+	if call.expect && call.body.streamed {
+		header["Expect"] = []string{expectContinue}
+	}
+	setCredential(header, call.route)
+	return outgoingRequest(call.inbound, schemePlain, l.address, header)
+}
+
+// setCredential replaces whatever the caller sent in the route's credential header.
+func setCredential(header http.Header, route *routing.Route) {
+	if route.Credential != nil {
+		header[route.CredentialHeader] = []string{route.Credential.Value}
+	}
+}
+
+// outgoingRequest returns the request for the next leg, without its body. Target
+// and host are passed on as they came.
+func outgoingRequest(r *http.Request, scheme, address string, header http.Header) *http.Request {
+	return &http.Request{
+		Method: r.Method,
+		URL: &url.URL{
+			Scheme:     scheme,
+			Host:       address,
+			Path:       r.URL.Path,
+			RawPath:    r.URL.RawPath,
+			RawQuery:   r.URL.RawQuery,
+			ForceQuery: r.URL.ForceQuery,
+		},
+		Host:       r.Host,
+		Header:     header,
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+}
+
+// shedError turns a refusal of the gate into an error of package outcome.
+func shedError(err error) error {
+	switch admission.ReasonOf(err) {
+	case admission.ReasonDraining:
+		return outcome.New(outcome.Draining)
+	case admission.ReasonDeadline:
+		return outcome.New(outcome.DeadlineBeforeStart)
+	case admission.ReasonCanceled:
+		return outcome.New(outcome.CanceledBeforeStart)
+	default:
+		return outcome.WithRetryAfter(outcome.Overloaded, admission.RetryAfter(err))
+	}
+}
--- a/pkg/outcome/reason.go
+++ b/pkg/outcome/reason.go
@@ -35,6 +35,9 @@
 	DeadlineBeforeStart Reason = "deadline-before-start"
 	// CanceledBeforeStart: the caller gave up before a worker was reached.
 	CanceledBeforeStart Reason = "canceled-before-start"
+	// BodyNotReceived: the caller's body broke off or came too slowly before
+	// anything was sent to a worker.
+	BodyNotReceived Reason = "body-not-received"
 )
 
 // The reasons that go with Unknown.
@@ -75,6 +78,7 @@
 	Misdirected:         {NotRun, http.StatusServiceUnavailable, "the node does not serve the route"},
 	DeadlineBeforeStart: {NotRun, http.StatusGatewayTimeout, "the deadline passed before the request was started"},
 	CanceledBeforeStart: {NotRun, http.StatusServiceUnavailable, "the request was canceled before it was started"},
+	BodyNotReceived:     {NotRun, http.StatusRequestTimeout, "the body of the request did not arrive"},
 	ConnectionLost:      {Unknown, http.StatusBadGateway, "the connection was lost before an answer came"},
 	Timeout:             {Unknown, http.StatusGatewayTimeout, "the deadline passed before an answer came"},
 	Canceled:            {Unknown, http.StatusBadGateway, "the request was canceled before an answer came"},
--- a/pkg/routing/match.go
+++ b/pkg/routing/match.go
@@ -1,6 +1,10 @@
 package routing
 
-import "strings"
+import (
+	"maps"
+	"slices"
+	"strings"
+)
 
 // maximumHostLength is the longest host name that is looked up.
 const maximumHostLength = 255
@@ -36,6 +40,8 @@
 type search struct {
 	path, method string
 	pathMatched  bool
+	// collect, when not nil, takes the methods of all routes met.
+	collect map[string]struct{}
 }
 
 func (t *Table) find(search *search, host string) *Route {
@@ -134,5 +140,16 @@
 		return nil
 	}
 	s.pathMatched = true
+	if s.collect != nil {
+		methods.collect(s.collect)
+	}
 	return methods.find(s.method)
 }
+
+// AllowedMethods returns the methods, sorted, that routes list for a host and
+// path. It is for answers to requests whose method is not allowed.
+func (t *Table) AllowedMethods(host, path string) []string {
+	search := search{path: path, collect: map[string]struct{}{}}
+	t.find(&search, host)
+	return slices.Sorted(maps.Keys(search.collect))
+}
--- a/pkg/routing/match_test.go
+++ b/pkg/routing/match_test.go
@@ -104,6 +104,19 @@
 	}
 }
 
+func TestAllowedMethods(t *testing.T) {
+	table := compile(t, map[string]model.Match{
+		"post": {Host: "a.example", Path: "/file", Methods: []string{"POST"}},
+		"get":  {Host: "*", PathPrefix: "/file", Methods: []string{"GET"}},
+	})
+	if got := table.AllowedMethods("a.example", "/file"); !slices.Equal(got, []string{"GET", "POST"}) {
+		t.Errorf("AllowedMethods = %v", got)
+	}
+	if got := table.AllowedMethods("a.example", "/other"); len(got) != 0 {
+		t.Errorf("AllowedMethods = %v for a path without routes", got)
+	}
+}
+
 func TestAmbiguousRoutesAreRefused(t *testing.T) {
 	pairs := [][2]model.Match{
 		{{Host: "a.example", PathPrefix: "/x"}, {Host: "A.example", PathPrefix: "/x/"}},
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -209,3 +209,9 @@
 }
 
 func (m *methodTable) empty() bool { return m.any == nil && len(m.listed) == 0 }
+
+func (m *methodTable) collect(methods map[string]struct{}) {
+	for i := range m.listed {
+		methods[m.listed[i].method] = struct{}{}
+	}
+}
