Add the worker stand-in

A worker that stops refuses for a moment before it closes idle connections, since closing them at once cuts a request that is on its way.

--- /dev/null
+++ b/internal/lab/worker/config.go
@@ -0,0 +1,84 @@
+package worker
+
+import (
+	"math"
+	"math/rand/v2"
+	"time"
+)
+
+// Default figures of a worker.
+const (
+	DefaultSlots       = 6
+	DefaultConnections = 130
+	DefaultDrainDelay  = 2 * time.Second
+	DefaultDrainBound  = 5 * time.Minute
+)
+
+// coldFactor is how many times longer a request takes on a worker that has
+// just started; it falls to 1 over Config.ColdStart.
+const coldFactor = 5
+
+// Config describes one worker. A zero field takes its default.
+type Config struct {
+	// ID names the worker in its answers.
+	ID string
+	// Address and ControlAddress are host:port to listen on for requests and
+	// for the lab's control; "127.0.0.1:0" when empty.
+	Address        string
+	ControlAddress string
+	// Slots is how many requests it runs at once; further ones are refused
+	// with a not-run.
+	Slots int
+	// Connections is how many connections it accepts; further ones are closed.
+	Connections int
+	// Service is the distribution of the time that a request takes.
+	Service Distribution
+	// ColdStart is how long the worker is slow after its start.
+	ColdStart time.Duration
+	// DrainDelay is how long a worker that stops refuses requests before it
+	// closes its idle connections, so that none is cut while a request is on its way.
+	DrainDelay time.Duration
+	// Next, when set, is the base URL of a service that each request calls in
+	// turn, with the path of the request; NextHost is the Host header of these calls.
+	Next     string
+	NextHost string
+	// ForgetRecords drops the record of executions, for long runs that check nothing.
+	ForgetRecords bool
+}
+
+func (c Config) withDefaults() Config {
+	if c.Address == "" {
+		c.Address = "127.0.0.1:0"
+	}
+	if c.ControlAddress == "" {
+		c.ControlAddress = "127.0.0.1:0"
+	}
+	if c.Slots <= 0 {
+		c.Slots = DefaultSlots
+	}
+	if c.Connections <= 0 {
+		c.Connections = DefaultConnections
+	}
+	return c
+}
+
+// Distribution is a log-normal distribution of times. The zero value is always 0.
+type Distribution struct {
+	// Median is the time that half of the requests stay below.
+	Median time.Duration
+	// Sigma is the spread; zero makes every request take the median.
+	Sigma float64
+}
+
+// Sample returns a random time.
+func (d Distribution) Sample() time.Duration {
+	if d.Median <= 0 || d.Sigma <= 0 {
+		return max(d.Median, 0)
+	}
+	return time.Duration(float64(d.Median) * math.Exp(d.Sigma*rand.NormFloat64()))
+}
+
+// Mean returns the mean of the distribution.
+func (d Distribution) Mean() time.Duration {
+	return time.Duration(float64(d.Median) * math.Exp(d.Sigma*d.Sigma/2))
+}
