Add leases over store sessions

A lease measures from the sending of its last successful renewal, on the monotonic and the wall clock, so that a holder paused past the time to live finds out without asking the store.

--- /dev/null
+++ b/pkg/lease/store_lessor.go
@@ -0,0 +1,98 @@
+package lease
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/store"
+)
+
+// DefaultTTL is the time to live of a lease, the shortest that the platform takes.
+const DefaultTTL = 10 * time.Second
+
+// Options configure a StoreLessor; zero fields other than Store take the defaults.
+type Options struct {
+	// Store is the platform's key-value service.
+	Store store.Store
+	// Name is given to the sessions, for people who look at the platform.
+	Name string
+	// TTL is how long a lease lasts without renewal.
+	TTL time.Duration
+	// Now returns the time; nil means time.Now, whose monotonic reading goes
+	// on while the process is stopped.
+	Now func() time.Time
+}
+
+// StoreLessor hands out leases that are sessions of a store.Store.
+type StoreLessor struct {
+	options Options
+}
+
+var _ Lessor = (*StoreLessor)(nil)
+
+// New returns a lessor.
+func New(options Options) *StoreLessor {
+	if options.TTL <= 0 {
+		options.TTL = DefaultTTL
+	}
+	if options.Now == nil {
+		options.Now = time.Now
+	}
+	return &StoreLessor{options: options}
+}
+
+// Holder implements Lessor with one read.
+func (l *StoreLessor) Holder(ctx context.Context, key string) (Holder, error) {
+	record, _, err := l.options.Store.Get(ctx, key, store.ReadOptions{})
+	if errorx.IsOfType(err, store.ErrNotFound) {
+		return Holder{}, nil
+	}
+	if err != nil {
+		return Holder{}, err
+	}
+	return Holder{Held: record.Session != "", Value: record.Value}, nil
+}
+
+// TryAcquire implements Lessor. It costs one read when the key is taken, and
+// three requests when it is free.
+func (l *StoreLessor) TryAcquire(ctx context.Context, key string, value []byte) (Lease, error) {
+	holder, err := l.Holder(ctx, key)
+	if err != nil {
+		return nil, err
+	}
+	if holder.Held {
+		return nil, ErrLeaseHeld.New("%s is held by another", key)
+	}
+	sent := l.options.Now()
+	session, err := l.options.Store.CreateSession(ctx, l.options.Name, l.options.TTL)
+	if err != nil {
+		return nil, err
+	}
+	acquired, err := l.acquire(ctx, key, value, session)
+	if err != nil || !acquired {
+		// A session that cannot be ended now lapses by itself.
+		_ = l.options.Store.DestroySession(ctx, session)
+	}
+	if err != nil {
+		return nil, err
+	}
+	if !acquired {
+		return nil, ErrLeaseHeld.New("%s was taken by another", key)
+	}
+	return l.hold(key, session, sent), nil
+}
+
+// acquire takes the key, and reads back who holds it when the answer is lost.
+func (l *StoreLessor) acquire(ctx context.Context, key string, value []byte, session string) (bool, error) {
+	acquired, err := l.options.Store.Acquire(ctx, key, value, session)
+	if !errorx.IsOfType(err, store.ErrUnknownOutcome) {
+		return acquired, err
+	}
+	record, _, readError := l.options.Store.Get(ctx, key, store.ReadOptions{Consistent: true})
+	if readError != nil {
+		return false, err
+	}
+	return record.Session == session, nil
+}
