--- /dev/null
+++ b/pkg/versionstore/machine_test.go
@@ -0,0 +1,252 @@
+package versionstore_test
+
+import (
+	"fmt"
+	"testing"
+
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/store"
+	"github.com/levertide/levertide/pkg/store/memory"
+	"github.com/levertide/levertide/pkg/versionstore"
+)
+
+// disturbance is what happens to, or just before, one request.
+type disturbance uint8
+
+const (
+	undisturbed disturbance = iota
+	refuse
+	loseRequest
+	loseAnswer
+	holdBack
+	deliverHeldFirst
+	rivalFirst
+	sweepFirst
+	disturbances
+)
+
+// machine drives a version store against a simple model of the head.
+type machine struct {
+	backend *memory.Store
+	client  *versionstore.VersionStore
+	rival   *versionstore.VersionStore
+
+	plan    []disturbance
+	applies int
+	// rivalAccepted is the version that a rival's proposal was given meanwhile.
+	rivalAccepted rollout.Version
+	rivalApplyID  string
+
+	head     rollout.Head
+	contents map[rollout.Version]string
+	phases   map[string]versionstore.ApplyPhase
+	versions map[string]rollout.Version
+}
+
+func newMachine() *machine {
+	m := &machine{
+		contents: make(map[rollout.Version]string),
+		phases:   make(map[string]versionstore.ApplyPhase),
+		versions: make(map[string]rollout.Version),
+	}
+	m.backend = memory.New(memory.Options{Intercept: m.intercept})
+	m.client = versionstore.New(versionstore.Config{
+		Store: m.backend, Rate: unlimited, MinimumPause: 1, MaximumPause: 1, Retain: 3, SweepSlack: 1,
+	})
+	m.rival = versionstore.New(versionstore.Config{
+		Store: m.backend, Rate: unlimited, MinimumPause: 1, MaximumPause: 1, Retain: 3, SweepSlack: 1,
+	})
+	return m
+}
+
+func (m *machine) intercept(memory.Request) memory.Fault {
+	if len(m.plan) == 0 {
+		return memory.FaultNone
+	}
+	next := m.plan[0]
+	rest := m.plan[1:]
+	m.plan = nil // what a disturbance does is not disturbed itself
+	defer func() { m.plan = rest }()
+	switch next {
+	case refuse:
+		return memory.FaultRefuse
+	case loseRequest:
+		return memory.FaultLoseRequest
+	case loseAnswer:
+		return memory.FaultLoseAnswer
+	case holdBack:
+		return memory.FaultHoldBack
+	case deliverHeldFirst:
+		m.backend.DeliverHeld()
+	case rivalFirst:
+		m.rivalProposes()
+	case sweepFirst:
+		_, _ = m.rival.Sweep(background) // refused while a version is proposed
+	}
+	return memory.FaultNone
+}
+
+func (m *machine) nextApply() string {
+	m.applies++
+	return fmt.Sprintf("apply-%d", m.applies)
+}
+
+func (m *machine) rivalProposes() {
+	if m.rivalAccepted != 0 {
+		return
+	}
+	applyID := m.nextApply()
+	result, err := m.rival.Propose(background, request(applyID, m.head.Committed, "rival"))
+	if err == nil {
+		m.rivalAccepted, m.rivalApplyID = result.Version, applyID
+	}
+}
+
+// disturb draws what happens to the requests of the next action.
+func (m *machine) disturb(t *rapid.T) {
+	m.rivalAccepted = 0
+	for _, drawn := range rapid.SliceOfN(rapid.Uint8Range(0, uint8(disturbances)-1), 0, 8).Draw(t, "disturbances") {
+		m.plan = append(m.plan, disturbance(drawn))
+	}
+}
+
+// settleRival takes what a rival did meanwhile into the model.
+func (m *machine) settleRival(t *rapid.T) {
+	m.plan = nil
+	if m.rivalAccepted != 0 {
+		m.accept(t, m.rivalApplyID, m.rivalAccepted, "rival")
+	}
+}
+
+func (m *machine) accept(t *rapid.T, applyID string, version rollout.Version, content string) {
+	if m.head.Proposed != 0 || version != m.head.HighestUsed+1 {
+		t.Fatalf("%s was given version %d on top of %+v", applyID, version, m.head)
+	}
+	m.head.Generation++
+	m.head.HighestUsed, m.head.Proposed, m.head.ApplyID = version, version, applyID
+	m.contents[version] = content
+	m.phases[applyID], m.versions[applyID] = versionstore.ApplyProposed, version
+}
+
+func (m *machine) propose(t *rapid.T) {
+	applyID := m.nextApply()
+	base := m.head.Committed
+	if base > 0 && rapid.Bool().Draw(t, "stale") {
+		base--
+	}
+	content := rapid.SampledFrom([]string{"ledger", "archive", "listings"}).Draw(t, "content")
+	m.disturb(t)
+	result, err := m.client.Propose(background, request(applyID, base, content))
+	m.settleRival(t)
+	switch {
+	case err == nil && base != m.head.Committed:
+		t.Fatalf("a proposal based on %d was accepted over %d", base, m.head.Committed)
+	case err == nil:
+		m.accept(t, applyID, result.Version, content)
+	case store.NotWritten(err):
+	case base != m.head.Committed:
+		requireRapid(t, err, versionstore.ErrConflict)
+	case m.head.Proposed != 0:
+		requireRapid(t, err, versionstore.ErrRolloutInProgress)
+	default:
+		t.Fatalf("a proposal on top of %+v gave %v", m.head, err)
+	}
+}
+
+func (m *machine) commit(t *rapid.T) {
+	if m.head.Proposed == 0 {
+		return
+	}
+	m.disturb(t)
+	_, err := m.client.Commit(background, m.head.Proposed, m.head.ApplyID)
+	m.plan = nil
+	if store.NotWritten(err) {
+		return
+	}
+	if err != nil {
+		t.Fatalf("commit on top of %+v gave %v", m.head, err)
+	}
+	m.head.Generation++
+	m.head.Committed, m.head.Proposed = m.head.Proposed, 0
+	m.phases[m.head.ApplyID] = versionstore.ApplyCommitted
+}
+
+func (m *machine) abort(t *rapid.T) {
+	if m.head.Proposed == 0 {
+		return
+	}
+	m.disturb(t)
+	_, err := m.client.Abort(background, m.head.Proposed, rollout.Rejection{Node: "node", Reason: "refused"})
+	m.plan = nil
+	if store.NotWritten(err) {
+		return
+	}
+	if err != nil {
+		t.Fatalf("abort on top of %+v gave %v", m.head, err)
+	}
+	m.head.Generation++
+	m.head.Proposed = 0
+	m.phases[m.head.ApplyID] = versionstore.ApplyAborted
+}
+
+func (m *machine) resolve(t *rapid.T) {
+	if m.applies == 0 {
+		return
+	}
+	applyID := fmt.Sprintf("apply-%d", rapid.IntRange(1, m.applies).Draw(t, "apply"))
+	state, err := m.client.Resolve(background, applyID)
+	if err != nil {
+		t.Fatal(err)
+	}
+	swept := state.Phase == versionstore.ApplyNotWritten && m.versions[applyID] < state.Oldest
+	if state.Phase != m.phases[applyID] && !swept {
+		t.Fatalf("%s resolves to %v, but it is %v", applyID, state.Phase, m.phases[applyID])
+	}
+}
+
+// check compares the store with the model, and that both named versions load whole.
+func (m *machine) check(t *rapid.T) {
+	head, _, err := m.client.ReadHead(background, true)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if head.Generation != m.head.Generation || head.Committed != m.head.Committed || head.Proposed != m.head.Proposed {
+		t.Fatalf("the head is %+v, the model %+v", head, m.head)
+	}
+	for _, version := range []rollout.Version{head.Committed, head.Proposed} {
+		if version == 0 {
+			continue
+		}
+		loaded, err := m.client.LoadSnapshot(background, version, nil)
+		if err != nil {
+			t.Fatalf("version %d: %v", version, err)
+		}
+		if _, found := loaded.Service(m.contents[version]); !found {
+			t.Fatalf("version %d is not %s", version, m.contents[version])
+		}
+	}
+}
+
+func requireRapid(t *rapid.T, err error, want *errorx.Type) {
+	if !errorx.IsOfType(err, want) {
+		t.Fatalf("got error %v, want %s", err, want.FullName())
+	}
+}
+
+func TestMachine(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		m := newMachine()
+		t.Repeat(map[string]func(*rapid.T){
+			"propose": m.propose,
+			"commit":  m.commit,
+			"abort":   m.abort,
+			"resolve": m.resolve,
+			"deliver": func(*rapid.T) { m.backend.DeliverHeld() },
+			"sweep":   func(*rapid.T) { _, _ = m.client.Sweep(background) },
+			"":        m.check,
+		})
+	})
+}
