Let the worker stand-in queue and be pointed at a next service

A back end that queues instead of refusing is needed to show what admission is worth under overload; chains learn their next address after their nodes have started.

--- a/internal/lab/worker/command.go
+++ b/internal/lab/worker/command.go
@@ -23,6 +23,7 @@
 	flags.StringVar(&config.Address, "listen", "", "host:port for requests")
 	flags.StringVar(&config.ControlAddress, "control-listen", "", "host:port for the lab's control")
 	flags.IntVar(&config.Slots, "slots", DefaultSlots, "requests run at once")
+	flags.IntVar(&config.Queue, "queue", 0, "requests that may wait for a slot")
 	flags.IntVar(&config.Connections, "connections", DefaultConnections, "connections accepted")
 	flags.DurationVar(&config.Service.Median, "service-median", 0, "median time of a request")
 	flags.Float64Var(&config.Service.Sigma, "service-sigma", 0, "spread of the time of a request")
--- a/internal/lab/worker/config.go
+++ b/internal/lab/worker/config.go
@@ -29,6 +29,9 @@
 	// Slots is how many requests it runs at once; further ones are refused
 	// with a not-run.
 	Slots int
+	// Queue is how many requests may wait for a slot before further ones are
+	// refused. Back ends that queue without bound have a large one.
+	Queue int
 	// Connections is how many connections it accepts; further ones are closed.
 	Connections int
 	// Service is the distribution of the time that a request takes.
--- a/internal/lab/worker/gauge.go
+++ b/internal/lab/worker/gauge.go
@@ -1,6 +1,8 @@
 package worker
 
 import (
+	"context"
+	"slices"
 	"sync"
 	"time"
 )
@@ -20,11 +22,13 @@
 	Load    *LoadFigures `json:"load,omitempty"`
 }
 
-// gauge counts running requests and keeps the figures last reported.
+// gauge counts running and waiting requests and keeps the figures last reported.
 type gauge struct {
 	mutex     sync.Mutex
 	slots     int
+	queue     int
 	running   int
+	waiting   []chan struct{}
 	draining  bool
 	misreport Misreport
 	reported  report
@@ -36,22 +40,72 @@
 	load    LoadFigures
 }
 
-// enter takes a slot. It returns the number of running requests, or false when
-// the worker is full or drains.
-func (g *gauge) enter() (running int, draining, ok bool) {
+// entry is the result of asking for a slot.
+type entry uint8
+
+const (
+	entryRuns entry = iota
+	entryFull
+	entryDraining
+	entryAbandoned
+)
+
+// enter takes a slot, waiting for one if there is room in the queue.
+func (g *gauge) enter(ctx context.Context) entry {
 	g.mutex.Lock()
-	defer g.mutex.Unlock()
-	if g.draining || g.running >= g.slots {
-		return g.running, g.draining, false
+	if g.draining {
+		g.mutex.Unlock()
+		return entryDraining
+	}
+	if g.running < g.slots {
+		g.running++
+		g.mutex.Unlock()
+		return entryRuns
 	}
-	g.running++
-	return g.running, false, true
+	if len(g.waiting) >= g.queue {
+		g.mutex.Unlock()
+		return entryFull
+	}
+	turn := make(chan struct{})
+	g.waiting = append(g.waiting, turn)
+	g.mutex.Unlock()
+	return g.await(ctx, turn)
 }
 
+func (g *gauge) await(ctx context.Context, turn chan struct{}) entry {
+	select {
+	case <-turn:
+		return entryRuns
+	case <-ctx.Done():
+	}
+	g.mutex.Lock()
+	index := slices.Index(g.waiting, turn)
+	if index >= 0 {
+		g.waiting = slices.Delete(g.waiting, index, index+1)
+	}
+	g.mutex.Unlock()
+	if index < 0 {
+		g.leave()
+	}
+	return entryAbandoned
+}
+
+// leave gives the slot to the one that has waited longest, or frees it.
 func (g *gauge) leave() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.running--
+	if len(g.waiting) == 0 {
+		g.running--
+		return
+	}
+	close(g.waiting[0])
+	g.waiting = g.waiting[1:]
+}
+
+func (g *gauge) busy() int {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	return g.running
 }
 
 func (g *gauge) drain() {
--- a/internal/lab/worker/handler.go
+++ b/internal/lab/worker/handler.go
@@ -41,21 +41,31 @@
 // serveRequest lets a request in, or refuses it before it runs.
 func (w *Worker) serveRequest(response http.ResponseWriter, request *http.Request) {
 	fault := w.faults.next(request.URL.Path)
-	running, draining, ok := w.gauge.enter()
-	if ok {
-		defer w.gauge.leave()
-	}
-	if !ok || fault.Kind == Shed {
-		w.refuse(response, draining)
+	if fault.Kind == Shed {
+		w.refuse(response, false)
 		return
 	}
-	w.records.started(request.Header.Get(RequestIDHeader), running)
+	ctx, cancel := requestContext(request)
+	defer cancel()
+	switch w.gauge.enter(ctx) {
+	case entryFull:
+		w.refuse(response, false)
+	case entryDraining:
+		w.refuse(response, true)
+	case entryAbandoned:
+		w.abandon(ctx, response)
+	case entryRuns:
+		defer w.gauge.leave()
+		w.note(request, fault)
+		w.execute(ctx, response, request, fault)
+	}
+}
+
+func (w *Worker) note(request *http.Request, fault Fault) {
+	w.records.started(request.Header.Get(RequestIDHeader), w.gauge.busy())
 	if fault.Kind != "" {
 		w.records.count(func(t *Totals) { t.Faults++ })
 	}
-	ctx, cancel := requestContext(request)
-	defer cancel()
-	w.execute(ctx, response, request, fault)
 }
 
 func (w *Worker) refuse(response http.ResponseWriter, draining bool) {
--- a/internal/lab/worker/next.go
+++ b/internal/lab/worker/next.go
@@ -5,16 +5,20 @@
 	"io"
 	"net/http"
 	"strings"
+	"sync/atomic"
 )
 
 // passedOn is the prefix of the headers that a worker hands to the next service.
 const passedOn = "Levertide-"
 
+// nextService is where the next service of a chain is reached.
+type nextService struct{ base, host string }
+
 // nextCaller calls the next service of a chain.
 type nextCaller struct {
-	base, host string
-	client     *http.Client
-	transport  *http.Transport
+	service   atomic.Pointer[nextService]
+	client    *http.Client
+	transport *http.Transport
 }
 
 func newNextCaller(config Config) *nextCaller {
@@ -22,21 +26,23 @@
 		MaxIdleConnsPerHost: config.Connections,
 		DisableCompression:  true,
 	}
-	return &nextCaller{
-		base:      config.Next,
-		host:      config.NextHost,
-		transport: transport,
-		client:    &http.Client{Transport: transport},
-	}
+	n := &nextCaller{transport: transport, client: &http.Client{Transport: transport}}
+	n.set(config.Next, config.NextHost)
+	return n
+}
+
+func (n *nextCaller) set(base, host string) {
+	n.service.Store(&nextService{base: base, host: host})
 }
 
 // call makes the call that belongs to a request. It reports whether the answer
 // was whole and a success, and is true when there is no next service.
 func (n *nextCaller) call(ctx context.Context, request *http.Request) bool {
-	if n.base == "" {
+	service := n.service.Load()
+	if service.base == "" {
 		return true
 	}
-	next, err := n.request(ctx, request)
+	next, err := service.request(ctx, request)
 	if err != nil {
 		return false
 	}
@@ -49,7 +55,7 @@
 	return err == nil && response.StatusCode == http.StatusOK
 }
 
-func (n *nextCaller) request(ctx context.Context, request *http.Request) (*http.Request, error) {
+func (n *nextService) request(ctx context.Context, request *http.Request) (*http.Request, error) {
 	next, err := http.NewRequestWithContext(ctx, request.Method, n.base+request.URL.RequestURI(), nil)
 	if err != nil {
 		return nil, err
--- a/internal/lab/worker/worker.go
+++ b/internal/lab/worker/worker.go
@@ -41,7 +41,7 @@
 	w := &Worker{
 		config:  config,
 		started: time.Now(),
-		gauge:   gauge{slots: config.Slots},
+		gauge:   gauge{slots: config.Slots, queue: config.Queue},
 		records: newRecorder(config.ForgetRecords),
 		next:    newNextCaller(config),
 		exit:    exit,
@@ -90,6 +90,9 @@
 // SetFaults replaces the faults in force.
 func (w *Worker) SetFaults(faults ...Fault) { w.faults.set(faults) }
 
+// SetNext replaces Config.Next and Config.NextHost.
+func (w *Worker) SetNext(base, host string) { w.next.set(base, host) }
+
 // SetMisreport makes the health and load endpoints lag or lie.
 func (w *Worker) SetMisreport(m Misreport) { w.gauge.setMisreport(m) }
 
--- a/internal/lab/worker/worker_test.go
+++ b/internal/lab/worker/worker_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"io"
 	"net/http"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -215,3 +216,26 @@
 		t.Errorf("status %d with a failing next service", response.StatusCode)
 	}
 }
+
+func TestQueueingWorkerServesInTurn(t *testing.T) {
+	w := start(t, worker.Config{Slots: 1, Queue: 20, Service: worker.Distribution{Median: time.Millisecond}})
+	answers := make(chan error, 20)
+	for i := range 20 {
+		go func() {
+			response, err := http.Get("http://" + w.Address() + "/" + strconv.Itoa(i))
+			if err == nil {
+				_, err = io.Copy(io.Discard, response.Body)
+				_ = response.Body.Close()
+			}
+			answers <- err
+		}()
+	}
+	for range 20 {
+		if err := <-answers; err != nil {
+			t.Error(err)
+		}
+	}
+	if _, totals := w.Records(); totals.Executed != 20 || totals.PeakRunning != 1 {
+		t.Errorf("totals %+v", totals)
+	}
+}
