--- a/pkg/manifest/load_test.go
+++ b/pkg/manifest/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -167,8 +168,8 @@
 	if difference := cmp.Diff(want, got); difference != "" {
 		t.Error(difference)
 	}
-	if set.Complete() || len(set.Resources()) != 4 || !set.Declared(model.Key{Kind: model.KindRoute, Name: "r"}) {
-		t.Errorf("complete %v, %d resources", set.Complete(), len(set.Resources()))
+	if set.Complete() || len(set.Resources()) != 4 || !slices.Contains(set.UnreadKeys(), model.Key{Kind: model.KindRoute, Name: "r"}) {
+		t.Errorf("complete %v, %d resources, unread %v", set.Complete(), len(set.Resources()), set.UnreadKeys())
 	}
 }
 
@@ -219,8 +220,10 @@
 	f.Add([]byte("--- {kind: Secret}\n...\n%YAML 1.2\n? [a]\n: &x *x\n<<: !!str 1"))
 	f.Fuzz(func(t *testing.T, content []byte) {
 		set, faults := manifest.Parse("f", content)
+		// A lone carriage return ends a line too, as YAML has it.
+		lines := strings.Count(string(content), "\n") + strings.Count(string(content), "\r") + 1
 		for _, fault := range faults {
-			if fault.Message == "" || fault.Line < 0 || fault.Line > strings.Count(string(content), "\n")+1 {
+			if fault.Message == "" || fault.Line < 0 || fault.Line > lines {
 				t.Errorf("fault out of place: %#v", fault)
 			}
 		}
--- a/pkg/manifest/set.go
+++ b/pkg/manifest/set.go
@@ -55,10 +55,15 @@
 // readable reports whether the body could be read, not only kind and name.
 func (d *Document) readable() bool { return d.Resource.CheckShape() == nil }
 
-// Declared reports whether some document has this key, be its body readable or not.
-func (s *FileSet) Declared(key model.Key) bool {
-	_, found := s.byKey[key]
-	return found
+// UnreadKeys returns the keys of the documents whose spec has faults.
+func (s *FileSet) UnreadKeys() []model.Key {
+	var keys []model.Key
+	for _, document := range s.documents {
+		if !document.readable() {
+			keys = append(keys, document.Resource.Key)
+		}
+	}
+	return keys
 }
 
 // Complete reports whether the key of every document could be read. When it is
--- /dev/null
+++ b/pkg/validation/limits.go
@@ -0,0 +1,46 @@
+package validation
+
+import "time"
+
+// Limits bounds what a set may declare.
+type Limits struct {
+	// MaxResources bounds the resources of a set, all kinds together.
+	MaxResources int
+	// MaxSetBytes bounds the canonical encodings of a set together.
+	MaxSetBytes int
+	// MaxResourceBytes bounds one canonical encoding.
+	MaxResourceBytes int
+	// MaxSecretBytes bounds the value of a secret.
+	MaxSecretBytes int
+	// MaxCredentialBytes bounds the value of a secret that is sent in a header.
+	MaxCredentialBytes int
+	// MaxSlots, MaxConnections and MaxQueue bound the fields of a service.
+	MaxSlots       int
+	MaxConnections int
+	MaxQueue       int
+	// MaxTimeout bounds the timeouts of services and routes.
+	MaxTimeout time.Duration
+	// MaxSlowStart bounds the slow start of a service.
+	MaxSlowStart time.Duration
+	// MaxMethods bounds the methods that one route lists.
+	MaxMethods int
+}
+
+// DefaultLimits are those that every program uses unless it is told otherwise.
+// They leave room for several times the largest mesh known, inside what one
+// record of the platform's store and the memory of one node can hold.
+func DefaultLimits() Limits {
+	return Limits{
+		MaxResources:       2000,
+		MaxSetBytes:        8 << 20,
+		MaxResourceBytes:   64 << 10,
+		MaxSecretBytes:     32 << 10,
+		MaxCredentialBytes: 4 << 10,
+		MaxSlots:           10_000,
+		MaxConnections:     100_000,
+		MaxQueue:           100_000,
+		MaxTimeout:         time.Hour,
+		MaxSlowStart:       10 * time.Minute,
+		MaxMethods:         16,
+	}
+}
--- /dev/null
+++ b/pkg/validation/snapshot.go
@@ -0,0 +1,13 @@
+package validation
+
+import (
+	"slices"
+
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// CheckSnapshot returns ErrInvalid when a snapshot, which may be a restricted
+// one, breaks a rule. It is what a node asks before it stages a version.
+func CheckSnapshot(held *snapshot.Snapshot, limits Limits) error {
+	return AsError(CheckPart(slices.Collect(held.Resources()), limits))
+}
--- /dev/null
+++ b/pkg/validation/syntax.go
@@ -0,0 +1,190 @@
+package validation
+
+import (
+	"fmt"
+	"net/url"
+	"strings"
+)
+
+// Bounds of names, from the DNS.
+const (
+	maximumLabelLength = 63
+	maximumHostLength  = 253
+)
+
+const labelHint = "use at most 63 lower-case letters, digits and hyphens, with no hyphen at either end"
+
+func checkName(target subject, name string) {
+	if !isLabel(name) {
+		target.report("name", fmt.Sprintf("%q is not a valid name", name), labelHint)
+	}
+}
+
+// isLabel reports whether the text is a DNS label in lower case.
+func isLabel(text string) bool {
+	if len(text) == 0 || len(text) > maximumLabelLength {
+		return false
+	}
+	if text[0] == '-' || text[len(text)-1] == '-' {
+		return false
+	}
+	for _, letter := range []byte(text) {
+		if !isLabelByte(letter) {
+			return false
+		}
+	}
+	return true
+}
+
+func isLabelByte(letter byte) bool {
+	return letter == '-' || (letter >= 'a' && letter <= 'z') || (letter >= '0' && letter <= '9')
+}
+
+func (s subject) checkHost(host string) {
+	if host == "*" {
+		return
+	}
+	name := strings.TrimPrefix(host, "*.")
+	if len(name) <= maximumHostLength && allLabels(name) {
+		return
+	}
+	hint := `write a host name, "*.suffix" or "*"`
+	switch {
+	case strings.Contains(host, ":"):
+		hint = "leave the port and scheme out"
+	case strings.ToLower(host) != host:
+		hint = "write host names in lower case"
+	}
+	s.report("spec.match.host", fmt.Sprintf("%q is not a host", host), hint)
+}
+
+func allLabels(name string) bool {
+	for label := range strings.SplitSeq(name, ".") {
+		if !isLabel(label) {
+			return false
+		}
+	}
+	return true
+}
+
+// checkPath accepts what can be the path of a request once it is normalized.
+func (s subject) checkPath(field, path string) {
+	reason := ""
+	switch {
+	case !strings.HasPrefix(path, "/"):
+		reason = `it does not start with "/"`
+	case strings.ContainsAny(path, "?#"):
+		reason = "a query or fragment takes no part in matching"
+	case strings.ContainsFunc(path, isNoPathRune):
+		reason = "it holds a space, a control character or one outside of ASCII"
+	case strings.Contains(path, "//"):
+		reason = "it has an empty segment"
+	case hasDotSegment(path):
+		reason = `it has a "." or ".." segment`
+	default:
+		if _, err := url.PathUnescape(path); err != nil {
+			reason = "it has a malformed percent escape"
+		}
+	}
+	if reason != "" {
+		s.report(field, fmt.Sprintf("%q can never match: %s", path, reason), "")
+	}
+}
+
+func isNoPathRune(letter rune) bool { return letter <= ' ' || letter >= 0x7f }
+
+func hasDotSegment(path string) bool {
+	for segment := range strings.SplitSeq(path, "/") {
+		if segment == "." || segment == ".." {
+			return true
+		}
+	}
+	return false
+}
+
+func (s subject) checkPrefixEnd(prefix string) {
+	if prefix != "/" && strings.HasSuffix(prefix, "/") {
+		s.report("spec.match.pathPrefix", `a prefix does not end with "/"`, `a prefix takes the path itself and all paths below it: write `+strings.TrimRight(prefix, "/"))
+	}
+}
+
+func (s subject) checkMethod(field, method string) {
+	switch {
+	case method == "CONNECT":
+		s.report(field, "CONNECT cannot be routed", "")
+	case !isToken(method):
+		s.report(field, fmt.Sprintf("%q is not a method", method), "")
+	case strings.ToUpper(method) != method:
+		s.report(field, fmt.Sprintf("%q is not a method: methods are case-sensitive", method), "write "+strings.ToUpper(method))
+	}
+}
+
+// reservedHeaderPrefix starts the headers that nodes use among themselves.
+const reservedHeaderPrefix = "levertide-"
+
+// refusedHeaders are those that belong to one connection or frame the message,
+// in lower case.
+var refusedHeaders = map[string]struct{}{
+	"connection":          {},
+	"content-length":      {},
+	"expect":              {},
+	"host":                {},
+	"keep-alive":          {},
+	"proxy-authenticate":  {},
+	"proxy-authorization": {},
+	"proxy-connection":    {},
+	"te":                  {},
+	"trailer":             {},
+	"transfer-encoding":   {},
+	"upgrade":             {},
+}
+
+func (s subject) checkHeader(field, header string) {
+	name := strings.ToLower(header)
+	_, refused := refusedHeaders[name]
+	switch {
+	case !isToken(header):
+		s.report(field, fmt.Sprintf("%q is not a header name", header), "")
+	case refused:
+		s.report(field, fmt.Sprintf("%s belongs to one connection and cannot carry a credential", header), "use Authorization or a header of your own")
+	case strings.HasPrefix(name, reservedHeaderPrefix):
+		s.report(field, fmt.Sprintf("%s is reserved: nodes use headers that start with Levertide-", header), "")
+	}
+}
+
+// checkHeaderValue tells nothing of the value.
+func (s subject) checkHeaderValue(field, value string) {
+	if len(value) > s.checker.limits.MaxCredentialBytes {
+		s.report(field, fmt.Sprintf("the secret is too long for a header, the limit is %d bytes", s.checker.limits.MaxCredentialBytes), "")
+	}
+	if !isHeaderValue(value) {
+		s.report(field, "the secret holds a line end or control character, which no header can carry", `write the value after "|-" rather than "|" to leave out the last line end`)
+		return
+	}
+	if strings.TrimSpace(value) != value {
+		s.report(field, "the secret starts or ends with a space, which no header can carry", "")
+	}
+}
+
+// tokenMarks are the bytes of a token, as HTTP defines it, besides letters and digits.
+const tokenMarks = "!#$%&'*+-.^_`|~"
+
+// isToken reports whether the text can be a method or a header name.
+func isToken(text string) bool {
+	for _, letter := range []byte(strings.ToLower(text)) {
+		if !isLabelByte(letter) && strings.IndexByte(tokenMarks, letter) < 0 {
+			return false
+		}
+	}
+	return text != ""
+}
+
+// isHeaderValue reports whether the text holds no control character but tabs.
+func isHeaderValue(text string) bool {
+	for _, letter := range []byte(text) {
+		if letter != '\t' && (letter < ' ' || letter == 0x7f) {
+			return false
+		}
+	}
+	return true
+}
