--- /dev/null
+++ b/internal/control/answer_limiter.go
@@ -0,0 +1,42 @@
+package control
+
+import (
+	"time"
+
+	"golang.org/x/time/rate"
+)
+
+// Bounds of large answers, in bytes. Answers below smallAnswer are always given.
+const (
+	smallAnswer           = 4 << 10
+	largeAnswersPerSecond = 256 << 10
+	largeAnswersBurst     = 1 << 20
+	minimumRetryAfter     = 50 * time.Millisecond
+	maximumRetryAfter     = 2 * time.Second
+)
+
+// answerLimiter spreads the large answers of a storm over time.
+type answerLimiter struct {
+	bytes *rate.Limiter
+}
+
+func newAnswerLimiter() *answerLimiter {
+	return &answerLimiter{
+		bytes: rate.NewLimiter(largeAnswersPerSecond, largeAnswersBurst),
+	}
+}
+
+// admit returns zero when an answer of this size may be given now, and how long
+// to stay away otherwise.
+func (l *answerLimiter) admit(size int) time.Duration {
+	if size < smallAnswer {
+		return 0
+	}
+	reservation := l.bytes.ReserveN(now(), min(size, largeAnswersBurst))
+	delay := reservation.Delay()
+	if delay == 0 {
+		return 0
+	}
+	reservation.Cancel()
+	return min(max(delay, minimumRetryAfter), maximumRetryAfter)
+}
--- /dev/null
+++ b/internal/control/catch_up.go
@@ -0,0 +1,47 @@
+package control
+
+import (
+	"context"
+
+	"github.com/levertide/levertide/internal/controlpb"
+)
+
+// catchUpWith fetches from a child that knows a newer head than this node. It
+// happens where a node without a parent has started again, or cannot reach the
+// store that its child reads.
+func (n *Node) catchUpWith(entry *child, generation uint64) {
+	if !n.upstream.root || n.catchingUp || generation <= n.head().Generation {
+		return
+	}
+	n.catchingUp = true
+	peer := peerOf(&entry.record)
+	request := &controlpb.WatchRequest{HeadGeneration: n.head().Generation}
+	current := n.feed
+	current.describe(request, n.head())
+	n.spawn(func() {
+		ctx, cancel := context.WithTimeout(n.serving, n.config.CallTimeout)
+		defer cancel()
+		answer, err := n.clients.watch(ctx, peer, request)
+		if err == nil {
+			err = checkAnswer(answer)
+		}
+		n.caughtUp(current, answer, err)
+	})
+}
+
+// caughtUp takes in the head and the versions that a child answered with.
+func (n *Node) caughtUp(asked feed, answer *controlpb.WatchResponse, err error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.catchingUp = false
+	if err != nil {
+		return
+	}
+	delivered, err := asked.applyAll(answer.GetDeltas())
+	if err != nil {
+		n.events.PeerRefused("", err.Error())
+		return
+	}
+	n.takeHead(answer.GetHead())
+	n.takeSnapshots(asked.scope, delivered)
+}
--- /dev/null
+++ b/internal/control/clients.go
@@ -0,0 +1,140 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/topology"
+)
+
+// Bounds of the connections to other nodes, in bytes.
+const (
+	clientHeaderTable = 4 << 10
+	clientFrameBytes  = 64 << 10
+)
+
+// peerClients calls other nodes over one connection to each.
+type peerClients struct {
+	scheme    string
+	transport *http.Transport
+	client    *http.Client
+
+	mutex sync.Mutex
+	// recent keeps the client of the address called last, which is the parent's.
+	recent        controlpb.Control
+	recentAddress string
+}
+
+func newPeerClients(config Config) *peerClients {
+	dial := config.Dial
+	if dial == nil {
+		dial = newDialer().DialContext
+	}
+	protocols := &http.Protocols{}
+	scheme := "http"
+	if config.ClientTLS != nil {
+		scheme = "https"
+		protocols.SetHTTP2(true)
+	} else {
+		protocols.SetUnencryptedHTTP2(true)
+	}
+	transport := &http.Transport{
+		DialContext:            config.Traffic.Dial(dial),
+		TLSClientConfig:        cloneTLS(config.ClientTLS),
+		TLSHandshakeTimeout:    DefaultDialTimeout,
+		Protocols:              protocols,
+		DisableCompression:     true,
+		IdleConnTimeout:        idleConnectionTimeout,
+		MaxResponseHeaderBytes: maximumHeaderBytes,
+		HTTP2: &http.HTTP2Config{
+			MaxDecoderHeaderTableSize: clientHeaderTable,
+			MaxEncoderHeaderTableSize: clientHeaderTable,
+			MaxReadFrameSize:          clientFrameBytes,
+			WriteByteTimeout:          config.CallTimeout,
+		},
+	}
+	return &peerClients{
+		scheme:    scheme,
+		transport: transport,
+		client:    &http.Client{Transport: boundedAnswers{transport}},
+	}
+}
+
+func cloneTLS(config *tls.Config) *tls.Config {
+	if config == nil {
+		return nil
+	}
+	return config.Clone()
+}
+
+// newDialer returns a dialer that notices a dead peer within seconds.
+func newDialer() *net.Dialer {
+	return &net.Dialer{
+		Timeout: DefaultDialTimeout,
+		KeepAliveConfig: net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     dialKeepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    dialKeepAliveCount,
+		},
+	}
+}
+
+// at returns the client of a peer's address.
+func (p *peerClients) at(address string) controlpb.Control {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	if p.recentAddress != address {
+		p.recent = controlpb.NewControlProtobufClient(p.scheme+"://"+address, p.client)
+		p.recentAddress = address
+	}
+	return p.recent
+}
+
+// forget drops connections that nothing waits on, so that the next call to a
+// peer that failed opens a new one.
+func (p *peerClients) forget(string) { p.transport.CloseIdleConnections() }
+
+func (p *peerClients) close() { p.transport.CloseIdleConnections() }
+
+func (p *peerClients) watch(ctx context.Context, peer topology.Peer, request *controlpb.WatchRequest) (*controlpb.WatchResponse, error) {
+	return p.at(peer.ControlAddress).Watch(ctx, request)
+}
+
+func (p *peerClients) report(ctx context.Context, peer topology.Peer, request *controlpb.ReportRequest) (*controlpb.ReportResponse, error) {
+	return p.at(peer.ControlAddress).Report(ctx, request)
+}
+
+func (p *peerClients) floor(ctx context.Context, peer topology.Peer, request *controlpb.FloorRequest) (*controlpb.FloorResponse, error) {
+	return p.other(peer.ControlAddress).Floor(ctx, request)
+}
+
+func (p *peerClients) status(ctx context.Context, peer topology.Peer, request *controlpb.StatusRequest) (*controlpb.StatusResponse, error) {
+	return p.other(peer.ControlAddress).Status(ctx, request)
+}
+
+func (p *peerClients) members(ctx context.Context, address string, request *controlpb.MembersRequest) (*controlpb.MembersResponse, error) {
+	return p.other(address).Members(ctx, request)
+}
+
+// other returns a client without taking the place of the parent's.
+func (p *peerClients) other(address string) controlpb.Control {
+	return controlpb.NewControlProtobufClient(p.scheme+"://"+address, p.client)
+}
+
+// boundedAnswers refuses answers that are larger than any node sends.
+type boundedAnswers struct{ next http.RoundTripper }
+
+// RoundTrip implements http.RoundTripper.
+func (b boundedAnswers) RoundTrip(request *http.Request) (*http.Response, error) {
+	response, err := b.next.RoundTrip(request)
+	if err != nil {
+		return nil, err
+	}
+	response.Body = http.MaxBytesReader(nil, response.Body, maximumAnswerBytes)
+	return response, nil
+}
--- /dev/null
+++ b/internal/control/config.go
@@ -0,0 +1,147 @@
+package control
+
+import (
+	"context"
+	"crypto/tls"
+	"net"
+	"time"
+
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/snapshot"
+	"github.com/levertide/levertide/pkg/store"
+)
+
+// Defaults of the times in Config.
+const (
+	DefaultHold             = 3 * time.Second
+	DefaultSilentBound      = 2 * time.Second
+	DefaultLossBound        = 2 * time.Second
+	DefaultSubtreeLossBound = 5 * time.Second
+	DefaultSuspectBound     = 5 * time.Second
+	DefaultCallTimeout      = 2 * time.Second
+	DefaultDialTimeout      = time.Second
+	DefaultReaderLeaseTTL   = 10 * time.Second
+	DefaultFanOut           = 6
+)
+
+// DialFunc opens a connection, as net.Dialer.DialContext does.
+type DialFunc func(ctx context.Context, network, address string) (net.Conn, error)
+
+// Config is what a Node is made of. Self.ID, Self.Region, Self.Zone,
+// Self.ControlAddress and Listener are required; the zero value of everything
+// else has a documented meaning.
+type Config struct {
+	// Self is the node's own member record. A zero Incarnation is replaced by
+	// the wall clock in nanoseconds. State, Attachment and Reader are the
+	// engine's to set.
+	Self membership.Record
+	// Gateway makes the node hold every resource. It is implied by an empty Self.Service.
+	Gateway bool
+	// Seeds are control addresses (IP:port) that are asked for members first.
+	Seeds []string
+
+	// FanOut is how many children a relay inside a zone has; zero means DefaultFanOut.
+	FanOut int
+	// Hold is how long a parent may hold back the answer to a poll.
+	Hold time.Duration
+	// SilentBound is how long a silent node holds up a commit.
+	SilentBound time.Duration
+	// LossBound is how long a child may be unheard of before its parent calls it lost.
+	LossBound time.Duration
+	// SubtreeLossBound is the same for nodes that were learned through a lost child.
+	SubtreeLossBound time.Duration
+	// SuspectBound is how long a peer that did not answer stays out of the plan.
+	SuspectBound time.Duration
+	// CallTimeout bounds one call to a peer, the hold not counted.
+	CallTimeout time.Duration
+	// ReaderLeaseTTL is how long a reader's lease outlives its holder.
+	ReaderLeaseTTL time.Duration
+
+	// Listener takes the connections of other nodes. It must be a loopback
+	// listener unless TLS is set.
+	Listener net.Listener
+	// TLS is the server's side of mutual TLS; nil means plain connections.
+	TLS *tls.Config
+	// ClientTLS is the client's side; it is set exactly when TLS is.
+	ClientTLS *tls.Config
+	// VerifyPeer, when set, checks the identity shown by a client on each request.
+	VerifyPeer func(*tls.ConnectionState) error
+	// Dial opens connections to other nodes; nil means a plain dialer with TCP keepalive.
+	Dial DialFunc
+
+	// Store is the platform's key-value service; nil makes the node never read it.
+	Store store.Store
+	// Machines is the platform's list of machines; nil leaves it out.
+	Machines store.MachineList
+	// Validate is asked before a version is staged; an error refuses it.
+	Validate func(*snapshot.Snapshot) error
+	// Events is told what happens; nil means NoEvents.
+	Events Events
+	// Traffic counts control bytes; nil makes the node keep its own.
+	Traffic *Traffic
+	// Shared holds caches that nodes of one process have in common; nil makes
+	// the node keep its own.
+	Shared *Shared
+}
+
+// withDefaults returns the configuration with every default filled in.
+func (c Config) withDefaults() Config {
+	setDefault(&c.FanOut, DefaultFanOut)
+	setDefault(&c.Hold, DefaultHold)
+	setDefault(&c.SilentBound, DefaultSilentBound)
+	setDefault(&c.LossBound, DefaultLossBound)
+	setDefault(&c.SubtreeLossBound, DefaultSubtreeLossBound)
+	setDefault(&c.SuspectBound, DefaultSuspectBound)
+	setDefault(&c.CallTimeout, DefaultCallTimeout)
+	setDefault(&c.ReaderLeaseTTL, DefaultReaderLeaseTTL)
+	if c.Self.Incarnation == 0 {
+		c.Self.Incarnation = uint64(time.Now().UnixNano())
+	}
+	if c.Self.Service == "" {
+		c.Gateway = true
+	}
+	if c.Events == nil {
+		c.Events = NoEvents{}
+	}
+	if c.Traffic == nil {
+		c.Traffic = NewTraffic()
+	}
+	if c.Shared == nil {
+		c.Shared = NewShared()
+	}
+	return c
+}
+
+func setDefault[T comparable](value *T, fallback T) {
+	var zero T
+	if *value == zero {
+		*value = fallback
+	}
+}
+
+// check returns ErrConfig when the configuration cannot work.
+func (c Config) check() error {
+	switch {
+	case c.Self.ID == "":
+		return ErrConfig.New("the node has no identifier")
+	case c.Self.Zone == "" || c.Self.Region == "":
+		return ErrConfig.New("the node has no zone or no region")
+	case c.Self.ControlAddress == "":
+		return ErrConfig.New("the node has no control address")
+	case c.Listener == nil:
+		return ErrConfig.New("the node has no listener")
+	case (c.TLS == nil) != (c.ClientTLS == nil):
+		return ErrConfig.New("TLS is set on one side only")
+	case c.TLS == nil && !isLoopback(c.Listener.Addr()):
+		return ErrConfig.New("without TLS the listener must be on a loopback address, not on %s", c.Listener.Addr())
+	}
+	return nil
+}
+
+func isLoopback(address net.Addr) bool {
+	tcp, ok := address.(*net.TCPAddr)
+	if !ok {
+		return true
+	}
+	return tcp.IP.IsLoopback()
+}
--- /dev/null
+++ b/internal/control/coordinator_loop.go
@@ -0,0 +1,163 @@
+package control
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/versionstore"
+)
+
+// decideTimeout bounds one commit or abort, reading back included.
+const decideTimeout = 20 * time.Second
+
+// unloadableAttempts is how often a proposed version may turn out to be broken
+// in the store before it is aborted for that.
+const unloadableAttempts = 3
+
+// coordinatorState is the deciding side; machine is nil unless this node coordinates.
+type coordinatorState struct {
+	machine  *rollout.Coordinator
+	deciding bool
+	retryAt  time.Time
+	pauses   backoff
+	// broken is a version that could not be loaded, and why.
+	broken   rollout.Version
+	failures int
+	reason   string
+}
+
+// noteUnloadable counts a version that the store holds in a broken form.
+func (c *coordinatorState) noteUnloadable(version rollout.Version, err error) {
+	if !unloadable(err) {
+		return
+	}
+	if c.broken != version {
+		c.broken, c.failures = version, 0
+	}
+	c.failures++
+	c.reason = err.Error()
+}
+
+// coordinates reports whether this node decides: it reads the store and
+// reaches no reader that comes before it.
+func (n *Node) coordinates() bool {
+	return n.self.Reader && n.upstream.root
+}
+
+// coordinate decides about the proposed version if there is anything to
+// decide. It returns when to look again.
+func (n *Node) coordinate(ctx context.Context, at time.Time) time.Time {
+	state := &n.coordinator
+	if !n.coordinates() {
+		state.machine = nil
+		return time.Time{}
+	}
+	n.observeForDecision(at)
+	if state.deciding || n.storeState.regressed {
+		return time.Time{}
+	}
+	if at.Before(state.retryAt) {
+		return state.retryAt
+	}
+	return n.carryOutDecision(ctx, n.decide(at))
+}
+
+// observeForDecision gives the coordinator all that it decides upon.
+func (n *Node) observeForDecision(at time.Time) {
+	state := &n.coordinator
+	if state.machine == nil {
+		state.machine = rollout.NewCoordinator(rollout.CoordinatorOptions{SilentBound: n.config.SilentBound})
+		state.pauses = backoff{base: storeBackoffBase, ceiling: storeBackoffCeiling}
+	}
+	if known := n.participant.State(); known.HeadKnown {
+		state.machine.ObserveHead(known.Head, at)
+	}
+	state.machine.ObserveMembers(n.table.LiveSum(), at)
+	state.machine.ObserveReadiness(n.subtreeReadiness(), at)
+}
+
+// decide returns the decision about the proposed version. A coordinator that
+// has not staged the version itself commits nothing.
+func (n *Node) decide(at time.Time) rollout.Decision {
+	head := n.head()
+	if head.Proposed != 0 && n.coordinator.broken == head.Proposed && n.coordinator.failures >= unloadableAttempts {
+		return n.abortBroken(head, at)
+	}
+	decision := n.coordinator.machine.Decide(at)
+	commit, commits := decision.(rollout.CommitVersion)
+	if !commits {
+		return decision
+	}
+	staged := n.participant.State().Staged
+	if staged == nil || staged.Version() != commit.Version {
+		return rollout.Wait{Until: at.Add(storeBackoffBase)}
+	}
+	return decision
+}
+
+func (n *Node) abortBroken(head rollout.Head, at time.Time) rollout.Decision {
+	return rollout.AbortVersion{
+		Version: head.Proposed,
+		Rejection: rollout.Rejection{
+			Version: head.Proposed,
+			ApplyID: head.ApplyID,
+			Node:    n.self.ID,
+			Reason:  n.coordinator.reason,
+			At:      at,
+		},
+	}
+}
+
+func (n *Node) carryOutDecision(ctx context.Context, decision rollout.Decision) time.Time {
+	switch decision := decision.(type) {
+	case rollout.Wait:
+		return decision.Until
+	case rollout.CommitVersion:
+		n.startDecision(ctx, func(ctx context.Context) (rollout.Head, error) {
+			return n.versions.Commit(ctx, decision.Version, decision.ApplyID)
+		}, func() { n.events.VersionCommitted(decision.Version, decision.Silent) })
+	case rollout.AbortVersion:
+		n.startDecision(ctx, func(ctx context.Context) (rollout.Head, error) {
+			return n.versions.Abort(ctx, decision.Version, decision.Rejection)
+		}, func() {
+			n.events.VersionAborted(decision.Version, decision.Rejection.Node, decision.Rejection.Reason)
+		})
+	}
+	return time.Time{}
+}
+
+// startDecision writes a decision without holding the lock. The write is one
+// compare-and-swap: another coordinator that was quicker makes it a conflict.
+func (n *Node) startDecision(ctx context.Context, write func(context.Context) (rollout.Head, error), done func()) {
+	n.coordinator.deciding = true
+	n.spawn(func() {
+		ctx, cancel := context.WithTimeout(ctx, decideTimeout)
+		defer cancel()
+		head, err := write(ctx)
+		n.noteStore(err)
+		n.decided(head, err, done)
+	})
+}
+
+func (n *Node) decided(head rollout.Head, err error, done func()) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	defer n.kick()
+	state := &n.coordinator
+	state.deciding = false
+	if err == nil {
+		state.pauses.reset()
+		done()
+		n.observeHead(head)
+		return
+	}
+	if errorx.IsOfType(err, versionstore.ErrConflict) {
+		if current, found := versionstore.CurrentHead(err); found {
+			n.observeHead(current)
+		}
+	}
+	state.retryAt = now().Add(storeBackoffBase/2 + state.pauses.next())
+}
--- /dev/null
+++ b/internal/control/loop.go
@@ -0,0 +1,132 @@
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// idleStep is how often the loop looks at the state when nothing happens.
+const idleStep = 10 * time.Second
+
+// minimumStep keeps the loop from spinning on a deadline that has just passed.
+const minimumStep = time.Millisecond
+
+// Serve runs the node until the context ends. It may be called once.
+func (n *Node) Serve(ctx context.Context) error {
+	if !n.started.CompareAndSwap(false, true) {
+		return ErrConfig.New("a node can be served once only")
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.mutex.Lock()
+	n.serving = ctx
+	n.mutex.Unlock()
+
+	var parts sync.WaitGroup
+	parts.Go(func() { n.runLoop(ctx) })
+	parts.Go(func() {
+		n.bootstrap(ctx)
+		n.runUpstream(ctx)
+	})
+	parts.Go(func() { n.runFloor(ctx) })
+	if n.versions != nil {
+		parts.Go(func() { n.runReader(ctx) })
+	}
+	err := n.serveControl(ctx)
+	cancel()
+	parts.Wait()
+	n.stopSpawning()
+	n.background.Wait()
+	n.clients.close()
+	if ctx.Err() != nil && err == nil {
+		return context.Cause(ctx)
+	}
+	return err
+}
+
+// runLoop does what is due, and otherwise waits.
+func (n *Node) runLoop(ctx context.Context) {
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-n.loop:
+		case <-timer.C:
+		}
+		at := now()
+		next := n.step(ctx, at)
+		timer.Reset(pauseUntil(next, at))
+	}
+}
+
+func pauseUntil(next, at time.Time) time.Duration {
+	if next.IsZero() {
+		return idleStep
+	}
+	return min(max(next.Sub(at), minimumStep), idleStep)
+}
+
+// step does everything that is due and returns when something is due next.
+func (n *Node) step(ctx context.Context, at time.Time) time.Time {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if !n.bootstrapped {
+		return time.Time{}
+	}
+	next := n.plan.forgive(at)
+	n.replan(at)
+	next = sooner(next, n.plan.dueAt)
+	next = sooner(next, n.expireChildren(at))
+	next = sooner(next, n.expireStrangers(at))
+	n.table.purge(at)
+	n.publishDirectory(at)
+	next = sooner(next, n.table.flushAt)
+	next = sooner(next, n.coordinate(ctx, at))
+	next = sooner(next, n.report(ctx, at))
+	next = sooner(next, n.switchParent(at))
+	if n.upstream.root {
+		n.noteInForce()
+	}
+	n.updateRole()
+	return next
+}
+
+// switchParent ends the poll under way when it is time to move to a better parent.
+func (n *Node) switchParent(at time.Time) time.Time {
+	if n.plan.switchAt.IsZero() || at.Before(n.plan.switchAt) {
+		return n.plan.switchAt
+	}
+	n.upstream.interrupt()
+	return time.Time{}
+}
+
+// spawn runs a short call beside the loop. The lock is held by the caller; a
+// node that has stopped starts nothing more.
+func (n *Node) spawn(call func()) {
+	if n.stopped {
+		return
+	}
+	n.background.Go(call)
+}
+
+func (n *Node) stopSpawning() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.stopped = true
+}
+
+// plain returns the text of an error without its type.
+func plain(err error) string {
+	if err == nil {
+		return ""
+	}
+	if typed := errorx.Cast(err); typed != nil {
+		return typed.Message()
+	}
+	return err.Error()
+}
--- /dev/null
+++ b/internal/control/members_server.go
@@ -0,0 +1,50 @@
+package control
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/membership"
+)
+
+// Members answers a starting node with the members it needs to find a parent.
+func (r rpc) Members(_ context.Context, request *controlpb.MembersRequest) (*controlpb.MembersResponse, error) {
+	if self := request.GetSelf(); self != nil {
+		if err := checkMember(self); err != nil {
+			return nil, twirp.InvalidArgument.Error(err.Error())
+		}
+		r.node.takeStranger(memberRecord(self))
+	}
+	plain, packed, err := packMembers(r.node.membersFor(request))
+	if err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	return &controlpb.MembersResponse{Members: plain, Packed: packed}, nil
+}
+
+// takeStranger takes in a root of another tree.
+func (n *Node) takeStranger(record membership.Record) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.plan.trust(record.ID)
+	n.mergeBelow(now(), record)
+}
+
+// membersFor lists the members of the asker's zone, the first ones of every
+// other zone, the readers and this node itself.
+func (n *Node) membersFor(request *controlpb.MembersRequest) []membership.Record {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	leaders := n.zoneLeaders()
+	var records []membership.Record
+	for _, record := range n.table.View().Live() {
+		inZone := record.Zone == request.GetZone() && record.Region == request.GetRegion()
+		_, leads := leaders[record.ID]
+		if inZone || leads || record.Reader || record.ID == n.self.ID {
+			records = append(records, *record)
+		}
+	}
+	return records
+}
--- /dev/null
+++ b/internal/control/next_flight.go
@@ -0,0 +1,64 @@
+package control
+
+import (
+	"context"
+	"sync"
+)
+
+// nextFlight lets all who ask while a call is under way share the next call,
+// so that the answer each gets was asked for after its own request began.
+type nextFlight[Value any] struct {
+	mutex   sync.Mutex
+	running bool
+	waiting *sharedCall[Value]
+}
+
+// sharedCall is one call with the answer that all its askers get.
+type sharedCall[Value any] struct {
+	done  chan struct{}
+	value Value
+	err   error
+}
+
+// do returns the answer of a call that begins after do does. The call itself
+// is not bound to the context of any one asker.
+func (f *nextFlight[Value]) do(ctx context.Context, call func() (Value, error)) (Value, error) {
+	joined := f.join(call)
+	select {
+	case <-joined.done:
+		return joined.value, joined.err
+	case <-ctx.Done():
+		var none Value
+		return none, ctx.Err()
+	}
+}
+
+func (f *nextFlight[Value]) join(call func() (Value, error)) *sharedCall[Value] {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.waiting == nil {
+		f.waiting = &sharedCall[Value]{done: make(chan struct{})}
+	}
+	joined := f.waiting
+	if !f.running {
+		f.running = true
+		go f.run(call)
+	}
+	return joined
+}
+
+// run makes calls until nobody waits for another one.
+func (f *nextFlight[Value]) run(call func() (Value, error)) {
+	for {
+		f.mutex.Lock()
+		next := f.waiting
+		f.waiting = nil
+		f.running = next != nil
+		f.mutex.Unlock()
+		if next == nil {
+			return
+		}
+		next.value, next.err = call()
+		close(next.done)
+	}
+}
--- /dev/null
+++ b/internal/control/plan.go
@@ -0,0 +1,273 @@
+package control
+
+import (
+	"iter"
+	"time"
+
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/snapshot"
+	"github.com/levertide/levertide/pkg/topology"
+)
+
+// Times of planning.
+const (
+	// planPause is how long changes gather before the plan is made again.
+	planPause = 150 * time.Millisecond
+	// switchPause spreads nodes that move to a better parent.
+	switchPause = time.Second
+	// maximumSuspectDoublings bounds how much longer a peer stays out of the
+	// plan that failed again and again.
+	maximumSuspectDoublings = 4
+	// scopeRetention is how long a former relay keeps the whole configuration.
+	scopeRetention = 30 * time.Second
+	// suspectMemory is how long failures of a peer count together.
+	suspectMemory = 2 * time.Minute
+)
+
+// suspicion keeps a peer out of this node's plan, and of no other node's.
+type suspicion struct {
+	until    time.Time
+	failures int
+}
+
+// plan is the node's place in the tree and what it was worked out from.
+type plan struct {
+	assignment topology.Assignment
+	made       bool
+	madeAt     time.Time
+	// dueAt is when the plan is to be made again; zero when nothing changed.
+	dueAt time.Time
+	// switchAt is when the node moves to its preferred parent; zero when it is there.
+	switchAt time.Time
+	suspects map[string]suspicion
+	// hints are peers that the platform's list named and no node has confirmed.
+	hints map[string]topology.Peer
+	// wholeUntil is when a node that is no longer a relay narrows its scope.
+	wholeUntil time.Time
+
+	leaders     map[string]struct{}
+	leadersView *membership.View
+}
+
+func newPlan() plan {
+	return plan{
+		assignment: topology.Assignment{ApexIndex: topology.NotInApex},
+		suspects:   make(map[string]suspicion),
+		hints:      make(map[string]topology.Peer),
+	}
+}
+
+// invalidate asks for a new plan after a pause.
+func (p *plan) invalidate(at time.Time) {
+	if p.dueAt.IsZero() {
+		p.dueAt = at.Add(planPause)
+	}
+}
+
+// suspect keeps a peer out of the plan for a while, longer each time.
+func (p *plan) suspect(id string, at time.Time, bound time.Duration) {
+	held := p.suspects[id]
+	if at.Sub(held.until) > suspectMemory {
+		held.failures = 0
+	}
+	held.until = at.Add(bound << min(held.failures, maximumSuspectDoublings))
+	held.failures++
+	p.suspects[id] = held
+	delete(p.hints, id)
+	p.dueAt = at
+}
+
+// trust takes back a suspicion after the peer has answered.
+func (p *plan) trust(id string) { delete(p.suspects, id) }
+
+// suspected reports whether a peer is out of the plan now.
+func (p *plan) suspected(id string, at time.Time) bool {
+	held, found := p.suspects[id]
+	return found && at.Before(held.until)
+}
+
+// forgive returns when the next suspicion ends, and asks for a new plan when
+// one has ended.
+func (p *plan) forgive(at time.Time) (next time.Time) {
+	for id, held := range p.suspects {
+		if at.Before(held.until) {
+			next = sooner(next, held.until)
+			continue
+		}
+		if at.Sub(held.until) > suspectMemory {
+			delete(p.suspects, id)
+		}
+		if held.until.After(p.madeAt) {
+			p.invalidate(at)
+		}
+	}
+	return next
+}
+
+// peers yields every member that may have a place in the tree.
+func (n *Node) peers(at time.Time) iter.Seq[topology.Peer] {
+	return func(yield func(topology.Peer) bool) {
+		self := n.self
+		if !yield(peerOf(&self)) {
+			return
+		}
+		for _, record := range n.table.View().Live() {
+			if record.ID == n.self.ID || n.plan.suspected(record.ID, at) {
+				continue
+			}
+			if !yield(peerOf(record)) {
+				return
+			}
+		}
+		for id, hint := range n.plan.hints {
+			if _, known := n.table.Get(id); known {
+				continue
+			}
+			if !yield(hint) {
+				return
+			}
+		}
+	}
+}
+
+func peerOf(record *membership.Record) topology.Peer {
+	return topology.Peer{
+		ID:             record.ID,
+		Region:         record.Region,
+		Zone:           record.Zone,
+		ControlAddress: record.ControlAddress,
+		Reader:         record.Reader,
+	}
+}
+
+// replan makes the plan again if that is due.
+func (n *Node) replan(at time.Time) {
+	if n.plan.made && (n.plan.dueAt.IsZero() || at.Before(n.plan.dueAt)) {
+		return
+	}
+	n.plan.made, n.plan.madeAt = true, at
+	n.plan.dueAt = time.Time{}
+	options := topology.Options{FanOut: n.config.FanOut}
+	n.plan.assignment = topology.PlanSeq(n.self.ID, n.peers(at), options)
+	if n.self.State == membership.StateLeaving {
+		n.planAsLeaving(at)
+	}
+	n.updateScope(at)
+	n.updateRole()
+	n.scheduleSwitch(at)
+	n.reader.candidate(n.plan.assignment.ReaderCandidate)
+}
+
+// planAsLeaving gives up every part but that of a leaf. Others no longer plan
+// with this node, so any other member of its zone may be its parent.
+func (n *Node) planAsLeaving(at time.Time) {
+	assignment := &n.plan.assignment
+	assignment.ReaderCandidate = false
+	if len(assignment.Parents) > 0 {
+		return
+	}
+	for peer := range n.peers(at) {
+		if peer.ID != n.self.ID && len(assignment.Parents) < topology.MaxParents {
+			assignment.Parents = append(assignment.Parents, peer)
+		}
+	}
+}
+
+// updateScope widens the scope of a relay at once, and narrows that of a
+// former relay after a while.
+func (n *Node) updateScope(at time.Time) {
+	if n.needsWhole() {
+		n.plan.wholeUntil = at.Add(scopeRetention)
+	}
+	wanted := n.ownScope()
+	if at.Before(n.plan.wholeUntil) {
+		wanted = snapshot.Scope{All: true}
+	}
+	if n.feed.scope == wanted {
+		return
+	}
+	n.feed = n.feed.inScope(wanted, n.shared, n.head().Committed, n.head().Proposed)
+	n.upstream.cursor = nil
+	n.upstream.interrupt()
+}
+
+// needsWhole reports whether others may pull from this node.
+func (n *Node) needsWhole() bool {
+	assignment := n.plan.assignment
+	return assignment.FullScope || assignment.ReaderCandidate || n.self.Reader || len(n.children.byID) > 0
+}
+
+// ownScope is what the node's own worker needs.
+func (n *Node) ownScope() snapshot.Scope {
+	if n.config.Gateway {
+		return snapshot.Scope{All: true}
+	}
+	return snapshot.Scope{Service: n.config.Self.Service}
+}
+
+// scheduleSwitch decides when the node moves to the parent that it prefers.
+func (n *Node) scheduleSwitch(at time.Time) {
+	parents := n.plan.assignment.Parents
+	current := n.upstream.parent.ID
+	switch {
+	case len(parents) == 0:
+		n.plan.switchAt = time.Time{}
+		if current != "" {
+			n.upstream.interrupt()
+		}
+	case parents[0].ID == current:
+		n.plan.switchAt = time.Time{}
+	case current == "":
+		n.upstream.interrupt()
+	case !planned(parents, current):
+		n.plan.switchAt = at
+	case n.plan.switchAt.IsZero():
+		n.plan.switchAt = at.Add(switchPause/4 + upTo(switchPause))
+	}
+}
+
+func planned(parents []topology.Peer, id string) bool {
+	for _, parent := range parents {
+		if parent.ID == id {
+			return true
+		}
+	}
+	return false
+}
+
+// chooseParent returns the parent to pull from now, if there is any.
+func (n *Node) chooseParent(at time.Time) (topology.Peer, bool) {
+	n.replan(at)
+	parents := n.plan.assignment.Parents
+	if len(parents) == 0 {
+		return topology.Peer{}, false
+	}
+	staying := !n.plan.switchAt.IsZero() && at.Before(n.plan.switchAt)
+	if staying {
+		for _, parent := range parents {
+			if parent.ID == n.upstream.parent.ID {
+				return parent, true
+			}
+		}
+	}
+	n.plan.switchAt = time.Time{}
+	return parents[0], true
+}
+
+// updateRole tells what part the node has now.
+func (n *Node) updateRole() {
+	role := RoleLeaf
+	switch {
+	case n.coordinates():
+		role = RoleCoordinator
+	case n.self.Reader:
+		role = RoleReader
+	case n.plan.assignment.FullScope || len(n.children.byID) > 0:
+		role = RoleRelay
+	}
+	if role == n.traffic.Role() {
+		return
+	}
+	n.traffic.SetRole(role)
+	n.events.RoleChanged(role)
+}
--- /dev/null
+++ b/internal/control/reader.go
@@ -0,0 +1,382 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/lease"
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/store/ratelimit"
+	"github.com/levertide/levertide/pkg/topology"
+	"github.com/levertide/levertide/pkg/versionstore"
+)
+
+// Times of reading the store.
+const (
+	// headWait is how long one blocking read of the head lasts.
+	headWait = 30 * time.Second
+	// headGrace is how much longer its answer may take.
+	headGrace = 5 * time.Second
+	// parentPatience is how long a reader waits for its parent to send a
+	// version before it loads the version from the store itself.
+	parentPatience = 300 * time.Millisecond
+	// loadTimeout bounds loading one version.
+	loadTimeout         = 15 * time.Second
+	storeBackoffBase    = 200 * time.Millisecond
+	storeBackoffCeiling = 3 * time.Second
+	leaseBackoffBase    = 500 * time.Millisecond
+	leaseBackoffCeiling = 5 * time.Second
+	leaseTimeout        = 3 * time.Second
+)
+
+// readerLeasePrefix goes before the number of the slot in the keys of leases.
+const readerLeasePrefix = versionstore.DefaultPrefix + "reader/"
+
+// noSlot stands for a reader without a lease.
+const noSlot = -1
+
+// readerState tells whether the node is to read the store.
+type readerState struct {
+	wanted  bool
+	slot    int
+	changed broadcast
+}
+
+// candidate says whether the node is to try for a lease.
+func (r *readerState) candidate(wanted bool) {
+	if r.wanted == wanted {
+		return
+	}
+	r.wanted = wanted
+	r.changed.wake()
+}
+
+// readerHolder is what a reader leaves at its lease.
+type readerHolder struct {
+	Node           string `json:"node"`
+	ControlAddress string `json:"controlAddress"`
+}
+
+// openStore prepares reading the platform's store.
+func (n *Node) openStore() {
+	if n.config.Store == nil {
+		return
+	}
+	limiter := ratelimit.New(n.config.Store, ratelimit.Options{})
+	n.versions = versionstore.New(versionstore.Config{Store: limiter.Normal()})
+	n.lessor = lease.New(lease.Options{
+		Store: limiter.Normal(),
+		Name:  "levertide reader " + n.config.Self.ID,
+		TTL:   n.config.ReaderLeaseTTL,
+	})
+}
+
+// runReader reads the store as long as the node is a candidate and holds a lease.
+func (n *Node) runReader(ctx context.Context) {
+	pauses := backoff{base: leaseBackoffBase, ceiling: leaseBackoffCeiling}
+	for ctx.Err() == nil {
+		changed := n.reader.changed.wait()
+		if !n.readerWanted() {
+			waitFor(ctx, changed, headWait)
+			continue
+		}
+		held, err := n.acquireReader(ctx)
+		if err != nil {
+			waitFor(ctx, changed, leaseBackoffBase/2+pauses.next())
+			continue
+		}
+		pauses.reset()
+		n.readAs(ctx, held)
+	}
+}
+
+// waitFor returns when the channel is closed, the time has gone by, or the
+// context has ended.
+func waitFor(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
+	timer := time.NewTimer(limit)
+	defer timer.Stop()
+	select {
+	case <-changed:
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
+
+func (n *Node) readerWanted() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.reader.wanted
+}
+
+// tenure is the right to read the store. Without a lease it lasts until the
+// next attempt to get one.
+type tenure struct {
+	lease lease.Lease
+	slot  int
+}
+
+// acquireReader tries the slots in turn, the one of the node's place first.
+func (n *Node) acquireReader(ctx context.Context) (tenure, error) {
+	value, err := json.Marshal(readerHolder{Node: n.ID(), ControlAddress: n.config.Self.ControlAddress})
+	if err != nil {
+		return tenure{}, ErrMalformed.Wrap(err, "the name of the reader cannot be encoded")
+	}
+	first := n.preferredSlot()
+	absent := 0
+	for offset := range topology.DefaultReaders {
+		slot := (first + offset) % topology.DefaultReaders
+		held, err := n.tryLease(ctx, slot, value)
+		if err == nil {
+			return tenure{lease: held, slot: slot}, nil
+		}
+		if !errorx.IsOfType(err, lease.ErrLeaseHeld) {
+			n.noteStore(err)
+			return tenure{}, err
+		}
+		n.noteStore(nil)
+		if n.holderAbsent(ctx, slot) {
+			absent++
+		}
+	}
+	if absent == topology.DefaultReaders {
+		return tenure{slot: noSlot}, nil
+	}
+	return tenure{}, lease.ErrLeaseHeld.New("all readers' leases are held")
+}
+
+func (n *Node) preferredSlot() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return max(n.plan.assignment.ApexIndex, 0) % topology.DefaultReaders
+}
+
+func (n *Node) tryLease(ctx context.Context, slot int, value []byte) (lease.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	return n.lessor.TryAcquire(ctx, leaseKey(slot), value)
+}
+
+func leaseKey(slot int) string { return fmt.Sprintf("%s%d", readerLeasePrefix, slot) }
+
+// holderAbsent reports whether the holder of a slot is gone, so that its lease
+// will lapse. A live holder that is not known here becomes known.
+func (n *Node) holderAbsent(ctx context.Context, slot int) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	found, err := n.lessor.Holder(ctx, leaseKey(slot))
+	if err != nil {
+		return false
+	}
+	var holder readerHolder
+	if json.Unmarshal(found.Value, &holder) != nil {
+		return false
+	}
+	if n.memberPresent(holder.Node) {
+		return false
+	}
+	return !n.askMembers(ctx, holder.ControlAddress)
+}
+
+func (n *Node) memberPresent(id string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	record, found := n.table.Get(id)
+	return found && record.State == membership.StateLive && !n.plan.suspected(id, now())
+}
+
+// readAs watches the head until the lease is lost or no longer wanted.
+func (n *Node) readAs(ctx context.Context, held tenure) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	n.beginReading(held.slot)
+	defer n.endReading(ctx, held)
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		defer cancel()
+		n.awaitEndOfTenure(ctx, held)
+	}()
+	n.watchHead(ctx)
+	cancel()
+	<-ended
+}
+
+// awaitEndOfTenure returns when reading has to stop.
+func (n *Node) awaitEndOfTenure(ctx context.Context, held tenure) {
+	var lost <-chan struct{}
+	var again <-chan time.Time
+	if held.lease != nil {
+		lost = held.lease.Lost()
+	} else {
+		timer := time.NewTimer(leaseBackoffCeiling)
+		defer timer.Stop()
+		again = timer.C
+	}
+	for {
+		changed := n.reader.changed.wait()
+		if !n.readerWanted() {
+			return
+		}
+		select {
+		case <-ctx.Done():
+			return
+		case <-lost:
+			return
+		case <-again:
+			return
+		case <-changed:
+		}
+	}
+}
+
+func (n *Node) beginReading(slot int) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.reader.slot = slot
+	n.setReader(true)
+	n.events.ReaderLeaseAcquired(slot)
+}
+
+func (n *Node) endReading(ctx context.Context, held tenure) {
+	n.mutex.Lock()
+	n.setReader(false)
+	n.events.ReaderLeaseLost(held.slot)
+	n.mutex.Unlock()
+	if held.lease == nil {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.WithoutCancel(ctx), leaseTimeout)
+	defer cancel()
+	if err := held.lease.Release(ctx); err != nil && !errorx.IsOfType(err, lease.ErrLeaseLost) {
+		n.noteStore(err)
+	}
+}
+
+// setReader tells all others whether this node reads the store.
+func (n *Node) setReader(reads bool) {
+	if n.self.Reader == reads {
+		return
+	}
+	n.self.Reader = reads
+	n.reattach()
+	n.plan.dueAt = now()
+	n.updateRole()
+	n.kick()
+}
+
+// reattach makes the node known again under a higher attachment number.
+func (n *Node) reattach() {
+	n.self.Attachment++
+	n.reports.knownSent = false
+	n.announceSelf()
+	n.upstream.interrupt()
+}
+
+// watchHead reads the head again and again, each time as soon as it changes.
+func (n *Node) watchHead(ctx context.Context) {
+	pauses := backoff{base: storeBackoffBase, ceiling: storeBackoffCeiling}
+	var index uint64
+	for ctx.Err() == nil {
+		head, next, err := n.readHead(ctx, index)
+		if ctx.Err() != nil {
+			return
+		}
+		n.noteStore(err)
+		if err == nil {
+			index = next
+			n.takeStoreHead(head)
+			err = n.loadMissing(ctx)
+		}
+		if err != nil {
+			sleep(ctx, storeBackoffBase/2+pauses.next())
+			continue
+		}
+		pauses.reset()
+	}
+}
+
+func (n *Node) readHead(ctx context.Context, index uint64) (rollout.Head, uint64, error) {
+	ctx, cancel := context.WithTimeout(ctx, headWait+headGrace)
+	defer cancel()
+	if index == 0 {
+		return n.versions.ReadHead(ctx, true)
+	}
+	return n.versions.WatchHead(ctx, index, headWait)
+}
+
+func (n *Node) takeStoreHead(head rollout.Head) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.observeHead(head)
+}
+
+// loadMissing loads the versions that the head names and the parent does not send.
+func (n *Node) loadMissing(ctx context.Context) error {
+	if len(n.missingVersions()) == 0 {
+		return nil
+	}
+	n.awaitParent(ctx)
+	for _, version := range n.missingVersions() {
+		if err := n.loadVersion(ctx, version); err != nil {
+			n.noteStore(err)
+			return err
+		}
+	}
+	return nil
+}
+
+func (n *Node) missingVersions() []rollout.Version {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.feed.missing(n.head())
+}
+
+// awaitParent gives the parent time to send what is missing.
+func (n *Node) awaitParent(ctx context.Context) {
+	deadline := now().Add(parentPatience)
+	for {
+		arrived := n.waiters.wait()
+		remaining := time.Until(deadline)
+		if remaining <= 0 || ctx.Err() != nil || !n.hasParent() || len(n.missingVersions()) == 0 {
+			return
+		}
+		waitFor(ctx, arrived, remaining)
+	}
+}
+
+func (n *Node) hasParent() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.upstream.attached
+}
+
+func (n *Node) loadVersion(ctx context.Context, version rollout.Version) error {
+	ctx, cancel := context.WithTimeout(ctx, loadTimeout)
+	defer cancel()
+	n.mutex.Lock()
+	base, _ := n.feed.history.Latest()
+	n.mutex.Unlock()
+	loaded, err := n.versions.LoadSnapshot(ctx, version, base)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if err != nil {
+		n.coordinator.noteUnloadable(version, err)
+		return err
+	}
+	if n.feed.scope.All {
+		n.receive(loaded)
+	}
+	return nil
+}
+
+// unloadable reports whether an error tells that a version can never be loaded.
+func unloadable(err error) bool {
+	return errorx.IsOfType(err, versionstore.ErrCorrupt) ||
+		errorx.IsOfType(err, versionstore.ErrTooLarge) ||
+		errorx.IsOfType(err, versionstore.ErrVersionNotFound)
+}
--- /dev/null
+++ b/internal/control/report_client.go
@@ -0,0 +1,207 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/topology"
+)
+
+// Pauses before a report, in which changes gather.
+const (
+	// reportCompletePause holds when the whole subtree has reported.
+	reportCompletePause = 3 * time.Millisecond
+	// reportPartialPause holds while more is expected.
+	reportPartialPause = 50 * time.Millisecond
+	// reportMemberPause holds for members alone.
+	reportMemberPause = 100 * time.Millisecond
+	// reportMemberInterval is the least time between reports of members that
+	// are neither leaving nor lost.
+	reportMemberInterval = 500 * time.Millisecond
+	reportRetryPause     = 100 * time.Millisecond
+)
+
+// reportState is what the parent is still to be told.
+type reportState struct {
+	// members holds the changed records by identifier.
+	members map[string]membership.Record
+	// dueAt is when the next report goes out; zero when there is nothing to tell.
+	dueAt     time.Time
+	lastSent  time.Time
+	inFlight  bool
+	sequence  uint64
+	known     rollout.Readiness
+	knownSent bool
+}
+
+func newReportState() reportState {
+	return reportState{members: make(map[string]membership.Record)}
+}
+
+// addMember puts a changed record among those to be told.
+func (r *reportState) addMember(record membership.Record, at time.Time) {
+	r.members[record.ID] = record
+	due := later(at.Add(reportMemberPause), r.lastSent.Add(reportMemberInterval))
+	if record.State != membership.StateLive {
+		due = at.Add(reportPartialPause)
+	}
+	r.dueAt = sooner(r.dueAt, due)
+}
+
+// readinessChanged brings the next report forward.
+func (r *reportState) readinessChanged(at time.Time, complete bool) {
+	pause := reportPartialPause
+	if complete {
+		pause = reportCompletePause
+	}
+	r.dueAt = sooner(r.dueAt, at.Add(pause))
+}
+
+// newParent starts again: the new parent knows nothing of the subtree.
+func (r *reportState) newParent(subtree []membership.Record, at time.Time) {
+	r.members = make(map[string]membership.Record, len(subtree))
+	for _, record := range subtree {
+		r.members[record.ID] = record
+	}
+	r.knownSent = false
+	r.dueAt = at.Add(reportCompletePause)
+}
+
+// clear forgets what no parent waits for.
+func (r *reportState) clear() {
+	clear(r.members)
+	r.dueAt = time.Time{}
+	r.knownSent = false
+}
+
+// reportCall is one report from its request to its answer.
+type reportCall struct {
+	parent  topology.Peer
+	epoch   uint64
+	records []membership.Record
+	summary rollout.Readiness
+	request *controlpb.ReportRequest
+}
+
+// report sends what the parent does not know yet, if that is due. It returns
+// when to look again.
+func (n *Node) report(ctx context.Context, at time.Time) time.Time {
+	state := &n.reports
+	if n.upstream.root {
+		state.clear()
+		return time.Time{}
+	}
+	if !n.upstream.attached || state.inFlight || state.dueAt.IsZero() {
+		return time.Time{}
+	}
+	if at.Before(state.dueAt) {
+		return state.dueAt
+	}
+	state.dueAt = time.Time{}
+	summary := n.subtreeReadiness()
+	if len(state.members) == 0 && state.knownSent && equalReadiness(summary, state.known) {
+		return time.Time{}
+	}
+	n.startReport(ctx, summary, at)
+	return time.Time{}
+}
+
+func (n *Node) startReport(ctx context.Context, summary rollout.Readiness, at time.Time) {
+	state := &n.reports
+	state.sequence++
+	call := reportCall{parent: n.upstream.parent, epoch: n.upstream.epoch, summary: summary}
+	for _, record := range state.members {
+		call.records = append(call.records, record)
+	}
+	clear(state.members)
+	call.request = &controlpb.ReportRequest{
+		Node:           n.self.ID,
+		Incarnation:    n.self.Incarnation,
+		Attachment:     n.self.Attachment,
+		Sequence:       state.sequence,
+		Readiness:      readinessMessage(summary),
+		HeadGeneration: n.head().Generation,
+	}
+	state.inFlight = true
+	state.lastSent = at
+	n.spawn(func() { n.sendReport(ctx, call) })
+}
+
+func (n *Node) sendReport(ctx context.Context, call reportCall) {
+	response, err := n.callReport(ctx, call)
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	defer n.kick()
+	state := &n.reports
+	state.inFlight = false
+	if call.epoch != n.upstream.epoch {
+		state.dueAt = now()
+		return
+	}
+	if err == nil && response.GetAttached() {
+		state.known, state.knownSent = call.summary, true
+		return
+	}
+	n.returnMembers(call.records)
+	state.dueAt = now().Add(reportRetryPause)
+	if err == nil {
+		n.upstream.handle, n.upstream.acknowledged = 0, nil
+		n.upstream.interrupt()
+	}
+}
+
+func (n *Node) callReport(ctx context.Context, call reportCall) (*controlpb.ReportResponse, error) {
+	plain, packed, err := packMembers(call.records)
+	if err != nil {
+		return nil, err
+	}
+	call.request.Members, call.request.Packed = plain, packed
+	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
+	defer cancel()
+	return n.clients.report(ctx, call.parent, call.request)
+}
+
+// returnMembers puts back records that did not reach the parent.
+func (n *Node) returnMembers(records []membership.Record) {
+	for _, record := range records {
+		newer, found := n.reports.members[record.ID]
+		if !found || record.Supersedes(newer) {
+			n.reports.members[record.ID] = record
+		}
+	}
+}
+
+// subtreeReadiness sums up this node and all below it.
+func (n *Node) subtreeReadiness() rollout.Readiness {
+	return rollout.MergeReadiness(n.ownReadiness(), n.children.readiness())
+}
+
+// ownReadiness is this node's part of the sum. A leaving node is not among the
+// live members that the sum is compared with.
+func (n *Node) ownReadiness() rollout.Readiness {
+	state := n.participant.State()
+	if n.self.State != membership.StateLive {
+		return rollout.Readiness{Proposed: state.Head.Proposed, Committed: state.Head.Committed}
+	}
+	return state.Readiness(n.self.ID, n.self.Incarnation)
+}
+
+// reportsComplete tells whether nothing more is expected of the subtree.
+func (n *Node) reportsComplete() bool {
+	state := n.participant.State()
+	head := state.Head
+	own := state.Readiness(n.self.ID, n.self.Incarnation)
+	staged := head.Proposed == 0 || own.Ready.Count > 0 || len(own.Refused) > 0
+	running := head.Committed == 0 || own.InForce.Count > 0
+	return staged && running && n.children.allReported(head)
+}
+
+func equalReadiness(a, b rollout.Readiness) bool {
+	return a.Proposed == b.Proposed && a.Committed == b.Committed &&
+		a.Ready == b.Ready && a.InForce == b.InForce &&
+		slices.Equal(a.Refused, b.Refused) && slices.Equal(a.Lagging, b.Lagging)
+}
--- /dev/null
+++ b/internal/control/report_server.go
@@ -0,0 +1,58 @@
+package control
+
+import (
+	"context"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/membership"
+)
+
+// Report takes in what a child tells of its subtree.
+func (r rpc) Report(_ context.Context, request *controlpb.ReportRequest) (*controlpb.ReportResponse, error) {
+	err := checkReport(request)
+	var records []membership.Record
+	if err == nil {
+		records, err = unpackMembers(request.GetMembers(), request.GetPacked())
+	}
+	if err != nil {
+		r.node.events.PeerRefused(request.GetNode(), err.Error())
+		return nil, twirp.InvalidArgument.Error(err.Error())
+	}
+	return &controlpb.ReportResponse{Attached: r.node.takeReport(request, records)}, nil
+}
+
+// takeReport reports false when the child is not attached under the number that
+// it names. A report older than one taken in before changes nothing.
+func (n *Node) takeReport(request *controlpb.ReportRequest, records []membership.Record) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	entry, found := n.children.byID[request.GetNode()]
+	if !found || entry.record.Incarnation != request.GetIncarnation() || entry.record.Attachment != request.GetAttachment() {
+		return false
+	}
+	if request.GetSequence() <= entry.sequence {
+		return true
+	}
+	entry.sequence = request.GetSequence()
+	entry.readiness, entry.reported = readinessOf(request.GetReadiness()), true
+	at := now()
+	n.mergeBelow(at, records...)
+	n.children.learn(request.GetNode(), n.accepted(records))
+	n.reports.readinessChanged(at, n.reportsComplete())
+	n.catchUpWith(entry, request.GetHeadGeneration())
+	n.kick()
+	return true
+}
+
+// accepted lists the records that are the newest known of their nodes.
+func (n *Node) accepted(records []membership.Record) []membership.Record {
+	var newest []membership.Record
+	for _, record := range records {
+		if held, found := n.table.Get(record.ID); found && held == record {
+			newest = append(newest, record)
+		}
+	}
+	return newest
+}
--- /dev/null
+++ b/internal/control/server.go
@@ -0,0 +1,116 @@
+package control
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+
+	"github.com/levertide/levertide/internal/controlpb"
+)
+
+// controlHandler serves the messages of other nodes within bounds.
+func (n *Node) controlHandler() http.Handler {
+	return n.verified(bounded(controlpb.NewControlServer(rpc{n})))
+}
+
+// verified turns away clients whose identity is not accepted.
+func (n *Node) verified(next http.Handler) http.Handler {
+	if n.config.VerifyPeer == nil {
+		return next
+	}
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		if request.TLS == nil {
+			http.Error(writer, "a client certificate is needed", http.StatusForbidden)
+			return
+		}
+		if err := n.config.VerifyPeer(request.TLS); err != nil {
+			n.events.PeerRefused(request.RemoteAddr, err.Error())
+			http.Error(writer, "the client certificate is not accepted", http.StatusForbidden)
+			return
+		}
+		next.ServeHTTP(writer, request)
+	})
+}
+
+// bounded limits the size of a request's body and the time it may take.
+func bounded(next http.Handler) http.Handler {
+	return http.HandlerFunc(func(writer http.ResponseWriter, request *http.Request) {
+		controller := http.NewResponseController(writer)
+		_ = controller.SetReadDeadline(now().Add(bodyTimeout))
+		request.Body = http.MaxBytesReader(writer, request.Body, maximumRequestBytes)
+		next.ServeHTTP(writer, request)
+	})
+}
+
+func (n *Node) newServer(ctx context.Context) *http.Server {
+	protocols := &http.Protocols{}
+	protocols.SetHTTP1(true)
+	protocols.SetHTTP2(n.config.TLS != nil)
+	protocols.SetUnencryptedHTTP2(n.config.TLS == nil)
+	return &http.Server{
+		Handler:           n.controlHandler(),
+		TLSConfig:         cloneTLS(n.config.TLS),
+		Protocols:         protocols,
+		ReadHeaderTimeout: headerTimeout,
+		IdleTimeout:       idleConnectionTimeout,
+		MaxHeaderBytes:    maximumHeaderBytes,
+		BaseContext:       func(net.Listener) context.Context { return ctx },
+		ErrorLog:          log.New(io.Discard, "", 0),
+		HTTP2: &http.HTTP2Config{
+			MaxConcurrentStreams:      maximumStreams,
+			MaxDecoderHeaderTableSize: clientHeaderTable,
+			MaxEncoderHeaderTableSize: clientHeaderTable,
+			WriteByteTimeout:          bodyTimeout,
+		},
+	}
+}
+
+// serveControl serves the control listener until the context ends.
+func (n *Node) serveControl(ctx context.Context) error {
+	server := n.newServer(ctx)
+	listener := n.traffic.Listener(&keepAliveListener{n.config.Listener})
+	stop := context.AfterFunc(ctx, func() { closeServer(server) })
+	defer stop()
+	var err error
+	if n.config.TLS != nil {
+		err = server.ServeTLS(listener, "", "")
+	} else {
+		err = server.Serve(listener)
+	}
+	if errors.Is(err, http.ErrServerClosed) {
+		return nil
+	}
+	return err
+}
+
+// closeServer lets answers under way go out, and then closes what is left.
+func closeServer(server *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), shutdownTimeout)
+	defer cancel()
+	if server.Shutdown(ctx) != nil {
+		_ = server.Close()
+	}
+}
+
+// keepAliveListener makes the kernel notice dead clients.
+type keepAliveListener struct{ net.Listener }
+
+// Accept implements net.Listener.
+func (l *keepAliveListener) Accept() (net.Conn, error) {
+	connection, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	if tcp, ok := connection.(*net.TCPConn); ok {
+		_ = tcp.SetKeepAliveConfig(net.KeepAliveConfig{
+			Enable:   true,
+			Idle:     acceptKeepAliveIdle,
+			Interval: keepAliveInterval,
+			Count:    acceptKeepAliveCount,
+		})
+	}
+	return connection, nil
+}
--- /dev/null
+++ b/internal/control/table_state.go
@@ -0,0 +1,151 @@
+package control
+
+import (
+	"time"
+
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/rollout"
+)
+
+// Pauses before changed members are passed on to children. Ordinary changes
+// wait longer, so that they travel together; nodes that leave or are lost do not.
+const (
+	memberChangePause     = 150 * time.Millisecond
+	memberChangeInterval  = time.Second
+	memberUrgentInterval  = 250 * time.Millisecond
+	memberUrgentPause     = 50 * time.Millisecond
+	lostRecordRetention   = 2 * time.Minute
+	lostRecordPurgePeriod = 30 * time.Second
+)
+
+// tableState is the table of members together with what children were told of it.
+type tableState struct {
+	*membership.Table
+	interner *membership.Interner
+	// epoch tells the sequences of one table from those of its successor.
+	epoch uint64
+	// published is the place in the sequence up to which children are woken.
+	published uint64
+	// flushAt is when published is next moved on; zero when nothing waits.
+	flushAt   time.Time
+	lastFlush time.Time
+	scoped    map[directoryScope]*scopedDirectory
+	// marks remember sequences by time, for purging records of lost nodes.
+	marks []sequenceMark
+}
+
+type sequenceMark struct {
+	sequence uint64
+	at       time.Time
+}
+
+func newTableState(interner *membership.Interner, self membership.Record) *tableState {
+	state := &tableState{
+		Table:    membership.NewTableWithInterner(interner),
+		interner: interner,
+		epoch:    self.Incarnation,
+		scoped:   make(map[directoryScope]*scopedDirectory),
+	}
+	state.Merge(self)
+	return state
+}
+
+// changed notes that records changed, and when children are to hear of it.
+func (t *tableState) changed(records []membership.Record, at time.Time) {
+	due := later(at.Add(memberChangePause), t.lastFlush.Add(memberChangeInterval))
+	if anyUrgent(records) {
+		due = later(at.Add(memberUrgentPause), t.lastFlush.Add(memberUrgentInterval))
+	}
+	if t.flushAt.IsZero() || due.Before(t.flushAt) {
+		t.flushAt = due
+	}
+}
+
+// flush moves published on when that is due, and reports whether it did.
+func (t *tableState) flush(at time.Time) bool {
+	if t.flushAt.IsZero() || at.Before(t.flushAt) {
+		return false
+	}
+	t.flushAt = time.Time{}
+	t.lastFlush = at
+	t.published = t.Sequence()
+	return true
+}
+
+// replace drops every record that keep does not name. Sequences start again.
+func (t *tableState) replace(keep []membership.Record) {
+	t.Table = membership.NewTableWithInterner(t.interner)
+	t.Merge(keep...)
+	t.epoch++
+	t.published = t.Sequence()
+	t.flushAt = time.Time{}
+	t.scoped = make(map[directoryScope]*scopedDirectory)
+	t.marks = nil
+}
+
+// purge removes the records of nodes that were lost long ago.
+func (t *tableState) purge(at time.Time) {
+	if len(t.marks) > 0 && at.Sub(t.marks[len(t.marks)-1].at) < lostRecordPurgePeriod {
+		return
+	}
+	t.marks = append(t.marks, sequenceMark{sequence: t.Sequence(), at: at})
+	if at.Sub(t.marks[0].at) < lostRecordRetention {
+		return
+	}
+	oldest := t.marks[0]
+	t.marks = t.marks[1:]
+	if t.PurgeLost(oldest.sequence) == 0 {
+		return
+	}
+	for _, directory := range t.scoped {
+		directory.purge(t.Table)
+	}
+}
+
+// presentSum sums up the records of all nodes that are not lost.
+func (t *tableState) presentSum(within func(*membership.Record) bool) rollout.MemberSum {
+	var sum rollout.MemberSum
+	for record := range t.View().All() {
+		if record.State != membership.StateLost && (within == nil || within(record)) {
+			sum = sum.Plus(recordSum(record))
+		}
+	}
+	return sum
+}
+
+// present lists the records of all nodes that are not lost.
+func (t *tableState) present() []membership.Record {
+	view := t.View()
+	records := make([]membership.Record, 0, view.Len())
+	for record := range view.All() {
+		if record.State != membership.StateLost {
+			records = append(records, *record)
+		}
+	}
+	return records
+}
+
+// recordSum tells a record from every other record of the same node.
+func recordSum(record *membership.Record) rollout.MemberSum {
+	change := record.Attachment<<8 | uint64(record.State)
+	member := rollout.SumOf(record.ID, record.Incarnation)
+	return rollout.MemberSum{Count: 1, Hash: member.Hash ^ change*recordMultiplier}
+}
+
+const recordMultiplier = 0x9e3779b97f4a7c15
+
+func anyUrgent(records []membership.Record) bool {
+	for _, record := range records {
+		if record.State != membership.StateLive {
+			return true
+		}
+	}
+	return false
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
--- /dev/null
+++ b/internal/control/versions.go
@@ -0,0 +1,115 @@
+package control
+
+import (
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// observeHead takes in a head, wherever it comes from.
+func (n *Node) observeHead(head rollout.Head) {
+	before := n.participant.State()
+	n.carryOut(n.participant.ObserveHead(head))
+	after := n.participant.State()
+	if after.HeadKnown && after.Head.Generation > before.Head.Generation {
+		n.headAdvanced(after.Head)
+	}
+}
+
+// headAdvanced wakes everything that waits for a newer head.
+func (n *Node) headAdvanced(head rollout.Head) {
+	if n.versions != nil {
+		n.versions.NoteHead(head)
+	}
+	n.waiters.wake()
+	n.kick()
+}
+
+// receive takes in a version in the scope of the feed.
+func (n *Node) receive(received *snapshot.Snapshot) {
+	n.feed.history.Add(received)
+	n.deliver(received)
+	n.waiters.wake()
+	n.kick()
+}
+
+// deliver hands the node's own part of a version to the participant.
+func (n *Node) deliver(received *snapshot.Snapshot) {
+	before := n.participant.State()
+	own := n.shared.restrict(received, n.ownScope())
+	n.carryOut(n.participant.Deliver(own))
+	n.tellStaging(before, n.participant.State())
+}
+
+// tellStaging tells of a version that was staged or refused.
+func (n *Node) tellStaging(before, after rollout.ParticipantState) {
+	if after.Staged != nil && after.Staged != before.Staged {
+		n.events.VersionStaged(after.Staged.Version())
+	}
+	if after.Refusal != nil && after.RefusedVersion != before.RefusedVersion {
+		n.events.VersionRefused(after.RefusedVersion, after.Refusal.Reason)
+	}
+}
+
+// carryOut does what the participant asks for.
+func (n *Node) carryOut(actions []rollout.Action) {
+	for _, action := range actions {
+		switch action := action.(type) {
+		case rollout.FetchVersion:
+			n.fetchFromFeed(action.Version)
+		case rollout.Activate:
+			n.activate(action.Snapshot)
+		case rollout.StateChanged:
+			n.stateChanged()
+		case rollout.RaiseAlarm:
+			n.events.Alarm(action.Text)
+		}
+	}
+}
+
+// fetchFromFeed delivers a version that was received before it was asked for.
+// One that was not is part of the next poll, or is loaded by the reader.
+func (n *Node) fetchFromFeed(version rollout.Version) {
+	held, found := n.feed.holds(version)
+	if !found {
+		n.participant.FetchFailed(version)
+		n.kick()
+		return
+	}
+	n.deliver(held)
+}
+
+// activate puts a version in force with one swap of the pointer. The version
+// never falls, whatever the participant asks for.
+func (n *Node) activate(next *snapshot.Snapshot) {
+	if running := n.current.Load(); running != nil && running.Version() >= next.Version() {
+		n.alarm("a version not above the one in force was to be put in force")
+		return
+	}
+	n.current.Store(next)
+	n.observers.wake()
+	n.events.VersionInForce(next.Version(), next.Digest())
+}
+
+func (n *Node) stateChanged() {
+	n.reports.readinessChanged(now(), n.reportsComplete())
+	n.observers.wake()
+	n.kick()
+}
+
+// alarm tells an operator of something that the participant does not see.
+func (n *Node) alarm(text string) {
+	n.alarms = appendAlarm(n.alarms, text)
+	n.events.Alarm(text)
+}
+
+func appendAlarm(alarms []string, text string) []string {
+	for _, known := range alarms {
+		if known == text {
+			return alarms
+		}
+	}
+	if len(alarms) == rollout.MaxAlarms {
+		alarms = alarms[1:]
+	}
+	return append(alarms, text)
+}
--- /dev/null
+++ b/internal/control/watch_client.go
@@ -0,0 +1,312 @@
+package control
+
+import (
+	"context"
+	"slices"
+	"time"
+
+	"google.golang.org/protobuf/proto"
+
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/snapshot"
+	"github.com/levertide/levertide/pkg/topology"
+)
+
+// Pauses between polls that failed or were turned away.
+const (
+	pollBackoffBase    = 30 * time.Millisecond
+	pollBackoffCeiling = 2 * time.Second
+	// answerGrace is how much longer than the hold an answer may take.
+	answerGrace = time.Second
+	// loopPause keeps a parent out of the plan that pulls from this node itself.
+	loopPause = 500 * time.Millisecond
+)
+
+// pollResult tells the loop what to do before the next poll.
+type pollResult struct {
+	pause  time.Duration
+	failed bool
+}
+
+// runUpstream polls the parent as long as there is one.
+func (n *Node) runUpstream(ctx context.Context) {
+	pauses := backoff{base: pollBackoffBase, ceiling: pollBackoffCeiling}
+	for ctx.Err() == nil {
+		changed := n.upstream.changed.wait()
+		call, found := n.beginPoll(ctx)
+		if !found {
+			n.discoverAsRoot(ctx, changed)
+			continue
+		}
+		result := n.poll(call)
+		call.cancel()
+		if result.failed {
+			sleep(ctx, pauses.next())
+			continue
+		}
+		pauses.reset()
+		if result.pause > 0 {
+			sleep(ctx, result.pause)
+		}
+	}
+}
+
+// pollCall is one poll from its request to its answer.
+type pollCall struct {
+	ctx     context.Context
+	cancel  context.CancelFunc
+	parent  topology.Peer
+	epoch   uint64
+	feed    feed
+	request *controlpb.WatchRequest
+	// whole is the request that a handle stands for.
+	whole *controlpb.WatchRequest
+	first bool
+}
+
+// beginPoll chooses the parent and writes the request.
+func (n *Node) beginPoll(ctx context.Context) (pollCall, bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	parent, found := n.chooseParent(now())
+	if !found {
+		n.becomeRoot()
+		return pollCall{}, false
+	}
+	if parent.ID != n.upstream.parent.ID || parent.ControlAddress != n.upstream.parent.ControlAddress {
+		n.attachTo(parent)
+	}
+	call := pollCall{parent: parent, epoch: n.upstream.epoch, feed: n.feed, first: !n.upstream.attached}
+	call.whole = n.watchRequest()
+	call.request = n.shortRequest(call.whole)
+	call.ctx, call.cancel = context.WithTimeout(ctx, n.config.Hold+answerGrace)
+	n.upstream.cancel = call.cancel
+	return call, true
+}
+
+// attachTo takes a new parent under a higher attachment number, which refutes
+// a loss that the former parent may report.
+func (n *Node) attachTo(parent topology.Peer) {
+	n.upstream.attach(parent)
+	n.self.Attachment++
+	n.mergeBelow(now(), n.self)
+	n.reports.newParent(n.subtreeRecords(), now())
+	n.events.ParentChanged(parent.ID)
+}
+
+// becomeRoot goes on without a parent.
+func (n *Node) becomeRoot() {
+	if n.upstream.root {
+		return
+	}
+	n.upstream.detach()
+	n.upstream.root = true
+	n.discovery.reset()
+	n.upstream.rootSince = now()
+	n.events.ParentChanged("")
+	n.kick()
+}
+
+// subtreeRecords lists the records of this node and of all below it.
+func (n *Node) subtreeRecords() []membership.Record {
+	records := []membership.Record{n.self}
+	for id := range n.children.byID {
+		if record, found := n.table.Get(id); found {
+			records = append(records, record)
+		}
+	}
+	for id := range n.children.via {
+		if record, found := n.table.Get(id); found {
+			records = append(records, record)
+		}
+	}
+	return records
+}
+
+func (n *Node) watchRequest() *controlpb.WatchRequest {
+	head := n.head()
+	request := &controlpb.WatchRequest{
+		Self:             memberMessage(n.self),
+		HeadGeneration:   head.Generation,
+		Cursor:           n.upstream.cursor,
+		HoldMilliseconds: uint32(n.config.Hold / time.Millisecond),
+		PathHash:         n.upstream.pathHash,
+	}
+	if request.Cursor.GetRelay() != n.upstream.parent.ID {
+		request.Cursor = &controlpb.DirectoryCursor{Sum: sumMessage(n.ownSum())}
+	}
+	n.feed.describe(request, head)
+	return request
+}
+
+// shortRequest returns the handle in place of a request that has not changed.
+func (n *Node) shortRequest(whole *controlpb.WatchRequest) *controlpb.WatchRequest {
+	if n.upstream.handle == 0 || !proto.Equal(whole, n.upstream.acknowledged) {
+		return whole
+	}
+	return &controlpb.WatchRequest{Handle: n.upstream.handle}
+}
+
+// poll asks the parent and takes in its answer.
+func (n *Node) poll(call pollCall) pollResult {
+	answer, err := n.clients.watch(call.ctx, call.parent, call.request)
+	if err == nil {
+		err = checkAnswer(answer)
+	}
+	if err != nil {
+		return n.pollFailed(call, err)
+	}
+	return n.takeAnswer(call, answer)
+}
+
+func (n *Node) pollFailed(call pollCall, err error) pollResult {
+	interrupted := call.ctx.Err() == context.Canceled
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if interrupted || call.epoch != n.upstream.epoch {
+		return pollResult{}
+	}
+	n.suspect(call.parent, err)
+	return pollResult{failed: true}
+}
+
+// suspect keeps a peer out of the plan for a while.
+func (n *Node) suspect(peer topology.Peer, _ error) {
+	n.plan.suspect(peer.ID, now(), n.config.SuspectBound)
+	n.clients.forget(peer.ControlAddress)
+}
+
+// takeAnswer takes in an answer, unless it belongs to an earlier attachment.
+func (n *Node) takeAnswer(call pollCall, answer *controlpb.WatchResponse) pollResult {
+	if answer.GetRetryAfterMilliseconds() > 0 {
+		return pollResult{pause: retryPause(answer)}
+	}
+	records, err := unpackMembers(answer.GetDirectory().GetMembers(), answer.GetDirectory().GetPacked())
+	if err != nil {
+		return n.pollFailed(call, err)
+	}
+	delivered, deltaError := call.feed.applyAll(answer.GetDeltas())
+
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if call.epoch != n.upstream.epoch {
+		return pollResult{}
+	}
+	if answer.GetResend() {
+		return n.resend(records)
+	}
+	if refused := n.refuseParent(call.parent, answer); refused {
+		return pollResult{failed: true}
+	}
+	n.attachConfirmed(call, answer)
+	at := now()
+	n.mergeAbove(at, answer.GetDirectory(), records)
+	if cursor := answer.GetDirectory().GetCursor(); cursor != nil {
+		n.upstream.cursor = cursor
+	}
+	n.takeHead(answer.GetHead())
+	n.takeSnapshots(call.feed.scope, delivered)
+	if deltaError != nil {
+		return n.refuseDeltas(call.parent, deltaError)
+	}
+	return pollResult{}
+}
+
+// resend makes the next request a whole one. The parent names the record of
+// this node that it holds when that is newer than the node's own.
+func (n *Node) resend(records []membership.Record) pollResult {
+	n.upstream.handle, n.upstream.acknowledged = 0, nil
+	if changed := n.table.Merge(records...); len(changed) > 0 {
+		n.membersChanged(changed, now())
+	}
+	return pollResult{pause: upTo(pollBackoffBase)}
+}
+
+func retryPause(answer *controlpb.WatchResponse) time.Duration {
+	asked := time.Duration(answer.GetRetryAfterMilliseconds()) * time.Millisecond
+	asked = min(asked, pollBackoffCeiling)
+	return asked/2 + upTo(asked)
+}
+
+// refuseParent turns away from a parent that pulls from this node itself, and
+// from one that was to read the store and does not.
+func (n *Node) refuseParent(parent topology.Peer, answer *controlpb.WatchResponse) bool {
+	path := n.upstream.path
+	if !answer.GetPathUnchanged() {
+		path = answer.GetPath()
+	}
+	looped := slices.Contains(path, n.self.ID)
+	idle := n.plan.assignment.MustRead(parent.ID) && !answer.GetReader()
+	if looped || idle {
+		n.plan.suspect(parent.ID, now(), loopPause)
+		n.upstream.detach()
+		return true
+	}
+	n.upstream.setPath(path)
+	return false
+}
+
+// attachConfirmed notes that the parent knows this node in this epoch.
+func (n *Node) attachConfirmed(call pollCall, answer *controlpb.WatchResponse) {
+	n.plan.trust(call.parent.ID)
+	if handle := answer.GetHandle(); handle != 0 {
+		n.upstream.handle, n.upstream.acknowledged = handle, call.whole
+	}
+	if n.upstream.attached {
+		return
+	}
+	n.upstream.attached = true
+	n.reports.readinessChanged(now(), true)
+	n.observers.wake()
+	n.kick()
+}
+
+// takeHead takes in a head from the parent.
+func (n *Node) takeHead(message *controlpb.Head) {
+	if message == nil {
+		return
+	}
+	n.observeHead(headOf(message))
+}
+
+// takeSnapshots takes in received versions, unless the scope has changed since.
+func (n *Node) takeSnapshots(scope snapshot.Scope, delivered []*snapshot.Snapshot) {
+	if scope != n.feed.scope {
+		return
+	}
+	for _, received := range delivered {
+		n.receive(received)
+	}
+}
+
+// refuseDeltas asks for whole versions next, and turns away from a parent
+// whose whole versions cannot be used either.
+func (n *Node) refuseDeltas(parent topology.Peer, err error) pollResult {
+	n.events.PeerRefused(parent.ID, err.Error())
+	if _, held := n.feed.history.Latest(); !held {
+		n.suspect(parent, err)
+	}
+	n.feed = newFeed(n.feed.scope)
+	return pollResult{failed: true}
+}
+
+// applyAll applies deltas in turn; a later one may start from an earlier one.
+func (f *feed) applyAll(deltas []*controlpb.Delta) ([]*snapshot.Snapshot, error) {
+	if len(deltas) == 0 {
+		return nil, nil
+	}
+	var delivered []*snapshot.Snapshot
+	for _, delta := range deltas {
+		next, err := f.apply(delta, delivered)
+		if err != nil {
+			return delivered, err
+		}
+		delivered = append(delivered, next)
+	}
+	return delivered, nil
+}
+
+// head returns the newest head that the node has accepted.
+func (n *Node) head() rollout.Head { return n.participant.State().Head }
--- /dev/null
+++ b/internal/control/watch_server.go
@@ -0,0 +1,327 @@
+package control
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
+
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// rpc serves the messages of other nodes.
+type rpc struct{ node *Node }
+
+var _ controlpb.Control = rpc{}
+
+// Watch answers a child as soon as there is something that it lacks.
+func (r rpc) Watch(ctx context.Context, request *controlpb.WatchRequest) (*controlpb.WatchResponse, error) {
+	if err := checkWatch(request); err != nil {
+		r.node.events.PeerRefused(request.GetSelf().GetId(), err.Error())
+		return nil, twirp.InvalidArgument.Error(err.Error())
+	}
+	return r.node.watch(ctx, request)
+}
+
+// watchCall is one child's poll.
+type watchCall struct {
+	child   *child
+	request *controlpb.WatchRequest
+	scope   snapshot.Scope
+	expiry  <-chan time.Time
+}
+
+func (n *Node) watch(ctx context.Context, request *controlpb.WatchRequest) (*controlpb.WatchResponse, error) {
+	if request.GetSelf() == nil && request.GetHandle() == 0 {
+		return n.answerOnce(request)
+	}
+	call, refusal := n.admitChild(request)
+	if refusal != nil {
+		return refusal, nil
+	}
+	timer := time.NewTimer(holdOf(call.request))
+	defer timer.Stop()
+	call.expiry = timer.C
+	brokeOff := n.hold(ctx, call)
+	answer, err := n.answer(call)
+	n.endPoll(call, brokeOff)
+	return answer, err
+}
+
+func holdOf(request *controlpb.WatchRequest) time.Duration {
+	return min(time.Duration(request.GetHoldMilliseconds())*time.Millisecond, maximumHold)
+}
+
+// admitChild enters a child's poll. The second result is the answer for a child
+// that is to ask again in another way.
+func (n *Node) admitChild(request *controlpb.WatchRequest) (watchCall, *controlpb.WatchResponse) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if request.GetHandle() != 0 {
+		return n.admitHandle(request.GetHandle())
+	}
+	record := memberRecord(request.GetSelf())
+	if known, found := n.table.Get(record.ID); found && known.Supersedes(record) {
+		return watchCall{}, &controlpb.WatchResponse{
+			Resend:    true,
+			Directory: &controlpb.DirectoryUpdate{Members: []*controlpb.Member{memberMessage(known)}},
+		}
+	}
+	entry := n.children.attach(record)
+	n.plan.trust(record.ID)
+	n.mergeBelow(now(), record)
+	n.widenForChildren()
+	entry.pollBegan()
+	return watchCall{child: entry, request: request, scope: scopeOf(request.GetScope())}, nil
+}
+
+// admitHandle enters the poll of a child that repeats its last request.
+func (n *Node) admitHandle(handle uint64) (watchCall, *controlpb.WatchResponse) {
+	for _, entry := range n.children.byID {
+		if entry.handle != handle || entry.request == nil {
+			continue
+		}
+		entry.pollBegan()
+		return watchCall{child: entry, request: entry.request, scope: scopeOf(entry.request.GetScope())}, nil
+	}
+	return watchCall{}, &controlpb.WatchResponse{Resend: true}
+}
+
+// widenForChildren makes a node that has just become a parent fetch what its
+// children may ask for.
+func (n *Node) widenForChildren() {
+	if n.feed.scope.All {
+		return
+	}
+	n.updateScope(now())
+	n.updateRole()
+}
+
+// hold waits until there is news for the child. It reports whether the child
+// went away meanwhile.
+func (n *Node) hold(ctx context.Context, call watchCall) bool {
+	for {
+		signal := n.waiters.wait()
+		if n.hasNews(call) {
+			return false
+		}
+		select {
+		case <-signal:
+		case <-call.expiry:
+			return false
+		case <-ctx.Done():
+			return true
+		}
+	}
+}
+
+func (n *Node) hasNews(call watchCall) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.versionNews(call.request) {
+		return true
+	}
+	return n.directoryNews(call.request)
+}
+
+// versionNews reports whether the child lacks a version that is held here, or
+// the head that names only what the child can get.
+func (n *Node) versionNews(request *controlpb.WatchRequest) bool {
+	head := n.head()
+	complete := true
+	for _, version := range lackedBy(request, head) {
+		if n.feed.scope.All && !n.feed.lacks(version) {
+			return true
+		}
+		complete = false
+	}
+	return complete && head.Generation > request.GetHeadGeneration()
+}
+
+// lackedBy lists the versions that a head names and a child does not hold, in
+// the order in which it is to get them.
+func lackedBy(request *controlpb.WatchRequest, head rollout.Head) []rollout.Version {
+	var lacked []rollout.Version
+	for _, version := range [...]rollout.Version{head.Committed, head.Proposed} {
+		if version != 0 && version != request.GetInForce() && version != request.GetStaged() {
+			lacked = append(lacked, version)
+		}
+	}
+	return lacked
+}
+
+// endPoll notes that a child's poll is over.
+func (n *Node) endPoll(call watchCall, brokeOff bool) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	call.child.pollEnded(now(), brokeOff)
+	n.kick()
+}
+
+// answerOnce answers a node that is no child, at once and without members.
+func (n *Node) answerOnce(request *controlpb.WatchRequest) (*controlpb.WatchResponse, error) {
+	call := watchCall{request: request, scope: scopeOf(request.GetScope())}
+	return n.answer(call)
+}
+
+// pendingDelta is a delta that is to be encoded once the lock is released.
+type pendingDelta struct {
+	base, target *snapshot.Snapshot
+}
+
+// answer writes what the child lacks.
+func (n *Node) answer(call watchCall) (*controlpb.WatchResponse, error) {
+	response, members, pending := n.beginAnswer(call)
+	if call.child != nil {
+		update, err := directoryUpdate(members)
+		if err != nil {
+			return nil, twirp.InternalErrorWith(err)
+		}
+		response.Directory = trimDirectory(update, call.request)
+	}
+	if err := n.encodeDeltas(response, pending); err != nil {
+		return nil, twirp.InternalErrorWith(err)
+	}
+	if shed := n.shed(response); shed != nil {
+		return shed, nil
+	}
+	n.finishAnswer(call, response)
+	return response, nil
+}
+
+// trimDirectory leaves out an update that tells nothing new.
+func trimDirectory(update *controlpb.DirectoryUpdate, request *controlpb.WatchRequest) *controlpb.DirectoryUpdate {
+	empty := !update.GetWhole() && len(update.GetMembers()) == 0 && len(update.GetPacked()) == 0
+	if empty && proto.Equal(update.GetCursor(), request.GetCursor()) {
+		return nil
+	}
+	return update
+}
+
+// shed returns the answer for a child that has to wait for a large one.
+func (n *Node) shed(response *controlpb.WatchResponse) *controlpb.WatchResponse {
+	pause := n.largeAnswers.admit(proto.Size(response))
+	if pause == 0 {
+		return nil
+	}
+	return &controlpb.WatchResponse{RetryAfterMilliseconds: uint32(pause / time.Millisecond)}
+}
+
+// beginAnswer collects under the lock what the answer is made of.
+func (n *Node) beginAnswer(call watchCall) (*controlpb.WatchResponse, directoryAnswer, []pendingDelta) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	response := &controlpb.WatchResponse{Reader: n.self.Reader}
+	head := n.head()
+	if head.Generation > call.request.GetHeadGeneration() {
+		response.Head = headMessage(head)
+	}
+	n.setPath(response, call.request)
+	var members directoryAnswer
+	if call.child != nil {
+		members = n.directoryAnswer(call.request)
+	}
+	return response, members, n.pendingDeltas(call, head)
+}
+
+// setPath names the nodes up to the root, unless the child knows them.
+func (n *Node) setPath(response *controlpb.WatchResponse, request *controlpb.WatchRequest) {
+	path := append([]string{n.self.ID}, n.upstream.path...)
+	if hashPath(path) == request.GetPathHash() {
+		response.PathUnchanged = true
+		return
+	}
+	response.Path = path[:min(len(path), maximumPath)]
+}
+
+// pendingDeltas lists the deltas to the versions that the child lacks. A node
+// that holds a part only has nothing to give.
+func (n *Node) pendingDeltas(call watchCall, head rollout.Head) []pendingDelta {
+	if !n.mayServe(call.scope) {
+		return nil
+	}
+	base := n.heldBase(call)
+	var pending []pendingDelta
+	for _, version := range lackedBy(call.request, head) {
+		whole, held := n.feed.holds(version)
+		if !held {
+			continue
+		}
+		target := n.shared.restrict(whole, call.scope)
+		pending = append(pending, pendingDelta{base: base, target: target})
+		base = target
+	}
+	return pending
+}
+
+func (n *Node) mayServe(scope snapshot.Scope) bool {
+	return n.feed.scope.All || n.feed.scope == scope
+}
+
+// heldBase returns the newest snapshot that child and parent both hold.
+func (n *Node) heldBase(call watchCall) *snapshot.Snapshot {
+	held := [...]struct {
+		version uint64
+		digest  []byte
+	}{
+		{call.request.GetInForce(), call.request.GetInForceDigest()},
+		{call.request.GetStaged(), call.request.GetStagedDigest()},
+	}
+	for _, candidate := range held {
+		whole, found := n.feed.holds(candidate.version)
+		if !found {
+			continue
+		}
+		digest, wellFormed := digestOf(candidate.digest)
+		part := n.shared.restrict(whole, call.scope)
+		if wellFormed && part.Digest() == digest {
+			return part
+		}
+	}
+	return snapshot.Empty()
+}
+
+// encodeDeltas writes deltas, each of which is encoded once for all children.
+func (n *Node) encodeDeltas(response *controlpb.WatchResponse, pending []pendingDelta) error {
+	for _, delta := range pending {
+		payload, err := n.shared.delta(delta.base, delta.target)
+		if err != nil {
+			return err
+		}
+		response.Deltas = append(response.Deltas, deltaMessage(delta, payload))
+	}
+	return nil
+}
+
+func deltaMessage(delta pendingDelta, payload []byte) *controlpb.Delta {
+	message := &controlpb.Delta{
+		Base:    delta.base.Version(),
+		Target:  delta.target.Version(),
+		Payload: payload,
+	}
+	target := delta.target.Digest()
+	message.TargetDigest = target[:]
+	if base := delta.base.Digest(); base != emptyDigest {
+		message.BaseDigest = base[:]
+	}
+	return message
+}
+
+var emptyDigest model.Digest = snapshot.Empty().Digest()
+
+// finishAnswer gives the child a handle for the request that was just answered.
+func (n *Node) finishAnswer(call watchCall, response *controlpb.WatchResponse) {
+	if call.child == nil || call.child.request == call.request {
+		return
+	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	call.child.handle = rand.Uint64() | 1
+	call.child.request = call.request
+	response.Handle = call.child.handle
+}
