Start the node: engine, data plane and four listeners

levertided supervises the control engine, the data plane's servers and the admin listener. Parts that return an error are started again; a panic is a broken invariant and ends the process, since the state of the part cannot be trusted (suture would otherwise run it on with a lock held).

--- /dev/null
+++ b/cmd/levertided/main.go
@@ -0,0 +1,81 @@
+// Levertided is the node of the mesh: it carries calls and runs the
+// configuration agent beside each worker.
+package main
+
+import (
+	"context"
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/levertide/levertide/internal/daemon"
+	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/telemetry"
+)
+
+// Exit codes; docs/SETTINGS.md lists them.
+const (
+	exitStopped  = 0
+	exitFailed   = 1
+	exitSettings = 2
+)
+
+func main() { os.Exit(run(os.Args[1:])) }
+
+func run(arguments []string) int {
+	invocation, err := settings.Load(arguments, os.Stderr)
+	switch {
+	case errors.Is(err, flag.ErrHelp):
+		return exitStopped
+	case err != nil:
+		printProblems(err)
+		return exitSettings
+	case invocation.Version:
+		fmt.Println("levertided", daemon.Version)
+		return exitStopped
+	case invocation.Check:
+		fmt.Println("settings are valid")
+		return exitStopped
+	}
+	return serve(invocation.Settings)
+}
+
+func printProblems(err error) {
+	fmt.Fprintln(os.Stderr, "levertided: settings cannot be used:")
+	for _, problem := range settings.Problems(err) {
+		fmt.Fprintln(os.Stderr, "  "+problem.String())
+	}
+}
+
+func serve(chosen settings.Settings) int {
+	events := telemetry.NewLog(os.Stderr, chosen.NodeID, telemetry.Level(chosen.LogLevel))
+	stopping, signals := notify()
+	node, err := daemon.New(chosen, events)
+	if err != nil {
+		events.StartFailed(err)
+		return exitFailed
+	}
+	if err := node.Run(stopping, signals); err != nil {
+		events.PartFailed("node", err.Error())
+		return exitFailed
+	}
+	return exitStopped
+}
+
+// notify returns a context that ends at the first signal to stop, and a
+// function that names the signal. Later signals are ignored: the stop is
+// bounded by drain-bound.
+func notify() (context.Context, func() string) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGTERM, syscall.SIGINT)
+	stopping, cancel := context.WithCancel(context.Background())
+	name := make(chan string, 1)
+	go func() {
+		name <- (<-received).String()
+		cancel()
+	}()
+	return stopping, func() string { return <-name }
+}
--- /dev/null
+++ b/internal/daemon/daemon.go
@@ -0,0 +1,211 @@
+package daemon
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/levertide/levertide/internal/control"
+	"github.com/levertide/levertide/internal/dataplane"
+	"github.com/levertide/levertide/internal/identity"
+	"github.com/levertide/levertide/internal/platform/consul"
+	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/telemetry"
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// Version is the program's version, set by the linker.
+var Version = "unknown"
+
+// supervisorTimeout bounds the end of the parts once the calls have ended.
+const supervisorTimeout = 5 * time.Second
+
+// Daemon is one node of the mesh.
+type Daemon struct {
+	settings    settings.Settings
+	log         *telemetry.Log
+	keeper      *identity.Keeper
+	store       *consul.Client
+	node        *control.Node
+	plane       *dataplane.Plane
+	listeners   listeners
+	gate        *gate
+	registry    *telemetry.Registry
+	incarnation uint64
+}
+
+// New opens the listeners and puts the parts together. Nothing runs before Run.
+// It fails with ErrStart, or with the error of the part that cannot work.
+func New(s settings.Settings, log *telemetry.Log) (*Daemon, error) {
+	daemon := &Daemon{
+		settings:    s,
+		log:         log,
+		gate:        newGate(reasonStarting),
+		incarnation: uint64(time.Now().UnixNano()),
+	}
+	daemon.registry = telemetry.NewRegistry(daemon.reading)
+	steps := []func() error{daemon.loadCertificates, daemon.openListeners, daemon.makeControl, daemon.makePlane}
+	for _, step := range steps {
+		if err := step(); err != nil {
+			daemon.listeners.close()
+			return nil, err
+		}
+	}
+	daemon.setHandlers()
+	return daemon, nil
+}
+
+// Run runs the node until the context ends, and then stops it as planned:
+// calls in flight end first. The error is nil after a planned stop.
+func (d *Daemon) Run(ctx context.Context, signal func() string) error {
+	d.log.Started(Version, d.settings.Region, d.settings.Zone, d.settings.Service, d.incarnation)
+	d.log.Listening(d.listeners.caller.address, d.listeners.call.address,
+		d.listeners.control.Addr().String(), d.listeners.admin.address)
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := d.supervisor().ServeBackground(running)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	d.log.StopRequested(signal())
+	d.stop()
+	cancel()
+	<-ended
+	d.plane.Close()
+	d.store.Close()
+	d.log.Stopped()
+	return nil
+}
+
+// supervisor starts a part again when it returns an error. A panic means that an
+// invariant is broken; it ends the process, since the part's state cannot be trusted.
+func (d *Daemon) supervisor() *suture.Supervisor {
+	supervisor := suture.New("levertided", suture.Spec{
+		EventHook:         d.partEvent,
+		PassThroughPanics: true,
+		Timeout:           supervisorTimeout,
+	})
+	supervisor.Add(d.node)
+	supervisor.Add(d.listeners.caller)
+	supervisor.Add(d.listeners.call)
+	supervisor.Add(d.listeners.admin)
+	supervisor.Add(&readiness{daemon: d})
+	if d.keeper != nil {
+		supervisor.Add(d.keeper)
+	}
+	if d.settings.WorkerAddress != "" {
+		supervisor.Add(newWorkerProbe(d.settings.WorkerAddress, d.plane.WorkerStarted, d.log))
+	}
+	return supervisor
+}
+
+func (d *Daemon) partEvent(event suture.Event) {
+	switch failed := event.(type) {
+	case suture.EventServiceTerminate:
+		d.log.PartFailed(failed.ServiceName, failed.Map()["error"].(string))
+	case suture.EventStopTimeout:
+		d.log.PartFailed(failed.ServiceName, "did not stop within "+supervisorTimeout.String())
+	}
+}
+
+func (d *Daemon) makeControl() error {
+	d.store = d.newStoreClient()
+	config := control.Config{
+		Self:        d.self(),
+		Gateway:     d.settings.Gateway,
+		Seeds:       d.settings.Seeds,
+		FanOut:      d.settings.FanOut,
+		Hold:        d.settings.Hold,
+		SilentBound: d.settings.SilentBound,
+		Listener:    d.listeners.control,
+		Dial:        dialer(d.settings.Source()),
+		Store:       d.store,
+		Machines:    d.store,
+		Validate:    d.validate,
+		Events:      d.log,
+	}
+	if d.keeper != nil {
+		config.TLS = d.keeper.Mutual(identity.RoleNode, identity.RoleOperator)
+		config.ClientTLS = d.keeper.Client()
+		config.VerifyPeer = verifyNode
+	}
+	node, err := control.New(config)
+	d.node = node
+	return err
+}
+
+func (d *Daemon) makePlane() error {
+	config := dataplane.Config{
+		Node:          d.settings.NodeID,
+		Region:        d.settings.Region,
+		Zone:          d.settings.Zone,
+		Service:       d.settings.Service,
+		WorkerAddress: d.settings.WorkerAddress,
+		Current:       d.node.Current,
+		Directory:     d.node.Directory,
+		Dial:          dialer(d.settings.Source()),
+		Observer:      telemetry.NewCallObserver(d.registry.Registerer(), d.log),
+	}
+	if d.keeper != nil {
+		config.PeerTLS = d.keeper.Client()
+	}
+	plane, err := dataplane.New(config)
+	d.plane = plane
+	return err
+}
+
+func (d *Daemon) self() membership.Record {
+	return membership.Record{
+		ID:             d.settings.NodeID,
+		Incarnation:    d.incarnation,
+		Region:         d.settings.Region,
+		Zone:           d.settings.Zone,
+		Service:        d.settings.Service,
+		ControlAddress: firstGiven(d.settings.AdvertiseControlAddress, d.listeners.control.Addr().String()),
+		CallAddress:    firstGiven(d.settings.AdvertiseCallAddress, d.listeners.call.address),
+	}
+}
+
+func firstGiven(candidates ...string) string {
+	for _, candidate := range candidates {
+		if candidate != "" {
+			return candidate
+		}
+	}
+	return ""
+}
+
+// validate decides whether this node can run a version.
+func (d *Daemon) validate(candidate *snapshot.Snapshot) error {
+	if candidate.Len() > d.settings.MaxResources {
+		return ErrTooLarge.New("%d resources, max-resources is %d", candidate.Len(), d.settings.MaxResources)
+	}
+	return d.plane.Validate(candidate)
+}
+
+// reading is the state that a scrape of the metrics sees.
+func (d *Daemon) reading() telemetry.Reading {
+	ready, _ := d.node.Readiness()
+	reading := telemetry.Reading{Ready: ready, Counters: d.node.Counters()}
+	if current := d.node.Current(); current != nil {
+		reading.VersionInForce = current.Version()
+	}
+	reading.Members = countMembers(d.node.Directory())
+	return reading
+}
+
+func (d *Daemon) setHandlers() {
+	d.listeners.caller.make = func() *http.Server { return d.gated(d.plane.CallerServer()) }
+	d.listeners.call.make = func() *http.Server { return d.gated(d.plane.PeerServer()) }
+	d.listeners.admin.make = d.adminServer
+}
+
+func (d *Daemon) gated(web *http.Server) *http.Server {
+	web.Handler = d.gate.wrap(web.Handler)
+	return web
+}
--- /dev/null
+++ b/internal/daemon/server.go
@@ -0,0 +1,101 @@
+package daemon
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// closeTimeout bounds the end of a listener after the calls have ended.
+const closeTimeout = time.Second
+
+// server is one HTTP listener as a suture service. It opens its address again
+// when it is started again.
+type server struct {
+	name    string
+	address string
+	tls     *tls.Config
+	// make returns the HTTP server of one run; the bounds of requests are its own.
+	make func() *http.Server
+
+	mutex sync.Mutex
+	// first is the listener opened at start; it serves the first run.
+	first net.Listener
+}
+
+// newServer opens the address at once, so that a fault shows before anything runs.
+func newServer(name, address string, config *tls.Config) (*server, error) {
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "listener for %s", name)
+	}
+	return &server{name: name, address: listener.Addr().String(), tls: config, first: listener}, nil
+}
+
+// Serve answers requests until the context ends.
+func (s *server) Serve(ctx context.Context) error {
+	listener, err := s.listen()
+	if err != nil {
+		return err
+	}
+	web := s.make()
+	// Faults of single connections are no events of the node.
+	web.ErrorLog = log.New(io.Discard, "", 0)
+	ended := make(chan error, 1)
+	go func() { ended <- web.Serve(listener) }()
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+		return closeServer(web, ended)
+	}
+}
+
+func (s *server) listen() (net.Listener, error) {
+	listener, err := s.takeListener()
+	if err != nil || s.tls == nil {
+		return listener, err
+	}
+	return tls.NewListener(listener, s.tls), nil
+}
+
+func (s *server) takeListener() (net.Listener, error) {
+	s.mutex.Lock()
+	first := s.first
+	s.first = nil
+	s.mutex.Unlock()
+	if first != nil {
+		return first, nil
+	}
+	return net.Listen("tcp", s.address)
+}
+
+// abandon closes the address of a server that never ran.
+func (s *server) abandon() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.first != nil {
+		_ = s.first.Close()
+	}
+}
+
+func closeServer(web *http.Server, ended <-chan error) error {
+	bounded, cancel := context.WithTimeout(context.Background(), closeTimeout)
+	defer cancel()
+	if err := web.Shutdown(bounded); err != nil {
+		_ = web.Close()
+	}
+	if err := <-ended; !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return context.Canceled
+}
+
+// String names the part in events.
+func (s *server) String() string { return s.name + " listener" }
--- /dev/null
+++ b/internal/daemon/worker.go
@@ -0,0 +1,82 @@
+package daemon
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"time"
+
+	"github.com/levertide/levertide/internal/telemetry"
+)
+
+const (
+	probeInterval  = time.Second
+	probeTimeout   = 500 * time.Millisecond
+	probePath      = "/healthz"
+	probeBodyBytes = 1 << 10
+)
+
+// workerProbe asks the worker's health endpoint at a steady pace. The answer is
+// a hint only: it is written to the event log, and a worker that comes back
+// begins its slow start. It is a suture service.
+type workerProbe struct {
+	target  string
+	started func()
+	log     *telemetry.Log
+	client  *http.Client
+	known   bool
+	healthy bool
+}
+
+func newWorkerProbe(address string, started func(), log *telemetry.Log) *workerProbe {
+	return &workerProbe{
+		target:  "http://" + address + probePath,
+		started: started,
+		log:     log,
+		client:  &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+	}
+}
+
+// Serve probes until the context ends.
+func (p *workerProbe) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(probeInterval)
+	defer ticker.Stop()
+	for {
+		p.update(p.ask(ctx))
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case <-ticker.C:
+		}
+	}
+}
+
+func (p *workerProbe) ask(ctx context.Context) (healthy bool, reason string) {
+	request, err := http.NewRequestWithContext(ctx, http.MethodGet, p.target, nil)
+	if err != nil {
+		return false, err.Error()
+	}
+	response, err := p.client.Do(request)
+	if err != nil {
+		return false, err.Error()
+	}
+	defer response.Body.Close()
+	_, _ = io.CopyN(io.Discard, response.Body, probeBodyBytes)
+	return response.StatusCode == http.StatusOK, fmt.Sprintf("status %d", response.StatusCode)
+}
+
+func (p *workerProbe) update(healthy bool, reason string) {
+	if p.known && p.healthy == healthy {
+		return
+	}
+	cameBack := p.known && healthy
+	p.known, p.healthy = true, healthy
+	p.log.WorkerHealth(healthy, reason)
+	if cameBack {
+		p.started()
+	}
+}
+
+// String names the part in events.
+func (p *workerProbe) String() string { return "worker probe" }
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -32,10 +32,12 @@
 
 // Field names that several events share.
 const (
-	fieldVersion = "version"
-	fieldDigest  = "digest"
-	fieldReason  = "reason"
-	fieldError   = "error"
+	fieldVersion       = "version"
+	fieldDigest        = "digest"
+	fieldReason        = "reason"
+	fieldError         = "error"
+	fieldDuration      = "duration_milliseconds"
+	fieldCallsInFlight = "calls_in_flight"
 )
 
 // Events of the process.
@@ -45,12 +47,13 @@
 	eventReady         = Event{103, "node ready", LevelInfo, []string{}, "Calls are taken from now on."}
 	eventUnready       = Event{104, "node unready", LevelWarning, []string{fieldReason}, "Calls are answered not-run; the reason says what is waited for."}
 	eventStopRequested = Event{105, "stop requested", LevelInfo, []string{"signal"}, "A planned stop begins; the node is marked as leaving."}
-	eventDrained       = Event{106, "calls drained", LevelInfo, []string{"duration_milliseconds"}, "The calls in flight have ended."}
-	eventDrainExceeded = Event{107, "drain bound exceeded", LevelWarning, []string{"duration_milliseconds", "calls_in_flight"}, "Calls still run at the end of drain-bound and are cut off."}
+	eventDrained       = Event{106, "calls drained", LevelInfo, []string{fieldDuration}, "The calls in flight have ended by themselves."}
+	eventDrainExceeded = Event{107, "drain bound exceeded", LevelWarning, []string{fieldDuration, fieldCallsInFlight}, "Calls still run at the end of drain-bound and are cut off."}
 	eventStopped       = Event{108, "node stopped", LevelInfo, []string{}, "The process is about to end."}
 	eventPartFailed    = Event{109, "part failed", LevelError, []string{"part", fieldError}, "A part of the node ended unexpectedly and is started again."}
 	eventWorkerHealth  = Event{110, "worker health changed", LevelInfo, []string{"healthy", fieldReason}, "The worker's health endpoint changed its answer. It is a hint only."}
 	eventStartFailed   = Event{111, "start failed", LevelError, []string{fieldError}, "A listener or a file cannot be opened; the process ends with exit code 1."}
+	eventDrainStarted  = Event{112, "drain started", LevelInfo, []string{fieldCallsInFlight}, "Calls from other nodes are refused from now on."}
 )
 
 // Events of versions. Checkers outside the process rely on them.
@@ -62,6 +65,8 @@
 	eventFloorMissing     = Event{205, "floor missing", LevelWarning, []string{fieldReason}, "The process may run nothing yet, for neither the store nor enough peers told the floor."}
 	eventVersionCommitted = Event{206, "version committed", LevelInfo, []string{fieldVersion, "silent"}, "This node, as coordinator, committed the version; silent counts the nodes that had not reported within the bound."}
 	eventVersionAborted   = Event{207, "version aborted", LevelWarning, []string{fieldVersion, "refused_by", fieldReason}, "This node, as coordinator, aborted the version; its number is not used again."}
+	eventRoutesInForce    = Event{208, "routes in force", LevelDebug, []string{fieldVersion, "routes"}, "New calls are routed by this version from now on."}
+	eventRoutesRejected   = Event{209, "routes rejected", LevelError, []string{fieldVersion, fieldError}, "The routes of a version in force cannot be used; calls are routed as before. This is a fault of the program."}
 )
 
 // Events of the distribution tree and of members.
@@ -92,9 +97,9 @@
 func Catalogue() []Event {
 	events := []Event{
 		eventStarted, eventListening, eventReady, eventUnready, eventStopRequested, eventDrained,
-		eventDrainExceeded, eventStopped, eventPartFailed, eventWorkerHealth, eventStartFailed,
+		eventDrainExceeded, eventStopped, eventPartFailed, eventWorkerHealth, eventStartFailed, eventDrainStarted,
 		eventVersionStaged, eventVersionInForce, eventVersionRefused, eventFloorLearned,
-		eventFloorMissing, eventVersionCommitted, eventVersionAborted,
+		eventFloorMissing, eventVersionCommitted, eventVersionAborted, eventRoutesInForce, eventRoutesRejected,
 		eventParentChanged, eventRoleChanged, eventMemberLost, eventPeerRefused,
 		eventStoreReachable, eventStoreUnreachable, eventStoreRegressed, eventAlarm, eventLeaseAcquired, eventLeaseLost,
 		eventCertificatesLoaded, eventCertificatesFailed,
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -51,16 +51,6 @@
 // StopRequested records the signal that began a planned stop.
 func (l *Log) StopRequested(signal string) { end(l.begin(eventStopRequested).Str("signal", signal)) }
 
-// Drained records that the last call in flight has ended.
-func (l *Log) Drained(took time.Duration) {
-	end(l.begin(eventDrained).Int64("duration_milliseconds", took.Milliseconds()))
-}
-
-// DrainExceeded records that calls are cut off at the drain bound.
-func (l *Log) DrainExceeded(took time.Duration, callsInFlight int) {
-	end(l.begin(eventDrainExceeded).Int64("duration_milliseconds", took.Milliseconds()).Int("calls_in_flight", callsInFlight))
-}
-
 // Stopped records the end of the process.
 func (l *Log) Stopped() { end(l.begin(eventStopped)) }
 
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -11,8 +11,10 @@
 	"time"
 
 	"github.com/google/go-cmp/cmp"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"github.com/levertide/levertide/internal/control"
+	"github.com/levertide/levertide/internal/dataplane"
 	"github.com/levertide/levertide/pkg/model"
 )
 
@@ -23,8 +25,12 @@
 	l.Ready()
 	l.Unready("reason")
 	l.StopRequested("terminated")
-	l.Drained(time.Second)
-	l.DrainExceeded(time.Second, 3)
+	calls := NewCallObserver(prometheus.NewRegistry(), l)
+	calls.DrainStarted(1)
+	calls.DrainFinished(dataplane.DrainReport{})
+	calls.DrainFinished(dataplane.DrainReport{PeerCalls: 1})
+	calls.RuntimeInForce(1, 2)
+	calls.RuntimeRejected(1, errors.New("fault"))
 	l.Stopped()
 	l.PartFailed("control", "reason")
 	l.StartFailed(errors.New("fault"))
