Add the integration harness

Real levertided processes behind toxiproxy and a relay by zone, with the store stand-in and workers in the test process. Rules are checked from the nodes' event lines.

--- /dev/null
+++ b/tests/integration/doc.go
@@ -0,0 +1,3 @@
+// Package integration holds tests that run real levertided processes against
+// the store stand-in and workers, with faults between them.
+package integration
--- /dev/null
+++ b/tests/integration/harness/calls.go
@@ -0,0 +1,94 @@
+package harness
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"io"
+	"net/http"
+	"strconv"
+	"sync/atomic"
+	"testing"
+
+	"github.com/levertide/levertide/internal/lab/worker"
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+var requestNumber atomic.Uint64
+
+// Answer is what a caller got.
+type Answer struct {
+	RequestID string
+	Status    int
+	Outcome   outcome.Outcome
+	Reason    outcome.Reason
+	Worker    string
+	// Err is set when no whole answer came, or a wrong one.
+	Err error
+}
+
+// Request is one call.
+type Request struct {
+	Method string
+	Host   string
+	Path   string
+	// Body is sent as it is read; nil for none.
+	Body io.Reader
+	// Content is what Body holds in the end, for the check of the answer.
+	Content []byte
+}
+
+// Call sends a request to a node and checks that the answer is whole and its own.
+func Call(ctx context.Context, node *Node, call Request) Answer {
+	id := fmt.Sprintf("request-%d", requestNumber.Add(1))
+	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+node.CallerAddress()+call.Path, call.Body)
+	if err != nil {
+		return Answer{RequestID: id, Err: err}
+	}
+	request.Host = call.Host
+	request.Header.Set(worker.RequestIDHeader, id)
+	// A connection of its own keeps the client from sending a request twice.
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}}
+	response, err := client.Do(request)
+	if err != nil {
+		return Answer{RequestID: id, Err: err}
+	}
+	defer response.Body.Close()
+	return readAnswer(id, response, call.Content)
+}
+
+func readAnswer(id string, response *http.Response, content []byte) Answer {
+	answer := Answer{RequestID: id, Status: response.StatusCode, Worker: response.Header.Get(worker.WorkerHeader)}
+	answer.Outcome, answer.Reason = outcome.FromResponse(response.Header)
+	if answer.Outcome != outcome.Answered {
+		return answer
+	}
+	digester := worker.NewDigester(id)
+	_, _ = digester.Write(content)
+	answer.Err = worker.VerifyAnswer(response.Body, digester.Sum(), worker.DefaultAnswerSize)
+	return answer
+}
+
+// Executions returns how often all workers together ran a request to its end.
+func (m *Mesh) Executions(requestID string) int {
+	total := 0
+	for _, node := range m.nodes {
+		if node.Worker == nil {
+			continue
+		}
+		records, _ := node.Worker.Records()
+		for _, record := range records {
+			if record.ID == requestID {
+				total += record.Executed
+			}
+		}
+	}
+	return total
+}
+
+// Body returns a body and its content of the given size.
+func Body(t *testing.T, size int) (io.Reader, []byte) {
+	t.Helper()
+	content := bytes.Repeat([]byte(strconv.Itoa(size)), size)[:size]
+	return bytes.NewReader(content), content
+}
--- /dev/null
+++ b/tests/integration/harness/events.go
@@ -0,0 +1,106 @@
+package harness
+
+import (
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/observe"
+)
+
+// Bound is how long a test waits for something that must happen. It is far
+// above what is usual, for busy machines.
+const Bound = 60 * time.Second
+
+// nodeEvent is one event line and the place that it came from.
+type nodeEvent struct {
+	node  string
+	event observe.Event
+}
+
+// Events keeps every event line of every node in the order of arrival.
+type Events struct {
+	t       *testing.T
+	mutex   sync.Mutex
+	kept    []nodeEvent
+	raw     []string
+	changed chan struct{}
+}
+
+func newEvents(t *testing.T) *Events { return &Events{t: t, changed: make(chan struct{})} }
+
+func (e *Events) observeLine(node string, line []byte) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	e.raw = append(e.raw, node+" "+string(line))
+	if event, ok := observe.ParseEvent(line); ok {
+		e.kept = append(e.kept, nodeEvent{node: node, event: event})
+	}
+	close(e.changed)
+	e.changed = make(chan struct{})
+}
+
+// Mark returns a place in the sequence of events, to look only at later ones.
+func (e *Events) Mark() int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	return len(e.kept)
+}
+
+// Await returns the last matching event of a node (of any node when it is
+// empty), and waits for it if there is none yet.
+func (e *Events) Await(node, what string, matches func(observe.Event) bool) observe.Event {
+	e.t.Helper()
+	return e.AwaitAfter(0, node, what, matches)
+}
+
+// AwaitAfter is Await for events after a mark.
+func (e *Events) AwaitAfter(mark int, node, what string, matches func(observe.Event) bool) observe.Event {
+	e.t.Helper()
+	deadline := time.After(Bound)
+	for {
+		found, ok, changed := e.last(mark, node, matches)
+		if ok {
+			return found
+		}
+		select {
+		case <-changed:
+		case <-deadline:
+			e.t.Fatalf("%s: no event: %s", node, what)
+		}
+	}
+}
+
+func (e *Events) last(mark int, node string, matches func(observe.Event) bool) (observe.Event, bool, <-chan struct{}) {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for index := len(e.kept) - 1; index >= mark; index-- {
+		kept := e.kept[index]
+		if (node == "" || kept.node == node) && matches(kept.event) {
+			return kept.event, true, nil
+		}
+	}
+	return observe.Event{}, false, e.changed
+}
+
+// Count returns how many events after a mark match.
+func (e *Events) Count(mark int, matches func(observe.Event) bool) int {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	count := 0
+	for _, kept := range e.kept[mark:] {
+		if matches(kept.event) {
+			count++
+		}
+	}
+	return count
+}
+
+// print shows every line, for tests that failed.
+func (e *Events) print() {
+	e.mutex.Lock()
+	defer e.mutex.Unlock()
+	for _, line := range e.raw {
+		e.t.Log(line)
+	}
+}
--- /dev/null
+++ b/tests/integration/harness/mesh.go
@@ -0,0 +1,218 @@
+package harness
+
+import (
+	"context"
+	"net"
+	"strings"
+	"testing"
+	"time"
+
+	toxiproxy "github.com/Shopify/toxiproxy/v2"
+
+	"github.com/levertide/levertide/internal/lab/fabric"
+	"github.com/levertide/levertide/internal/lab/observe"
+	"github.com/levertide/levertide/internal/lab/platform"
+	"github.com/levertide/levertide/internal/lab/process"
+)
+
+const (
+	region               = "test"
+	sessionTTL           = time.Second
+	groupStopBound       = 10 * time.Second
+	firstHost      uint8 = 10
+)
+
+// Mesh is one store, its nodes and everything between them.
+type Mesh struct {
+	Store    *platform.Server
+	Links    *fabric.Links
+	Events   *Events
+	Recorder *observe.Recorder
+	Operator *Operator
+
+	t            *testing.T
+	proxies      *toxiproxy.ApiServer
+	storeProxies map[string]*toxiproxy.Proxy
+	zones        map[string]fabric.ZoneNumber
+	group        process.Group
+	nodes        []*Node
+}
+
+// New makes a mesh whose processes are not started yet. At the end of the test
+// everything is stopped and the rules that must always hold are checked.
+func New(t *testing.T, nodes ...NodeOptions) *Mesh {
+	t.Helper()
+	mesh := &Mesh{
+		Store:        platform.New(platform.Config{MinimumSessionTTL: sessionTTL}),
+		Links:        fabric.NewLinks(0),
+		Events:       newEvents(t),
+		Recorder:     observe.NewRecorder(),
+		t:            t,
+		proxies:      newProxies(),
+		storeProxies: make(map[string]*toxiproxy.Proxy),
+		zones:        make(map[string]fabric.ZoneNumber),
+	}
+	t.Cleanup(mesh.end)
+	storeAddress, err := mesh.Store.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	mesh.Operator = newOperator(t, storeAddress)
+	for index, options := range nodes {
+		mesh.openZone(options.Zone, storeAddress)
+		mesh.nodes = append(mesh.nodes, mesh.newNode(options, mesh.zones[options.Zone], firstHost+uint8(index)))
+	}
+	return mesh
+}
+
+func (m *Mesh) openZone(zone, storeAddress string) {
+	m.t.Helper()
+	if _, found := m.zones[zone]; found {
+		return
+	}
+	m.zones[zone] = fabric.ZoneNumber(len(m.zones) + 1)
+	proxy := toxiproxy.NewProxy(m.proxies, "store-"+zone, "127.0.0.1:0", storeAddress)
+	if err := proxy.Start(); err != nil {
+		m.t.Fatal(err)
+	}
+	m.storeProxies[zone] = proxy
+}
+
+// end stops the processes and checks the rules.
+func (m *Mesh) end() {
+	m.group.StopAll(groupStopBound)
+	m.Operator.reportCommitted(m.Recorder)
+	for _, violation := range m.Recorder.Violations() {
+		m.t.Error(violation)
+	}
+	if m.t.Failed() {
+		m.Events.print()
+	}
+	for _, node := range m.nodes {
+		node.Control.close()
+		node.Calls.close()
+		if node.Worker != nil {
+			node.Worker.Close()
+		}
+	}
+	for _, proxy := range m.storeProxies {
+		proxy.Stop()
+	}
+	m.Operator.close()
+	m.Store.Close()
+}
+
+func (m *Mesh) seeds() string {
+	addresses := make([]string, 0, len(m.nodes))
+	for _, node := range m.nodes {
+		addresses = append(addresses, node.Control.Address)
+	}
+	return strings.Join(addresses, ",")
+}
+
+// Node returns a node by its name.
+func (m *Mesh) Node(name string) *Node {
+	m.t.Helper()
+	for _, node := range m.nodes {
+		if node.Name == name {
+			return node
+		}
+	}
+	m.t.Fatalf("no node %s", name)
+	return nil
+}
+
+// Nodes returns the nodes of a zone, or all when it is empty.
+func (m *Mesh) Nodes(zone string) []*Node {
+	var selected []*Node
+	for _, node := range m.nodes {
+		if zone == "" || node.Zone == zone {
+			selected = append(selected, node)
+		}
+	}
+	return selected
+}
+
+// StartAll starts every process at once.
+func (m *Mesh) StartAll() {
+	m.t.Helper()
+	for _, node := range m.nodes {
+		node.Start()
+	}
+}
+
+// AwaitReady waits until nodes take calls.
+func (m *Mesh) AwaitReady(nodes ...*Node) {
+	m.t.Helper()
+	ctx, cancel := context.WithTimeout(m.t.Context(), Bound)
+	defer cancel()
+	if err := m.Recorder.AwaitReady(ctx, names(nodes)); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// AwaitVersion waits until nodes have a version, or a later one, in force.
+func (m *Mesh) AwaitVersion(version uint64, nodes ...*Node) {
+	m.t.Helper()
+	ctx, cancel := context.WithTimeout(m.t.Context(), Bound)
+	defer cancel()
+	if err := m.Recorder.AwaitVersion(ctx, version, names(nodes)); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+func names(nodes []*Node) []string {
+	result := make([]string, 0, len(nodes))
+	for _, node := range nodes {
+		result = append(result, node.Name)
+	}
+	return result
+}
+
+// CutZone separates a zone from all others; the store stays reachable.
+func (m *Mesh) CutZone(zone string) {
+	for other, number := range m.zones {
+		if other != zone {
+			m.Links.Cut(m.zones[zone], number)
+		}
+	}
+}
+
+// CutOneWay holds back what goes from one zone to another.
+func (m *Mesh) CutOneWay(from, to string) { m.Links.CutOneWay(m.zones[from], m.zones[to]) }
+
+// CutStore separates a zone from the store; HealStore ends it.
+func (m *Mesh) CutStore(zone string) { m.storeProxies[zone].Stop() }
+
+// HealStore ends CutStore.
+func (m *Mesh) HealStore(zone string) {
+	m.t.Helper()
+	if err := m.storeProxies[zone].Start(); err != nil {
+		m.t.Fatal(err)
+	}
+}
+
+// Eventually waits until a condition holds.
+func (m *Mesh) Eventually(what string, holds func() bool) {
+	m.t.Helper()
+	deadline := time.Now().Add(Bound)
+	for !holds() {
+		if time.Now().After(deadline) {
+			m.t.Fatalf("not reached: %s", what)
+		}
+		time.Sleep(pollInterval)
+	}
+}
+
+// pollInterval is how often Eventually looks.
+const pollInterval = 10 * time.Millisecond
+
+// DialControl opens a connection to a node's control listener.
+func (m *Mesh) DialControl(node *Node) net.Conn {
+	m.t.Helper()
+	connection, err := net.Dial("tcp", node.Control.Address)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	return connection
+}
--- /dev/null
+++ b/tests/integration/harness/node.go
@@ -0,0 +1,154 @@
+package harness
+
+import (
+	"fmt"
+	"syscall"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/fabric"
+	"github.com/levertide/levertide/internal/lab/observe"
+	"github.com/levertide/levertide/internal/lab/process"
+	"github.com/levertide/levertide/internal/lab/worker"
+)
+
+// stopBound is how long an orderly stop may take before a test calls it hung.
+const stopBound = 40 * time.Second
+
+// NodeOptions describes one node.
+type NodeOptions struct {
+	Name    string
+	Zone    string
+	Service string
+	// Settings are further settings, by key.
+	Settings map[string]string
+}
+
+// Node is one place for a process; the process may be started many times.
+type Node struct {
+	NodeOptions
+	// Control and Calls are the ways by which other nodes reach it.
+	Control *Door
+	Calls   *Door
+	// Worker is the stand-in beside the node; nil without a service.
+	Worker *worker.Worker
+
+	mesh    *Mesh
+	zone    fabric.ZoneNumber
+	host    uint8
+	running *process.Process
+}
+
+func (m *Mesh) newNode(options NodeOptions, zone fabric.ZoneNumber, host uint8) *Node {
+	m.t.Helper()
+	node := &Node{NodeOptions: options, mesh: m, zone: zone, host: host}
+	var err error
+	if node.Control, err = newDoor(m.proxies, m.Links, zone, host); err != nil {
+		m.t.Fatal(err)
+	}
+	if node.Calls, err = newDoor(m.proxies, m.Links, zone, host); err != nil {
+		m.t.Fatal(err)
+	}
+	if options.Service != "" {
+		node.Worker = startWorker(m.t, options.Name)
+	}
+	return node
+}
+
+func startWorker(t *testing.T, name string) *worker.Worker {
+	t.Helper()
+	started, err := worker.Start(worker.Config{ID: name, Service: worker.Distribution{Median: time.Millisecond}})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return started
+}
+
+// Start starts the process and opens its doors. It does not wait for readiness.
+func (n *Node) Start() {
+	n.mesh.t.Helper()
+	for _, door := range []*Door{n.Control, n.Calls} {
+		if err := door.open(); err != nil {
+			n.mesh.t.Fatal(err)
+		}
+	}
+	running, err := n.mesh.group.Start(process.Options{
+		Name:      n.Name,
+		Path:      program("levertided"),
+		Arguments: n.arguments(),
+		OnErrorLine: func(line []byte) {
+			n.mesh.Events.observeLine(n.Name, line)
+			n.mesh.Recorder.ObserveLine(line)
+		},
+	})
+	if err != nil {
+		n.mesh.t.Fatal(err)
+	}
+	n.running = running
+}
+
+func (n *Node) arguments() []string {
+	settings := map[string]string{
+		"node-id": n.Name, "region": region, "zone": n.Zone, "service": n.Service,
+		"call-address": n.Calls.Target, "advertise-call-address": n.Calls.Address,
+		"control-address": n.Control.Target, "advertise-control-address": n.Control.Address,
+		"source-address": fabric.Address(n.zone, n.host).String(),
+		"store-address":  n.mesh.storeProxies[n.Zone].Listen,
+		"seeds":          n.mesh.seeds(),
+		"drain-bound":    "30s",
+	}
+	if n.Worker != nil {
+		settings["worker-address"] = n.Worker.Address()
+	}
+	for key, value := range n.Settings {
+		settings[key] = value
+	}
+	arguments := make([]string, 0, len(settings))
+	for key, value := range settings {
+		arguments = append(arguments, fmt.Sprintf("-%s=%s", key, value))
+	}
+	return arguments
+}
+
+// Kill ends the process at once, as a crash does. Connections to it break and
+// new ones are refused.
+func (n *Node) Kill() {
+	n.running.Kill()
+	n.gone()
+}
+
+// Terminate asks for a planned stop and does not wait.
+func (n *Node) Terminate() { n.running.Signal(syscall.SIGTERM) }
+
+// AwaitExit waits for the process to end by itself and returns its exit code.
+func (n *Node) AwaitExit() int {
+	n.mesh.t.Helper()
+	select {
+	case <-n.running.Done():
+	case <-time.After(stopBound):
+		n.mesh.t.Fatalf("%s did not end", n.Name)
+	}
+	n.gone()
+	return n.running.ExitCode()
+}
+
+// Pause stops the process in its tracks; Resume lets it go on.
+func (n *Node) Pause() { n.running.Signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (n *Node) Resume() { n.running.Signal(syscall.SIGCONT) }
+
+func (n *Node) gone() {
+	n.Control.Shut()
+	n.Calls.Shut()
+	n.mesh.Recorder.Gone(n.Name)
+}
+
+// CallerAddress returns where the running process takes calls of callers.
+func (n *Node) CallerAddress() string {
+	n.mesh.t.Helper()
+	listening := n.mesh.Events.Await(n.Name, "listening", func(event observe.Event) bool {
+		return event.Number == observe.EventListening
+	})
+	return listening.CallerAddress
+}
--- /dev/null
+++ b/tests/integration/main_test.go
@@ -0,0 +1,21 @@
+package integration_test
+
+import (
+	"flag"
+	"os"
+	"testing"
+
+	"github.com/levertide/levertide/tests/integration/harness"
+)
+
+// parallelTests bounds how many meshes run at once, so that the processes of
+// all of them have room on a usual machine.
+const parallelTests = "3"
+
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if err := flag.Set("test.parallel", parallelTests); err != nil {
+		panic(err)
+	}
+	os.Exit(harness.Main(m))
+}
