--- /dev/null
+++ b/internal/lab/mesh/node.go
@@ -0,0 +1,252 @@
+package mesh
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/fabric"
+	"github.com/levertide/levertide/internal/lab/process"
+	"github.com/levertide/levertide/internal/lab/worker"
+)
+
+// Node is one node of the mesh and, unless it is a gateway, its worker.
+type Node struct {
+	// Name is the node's identifier, Service that of its worker, empty for a gateway.
+	Name    string
+	Service string
+	Zone    string
+
+	mesh   *Mesh
+	number fabric.ZoneNumber
+	host   uint8
+	base   int
+	seeds  []string
+	relays []*fabric.Relay
+
+	mutex   sync.Mutex
+	process *process.Process
+}
+
+// address returns the node's IP address.
+func (n *Node) address() netip.Addr { return fabric.Address(n.number, n.host) }
+
+// at returns IP:port of one of the node's ports.
+func (n *Node) at(offset int) string { return fabric.HostPort(n.number, n.host, n.base+offset) }
+
+// CallerAddress, CallAddress, ControlAddress and AdminAddress are where others
+// reach the node, through the network of the deployment; administration is direct.
+func (n *Node) CallerAddress() string { return n.at(offsetCaller) }
+
+// CallAddress is where other nodes send calls.
+func (n *Node) CallAddress() string { return n.at(offsetCall) }
+
+// ControlAddress is where other nodes send control messages.
+func (n *Node) ControlAddress() string { return n.at(offsetControl) }
+
+// AdminAddress is where metrics and status are served, without any delay.
+func (n *Node) AdminAddress() string { return n.at(offsetAdmin) }
+
+// Worker returns a client of the worker's control; nil for a gateway.
+func (n *Node) Worker() *worker.Client {
+	if n.Service == "" {
+		return nil
+	}
+	return worker.NewClient(n.at(offsetWorkerControl))
+}
+
+// workerStartBound is how long a worker may take to listen.
+const workerStartBound = 20 * time.Second
+
+// startWorker starts the worker beside the node and waits until it listens.
+func (n *Node) startWorker(ctx context.Context) error {
+	if n.Service == "" {
+		return nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, workerStartBound)
+	defer cancel()
+	listening := make(chan struct{}, 1)
+	running, err := n.mesh.options.Processes.Start(process.Options{
+		Name:      n.Name + " worker",
+		Path:      n.mesh.options.Programs.Lab,
+		Arguments: n.workerArguments(),
+		OnOutputLine: func([]byte) {
+			select {
+			case listening <- struct{}{}:
+			default:
+			}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	select {
+	case <-listening:
+		return nil
+	case <-running.Done():
+		return ErrWorker.New("%s ended at once", running.Name())
+	case <-ctx.Done():
+		return ErrWorker.Wrap(ctx.Err(), "%s does not listen", running.Name())
+	}
+}
+
+// Times that a request takes at a worker.
+const (
+	serviceMedian = 4 * time.Millisecond
+	serviceSigma  = 0.5
+)
+
+// workerArguments returns the command line of the worker.
+func (n *Node) workerArguments() []string {
+	described := n.mesh.options.Deployment.Worker
+	return []string{
+		"worker",
+		"--id", n.Name,
+		"--listen", n.at(offsetWorker),
+		"--control-listen", n.at(offsetWorkerControl),
+		"--slots", fmt.Sprint(described.Slots),
+		"--connections", fmt.Sprint(described.Connections),
+		"--service-median", serviceMedian.String(),
+		"--service-sigma", fmt.Sprint(serviceSigma),
+	}
+}
+
+// Start starts the node's process and opens the relays in front of it.
+func (n *Node) Start() error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if err := n.openRelays(); err != nil {
+		return err
+	}
+	options := n.mesh.options
+	started, err := options.Processes.Start(process.Options{
+		Name:      n.Name,
+		Path:      options.Programs.Levertided,
+		Arguments: n.arguments(),
+		OnErrorLine: func(line []byte) {
+			options.Recorder.ObserveLine(line)
+			if options.OnErrorLine != nil {
+				options.OnErrorLine(n.Name, line)
+			}
+		},
+	})
+	if err != nil {
+		return err
+	}
+	n.process = started
+	return nil
+}
+
+// arguments returns the command line of the node.
+func (n *Node) arguments() []string {
+	arguments := []string{
+		"--node-id", n.Name,
+		"--region", n.mesh.options.Deployment.Region,
+		"--zone", n.Zone,
+		"--caller-address", n.at(offsetCallerBehind),
+		"--call-address", n.at(offsetCallBehind),
+		"--control-address", n.at(offsetControlBehind),
+		"--admin-address", n.AdminAddress(),
+		"--advertise-call-address", n.CallAddress(),
+		"--advertise-control-address", n.ControlAddress(),
+		"--source-address", n.address().String(),
+		"--store-address", n.mesh.store.address,
+		"--seeds", strings.Join(n.seeds, ","),
+	}
+	if n.Service == "" {
+		return append(arguments, "--gateway")
+	}
+	return append(arguments, "--service", n.Service, "--worker-address", n.at(offsetWorker))
+}
+
+// openRelays opens the relays in front of the node's listeners.
+func (n *Node) openRelays() error {
+	if n.relays == nil {
+		for offset := offsetCaller; offset <= offsetControl; offset++ {
+			n.relays = append(n.relays, fabric.NewRelay(fabric.RelayOptions{
+				Links:  n.mesh.links,
+				Zone:   n.number,
+				Listen: n.at(offset),
+				Target: n.at(offset + offsetCallerBehind),
+			}))
+		}
+	}
+	for _, relay := range n.relays {
+		if err := relay.Open(); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// closeRelays ends the relays.
+func (n *Node) closeRelays() {
+	for _, relay := range n.relays {
+		relay.Close()
+	}
+}
+
+// Running reports whether the node's process runs.
+func (n *Node) Running() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if n.process == nil {
+		return false
+	}
+	select {
+	case <-n.process.Done():
+		return false
+	default:
+		return true
+	}
+}
+
+// Kill ends the node's process as a crash does. Its worker goes on.
+func (n *Node) Kill() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.process.Kill()
+	n.gone()
+}
+
+// Stop ends the node's process as planned. It reports whether the process
+// ended by itself in time.
+func (n *Node) Stop() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	orderly := n.process.Stop(stopBound)
+	n.gone()
+	return orderly && n.process.ExitCode() == 0
+}
+
+// gone makes dials to the node fail, as they do once a process has ended.
+func (n *Node) gone() {
+	for _, relay := range n.relays {
+		relay.CloseListener()
+	}
+	n.mesh.options.Recorder.Gone(n.Name)
+}
+
+// Pause stops the process without ending it, and Resume lets it go on.
+func (n *Node) Pause() { n.signal(syscall.SIGSTOP) }
+
+// Resume lets a paused process go on.
+func (n *Node) Resume() { n.signal(syscall.SIGCONT) }
+
+// signal sends a signal to the node's process.
+func (n *Node) signal(signal syscall.Signal) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.process.Signal(signal)
+}
+
+// Usage returns what the node's process has used. It fails with process.ErrUsage.
+func (n *Node) Usage() (process.Usage, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.process.Usage()
+}
