--- a/internal/control/floor.go
+++ b/internal/control/floor.go
@@ -157,45 +157,17 @@
 	}, nil
 }
 
-// floorOfPeers asks a majority of the other nodes of the zone, and one node of
-// another zone if there is any. What the peers know must leave no doubt.
+// floorOfPeers asks the other nodes of the zone, and some of other zones. What
+// they know must leave no doubt.
 func (n *Node) floorOfPeers(ctx context.Context) (floorAnswer, error) {
 	own, others := n.floorPeers()
-	if len(own) == 0 && len(others) == 0 {
-		return floorAnswer{}, ErrFloorUnknown.New("no other node is known")
+	quorum := rollout.FloorQuorum{ZoneMembers: len(own), OtherZones: len(others) > 0}
+	answers := n.askFloors(ctx, append(own, others...))
+	decision := rollout.DecideFloor(quorum, answers)
+	if !decision.Decided {
+		return floorAnswer{}, ErrFloorUnknown.New("%s", decision.Reason)
 	}
-	inZone := n.askFloors(ctx, own, len(own))
-	needed := majority(len(own))
-	if len(inZone) < needed {
-		return floorAnswer{}, ErrFloorUnknown.New("%d of %d nodes of the zone know the version, %d are needed", len(inZone), len(own), needed)
-	}
-	outside := n.askFloors(ctx, others, 1)
-	if len(others) > 0 && len(outside) == 0 {
-		return floorAnswer{}, ErrFloorUnknown.New("no node of another zone knows the version")
-	}
-	return agreedFloor(append(inZone, outside...))
-}
-
-func majority(count int) int {
-	if count == 0 {
-		return 0
-	}
-	return count/2 + 1
-}
-
-// agreedFloor returns the highest committed version. It fails when a higher one
-// was staged, because that one may have been committed since.
-func agreedFloor(answers []floorAnswer) (floorAnswer, error) {
-	var highest floorAnswer
-	for _, answer := range answers {
-		highest.generation = max(highest.generation, answer.generation)
-		highest.committed = max(highest.committed, answer.committed)
-		highest.staged = max(highest.staged, answer.staged)
-	}
-	if highest.staged > highest.committed {
-		return floorAnswer{}, ErrFloorUnknown.New("version %d may have been committed after version %d", highest.staged, highest.committed)
-	}
-	return highest, nil
+	return floorAnswer{committed: decision.Floor}, nil
 }
 
 // floorPeers lists the other nodes of the zone, and some of other zones.
@@ -221,11 +193,11 @@
 	return own, others[:min(len(others), floorOtherZones)]
 }
 
-// askFloors asks peers until enough of them have answered.
-func (n *Node) askFloors(ctx context.Context, peers []topology.Peer, enough int) []floorAnswer {
+// askFloors asks all peers, a few at a time.
+func (n *Node) askFloors(ctx context.Context, peers []topology.Peer) []rollout.FloorAnswer {
 	var group errgroup.Group
 	group.SetLimit(floorPeersAtATime)
-	answers := make([]*floorAnswer, len(peers))
+	answers := make([]rollout.FloorAnswer, len(peers))
 	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
 	defer cancel()
 	for index, peer := range peers {
@@ -235,24 +207,20 @@
 		})
 	}
 	_ = group.Wait()
-	var known []floorAnswer
-	for _, answer := range answers {
-		if answer != nil && len(known) < enough {
-			known = append(known, *answer)
-		}
-	}
-	return known
+	return answers
 }
 
-// askPeerFloor returns nil when the peer cannot be reached or does not know.
-func (n *Node) askPeerFloor(ctx context.Context, peer topology.Peer) *floorAnswer {
+// askPeerFloor returns an answer that counts for nothing when the peer cannot
+// be reached or does not know.
+func (n *Node) askPeerFloor(ctx context.Context, peer topology.Peer) rollout.FloorAnswer {
 	answer, err := n.clients.floor(ctx, peer, &controlpb.FloorRequest{Local: true})
-	if err != nil || !answer.GetKnown() {
-		return nil
+	if err != nil {
+		return rollout.FloorAnswer{}
 	}
-	return &floorAnswer{
-		generation: answer.GetGeneration(),
-		committed:  answer.GetCommitted(),
-		staged:     answer.GetStaged(),
+	return rollout.FloorAnswer{
+		SameZone:  peer.Zone == n.config.Self.Zone && peer.Region == n.config.Self.Region,
+		Known:     answer.GetKnown(),
+		Committed: answer.GetCommitted(),
+		Staged:    answer.GetStaged(),
 	}
 }
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -23,7 +23,7 @@
 	headerTimeout         = 5 * time.Second
 	bodyTimeout           = 10 * time.Second
 	idleConnectionTimeout = 30 * time.Second
-	shutdownTimeout       = 2 * time.Second
+	shutdownTimeout       = 250 * time.Millisecond
 )
 
 // Keepalive of the connections between nodes. The accepting side probes later
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -70,16 +70,24 @@
 
 // serveControl serves the control listener until the context ends.
 func (n *Node) serveControl(ctx context.Context) error {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
 	server := n.newServer(ctx)
 	listener := n.traffic.Listener(&keepAliveListener{n.config.Listener})
-	stop := context.AfterFunc(ctx, func() { closeServer(server) })
-	defer stop()
+	closed := make(chan struct{})
+	go func() {
+		defer close(closed)
+		<-ctx.Done()
+		closeServer(server)
+	}()
 	var err error
 	if n.config.TLS != nil {
 		err = server.ServeTLS(listener, "", "")
 	} else {
 		err = server.Serve(listener)
 	}
+	cancel()
+	<-closed
 	if errors.Is(err, http.ErrServerClosed) {
 		return nil
 	}
