--- /dev/null
+++ b/internal/sim/applies.go
@@ -0,0 +1,108 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/store"
+	"github.com/levertide/levertide/pkg/versionstore"
+)
+
+// Times between applies.
+const (
+	applyPeriod   = 4 * time.Second
+	maximumRacers = 3
+)
+
+// applies drives the operators.
+type applies struct {
+	world     *World
+	number    int
+	processes []*process
+}
+
+// schedule plans the next race of one to three operators.
+func (x *applies) schedule() {
+	delay := x.world.random.duration(2 * applyPeriod)
+	x.world.scheduler.after(delay, "operators", func() {
+		if !x.world.quiet {
+			for range 1 + x.world.random.IntN(maximumRacers) {
+				x.world.Apply(nil)
+			}
+		}
+		x.schedule()
+	})
+}
+
+func (x *applies) end() {
+	for _, p := range x.processes {
+		p.end()
+	}
+}
+
+// Apply has an operator apply a new file set on whatever is committed. known
+// is set to recover from a restored store.
+func (w *World) Apply(known *rollout.Head) {
+	w.applies.number++
+	id := fmt.Sprint("apply-", w.applies.number)
+	set := newFileSet(w.random, w.applies.number)
+	w.oracle.sets[id] = &appliedSet{fileSet: set}
+	p := w.newProcess(id)
+	w.applies.processes = append(w.applies.processes, p)
+	versions := w.newVersionStore()
+	p.store.run("apply", func(ctx context.Context) func() {
+		base, err := w.baseOf(ctx, versions, known)
+		if err != nil {
+			return func() { w.refusedApply(p, id) }
+		}
+		_, err = versions.Propose(ctx, versionstore.ProposeRequest{
+			ApplyID: id, Operator: p.name, Base: base, Resources: set.resources, KnownHead: known,
+		})
+		return func() {
+			if err != nil && certainlyNotWritten(err) {
+				w.refusedApply(p, id)
+			}
+			p.end()
+		}
+	})
+}
+
+func (w *World) baseOf(ctx context.Context, versions *versionstore.VersionStore, known *rollout.Head) (rollout.Version, error) {
+	if known != nil {
+		return known.Committed, nil
+	}
+	head, _, err := versions.ReadHead(ctx, true)
+	return head.Committed, err
+}
+
+func (w *World) refusedApply(p *process, id string) {
+	w.oracle.sets[id].refused = true
+	p.end()
+}
+
+// certainlyNotWritten reports whether the operator was told that nothing was
+// written.
+func certainlyNotWritten(err error) bool {
+	return store.NotWritten(err) ||
+		errorx.IsOfType(err, versionstore.ErrConflict) ||
+		errorx.IsOfType(err, versionstore.ErrRolloutInProgress) ||
+		errorx.IsOfType(err, versionstore.ErrStoreRegressed)
+}
+
+// Recover brings a restored store past what the live nodes know, as an
+// operator does after the alarm.
+func (w *World) Recover() {
+	var known rollout.Head
+	for _, n := range w.liveNodes() {
+		if head := n.agent.participant.State().Head; head.Generation > known.Generation {
+			known = head
+		}
+	}
+	w.faults.count("store recovered")
+	known.Proposed = 0
+	w.Apply(&known)
+}
--- /dev/null
+++ b/internal/sim/calls.go
@@ -0,0 +1,288 @@
+package sim
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"time"
+
+	"github.com/levertide/levertide/pkg/admission"
+	"github.com/levertide/levertide/pkg/balance"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// Times and sizes of calls.
+const (
+	callPeriod        = 40 * time.Millisecond
+	callDeadline      = 2 * time.Second
+	longestService    = 600 * time.Millisecond
+	workerSlots       = 4
+	workerRefusal     = 3
+	leavingGrace      = 5 * time.Second
+	leavingFor        = 3 * time.Second
+	lateNotRunChance  = 5
+	repeatableShare   = 50
+	undisturbedBefore = longestCut + longestPause
+)
+
+// request is one call of a caller. The counts are kept by the oracle.
+type request struct {
+	id         int
+	repeatable bool
+	service    string
+	deadline   time.Duration
+	executions int
+	told       outcome.Outcome
+	ended      bool
+	// entry is the process that the caller talks to.
+	entry *process
+}
+
+// callers sends requests to nodes.
+type callers struct {
+	world  *World
+	number int
+	// open holds the requests that have not ended.
+	open map[int]*request
+}
+
+func (c *callers) schedule() {
+	if c.open == nil {
+		c.open = make(map[int]*request)
+	}
+	c.world.scheduler.after(c.world.random.duration(2*callPeriod), "caller", func() {
+		if !c.world.quiet {
+			c.send()
+		}
+		c.schedule()
+	})
+}
+
+// send hands a new request to some node that is ready.
+func (c *callers) send() {
+	entry := pick(c.world.random, c.world.nodes)
+	if !entry.process.alive || entry.process.paused || !entry.agent.serves.ready() {
+		return
+	}
+	service, found := entry.agent.serves.someService()
+	if !found {
+		return
+	}
+	c.number++
+	r := &request{
+		id: c.number, service: service, entry: entry.process,
+		repeatable: c.world.random.percent(repeatableShare),
+		deadline:   c.world.scheduler.now + callDeadline,
+	}
+	c.open[r.id] = r
+	entry.agent.serves.forward(r)
+}
+
+// reply is what a worker's node answers.
+type reply struct {
+	outcome  outcome.Outcome
+	body     string
+	draining bool
+	load     float64
+}
+
+func bodyOf(id int) string { return fmt.Sprint("answer to ", id) }
+
+// serving is a node's part in calls: as the caller's node, and as the node
+// beside a worker.
+type serving struct {
+	agent     *agent
+	inForce   *snapshot.Snapshot
+	gate      *admission.Gate
+	balancers map[string]*balance.Balancer
+	budgets   map[string]*retry.Budget
+	// forwarding and executing count what a planned stop must wait for.
+	forwarding, executing int
+	leaving               bool
+	leavingSince          time.Duration
+}
+
+func newServing(a *agent) serving {
+	return serving{
+		agent:     a,
+		balancers: make(map[string]*balance.Balancer),
+		budgets:   make(map[string]*retry.Budget),
+		gate: admission.New(admission.Options{
+			Slots: workerSlots, Queue: admission.NoQueue, Now: a.world.wallClock,
+		}),
+	}
+}
+
+func (s *serving) ready() bool {
+	return s.inForce != nil && !s.leaving && s.agent.participant.State().Ready
+}
+
+// someService draws the service of one of the routes in force.
+func (s *serving) someService() (string, bool) {
+	var services []string
+	for _, route := range s.inForce.Routes() {
+		services = append(services, route.Service)
+	}
+	if len(services) == 0 {
+		return "", false
+	}
+	return pick(s.agent.world.random, services), true
+}
+
+func (s *serving) balancer(service string) *balance.Balancer {
+	if s.balancers[service] == nil {
+		s.balancers[service] = balance.New(balance.Options{
+			Zone: s.agent.node.zone, Region: s.agent.node.region, Now: s.agent.world.wallClock,
+			Random: rand.NewPCG(s.agent.world.random.Uint64(), 0),
+		})
+		s.budgets[service] = retry.NewBudget(retry.BudgetOptions{})
+		s.updateEndpointsOf(service)
+	}
+	return s.balancers[service]
+}
+
+// updateEndpoints tells the balancers of the members known now.
+func (s *serving) updateEndpoints() {
+	for _, service := range sortedKeys(s.balancers) {
+		s.updateEndpointsOf(service)
+	}
+}
+
+func (s *serving) updateEndpointsOf(service string) {
+	var endpoints []balance.Endpoint
+	for _, record := range s.agent.table.View().ByService(service) {
+		endpoints = append(endpoints, balance.Endpoint{
+			ID: record.ID, Zone: record.Zone, Region: record.Region,
+			Address: record.CallAddress, Incarnation: record.Incarnation,
+		})
+	}
+	s.balancers[service].Update(endpoints)
+}
+
+// forward carries a request to a worker.
+func (s *serving) forward(r *request) {
+	s.forwarding++
+	balancer := s.balancer(r.service)
+	s.budgets[r.service].Earn()
+	s.attempt(r, balancer, retry.DefaultAllowance, nil)
+}
+
+func (s *serving) attempt(r *request, balancer *balance.Balancer, allowance retry.Allowance, tried []string) {
+	picked, err := balancer.Pick(tried...)
+	if err != nil {
+		s.finish(r, outcome.NotRun, "")
+		return
+	}
+	target := s.agent.world.byID[picked.Endpoint.ID]
+	tried = append(tried, target.id)
+	w := s.agent.world
+	left := r.deadline - w.scheduler.now
+	w.network.call(s.agent.node, target, "call", left,
+		func(answer func(any)) { target.agent.serves.serve(r, s.agent, answer) },
+		func(answer any, err error) {
+			result := reply{outcome: outcome.Unknown}
+			switch {
+			case err == errNotConnected:
+				result.outcome = outcome.NotRun
+				picked.Done(balance.Result{Outcome: balance.Failed})
+			case err != nil:
+				picked.Done(balance.Result{Outcome: balance.Failed})
+			default:
+				result = answer.(reply)
+				picked.Done(balance.Result{Outcome: balanceOutcome(result.outcome), Load: result.load, LoadKnown: true, Draining: result.draining})
+			}
+			s.attempted(r, balancer, allowance, tried, result)
+		})
+}
+
+func balanceOutcome(o outcome.Outcome) balance.Outcome {
+	if o == outcome.Answered {
+		return balance.Answered
+	}
+	return balance.Shed
+}
+
+// attempted decides whether a further attempt is made.
+func (s *serving) attempted(r *request, balancer *balance.Balancer, allowance retry.Allowance, tried []string, result reply) {
+	now := s.agent.world.scheduler.now
+	var left retry.Allowance
+	again := false
+	switch result.outcome {
+	case outcome.NotRun:
+		left, again = allowance.AfterNotRun()
+	case outcome.Unknown:
+		repeatable := r.repeatable || s.agent.world.options.Seams.RepeatUnknown
+		left, again = allowance.AfterUnknown(repeatable)
+	}
+	if again && now < r.deadline && s.budgets[r.service].Spend(s.agent.world.wallClock()) {
+		s.attempt(r, balancer, left, tried)
+		return
+	}
+	s.finish(r, result.outcome, result.body)
+}
+
+func (s *serving) finish(r *request, told outcome.Outcome, body string) {
+	s.forwarding--
+	s.agent.world.oracle.observeOutcome(r, told, body)
+	delete(s.agent.world.callers.open, r.id)
+}
+
+// serve admits a request and has the worker run it.
+func (s *serving) serve(r *request, entry *agent, answer func(any)) {
+	w := s.agent.world
+	w.oracle.observeArrival(s, entry)
+	permit, err := s.gate.Admit(context.Background(), admission.PriorityNormal)
+	if err != nil {
+		answer(reply{outcome: outcome.Of(err), draining: s.leaving, load: s.gate.Load()})
+		return
+	}
+	if w.random.percent(workerRefusal) {
+		permit.Release(admission.Result{Refused: true})
+		answer(reply{outcome: outcome.NotRun, load: s.gate.Load()})
+		return
+	}
+	w.oracle.observeExecution(r, s)
+	s.executing++
+	took := w.random.duration(longestService)
+	s.agent.process.after(took, "worker answers", func() {
+		s.executing--
+		permit.Release(admission.Result{Latency: took})
+		if w.options.Seams.LateNotRun && w.random.percent(lateNotRunChance) {
+			answer(reply{outcome: outcome.NotRun})
+			return
+		}
+		answer(reply{outcome: outcome.Answered, body: bodyOf(r.id), draining: s.leaving, load: s.gate.Load()})
+	})
+}
+
+// Leave has a node leave as planned: it is announced, takes nothing new, and
+// its process ends once nothing is in flight.
+func (w *World) Leave(n *node) {
+	if !n.process.alive || n.process.paused || n.agent.serves.leaving {
+		return
+	}
+	w.faults.count("planned stop")
+	a := n.agent
+	a.serves.leaving = true
+	a.serves.leavingSince = w.scheduler.now
+	record := a.self.Attach()
+	record.State = leavingState
+	a.announce(record)
+	a.upstream.drop()
+	a.serves.gate.Drain()
+	a.process.after(leavingFor, "stop", a.stopWhenIdle)
+}
+
+func (a *agent) stopWhenIdle() {
+	stats := a.serves.gate.Stats()
+	if stats.InFlight > 0 || a.serves.forwarding > 0 {
+		a.process.after(tickPeriod, "stop", a.stopWhenIdle)
+		return
+	}
+	a.world.oracle.observePlannedStop(&a.serves)
+	a.world.endNode(a.node)
+	n := a.node
+	a.world.scheduler.after(a.world.random.duration(longestRestart), "restart "+n.id, func() { a.world.start(n) })
+}
--- /dev/null
+++ b/internal/sim/content.go
@@ -0,0 +1,105 @@
+package sim
+
+import (
+	"errors"
+	"fmt"
+	"hash/fnv"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// Sizes of the file sets that operators apply.
+const (
+	serviceCount = 4
+	secretCount  = 3
+	routeCount   = 6
+	// poisonPercent of the sets are refused by some nodes.
+	poisonPercent = 15
+	// poisonMark ends the number of slots of such a set's services.
+	poisonMark = 13
+	markModulo = 100
+	// pickyShare is one out of how many nodes refuses a poisoned set.
+	pickyShare = 3
+)
+
+func serviceName(index int) string { return fmt.Sprint("service-", index) }
+func secretName(index int) string  { return fmt.Sprint("secret-", index) }
+
+// fileSet is what an operator applies.
+type fileSet struct {
+	resources []model.Resource
+	digests   map[model.Key]model.Digest
+	poisoned  bool
+}
+
+// newFileSet makes a set that differs from all others.
+func newFileSet(r random, number int) fileSet {
+	set := fileSet{digests: make(map[model.Key]model.Digest), poisoned: r.percent(poisonPercent)}
+	mark := number * markModulo
+	if set.poisoned {
+		mark += poisonMark
+	}
+	for index := range serviceCount {
+		service := &model.Service{Slots: mark, Calls: []string{}}
+		for callee := range serviceCount {
+			if callee != index && r.percent(30) {
+				service.Calls = append(service.Calls, serviceName(callee))
+			}
+		}
+		set.add(model.Resource{Key: model.Key{Kind: model.KindService, Name: serviceName(index)}, Service: service})
+	}
+	for index := range secretCount {
+		set.add(model.Resource{
+			Key:    model.Key{Kind: model.KindSecret, Name: secretName(index)},
+			Secret: &model.Secret{Value: fmt.Sprintf("value-%d-%d", number, index)},
+		})
+	}
+	for index := range routeCount {
+		if !r.percent(80) {
+			continue
+		}
+		name := fmt.Sprint("route-", index)
+		route := &model.Route{
+			Match:   model.Match{Host: "*", PathPrefix: "/" + name},
+			Service: serviceName(r.IntN(serviceCount)),
+		}
+		if r.percent(40) {
+			route.Credential = &model.Credential{Secret: secretName(r.IntN(secretCount)), Header: "Authorization"}
+		}
+		set.add(model.Resource{Key: model.Key{Kind: model.KindRoute, Name: name}, Route: route})
+	}
+	set.digest()
+	return set
+}
+
+func (s *fileSet) add(resource model.Resource) { s.resources = append(s.resources, resource) }
+
+func (s *fileSet) digest() {
+	for _, resource := range s.resources {
+		_, s.digests[resource.Key] = model.Encode(resource)
+	}
+}
+
+// errPoisoned is why a picky node refuses a set.
+var errPoisoned = errors.New("the number of slots is not supported here")
+
+// isPicky reports whether a node refuses poisoned sets.
+func isPicky(id string) bool {
+	digest := fnv.New32a()
+	_, _ = digest.Write([]byte(id))
+	return digest.Sum32()%pickyShare == 0
+}
+
+// validateOn is the node's own check of a snapshot.
+func validateOn(id string, s *snapshot.Snapshot) error {
+	if !isPicky(id) {
+		return nil
+	}
+	for _, service := range s.Services() {
+		if service.Slots%markModulo == poisonMark {
+			return errPoisoned
+		}
+	}
+	return nil
+}
--- /dev/null
+++ b/internal/sim/faults.go
@@ -0,0 +1,286 @@
+package sim
+
+import (
+	"time"
+
+	"github.com/levertide/levertide/pkg/store/memory"
+)
+
+// Times and chances of faults.
+const (
+	faultPeriod       = 1500 * time.Millisecond
+	longestRestart    = 3 * time.Second
+	longestPause      = 15 * time.Second
+	longestCut        = 12 * time.Second
+	longestOutage     = 20 * time.Second
+	longestSlowness   = 10 * time.Second
+	longestHoldBack   = 3 * time.Second
+	longestUnnoticed  = 8 * time.Second
+	largestClockStep  = time.Hour
+	herdShare         = 2
+	backupPeriod      = 20 * time.Second
+	lostRequestChance = 15
+	lostAnswerChance  = 25
+	heldBackChance    = 15
+	rateLimitChance   = 10
+	refuseChance      = 10
+)
+
+// faults injects what may go wrong, and counts it.
+type faults struct {
+	world       *World
+	counts      map[string]int
+	outageUntil time.Duration
+	slowUntil   time.Duration
+	// suspended lets the oracle read the store past all faults.
+	suspended bool
+	// lastAt is when the last fault was injected.
+	lastAt time.Duration
+	backup *memory.State
+}
+
+func newFaults(w *World) *faults { return &faults{world: w, counts: make(map[string]int)} }
+
+func (f *faults) count(kind string) { f.counts[kind]++ }
+
+// weightedFault is one kind of fault and how often it is drawn.
+type weightedFault struct {
+	weight int
+	inject func()
+}
+
+func (f *faults) kinds() []weightedFault {
+	w := f.world
+	return []weightedFault{
+		{20, func() { w.Crash(pick(w.random, w.nodes)) }},
+		{4, w.CrashHerd},
+		{14, func() { w.Pause(pick(w.random, w.nodes)) }},
+		{6, w.PauseCoordinator},
+		{10, func() { w.Cut(false) }},
+		{8, func() { w.Cut(true) }},
+		{7, w.StoreOutage},
+		{7, w.StoreSlow},
+		{6, w.LapseLeases},
+		{6, func() { w.StepClock(pick(w.random, w.nodes)) }},
+		{10, func() { w.Leave(pick(w.random, w.nodes)) }},
+		{2, w.RestoreStore},
+	}
+}
+
+// schedule plans the next fault.
+func (f *faults) schedule() {
+	f.world.scheduler.after(f.world.random.duration(2*faultPeriod), "fault", func() {
+		if !f.world.quiet {
+			f.injectOne()
+		}
+		f.schedule()
+	})
+	if f.backup == nil {
+		f.world.scheduler.after(f.world.random.duration(backupPeriod), "backup", f.keepBackup)
+		f.backup = &memory.State{}
+	}
+}
+
+func (f *faults) injectOne() {
+	f.lastAt = f.world.scheduler.now
+	kinds := f.kinds()
+	total := 0
+	for _, kind := range kinds {
+		total += kind.weight
+	}
+	drawn := f.world.random.IntN(total)
+	for _, kind := range kinds {
+		drawn -= kind.weight
+		if drawn < 0 {
+			kind.inject()
+			return
+		}
+	}
+}
+
+// keepBackup copies the store now and then, as its platform would.
+func (f *faults) keepBackup() {
+	state := f.world.memory.State()
+	f.backup = &state
+	f.world.scheduler.after(backupPeriod+f.world.random.duration(backupPeriod), "backup", f.keepBackup)
+}
+
+// intercept answers the store's question about the fault of a request.
+func (w *World) intercept(memory.Request) memory.Fault {
+	if w.faults.suspended || w.running == nil {
+		return memory.FaultNone
+	}
+	return w.running.fault
+}
+
+// disturbed draws whether a message is lost; none is while the world is quiet.
+func (w *World) disturbed(chance int) bool {
+	if w.quiet || w.options.Calm || !w.random.perMille(chance) {
+		return false
+	}
+	w.faults.count("message lost")
+	return true
+}
+
+// chooseFault decides what becomes of a request to the store.
+func (w *World) chooseFault(request memory.Request) memory.Fault {
+	if w.scheduler.now < w.faults.outageUntil {
+		w.faults.count("request during outage")
+		return memory.FaultRefuse
+	}
+	if w.quiet || w.options.Calm {
+		return memory.FaultNone
+	}
+	drawn := w.random.IntN(1000)
+	for _, candidate := range []struct {
+		chance int
+		fault  memory.Fault
+		name   string
+	}{
+		{lostRequestChance, memory.FaultLoseRequest, "request lost"},
+		{lostAnswerChance, memory.FaultLoseAnswer, "answer lost"},
+		{heldBackChance, memory.FaultHoldBack, "write held back"},
+		{rateLimitChance, memory.FaultRateLimit, "rate limited"},
+		{refuseChance, memory.FaultRefuse, "request refused"},
+	} {
+		drawn -= candidate.chance
+		if drawn < 0 {
+			w.faults.count(candidate.name)
+			w.deliverLater(request, candidate.fault)
+			return candidate.fault
+		}
+	}
+	return memory.FaultNone
+}
+
+// deliverLater plans the moment at which a held-back write takes effect.
+func (w *World) deliverLater(_ memory.Request, fault memory.Fault) {
+	if fault != memory.FaultHoldBack {
+		return
+	}
+	w.scheduler.after(w.random.duration(longestHoldBack), "held write", w.deliverHeld)
+}
+
+func (w *World) deliverHeld() {
+	w.memory.DeliverHeld()
+	w.oracle.observeStore()
+}
+
+func (w *World) requestDelay() time.Duration {
+	if w.scheduler.now < w.faults.slowUntil {
+		return w.random.duration(slowRequestDelay)
+	}
+	return requestDelay + w.random.duration(requestDelay)
+}
+
+// Crash ends a node's process and starts another one later.
+func (w *World) Crash(n *node) {
+	if !n.process.alive {
+		return
+	}
+	w.faults.count("crash")
+	w.endNode(n)
+	w.scheduler.after(w.random.duration(longestRestart), "restart "+n.id, func() { w.start(n) })
+}
+
+// endNode stops a node's process at once. The worker beside it goes on.
+func (w *World) endNode(n *node) { n.process.end() }
+
+// CrashHerd ends many processes at once.
+func (w *World) CrashHerd() {
+	w.faults.count("herd of crashes")
+	for _, n := range w.nodes {
+		if w.random.IntN(herdShare) == 0 {
+			w.Crash(n)
+		}
+	}
+}
+
+// Pause stops a node's process for a time; it goes on with its old state.
+func (w *World) Pause(n *node) {
+	if !n.process.alive || n.process.paused {
+		return
+	}
+	w.faults.count("pause")
+	paused := n.process
+	paused.pause()
+	w.scheduler.after(w.random.duration(longestPause), "resume "+n.id, paused.resume)
+}
+
+// PauseCoordinator pauses a node that believes to coordinate.
+func (w *World) PauseCoordinator() {
+	for _, n := range w.liveNodes() {
+		if n.agent.coordinates() {
+			w.faults.count("pause of a coordinator")
+			w.Pause(n)
+			return
+		}
+	}
+}
+
+// Cut stops all messages from one zone to another, and back unless oneWay.
+func (w *World) Cut(oneWay bool) {
+	from, to := pick(w.random, w.zones), pick(w.random, w.zones)
+	if from == to {
+		return
+	}
+	links := []link{{from, to}}
+	if oneWay {
+		w.faults.count("cut in one direction")
+	} else {
+		w.faults.count("cut")
+		links = append(links, link{to, from})
+	}
+	for _, l := range links {
+		w.network.cut[l] = true
+	}
+	w.scheduler.after(w.random.duration(longestCut), "heal", func() {
+		for _, l := range links {
+			delete(w.network.cut, l)
+		}
+	})
+}
+
+// StoreOutage makes the store refuse all requests for a time.
+func (w *World) StoreOutage() {
+	w.faults.count("store outage")
+	w.faults.outageUntil = w.scheduler.now + w.random.duration(longestOutage)
+}
+
+// StoreSlow makes requests to the store take long for a time.
+func (w *World) StoreSlow() {
+	w.faults.count("store slow")
+	w.faults.slowUntil = w.scheduler.now + w.random.duration(longestSlowness)
+}
+
+// LapseLeases ends all sessions of the store.
+func (w *World) LapseLeases() {
+	w.faults.count("leases lapsed")
+	w.memory.LapseSessions()
+}
+
+// StepClock sets a node's clock wrong.
+func (w *World) StepClock(n *node) {
+	w.faults.count("clock step")
+	n.clockStep = w.random.duration(2*largestClockStep) - largestClockStep
+}
+
+// RestoreStore puts an older copy in place of the store's content. An operator
+// recovers it later.
+func (w *World) RestoreStore() {
+	if w.faults.backup == nil || w.faults.backup.Index == 0 || w.oracle.restored {
+		return
+	}
+	w.faults.count("store restored")
+	w.memory.DeliverHeld()
+	w.oracle.observeStore()
+	before := w.oracle.head
+	w.memory.Restore(*w.faults.backup)
+	w.oracle.head = w.oracle.storedHead()
+	w.oracle.restored = w.oracle.head.Generation < before.Generation
+	w.scheduler.after(w.random.duration(longestUnnoticed), "recover", func() {
+		if w.oracle.restored {
+			w.Recover()
+		}
+	})
+}
--- /dev/null
+++ b/internal/sim/network.go
@@ -0,0 +1,103 @@
+package sim
+
+import (
+	"errors"
+	"time"
+)
+
+// Errors of a simulated call.
+var (
+	// errNotConnected tells that the request certainly did not arrive.
+	errNotConnected = errors.New("no connection")
+	// errNoAnswer tells that the request may have arrived.
+	errNoAnswer = errors.New("no answer")
+)
+
+// Bounds of the time that a message takes.
+const (
+	inZoneDelay    = 500 * time.Microsecond
+	betweenZones   = 3 * time.Millisecond
+	slowDelay      = 400 * time.Millisecond
+	refusalDelay   = time.Millisecond
+	slowPercent    = 2
+	lossPerMille   = 3
+	answerPerMille = 3
+)
+
+// link is a direction between two zones.
+type link struct{ from, to string }
+
+// network carries messages between nodes, unless a link is cut.
+type network struct {
+	world *World
+	cut   map[link]bool
+}
+
+func (n *network) delay(from, to *node) time.Duration {
+	base := inZoneDelay
+	if from.zone != to.zone {
+		base = betweenZones
+	}
+	if n.world.random.percent(slowPercent) {
+		base += n.world.random.duration(slowDelay)
+	}
+	return base + n.world.random.duration(base)
+}
+
+func (n *network) passes(from, to *node) bool {
+	return !n.cut[link{from.zone, to.zone}]
+}
+
+// exchange is one call from a node to another.
+type exchange struct {
+	from, to    *node
+	fromProcess *process
+	name        string
+	timeout     time.Duration
+	serve       func(answer func(reply any))
+	done        func(reply any, err error)
+	finished    bool
+}
+
+// call sends a request. serve runs at the receiver, which answers at once or
+// later; done runs at the sender exactly once, unless its process ends.
+func (n *network) call(from, to *node, name string, timeout time.Duration,
+	serve func(answer func(reply any)), done func(reply any, err error)) {
+	e := &exchange{
+		from: from, to: to, fromProcess: from.process, name: name, timeout: timeout,
+		serve: serve, done: done,
+	}
+	e.fromProcess.after(timeout, name+" timeout", func() { e.finish(nil, errNoAnswer) })
+	lost := !n.passes(from, to) || n.world.disturbed(lossPerMille)
+	if lost {
+		return
+	}
+	n.world.scheduler.after(n.delay(from, to), name+" request "+to.id, func() { n.arrive(e) })
+}
+
+func (n *network) arrive(e *exchange) {
+	server := e.to.process
+	if server == nil || !server.alive {
+		e.fromProcess.after(refusalDelay, e.name+" refused", func() { e.finish(nil, errNotConnected) })
+		return
+	}
+	server.do(func() {
+		e.serve(func(reply any) { n.answer(e, server, reply) })
+	})
+}
+
+// answer carries the reply back if the way back is open.
+func (n *network) answer(e *exchange, server *process, reply any) {
+	if !server.alive || !n.passes(e.to, e.from) || n.world.disturbed(answerPerMille) {
+		return
+	}
+	e.fromProcess.after(n.delay(e.to, e.from), e.name+" answer", func() { e.finish(reply, nil) })
+}
+
+func (e *exchange) finish(reply any, err error) {
+	if e.finished {
+		return
+	}
+	e.finished = true
+	e.done(reply, err)
+}
--- /dev/null
+++ b/internal/sim/process.go
@@ -0,0 +1,56 @@
+package sim
+
+import "time"
+
+// process is a running program: a node or an operator's command. What it was
+// to do while it is paused happens when it resumes; what it was to do after
+// its end never happens.
+type process struct {
+	world  *World
+	name   string
+	alive  bool
+	paused bool
+	// deferred holds what became due during a pause.
+	deferred []func()
+	store    *storeClient
+}
+
+func (w *World) newProcess(name string) *process {
+	p := &process{world: w, name: name, alive: true}
+	p.store = newStoreClient(p)
+	return p
+}
+
+// after plans something that the process does.
+func (p *process) after(delay time.Duration, name string, run func()) {
+	p.world.scheduler.after(delay, name+" "+p.name, func() { p.do(run) })
+}
+
+// do runs something now, or at the end of the pause.
+func (p *process) do(run func()) {
+	switch {
+	case !p.alive:
+	case p.paused:
+		p.deferred = append(p.deferred, run)
+	default:
+		run()
+	}
+}
+
+func (p *process) pause() { p.paused = true }
+
+func (p *process) resume() {
+	p.paused = false
+	waiting := p.deferred
+	p.deferred = nil
+	for _, run := range waiting {
+		p.do(run)
+	}
+}
+
+// end stops the process at once.
+func (p *process) end() {
+	p.alive = false
+	p.deferred = nil
+	p.store.abandon()
+}
--- /dev/null
+++ b/internal/sim/settle.go
@@ -0,0 +1,108 @@
+package sim
+
+import (
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/levertide/levertide/pkg/membership"
+)
+
+// settleTime is how long after the last fault everything must be in order.
+const settleTime = 45 * time.Second
+
+// Settle ends all faults, lets the world run on for a while, and checks what
+// must be true then: the committed version is in force everywhere, nodes are
+// ready and agree on the members, and every request has ended.
+func (w *World) Settle() {
+	w.quiet = true
+	w.endFaults()
+	if w.oracle.restored {
+		w.Recover()
+	}
+	w.RunFor(settleTime)
+	w.checkSettled()
+	w.quiet = false
+}
+
+func (w *World) endFaults() {
+	clear(w.network.cut)
+	w.faults.outageUntil, w.faults.slowUntil = 0, 0
+	for _, n := range w.nodes {
+		n.clockStep = 0
+		if n.process.paused {
+			n.process.resume()
+		}
+		w.start(n)
+	}
+}
+
+func (w *World) checkSettled() {
+	head := w.oracle.head
+	if head.Proposed != 0 {
+		w.oracle.violate(InvariantInForce, "store", fmt.Sprintf("version %d is still proposed", head.Proposed))
+	}
+	var all []string
+	for _, n := range w.nodes {
+		all = append(all, n.id)
+	}
+	slices.Sort(all)
+	for _, n := range w.nodes {
+		w.checkSettledNode(n, all)
+	}
+	if open := len(w.callers.open); open > 0 {
+		w.oracle.checkOpen(w.callers.open)
+	}
+}
+
+func (w *World) checkSettledNode(n *node, all []string) {
+	head := w.oracle.head
+	state := n.agent.participant.State()
+	inForce := n.agent.serves.inForce
+	refused := state.Refusal != nil && state.RefusedVersion == head.Committed
+	switch {
+	case head.Committed == 0 || refused:
+	case inForce == nil || inForce.Version() != head.Committed:
+		w.oracle.violate(InvariantInForce, n.id, fmt.Sprintf("version %d is committed: %s", head.Committed, w.describeNode(n)))
+	case !state.Ready:
+		w.oracle.violate(InvariantReady, n.id, state.Reason)
+	}
+	var live []string
+	for _, record := range n.agent.table.View().Live() {
+		live = append(live, record.ID)
+	}
+	if !slices.Equal(live, all) {
+		w.oracle.violate(InvariantMembers, n.id, fmt.Sprintf("knows %d live members of %d: %v", len(live), len(all), live))
+	}
+}
+
+// describeNode tells what a report on a node that lags needs.
+func (w *World) describeNode(n *node) string {
+	state := n.agent.participant.State()
+	version := uint64(0)
+	if state.InForce != nil {
+		version = state.InForce.Version()
+	}
+	parent := "none"
+	if n.agent.upstream.parent != nil {
+		parent = n.agent.upstream.parent.id
+	}
+	return fmt.Sprintf("runs %d, head %s, reason %q, parent %s, reader %t, role %v, record %s, alarms %v",
+		version, describe(state.Head), state.Reason, parent, n.agent.reader.holdsLease(),
+		n.agent.plan.Role, describeRecord(n.agent.self), state.Alarms)
+}
+
+func describeRecord(record membership.Record) string {
+	return fmt.Sprintf("%d.%d.%d", record.Incarnation, record.Attachment, record.State)
+}
+
+// checkOpen reports requests that have not ended although their deadline is
+// long over. Requests of a node that crashed end with it.
+func (o *oracle) checkOpen(open map[int]*request) {
+	for _, id := range sortedKeys(open) {
+		if open[id].entry.alive {
+			o.violate(InvariantEnds, fmt.Sprint("request ", id), "it has not ended")
+		}
+	}
+	clear(open)
+}
