--- /dev/null
+++ b/internal/command/connect/node.go
@@ -0,0 +1,121 @@
+package connect
+
+import (
+	"context"
+	"crypto/tls"
+	"errors"
+	"flag"
+	"fmt"
+	"net"
+	"net/http"
+	"os"
+	"time"
+
+	"github.com/levertide/levertide/internal/command/exit"
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/internal/identity"
+)
+
+// NodeFlags holds the control addresses of nodes and the operator's certificate.
+type NodeFlags struct {
+	addresses string
+	files     identity.Files
+}
+
+// Register adds the --node flag and those for TLS.
+func (n *NodeFlags) Register(flags *flag.FlagSet) {
+	flags.StringVar(&n.addresses, "node", os.Getenv(variableNode),
+		"control `addresses` (IP:port) of nodes, comma-separated; any node will do, the first that answers is used ($"+variableNode+")")
+	flags.StringVar(&n.files.Authorities, "tls-ca", os.Getenv(variableCA), "PEM `file` with the authorities of the nodes ($"+variableCA+")")
+	flags.StringVar(&n.files.Certificate, "tls-cert", os.Getenv(variableCert), "PEM `file` with the operator's certificate ($"+variableCert+")")
+	flags.StringVar(&n.files.Key, "tls-key", os.Getenv(variableKey), "PEM `file` with the operator's key ($"+variableKey+")")
+}
+
+// Given reports whether any node is named.
+func (n *NodeFlags) Given() bool { return len(split(n.addresses)) > 0 }
+
+// Check returns a usage error unless the flags can be used together.
+func (n *NodeFlags) Check() error {
+	for _, address := range split(n.addresses) {
+		if _, _, err := net.SplitHostPort(address); err != nil {
+			return exit.UsageError(fmt.Sprintf("--node: %q is not an address such as 127.0.0.1:7000", address))
+		}
+	}
+	given := 0
+	for _, file := range []string{n.files.Authorities, n.files.Certificate, n.files.Key} {
+		if file != "" {
+			given++
+		}
+	}
+	if given != 0 && given != 3 {
+		return exit.UsageError("--tls-ca, --tls-cert and --tls-key go together")
+	}
+	return nil
+}
+
+// nodeTimeout bounds the question to one node before the next is asked. A node
+// may have to forward it, level by level, to the coordinator.
+const (
+	dialTimeout = 2 * time.Second
+	nodeTimeout = 8 * time.Second
+)
+
+var errNoNode = errors.New("no node is named")
+
+// Nodes asks nodes for the state of the system.
+type Nodes struct {
+	addresses []string
+	scheme    string
+	transport *http.Transport
+}
+
+// Open reads the certificate files; it makes no connection yet.
+func (n *NodeFlags) Open() (*Nodes, error) {
+	nodes := &Nodes{addresses: split(n.addresses), scheme: "http", transport: newTransport()}
+	if n.files.Authorities == "" {
+		return nodes, nil
+	}
+	config, err := clientTLS(n.files)
+	if err != nil {
+		return nil, err
+	}
+	nodes.scheme = "https"
+	nodes.transport.TLSClientConfig = config
+	return nodes, nil
+}
+
+func newTransport() *http.Transport {
+	return &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+}
+
+// clientTLS reads the files once: a command ends before they would change.
+func clientTLS(files identity.Files) (*tls.Config, error) {
+	keeper, err := identity.NewKeeper(files, nil, identity.DefaultPollInterval)
+	if err != nil {
+		return nil, err
+	}
+	return keeper.Client(), nil
+}
+
+// Status asks one node after the other and returns the first answer.
+func (n *Nodes) Status(ctx context.Context) (*controlpb.StatusResponse, error) {
+	last := errNoNode
+	for _, address := range n.addresses {
+		answer, err := n.ask(ctx, address)
+		if err == nil {
+			return answer, nil
+		}
+		last = fmt.Errorf("%s: %w", address, err)
+	}
+	return nil, last
+}
+
+func (n *Nodes) ask(ctx context.Context, address string) (*controlpb.StatusResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
+	defer cancel()
+	client := controlpb.NewControlProtobufClient(n.scheme+"://"+address, &http.Client{Transport: n.transport})
+	return client.Status(ctx, &controlpb.StatusRequest{})
+}
+
+// Close drops the connections.
+func (n *Nodes) Close() { n.transport.CloseIdleConnections() }
--- /dev/null
+++ b/internal/command/exit/exit.go
@@ -0,0 +1,121 @@
+// Package exit defines the exit codes of levertide and how errors map to them.
+package exit
+
+import (
+	"errors"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/store"
+	"github.com/levertide/levertide/pkg/versionstore"
+)
+
+// Code is the exit code of the program.
+type Code int
+
+// The exit codes. Scripts rely on them: docs/COMMANDS.md lists them.
+const (
+	// Accepted: what was asked for is done.
+	Accepted Code = 0
+	// Rejected: the set is at fault and was not put in force, not in part either.
+	Rejected Code = 1
+	// Conflict: the base has moved, or another version is being rolled out.
+	// Nothing was written.
+	Conflict Code = 2
+	// Unknown: it cannot be known yet whether the set will be in force.
+	Unknown Code = 3
+	// Unreachable: the store or the nodes cannot be reached. Nothing was written.
+	Unreachable Code = 4
+	// Usage: the command line is wrong. Nothing was done.
+	Usage Code = 64
+)
+
+// String returns the outcome as it stands in JSON output.
+func (c Code) String() string {
+	switch c {
+	case Accepted:
+		return "accepted"
+	case Rejected:
+		return "rejected"
+	case Conflict:
+		return "conflict"
+	case Unknown:
+		return "unknown"
+	case Unreachable:
+		return "unreachable"
+	case Usage:
+		return "usage"
+	default:
+		return "invalid"
+	}
+}
+
+// Failure ends a command with a code. Its message is empty when all that is to
+// be said has been written already.
+type Failure struct {
+	Code    Code
+	Message string
+}
+
+// Error returns the message.
+func (f *Failure) Error() string { return f.Message }
+
+// UsageError tells that the command line is wrong.
+func UsageError(message string) error { return &Failure{Code: Usage, Message: message} }
+
+// OfWrite returns the code for an error of a request that may have written.
+// What is not known to have had no effect is Unknown.
+func OfWrite(err error) Code {
+	switch {
+	case err == nil:
+		return Accepted
+	case isOneOf(err, versionstore.ErrConflict, versionstore.ErrRolloutInProgress):
+		return Conflict
+	case isFault(err):
+		return Rejected
+	case store.NotWritten(err):
+		return Unreachable
+	default:
+		return Unknown
+	}
+}
+
+// OfRead returns the code for an error of a request that writes nothing.
+func OfRead(err error) Code {
+	switch {
+	case err == nil:
+		return Accepted
+	case isFault(err) || errorx.IsOfType(err, versionstore.ErrVersionNotFound):
+		return Rejected
+	default:
+		return Unreachable
+	}
+}
+
+// isFault reports errors that do not go away by asking again.
+func isFault(err error) bool {
+	return isOneOf(err, versionstore.ErrTooLarge, versionstore.ErrInvalidRequest, versionstore.ErrCorrupt,
+		versionstore.ErrStoreRegressed, store.ErrTooLarge, store.ErrRefused)
+}
+
+func isOneOf(err error, types ...*errorx.Type) bool {
+	for _, candidate := range types {
+		if errorx.IsOfType(err, candidate) {
+			return true
+		}
+	}
+	return false
+}
+
+// CodeOf returns the code that an error of a command ends the program with.
+func CodeOf(err error) Code {
+	var failure *Failure
+	switch {
+	case err == nil:
+		return Accepted
+	case errors.As(err, &failure):
+		return failure.Code
+	default:
+		return Unknown
+	}
+}
