Add the load measurements

Steady, overload, chain, upload and rolling modes, on levertided processes or on data planes inside the lab. Calls start at the moments of a Poisson process and are timed from these. A first form of the pacing shared the moment between calls and reported times below the worker's own; a test now holds the times to that bound.

--- /dev/null
+++ b/internal/lab/load/caller.go
@@ -0,0 +1,158 @@
+package load
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/internal/lab/worker"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/retry"
+)
+
+// ending is how a call ended for its caller.
+type ending uint8
+
+const (
+	endingAnswered ending = iota
+	endingNotRun
+	endingUnknown
+	endingWrong
+)
+
+// call is one request.
+type call struct {
+	id     string
+	method string
+	// target is host:port, host the Host header.
+	target, host, path string
+	// size is the length of the body, which is made while it is sent.
+	size int64
+	// pace spreads the sending of the body over this time; zero sends at once.
+	pace time.Duration
+	// deadline is told to the node and kept by the caller; zero for none.
+	deadline time.Duration
+}
+
+const (
+	callerConnections = 4096
+	callerIdle        = 30 * time.Second // below what nodes and workers keep
+	dialTimeout       = time.Second
+	// deadlineGrace is how much longer than its deadline a caller waits for the
+	// answer that tells what became of the request.
+	deadlineGrace = 2 * time.Second
+)
+
+// newTransport returns the caller's side. It never sends a request again by itself,
+// because the body cannot be rewound and no call is idempotent to it.
+func newTransport() *http.Transport {
+	return &http.Transport{
+		DialContext:         (&net.Dialer{Timeout: dialTimeout}).DialContext,
+		MaxIdleConns:        callerConnections,
+		MaxIdleConnsPerHost: callerConnections,
+		IdleConnTimeout:     callerIdle,
+		DisableCompression:  true,
+	}
+}
+
+// do sends the call and checks its answer.
+func (c call) do(ctx context.Context, transport http.RoundTripper) ending {
+	if c.deadline > 0 {
+		bounded, cancel := context.WithTimeout(ctx, c.deadline+deadlineGrace)
+		defer cancel()
+		ctx = bounded
+	}
+	digester := worker.NewDigester(c.id)
+	request, err := c.request(ctx, digester)
+	if err != nil {
+		return endingNotRun
+	}
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		return endingOf(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	return c.check(response, digester)
+}
+
+func (c call) request(ctx context.Context, digester *worker.Digester) (*http.Request, error) {
+	var body io.Reader
+	if c.size > 0 {
+		body = io.TeeReader(io.LimitReader(&filler{context: ctx, pause: c.pause()}, c.size), digester)
+	}
+	request, err := http.NewRequestWithContext(ctx, c.method, "http://"+c.target+c.path, body)
+	if err != nil {
+		return nil, err
+	}
+	request.ContentLength = c.size
+	request.Host = c.host
+	request.Header.Set(worker.RequestIDHeader, c.id)
+	if c.deadline > 0 {
+		request.Header.Set(retry.DeadlineHeader, strconv.FormatInt(c.deadline.Milliseconds(), 10))
+	}
+	return request, nil
+}
+
+// endingOf sorts out a call without an answer. Only a connection that was never
+// made shows by itself that nothing ran.
+func endingOf(err error) ending {
+	var operation *net.OpError
+	if errors.As(err, &operation) && operation.Op == "dial" {
+		return endingNotRun
+	}
+	return endingUnknown
+}
+
+// check reads the answer and sorts it out. The digest covers the body sent by then.
+func (c call) check(response *http.Response, digester *worker.Digester) ending {
+	switch kind, _ := outcome.FromResponse(response.Header); kind {
+	case outcome.NotRun:
+		return endingNotRun
+	case outcome.Unknown:
+		return endingUnknown
+	}
+	if response.StatusCode != http.StatusOK {
+		return endingUnknown
+	}
+	err := worker.VerifyAnswer(response.Body, digester.Sum(), worker.DefaultAnswerSize)
+	switch {
+	case err == nil:
+		return endingAnswered
+	case errorx.IsOfType(err, worker.ErrAnswer):
+		return endingWrong
+	default:
+		return endingUnknown // cut short, and the caller was told so
+	}
+}
+
+const pacedPart = 32 << 10
+
+// pause returns the time before each part of a paced body.
+func (c call) pause() time.Duration {
+	return time.Duration(float64(c.pace) * pacedPart / float64(max(c.size, pacedPart)))
+}
+
+// filler is an endless body, sent in parts with pauses when it is paced.
+type filler struct {
+	context context.Context
+	pause   time.Duration
+}
+
+func (f *filler) Read(part []byte) (int, error) {
+	if f.pause > 0 {
+		part = part[:min(len(part), pacedPart)]
+		if !sleepUntil(f.context, time.Now().Add(f.pause)) {
+			return 0, f.context.Err()
+		}
+	}
+	for i := range part {
+		part[i] = byte(i)
+	}
+	return len(part), nil
+}
--- /dev/null
+++ b/internal/lab/load/chain.go
@@ -0,0 +1,149 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"net/http"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/worker"
+	"github.com/levertide/levertide/pkg/model"
+)
+
+const (
+	chainLevels      = 6
+	chainPerLevel    = 2
+	chainSlots       = 1000
+	chainRate        = 20 // calls a second at the top
+	chainDeadline    = 2 * time.Second
+	chainFailedShare = 0.5
+	chainService     = time.Millisecond
+)
+
+// measureChain calls through six services, each of which calls the next, while
+// workers of the last one cut connections. It runs on data planes inside the
+// lab, since the bounds on retries cannot be switched off in a process.
+func measureChain(ctx context.Context, options Options) (*Chain, error) {
+	result := &Chain{Levels: chainLevels, FailedShare: chainFailedShare}
+	var err error
+	if result.Budget, err = chainPoint(ctx, options, false); err != nil {
+		return nil, err
+	}
+	if result.NoBudget, err = chainPoint(ctx, options, true); err != nil {
+		return nil, err
+	}
+	return result, nil
+}
+
+func chainPoint(ctx context.Context, options Options, noBudget bool) (ChainPoint, error) {
+	f := newInsideFleet(noBudget)
+	c := &chain{fleet: f}
+	defer c.close()
+	if err := c.start(ctx); err != nil {
+		return ChainPoint{}, err
+	}
+	transport := newTransport()
+	defer transport.CloseIdleConnections()
+	point := c.run(ctx, options, transport)
+	fmt.Fprintf(options.Progress, "chain, budget off %v: %+v\n", noBudget, point)
+	return point, nil
+}
+
+// chain is a gateway and some workers at each level.
+type chain struct {
+	fleet   fleet
+	gateway node
+	levels  [chainLevels][]member
+}
+
+func levelService(level int) string { return fmt.Sprintf("level-%d", level) }
+func levelHost(level int) string    { return levelService(level) + ".lab" }
+
+func (c *chain) start(ctx context.Context) error {
+	var err error
+	if c.gateway, err = c.fleet.start(ctx, nodeSpec{id: gatewayID, zone: zoneName(0), gateway: true}); err != nil {
+		return err
+	}
+	var resources []model.Resource
+	for level := range chainLevels {
+		resources = append(resources, levelResources(level)...)
+		for index := range chainPerLevel {
+			if err := c.add(ctx, level, index); err != nil {
+				return err
+			}
+		}
+	}
+	return c.fleet.apply(ctx, resources)
+}
+
+func levelResources(level int) []model.Resource {
+	return []model.Resource{
+		{
+			Key: model.Key{Kind: model.KindService, Name: levelService(level)},
+			Service: &model.Service{
+				Slots: chainSlots, Connections: chainSlots, Queue: chainSlots, Timeout: callTimeout,
+			},
+		},
+		routeTo(levelService(level), levelHost(level), model.RepeatSafeMethods),
+	}
+}
+
+// add starts a worker that calls the next level through the node beside it.
+func (c *chain) add(ctx context.Context, level, index int) error {
+	w, err := worker.Start(worker.Config{
+		ID: fmt.Sprintf("%s-%d", levelService(level), index), Slots: chainSlots, Connections: chainSlots,
+		Service:          worker.Distribution{Median: chainService},
+		CutOnNextFailure: true,
+	})
+	if err != nil {
+		return err
+	}
+	started, err := c.fleet.start(ctx, nodeSpec{
+		id: fmt.Sprintf("node-%d-%d", level, index), zone: zoneName(0),
+		service: levelService(level), worker: w.Address(),
+	})
+	if err != nil {
+		w.Close()
+		return err
+	}
+	if level+1 < chainLevels {
+		w.SetNext("http://"+started.callerAddress(), levelHost(level+1))
+	} else {
+		w.SetFaults(worker.Fault{Kind: worker.DieBeforeFirstByte, Probability: chainFailedShare})
+	}
+	c.levels[level] = append(c.levels[level], member{node: started, worker: w})
+	return nil
+}
+
+func (c *chain) run(ctx context.Context, options Options, transport *http.Transport) ChainPoint {
+	top := newTally()
+	pacing{rate: chainRate, duration: min(options.Duration, longestStep), seed: options.Seed}.run(ctx,
+		func(index int, moment time.Time) {
+			request := call{
+				id:     fmt.Sprintf("chain-%d", index),
+				method: http.MethodGet, host: levelHost(0), path: callerPath,
+				target:   c.gateway.callerAddress(),
+				deadline: chainDeadline,
+			}
+			top.add(request.do(ctx, transport), time.Since(moment))
+		})
+	seen := executions{}
+	for _, item := range c.levels[chainLevels-1] {
+		seen.take(item.worker)
+	}
+	point := ChainPoint{Top: top.result(0), Bottom: seen.total()}
+	if point.Top.Calls > 0 {
+		point.PerCall = float64(point.Bottom) / float64(point.Top.Calls)
+		point.Answered = float64(point.Top.Answered) / float64(point.Top.Calls)
+	}
+	return point
+}
+
+func (c *chain) close() {
+	c.fleet.close()
+	for _, level := range c.levels {
+		for _, item := range level {
+			item.worker.Close()
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/load/load_test.go
@@ -0,0 +1,107 @@
+package load
+
+import (
+	"context"
+	"encoding/json"
+	"strings"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/worker"
+)
+
+func short(modes ...Mode) Options {
+	return Options{
+		Modes: modes, Rates: []float64{100}, Duration: 300 * time.Millisecond,
+		Workers: 2, Zones: 2, UploadSizes: []int64{1 << 20},
+		Service: worker.Distribution{Median: time.Millisecond},
+	}
+}
+
+func run(t *testing.T, options Options) Report {
+	t.Helper()
+	report, err := Run(context.Background(), options)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return report
+}
+
+func TestSteadyMeasuresBothWays(t *testing.T) {
+	report := run(t, short(ModeSteady))
+	step := report.Steady[0]
+	for name, counts := range map[string]Counts{"direct": step.Direct, "through": step.Through} {
+		if counts.Calls == 0 || counts.Answered != counts.Calls {
+			t.Errorf("%s: %+v", name, counts)
+		}
+	}
+	// A time is taken from the moment at which its own call was due, so that
+	// none can be shorter than the time that the worker takes.
+	if step.DirectMS.P50 < 1 || step.ThroughMS.P50 < 1 {
+		t.Errorf("times below the worker's own: direct %v, through %v", step.DirectMS, step.ThroughMS)
+	}
+	if *report.Calls != step.Through.Calls || report.Added == nil {
+		t.Errorf("top of the report: %+v", report.Load)
+	}
+}
+
+func TestFiguresNotMeasuredAreNull(t *testing.T) {
+	report := run(t, short(ModeUpload))
+	encoded, err := json.Marshal(report)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, field := range []string{
+		"calls", "calls_per_second", "direct_ms", "through_ms", "added_ms",
+		"not_run", "unknown", "wrong_answers", "duplicate_executions", "gateway_resident_mb",
+	} {
+		if !strings.Contains(string(encoded), `"`+field+`":null`) {
+			t.Errorf("%s is not null in %s", field, encoded)
+		}
+	}
+	if len(report.Upload.Points) != 1 || !report.Upload.Points[0].Whole {
+		t.Errorf("upload: %+v", report.Upload)
+	}
+}
+
+func TestFailuresAreReported(t *testing.T) {
+	report := Report{
+		Steady:  []Step{{Through: Counts{Wrong: 1, Duplicates: 2}}},
+		Upload:  &Upload{Points: []UploadPoint{{}}},
+		Rolling: &Rolling{Once: Counts{Unknown: 1}, UploadsStarted: 1, Killed: 1},
+	}
+	if failures := report.failures(); len(failures) != 6 {
+		t.Errorf("failures %q", failures)
+	}
+}
+
+func TestDuplicatesAcrossWorkers(t *testing.T) {
+	seen := executions{"a-once-1": 1, "a-once-2": 2, "b-3": 2}
+	if got := seen.duplicates(isOnce); got != 1 {
+		t.Errorf("%d duplicates, want 1", got)
+	}
+	if got := seen.total(); got != 5 {
+		t.Errorf("%d executions, want 5", got)
+	}
+}
+
+func TestOptionsAreChecked(t *testing.T) {
+	if modes, err := ParseModes("all"); err != nil || len(modes) != 5 {
+		t.Errorf("all modes: %v, %v", modes, err)
+	}
+	for _, text := range []string{"", "fast", "steady,"} {
+		if _, err := ParseModes(text); err == nil {
+			t.Errorf("mode %q accepted", text)
+		}
+	}
+	for _, text := range []string{"", "0", "-1", "NaN", "1,x"} {
+		if _, err := ParseRates(text); err == nil {
+			t.Errorf("rate %q accepted", text)
+		}
+	}
+	for _, text := range []string{"", "0", "1.5"} {
+		if _, err := ParseSizes(text); err == nil {
+			t.Errorf("size %q accepted", text)
+		}
+	}
+}
--- /dev/null
+++ b/internal/lab/load/mesh.go
@@ -0,0 +1,130 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/worker"
+	"github.com/levertide/levertide/pkg/model"
+)
+
+// Hosts and services of the measurements.
+const (
+	serviceName = "ledger"
+	serviceHost = "ledger.lab"
+	// onceHost routes to the same service; its requests must not be repeated.
+	onceHost      = "once.ledger.lab"
+	gatewayID     = "gateway"
+	callTimeout   = 30 * time.Second
+	uploadTimeout = 10 * time.Minute
+)
+
+// member is a worker and the node beside it.
+type member struct {
+	node   node
+	worker *worker.Worker
+}
+
+// mesh is a gateway node and some workers, each with its node.
+type mesh struct {
+	fleet   fleet
+	gateway node
+	members []member
+}
+
+// serviceShape is what the manifest of the service says.
+type serviceShape struct {
+	slots, queue int
+	slowStart    time.Duration
+}
+
+// startMesh starts a gateway and the workers, and puts the routes in force.
+func startMesh(ctx context.Context, f fleet, options Options, config worker.Config, shape serviceShape) (*mesh, error) {
+	m := &mesh{fleet: f}
+	var err error
+	if m.gateway, err = f.start(ctx, nodeSpec{id: gatewayID, zone: zoneName(0), gateway: true}); err != nil {
+		return m, err
+	}
+	for i := range options.Workers {
+		if err := m.addMember(ctx, i, options.Zones, config, ""); err != nil {
+			return m, err
+		}
+	}
+	return m, f.apply(ctx, resourcesOf(shape))
+}
+
+// addMember starts a worker and the node beside it.
+func (m *mesh) addMember(ctx context.Context, index, zones int, config worker.Config, suffix string) error {
+	config.ID = fmt.Sprintf("worker-%d%s", index, suffix)
+	w, err := worker.Start(config)
+	if err != nil {
+		return err
+	}
+	started, err := m.fleet.start(ctx, nodeSpec{
+		id: fmt.Sprintf("node-%d%s", index, suffix), zone: zoneName(index % zones),
+		service: serviceName, worker: w.Address(),
+	})
+	if err != nil {
+		w.Close()
+		return err
+	}
+	m.members = append(m.members, member{node: started, worker: w})
+	return nil
+}
+
+func zoneName(index int) string { return fmt.Sprintf("zone-%d", index) }
+
+func resourcesOf(shape serviceShape) []model.Resource {
+	return []model.Resource{
+		{
+			Key: model.Key{Kind: model.KindService, Name: serviceName},
+			Service: &model.Service{
+				Slots: shape.slots, Connections: worker.DefaultConnections + shape.slots, Queue: shape.queue,
+				SlowStart: shape.slowStart, Timeout: callTimeout,
+			},
+		},
+		routeTo(serviceName, serviceHost, model.RepeatAlways),
+		routeTo(serviceName, onceHost, model.RepeatNever),
+	}
+}
+
+func routeTo(service, host string, repeatable model.Repeatable) model.Resource {
+	return model.Resource{
+		Key: model.Key{Kind: model.KindRoute, Name: host},
+		Route: &model.Route{
+			Match:      model.Match{Host: host, PathPrefix: "/"},
+			Service:    service,
+			Repeatable: repeatable,
+			Priority:   model.PriorityNormal,
+			Timeout:    uploadTimeout,
+		},
+	}
+}
+
+func (m *mesh) workers() []*worker.Worker {
+	workers := make([]*worker.Worker, len(m.members))
+	for i, item := range m.members {
+		workers[i] = item.worker
+	}
+	return workers
+}
+
+// processorTime returns what all nodes have used; false when they are no processes.
+func (m *mesh) processorTime() (time.Duration, bool) {
+	total, ok := m.gateway.usage()
+	sum := total.Processor
+	for _, item := range m.members {
+		usage, measured := item.node.usage()
+		sum += usage.Processor
+		ok = ok && measured
+	}
+	return sum, ok
+}
+
+func (m *mesh) close() {
+	m.fleet.close()
+	for _, item := range m.members {
+		item.worker.Close()
+	}
+}
--- /dev/null
+++ b/internal/lab/load/meter.go
@@ -0,0 +1,97 @@
+package load
+
+import (
+	"sync"
+	"time"
+
+	"github.com/HdrHistogram/hdrhistogram-go"
+
+	"github.com/levertide/levertide/internal/lab/results"
+)
+
+// Range and precision of the histograms, in microseconds.
+const (
+	shortestTime      = 1
+	longestTime       = int64(10 * time.Minute / time.Microsecond)
+	significantDigits = 3
+	perMillisecond    = 1000.0
+)
+
+// meter collects times.
+type meter struct {
+	mutex     sync.Mutex
+	histogram *hdrhistogram.Histogram
+}
+
+func newMeter() *meter {
+	return &meter{histogram: hdrhistogram.New(shortestTime, longestTime, significantDigits)}
+}
+
+func (m *meter) record(length time.Duration) {
+	microseconds := min(max(length.Microseconds(), shortestTime), longestTime)
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	_ = m.histogram.RecordValue(microseconds)
+}
+
+// quantiles returns nil when nothing was recorded.
+func (m *meter) quantiles() *results.Quantiles {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	if m.histogram.TotalCount() == 0 {
+		return nil
+	}
+	return &results.Quantiles{
+		P50: float64(m.histogram.ValueAtQuantile(50)) / perMillisecond,
+		P99: float64(m.histogram.ValueAtQuantile(99)) / perMillisecond,
+		Max: float64(m.histogram.Max()) / perMillisecond,
+	}
+}
+
+// difference subtracts quantile from quantile; nil when one is missing.
+func difference(through, direct *results.Quantiles) *results.Quantiles {
+	if through == nil || direct == nil {
+		return nil
+	}
+	return &results.Quantiles{
+		P50: through.P50 - direct.P50,
+		P99: through.P99 - direct.P99,
+		Max: through.Max - direct.Max,
+	}
+}
+
+// tally counts how calls ended, and the times of those that were answered.
+type tally struct {
+	mutex  sync.Mutex
+	counts Counts
+	times  *meter
+}
+
+func newTally() *tally { return &tally{times: newMeter()} }
+
+func (t *tally) add(ended ending, length time.Duration) {
+	if ended == endingAnswered {
+		t.times.record(length)
+	}
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	t.counts.Calls++
+	switch ended {
+	case endingAnswered:
+		t.counts.Answered++
+	case endingNotRun:
+		t.counts.NotRun++
+	case endingUnknown:
+		t.counts.Unknown++
+	case endingWrong:
+		t.counts.Wrong++
+	}
+}
+
+func (t *tally) result(duplicates int) Counts {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	counts := t.counts
+	counts.Duplicates = duplicates
+	return counts
+}
--- /dev/null
+++ b/internal/lab/load/report.go
@@ -0,0 +1,120 @@
+package load
+
+import "github.com/levertide/levertide/internal/lab/results"
+
+// Report is what a run measured. The embedded figures are those of the last
+// step of ModeSteady; what was not measured is nil.
+type Report struct {
+	results.Load
+	// Nodes tells what the calls went through.
+	Nodes    string    `json:"nodes"`
+	Seed     uint64    `json:"seed"`
+	Steady   []Step    `json:"steady"`
+	Overload *Overload `json:"overload"`
+	Chain    *Chain    `json:"chain"`
+	Upload   *Upload   `json:"upload"`
+	Rolling  *Rolling  `json:"rolling"`
+	Failures []string  `json:"failures"`
+}
+
+// The values of Report.Nodes.
+const (
+	NodesProcesses = "levertided processes"
+	NodesInside    = "data planes inside the lab"
+)
+
+// Counts are the calls of one kind by how they ended.
+type Counts struct {
+	Calls    int `json:"calls"`
+	Answered int `json:"answered"`
+	NotRun   int `json:"not_run"`
+	Unknown  int `json:"unknown"`
+	// Wrong answers are not the whole answer to their own request, and said to be.
+	Wrong int `json:"wrong_answers"`
+	// Duplicates are requests that ran more than once although they must not.
+	Duplicates int `json:"duplicate_executions"`
+}
+
+// Step is one rate of ModeSteady.
+type Step struct {
+	RatePerNode float64            `json:"rate_per_node"`
+	Seconds     float64            `json:"seconds"`
+	Direct      Counts             `json:"direct"`
+	Through     Counts             `json:"through"`
+	DirectMS    *results.Quantiles `json:"direct_ms"`
+	ThroughMS   *results.Quantiles `json:"through_ms"`
+	AddedMS     *results.Quantiles `json:"added_ms"`
+	// LatenessMS is how late the lab itself started calls; it is part of both times.
+	LatenessMS *results.Quantiles `json:"lateness_ms"`
+	// CallsPerCoreSecond is the calls for each second of processor time that all
+	// node processes used together.
+	CallsPerCoreSecond *float64 `json:"calls_per_core_second"`
+}
+
+// Overload compares goodput at several multiples of the capacity.
+type Overload struct {
+	// CapacityPerSecond is worked out from slots and mean service time.
+	CapacityPerSecond float64         `json:"capacity_per_second"`
+	DeadlineMS        float64         `json:"deadline_ms"`
+	Admission         []OverloadPoint `json:"with_admission"`
+	NoAdmission       []OverloadPoint `json:"without_admission"`
+	// The shares are the goodput at the highest load over the best goodput.
+	ShareWith    *float64 `json:"share_of_peak_with_admission"`
+	ShareWithout *float64 `json:"share_of_peak_without_admission"`
+}
+
+// OverloadPoint is one offered load.
+type OverloadPoint struct {
+	Multiple         float64 `json:"multiple_of_capacity"`
+	OfferedPerSecond float64 `json:"offered_per_second"`
+	// GoodputPerSecond counts whole answers within the caller's deadline.
+	GoodputPerSecond float64            `json:"goodput_per_second"`
+	Counts           Counts             `json:"counts"`
+	AnsweredMS       *results.Quantiles `json:"answered_ms"`
+}
+
+// Chain compares calls that reach the failing end of a chain of services.
+type Chain struct {
+	Levels      int        `json:"levels"`
+	FailedShare float64    `json:"failed_share"`
+	Budget      ChainPoint `json:"with_budget"`
+	NoBudget    ChainPoint `json:"without_budget"`
+}
+
+// ChainPoint counts calls at the top and at the bottom of a chain.
+type ChainPoint struct {
+	Top      Counts  `json:"top"`
+	Bottom   int     `json:"bottom_calls"`
+	PerCall  float64 `json:"bottom_calls_per_call"`
+	Answered float64 `json:"answered_share"`
+}
+
+// Upload is the memory of the nodes against the size of a body.
+type Upload struct {
+	Points []UploadPoint `json:"points"`
+}
+
+// UploadPoint is one size; memory is read while the body is on its way. The
+// figures are nil where no node is a process of its own.
+type UploadPoint struct {
+	Bytes           int64    `json:"bytes"`
+	Seconds         float64  `json:"seconds"`
+	Whole           bool     `json:"whole"`
+	GatewayResident *float64 `json:"gateway_resident_mb"`
+	GatewayPeak     *float64 `json:"gateway_peak_mb"`
+	WorkerResident  *float64 `json:"worker_node_resident_mb"`
+	WorkerPeak      *float64 `json:"worker_node_peak_mb"`
+}
+
+// Rolling is what callers saw while every worker and node was replaced.
+type Rolling struct {
+	Replaced int     `json:"replaced"`
+	Seconds  float64 `json:"seconds"`
+	Once     Counts  `json:"unrepeatable"`
+	Any      Counts  `json:"repeatable"`
+	// UploadsStarted and UploadsWhole count long uploads that were in flight.
+	UploadsStarted int `json:"uploads_started"`
+	UploadsWhole   int `json:"uploads_whole"`
+	// Killed counts nodes that did not end by themselves.
+	Killed int `json:"killed"`
+}
--- a/internal/lab/worker/config.go
+++ b/internal/lab/worker/config.go
@@ -45,6 +45,10 @@
 	// turn, with the path of the request; NextHost is the Host header of these calls.
 	Next     string
 	NextHost string
+	// CutOnNextFailure cuts the connection of a request whose next call failed,
+	// so that every level of a chain sees an unknown outcome. Otherwise the
+	// answer is a 502.
+	CutOnNextFailure bool
 	// ForgetRecords drops the record of executions, for long runs that check nothing.
 	ForgetRecords bool
 }
--- a/internal/lab/worker/handler.go
+++ b/internal/lab/worker/handler.go
@@ -109,7 +109,7 @@
 		return
 	}
 	if !w.next.call(ctx, request) {
-		response.WriteHeader(http.StatusBadGateway)
+		w.failNext(response)
 		return
 	}
 	w.records.executed(request.Header.Get(RequestIDHeader))
@@ -119,6 +119,13 @@
 	w.answer(response, request, digester.Sum(), fault)
 }
 
+func (w *Worker) failNext(response http.ResponseWriter) {
+	if w.config.CutOnNextFailure {
+		panic(http.ErrAbortHandler)
+	}
+	response.WriteHeader(http.StatusBadGateway)
+}
+
 // work takes the time of the request. It returns false when ctx ends first.
 func (w *Worker) work(ctx context.Context) bool {
 	timer := time.NewTimer(w.serviceTime())
