--- a/internal/command/apply/run.go
+++ b/internal/command/apply/run.go
@@ -41,13 +41,24 @@
 	defer nodes.Close()
 	versions, err := chosen.store.Open(ctx)
 	if err != nil {
-		return Report{}.with(exit.OfRead(err), "nothing was written: "+err.Error())
+		return notOpened(chosen, err)
 	}
 	defer versions.Close()
 	current := &attempt{options: chosen, terminal: terminal, resources: resources, versions: versions, nodes: nodes}
 	return current.run(ctx)
 }
 
+// notOpened reports a store that does not answer. An earlier attempt at the same
+// apply may have written nevertheless.
+func notOpened(chosen options, err error) Report {
+	if chosen.applyID == "" {
+		return Report{}.with(exit.OfRead(err), "nothing was written: "+err.Error())
+	}
+	return Report{ApplyID: chosen.applyID}.with(exit.Unknown, earlierAttempt+err.Error())
+}
+
+const earlierAttempt = "this attempt has written nothing, but the earlier one may have: "
+
 func (a *attempt) run(ctx context.Context) Report {
 	if a.options.applyID != "" {
 		return a.resume(ctx)
@@ -61,7 +72,7 @@
 	state, err := a.versions.Resolve(ctx, a.options.applyID)
 	if err != nil {
 		a.report.ApplyID = a.options.applyID
-		return a.report.with(exit.Unknown, "this attempt has written nothing, but the earlier one may have: "+err.Error())
+		return a.report.with(exit.Unknown, earlierAttempt+err.Error())
 	}
 	if state.Phase == versionstore.ApplyNotWritten {
 		return a.start(ctx)
--- a/internal/command/connect/node.go
+++ b/internal/command/connect/node.go
@@ -90,13 +90,19 @@
 
 // clientTLS reads the files once: a command ends before they would change.
 func clientTLS(files identity.Files) (*tls.Config, error) {
-	keeper, err := identity.NewKeeper(files, nil, identity.DefaultPollInterval)
+	keeper, err := identity.NewKeeper(files, silentEvents{}, identity.DefaultPollInterval)
 	if err != nil {
 		return nil, err
 	}
 	return keeper.Client(), nil
 }
 
+// silentEvents leaves out events: errors of the first reading are returned.
+type silentEvents struct{}
+
+func (silentEvents) CertificatesLoaded(string, time.Time) {}
+func (silentEvents) CertificatesFailed(error)             {}
+
 // Status asks one node after the other and returns the first answer.
 func (n *Nodes) Status(ctx context.Context) (*controlpb.StatusResponse, error) {
 	last := errNoNode
