--- a/pkg/validation/check.go
+++ b/pkg/validation/check.go
@@ -10,7 +10,7 @@
 func CheckResources(resources []model.Resource, limits Limits) []Problem {
 	checker := newChecker(resources, limits)
 	checker.checkReferences = true
-	checker.checkCount()
+	checker.checkEmpty()
 	checker.checkAll()
 	return checker.problems
 }
@@ -64,16 +64,20 @@
 	}
 }
 
-func (c *checker) checkCount() {
+func (c *checker) checkEmpty() {
 	if len(c.resources) == 0 && len(c.unread) == 0 {
 		c.report(Problem{Message: "the set declares nothing", Hint: "a set is applied whole: an empty one would remove everything"})
 	}
+}
+
+func (c *checker) checkCount() {
 	if len(c.resources) > c.limits.MaxResources {
 		c.report(Problem{Message: fmt.Sprintf("the set declares %d resources, the limit is %d", len(c.resources), c.limits.MaxResources)})
 	}
 }
 
 func (c *checker) checkAll() {
+	c.checkCount()
 	total := 0
 	for _, resource := range c.resources {
 		total += c.checkResource(resource)
--- a/pkg/validation/files.go
+++ b/pkg/validation/files.go
@@ -16,7 +16,7 @@
 	checker.checkReferences = set.Complete()
 	checker.unread = unreadKeys(set)
 	if set.Complete() {
-		checker.checkCount()
+		checker.checkEmpty()
 	}
 	checker.checkAll()
 	faults := make([]manifest.Fault, 0, len(checker.problems))
--- a/pkg/validation/syntax.go
+++ b/pkg/validation/syntax.go
@@ -67,35 +67,42 @@
 	return true
 }
 
-// checkPath accepts what can be the path of a request once it is normalized.
+// checkPath accepts what can be the decoded path of a request that nodes take:
+// see the rules of internal/dataplane, which refuse all that different programs
+// may understand differently.
 func (s subject) checkPath(field, path string) {
-	reason := ""
+	if reason, hint := pathFault(path); reason != "" {
+		s.report(field, fmt.Sprintf("%q can never match: %s", path, reason), hint)
+	}
+}
+
+func pathFault(path string) (reason, hint string) {
+	decoded, err := url.PathUnescape(path)
 	switch {
 	case !strings.HasPrefix(path, "/"):
-		reason = `it does not start with "/"`
+		return `it does not start with "/"`, ""
+	case err == nil && decoded != path:
+		return "paths are compared in decoded form", fmt.Sprintf("write %q", decoded)
 	case strings.ContainsAny(path, "?#"):
-		reason = "a query or fragment takes no part in matching"
+		return "a query or fragment takes no part in matching", ""
 	case strings.ContainsFunc(path, isNoPathRune):
-		reason = "it holds a space, a control character or one outside of ASCII"
+		return "it holds a control character or a backslash", ""
 	case strings.Contains(path, "//"):
-		reason = "it has an empty segment"
+		return "it has an empty segment", ""
 	case hasDotSegment(path):
-		reason = `it has a "." or ".." segment`
+		return `it has a "." or ".." segment`, ""
 	default:
-		if _, err := url.PathUnescape(path); err != nil {
-			reason = "it has a malformed percent escape"
-		}
-	}
-	if reason != "" {
-		s.report(field, fmt.Sprintf("%q can never match: %s", path, reason), "")
+		return "", ""
 	}
 }
 
-func isNoPathRune(letter rune) bool { return letter <= ' ' || letter >= 0x7f }
+func isNoPathRune(letter rune) bool { return letter < ' ' || letter == 0x7f || letter == '\\' }
 
+// hasDotSegment looks at segments without their parameters.
 func hasDotSegment(path string) bool {
 	for segment := range strings.SplitSeq(path, "/") {
-		if segment == "." || segment == ".." {
+		name, _, _ := strings.Cut(segment, ";")
+		if name == "." || name == ".." {
 			return true
 		}
 	}
