--- /dev/null
+++ b/internal/lab/fuzz/fuzz.go
@@ -0,0 +1,101 @@
+package fuzz
+
+import (
+	"context"
+	"fmt"
+	"time"
+
+	"github.com/levertide/levertide/internal/sim"
+)
+
+// Defaults of Options.
+const (
+	DefaultSeed  = 1
+	DefaultSteps = 100_000
+	// stepsBetweenSettling is how many steps run under faults before the world
+	// is given time to come to rest and is checked as a whole.
+	stepsBetweenSettling = 10_000
+	// stepsBetweenContextChecks bounds how late a cancelled run ends.
+	stepsBetweenContextChecks = 256
+)
+
+// Options says what to run.
+type Options struct {
+	// Seed decides everything that happens in the run.
+	Seed uint64
+	// Steps is how many events are simulated; zero means DefaultSteps.
+	Steps uint64
+	// Log, when set, is told of what happens.
+	Log func(at time.Duration, step uint64, text string)
+	// Progress, when set, is told now and then how far the run is.
+	Progress func(steps, total uint64)
+}
+
+// Report is what a run found.
+type Report struct {
+	Seed  uint64 `json:"seed"`
+	Steps uint64 `json:"steps"`
+	// SimulatedSeconds is how much time has gone by in the simulated world.
+	SimulatedSeconds float64 `json:"simulated_seconds"`
+	// Trace is a hash of everything that happened, in hexadecimal. Two runs
+	// with the same seed and steps of the same program have the same.
+	Trace string `json:"trace"`
+	// Faults counts the injected faults by kind.
+	Faults map[string]int `json:"faults"`
+	// Activity counts what the simulated system did.
+	Activity sim.Summary `json:"activity"`
+	// Violations lists what broke an invariant.
+	Violations []sim.Violation `json:"violations"`
+}
+
+// Run simulates Options.Steps events, unless the context ends before; it then
+// returns the context's error with the report so far. Violations are no error.
+func Run(ctx context.Context, options Options) (Report, error) {
+	if options.Steps == 0 {
+		options.Steps = DefaultSteps
+	}
+	world := sim.New(sim.Options{Seed: options.Seed, Log: options.Log})
+	defer world.Close()
+	err := run(ctx, world, options)
+	return reportOf(world, options), err
+}
+
+func run(ctx context.Context, world *sim.World, options Options) error {
+	for world.Steps() < options.Steps {
+		until := min(world.Steps()+stepsBetweenSettling, options.Steps)
+		if err := stepTo(ctx, world, until); err != nil {
+			return err
+		}
+		world.Settle()
+		if options.Progress != nil {
+			options.Progress(world.Steps(), options.Steps)
+		}
+	}
+	return ctx.Err()
+}
+
+func stepTo(ctx context.Context, world *sim.World, until uint64) error {
+	for world.Steps() < until {
+		if world.Steps()%stepsBetweenContextChecks == 0 && ctx.Err() != nil {
+			return ctx.Err()
+		}
+		world.Step()
+	}
+	return nil
+}
+
+func reportOf(world *sim.World, options Options) Report {
+	violations := world.Violations()
+	if violations == nil {
+		violations = []sim.Violation{}
+	}
+	return Report{
+		Seed:             options.Seed,
+		Steps:            world.Steps(),
+		SimulatedSeconds: world.Elapsed().Round(time.Millisecond).Seconds(),
+		Trace:            fmt.Sprintf("%016x", world.TraceHash()),
+		Faults:           world.Faults(),
+		Activity:         world.Summary(),
+		Violations:       violations,
+	}
+}
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -24,6 +24,9 @@
 	// Calm leaves out the faults that are otherwise drawn; those of the store's
 	// requests and of the network's messages included.
 	Calm bool
+	// Log, when set, is told of each write of the head, of each fault and of
+	// what nodes put in force.
+	Log func(at time.Duration, step uint64, text string)
 	// Seams replaces parts by broken ones; only tests set it.
 	Seams Seams
 }
@@ -189,3 +192,13 @@
 func sortedKeys[Key cmp.Ordered, Value any](items map[Key]Value) []Key {
 	return slices.Sorted(maps.Keys(items))
 }
+
+// log tells Options.Log, if there is one. It is no part of the trace.
+func (w *World) log(format string, values ...any) {
+	if w.options.Log != nil {
+		w.options.Log(w.scheduler.now, w.steps, fmt.Sprintf(format, values...))
+	}
+}
+
+// Elapsed returns how much simulated time has gone by.
+func (w *World) Elapsed() time.Duration { return w.scheduler.now }
