Add the scale run over hollow nodes

Hollow nodes are the control engine itself, one process a zone, beside real levertided processes in the same tree.

--- a/internal/lab/command/root.go
+++ b/internal/lab/command/root.go
@@ -6,8 +6,15 @@
 	"flag"
 	"fmt"
 	"io"
+	"os"
 
 	"github.com/peterbourgon/ff/v3/ffcli"
+
+	"github.com/levertide/levertide/internal/lab/certs"
+	"github.com/levertide/levertide/internal/lab/hollow"
+	"github.com/levertide/levertide/internal/lab/report"
+	"github.com/levertide/levertide/internal/lab/scale"
+	"github.com/levertide/levertide/internal/lab/worker"
 )
 
 // Exit codes of levertide-lab.
@@ -65,5 +72,11 @@
 
 // subcommands returns every subcommand in the order in which help lists them.
 func subcommands() []*ffcli.Command {
-	return []*ffcli.Command{}
+	return []*ffcli.Command{
+		scale.Command(os.Stdout),
+		report.Command(os.Stdout),
+		certs.Command(),
+		worker.Command(),
+		hollow.Command(),
+	}
 }
--- a/internal/lab/report/scale_plots.go
+++ b/internal/lab/report/scale_plots.go
@@ -41,7 +41,7 @@
 	drawn := newPlot(
 		fmt.Sprintf("Convergence, %d nodes, quiet phase", run.Result.Nodes),
 		"time since the proposal was written (ms)", "share of nodes and changes (%)")
-	drawn.Legend.Top = false
+	drawn.Legend.XOffs = -3 * vg.Centimeter
 	curve := make(plotter.XYs, 0, len(samples))
 	for i, sample := range samples {
 		curve = append(curve, plotter.XY{X: sample, Y: 100 * float64(i+1) / float64(len(samples))})
@@ -111,7 +111,7 @@
 }
 
 // storyMargin leaves room for the names of phases.
-const storyMargin = 1.35
+const storyMargin = 1.5
 
 // bytesPerKilobyte is the unit in which budgets are given.
 const bytesPerKilobyte = 1024
--- a/internal/lab/results/scale.go
+++ b/internal/lab/results/scale.go
@@ -65,6 +65,7 @@
 	Convergence        *Quantiles  `json:"convergence_ms"`
 	ControlBytes       *Spread     `json:"control_bytes_per_node_per_second"`
 	ControlBytesByRole RoleSpreads `json:"control_bytes_by_role"`
+	WindowSeconds      int         `json:"window_seconds"`
 	StoreReaders       *int        `json:"store_readers"`
 	StoreRequests      *float64    `json:"store_requests_per_second"`
 	Applied            int         `json:"changes_applied"`
--- /dev/null
+++ b/internal/lab/scale/real.go
@@ -0,0 +1,105 @@
+package scale
+
+import (
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/fabric"
+	"github.com/levertide/levertide/internal/lab/hollow"
+	"github.com/levertide/levertide/internal/lab/process"
+)
+
+// realNode is one levertided process among the hollow nodes.
+type realNode struct {
+	spec    hollow.NodeSpec
+	cluster *Cluster
+	relay   *fabric.Relay
+
+	mutex   sync.Mutex
+	process *process.Process
+}
+
+// Offsets of a real process's own listeners from its control port.
+const (
+	offsetControlBehind = 1 + iota
+	offsetCall
+	offsetCaller
+	offsetAdmin
+)
+
+// at returns IP:port of one of the node's ports.
+func (n *realNode) at(offset int) string {
+	return fabric.HostPort(n.spec.Number, n.spec.Host, n.spec.Port+offset)
+}
+
+// start starts the process and opens the relay in front of its control listener.
+func (n *realNode) start() error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	if err := n.relay.Open(); err != nil {
+		return err
+	}
+	started, err := n.cluster.group.Start(process.Options{
+		Name:        n.spec.ID,
+		Path:        n.cluster.options.Levertided,
+		Arguments:   n.arguments(),
+		OnErrorLine: n.cluster.recorder.ObserveLine,
+	})
+	if err != nil {
+		return err
+	}
+	n.process = started
+	return nil
+}
+
+// arguments returns the command line of the process.
+func (n *realNode) arguments() []string {
+	return []string{
+		"--node-id", n.spec.ID,
+		"--region", n.spec.Region,
+		"--zone", n.spec.Zone,
+		"--service", n.spec.Service,
+		"--worker-address", n.cluster.worker.Address(),
+		"--caller-address", n.at(offsetCaller),
+		"--call-address", n.at(offsetCall),
+		"--control-address", n.at(offsetControlBehind),
+		"--advertise-control-address", controlAddress(n.spec),
+		"--admin-address", n.at(offsetAdmin),
+		"--source-address", fabric.Address(n.spec.Number, n.spec.Host).String(),
+		"--store-address", n.cluster.storeRelayed,
+		"--seeds", strings.Join(n.spec.Seeds, ","),
+	}
+}
+
+// kill ends the process as a crash does.
+func (n *realNode) kill() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.process.Kill()
+	n.gone()
+}
+
+// realStopBound is how long a real process may take for a planned stop.
+const realStopBound = 20 * time.Second
+
+// leave ends the process as planned.
+func (n *realNode) leave() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.process.Stop(realStopBound)
+	n.gone()
+}
+
+// gone makes dials to the node fail.
+func (n *realNode) gone() {
+	n.relay.CloseListener()
+	n.cluster.recorder.Gone(n.spec.ID)
+}
+
+// usage returns what the process has used.
+func (n *realNode) usage() (process.Usage, error) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.process.Usage()
+}
