--- a/internal/lab/command/root.go
+++ b/internal/lab/command/root.go
@@ -11,6 +11,7 @@
 	"github.com/peterbourgon/ff/v3/ffcli"
 
 	"github.com/levertide/levertide/internal/lab/certs"
+	"github.com/levertide/levertide/internal/lab/demo"
 	"github.com/levertide/levertide/internal/lab/hollow"
 	"github.com/levertide/levertide/internal/lab/report"
 	"github.com/levertide/levertide/internal/lab/scale"
@@ -73,6 +74,8 @@
 // subcommands returns every subcommand in the order in which help lists them.
 func subcommands() []*ffcli.Command {
 	return []*ffcli.Command{
+		demo.Command(os.Stdout),
+		demo.RunCommand(os.Stdout),
 		scale.Command(os.Stdout),
 		report.Command(os.Stdout),
 		certs.Command(),
--- /dev/null
+++ b/internal/lab/demo/conclude.go
@@ -0,0 +1,210 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"slices"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/calls"
+	"github.com/levertide/levertide/internal/lab/observe"
+	"github.com/levertide/levertide/internal/lab/results"
+	"github.com/levertide/levertide/internal/lab/worker"
+)
+
+// Bounds that checks compare with.
+const (
+	mostReaders      = 3
+	convergenceBound = results.BudgetConvergenceMilliseconds
+	readersWindow    = 12 * time.Second
+	maxNotices       = 20
+)
+
+// conclude checks everything and returns the result.
+func (r *run) conclude(ctx context.Context) *results.Experiment {
+	result := &results.Experiment{
+		Experiment: r.file.Name,
+		Seed:       r.file.Seed,
+		Nodes:      len(r.mesh.Nodes()),
+		Workers:    workersOf(r.mesh),
+	}
+	result.ControlBytes, result.ControlBytesTotal = r.meter.figures()
+	r.concludeStore(ctx, result)
+	r.concludeVersions(ctx, result)
+	r.concludeCalls(ctx, result)
+	r.concludeProcesses()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	result.Checks = r.checks
+	result.Marks = r.marks
+	for i, notice := range r.recorder.Notices() {
+		if i < maxNotices {
+			result.Notices = append(result.Notices, fmt.Sprintf("%s: %s %s%s%s", notice.Node, notice.Name, notice.Text, notice.Error, notice.Reason))
+		}
+	}
+	return result
+}
+
+// concludeStore notes the store's requests and counts its readers in a quiet time.
+func (r *run) concludeStore(ctx context.Context, result *results.Experiment) {
+	counters := r.mesh.StoreCounters()
+	rate := float64(counters.Total) / time.Since(counters.Since).Seconds()
+	result.StoreRequests = &rate
+	r.mesh.ResetStoreCounters()
+	pause(ctx, readersWindow)
+	readers := r.mesh.StoreCounters().StoreReaders
+	result.StoreReaders = &readers
+	r.check("store-readers", readers > 0 && readers <= mostReaders, "%d nodes read the store in %v, at most %d may", readers, readersWindow, mostReaders)
+}
+
+// concludeVersions checks versions and works out convergence.
+func (r *run) concludeVersions(ctx context.Context, result *results.Experiment) {
+	waiting, cancel := context.WithTimeout(ctx, settleBound)
+	defer cancel()
+	last := r.current()
+	err := r.recorder.AwaitVersion(waiting, last, r.mesh.LiveNames())
+	r.check("newest-version-everywhere", err == nil, "version %d on %d nodes %s", last, len(r.mesh.LiveNames()), textOf(err))
+	committed, err := r.mesh.CommittedVersions(ctx)
+	r.check("history-readable", err == nil, "%d versions committed %s", len(committed), textOf(err))
+	r.recorder.CheckCommitted(committed)
+	for _, accepted := range r.applied {
+		r.check("accepted-is-committed", slices.Contains(committed, accepted.result.Version),
+			"version %d of step %s", accepted.result.Version, accepted.step)
+	}
+	r.convergence(result)
+	violations := r.recorder.Violations()
+	count := len(violations)
+	result.Violations = &count
+	r.check("no-violations", count == 0, "%d violations %v", count, violations)
+}
+
+// textOf returns an error's text, or nothing.
+func textOf(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
+
+// convergence works out how long each accepted version took on the nodes that
+// ran all along. The first version is left out: nodes were starting.
+func (r *run) convergence(result *results.Experiment) {
+	var times []float64
+	for _, accepted := range r.applied {
+		version := results.Version{Number: accepted.result.Version, Step: accepted.step, Nodes: len(accepted.live)}
+		reached := r.recorder.TimesInForce(version.Number, time.Time{}, accepted.live)
+		if len(reached) == len(accepted.live) {
+			slowest := slowestOf(reached)
+			took := observe.Milliseconds(slowest.Sub(accepted.result.Began))
+			afterCommit := observe.Milliseconds(slowest.Sub(accepted.result.Ended))
+			version.Milliseconds, version.CommitMilliseconds = &took, &afterCommit
+		}
+		result.Versions = append(result.Versions, version)
+		if accepted.step == firstStep {
+			continue
+		}
+		held := version.Milliseconds != nil && (*version.Milliseconds <= convergenceBound || r.duringFault(accepted.result.Began))
+		r.check("convergence", held, "version %d of step %s in force on %d nodes after %s ms",
+			version.Number, version.Step, version.Nodes, number(version.Milliseconds))
+		if version.Milliseconds != nil {
+			times = append(times, *version.Milliseconds)
+		}
+	}
+	result.Convergence = results.QuantilesOf(observe.Distribute(times))
+}
+
+// slowestOf returns the latest of some times.
+func slowestOf(times map[string]time.Time) time.Time {
+	var slowest time.Time
+	for _, at := range times {
+		if at.After(slowest) {
+			slowest = at
+		}
+	}
+	return slowest
+}
+
+// duringFault reports whether a fault was going on or had just ended.
+func (r *run) duringFault(at time.Time) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.ContainsFunc(r.faults, func(fault span) bool {
+		return !at.Before(fault.from) && at.Before(fault.to)
+	})
+}
+
+// concludeCalls compares what callers were told with what workers did.
+func (r *run) concludeCalls(ctx context.Context, result *results.Experiment) {
+	if r.caller == nil {
+		return
+	}
+	totals := r.caller.Totals()
+	result.Seconds = r.caller.Seconds()
+	result.Calls, result.Answered = &totals.Calls, &totals.Answered
+	result.NotRun, result.Unknown, result.WrongAnswers = &totals.NotRun, &totals.Unknown, &totals.Wrong
+	r.check("calls-answered", totals.Answered > 0, "%d of %d calls answered", totals.Answered, totals.Calls)
+	r.check("no-wrong-answers", totals.Wrong == 0, "%d wrong answers %v", totals.Wrong, firstDetails(r.caller.Details()))
+	r.checkUnknown(result)
+	records, err := r.records(ctx)
+	if err != nil {
+		r.check("workers-readable", false, "%v", err)
+		return
+	}
+	found := r.caller.Audit(records)
+	duplicates := len(found.Duplicates)
+	result.Duplicates = &duplicates
+	r.check("no-duplicate-executions", duplicates == 0, "%d calls ran more than once %v", duplicates, found.Duplicates)
+	r.check("not-run-did-not-run", len(found.RanThoughNotRun) == 0, "%d calls ran though refused %v", len(found.RanThoughNotRun), found.RanThoughNotRun)
+	r.check("answered-was-executed", len(found.NeverExecuted) == 0, "%d answered calls that no worker executed", len(found.NeverExecuted))
+	for _, reason := range r.caller.Reasons() {
+		r.say("not answered: %d times %q", reason.Count, reason.Text)
+	}
+}
+
+// firstDetails returns a few details for people.
+func firstDetails(details []calls.Detail) []calls.Detail { return details[:min(len(details), 5)] }
+
+// checkUnknown checks that calls came out as unknown only around faults.
+func (r *run) checkUnknown(result *results.Experiment) {
+	outside := 0
+	for _, second := range result.Seconds {
+		at := r.started.Add(time.Duration(second.Second) * time.Second)
+		if second.Unknown > 0 && !r.duringFault(at) && !r.duringFault(at.Add(time.Second)) {
+			outside += second.Unknown
+		}
+	}
+	r.check("unknown-only-around-faults", outside == 0, "%d calls ended as unknown while no fault went on", outside)
+}
+
+// records reads what every worker did.
+func (r *run) records(ctx context.Context) ([]worker.Record, error) {
+	var all []worker.Record
+	for _, node := range r.mesh.Nodes() {
+		client := node.Worker()
+		if client == nil {
+			continue
+		}
+		records, _, err := client.Records(ctx)
+		if err != nil {
+			return nil, err
+		}
+		all = append(all, records...)
+	}
+	return all, nil
+}
+
+// concludeProcesses stops everything and checks that each process ends by itself.
+func (r *run) concludeProcesses() {
+	r.say("stopping every process")
+	killed := r.group.StopAll(stopBound)
+	r.check("orderly-end", killed == 0, "%d processes had to be killed at the end", killed)
+	r.check("nothing-left-running", len(r.group.Running()) == 0, "%d processes are left", len(r.group.Running()))
+}
+
+// number shows a figure that may lack.
+func number(figure *float64) string {
+	if figure == nil {
+		return "(not reached everywhere)"
+	}
+	return fmt.Sprintf("%.0f", *figure)
+}
--- /dev/null
+++ b/internal/lab/demo/run.go
@@ -0,0 +1,245 @@
+package demo
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/calls"
+	"github.com/levertide/levertide/internal/lab/experiment"
+	"github.com/levertide/levertide/internal/lab/fabric"
+	"github.com/levertide/levertide/internal/lab/mesh"
+	"github.com/levertide/levertide/internal/lab/observe"
+	"github.com/levertide/levertide/internal/lab/process"
+	"github.com/levertide/levertide/internal/lab/results"
+)
+
+// Options describes one run of an experiment.
+type Options struct {
+	File     *experiment.File
+	Programs mesh.Programs
+	// FirstZone is the number of the deployment's first zone. Experiments that
+	// run at the same time have different ones.
+	FirstZone fabric.ZoneNumber
+	Progress  *Progress
+}
+
+// Bounds of a run.
+const (
+	readyBound  = 30 * time.Second
+	settleBound = 20 * time.Second
+	stopBound   = 15 * time.Second
+)
+
+// firstStep names the version that is applied before the timeline starts.
+const firstStep = "first-version"
+
+// run is one experiment while it goes on.
+type run struct {
+	options  Options
+	file     *experiment.File
+	group    *process.Group
+	recorder *observe.Recorder
+	mesh     *mesh.Mesh
+	caller   *calls.Caller
+	meter    *meter
+	started  time.Time
+
+	mutex   sync.Mutex
+	applied []applied
+	passed  map[string]struct{}
+	faults  []span
+	checks  []results.Check
+	marks   []results.Mark
+}
+
+// applied is one version that was accepted.
+type applied struct {
+	step   string
+	result mesh.ApplyResult
+	// live are the nodes that ran when the version was accepted and are not
+	// hit by a fault of the same time.
+	live []string
+}
+
+// Run carries out an experiment. An error tells that it could not be carried
+// out; checks that did not hold are in the result. Every process that it
+// started has ended when it returns.
+func Run(ctx context.Context, options Options) (*results.Experiment, error) {
+	going := &run{
+		options:  options,
+		file:     options.File,
+		group:    &process.Group{},
+		recorder: observe.NewRecorder(),
+		passed:   make(map[string]struct{}),
+	}
+	defer going.group.StopAll(stopBound)
+	if err := going.start(ctx); err != nil {
+		return nil, err
+	}
+	defer going.mesh.Close()
+	going.work(ctx)
+	if ctx.Err() != nil {
+		return nil, ctx.Err()
+	}
+	return going.conclude(ctx), nil
+}
+
+// say prints a line about this experiment.
+func (r *run) say(format string, arguments ...any) {
+	r.options.Progress.Say(r.file.Name, format, arguments...)
+}
+
+// start starts the deployment and puts the first version in force.
+func (r *run) start(ctx context.Context) error {
+	deployment := *r.file.Deployment
+	started, err := mesh.Start(ctx, mesh.Options{
+		Deployment: deployment,
+		Programs:   r.options.Programs,
+		FirstZone:  r.options.FirstZone,
+		Processes:  r.group,
+		Recorder:   r.recorder,
+	})
+	if err != nil {
+		return err
+	}
+	r.mesh = started
+	r.meter = newMeter(started)
+	r.say("%d nodes and %d workers started in %d zones", len(started.Nodes()), workersOf(started), len(deployment.Zones))
+	if err := r.firstVersion(ctx); err != nil {
+		started.Close()
+		return err
+	}
+	return nil
+}
+
+// workersOf counts the workers of a mesh.
+func workersOf(started *mesh.Mesh) int {
+	count := 0
+	for _, node := range started.Nodes() {
+		if node.Service != "" {
+			count++
+		}
+	}
+	return count
+}
+
+// firstVersion applies the experiment's own file set and waits until all nodes
+// run it and are ready.
+func (r *run) firstVersion(ctx context.Context) error {
+	ctx, cancel := context.WithTimeout(ctx, readyBound)
+	defer cancel()
+	result, err := r.mesh.Apply(ctx, r.file.Paths(r.file.FileSet), 0, operatorName)
+	if err != nil {
+		return err
+	}
+	if result.Outcome != mesh.ApplyAccepted {
+		return ErrStart.New("the first file set ended as %s: %s", result.Outcome, result.Message)
+	}
+	r.note(firstStep, result)
+	if err := r.recorder.AwaitVersion(ctx, result.Version, r.mesh.LiveNames()); err != nil {
+		return err
+	}
+	if err := r.recorder.AwaitReady(ctx, r.mesh.LiveNames()); err != nil {
+		return err
+	}
+	r.say("version %d is in force on all %d nodes", result.Version, len(r.mesh.Nodes()))
+	return nil
+}
+
+// note keeps a version that was accepted.
+func (r *run) note(step string, result mesh.ApplyResult) {
+	live := r.mesh.LiveNames()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.applied = append(r.applied, applied{step: step, result: result, live: live})
+}
+
+// current returns the version that was accepted last.
+func (r *run) current() uint64 {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	var highest uint64
+	for _, one := range r.applied {
+		highest = max(highest, one.result.Version)
+	}
+	return highest
+}
+
+// work makes calls and carries out the timeline.
+func (r *run) work(ctx context.Context) {
+	r.started = time.Now()
+	r.meter.start(ctx)
+	calling, stop := context.WithCancel(ctx)
+	var running sync.WaitGroup
+	if r.file.Load != nil {
+		r.caller = calls.New(calls.Options{
+			Name:    r.file.Name,
+			Load:    *r.file.Load,
+			Seed:    r.file.Seed,
+			Source:  r.callerAddress(),
+			Targets: r.targets,
+			Passed:  r.hasPassed,
+		})
+		running.Go(func() { r.caller.Run(calling) })
+		running.Go(func() { r.showCalls(calling) })
+	}
+	r.timeline(ctx)
+	pause(ctx, time.Until(r.started.Add(r.file.Duration)))
+	stop()
+	running.Wait()
+	r.meter.stop(ctx)
+}
+
+// callerAddress is where calls come from.
+func (r *run) callerAddress() netip.Addr {
+	return fabric.Address(fabric.ZoneClients, uint8(r.options.FirstZone))
+}
+
+// targets returns where callers send calls: to nodes whose process runs.
+func (r *run) targets() []string {
+	var addresses []string
+	for _, node := range r.mesh.Nodes() {
+		if node.Running() {
+			addresses = append(addresses, node.CallerAddress())
+		}
+	}
+	return addresses
+}
+
+// hasPassed reports whether a step of the timeline is over.
+func (r *run) hasPassed(step string) bool {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	_, ok := r.passed[step]
+	return ok
+}
+
+// showInterval is how often the calls so far are shown.
+const showInterval = 10 * time.Second
+
+// showCalls prints how calls go until the context ends.
+func (r *run) showCalls(ctx context.Context) {
+	ticker := time.NewTicker(showInterval)
+	defer ticker.Stop()
+	for {
+		select {
+		case <-ctx.Done():
+			return
+		case <-ticker.C:
+			totals := r.caller.Totals()
+			r.say("calls: %d answered, %d not run, %d unknown, %d wrong", totals.Answered, totals.NotRun, totals.Unknown, totals.Wrong)
+		}
+	}
+}
+
+// pause waits for a while or until the context ends.
+func pause(ctx context.Context, length time.Duration) {
+	timer := time.NewTimer(max(length, 0))
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/lab/demo/steps.go
@@ -0,0 +1,216 @@
+package demo
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/experiment"
+	"github.com/levertide/levertide/internal/lab/mesh"
+	"github.com/levertide/levertide/internal/lab/results"
+)
+
+// Names of the operators who apply sets.
+const (
+	operatorName = "first-operator"
+	rivalName    = "second-operator"
+)
+
+// faultTail is how long after the end of a fault calls may still come out as
+// unknown because of it.
+const faultTail = 5 * time.Second
+
+// span is a time in which calls may come out as unknown.
+type span struct{ from, to time.Time }
+
+// timeline carries out every step at its time. Steps that last go on beside
+// the later ones.
+func (r *run) timeline(ctx context.Context) {
+	var lasting sync.WaitGroup
+	defer lasting.Wait()
+	for _, event := range r.file.Timeline {
+		pause(ctx, time.Until(r.started.Add(event.At)))
+		if ctx.Err() != nil {
+			return
+		}
+		r.mark(event.Name)
+		lasting.Go(func() { r.step(ctx, event) })
+	}
+}
+
+// mark notes when a step began.
+func (r *run) mark(name string) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.marks = append(r.marks, results.Mark{Second: time.Since(r.started).Seconds(), Name: name})
+}
+
+// check notes whether something held.
+func (r *run) check(name string, held bool, format string, arguments ...any) {
+	detail := fmt.Sprintf(format, arguments...)
+	r.mutex.Lock()
+	r.checks = append(r.checks, results.Check{Name: name, Held: held, Detail: detail})
+	r.mutex.Unlock()
+	if !held {
+		r.say("CHECK FAILED: %s: %s", name, detail)
+	}
+}
+
+// fault notes that calls may come out as unknown from now until after a while.
+func (r *run) fault(length time.Duration) {
+	now := time.Now()
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.faults = append(r.faults, span{now, now.Add(length + faultTail)})
+}
+
+// step carries out one step.
+func (r *run) step(ctx context.Context, event experiment.Event) {
+	switch {
+	case event.Apply != nil:
+		r.apply(ctx, event.Name, *event.Apply)
+	case event.Race != nil:
+		r.race(ctx, event.Name, *event.Race)
+	case event.Kill != nil:
+		r.onNodes(event.Name, *event.Kill, "killed", func(node *mesh.Node) { r.fault(0); node.Kill() })
+	case event.Stop != nil:
+		r.stopNodes(event.Name, *event.Stop)
+	case event.Restart != nil:
+		r.restart(ctx, event.Name, *event.Restart)
+	case event.Pause != nil:
+		r.pauseNode(ctx, event.Name, *event.Pause)
+	case event.Cut != nil:
+		r.cut(ctx, event.Name, *event.Cut)
+	case event.Outage != nil:
+		r.say("%s: the store is down for %v", event.Name, event.Outage.For)
+		r.mesh.SetStoreOutage(true)
+		pause(ctx, event.Outage.For)
+		r.mesh.SetStoreOutage(false)
+		r.say("%s: the store is up again", event.Name)
+	case event.Slow != nil:
+		r.say("%s: the store answers %v late for %v", event.Name, event.Slow.Delay, event.Slow.For)
+		r.mesh.SlowStore(*event.Slow)
+		pause(ctx, event.Slow.For)
+		r.mesh.SlowStore(experiment.Slow{})
+	case event.Lost != nil:
+		r.say("%s: the store will lose the answers of %d writes", event.Name, event.Lost.Count)
+		r.mesh.LoseAnswers(*event.Lost)
+	}
+}
+
+// apply applies a set and checks how that ended.
+func (r *run) apply(ctx context.Context, step string, wanted experiment.Apply) {
+	result, err := r.mesh.Apply(ctx, r.file.Paths(wanted.Files), r.current(), operatorName)
+	if err != nil {
+		r.check(step, false, "%v", err)
+		return
+	}
+	held := string(result.Outcome) == string(wanted.Expect)
+	r.check(step, held, "ended as %s, expected %s: %s", result.Outcome, wanted.Expect, result.Message)
+	r.say("%s: apply ended as %s (%s)", step, result.Outcome, result.Message)
+	if result.Outcome == mesh.ApplyAccepted {
+		r.accepted(ctx, step, result)
+	}
+}
+
+// accepted keeps an accepted version and waits until all nodes run it, so that
+// calls of its routes can begin.
+func (r *run) accepted(ctx context.Context, step string, result mesh.ApplyResult) {
+	r.note(step, result)
+	ctx, cancel := context.WithTimeout(ctx, settleBound)
+	defer cancel()
+	if err := r.recorder.AwaitVersion(ctx, result.Version, r.mesh.LiveNames()); err != nil {
+		r.say("%s: version %d: %v", step, result.Version, err)
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.passed[step] = struct{}{}
+}
+
+// race applies two sets at once and checks that exactly one was accepted.
+func (r *run) race(ctx context.Context, step string, sets experiment.Race) {
+	base := r.current()
+	var first, second mesh.ApplyResult
+	var firstErr, secondErr error
+	var racing sync.WaitGroup
+	racing.Go(func() { first, firstErr = r.mesh.Apply(ctx, r.file.Paths(sets.First), base, operatorName) })
+	racing.Go(func() { second, secondErr = r.mesh.Apply(ctx, r.file.Paths(sets.Second), base, rivalName) })
+	racing.Wait()
+	if firstErr != nil || secondErr != nil {
+		r.check(step, false, "%v, %v", firstErr, secondErr)
+		return
+	}
+	won := (first.Outcome == mesh.ApplyAccepted) != (second.Outcome == mesh.ApplyAccepted)
+	lost := first.Outcome == mesh.ApplyConflict || second.Outcome == mesh.ApplyConflict
+	r.check(step, won && lost, "%s: %s; %s: %s; expected one accepted and one conflict",
+		operatorName, first.Outcome, rivalName, second.Outcome)
+	r.say("%s: %s ended as %s, %s as %s", step, operatorName, first.Outcome, rivalName, second.Outcome)
+	for _, result := range []mesh.ApplyResult{first, second} {
+		if result.Outcome == mesh.ApplyAccepted {
+			r.accepted(ctx, step, result)
+		}
+	}
+}
+
+// onNodes does something to every node of a target at the same time.
+func (r *run) onNodes(step string, target experiment.Target, done string, do func(*mesh.Node)) {
+	nodes, err := r.mesh.Select(target)
+	if err != nil {
+		r.check(step, false, "%v", err)
+		return
+	}
+	var doing sync.WaitGroup
+	for _, node := range nodes {
+		doing.Go(func() {
+			do(node)
+			r.say("%s: %s %s", step, node.Name, done)
+		})
+	}
+	doing.Wait()
+}
+
+// stopNodes stops nodes as planned and checks that each ends in time.
+func (r *run) stopNodes(step string, target experiment.Target) {
+	r.onNodes(step, target, "stopped as planned", func(node *mesh.Node) {
+		r.check(step, node.Stop(), "a planned stop of %s ends in time with exit code 0", node.Name)
+	})
+}
+
+// restart starts nodes again and waits until they are ready.
+func (r *run) restart(ctx context.Context, step string, target experiment.Target) {
+	began := time.Now()
+	r.onNodes(step, target, "started again", func(node *mesh.Node) {
+		if err := node.Start(); err != nil {
+			r.check(step, false, "%v", err)
+			return
+		}
+		ctx, cancel := context.WithTimeout(ctx, settleBound)
+		defer cancel()
+		err := r.recorder.AwaitReady(ctx, []string{node.Name})
+		r.check(step, err == nil, "%s is ready again after %.1f s", node.Name, time.Since(began).Seconds())
+	})
+}
+
+// pauseNode stops a node's process for a while without ending it.
+func (r *run) pauseNode(ctx context.Context, step string, wanted experiment.Pause) {
+	r.fault(wanted.For)
+	r.onNodes(step, experiment.Target{Node: wanted.Node}, "paused", (*mesh.Node).Pause)
+	pause(ctx, wanted.For)
+	r.onNodes(step, experiment.Target{Node: wanted.Node}, "goes on", (*mesh.Node).Resume)
+}
+
+// cut holds back traffic between two zones for a while.
+func (r *run) cut(ctx context.Context, step string, wanted experiment.Cut) {
+	from, to := r.mesh.ZoneNumber(wanted.From), r.mesh.ZoneNumber(wanted.To)
+	r.fault(wanted.For)
+	r.say("%s: from %s to %s nothing passes for %v", step, wanted.From, wanted.To, wanted.For)
+	if wanted.OneWay {
+		r.mesh.Links().CutOneWay(from, to)
+	} else {
+		r.mesh.Links().Cut(from, to)
+	}
+	pause(ctx, wanted.For)
+	r.mesh.Links().Heal(from, to)
+	r.say("%s: healed", step)
+}
--- a/internal/lab/mesh/store.go
+++ b/internal/lab/mesh/store.go
@@ -8,7 +8,9 @@
 	"github.com/levertide/levertide/internal/lab/experiment"
 	"github.com/levertide/levertide/internal/lab/fabric"
 	"github.com/levertide/levertide/internal/lab/platform"
+	"github.com/levertide/levertide/internal/platform/consul"
 	"github.com/levertide/levertide/internal/platform/consul/wire"
+	"github.com/levertide/levertide/pkg/versionstore"
 )
 
 // storeStandIn is the platform's store, with the network in front of it.
@@ -104,3 +106,29 @@
 	}
 	return open.Close()
 }
+
+// ResetStoreCounters starts to count the store's requests anew.
+func (m *Mesh) ResetStoreCounters() { m.store.server.ResetCounters() }
+
+// CommittedVersions reads from the store which versions were committed. It
+// fails with the store's error.
+func (m *Mesh) CommittedVersions(ctx context.Context) ([]uint64, error) {
+	client := consul.New(consul.Config{Address: "http://" + m.store.direct, Client: "levertide-lab"})
+	defer client.Close()
+	versions := versionstore.New(versionstore.Config{Store: client})
+	head, _, err := versions.ReadHead(ctx, true)
+	if err != nil {
+		return nil, err
+	}
+	records, err := versions.ListVersions(ctx, -1)
+	if err != nil {
+		return nil, err
+	}
+	var committed []uint64
+	for _, record := range records {
+		if record.Rejection == nil && record.Number <= head.Committed {
+			committed = append(committed, record.Number)
+		}
+	}
+	return committed, nil
+}
