Measure the chain at two shares of failure and overload in one zone

Workers of the overload mode are in one zone for both sides: without admission nodes report no load, so that nothing spilled over and the comparison measured two things at once. The chain also runs with every request failing, where retries multiply most; more calls at the last level than the allowance permits is a failure.

--- a/internal/lab/load/chain.go
+++ b/internal/lab/load/chain.go
@@ -8,36 +8,46 @@
 
 	"github.com/levertide/levertide/internal/lab/worker"
 	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/retry"
 )
 
 const (
-	chainLevels      = 6
-	chainPerLevel    = 2
-	chainSlots       = 1000
-	chainRate        = 20 // calls a second at the top
-	chainDeadline    = 2 * time.Second
-	chainFailedShare = 0.5
-	chainService     = time.Millisecond
+	chainLevels   = 6
+	chainPerLevel = 2
+	chainSlots    = 1000
+	chainDeadline = 2 * time.Second
+	chainService  = time.Millisecond
 )
 
+// chainCases keep the rate low where all fail, since without bounds on retries
+// one call becomes hundreds.
+var chainCases = []ChainCase{
+	{FailedShare: 0.5, RatePerSecond: 20},
+	{FailedShare: 1, RatePerSecond: 4},
+}
+
 // measureChain calls through six services, each of which calls the next, while
 // workers of the last one cut connections. It runs on data planes inside the
 // lab, since the bounds on retries cannot be switched off in a process.
 func measureChain(ctx context.Context, options Options) (*Chain, error) {
-	result := &Chain{Levels: chainLevels, FailedShare: chainFailedShare}
-	var err error
-	if result.Budget, err = chainPoint(ctx, options, false); err != nil {
-		return nil, err
-	}
-	if result.NoBudget, err = chainPoint(ctx, options, true); err != nil {
-		return nil, err
+	result := &Chain{Levels: chainLevels}
+	for _, item := range chainCases {
+		item.Bound = 1 + float64(retry.DefaultAllowance)
+		var err error
+		if item.Budget, err = chainPoint(ctx, options, item, false); err != nil {
+			return nil, err
+		}
+		if item.NoBudget, err = chainPoint(ctx, options, item, true); err != nil {
+			return nil, err
+		}
+		result.Cases = append(result.Cases, item)
 	}
 	return result, nil
 }
 
-func chainPoint(ctx context.Context, options Options, noBudget bool) (ChainPoint, error) {
+func chainPoint(ctx context.Context, options Options, item ChainCase, noBudget bool) (ChainPoint, error) {
 	f := newInsideFleet(noBudget)
-	c := &chain{fleet: f}
+	c := &chain{fleet: f, rate: item.RatePerSecond, failedShare: item.FailedShare}
 	defer c.close()
 	if err := c.start(ctx); err != nil {
 		return ChainPoint{}, err
@@ -45,12 +55,15 @@
 	transport := newTransport()
 	defer transport.CloseIdleConnections()
 	point := c.run(ctx, options, transport)
-	fmt.Fprintf(options.Progress, "chain, budget off %v: %+v\n", noBudget, point)
+	fmt.Fprintf(options.Progress, "chain, %g failing, budget off %v: %+v\n", item.FailedShare, noBudget, point)
 	return point, nil
 }
 
 // chain is a gateway and some workers at each level.
 type chain struct {
+	rate        float64
+	failedShare float64
+
 	fleet   fleet
 	gateway node
 	levels  [chainLevels][]member
@@ -109,7 +122,7 @@
 	if level+1 < chainLevels {
 		w.SetNext("http://"+started.callerAddress(), levelHost(level+1))
 	} else {
-		w.SetFaults(worker.Fault{Kind: worker.DieBeforeFirstByte, Probability: chainFailedShare})
+		w.SetFaults(worker.Fault{Kind: worker.DieBeforeFirstByte, Probability: c.failedShare})
 	}
 	c.levels[level] = append(c.levels[level], member{node: started, worker: w})
 	return nil
@@ -117,7 +130,7 @@
 
 func (c *chain) run(ctx context.Context, options Options, transport *http.Transport) ChainPoint {
 	top := newTally()
-	pacing{rate: chainRate, duration: min(options.Duration, longestStep), seed: options.Seed}.run(ctx,
+	pacing{rate: c.rate, duration: min(options.Duration, longestStep), seed: options.Seed}.run(ctx,
 		func(index int, moment time.Time) {
 			request := call{
 				id:     fmt.Sprintf("chain-%d", index),
@@ -147,3 +160,14 @@
 		}
 	}
 }
+
+// failures lists cases in which calls grew beyond what the budget permits.
+func (c *Chain) failures() []string {
+	var failures []string
+	for _, item := range c.Cases {
+		if item.Budget.PerCall > item.Bound {
+			failures = append(failures, fmt.Sprintf("chain: %.2f calls at the last level for one, at most %.0f are permitted", item.Budget.PerCall, item.Bound))
+		}
+	}
+	return failures
+}
--- a/internal/lab/load/overload.go
+++ b/internal/lab/load/overload.go
@@ -27,10 +27,12 @@
 
 // measureOverload runs the same loads twice: with admission, where the node
 // knows the slots and the worker refuses what is beyond them, and without,
-// where the node lets everything through and the worker queues it.
+// where the node lets everything through and the worker queues it. All workers
+// are in one zone: without admission there is no load to spill over by.
 func measureOverload(ctx context.Context, options Options) (*Overload, error) {
 	service := worker.Distribution{Median: overloadService, Sigma: overloadSpread}
 	slots := options.Slots
+	options.Zones = 1
 	result := &Overload{
 		CapacityPerSecond: float64(options.Workers*slots) / service.Mean().Seconds(),
 		DeadlineMS:        float64(overloadDeadline.Milliseconds()),
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -75,10 +75,19 @@
 
 // Chain compares calls that reach the failing end of a chain of services.
 type Chain struct {
-	Levels      int        `json:"levels"`
-	FailedShare float64    `json:"failed_share"`
-	Budget      ChainPoint `json:"with_budget"`
-	NoBudget    ChainPoint `json:"without_budget"`
+	Levels int         `json:"levels"`
+	Cases  []ChainCase `json:"cases"`
+}
+
+// ChainCase is one share of failing requests at the last level.
+type ChainCase struct {
+	FailedShare   float64 `json:"failed_share"`
+	RatePerSecond float64 `json:"rate_per_second"`
+	// Bound is the most calls at the last level for one call that the allowance
+	// of a call permits.
+	Bound    float64    `json:"bound_per_call"`
+	Budget   ChainPoint `json:"with_budget"`
+	NoBudget ChainPoint `json:"without_budget"`
 }
 
 // ChainPoint counts calls at the top and at the bottom of a chain.
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -83,6 +83,9 @@
 			note(fmt.Sprintf("overload %g", point.Multiple), point.Counts)
 		}
 	}
+	if r.Chain != nil {
+		failures = append(failures, r.Chain.failures()...)
+	}
 	if r.Upload != nil {
 		failures = append(failures, r.Upload.failures()...)
 	}
