--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -15,6 +15,7 @@
 	"github.com/levertide/levertide/internal/telemetry"
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/snapshot"
+	"github.com/levertide/levertide/pkg/validation"
 )
 
 // Version is the program's version, set by the linker.
@@ -182,8 +183,10 @@
 
 // validate decides whether this node can run a version.
 func (d *Daemon) validate(candidate *snapshot.Snapshot) error {
-	if candidate.Len() > d.settings.MaxResources {
-		return ErrTooLarge.New("%d resources, max-resources is %d", candidate.Len(), d.settings.MaxResources)
+	limits := validation.DefaultLimits()
+	limits.MaxResources = d.settings.MaxResources
+	if err := validation.CheckSnapshot(candidate, limits); err != nil {
+		return err
 	}
 	return d.plane.Validate(candidate)
 }
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -58,7 +58,7 @@
 		{"hold", "how long a watch may be held before it is answered", allowedBound, "3s", func(s *Settings) flag.Value { return (*durationValue)(&s.Hold) }},
 		{"silent-bound", "how long silent nodes may hold up a rollout", allowedBound, "2s", func(s *Settings) flag.Value { return (*durationValue)(&s.SilentBound) }},
 		{"drain-bound", "how long a planned stop waits for calls in flight", "duration from 0s to 1h", "10m", func(s *Settings) flag.Value { return (*durationValue)(&s.DrainBound) }},
-		{"max-resources", "most resources in a version that the node accepts", "whole number from 1 to 1000000", "20000", func(s *Settings) flag.Value { return (*numberValue)(&s.MaxResources) }},
+		{"max-resources", "most resources in a version that the node accepts", "whole number from 1 to 1000000", "2000", func(s *Settings) flag.Value { return (*numberValue)(&s.MaxResources) }},
 		{"tls-ca", "certificates of the authorities that nodes are checked against", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSCA) }},
 		{"tls-cert", "certificate of this node", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSCert) }},
 		{"tls-key", "private key of this node", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSKey) }},
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -35,6 +35,7 @@
 
 func validate(s Settings, origins map[string]string) []Problem {
 	problems := fieldProblems(s, origins)
+	problems = append(problems, unreachableListeners(s, origins)...)
 	if !s.TLSEnabled() {
 		problems = append(problems, exposedListeners(s, origins)...)
 	}
@@ -91,6 +92,23 @@
 	return problems
 }
 
+// unreachableListeners refuses listeners on every address of the machine when
+// other nodes are not told at which of them they answer.
+func unreachableListeners(s Settings, origins map[string]string) []Problem {
+	listeners := []struct{ name, address, advertised string }{
+		{"call-address", s.CallAddress, s.AdvertiseCallAddress},
+		{"control-address", s.ControlAddress, s.AdvertiseControlAddress},
+	}
+	var problems []Problem
+	for _, listener := range listeners {
+		parsed, err := netip.ParseAddrPort(listener.address)
+		if err == nil && parsed.Addr().IsUnspecified() && listener.advertised == "" {
+			problems = append(problems, newProblem(listener.name, listener.address, "is every address of the machine and advertise-"+listener.name+" is not set", origins))
+		}
+	}
+	return problems
+}
+
 func newProblem(name, value, text string, origins map[string]string) Problem {
 	source, found := origins[name]
 	if !found {
--- a/tests/integration/harness/calls.go
+++ b/tests/integration/harness/calls.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"fmt"
 	"io"
@@ -29,6 +30,8 @@
 
 // Request is one call.
 type Request struct {
+	// ID identifies the request; NewRequestID makes one when it is empty.
+	ID     string
 	Method string
 	Host   string
 	Path   string
@@ -38,9 +41,12 @@
 	Content []byte
 }
 
+// NewRequestID returns an identifier that no other request has.
+func NewRequestID() string { return fmt.Sprintf("request-%d", requestNumber.Add(1)) }
+
 // Call sends a request to a node and checks that the answer is whole and its own.
 func Call(ctx context.Context, node *Node, call Request) Answer {
-	id := fmt.Sprintf("request-%d", requestNumber.Add(1))
+	id := cmp.Or(call.ID, NewRequestID())
 	request, err := http.NewRequestWithContext(ctx, call.Method, "http://"+node.CallerAddress()+call.Path, call.Body)
 	if err != nil {
 		return Answer{RequestID: id, Err: err}
@@ -73,17 +79,32 @@
 func (m *Mesh) Executions(requestID string) int {
 	total := 0
 	for _, node := range m.nodes {
-		if node.Worker == nil {
-			continue
+		total += node.record(requestID).Executed
+	}
+	return total
+}
+
+// Holder returns the node whose worker let a request in, or nil.
+func (m *Mesh) Holder(requestID string) *Node {
+	for _, node := range m.nodes {
+		if node.record(requestID).Started > 0 {
+			return node
 		}
-		records, _ := node.Worker.Records()
-		for _, record := range records {
-			if record.ID == requestID {
-				total += record.Executed
-			}
+	}
+	return nil
+}
+
+func (n *Node) record(requestID string) worker.Record {
+	if n.Worker == nil {
+		return worker.Record{}
+	}
+	records, _ := n.Worker.Records()
+	for _, record := range records {
+		if record.ID == requestID {
+			return record
 		}
 	}
-	return total
+	return worker.Record{}
 }
 
 // Body returns a body and its content of the given size.
--- a/tests/integration/harness/mesh.go
+++ b/tests/integration/harness/mesh.go
@@ -30,6 +30,8 @@
 	Recorder *observe.Recorder
 	Operator *Operator
 
+	operators    []*Operator
+	storeAddress string
 	t            *testing.T
 	proxies      *toxiproxy.ApiServer
 	storeProxies map[string]*toxiproxy.Proxy
@@ -53,25 +55,25 @@
 		zones:        make(map[string]fabric.ZoneNumber),
 	}
 	t.Cleanup(mesh.end)
-	storeAddress, err := mesh.Store.Listen("127.0.0.1:0")
-	if err != nil {
+	var err error
+	if mesh.storeAddress, err = mesh.Store.Listen("127.0.0.1:0"); err != nil {
 		t.Fatal(err)
 	}
-	mesh.Operator = newOperator(t, storeAddress)
+	mesh.Operator = mesh.NewOperator("operator")
 	for index, options := range nodes {
-		mesh.openZone(options.Zone, storeAddress)
+		mesh.openZone(options.Zone)
 		mesh.nodes = append(mesh.nodes, mesh.newNode(options, mesh.zones[options.Zone], firstHost+uint8(index)))
 	}
 	return mesh
 }
 
-func (m *Mesh) openZone(zone, storeAddress string) {
+func (m *Mesh) openZone(zone string) {
 	m.t.Helper()
 	if _, found := m.zones[zone]; found {
 		return
 	}
 	m.zones[zone] = fabric.ZoneNumber(len(m.zones) + 1)
-	proxy := toxiproxy.NewProxy(m.proxies, "store-"+zone, "127.0.0.1:0", storeAddress)
+	proxy := toxiproxy.NewProxy(m.proxies, "store-"+zone, "127.0.0.1:0", m.storeAddress)
 	if err := proxy.Start(); err != nil {
 		m.t.Fatal(err)
 	}
@@ -81,7 +83,7 @@
 // end stops the processes and checks the rules.
 func (m *Mesh) end() {
 	m.group.StopAll(groupStopBound)
-	m.Operator.reportCommitted(m.Recorder)
+	m.checkCommitted()
 	for _, violation := range m.Recorder.Violations() {
 		m.t.Error(violation)
 	}
@@ -98,10 +100,22 @@
 	for _, proxy := range m.storeProxies {
 		proxy.Stop()
 	}
-	m.Operator.close()
+	for _, operator := range m.operators {
+		operator.client.Close()
+	}
 	m.Store.Close()
 }
 
+// checkCommitted checks that only versions which some operator saw committed
+// were ever in force.
+func (m *Mesh) checkCommitted() {
+	var committed []uint64
+	for _, operator := range m.operators {
+		committed = append(committed, operator.seen()...)
+	}
+	m.Recorder.CheckCommitted(committed)
+}
+
 func (m *Mesh) seeds() string {
 	addresses := make([]string, 0, len(m.nodes))
 	for _, node := range m.nodes {
@@ -195,12 +209,15 @@
 // Eventually waits until a condition holds.
 func (m *Mesh) Eventually(what string, holds func() bool) {
 	m.t.Helper()
-	deadline := time.Now().Add(Bound)
+	deadline := time.After(Bound)
+	poll := time.NewTicker(pollInterval)
+	defer poll.Stop()
 	for !holds() {
-		if time.Now().After(deadline) {
+		select {
+		case <-poll.C:
+		case <-deadline:
 			m.t.Fatalf("not reached: %s", what)
 		}
-		time.Sleep(pollInterval)
 	}
 }
 
--- a/tests/integration/harness/node.go
+++ b/tests/integration/harness/node.go
@@ -144,6 +144,24 @@
 	n.mesh.Recorder.Gone(n.Name)
 }
 
+// Usage returns what the running process has used.
+func (n *Node) Usage() process.Usage {
+	n.mesh.t.Helper()
+	usage, err := n.running.Usage()
+	if err != nil {
+		n.mesh.t.Fatal(err)
+	}
+	return usage
+}
+
+// Role returns the role that the node last reported.
+func (n *Node) Role() string {
+	role, _, _ := n.mesh.Events.last(0, n.Name, func(event observe.Event) bool {
+		return event.Number == observe.EventRoleChanged
+	})
+	return role.Role
+}
+
 // CallerAddress returns where the running process takes calls of callers.
 func (n *Node) CallerAddress() string {
 	n.mesh.t.Helper()
--- a/tests/integration/harness/operator.go
+++ b/tests/integration/harness/operator.go
@@ -3,21 +3,24 @@
 import (
 	"context"
 	"fmt"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"testing"
 	"time"
 
-	"github.com/levertide/levertide/internal/lab/observe"
 	"github.com/levertide/levertide/internal/platform/consul"
 	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/rollout"
 	"github.com/levertide/levertide/pkg/versionstore"
 )
 
 const resolveInterval = 50 * time.Millisecond
 
-// Operator applies file sets to the store, as the command line does.
+// Operator applies file sets to the store, as the command line does. Its methods
+// may be called from several goroutines.
 type Operator struct {
+	name     string
 	t        *testing.T
 	client   *consul.Client
 	versions *versionstore.VersionStore
@@ -27,42 +30,61 @@
 	committed []uint64
 }
 
-func newOperator(t *testing.T, storeAddress string) *Operator {
-	client := consul.New(consul.Config{Address: "http://" + storeAddress, Client: "operator"})
-	return &Operator{t: t, client: client, versions: versionstore.New(versionstore.Config{Store: client})}
+// NewOperator returns an operator beside the others.
+func (m *Mesh) NewOperator(name string) *Operator {
+	client := consul.New(consul.Config{Address: "http://" + m.storeAddress, Client: name})
+	operator := &Operator{
+		name: name, t: m.t, client: client,
+		versions: versionstore.New(versionstore.Config{Store: client}),
+	}
+	m.operators = append(m.operators, operator)
+	return operator
 }
 
-// Second returns another operator beside this one.
-func (m *Mesh) Second(address string) *Operator { return newOperator(m.t, address) }
-
-func (o *Operator) close() { o.client.Close() }
-
 // Propose writes a set as the next version and returns the apply's identifier
 // and the version; it fails as versionstore.Propose does.
 func (o *Operator) Propose(base uint64, resources []model.Resource) (apply string, version uint64, err error) {
-	apply = fmt.Sprintf("%s-%d", o.t.Name(), o.applies.Add(1))
+	return o.propose(versionstore.ProposeRequest{Base: base, Resources: resources})
+}
+
+// ProposeAfterRestore is Propose when the store was restored from an older copy
+// and the nodes hold the given head.
+func (o *Operator) ProposeAfterRestore(known rollout.Head, resources []model.Resource) (apply string, version uint64, err error) {
+	return o.propose(versionstore.ProposeRequest{Base: known.Committed, Resources: resources, KnownHead: &known})
+}
+
+func (o *Operator) propose(request versionstore.ProposeRequest) (apply string, version uint64, err error) {
+	request.ApplyID = fmt.Sprintf("%s-%d", o.name, o.applies.Add(1))
+	request.Operator = o.name
 	ctx, cancel := context.WithTimeout(o.t.Context(), Bound)
 	defer cancel()
-	result, err := o.versions.Propose(ctx, versionstore.ProposeRequest{
-		ApplyID: apply, Operator: o.t.Name(), Base: base, Resources: resources,
-	})
-	return apply, result.Version, err
+	result, err := o.versions.Propose(ctx, request)
+	return request.ApplyID, result.Version, err
 }
 
 // Outcome waits until an apply is decided and returns what became of it.
 func (o *Operator) Outcome(apply string) versionstore.ApplyState {
 	o.t.Helper()
-	deadline := time.Now().Add(Bound)
-	for time.Now().Before(deadline) {
+	deadline := time.After(Bound)
+	poll := time.NewTicker(resolveInterval)
+	defer poll.Stop()
+	for {
 		state, err := o.versions.Resolve(o.t.Context(), apply)
-		if err == nil && (state.Phase == versionstore.ApplyCommitted || state.Phase == versionstore.ApplyAborted) {
+		if err == nil && decided(state.Phase) {
 			o.note(state)
 			return state
 		}
-		time.Sleep(resolveInterval)
+		select {
+		case <-poll.C:
+		case <-deadline:
+			o.t.Errorf("apply %s was not decided: %v, %v", apply, state.Phase, err)
+			return state
+		}
 	}
-	o.t.Fatalf("apply %s was not decided", apply)
-	return versionstore.ApplyState{}
+}
+
+func decided(phase versionstore.ApplyPhase) bool {
+	return phase == versionstore.ApplyCommitted || phase == versionstore.ApplyAborted
 }
 
 func (o *Operator) note(state versionstore.ApplyState) {
@@ -73,32 +95,39 @@
 	}
 }
 
+// seen returns the versions that this operator saw committed.
+func (o *Operator) seen() []uint64 {
+	o.mutex.Lock()
+	defer o.mutex.Unlock()
+	return slices.Clone(o.committed)
+}
+
 // Apply proposes on top of the committed version and expects a commit.
 func (o *Operator) Apply(resources []model.Resource) uint64 {
 	o.t.Helper()
-	apply, _, err := o.Propose(o.Committed(), resources)
+	apply, _, err := o.Propose(o.Head().Committed, resources)
 	if err != nil {
 		o.t.Fatal(err)
 	}
+	return o.ExpectCommit(apply)
+}
+
+// ExpectCommit waits for an apply and returns its version.
+func (o *Operator) ExpectCommit(apply string) uint64 {
+	o.t.Helper()
 	state := o.Outcome(apply)
 	if state.Phase != versionstore.ApplyCommitted {
-		o.t.Fatalf("apply %s is %s", apply, state.Phase)
+		o.t.Fatalf("apply %s is %s: %+v", apply, state.Phase, state.Rejection)
 	}
 	return state.Version
 }
 
-// Committed returns the committed version that the store's head names.
-func (o *Operator) Committed() uint64 {
+// Head returns the store's head.
+func (o *Operator) Head() rollout.Head {
 	o.t.Helper()
 	head, _, err := o.versions.ReadHead(o.t.Context(), true)
 	if err != nil {
 		o.t.Fatal(err)
 	}
-	return head.Committed
-}
-
-func (o *Operator) reportCommitted(recorder *observe.Recorder) {
-	o.mutex.Lock()
-	defer o.mutex.Unlock()
-	recorder.CheckCommitted(o.committed)
+	return head
 }
--- /dev/null
+++ b/tests/integration/tls_test.go
@@ -0,0 +1,139 @@
+package integration_test
+
+import (
+	"crypto/tls"
+	"net"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/internal/identity"
+	"github.com/levertide/levertide/internal/lab/observe"
+	"github.com/levertide/levertide/tests/integration/harness"
+)
+
+const (
+	testRegion          = "test"
+	certificateValidity = time.Hour
+	exitFailed          = 1
+)
+
+// eventCertificatesLoaded is the number in docs/EVENTS.md.
+const eventCertificatesLoaded observe.EventNumber = 501
+
+// withCertificates gives each node a certificate in a directory of its own.
+func withCertificates(t *testing.T, authority *identity.Authority, directory string, nodes []harness.NodeOptions) {
+	t.Helper()
+	for index, node := range nodes {
+		files := issue(t, authority, identity.Identity{Region: testRegion, Zone: node.Zone, Role: identity.RoleNode, Node: node.Name},
+			filepath.Join(directory, node.Name))
+		nodes[index].Settings = map[string]string{
+			"tls-ca": files.Authorities, "tls-cert": files.Certificate, "tls-key": files.Key,
+		}
+	}
+}
+
+func issue(t *testing.T, authority *identity.Authority, holder identity.Identity, directory string) identity.Files {
+	t.Helper()
+	bundle, err := authority.Issue(holder, certificateValidity)
+	if err != nil {
+		t.Fatal(err)
+	}
+	files, err := bundle.Write(directory)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return files
+}
+
+func newAuthority(t *testing.T) *identity.Authority {
+	t.Helper()
+	authority, err := identity.GenerateAuthority()
+	if err != nil {
+		t.Fatal(err)
+	}
+	return authority
+}
+
+func TestMutualTLS(t *testing.T) {
+	authority, directory, nodes := newAuthority(t), t.TempDir(), twoZones()
+	withCertificates(t, authority, directory, nodes)
+	mesh, _ := running(t, nodes...)
+	for _, node := range mesh.Nodes("") {
+		get(t, mesh, node, 1)
+	}
+	for name, client := range strangers(t, authority) {
+		for _, door := range []*harness.Door{nodeDoor(mesh).Control, nodeDoor(mesh).Calls} {
+			if acceptedBy(door.Address, client) {
+				t.Errorf("%s was let in", name)
+			}
+		}
+	}
+
+	mark := mesh.Events.Mark()
+	withCertificates(t, authority, directory, nodes)
+	for _, node := range mesh.Nodes("") {
+		mesh.Events.AwaitAfter(mark, node.Name, "certificates loaded", func(event observe.Event) bool {
+			return event.Number == eventCertificatesLoaded
+		})
+	}
+	second := mesh.Operator.Apply(resources(2))
+	mesh.AwaitVersion(second, mesh.Nodes("")...)
+	for _, node := range mesh.Nodes("") {
+		get(t, mesh, node, 2)
+	}
+}
+
+func nodeDoor(mesh *harness.Mesh) *harness.Node { return mesh.Node("a-ledger-1") }
+
+// strangers returns clients that no node may let in.
+func strangers(t *testing.T, authority *identity.Authority) map[string]*tls.Config {
+	t.Helper()
+	operator := identity.Identity{Region: testRegion, Zone: "a", Role: identity.RoleOperator, Node: "someone"}
+	node := identity.Identity{Region: testRegion, Zone: "a", Role: identity.RoleNode, Node: "a-ledger-2"}
+	return map[string]*tls.Config{
+		"a client without certificate":    {InsecureSkipVerify: true},
+		"a node of another authority":     clientOf(t, newAuthority(t), node),
+		"an operator on a calls listener": clientOf(t, authority, operator),
+	}
+}
+
+func clientOf(t *testing.T, authority *identity.Authority, holder identity.Identity) *tls.Config {
+	t.Helper()
+	files := issue(t, authority, holder, t.TempDir())
+	certificate, err := tls.LoadX509KeyPair(files.Certificate, files.Key)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return &tls.Config{InsecureSkipVerify: true, Certificates: []tls.Certificate{certificate}}
+}
+
+// acceptedBy reports whether a request gets any answer but a refusal.
+func acceptedBy(address string, config *tls.Config) bool {
+	connection, err := net.Dial("tcp", address)
+	if err != nil {
+		return false
+	}
+	defer connection.Close()
+	client := tls.Client(connection, config)
+	if _, err := client.Write([]byte("GET / HTTP/1.1\r\nHost: x\r\n\r\n")); err != nil {
+		return false
+	}
+	answer := make([]byte, len("HTTP/1.1 403"))
+	count, _ := client.Read(answer)
+	return count > 0 && string(answer[:count]) != "HTTP/1.1 403"
+}
+
+func TestNodeWithCertificateOfAnotherZoneDoesNotStart(t *testing.T) {
+	t.Parallel()
+	authority := newAuthority(t)
+	files := issue(t, authority, identity.Identity{Region: testRegion, Zone: "b", Role: identity.RoleNode, Node: "a-gateway"}, t.TempDir())
+	mesh := harness.New(t, harness.NodeOptions{Name: "a-gateway", Zone: "a", Settings: map[string]string{
+		"tls-ca": files.Authorities, "tls-cert": files.Certificate, "tls-key": files.Key,
+	}})
+	node := mesh.Node("a-gateway")
+	node.Start()
+	if code := node.AwaitExit(); code != exitFailed {
+		t.Errorf("exit code %d", code)
+	}
+}
