--- a/internal/sim/node_reader.go
+++ b/internal/sim/node_reader.go
@@ -136,15 +136,15 @@
 
 // load fetches a whole version from the store.
 func (a *agent) load(version rollout.Version) {
-	if a.reader.loading {
+	if a.reader.loading[version] {
 		return
 	}
-	a.reader.loading = true
+	a.reader.loading[version] = true
 	base, _ := a.history.Latest()
 	a.process.store.run("load", func(ctx context.Context) func() {
 		loaded, err := a.reader.versions.LoadSnapshot(ctx, version, base)
 		return func() {
-			a.reader.loading = false
+			delete(a.reader.loading, version)
 			if err != nil {
 				a.participant.FetchFailed(version)
 				return
--- a/internal/sim/settle.go
+++ b/internal/sim/settle.go
@@ -11,16 +11,22 @@
 // settleTime is how long after the last fault everything must be in order.
 const settleTime = 45 * time.Second
 
+// recoverAttempts is how often a settling world waits again for an operator to
+// recover a restored store: sets that are refused do not.
+const recoverAttempts = 3
+
 // Settle ends all faults, lets the world run on for a while, and checks what
 // must be true then: the committed version is in force everywhere, nodes are
 // ready and agree on the members, and every request has ended.
 func (w *World) Settle() {
 	w.quiet = true
 	w.endFaults()
-	if w.oracle.restored {
-		w.Recover()
-	}
 	w.RunFor(settleTime)
+	for range recoverAttempts {
+		if w.oracle.restored {
+			w.RunFor(settleTime)
+		}
+	}
 	w.checkSettled()
 	w.quiet = false
 }
