--- a/internal/command/apply/propose.go
+++ b/internal/command/apply/propose.go
@@ -38,10 +38,17 @@
 		return a.await(ctx)
 	default:
 		a.report.ApplyID = ""
-		return a.report.with(code, "nothing was applied: "+err.Error())
+		return a.report.with(code, "nothing was applied: "+err.Error()+restoreHint(err))
 	}
 }
 
+func restoreHint(err error) string {
+	if !errorx.IsOfType(err, versionstore.ErrStoreRegressed) {
+		return ""
+	}
+	return "; the nodes hold a newer head than the store: put a newer copy of the store back, or see --after-restore"
+}
+
 // refused words a conflict that the store itself found.
 func (a *attempt) refused(ctx context.Context, err error) Report {
 	head, found := versionstore.CurrentHead(err)
--- a/internal/command/apply/run.go
+++ b/internal/command/apply/run.go
@@ -90,6 +90,7 @@
 	if stop := a.showChanges(ctx); stop != nil {
 		return *stop
 	}
+	a.noteNodes(ctx)
 	a.report.ApplyID = a.options.applyID
 	a.terminal.Progress("apply %s by %s, based on version %d", a.options.applyID, a.options.operator, a.report.Base)
 	return a.propose(ctx)
@@ -148,3 +149,17 @@
 	a.terminal.Progress("%s", changes.Summary(a.report.Changes))
 	return nil
 }
+
+// noteNodes lets a store that is behind the nodes be noticed before anything is
+// written to it. Nodes that do not answer change nothing.
+func (a *attempt) noteNodes(ctx context.Context) {
+	if !a.options.nodes.Given() || a.knownHead != nil {
+		return
+	}
+	answer, err := a.nodes.Status(ctx)
+	if err != nil {
+		a.terminal.Progress("no node answers: %v", err)
+		return
+	}
+	a.versions.NoteHead(connect.HeadOf(answer.GetHead()))
+}
