Make the demo hold its checks

Four faults of the lab itself, not of nodes: callers sent calls to nodes whose scope does not hold the route (answered no-route; callers now use gateways and the nodes of the route's own service and its callers); a relay accepted connections for a process that had just ended (callers now dial the node with delays of their own, and a relay whose target refuses stops listening and opens again when the process listens); unknown calls were matched to faults by whole seconds; and readers were counted over a time in which they changed.

--- a/internal/lab/calls/ledger.go
+++ b/internal/lab/calls/ledger.go
@@ -21,6 +21,7 @@
 	details  []Detail
 	reasons  map[string]int
 	seconds  []secondOf
+	unknown  []time.Time
 }
 
 // secondOf keeps the calls that ended in one second.
@@ -40,6 +41,9 @@
 	}
 	l.seconds[second].totals.add(ended.result)
 	l.seconds[second].latencies = append(l.seconds[second].latencies, observe.Milliseconds(took))
+	if ended.result == ResultUnknown {
+		l.unknown = append(l.unknown, time.Now())
+	}
 	if ended.result == ResultWrong && len(l.details) < maxDetails {
 		l.details = append(l.details, Detail{ended.id, reason})
 	}
@@ -65,6 +69,13 @@
 	return slices.Clone(c.ledger.details)
 }
 
+// UnknownAt returns when calls came out as unknown.
+func (c *Caller) UnknownAt() []time.Time {
+	c.ledger.mutex.Lock()
+	defer c.ledger.mutex.Unlock()
+	return slices.Clone(c.ledger.unknown)
+}
+
 // Reason is why calls were not answered, and how many.
 type Reason struct {
 	Text  string
--- a/internal/lab/demo/steps.go
+++ b/internal/lab/demo/steps.go
@@ -101,7 +101,14 @@
 
 // apply applies a set and checks how that ended.
 func (r *run) apply(ctx context.Context, step string, wanted experiment.Apply) {
+	first := r.counting.CompareAndSwap(false, true)
+	if first {
+		r.mesh.ResetStoreCounters()
+	}
 	result, err := r.mesh.Apply(ctx, r.file.Paths(wanted.Files), r.current(), operatorName)
+	if first {
+		r.countReaders(ctx)
+	}
 	if err != nil {
 		r.check(step, false, "%v", err)
 		return
--- a/internal/lab/experiment/check.go
+++ b/internal/lab/experiment/check.go
@@ -120,6 +120,11 @@
 		return
 	}
 	for i, call := range f.Load.Calls {
+		for _, service := range call.Through {
+			if !f.Deployment.hasService(service) {
+				found.add("load.calls[%d]: there is no service %q in the deployment", i, service)
+			}
+		}
 		for _, step := range []string{call.After, call.Until} {
 			if step != "" && !f.hasStep(step) {
 				found.add("load.calls[%d]: there is no step %q in the timeline", i, step)
@@ -128,6 +133,11 @@
 	}
 }
 
+// hasService reports whether the deployment has workers of a service.
+func (d *Deployment) hasService(name string) bool {
+	return slices.ContainsFunc(d.Services, func(service Workers) bool { return service.Name == name })
+}
+
 // hasStep reports whether the timeline has a step of that name.
 func (f *File) hasStep(name string) bool {
 	return slices.ContainsFunc(f.Timeline, func(event Event) bool { return event.Name == name })
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -118,6 +118,10 @@
 	Body int `yaml:"body" validate:"min=0,max=67108864"`
 	// Repeatable tells that executing the call twice is no fault.
 	Repeatable bool `yaml:"repeatable"`
+	// Through lists services whose nodes take the call besides gateways: the
+	// route's own service and services that call it, since other nodes do not
+	// hold the route.
+	Through []string `yaml:"through"`
 	// After names the step of the timeline that adds the call's route;
 	// the call is made only after that step. Empty means from the start.
 	After string `yaml:"after"`
--- a/internal/lab/fabric/relay.go
+++ b/internal/lab/fabric/relay.go
@@ -105,6 +105,8 @@
 	defer r.forget(accepted)
 	target, err := net.Dial("tcp4", r.options.Target)
 	if err != nil {
+		// The process behind is gone: later dials are to be refused, as without a relay.
+		r.CloseListener()
 		reset(accepted)
 		return
 	}
--- a/internal/lab/mesh/ports.go
+++ b/internal/lab/mesh/ports.go
@@ -8,14 +8,13 @@
 )
 
 // Offsets of a node's ports from the base port of its deployment. Relays
-// listen on the first three, the processes on the others.
+// listen on the first two, the processes on the others.
 const (
-	offsetCaller = iota
-	offsetCall
+	offsetCall = iota
 	offsetControl
-	offsetCallerBehind
 	offsetCallBehind
 	offsetControlBehind
+	offsetCaller
 	offsetAdmin
 	offsetWorker
 	offsetWorkerControl
--- a/internal/lab/mesh/store.go
+++ b/internal/lab/mesh/store.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strconv"
+	"strings"
 
 	"github.com/levertide/levertide/internal/lab/experiment"
 	"github.com/levertide/levertide/internal/lab/fabric"
@@ -75,6 +76,21 @@
 // StoreCounters returns what was asked of the store from outside.
 func (m *Mesh) StoreCounters() platform.Counters { return m.store.server.Counters() }
 
+// nodeClientPrefix begins the name that every node gives itself at the store.
+const nodeClientPrefix = "levertided/"
+
+// NodesAskingStore returns how many nodes have asked the store anything since
+// its counters were reset.
+func (m *Mesh) NodesAskingStore() int {
+	nodes := 0
+	for client := range m.StoreCounters().ByClient {
+		if strings.HasPrefix(client, nodeClientPrefix) {
+			nodes++
+		}
+	}
+	return nodes
+}
+
 // SetStoreOutage makes the store refuse connections, or ends that.
 func (m *Mesh) SetStoreOutage(down bool) {
 	if down {
--- a/internal/lab/observe/event.go
+++ b/internal/lab/observe/event.go
@@ -20,6 +20,7 @@
 	EventVersionInForce   EventNumber = 202
 	EventVersionRefused   EventNumber = 203
 	EventFloorLearned     EventNumber = 204
+	EventVersionCommitted EventNumber = 206
 	EventParentChanged    EventNumber = 301
 	EventRoleChanged      EventNumber = 302
 	EventMemberLost       EventNumber = 303
@@ -40,6 +41,8 @@
 	Role    string      `json:"role"`
 	Error   string      `json:"error"`
 	Text    string      `json:"text"`
+	// Silent is how many nodes had not reported when a version was committed.
+	Silent uint32 `json:"silent"`
 	// The addresses are those of EventListening.
 	CallerAddress string `json:"caller_address"`
 	AdminAddress  string `json:"admin_address"`
--- a/internal/lab/observe/recorder.go
+++ b/internal/lab/observe/recorder.go
@@ -45,6 +45,7 @@
 	nodes      map[string]*nodeHistory
 	violations []Violation
 	notices    []Event
+	commits    []Event
 	changed    chan struct{}
 }
 
@@ -81,6 +82,8 @@
 		history.ready = false
 	case EventRoleChanged:
 		history.role = event.Role
+	case EventVersionCommitted:
+		r.commits = append(r.commits, event)
 	case EventPartFailed, EventStartFailed, EventStoreRegressed, EventAlarm:
 		r.notice(event)
 	default:
@@ -139,6 +142,13 @@
 	return slices.Clone(r.notices)
 }
 
+// Commits returns the commits that coordinators reported.
+func (r *Recorder) Commits() []Event {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return slices.Clone(r.commits)
+}
+
 // AwaitReady waits until every node named is ready. It fails with the
 // context's error, wrapped in ErrNotReached with those that are missing.
 func (r *Recorder) AwaitReady(ctx context.Context, nodes []string) error {
--- a/internal/lab/scale/phase.go
+++ b/internal/lab/scale/phase.go
@@ -142,6 +142,16 @@
 	}
 	r.result.Phases = append(r.result.Phases, figures)
 	r.describe(figures, worked)
+	r.describeSilent(ended)
+}
+
+// describeSilent prints which changes did not wait for silent nodes.
+func (r *run) describeSilent(of *phase) {
+	for _, commit := range r.cluster.recorder.Commits() {
+		if commit.Silent > 0 && !commit.Time.Before(of.started) {
+			r.progress.say("phase %s: version %d was committed without %d silent nodes", of.name, commit.Version, commit.Silent)
+		}
+	}
 }
 
 // describe prints the figures of a phase.
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -7,6 +7,7 @@
 
 	"github.com/levertide/levertide/internal/lab/fabric"
 	"github.com/levertide/levertide/internal/lab/hollow"
+	"github.com/levertide/levertide/internal/lab/observe"
 	"github.com/levertide/levertide/internal/lab/process"
 )
 
@@ -33,18 +34,16 @@
 	return fabric.HostPort(n.spec.Number, n.spec.Host, n.spec.Port+offset)
 }
 
-// start starts the process and opens the relay in front of its control listener.
+// start starts the process. The relay in front of its control listener opens
+// as soon as it listens.
 func (n *realNode) start() error {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if err := n.relay.Open(); err != nil {
-		return err
-	}
 	started, err := n.cluster.group.Start(process.Options{
 		Name:        n.spec.ID,
 		Path:        n.cluster.options.Levertided,
 		Arguments:   n.arguments(),
-		OnErrorLine: n.cluster.recorder.ObserveLine,
+		OnErrorLine: n.observeLine,
 	})
 	if err != nil {
 		return err
@@ -53,6 +52,19 @@
 	return nil
 }
 
+// observeLine takes a line of the process and opens the relay when it tells
+// that the process listens.
+func (n *realNode) observeLine(line []byte) {
+	if event, ok := observe.ParseEvent(line); ok && event.Number == observe.EventListening {
+		if err := n.relay.Open(); err != nil {
+			n.cluster.recorder.Observe(observe.Event{
+				Node: n.spec.ID, Number: observe.EventStartFailed, Name: "relay not opened", Error: err.Error(),
+			})
+		}
+	}
+	n.cluster.recorder.ObserveLine(line)
+}
+
 // arguments returns the command line of the process.
 func (n *realNode) arguments() []string {
 	return []string{
