Do not say not-run after an attempt that may have run

Cause: a repeatable request whose first attempt lost its connection after it was written (unknown) and whose second was refused was reported by the last failure alone, not-run, although the first may have run. Ruled out: the peer's own answer (its outcome was true for its own attempt); the allowance (it only bounds attempts). Before: 503 not-run in the new test. After: 502 unknown. Conclusion: unknown is sticky over the attempts of one call.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -36,7 +36,7 @@
 			return
 		}
 		pick.Done(seen)
-		failure = err
+		failure = worse(failure, err)
 		if !c.mayTryAgain(err) || !c.pause(err) {
 			c.giveUp(failure)
 			return
@@ -44,6 +44,15 @@
 	}
 }
 
+// worse returns the failure to report after another attempt has failed. Once an
+// attempt may have run, the request may have run, whatever later ones say.
+func worse(earlier, later error) error {
+	if earlier != nil && outcome.Of(earlier) == outcome.Unknown && outcome.Of(later) == outcome.NotRun {
+		return earlier
+	}
+	return later
+}
+
 // conclude delivers an answer and tells the balancer how it went.
 func (c *callerCall) conclude(result *answer, pick *balance.Pick, seen balance.Result) {
 	c.relay.close()
