Take the largest view of the zone as the quorum of a floor

FloorAnswer now carries how many members of the asking node's zone the answering node knows, and DecideFloor needs a majority of the largest number. An engine must fill FloorAnswer.ZoneMembers; zero keeps the former rule. Regression test: TestDecideFloor, 'answer knows of more'.

--- a/internal/sim/node_floor.go
+++ b/internal/sim/node_floor.go
@@ -73,7 +73,7 @@
 func (a *agent) askFloor(peer *node, sameZone bool, take func(rollout.FloorAnswer)) {
 	a.floor.asked++
 	a.world.network.call(a.node, peer, "floor", callTimeout,
-		func(answer func(any)) { answer(peer.agent.ownFloor()) },
+		func(answer func(any)) { answer(peer.agent.ownFloor(a.node)) },
 		func(reply any, err error) {
 			if err != nil {
 				return
@@ -84,14 +84,20 @@
 		})
 }
 
-// ownFloor is what this node knows without the store.
-func (a *agent) ownFloor() rollout.FloorAnswer {
+// ownFloor is what this node knows without the store, and of the zone of the
+// node that asks.
+func (a *agent) ownFloor(asking *node) rollout.FloorAnswer {
 	state := a.participant.State()
 	answer := rollout.FloorAnswer{
 		Known:     state.FloorKnown && state.HeadKnown,
 		Committed: max(state.Head.Committed, state.Floor),
 		Staged:    state.Head.Proposed,
 	}
+	for _, record := range a.table.View().ByZone(asking.zone) {
+		if record.ID != asking.id {
+			answer.ZoneMembers++
+		}
+	}
 	if state.InForce != nil {
 		answer.Committed = max(answer.Committed, state.InForce.Version())
 	}
--- a/pkg/rollout/floor.go
+++ b/pkg/rollout/floor.go
@@ -17,11 +17,16 @@
 	// to be committed, and Staged the highest that it holds or knows to be proposed.
 	Committed Version
 	Staged    Version
+	// ZoneMembers is how many live members of the restarted node's zone, itself
+	// left out, the answering node knows. A node that has just started knows
+	// few itself, and must not take the first answer for a majority.
+	ZoneMembers int
 }
 
 // FloorQuorum says whose answers are needed while the store cannot be read.
 type FloorQuorum struct {
-	// ZoneMembers is the number of other live members of the node's zone.
+	// ZoneMembers is the number of other live members of the node's zone that
+	// it knows itself.
 	ZoneMembers int
 	// OtherZones tells that there are live members in other zones, of which at
 	// least one must answer.
@@ -38,12 +43,13 @@
 
 // DecideFloor works out the lowest version that a restarted node may run. An
 // answer confirmed by the store is enough. Without one it takes a majority of
-// the zone and one node of another zone, and none of them may hold a version
-// that could have been committed without their knowledge.
+// the zone, as the largest view among the answers has it, and one node of
+// another zone, and none of them may hold a version that could have been
+// committed without their knowledge.
 func DecideFloor(quorum FloorQuorum, answers []FloorAnswer) FloorDecision {
 	var committed, staged Version
 	confirmed := false
-	sameZone, elsewhere := 0, 0
+	sameZone, elsewhere, zoneMembers := 0, 0, quorum.ZoneMembers
 	for _, answer := range answers {
 		if answer.Confirmed {
 			confirmed = true
@@ -55,19 +61,20 @@
 		}
 		committed = max(committed, answer.Committed)
 		staged = max(staged, answer.Staged)
+		zoneMembers = max(zoneMembers, answer.ZoneMembers)
 		if answer.SameZone {
 			sameZone++
 		} else {
 			elsewhere++
 		}
 	}
-	needed := quorum.ZoneMembers/2 + 1
+	needed := zoneMembers/2 + 1
 	switch {
 	case confirmed:
 		return FloorDecision{Floor: committed, Decided: true}
-	case quorum.ZoneMembers == 0 && !quorum.OtherZones:
+	case zoneMembers == 0 && !quorum.OtherZones:
 		return undecided("neither the store nor another node can be asked")
-	case quorum.ZoneMembers > 0 && sameZone < needed:
+	case zoneMembers > 0 && sameZone < needed:
 		return undecided(fmt.Sprintf("the store cannot be read, and %d of the %d answers needed from the zone have come", sameZone, needed))
 	case quorum.OtherZones && elsewhere == 0:
 		return undecided("the store cannot be read, and no node of another zone has answered")
--- a/pkg/rollout/floor_test.go
+++ b/pkg/rollout/floor_test.go
@@ -24,6 +24,7 @@
 		"no majority":             {three, []rollout.FloorAnswer{near(4, 0), far}, 0, false},
 		"nobody elsewhere":        {three, []rollout.FloorAnswer{near(4, 0), near(5, 5)}, 0, false},
 		"may have been committed": {three, []rollout.FloorAnswer{near(4, 7), near(5, 5), far}, 0, false},
+		"answer knows of more":    {rollout.FloorQuorum{OtherZones: true}, []rollout.FloorAnswer{{Known: true, Committed: 6, ZoneMembers: 3}}, 0, false},
 		"restarted ones":          {three, []rollout.FloorAnswer{near(4, 0), {SameZone: true}, far}, 0, false},
 		"alone":                   {rollout.FloorQuorum{}, nil, 0, false},
 		"first of its zone":       {rollout.FloorQuorum{OtherZones: true}, []rollout.FloorAnswer{far}, 6, true},
