Count calls by the reason that callers are given

Refused calls in a steady run could not be told apart. Names of resources hold no dots any more, which nodes refuse; the events of node processes can be kept.

--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -17,15 +17,28 @@
 )
 
 // ending is how a call ended for its caller.
-type ending uint8
+type ending struct {
+	kind   endingKind
+	reason outcome.Reason // empty when none was given
+}
+
+type endingKind uint8
 
 const (
-	endingAnswered ending = iota
+	endingAnswered endingKind = iota
 	endingNotRun
 	endingUnknown
 	endingWrong
 )
 
+// Reasons that the caller itself gives.
+const (
+	reasonNoConnection outcome.Reason = "caller: no connection"
+	reasonNoAnswer     outcome.Reason = "caller: connection ended without an answer"
+	reasonCutShort     outcome.Reason = "caller: answer cut short"
+	reasonStatus       outcome.Reason = "caller: status is not 200"
+)
+
 // call is one request.
 type call struct {
 	id     string
@@ -71,7 +84,7 @@
 	digester := worker.NewDigester(c.id)
 	request, err := c.request(ctx, digester)
 	if err != nil {
-		return endingNotRun
+		return ending{endingNotRun, reasonNoConnection}
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
@@ -104,30 +117,30 @@
 func endingOf(err error) ending {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return endingNotRun
+		return ending{endingNotRun, reasonNoConnection}
 	}
-	return endingUnknown
+	return ending{endingUnknown, reasonNoAnswer}
 }
 
 // check reads the answer and sorts it out. The digest covers the body sent by then.
 func (c call) check(response *http.Response, digester *worker.Digester) ending {
-	switch kind, _ := outcome.FromResponse(response.Header); kind {
+	switch kind, reason := outcome.FromResponse(response.Header); kind {
 	case outcome.NotRun:
-		return endingNotRun
+		return ending{endingNotRun, reason}
 	case outcome.Unknown:
-		return endingUnknown
+		return ending{endingUnknown, reason}
 	}
 	if response.StatusCode != http.StatusOK {
-		return endingUnknown
+		return ending{endingUnknown, reasonStatus}
 	}
 	err := worker.VerifyAnswer(response.Body, digester.Sum(), worker.DefaultAnswerSize)
 	switch {
 	case err == nil:
-		return endingAnswered
+		return ending{kind: endingAnswered}
 	case errorx.IsOfType(err, worker.ErrAnswer):
-		return endingWrong
+		return ending{kind: endingWrong}
 	default:
-		return endingUnknown // cut short, and the caller was told so
+		return ending{endingUnknown, reasonCutShort} // the caller was told so
 	}
 }
 
--- a/internal/lab/load/chain.go
+++ b/internal/lab/load/chain.go
@@ -97,7 +97,7 @@
 				Slots: chainSlots, Connections: chainSlots, Queue: chainSlots, Timeout: callTimeout,
 			},
 		},
-		routeTo(levelService(level), levelHost(level), model.RepeatSafeMethods),
+		routeTo(levelService(level), levelService(level), levelHost(level), model.RepeatSafeMethods),
 	}
 }
 
--- a/internal/lab/load/command.go
+++ b/internal/lab/load/command.go
@@ -19,6 +19,7 @@
 	rates := flags.String("rate", "280,2800", "calls a second that a node takes in, one step of steady for each")
 	sizes := flags.String("upload-mb", "1,16,128,1024", "sizes of the uploads in megabytes")
 	file := flags.String("json", "", "file for the report; standard output when empty")
+	events := flags.String("events", "", "file for the events of levertided processes; none when empty")
 	flags.StringVar(&options.Levertided, "levertided", "", "path of levertided; data planes inside the lab when empty")
 	flags.DurationVar(&options.Duration, "duration", DefaultDuration, "length of one step")
 	flags.IntVar(&options.Workers, "workers", DefaultWorkers, "workers of the service")
@@ -43,6 +44,14 @@
 			if options.UploadSizes, err = ParseSizes(*sizes); err != nil {
 				return err
 			}
+			if *events != "" {
+				kept, err := os.Create(*events)
+				if err != nil {
+					return err
+				}
+				defer func() { _ = kept.Close() }()
+				options.Events = kept
+			}
 			return runAndWrite(ctx, options, *file)
 		},
 	}
--- a/internal/lab/load/fleet.go
+++ b/internal/lab/load/fleet.go
@@ -46,5 +46,5 @@
 	if options.Levertided == "" {
 		return newInsideFleet(false), nil
 	}
-	return newProcessFleet(options.Levertided)
+	return newProcessFleet(options.Levertided, options.Events)
 }
--- a/internal/lab/load/fleet_process.go
+++ b/internal/lab/load/fleet_process.go
@@ -36,6 +36,9 @@
 	store    string // URL of the platform
 	group    process.Group
 
+	eventsMutex sync.Mutex
+	events      io.Writer
+
 	mutex    sync.Mutex
 	nodes    []*processNode
 	versions *versionstore.VersionStore
@@ -43,8 +46,8 @@
 	applies  int
 }
 
-func newProcessFleet(program string) (*processFleet, error) {
-	f := &processFleet{program: program, platform: platform.New(platform.Config{})}
+func newProcessFleet(program string, events io.Writer) (*processFleet, error) {
+	f := &processFleet{program: program, events: events, platform: platform.New(platform.Config{})}
 	address, err := f.platform.Listen("127.0.0.1:0")
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "platform")
@@ -80,6 +83,7 @@
 	running, err := f.group.Start(process.Options{
 		Name: spec.id, Path: f.program, Arguments: f.arguments(spec),
 		OnErrorLine: func(line []byte) {
+			f.keepEvent(line)
 			var event listening
 			if json.Unmarshal(line, &event) == nil && event.Number == eventListening {
 				heard <- event
@@ -103,6 +107,12 @@
 	}
 }
 
+func (f *processFleet) keepEvent(line []byte) {
+	f.eventsMutex.Lock()
+	defer f.eventsMutex.Unlock()
+	_, _ = fmt.Fprintf(f.events, "%s\n", line)
+}
+
 func (f *processFleet) arguments(spec nodeSpec) []string {
 	arguments := []string{
 		"-node-id", spec.id, "-region", region, "-zone", spec.zone,
--- a/internal/lab/load/mesh.go
+++ b/internal/lab/load/mesh.go
@@ -84,14 +84,14 @@
 				SlowStart: shape.slowStart, Timeout: callTimeout,
 			},
 		},
-		routeTo(serviceName, serviceHost, model.RepeatAlways),
-		routeTo(serviceName, onceHost, model.RepeatNever),
+		routeTo("any", serviceName, serviceHost, model.RepeatAlways),
+		routeTo("once", serviceName, onceHost, model.RepeatNever),
 	}
 }
 
-func routeTo(service, host string, repeatable model.Repeatable) model.Resource {
+func routeTo(name, service, host string, repeatable model.Repeatable) model.Resource {
 	return model.Resource{
-		Key: model.Key{Kind: model.KindRoute, Name: host},
+		Key: model.Key{Kind: model.KindRoute, Name: name},
 		Route: &model.Route{
 			Match:      model.Match{Host: host, PathPrefix: "/"},
 			Service:    service,
--- a/internal/lab/load/meter.go
+++ b/internal/lab/load/meter.go
@@ -1,12 +1,14 @@
 package load
 
 import (
+	"maps"
 	"sync"
 	"time"
 
 	"github.com/HdrHistogram/hdrhistogram-go"
 
 	"github.com/levertide/levertide/internal/lab/results"
+	"github.com/levertide/levertide/pkg/outcome"
 )
 
 // Range and precision of the histograms, in microseconds.
@@ -70,13 +72,16 @@
 func newTally() *tally { return &tally{times: newMeter()} }
 
 func (t *tally) add(ended ending, length time.Duration) {
-	if ended == endingAnswered {
+	if ended.kind == endingAnswered {
 		t.times.record(length)
 	}
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.counts.Calls++
-	switch ended {
+	if ended.reason != "" {
+		t.addReason(ended.reason)
+	}
+	switch ended.kind {
 	case endingAnswered:
 		t.counts.Answered++
 	case endingNotRun:
@@ -88,10 +93,18 @@
 	}
 }
 
+func (t *tally) addReason(reason outcome.Reason) {
+	if t.counts.Reasons == nil {
+		t.counts.Reasons = make(map[outcome.Reason]int)
+	}
+	t.counts.Reasons[reason]++
+}
+
 func (t *tally) result(duplicates int) Counts {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	counts := t.counts
+	counts.Reasons = maps.Clone(counts.Reasons)
 	counts.Duplicates = duplicates
 	return counts
 }
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -57,6 +57,8 @@
 	UploadSizes []int64
 	// Seed makes the moments of the calls the same again.
 	Seed uint64
+	// Events takes the events of levertided processes, a line each; nil drops them.
+	Events io.Writer
 	// Progress takes a line for each step; nil drops them.
 	Progress io.Writer
 }
@@ -85,6 +87,9 @@
 	if o.Seed == 0 {
 		o.Seed = DefaultSeed
 	}
+	if o.Events == nil {
+		o.Events = io.Discard
+	}
 	if o.Progress == nil {
 		o.Progress = io.Discard
 	}
--- a/internal/lab/load/overload.go
+++ b/internal/lab/load/overload.go
@@ -93,7 +93,7 @@
 			ended := c.do(ctx, transport)
 			length := time.Since(moment)
 			seen.add(ended, length)
-			if ended == endingAnswered && length <= overloadDeadline {
+			if ended.kind == endingAnswered && length <= overloadDeadline {
 				good.Add(1)
 			}
 		})
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -1,6 +1,9 @@
 package load
 
-import "github.com/levertide/levertide/internal/lab/results"
+import (
+	"github.com/levertide/levertide/internal/lab/results"
+	"github.com/levertide/levertide/pkg/outcome"
+)
 
 // Report is what a run measured. The embedded figures are those of the last
 // step of ModeSteady; what was not measured is nil.
@@ -29,6 +32,8 @@
 	Answered int `json:"answered"`
 	NotRun   int `json:"not_run"`
 	Unknown  int `json:"unknown"`
+	// Reasons counts the calls of both kinds by the reason that was given.
+	Reasons map[outcome.Reason]int `json:"reasons,omitempty"`
 	// Wrong answers are not the whole answer to their own request, and said to be.
 	Wrong int `json:"wrong_answers"`
 	// Duplicates are requests that ran more than once although they must not.
--- a/internal/lab/load/upload.go
+++ b/internal/lab/load/upload.go
@@ -67,7 +67,7 @@
 	return UploadPoint{
 		Bytes:           size,
 		Seconds:         time.Since(began).Seconds(),
-		Whole:           how == endingAnswered,
+		Whole:           how.kind == endingAnswered,
 		GatewayResident: megabytes(gateway.resident, gateway.measured),
 		GatewayPeak:     megabytes(gateway.peak, gateway.measured),
 		WorkerResident:  megabytes(beside.resident, beside.measured),
