Try the data plane against dying, hanging and refusing workers

Workers that close kept connections after reading the request, refuse, hang, cut answers short or are gone; both legs. Found on the way: the server cancels the context of a request whose body cannot be read, so that a slow upload was reported as canceled; undeclared trailers were lost.

--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -117,10 +117,10 @@
 		if !forwardable(name) {
 			continue
 		}
-		if _, announced := header[name]; announced {
+		if slices.Contains(header["Trailer"], name) {
+			header[name] = values
+		} else {
 			header[http.TrailerPrefix+name] = values
-			continue
 		}
-		header[name] = values
 	}
 }
--- /dev/null
+++ b/internal/dataplane/faults_test.go
@@ -0,0 +1,415 @@
+package dataplane
+
+import (
+	"bufio"
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// readRequest reads one request with its body from a connection.
+func readRequest(lines *bufio.Reader) (*http.Request, error) {
+	request, err := http.ReadRequest(lines)
+	if err != nil {
+		return nil, err
+	}
+	_, err = io.Copy(io.Discard, request.Body)
+	return request, err
+}
+
+// closeAfterReading answers the first request of a connection and breaks the
+// connection after having read each later one: the case in which
+// http.Transport likes to send again.
+func closeAfterReading(worker *rawWorker, conn net.Conn) {
+	lines := bufio.NewReader(conn)
+	for i := 0; ; i++ {
+		if _, err := readRequest(lines); err != nil {
+			return
+		}
+		worker.requests.Add(1)
+		if i > 0 {
+			return
+		}
+		_, _ = io.WriteString(conn, "HTTP/1.1 204 No Content\r\n\r\n")
+	}
+}
+
+// breakOnlyOnce answers every request but one: the first on a connection that
+// was used before is read and then the connection is broken.
+func breakOnlyOnce() func(worker *rawWorker, conn net.Conn) {
+	var broken atomic.Bool
+	return func(worker *rawWorker, conn net.Conn) {
+		lines := bufio.NewReader(conn)
+		for i := 0; ; i++ {
+			if _, err := readRequest(lines); err != nil {
+				return
+			}
+			worker.requests.Add(1)
+			if i > 0 && broken.CompareAndSwap(false, true) {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	}
+}
+
+func TestUnrepeatableRequestsAreNeverSentTwice(t *testing.T) {
+	cases := []struct {
+		name, method, path, body, key string
+	}{
+		{"post", "POST", "/", "vat", ""},
+		{"post with key", "POST", "/", "vat", "k"},
+		{"empty post with key", "POST", "/never", "", "k"},
+		{"put never", "PUT", "/never", "vat", ""},
+		{"delete with key", "DELETE", "/", "", "k"},
+		{"get never", "GET", "/never", "", ""},
+		{"head never", "HEAD", "/never", "", ""},
+		{"options never", "OPTIONS", "/never", "", "k"},
+		{"long post with key", "POST", "/", strings.Repeat("x", 1<<17), "k"},
+	}
+	for _, c := range cases {
+		t.Run(c.name, func(t *testing.T) {
+			m := newMesh(t)
+			worker := newRawWorker(t, closeAfterReading)
+			m.addWorker("a", worker.address())
+			m.addWorker("b", worker.address())
+			m.call("GET", "/", "").expect(t, http.StatusNoContent, "")
+			m.call("GET", "/", "").expect(t, http.StatusNoContent, "") // may need a second attempt
+			before := worker.requests.Load()
+			broken := 0
+			const calls = 4
+			for range calls {
+				var body io.Reader
+				if c.body != "" {
+					body = strings.NewReader(c.body)
+				}
+				request := m.request(c.method, c.path, body)
+				if c.key != "" {
+					request.Header.Set("Idempotency-Key", c.key)
+				}
+				if got := m.do(request); got.status != http.StatusNoContent {
+					got.expect(t, http.StatusBadGateway, "unknown")
+					broken++
+				}
+			}
+			if got := worker.requests.Load() - before; got != calls {
+				t.Errorf("%d calls ran %d times", calls, got)
+			}
+			if broken == 0 {
+				t.Error("no connection was broken: the test shows nothing")
+			}
+		})
+	}
+}
+
+func TestPeerLegIsNotResentEither(t *testing.T) {
+	m := newMesh(t)
+	peer := newRawWorker(t, func(worker *rawWorker, conn net.Conn) {
+		lines := bufio.NewReader(conn)
+		for i := 0; ; i++ {
+			if _, err := readRequest(lines); err != nil {
+				return
+			}
+			worker.requests.Add(1)
+			if i > 0 {
+				return
+			}
+			_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\nLevertide-Load: 0\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	m.join("a", peer.address())
+	m.call("POST", "/", "x").expect(t, http.StatusOK, "")
+	request := m.request("GET", "/never", nil)
+	request.Header.Set("Idempotency-Key", "k")
+	m.do(request).expect(t, http.StatusBadGateway, "unknown")
+	if got := peer.requests.Load(); got != 2 {
+		t.Errorf("the peer got %d requests, want 2", got)
+	}
+}
+
+func TestRepeatableRequestIsSentAgain(t *testing.T) {
+	m := newMesh(t)
+	worker := newRawWorker(t, breakOnlyOnce())
+	m.addWorker("a", worker.address())
+	m.addWorker("b", worker.address())
+	for range 8 {
+		m.call("GET", "/", "").expect(t, http.StatusOK, "")
+		m.call("POST", "/always", "x").expect(t, http.StatusOK, "")
+	}
+	if got := worker.requests.Load(); got != 17 {
+		t.Errorf("16 calls with one break took %d requests", got)
+	}
+}
+
+func TestWorkerThatRefusesIsReplaced(t *testing.T) {
+	m := newMesh(t)
+	var refused, served atomic.Int64
+	refuse := func(w http.ResponseWriter, _ *http.Request) {
+		refused.Add(1)
+		w.Header().Set("Levertide-Outcome", "not-run")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	m.addHandler("a", refuse)
+	m.addHandler("b", func(_ http.ResponseWriter, _ *http.Request) { served.Add(1) })
+	for range 12 {
+		m.call("POST", "/never", "vat").expect(t, http.StatusOK, "")
+	}
+	if served.Load() != 12 || refused.Load() == 0 {
+		t.Errorf("served %d, refused %d", served.Load(), refused.Load())
+	}
+}
+
+func TestOnlyTheMarkerIsARefusal(t *testing.T) {
+	m := newMesh(t)
+	var runs atomic.Int64
+	handler := func(w http.ResponseWriter, r *http.Request) {
+		runs.Add(1)
+		if r.URL.Path == "/marked" {
+			w.Header().Set("Levertide-Outcome", "not-run")
+			w.WriteHeader(http.StatusInternalServerError)
+			return
+		}
+		w.WriteHeader(http.StatusServiceUnavailable)
+	}
+	m.addHandler("a", handler)
+	m.addHandler("b", handler)
+	m.call("GET", "/", "").expect(t, http.StatusServiceUnavailable, "")
+	m.call("GET", "/marked", "").expect(t, http.StatusInternalServerError, "")
+	if runs.Load() != 2 {
+		t.Errorf("2 calls ran %d times", runs.Load())
+	}
+}
+
+func TestAllWorkersRefuse(t *testing.T) {
+	m := newMesh(t)
+	for _, id := range []string{"a", "b"} {
+		m.addHandler(id, func(w http.ResponseWriter, _ *http.Request) {
+			w.Header().Set("Levertide-Outcome", "not-run")
+			w.WriteHeader(http.StatusServiceUnavailable)
+		})
+	}
+	got := m.call("POST", "/", "x")
+	got.expect(t, http.StatusServiceUnavailable, "not-run")
+	if got.header.Get("Retry-After") == "" || got.header.Get("Levertide-Reason") != string(outcome.RefusedByOwnWorker) {
+		t.Errorf("header %v", got.header)
+	}
+}
+
+func TestDeadWorkerIsNotRun(t *testing.T) {
+	m := newMesh(t)
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = listener.Close()
+	m.addWorker("a", listener.Addr().String())
+	m.call("POST", "/never", "x").expect(t, http.StatusServiceUnavailable, "not-run")
+	m.join("a", listener.Addr().String()) // the node is gone, too
+	m.call("POST", "/never", "x").expect(t, http.StatusServiceUnavailable, "not-run")
+}
+
+func TestNoWorkerIsNotRun(t *testing.T) {
+	m := newMesh(t)
+	got := m.call("POST", "/", "x")
+	got.expect(t, http.StatusServiceUnavailable, "not-run")
+	if got.header.Get("Levertide-Reason") != string(outcome.NoWorker) {
+		t.Errorf("reason %q", got.header.Get("Levertide-Reason"))
+	}
+}
+
+func TestWorkerThatDiesAfterReadingIsUnknown(t *testing.T) {
+	m := newMesh(t)
+	worker := newRawWorker(t, func(worker *rawWorker, conn net.Conn) {
+		_, _ = readRequest(bufio.NewReader(conn))
+		worker.requests.Add(1)
+	})
+	m.addWorker("a", worker.address())
+	m.addWorker("b", worker.address())
+	m.call("POST", "/", "x").expect(t, http.StatusBadGateway, "unknown")
+	if worker.requests.Load() != 1 {
+		t.Errorf("ran %d times", worker.requests.Load())
+	}
+	m.call("GET", "/", "").expect(t, http.StatusBadGateway, "unknown")
+	if worker.requests.Load() != 3 {
+		t.Errorf("a repeatable request made %d attempts, want 2", worker.requests.Load()-1)
+	}
+}
+
+func TestAnswerCutShortIsAnError(t *testing.T) {
+	heads := map[string]string{
+		"length":  "HTTP/1.1 200 OK\r\nContent-Length: 100\r\n\r\npart",
+		"chunked": "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\npart\r\n",
+	}
+	for name, head := range heads {
+		t.Run(name, func(t *testing.T) {
+			m := newMesh(t)
+			worker := newRawWorker(t, func(_ *rawWorker, conn net.Conn) {
+				_, _ = readRequest(bufio.NewReader(conn))
+				_, _ = io.WriteString(conn, head)
+			})
+			m.addWorker("a", worker.address())
+			if got := m.call("GET", "/", ""); got.err == nil {
+				t.Errorf("the caller took %q for a whole answer", got.body)
+			}
+			eventually(t, "report", func() bool {
+				m.entry.watch.mutex.Lock()
+				defer m.entry.watch.mutex.Unlock()
+				return len(m.entry.watch.reports) == 1
+			})
+			if !m.entry.watch.last().Truncated {
+				t.Error("the report does not say so")
+			}
+		})
+	}
+}
+
+func TestAnswerWithoutAnEndIsRefused(t *testing.T) {
+	m := newMesh(t)
+	worker := newRawWorker(t, func(_ *rawWorker, conn net.Conn) {
+		_, _ = readRequest(bufio.NewReader(conn))
+		_, _ = io.WriteString(conn, "HTTP/1.1 200 OK\r\n\r\npart")
+	})
+	m.addWorker("a", worker.address())
+	m.call("POST", "/", "x").expect(t, http.StatusBadGateway, "unknown")
+}
+
+func TestHangingWorkerIsUnknownAtTheDeadline(t *testing.T) {
+	m := newMesh(t)
+	canceled := make(chan struct{})
+	m.addHandler("a", func(_ http.ResponseWriter, r *http.Request) {
+		// The server watches the connection only once the body was read.
+		_, _ = io.Copy(io.Discard, r.Body)
+		<-r.Context().Done()
+		close(canceled)
+	})
+	request := m.request("POST", "/", strings.NewReader("x"))
+	request.Header.Set("Levertide-Deadline-Ms", "50")
+	got := m.do(request)
+	got.expect(t, http.StatusGatewayTimeout, "unknown")
+	if got.header.Get("Levertide-Reason") != string(outcome.Timeout) {
+		t.Errorf("reason %q", got.header.Get("Levertide-Reason"))
+	}
+	<-canceled
+}
+
+func TestDeadlineAndAllowanceReachTheWorker(t *testing.T) {
+	m := newMesh(t)
+	seen := make(chan http.Header, 1)
+	m.addHandler("a", func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header })
+	request := m.request("GET", "/", nil)
+	request.Header.Set("Levertide-Deadline-Ms", "5000")
+	request.Header.Set("Levertide-Attempts-Left", "1")
+	m.do(request).expect(t, http.StatusOK, "")
+	header := <-seen
+	var left int
+	if _, err := fmt.Sscan(header.Get("Levertide-Deadline-Ms"), &left); err != nil || left > 5000 || left < 1 {
+		t.Errorf("deadline %q", header.Get("Levertide-Deadline-Ms"))
+	}
+	if header.Get("Levertide-Attempts-Left") != "0" {
+		t.Errorf("allowance %q, want 0: one of 1 is kept back", header.Get("Levertide-Attempts-Left"))
+	}
+	m.call("GET", "/", "").expect(t, http.StatusOK, "")
+	header = <-seen
+	if _, err := fmt.Sscan(header.Get("Levertide-Deadline-Ms"), &left); err != nil || left > 10_000 {
+		t.Errorf("the route's timeout is not carried: %q", header.Get("Levertide-Deadline-Ms"))
+	}
+	request.Header.Set("Levertide-Attempts-Left", "10")
+	m.do(request).expect(t, http.StatusOK, "")
+	if header = <-seen; header.Get("Levertide-Attempts-Left") != "1" {
+		t.Errorf("a caller raised its allowance to %q", header.Get("Levertide-Attempts-Left"))
+	}
+}
+
+func TestCallerThatLeavesCancelsTheWorker(t *testing.T) {
+	m := newMesh(t)
+	running := make(chan struct{})
+	canceled := make(chan struct{})
+	m.addHandler("a", func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+		close(canceled)
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	go func() {
+		<-running
+		cancel()
+	}()
+	if _, err := m.client().Do(m.request("GET", "/", nil).WithContext(ctx)); err == nil {
+		t.Fatal("the call was answered")
+	}
+	<-canceled
+	eventually(t, "no call in flight", func() bool { return m.entry.plane.Status().CallerCalls == 0 })
+}
+
+func TestVersionChangesInTheMiddleOfCalls(t *testing.T) {
+	m := newMesh(t)
+	running, resume := make(chan struct{}), make(chan struct{})
+	m.addHandler("a", func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/slow" {
+			close(running)
+			<-resume
+		}
+		_, _ = io.WriteString(w, "whole")
+	})
+	slow := make(chan reply, 1)
+	go func() { slow <- m.call("GET", "/slow", "") }()
+	<-running
+	m.publish(2, map[string]*model.Route{"other": testRoute("/other", model.RepeatNever)})
+	m.call("GET", "/slow", "").expect(t, http.StatusNotFound, "not-run")
+	m.call("GET", "/other", "").expect(t, http.StatusOK, "")
+	close(resume)
+	got := <-slow
+	got.expect(t, http.StatusOK, "")
+	if got.body != "whole" {
+		t.Errorf("body %q", got.body)
+	}
+}
+
+func TestNodeWithAnotherServiceSaysMisdirected(t *testing.T) {
+	m := newMesh(t)
+	var runs atomic.Int64
+	other := m.addHandler("a", func(http.ResponseWriter, *http.Request) { runs.Add(1) },
+		func(c *Config) { c.Service = "archive" })
+	got := m.call("POST", "/", "x")
+	got.expect(t, http.StatusServiceUnavailable, "not-run")
+	if runs.Load() != 0 || other.watch == nil {
+		t.Error("the request ran")
+	}
+}
+
+func TestSlowUploadIsCut(t *testing.T) {
+	m := newMesh(t, func(c *Config) { c.Limits.Grace = 30 * time.Millisecond })
+	m.addHandler("a", func(_ http.ResponseWriter, r *http.Request) { _, _ = io.Copy(io.Discard, r.Body) })
+	for name, length := range map[string]int64{"short": 100, "long": 1 << 20} {
+		t.Run(name, func(t *testing.T) {
+			conn, err := net.Dial("tcp", m.entry.callers.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer func() { _ = conn.Close() }()
+			_, _ = fmt.Fprintf(conn, "POST / HTTP/1.1\r\nHost: %s\r\nContent-Length: %d\r\n\r\nx", testHost, length)
+			response, err := http.ReadResponse(bufio.NewReader(conn), nil)
+			if err != nil {
+				t.Fatal(err)
+			}
+			_ = response.Body.Close()
+			if response.StatusCode != http.StatusRequestTimeout || !response.Close {
+				t.Errorf("status %d close %t: %+v", response.StatusCode, response.Close, m.entry.watch.last())
+			}
+			want := map[string]string{"short": "not-run", "long": "unknown"}[name]
+			if got := response.Header.Get("Levertide-Outcome"); got != want {
+				t.Errorf("outcome %q, want %q", got, want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/dataplane/fixture_test.go
@@ -0,0 +1,283 @@
+package dataplane
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"os"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"go.uber.org/goleak"
+
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+func TestMain(m *testing.M) {
+	code := m.Run()
+	if code == 0 {
+		if err := goleak.Find(); err != nil {
+			fmt.Fprintln(os.Stderr, err)
+			code = 1
+		}
+	}
+	os.Exit(code)
+}
+
+const (
+	testService = "ledger"
+	testHost    = "books.example"
+)
+
+// mesh is a set of nodes in one process, with one directory and one snapshot.
+type mesh struct {
+	t         testing.TB
+	table     *membership.Table
+	directory atomic.Pointer[membership.View]
+	current   atomic.Pointer[snapshot.Snapshot]
+	entry     *testNode
+}
+
+// testNode is one node with its two listeners.
+type testNode struct {
+	plane   *Plane
+	callers *httptest.Server
+	peers   *httptest.Server
+	watch   *watcher
+}
+
+// watcher keeps what a plane reports.
+type watcher struct {
+	noObserver
+	mutex   sync.Mutex
+	reports []CallReport
+}
+
+func (w *watcher) CallFinished(report CallReport) {
+	w.mutex.Lock()
+	w.reports = append(w.reports, report)
+	w.mutex.Unlock()
+}
+
+func (w *watcher) last() CallReport {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.reports[len(w.reports)-1]
+}
+
+func testRoute(path string, repeatable model.Repeatable) *model.Route {
+	return &model.Route{
+		Match:      model.Match{Host: testHost, PathPrefix: path},
+		Service:    testService,
+		Repeatable: repeatable,
+		Timeout:    10 * time.Second,
+	}
+}
+
+func testResources(routes map[string]*model.Route) []model.Resource {
+	resources := []model.Resource{
+		{Key: model.Key{Kind: model.KindService, Name: testService}, Service: &model.Service{
+			Slots: 64, Connections: 130, Queue: 64,
+		}},
+		{Key: model.Key{Kind: model.KindSecret, Name: "key"}, Secret: &model.Secret{Value: "s3cret"}},
+	}
+	for name, route := range routes {
+		resources = append(resources, model.Resource{Key: model.Key{Kind: model.KindRoute, Name: name}, Route: route})
+	}
+	return resources
+}
+
+// newMesh starts a node without a worker, which calls enter by.
+func newMesh(t testing.TB, change ...func(*Config)) *mesh {
+	m := &mesh{t: t, table: membership.NewTable()}
+	m.publish(1, map[string]*model.Route{
+		"default": testRoute("/", model.RepeatSafeMethods),
+		"always":  testRoute("/always", model.RepeatAlways),
+		"never":   testRoute("/never", model.RepeatNever),
+	})
+	m.directory.Store(m.table.View())
+	m.entry = m.start("entry", "", change...)
+	return m
+}
+
+func (m *mesh) publish(version uint64, routes map[string]*model.Route) {
+	source, err := snapshot.New(version, testResources(routes))
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	m.current.Store(source)
+}
+
+func (m *mesh) start(id, worker string, change ...func(*Config)) *testNode {
+	watch := &watcher{}
+	config := Config{
+		Node: id, Region: "region", Zone: "zone",
+		Current:   m.current.Load,
+		Directory: m.directory.Load,
+		Observer:  watch,
+		Limits:    Limits{DrainNotice: time.Millisecond},
+	}
+	if worker != "" {
+		config.Service, config.WorkerAddress = testService, worker
+	}
+	for _, apply := range change {
+		apply(&config)
+	}
+	plane, err := New(config)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	node := &testNode{plane: plane, watch: watch}
+	node.callers = serve(plane.CallerServer())
+	node.peers = serve(plane.PeerServer())
+	m.t.Cleanup(func() {
+		plane.Close()
+		node.callers.Close()
+		node.peers.Close()
+	})
+	return node
+}
+
+func serve(server *http.Server) *httptest.Server {
+	running := httptest.NewUnstartedServer(server.Handler)
+	running.Config = server
+	running.Start()
+	return running
+}
+
+// addWorker starts a node beside a worker that is already listening.
+func (m *mesh) addWorker(id, worker string, change ...func(*Config)) *testNode {
+	node := m.start(id, worker, change...)
+	m.join(id, node.peers.Listener.Addr().String())
+	return node
+}
+
+func (m *mesh) join(id, address string) {
+	m.table.Merge(membership.Record{
+		ID: id, Incarnation: 1, Region: "region", Zone: "zone",
+		Service: testService, CallAddress: address,
+	})
+	m.directory.Store(m.table.View())
+}
+
+// addHandler starts a worker with a handler and a node beside it.
+func (m *mesh) addHandler(id string, handler http.HandlerFunc, change ...func(*Config)) *testNode {
+	worker := httptest.NewServer(handler)
+	m.t.Cleanup(worker.Close)
+	return m.addWorker(id, worker.Listener.Addr().String(), change...)
+}
+
+// client is a caller that never repeats anything by itself.
+func (m *mesh) client() *http.Client {
+	transport := &http.Transport{DisableCompression: true}
+	m.t.Cleanup(transport.CloseIdleConnections)
+	return &http.Client{Transport: transport, CheckRedirect: func(*http.Request, []*http.Request) error {
+		return http.ErrUseLastResponse
+	}}
+}
+
+func (m *mesh) request(method, path string, body io.Reader) *http.Request {
+	request, err := http.NewRequest(method, m.entry.callers.URL+path, body)
+	if err != nil {
+		m.t.Fatal(err)
+	}
+	request.Host = testHost
+	return request
+}
+
+// reply is a whole answer.
+type reply struct {
+	status  int
+	header  http.Header
+	trailer http.Header
+	body    string
+	err     error
+}
+
+func (m *mesh) do(request *http.Request) reply {
+	m.t.Helper()
+	response, err := m.client().Do(request)
+	if err != nil {
+		return reply{err: err}
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return reply{status: response.StatusCode, header: response.Header, trailer: response.Trailer, body: string(body), err: err}
+}
+
+func (m *mesh) call(method, path, body string) reply {
+	m.t.Helper()
+	var reader io.Reader
+	if body != "" {
+		reader = strings.NewReader(body)
+	}
+	return m.do(m.request(method, path, reader))
+}
+
+func (r reply) expect(t testing.TB, status int, outcome string) {
+	t.Helper()
+	if r.err != nil {
+		t.Fatalf("call failed: %v", r.err)
+	}
+	if got := r.header.Get("Levertide-Outcome"); r.status != status || got != outcome {
+		t.Fatalf("got %d %q (%s), want %d %q", r.status, got, r.header.Get("Levertide-Reason"), status, outcome)
+	}
+}
+
+// rawWorker is a worker that handles its connections itself.
+type rawWorker struct {
+	listener net.Listener
+	requests atomic.Int64
+	wait     sync.WaitGroup
+}
+
+// newRawWorker starts a worker; handle gets each connection.
+func newRawWorker(t testing.TB, handle func(worker *rawWorker, conn net.Conn)) *rawWorker {
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	w := &rawWorker{listener: listener}
+	w.wait.Go(func() {
+		for {
+			conn, err := listener.Accept()
+			if err != nil {
+				return
+			}
+			w.wait.Go(func() {
+				defer func() { _ = conn.Close() }()
+				handle(w, conn)
+			})
+		}
+	})
+	t.Cleanup(func() {
+		_ = listener.Close()
+		w.wait.Wait()
+	})
+	return w
+}
+
+func (w *rawWorker) address() string { return w.listener.Addr().String() }
+
+func eventually(t testing.TB, what string, condition func() bool) {
+	t.Helper()
+	ctx, cancel := context.WithTimeout(context.Background(), 30*time.Second)
+	defer cancel()
+	ticker := time.NewTicker(time.Millisecond)
+	defer ticker.Stop()
+	for !condition() {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			t.Fatalf("never: %s", what)
+		}
+	}
+}
--- a/internal/dataplane/send.go
+++ b/internal/dataplane/send.go
@@ -73,6 +73,8 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errDeadline):
 		return outcome.DeadlineBeforeStart
+	case s.body.failed.Load():
+		return outcome.BodyNotReceived
 	case ctx.Err() != nil:
 		return outcome.CanceledBeforeStart
 	default:
@@ -84,10 +86,11 @@
 	switch {
 	case errors.Is(context.Cause(ctx), errDeadline):
 		return outcome.Timeout
-	case ctx.Err() != nil:
-		return outcome.Canceled
 	case s.body.failed.Load():
+		// The server cancels the context, too, when it cannot read the body.
 		return outcome.UploadFailed
+	case ctx.Err() != nil:
+		return outcome.Canceled
 	default:
 		return outcome.ConnectionLost
 	}
