Expect load from requests sent since the last report

Reports come with answers, so that a burst was sent before any report could tell of it. The load that one request adds is now learnt from the reports, and requests outstanding beyond the last report count; a refusal counts as full load. Ruled out: a lower spill threshold alone, since the reports themselves were late.

--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -117,6 +117,28 @@
 	}
 }
 
+// TestBurstSpillsOverBeforeItsFirstReport sends many requests at once: no answer
+// can have told yet that the own zone is full.
+func TestBurstSpillsOverBeforeItsFirstReport(t *testing.T) {
+	const slots, slotsFull = 6, 0.75
+	endpoints := append(sameZone(2), balance.Endpoint{ID: "region", Zone: "b", Region: "west"})
+	c := newClock()
+	b := newBalancer(c)
+	b.Update(endpoints)
+	for range 100 {
+		pick := mustPick(t, b, "region")
+		pick.Done(balance.Result{Load: slotsFull / slots, LoadKnown: true})
+	}
+	counts := make(map[string]int)
+	for range 10 * slots {
+		c.Advance(5 * time.Millisecond)
+		counts[mustPick(t, b).Endpoint.ID]++
+	}
+	if own := counts["n0"] + counts["n1"]; own < slots || own > 3*slots {
+		t.Errorf("%d of %d requests went to an own zone of %d slots", own, 10*slots, 2*slots)
+	}
+}
+
 func TestEjectionTimeDoublesAndEnds(t *testing.T) {
 	c := newClock()
 	b := newBalancer(c)
--- a/pkg/balance/doc.go
+++ b/pkg/balance/doc.go
@@ -5,7 +5,7 @@
 // nearer endpoints get overloaded or run out, and chooses among the endpoints
 // of one tier by the power of two choices over the requests outstanding from
 // here and the load that the endpoints reported, which counts for less as it
-// gets older.
+// gets older and for more as requests are sent before the next report.
 //
 // An endpoint that has just come up gets its share little by little. One that
 // fails again and again is ejected for a time that doubles with each ejection;
--- a/pkg/balance/done.go
+++ b/pkg/balance/done.go
@@ -9,7 +9,8 @@
 const (
 	// Answered: the worker's whole answer came.
 	Answered Outcome = iota
-	// Shed: the endpoint is alive and refused before running.
+	// Shed: the endpoint is alive and refused before running. Unless it drains,
+	// it counts as fully loaded.
 	Shed
 	// Failed: no connection, no answer in time, or an answer cut short.
 	Failed
@@ -38,14 +39,18 @@
 	}
 	state := p.state
 	p.state = nil
-	state.outstanding.Add(-1)
-	p.balancer.observe(state, result)
+	with := state.outstanding.Add(-1) + 1
+	p.balancer.observe(state, result, with)
 }
 
-func (b *Balancer) observe(state *endpointState, result Result) {
+// observe takes a result that came while with requests were outstanding.
+func (b *Balancer) observe(state *endpointState, result Result, with int64) {
 	now := b.now()
+	if result.Outcome == Shed && !result.Draining {
+		result.Load, result.LoadKnown = 1, true
+	}
 	if result.LoadKnown {
-		state.reportLoad(result.Load, now)
+		state.reportLoad(result.Load, with, now)
 	}
 	if result.Draining {
 		state.drainUntil.Store(now + int64(b.options.DrainHold))
--- a/pkg/balance/endpoint.go
+++ b/pkg/balance/endpoint.go
@@ -28,9 +28,13 @@
 	id          string
 	incarnation uint64
 
-	outstanding  atomic.Int64
-	loadBits     atomic.Uint64 // float64
-	loadAt       atomic.Int64
+	outstanding atomic.Int64
+	loadBits    atomic.Uint64 // float64, the last load reported
+	loadAt      atomic.Int64
+	// loadWith is how many requests were outstanding from here at that time, and
+	// shareBits (float64) how much load one request is taken to add.
+	loadWith     atomic.Int64
+	shareBits    atomic.Uint64
 	slowFrom     atomic.Int64 // noTime: warm
 	drainUntil   atomic.Int64
 	ejectedUntil atomic.Int64
@@ -57,20 +61,46 @@
 func (s *endpointState) draining(now int64) bool { return now < s.drainUntil.Load() }
 func (s *endpointState) ejected(now int64) bool  { return now < s.ejectedUntil.Load() }
 
-// reportedLoad returns the last load reported, aged.
-func (s *endpointState) reportedLoad(now int64, halfLife time.Duration) float64 {
+const (
+	// shareDrift is how fast the load of one request may be thought larger.
+	shareDrift = 0.001
+	// largestShare bounds it, which stands for a worker of three slots.
+	largestShare = 0.25
+)
+
+// expectedLoad returns the last load reported, aged, and what the requests sent
+// since then must have added to it: in a burst no report comes in time.
+func (s *endpointState) expectedLoad(now int64, halfLife time.Duration) float64 {
 	at := s.loadAt.Load()
 	if at == noTime {
 		return 0
 	}
 	load := math.Float64frombits(s.loadBits.Load())
 	age := float64(max(now-at, 0)) / float64(halfLife)
-	return load * math.Exp2(-age)
+	since := float64(max(s.outstanding.Load()-s.loadWith.Load(), 0))
+	share := math.Float64frombits(s.shareBits.Load())
+	return min(load*math.Exp2(-age)+since*share, 1)
 }
 
-func (s *endpointState) reportLoad(load float64, now int64) {
-	s.loadBits.Store(math.Float64bits(min(max(load, 0), 1)))
+// reportLoad takes a report that came while with requests were outstanding.
+func (s *endpointState) reportLoad(load float64, with int64, now int64) {
+	load = min(max(load, 0), 1)
+	s.loadBits.Store(math.Float64bits(load))
+	s.loadWith.Store(with)
 	s.loadAt.Store(now)
+	s.learnShare(load / float64(max(with, 1)))
+}
+
+// learnShare follows the smallest load for each request of our own, which is
+// that of a moment without requests of others. Updates that cross may be lost.
+func (s *endpointState) learnShare(sample float64) {
+	share := math.Float64frombits(s.shareBits.Load())
+	if share == 0 || sample < share {
+		share = sample
+	} else {
+		share += (sample - share) * shareDrift
+	}
+	s.shareBits.Store(math.Float64bits(min(share, largestShare)))
 }
 
 // weight returns the share, from floor to 1, that slow start allows now.
--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -146,6 +146,6 @@
 // cost rises with the requests outstanding from here and the load reported.
 func (s *search) cost(c *candidate) float64 {
 	outstanding := float64(max(c.state.outstanding.Load(), 0))
-	load := c.state.reportedLoad(s.now, s.balancer.options.LoadAge)
+	load := c.state.expectedLoad(s.now, s.balancer.options.LoadAge)
 	return (outstanding + 1) * (1 + load*reportedLoadWeight)
 }
--- a/pkg/balance/set.go
+++ b/pkg/balance/set.go
@@ -14,7 +14,7 @@
 )
 
 // summaryAge is how old, in nanoseconds, the summary of a set may get.
-const summaryAge = 5_000_000
+const summaryAge = 2_000_000
 
 // candidate is an endpoint of a set with its state.
 type candidate struct {
@@ -101,7 +101,7 @@
 			continue
 		}
 		usable++
-		sum += state.reportedLoad(now, options.LoadAge)
+		sum += state.expectedLoad(now, options.LoadAge)
 	}
 	if usable == 0 {
 		return 0, 0
