--- a/internal/dataplane/runtime.go
+++ b/internal/dataplane/active.go
@@ -7,9 +7,9 @@
 	"github.com/levertide/levertide/pkg/snapshot"
 )
 
-// runtime is one snapshot made ready for calls. It is immutable but for the
+// activeVersion is one snapshot made ready for calls. It is immutable but for the
 // destinations, which live on from version to version.
-type runtime struct {
+type activeVersion struct {
 	snapshot     *snapshot.Snapshot
 	table        *routing.Table
 	destinations map[string]*destination
@@ -22,9 +22,9 @@
 }
 
 // current returns the runtime of the snapshot in force, or nil.
-func (p *Plane) current() *runtime {
+func (p *Plane) current() *activeVersion {
 	inForce := p.config.Current()
-	used := p.runtime.Load()
+	used := p.active.Load()
 	if used != nil && (inForce == nil || used.snapshot == inForce) {
 		return used
 	}
@@ -36,11 +36,11 @@
 
 // activate swaps the runtime. The snapshot in force is asked for again under the
 // lock, so that a slow caller cannot bring an older one back.
-func (p *Plane) activate() *runtime {
+func (p *Plane) activate() *activeVersion {
 	p.compiling.Lock()
 	defer p.compiling.Unlock()
 	inForce := p.config.Current()
-	used := p.runtime.Load()
+	used := p.active.Load()
 	if inForce == nil || used != nil && used.snapshot == inForce {
 		return used
 	}
@@ -49,12 +49,12 @@
 		p.config.Observer.RuntimeRejected(inForce.Version(), err)
 		return used
 	}
-	next := &runtime{snapshot: inForce, table: table, destinations: map[string]*destination{}}
+	next := &activeVersion{snapshot: inForce, table: table, destinations: map[string]*destination{}}
 	for name := range inForce.Services() {
 		next.destinations[name] = p.destinations.get(name)
 	}
 	p.applyWorkerLimits(inForce)
-	p.runtime.Store(next)
+	p.active.Store(next)
 	p.config.Observer.RuntimeInForce(inForce.Version(), table.Len())
 	return next
 }
--- a/internal/dataplane/caller.go
+++ b/internal/dataplane/caller.go
@@ -78,23 +78,23 @@
 }
 
 func (c *callerCall) findRoute() error {
-	runtime := c.plane.current()
-	if runtime == nil {
+	active := c.plane.current()
+	if active == nil {
 		return outcome.WithRetryAfter(outcome.NotReady, time.Second)
 	}
 	host, path := c.request.Host, c.request.URL.Path
-	route, result := runtime.table.Match(host, path, c.request.Method)
+	route, result := active.table.Match(host, path, c.request.Method)
 	switch result {
 	case routing.NoRoute:
 		return outcome.New(outcome.NoRoute)
 	case routing.MethodNotAllowed:
-		methods := runtime.table.AllowedMethods(host, path)
+		methods := active.table.AllowedMethods(host, path)
 		c.writer.Header()["Allow"] = []string{strings.Join(methods, ", ")}
 		return outcome.New(outcome.MethodNotAllowed)
 	}
 	c.route = route
 	c.repeatable = route.MayRepeat(c.request.Method)
-	c.destination = runtime.destinations[route.ServiceName]
+	c.destination = active.destinations[route.ServiceName]
 	c.report.Route, c.report.Service = route.Name, route.ServiceName
 	return nil
 }
--- a/internal/dataplane/peer.go
+++ b/internal/dataplane/peer.go
@@ -80,11 +80,11 @@
 
 // route returns the route that the other node chose, as this node knows it.
 func (c *peerCall) route() (*routing.Route, error) {
-	runtime := c.plane.current()
-	if runtime == nil {
+	active := c.plane.current()
+	if active == nil {
 		return nil, outcome.New(outcome.NotReady)
 	}
-	route, ok := runtime.table.Route(c.request.Header.Get(routeHeader))
+	route, ok := active.table.Route(c.request.Header.Get(routeHeader))
 	if !ok || c.plane.worker == nil || route.ServiceName != c.plane.config.Service {
 		return nil, outcome.New(outcome.Misdirected)
 	}
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -19,7 +19,7 @@
 	// caller is cut by the node that it talks to.
 	peerLimits Limits
 
-	runtime      atomic.Pointer[runtime]
+	active       atomic.Pointer[activeVersion]
 	compiling    sync.Mutex
 	staged       atomic.Pointer[stagedTable]
 	destinations destinations
@@ -114,7 +114,7 @@
 		PeerCalls:   p.peerCalls.count(),
 		Draining:    p.draining.Load(),
 	}
-	if current := p.runtime.Load(); current != nil {
+	if current := p.active.Load(); current != nil {
 		status.Version = current.snapshot.Version()
 	}
 	if p.worker != nil {
