--- a/internal/sim/applies.go
+++ b/internal/sim/applies.go
@@ -56,10 +56,18 @@
 // Apply has an operator apply a new file set on whatever is committed. known
 // is set to recover from a restored store.
 func (w *World) Apply(known *rollout.Head) {
+	poisoned := w.random.percent(poisonPercent)
+	w.applySet(newFileSet(w.random, w.applies.number+1, poisoned), known)
+}
+
+func (w *World) applySet(set fileSet, known *rollout.Head) {
 	w.applies.number++
 	id := fmt.Sprint("apply-", w.applies.number)
-	set := newFileSet(w.random, w.applies.number)
-	w.oracle.sets[id] = &appliedSet{fileSet: set, recovers: known != nil}
+	applied := &appliedSet{fileSet: set}
+	if known != nil {
+		applied.recovers = w.oracle.restores
+	}
+	w.oracle.sets[id] = applied
 	p := w.newProcess(id)
 	w.applies.processes = append(w.applies.processes, p)
 	versions := w.newVersionStore()
--- a/internal/sim/content.go
+++ b/internal/sim/content.go
@@ -33,9 +33,10 @@
 	poisoned  bool
 }
 
-// newFileSet makes a set that differs from all others.
-func newFileSet(r random, number int) fileSet {
-	set := fileSet{digests: make(map[model.Key]model.Digest), poisoned: r.percent(poisonPercent)}
+// newFileSet makes a set that differs from all others. Some nodes refuse a
+// poisoned one.
+func newFileSet(r random, number int, poisoned bool) fileSet {
+	set := fileSet{digests: make(map[model.Key]model.Digest), poisoned: poisoned}
 	mark := number * markModulo
 	if set.poisoned {
 		mark += poisonMark
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -17,6 +17,7 @@
 	longestHoldBack   = 3 * time.Second
 	longestUnnoticed  = 8 * time.Second
 	largestClockStep  = time.Hour
+	recoveryPatience  = 12 * time.Second
 	herdShare         = 2
 	backupPeriod      = 20 * time.Second
 	lostRequestChance = 15
@@ -280,14 +281,17 @@
 	before := w.oracle.head
 	w.memory.Restore(*w.faults.backup)
 	w.oracle.head = w.oracle.storedHead()
-	w.oracle.restored = w.oracle.head.Generation < before.Generation
+	if w.oracle.head.Generation < before.Generation {
+		w.oracle.restored = true
+		w.oracle.restores++
+	}
 	w.log("restored: from %s to %s", describe(before), describe(w.oracle.head))
 	w.recoverLater()
 }
 
 // recoverLater has an operator apply a new set until one is committed.
 func (w *World) recoverLater() {
-	w.scheduler.after(w.random.duration(longestUnnoticed), "recover", func() {
+	w.scheduler.after(recoveryPatience+w.random.duration(longestUnnoticed), "recover", func() {
 		if w.oracle.restored {
 			w.Recover()
 			w.recoverLater()
--- a/internal/sim/oracle.go
+++ b/internal/sim/oracle.go
@@ -56,6 +56,7 @@
 	// back to an older copy and no set was committed on top of it since.
 	head     rollout.Head
 	restored bool
+	restores int
 	// sets holds every file set by the identifier of its apply.
 	sets map[string]*appliedSet
 	// committed lists the applies that were committed under a number. There is
@@ -79,8 +80,8 @@
 	fileSet
 	refused bool
 	aborted bool
-	// recovers tells that the apply brings a restored store past the nodes.
-	recovers bool
+	// recovers counts the restores of the store that the apply brings it past.
+	recovers int
 }
 
 func newOracle(w *World) *oracle {
@@ -130,13 +131,13 @@
 		o.violate(InvariantApply, head.ApplyID, "written, but never applied")
 		return
 	}
-	recovered := o.restored && set.recovers && head.Proposed != 0
+	recovered := o.restored && set.recovers == o.restores && head.Proposed != 0
 	if !recovered && !o.allowed(before, head) {
 		o.violate(InvariantHead, "store", fmt.Sprintf("from %s to %s", describe(before), describe(head)))
 	}
 	if head.Committed != before.Committed && !recovered {
 		o.observeCommit(head)
-		o.restored = o.restored && !set.recovers
+		o.restored = o.restored && set.recovers != o.restores
 	}
 	if rejected := head.LastRejected; rejected != nil && rejected.Version == before.Proposed && head.Proposed == 0 {
 		set.aborted = true
--- a/internal/sim/settle.go
+++ b/internal/sim/settle.go
@@ -11,6 +11,10 @@
 // settleTime is how long after the last fault everything must be in order.
 const settleTime = 45 * time.Second
 
+// convergenceTime is how long a sound set takes at most to be in force
+// everywhere when nothing disturbs.
+const convergenceTime = 5 * time.Second
+
 // recoverAttempts is how often a settling world waits again for an operator to
 // recover a restored store: sets that are refused do not.
 const recoverAttempts = 3
@@ -28,6 +32,13 @@
 		}
 	}
 	w.checkSettled()
+	before := w.oracle.head.Committed
+	w.applySet(newFileSet(w.random, w.applies.number+1, false), nil)
+	w.RunFor(convergenceTime)
+	if w.oracle.head.Committed == before {
+		w.oracle.violate(InvariantInForce, "store", fmt.Sprintf("a sound set was not committed within %v, head %s", convergenceTime, describe(w.oracle.head)))
+	}
+	w.checkSettled()
 	w.quiet = false
 }
 
