Let a gate be reconfigured, and keep a drain when the worker restarts

A worker whose health came back during the drain of its node ended the drain, so that waiting for it would have gone on to the bound. Resume ends a drain now. Reconfigure takes all options and keeps what is in flight.

--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -149,10 +149,27 @@
 			t.Error(err)
 		}
 		gate.WorkerStarted()
+		_, err = gate.Admit(context.Background(), admission.PriorityHigh)
+		wantShed(t, err, admission.ReasonDraining)
+		gate.Resume()
 		mustAdmit(t, gate).Release(admission.Result{})
 	})
 }
 
+func TestReconfigureKeepsWhatIsInFlight(t *testing.T) {
+	gate := admission.New(admission.Options{Slots: 3, Queue: admission.NoQueue})
+	first, second := mustAdmit(t, gate), mustAdmit(t, gate)
+	gate.Reconfigure(admission.Options{Slots: 1, Queue: admission.NoQueue})
+	if stats := gate.Stats(); stats.InFlight != 2 || stats.Limit != 1 {
+		t.Errorf("%+v after the slots were cut to 1", stats)
+	}
+	first.Release(admission.Result{})
+	_, err := gate.Admit(context.Background(), admission.PriorityNormal)
+	wantShed(t, err, admission.ReasonQueueFull)
+	second.Release(admission.Result{})
+	mustAdmit(t, gate).Release(admission.Result{})
+}
+
 func TestLoadRisesWithSlotsAndQueue(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		gate := admission.New(admission.Options{Slots: 2, Queue: 1})
--- a/pkg/admission/lifecycle.go
+++ b/pkg/admission/lifecycle.go
@@ -14,23 +14,46 @@
 func (g *Gate) SetLimits(slots, connections int) {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if slots > 0 && slots != g.options.Slots {
-		g.options.Slots = slots
-		g.adaptive.reset(slots)
+	next := g.options
+	if slots > 0 {
+		next.Slots = slots
 	}
 	if connections > 0 {
-		g.options.Connections = connections
+		next.Connections = connections
+	}
+	g.adopt(next)
+}
+
+// Reconfigure replaces the options, but for the clock. Requests in flight keep
+// their slots and those in the queue their places; a slow start that has begun
+// ends when it would have ended.
+func (g *Gate) Reconfigure(options Options) {
+	options = options.withDefaults()
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	options.Now = g.options.Now
+	g.adopt(options)
+}
+
+// adopt is called with the mutex held.
+func (g *Gate) adopt(next Options) {
+	slotsChanged := next.Slots != g.options.Slots
+	g.options = next
+	if slotsChanged {
+		g.adaptive.reset(next.Slots)
+	}
+	if next.SlowStart <= 0 {
+		g.warmUntil = time.Time{}
 	}
 	g.refreshLimit()
 	g.dispatch()
 }
 
-// WorkerStarted tells that the worker has just started: it ends a drain, begins
-// slow start and forgets what was learnt of the worker before.
+// WorkerStarted tells that the worker has just started: slow start begins and
+// what was learnt of the worker before is forgotten. A drain goes on.
 func (g *Gate) WorkerStarted() {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	g.draining = false
 	g.serviceTime = 0
 	g.adaptive.reset(g.options.Slots)
 	if g.options.SlowStart > 0 {
@@ -40,6 +63,13 @@
 	g.dispatch()
 }
 
+// Resume ends a drain.
+func (g *Gate) Resume() {
+	g.mutex.Lock()
+	defer g.mutex.Unlock()
+	g.draining = false
+}
+
 // Drain refuses all further requests. Those in flight and those in the queue
 // are served.
 func (g *Gate) Drain() {
