--- a/internal/lab/command/root.go
+++ b/internal/lab/command/root.go
@@ -12,7 +12,9 @@
 
 	"github.com/levertide/levertide/internal/lab/certs"
 	"github.com/levertide/levertide/internal/lab/demo"
+	"github.com/levertide/levertide/internal/lab/fuzz"
 	"github.com/levertide/levertide/internal/lab/hollow"
+	"github.com/levertide/levertide/internal/lab/load"
 	"github.com/levertide/levertide/internal/lab/report"
 	"github.com/levertide/levertide/internal/lab/scale"
 	"github.com/levertide/levertide/internal/lab/worker"
@@ -77,6 +79,9 @@
 		demo.Command(os.Stdout),
 		demo.RunCommand(os.Stdout),
 		scale.Command(os.Stdout),
+		scale.SlopesCommand(os.Stdout),
+		fuzz.Command(),
+		load.Command(),
 		report.Command(os.Stdout),
 		certs.Command(),
 		worker.Command(),
--- a/internal/lab/scale/apply.go
+++ b/internal/lab/scale/apply.go
@@ -88,6 +88,26 @@
 	}
 }
 
+// committedInStore adds the versions that the store says were committed, such
+// as one whose commit the lab did not see in time.
+func (c *Cluster) committedInStore(ctx context.Context) []uint64 {
+	committed := c.committedVersions()
+	head, _, err := c.versions.ReadHead(ctx, true)
+	if err != nil {
+		return committed
+	}
+	records, err := c.versions.ListVersions(ctx, -1)
+	if err != nil {
+		return committed
+	}
+	for _, record := range records {
+		if record.Rejection == nil && record.Number <= head.Committed {
+			committed = append(committed, record.Number)
+		}
+	}
+	return committed
+}
+
 // committedVersions returns the versions that the lab saw committed.
 func (c *Cluster) committedVersions() []uint64 {
 	c.mutex.Lock()
--- a/internal/lab/scale/herds.go
+++ b/internal/lab/scale/herds.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/errgroup"
@@ -235,18 +236,18 @@
 // replaceAll replaces every node, some of each zone at a time, with changes all along.
 func (r *run) replaceAll(ctx context.Context, during *phase) {
 	during.affect(r.cluster.names())
-	changing, stop := context.WithCancel(ctx)
+	var over atomic.Bool
 	changed := make(chan struct{})
 	go func() {
 		defer close(changed)
-		r.changeUntil(changing, during, time.Now().Add(recoveryBound))
+		r.changeWhile(ctx, during, func() bool { return !over.Load() })
 	}()
 	var replacing errgroup.Group
 	for zone := range r.cluster.layout.zones {
 		replacing.Go(func() error { return r.replaceZone(ctx, zone) })
 	}
 	r.report(replacing.Wait())
-	stop()
+	over.Store(true)
 	<-changed
 	during.healed = time.Now()
 	r.progress.say("every node has been replaced")
--- a/internal/lab/scale/run.go
+++ b/internal/lab/scale/run.go
@@ -17,28 +17,40 @@
 // run could not be carried through; the result then holds what was measured up
 // to then. Every process that it started has ended when it returns.
 func Run(ctx context.Context, options Options) (*results.Scale, error) {
-	started := time.Now()
 	going := &run{
-		progress: &progress{started: started, output: options.Progress},
+		options:  options,
+		progress: &progress{started: time.Now(), output: options.Progress},
 		result:   describeSize(options),
 		ownPID:   os.Getpid(),
 	}
+	if err := going.runCluster(ctx); err != nil {
+		return going.result, err
+	}
+	if options.Size.Baselines {
+		going.runBaselines(ctx)
+	}
+	return going.result, ctx.Err()
+}
+
+// runCluster measures the product. Every process has ended when it returns, so
+// that the baselines have the machine for themselves.
+func (r *run) runCluster(ctx context.Context) error {
 	group := &process.Group{}
 	defer group.StopAll(stopBound)
-	cluster, err := startCluster(ctx, options, group)
+	cluster, err := startCluster(ctx, r.options, group)
 	if cluster != nil {
 		defer cluster.close()
 	}
 	if err != nil {
-		return going.result, err
+		return err
 	}
-	going.cluster = cluster
-	going.result.RealProcesses = len(cluster.real)
-	going.result.HollowNodes = options.Size.Nodes - len(cluster.real)
-	going.result.Processes = len(cluster.real) + len(cluster.children) + 1
-	going.progress.say("%d hollow nodes in %d processes and %d real processes started",
-		going.result.HollowNodes, len(cluster.children), len(cluster.real))
-	return going.result, going.measure(ctx)
+	r.cluster = cluster
+	r.result.RealProcesses = len(cluster.real)
+	r.result.HollowNodes = r.options.Size.Nodes - len(cluster.real)
+	r.result.Processes = len(cluster.real) + len(cluster.children) + 1
+	r.progress.say("%d hollow nodes in %d processes and %d real processes started",
+		r.result.HollowNodes, len(cluster.children), len(cluster.real))
+	return r.measure(ctx)
 }
 
 // describeSize returns a result with the size filled in.
@@ -66,7 +78,7 @@
 	stop()
 	<-sampled
 	taking.sample(context.WithoutCancel(ctx))
-	r.conclude()
+	r.conclude(context.WithoutCancel(ctx))
 	return err
 }
 
@@ -86,9 +98,9 @@
 }
 
 // conclude checks everything once more and completes the result.
-func (r *run) conclude() {
+func (r *run) conclude(ctx context.Context) {
 	cluster := r.cluster
-	cluster.recorder.CheckCommitted(cluster.committedVersions())
+	cluster.recorder.CheckCommitted(cluster.committedInStore(ctx))
 	for _, detail := range cluster.measured.wholeViolations() {
 		cluster.recorder.Report(observe.Violation{Rule: observe.RuleWhole, Detail: detail})
 	}
