Hold displacement and idleness of a gate by tests

Two faults put in by hand went unnoticed: a newcomer that displaced one of its own priority, and a drain that took a request in flight for idle. Both are found now.

--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -152,7 +152,15 @@
 		_, err = gate.Admit(context.Background(), admission.PriorityHigh)
 		wantShed(t, err, admission.ReasonDraining)
 		gate.Resume()
-		mustAdmit(t, gate).Release(admission.Result{})
+		last := mustAdmit(t, gate)
+		gate.Drain()
+		if err := gate.WaitIdle(canceledSoon(t)); err == nil {
+			t.Error("idle with only a request in flight")
+		}
+		last.Release(admission.Result{})
+		if err := gate.WaitIdle(context.Background()); err != nil {
+			t.Error(err)
+		}
 	})
 }
 
--- a/pkg/admission/property_test.go
+++ b/pkg/admission/property_test.go
@@ -58,10 +58,29 @@
 		c.permit, c.err = m.gate.Admit(ctx, priority)
 		c.settled = true
 	}()
+	expected := m.displacedBy(priority)
 	synctest.Wait()
+	for _, waiting := range m.waiting {
+		displaced := waiting.settled && admission.ReasonOf(waiting.err) == admission.ReasonDisplaced
+		if displaced && waiting != expected {
+			t.Fatalf("a call of priority %d displaced one of priority %d", priority, waiting.priority)
+		}
+	}
 	m.waiting = append(m.waiting, c)
 }
 
+// displacedBy returns the waiting call that a newcomer may displace: the newest
+// of the lowest priority, if that is lower; nil for none.
+func (m *machine) displacedBy(priority admission.Priority) *call {
+	var last *call
+	for _, c := range m.waiting {
+		if c.priority < priority && (last == nil || c.priority <= last.priority) {
+			last = c
+		}
+	}
+	return last
+}
+
 // collect moves the calls that were settled out of waiting and returns those
 // that were admitted.
 func (m *machine) collect(t *rapid.T) []*call {
