Measure calls while workers fail, and check every not-run

In each mode a request that was refused as not run and that a worker's record shows as started is a failure of the run.

--- a/internal/lab/load/chain.go
+++ b/internal/lab/load/chain.go
@@ -138,13 +138,13 @@
 				target:   c.gateway.callerAddress(),
 				deadline: chainDeadline,
 			}
-			top.add(request.do(ctx, transport), time.Since(moment))
+			top.add(request.id, request.do(ctx, transport), time.Since(moment))
 		})
 	seen := executions{}
 	for _, item := range c.levels[chainLevels-1] {
 		seen.take(item.worker)
 	}
-	point := ChainPoint{Top: top.result(0), Bottom: seen.total()}
+	point := ChainPoint{Top: top.result(nil), Bottom: seen.total()}
 	if point.Top.Calls > 0 {
 		point.PerCall = float64(point.Bottom) / float64(point.Top.Calls)
 		point.Answered = float64(point.Top.Answered) / float64(point.Top.Calls)
--- a/internal/lab/load/executions.go
+++ b/internal/lab/load/executions.go
@@ -6,6 +6,13 @@
 // of them shows as well.
 type executions map[string]int
 
+// executionsOf takes the records of workers.
+func executionsOf(workers []*worker.Worker) executions {
+	seen := executions{}
+	seen.take(workers...)
+	return seen
+}
+
 // take adds the records of a worker and forgets them there.
 func (e executions) take(workers ...*worker.Worker) {
 	for _, w := range workers {
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -66,11 +66,11 @@
 
 func TestFailuresAreReported(t *testing.T) {
 	report := Report{
-		Steady:  []Step{{Through: Counts{Wrong: 1, Duplicates: 2}}},
+		Steady:  []Step{{Through: Counts{Wrong: 1, Duplicates: 2, FalseNotRun: 1}}},
 		Upload:  &Upload{Points: []UploadPoint{{}}},
 		Rolling: &Rolling{Once: Counts{Unknown: 1}, UploadsStarted: 1, Killed: 1},
 	}
-	if failures := report.failures(); len(failures) != 6 {
+	if failures := report.failures(); len(failures) != 7 {
 		t.Errorf("failures %q", failures)
 	}
 }
@@ -85,8 +85,29 @@
 	}
 }
 
+func TestFaultsHarmNoUnrepeatableRequest(t *testing.T) {
+	report := run(t, short(ModeFaults))
+	for _, point := range report.Faults {
+		if point.Once.Calls == 0 || point.Any.Calls == 0 {
+			t.Errorf("%s: no calls in %+v", point.Fault, point)
+		}
+	}
+	if len(report.Faults) != len(faultKinds) {
+		t.Errorf("%d faults tried of %d", len(report.Faults), len(faultKinds))
+	}
+}
+
+func TestFalseNotRunIsSeen(t *testing.T) {
+	seen := newTally()
+	seen.add("a", ending{kind: endingNotRun}, time.Second)
+	seen.add("b", ending{kind: endingNotRun}, time.Second)
+	if counts := seen.result(executions{"b": 1}); counts.NotRun != 2 || counts.FalseNotRun != 1 {
+		t.Errorf("%+v", counts)
+	}
+}
+
 func TestOptionsAreChecked(t *testing.T) {
-	if modes, err := ParseModes("all"); err != nil || len(modes) != 5 {
+	if modes, err := ParseModes("all"); err != nil || len(modes) != 6 {
 		t.Errorf("all modes: %v, %v", modes, err)
 	}
 	for _, text := range []string{"", "fast", "steady,"} {
--- a/internal/lab/load/meter.go
+++ b/internal/lab/load/meter.go
@@ -66,12 +66,13 @@
 type tally struct {
 	mutex  sync.Mutex
 	counts Counts
+	notRun []string // identifiers of the calls that were refused as not run
 	times  *meter
 }
 
 func newTally() *tally { return &tally{times: newMeter()} }
 
-func (t *tally) add(ended ending, length time.Duration) {
+func (t *tally) add(id string, ended ending, length time.Duration) {
 	if ended.kind == endingAnswered {
 		t.times.record(length)
 	}
@@ -86,6 +87,7 @@
 		t.counts.Answered++
 	case endingNotRun:
 		t.counts.NotRun++
+		t.notRun = append(t.notRun, id)
 	case endingUnknown:
 		t.counts.Unknown++
 	case endingWrong:
@@ -100,11 +102,17 @@
 	t.counts.Reasons[reason]++
 }
 
-func (t *tally) result(duplicates int) Counts {
+// result returns the counts, with what the workers' records show of these calls.
+func (t *tally) result(seen executions) Counts {
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	counts := t.counts
 	counts.Reasons = maps.Clone(counts.Reasons)
-	counts.Duplicates = duplicates
+	counts.Duplicates = seen.duplicates(isOnce)
+	for _, id := range t.notRun {
+		if seen[id] > 0 {
+			counts.FalseNotRun++
+		}
+	}
 	return counts
 }
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -25,9 +25,11 @@
 	ModeUpload Mode = "upload"
 	// ModeRolling replaces every worker and node while calls go on.
 	ModeRolling Mode = "rolling"
+	// ModeFaults counts what callers see while workers fail in each way.
+	ModeFaults Mode = "faults"
 )
 
-var allModes = []Mode{ModeSteady, ModeOverload, ModeChain, ModeUpload, ModeRolling}
+var allModes = []Mode{ModeSteady, ModeOverload, ModeChain, ModeUpload, ModeRolling, ModeFaults}
 
 // Default values of Options.
 const (
--- a/internal/lab/load/overload.go
+++ b/internal/lab/load/overload.go
@@ -37,7 +37,7 @@
 		CapacityPerSecond: float64(options.Workers*slots) / service.Mean().Seconds(),
 		DeadlineMS:        float64(overloadDeadline.Milliseconds()),
 	}
-	config := worker.Config{Slots: slots, Service: service, ForgetRecords: true}
+	config := worker.Config{Slots: slots, Service: service}
 	var err error
 	shape := serviceShape{slots: slots, queue: 2 * slots}
 	if result.Admission, err = overloadPoints(ctx, options, config, shape, result.CapacityPerSecond); err != nil {
@@ -92,16 +92,17 @@
 			}
 			ended := c.do(ctx, transport)
 			length := time.Since(moment)
-			seen.add(ended, length)
+			seen.add(c.id, ended, length)
 			if ended.kind == endingAnswered && length <= overloadDeadline {
 				good.Add(1)
 			}
 		})
+	counts := seen.result(executionsOf(m.workers()))
 	return OverloadPoint{
 		Multiple:         multiple,
-		OfferedPerSecond: float64(seen.result(0).Calls) / duration.Seconds(),
+		OfferedPerSecond: float64(counts.Calls) / duration.Seconds(),
 		GoodputPerSecond: float64(good.Load()) / duration.Seconds(),
-		Counts:           seen.result(0),
+		Counts:           counts,
 		AnsweredMS:       seen.times.quantiles(),
 	}
 }
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -2,6 +2,7 @@
 
 import (
 	"github.com/levertide/levertide/internal/lab/results"
+	"github.com/levertide/levertide/internal/lab/worker"
 	"github.com/levertide/levertide/pkg/outcome"
 )
 
@@ -10,14 +11,15 @@
 type Report struct {
 	results.Load
 	// Nodes tells what the calls went through.
-	Nodes    string    `json:"nodes"`
-	Seed     uint64    `json:"seed"`
-	Steady   []Step    `json:"steady"`
-	Overload *Overload `json:"overload"`
-	Chain    *Chain    `json:"chain"`
-	Upload   *Upload   `json:"upload"`
-	Rolling  *Rolling  `json:"rolling"`
-	Failures []string  `json:"failures"`
+	Nodes    string       `json:"nodes"`
+	Seed     uint64       `json:"seed"`
+	Steady   []Step       `json:"steady"`
+	Overload *Overload    `json:"overload"`
+	Chain    *Chain       `json:"chain"`
+	Upload   *Upload      `json:"upload"`
+	Rolling  *Rolling     `json:"rolling"`
+	Faults   []FaultPoint `json:"faults"`
+	Failures []string     `json:"failures"`
 }
 
 // The values of Report.Nodes.
@@ -38,6 +40,8 @@
 	Wrong int `json:"wrong_answers"`
 	// Duplicates are requests that ran more than once although they must not.
 	Duplicates int `json:"duplicate_executions"`
+	// FalseNotRun are requests refused as not run that a worker has started.
+	FalseNotRun int `json:"not_run_but_started"`
 }
 
 // Step is one rate of ModeSteady.
@@ -132,3 +136,12 @@
 	// Killed counts nodes that did not end by themselves.
 	Killed int `json:"killed"`
 }
+
+// FaultPoint is what callers saw while workers failed in one way.
+type FaultPoint struct {
+	Fault worker.FaultKind `json:"fault"`
+	// Share is the part of the requests at each worker that fail.
+	Share float64 `json:"share"`
+	Once  Counts  `json:"unrepeatable"`
+	Any   Counts  `json:"repeatable"`
+}
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -72,10 +72,10 @@
 		return nil, err
 	}
 	r.seen.take(r.mesh.workers()...)
-	uploads := r.uploads.result(0)
+	uploads := r.uploads.result(r.seen)
 	result := &Rolling{
 		Replaced: replaced, Seconds: time.Since(began).Seconds(),
-		Once: r.once.result(r.seen.duplicates(isOnce)), Any: r.any.result(0),
+		Once: r.once.result(r.seen), Any: r.any.result(r.seen),
 		UploadsStarted: uploads.Calls, UploadsWhole: uploads.Answered, Killed: r.killed,
 	}
 	fmt.Fprintf(r.options.Progress, "rolling: %+v\n", *result)
@@ -97,7 +97,7 @@
 			c.method, c.host, c.size = http.MethodPost, onceHost, smallBody
 			into = r.once
 		}
-		into.add(c.do(ctx, r.transport), time.Since(moment))
+		into.add(c.id, c.do(ctx, r.transport), time.Since(moment))
 	})
 }
 
@@ -114,7 +114,7 @@
 					target: *r.target.Load(), size: rollingUpload,
 					pace: rollingUploadTime,
 				}
-				r.uploads.add(c.do(ctx, r.transport), time.Since(began))
+				r.uploads.add(c.id, c.do(ctx, r.transport), time.Since(began))
 			}
 		})
 	}
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -38,6 +38,8 @@
 		r.Chain, err = measureChain(ctx, options)
 	case ModeUpload:
 		r.Upload, err = measureUpload(ctx, options)
+	case ModeFaults:
+		r.Faults, err = measureFaults(ctx, options)
 	case ModeRolling:
 		r.Rolling, err = measureRolling(ctx, options)
 	}
@@ -74,6 +76,9 @@
 		if counts.Duplicates > 0 {
 			failures = append(failures, fmt.Sprintf("%s: %d duplicate executions", where, counts.Duplicates))
 		}
+		if counts.FalseNotRun > 0 {
+			failures = append(failures, fmt.Sprintf("%s: %d refused as not run were started", where, counts.FalseNotRun))
+		}
 	}
 	for _, step := range r.Steady {
 		note(fmt.Sprintf("steady %g", step.RatePerNode), step.Through)
@@ -83,6 +88,10 @@
 			note(fmt.Sprintf("overload %g", point.Multiple), point.Counts)
 		}
 	}
+	for _, point := range r.Faults {
+		note(string(point.Fault)+", unrepeatable", point.Once)
+		note(string(point.Fault)+", repeatable", point.Any)
+	}
 	if r.Chain != nil {
 		failures = append(failures, r.Chain.failures()...)
 	}
--- a/internal/lab/load/steady.go
+++ b/internal/lab/load/steady.go
@@ -83,8 +83,8 @@
 	step := Step{
 		RatePerNode: rate,
 		Seconds:     time.Since(began).Seconds(),
-		Direct:      direct.result(duplicatesOf(r.direct)),
-		Through:     through.result(duplicatesOf(r.mesh.workers())),
+		Direct:      direct.result(executionsOf(r.direct)),
+		Through:     through.result(executionsOf(r.mesh.workers())),
 		DirectMS:    direct.times.quantiles(),
 		ThroughMS:   through.times.quantiles(),
 		LatenessMS:  lateness.quantiles(),
@@ -110,12 +110,5 @@
 		c.method, c.host, c.size = http.MethodPost, onceHost, smallBody
 	}
 	ended := c.do(ctx, r.transport)
-	into.add(ended, time.Since(moment))
-}
-
-// duplicatesOf counts the requests that must not be repeated and ran twice.
-func duplicatesOf(workers []*worker.Worker) int {
-	seen := executions{}
-	seen.take(workers...)
-	return seen.duplicates(isOnce)
+	into.add(c.id, ended, time.Since(moment))
 }
