--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -23,7 +23,7 @@
 	var failure error
 	for c.report.Attempts = 0; ; {
 		c.destination.refresh(c.plane.config.Directory)
-		pick, err := c.destination.balancer.Pick(tried[:c.report.Attempts]...)
+		pick, err := c.pick(tried[:c.report.Attempts])
 		if err != nil {
 			c.giveUp(failure)
 			return
@@ -53,6 +53,15 @@
 	return later
 }
 
+// pick chooses a node that was not tried yet, or one that was if there is no other.
+func (c *callerCall) pick(tried []string) (balance.Pick, error) {
+	pick, err := c.destination.balancer.Pick(tried...)
+	if err != nil && len(tried) > 0 {
+		return c.destination.balancer.Pick()
+	}
+	return pick, err
+}
+
 // conclude delivers an answer and tells the balancer how it went.
 func (c *callerCall) conclude(result *answer, pick *balance.Pick, seen balance.Result) {
 	c.relay.close()
--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -182,8 +182,11 @@
 	_ = b.control.SetReadDeadline(time.Now())
 }
 
-// release ends all reading. It must be called before the handler returns.
-func (b *requestBody) release() {
+// release ends all reading by attempts. It must be called before the handler
+// returns. When an answer was written before the body had ended, answered makes
+// it read on for a moment: closing a connection with data unread would destroy
+// the answer on its way to a caller that is still sending.
+func (b *requestBody) release(answered bool) {
 	if b.complete.Load() {
 		return
 	}
@@ -195,7 +198,24 @@
 		_ = b.control.SetReadDeadline(time.Time{})
 		return
 	}
+	if answered {
+		b.linger()
+	}
+}
+
+// linger sends the answer off and reads what the caller still sends. The mutex is held.
+func (b *requestBody) linger() {
+	if b.control.Flush() != nil {
+		return
+	}
 	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
+	buffer := getBuffer()
+	defer putBuffer(buffer)
+	for {
+		if _, err := b.request.Body.Read(buffer[:]); err != nil {
+			return
+		}
+	}
 }
 
 // streamReader is a streamed body as one attempt sends it.
--- a/internal/dataplane/caller.go
+++ b/internal/dataplane/caller.go
@@ -28,6 +28,8 @@
 	allowance   retry.Allowance
 	began       time.Time
 	report      CallReport
+	// answered is set when a whole answer or a failure was written.
+	answered bool
 }
 
 func (p *Plane) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -46,9 +48,10 @@
 	defer c.end()
 	if err := c.prepare(); err != nil {
 		c.fail(err)
-		return
+	} else {
+		c.run()
 	}
-	c.run()
+	c.answered = true
 }
 
 // prepare does everything that comes before the first attempt.
@@ -148,7 +151,7 @@
 	if c.life != nil {
 		c.life.end()
 	}
-	c.body.release()
 	c.report.Duration = time.Since(c.began)
+	c.body.release(c.answered)
 	c.plane.config.Observer.CallFinished(c.report)
 }
--- /dev/null
+++ b/internal/dataplane/chain_test.go
@@ -0,0 +1,122 @@
+package dataplane
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// chainLevels is how many services call each other in a row.
+const chainLevels = 6
+
+// passedOn are the headers that a worker copies to the calls that it makes on
+// behalf of a call.
+var passedOn = []string{retry.DeadlineHeader, retry.AttemptsLeftHeader}
+
+// newChain starts a chain of services, each with a node of its own and a worker
+// that calls the next by its node. At the last, answers break off.
+func newChain(t *testing.T, change func(*Config)) (entry *mesh, bottom *atomic.Int64) {
+	m := &mesh{t: t, table: membership.NewTable()}
+	m.publishChain(t)
+	m.directory.Store(m.table.View())
+	bottom = &atomic.Int64{}
+	handlers := make([]atomic.Pointer[http.HandlerFunc], chainLevels)
+	nodes := make([]*testNode, chainLevels)
+	for level := range chainLevels {
+		worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			(*handlers[level].Load())(w, r)
+		}))
+		t.Cleanup(worker.Close)
+		service := fmt.Sprintf("level-%d", level)
+		nodes[level] = m.start(service, worker.Listener.Addr().String(), change, func(c *Config) { c.Service = service })
+		m.table.Merge(membership.Record{
+			ID: service, Incarnation: 1, Region: "region", Zone: "zone", Service: service,
+			CallAddress: nodes[level].peers.Listener.Addr().String(),
+		})
+	}
+	m.directory.Store(m.table.View())
+	for level := range chainLevels {
+		handler := m.levelHandler(level, nodes[level], bottom)
+		handlers[level].Store(&handler)
+	}
+	m.entry = m.start("entry", "", change)
+	return m, bottom
+}
+
+func (m *mesh) publishChain(t *testing.T) {
+	var resources []model.Resource
+	for level := range chainLevels {
+		name := fmt.Sprintf("level-%d", level)
+		resources = append(resources,
+			model.Resource{Key: model.Key{Kind: model.KindService, Name: name}, Service: &model.Service{
+				Slots: 64, Connections: 130, Queue: 64, Timeout: time.Minute,
+			}},
+			model.Resource{Key: model.Key{Kind: model.KindRoute, Name: name}, Route: &model.Route{
+				Match: model.Match{Host: name, PathPrefix: "/"}, Service: name,
+			}},
+		)
+	}
+	source, err := snapshot.New(1, resources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.current.Store(source)
+}
+
+// levelHandler calls the next level; a failure there breaks the answer off, as
+// a worker does that dies of it.
+func (m *mesh) levelHandler(level int, node *testNode, bottom *atomic.Int64) http.HandlerFunc {
+	client := m.client()
+	return func(_ http.ResponseWriter, r *http.Request) {
+		if level == chainLevels-1 {
+			bottom.Add(1)
+			panic(http.ErrAbortHandler)
+		}
+		request, err := http.NewRequestWithContext(r.Context(), "GET", node.callers.URL+"/", nil)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		request.Host = fmt.Sprintf("level-%d", level+1)
+		for _, name := range passedOn {
+			request.Header.Set(name, r.Header.Get(name))
+		}
+		response, err := client.Do(request)
+		if err != nil {
+			panic(http.ErrAbortHandler)
+		}
+		_ = response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			panic(http.ErrAbortHandler)
+		}
+	}
+}
+
+func (m *mesh) callChain(t *testing.T) {
+	request := m.request("GET", "/", nil)
+	request.Host = "level-0"
+	m.do(request).expect(t, http.StatusBadGateway, "unknown")
+}
+
+func TestAllowanceTravelsDownTheChain(t *testing.T) {
+	m, bottom := newChain(t, func(*Config) {})
+	m.callChain(t)
+	if got := bottom.Load(); got > 1+int64(retry.DefaultAllowance) {
+		t.Errorf("one call made %d at the bottom, the allowance is %d", got, retry.DefaultAllowance)
+	}
+}
+
+func TestWithoutAllowanceLevelsMultiply(t *testing.T) {
+	m, bottom := newChain(t, func(c *Config) { c.NoRetryBudget = true })
+	m.callChain(t)
+	if got := bottom.Load(); got < 3*3 {
+		t.Errorf("one call made %d at the bottom: the comparison shows nothing", got)
+	}
+}
--- /dev/null
+++ b/internal/dataplane/drain_test.go
@@ -0,0 +1,95 @@
+package dataplane
+
+import (
+	"context"
+	"io"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+func TestDrainEndsNoCallInFlight(t *testing.T) {
+	m := newMesh(t)
+	running := make(chan struct{})
+	node := m.addHandler("a", func(w http.ResponseWriter, r *http.Request) {
+		close(running)
+		n, _ := io.Copy(io.Discard, r.Body)
+		if n == 1<<20 {
+			_, _ = io.WriteString(w, "stored")
+		}
+	})
+	var elsewhere atomic.Int64
+	reader, writer := io.Pipe()
+	upload := make(chan reply, 1)
+	go func() { upload <- m.do(m.request("POST", "/", reader)) }()
+	part := strings.Repeat("x", 1<<19)
+	_, _ = io.WriteString(writer, part)
+	<-running
+
+	m.addHandler("b", func(http.ResponseWriter, *http.Request) { elsewhere.Add(1) })
+	drained := make(chan DrainReport, 1)
+	go func() { drained <- node.plane.Drain(context.Background()) }()
+	eventually(t, "drain begun", func() bool { return node.plane.Status().Draining })
+	const calls = 20
+	for range calls {
+		m.call("POST", "/never", "x").expect(t, http.StatusOK, "")
+	}
+	if elsewhere.Load() != calls {
+		t.Errorf("%d of %d calls went to the other worker", elsewhere.Load(), calls)
+	}
+	select {
+	case report := <-drained:
+		t.Fatalf("the drain ended with an upload in flight: %+v", report)
+	default:
+	}
+	_, _ = io.WriteString(writer, part)
+	_ = writer.Close()
+	got := <-upload
+	got.expect(t, http.StatusOK, "")
+	if got.body != "stored" {
+		t.Errorf("the upload was answered %q", got.body)
+	}
+	if report := <-drained; !report.Clean() {
+		t.Errorf("report %+v", report)
+	}
+}
+
+func TestDrainIsBounded(t *testing.T) {
+	m := newMesh(t)
+	running := make(chan struct{})
+	node := m.addHandler("a", func(_ http.ResponseWriter, r *http.Request) {
+		close(running)
+		<-r.Context().Done()
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := make(chan struct{})
+	go func() {
+		defer close(ended)
+		_, _ = m.client().Do(m.request("GET", "/", nil).WithContext(ctx))
+	}()
+	<-running
+	bound, stop := context.WithTimeout(context.Background(), 20*time.Millisecond)
+	defer stop()
+	if report := node.plane.Drain(bound); report.PeerCalls != 1 || report.Clean() {
+		t.Errorf("report %+v", report)
+	}
+	cancel()
+	<-ended
+}
+
+func TestDrainedNodeRefusesCallers(t *testing.T) {
+	m := newMesh(t)
+	m.addHandler("a", func(http.ResponseWriter, *http.Request) {})
+	m.call("GET", "/", "").expect(t, http.StatusOK, "")
+	m.entry.plane.Drain(context.Background())
+	got := m.call("GET", "/", "")
+	got.expect(t, http.StatusServiceUnavailable, "not-run")
+	if got.header.Get("Levertide-Reason") != string(outcome.Draining) {
+		t.Errorf("reason %q", got.header.Get("Levertide-Reason"))
+	}
+}
--- a/internal/dataplane/peer.go
+++ b/internal/dataplane/peer.go
@@ -159,7 +159,7 @@
 	if c.life != nil {
 		c.life.end()
 	}
-	c.body.release()
+	c.body.release(false)
 	c.report.Attempts = 1
 	c.report.Duration = time.Since(c.began)
 	c.plane.config.Observer.PeerCallFinished(c.report)
