--- a/internal/lab/report/scale_plots.go
+++ b/internal/lab/report/scale_plots.go
@@ -40,7 +40,7 @@
 	}
 	drawn := newPlot(
 		fmt.Sprintf("Convergence, %d nodes, quiet phase", run.Result.Nodes),
-		"time since the proposal was written (ms)", "share of nodes and changes (%)")
+		"time since the apply began (ms)", "share of nodes and changes (%)")
 	drawn.Legend.XOffs = -3 * vg.Centimeter
 	curve := make(plotter.XYs, 0, len(samples))
 	for i, sample := range samples {
--- a/internal/lab/results/scale.go
+++ b/internal/lab/results/scale.go
@@ -21,7 +21,7 @@
 	RealProcesses int `json:"real_processes"`
 	HollowNodes   int `json:"hollow_nodes"`
 	Changes       int `json:"changes"`
-	// Convergence is from the moment the proposal was written until the last
+	// Convergence is from the start of the apply until the last
 	// live node had the version in force, in the quiet phase.
 	Convergence *Quantiles `json:"convergence_ms"`
 	// ControlBytes is over all windows of all nodes in the quiet phase, both
--- a/internal/lab/scale/phase.go
+++ b/internal/lab/scale/phase.go
@@ -151,9 +151,17 @@
 	}
 	r.result.Phases = append(r.result.Phases, figures)
 	r.describe(figures, worked)
+	r.describeCommits(worked)
 	r.describeSilent(ended)
 }
 
+// describeCommits prints how long changes took up to the commit and after it.
+func (r *run) describeCommits(worked convergence) {
+	r.progress.say("propose to commit %s, commit to in force %s",
+		showQuantiles(results.QuantilesOf(observe.Distribute(worked.proposeToDone))),
+		showQuantiles(results.QuantilesOf(observe.Distribute(worked.commitToLast))))
+}
+
 // describeSilent prints which changes did not wait for silent nodes.
 func (r *run) describeSilent(of *phase) {
 	for _, commit := range r.cluster.recorder.Commits() {
--- a/internal/lab/scale/quiet.go
+++ b/internal/lab/scale/quiet.go
@@ -11,9 +11,11 @@
 
 // Bounds of the quiet parts of a run.
 const (
-	startBound  = 3 * time.Minute
-	settleTime  = 10 * time.Second
-	settleBound = time.Minute
+	startBound = 3 * time.Minute
+	settleTime = 10 * time.Second
+	// settlePerNode is added, since a start of many nodes at once echoes longer.
+	settlePerNode = 10 * time.Millisecond
+	settleBound   = time.Minute
 )
 
 // startUp applies the base configuration and waits until every node runs it.
@@ -29,7 +31,7 @@
 	if err := r.cluster.recorder.AwaitVersion(ctx, made.version, r.cluster.names()); err != nil {
 		return err
 	}
-	pause(ctx, settleTime)
+	pause(ctx, settleTime+time.Duration(r.options.Size.Nodes)*settlePerNode)
 	during.changes = append(during.changes, made)
 	r.finish(during)
 	return nil
