Let peers close the connections to a node that leaves

Replacing all workers under load showed unknown outcomes: a server that shuts down drops requests that are on their way on kept connections. Each address now has a transport of its own, whose unused connections the callers' nodes close when the directory or an answer says that the node leaves; the drain waits for that, and for a while without new connections. Refusals by leaving nodes take nothing from the allowance, since a few at once used it up.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -16,10 +16,14 @@
 // noWorkerRetryAfter is what a caller is told to wait when a service has no worker.
 const noWorkerRetryAfter = time.Second
 
+// maximumAttempts bounds the attempts of one call, those that met a leaving node
+// included, which take nothing from the allowance.
+const maximumAttempts = 12
+
 // run makes attempts until one is answered or no further one is allowed.
 func (c *callerCall) run() {
 	c.destination.budget.Earn()
-	var tried [retry.MaximumAllowance + 1]string
+	var tried [maximumAttempts]string
 	var failure error
 	for c.report.Attempts = 0; ; {
 		c.destination.refresh(c.plane.config.Directory)
@@ -37,7 +41,7 @@
 		}
 		pick.Done(seen)
 		failure = worse(failure, err)
-		if !c.mayTryAgain(err) || !c.pause(err) {
+		if c.report.Attempts == maximumAttempts || !c.mayTryAgain(err) || !c.pause(err) {
 			c.giveUp(failure)
 			return
 		}
@@ -110,7 +114,7 @@
 		expect:    c.request.Header.Get("Expect") != "",
 	})
 	seen := balance.Result{
-		Load:      worker.gate.Load().Load(),
+		Load:      worker.gate.Load(),
 		LoadKnown: true,
 		Draining:  c.plane.draining.Load(),
 	}
@@ -123,8 +127,9 @@
 }
 
 func (c *callerCall) attemptPeer(endpoint balance.Endpoint) (*answer, balance.Result, error) {
+	transport := c.plane.peers.get(endpoint.Address)
 	sending := sending{
-		transport: c.plane.peers,
+		transport: transport.Transport,
 		request:   c.peerRequest(endpoint.Address),
 		body:      c.body,
 		relay:     &c.relay,
@@ -132,16 +137,21 @@
 	began := time.Now()
 	response, err := sending.do(c.life.ctx)
 	if err != nil {
+		transport.used()
 		return nil, balance.Result{Outcome: blame(err)}, err
 	}
 	seen := readMarks(response.Header)
+	if seen.Draining {
+		c.plane.peers.retire(endpoint.Address)
+	}
 	seen.Latency = time.Since(began)
 	if err := failureOf(response, seen.LoadKnown); err != nil {
 		discard(response)
+		transport.used()
 		seen.Outcome = blame(err)
 		return nil, seen, err
 	}
-	return &answer{response: response, latency: seen.Latency}, seen, nil
+	return &answer{response: response, latency: seen.Latency, transport: transport}, seen, nil
 }
 
 // peerRequest returns the request to another node, without its body.
@@ -248,6 +258,9 @@
 	case outcome.DeadlineBeforeStart, outcome.CanceledBeforeStart, outcome.BodyNotReceived, outcome.Malformed,
 		outcome.Canceled, outcome.UploadFailed:
 		return 0, false
+	case outcome.Draining:
+		// Nothing was done, and the node will not be asked again for a while.
+		return c.allowance, true
 	}
 	if outcome.Of(failure) == outcome.NotRun {
 		return c.allowance.AfterNotRun()
@@ -269,12 +282,5 @@
 	if retryNumber == 0 && outcome.ReasonOf(failure) != outcome.Overloaded {
 		return true
 	}
-	timer := time.NewTimer(c.plane.config.Backoff.PauseAt(retryNumber, rand.Float64()))
-	defer timer.Stop()
-	select {
-	case <-timer.C:
-		return true
-	case <-c.life.ctx.Done():
-		return false
-	}
+	return pause(c.life.ctx, c.plane.config.Backoff.PauseAt(retryNumber, rand.Float64()))
 }
--- a/internal/dataplane/caller.go
+++ b/internal/dataplane/caller.go
@@ -30,11 +30,10 @@
 	report      CallReport
 	// answered is set when a whole answer or a failure was written.
 	answered bool
+	counted  bool // in Plane.callerCalls
 }
 
 func (p *Plane) serveCaller(w http.ResponseWriter, r *http.Request) {
-	p.callerCalls.enter()
-	defer p.callerCalls.leave()
 	control := http.NewResponseController(w)
 	c := &callerCall{
 		plane:   p,
@@ -56,9 +55,12 @@
 
 // prepare does everything that comes before the first attempt.
 func (c *callerCall) prepare() error {
+	c.plane.callerCalls.enter()
 	if c.plane.closing.Load() {
+		c.plane.callerCalls.leave()
 		return outcome.New(outcome.Draining)
 	}
+	c.counted = true
 	if err := checkRequest(c.request); err != nil {
 		return err
 	}
@@ -154,4 +156,7 @@
 	c.report.Duration = time.Since(c.began)
 	c.body.release(c.answered)
 	c.plane.config.Observer.CallFinished(c.report)
+	if c.counted {
+		c.plane.callerCalls.leave()
+	}
 }
--- a/internal/dataplane/config.go
+++ b/internal/dataplane/config.go
@@ -78,6 +78,12 @@
 	// DrainNotice is how long a draining node still takes calls from callers,
 	// so that they can turn elsewhere. Default 2 s.
 	DrainNotice time.Duration
+	// DrainConnections bounds how long a draining node waits, after its last
+	// call, for other nodes to close their connections to it. Default 5 s.
+	DrainConnections time.Duration
+	// DrainQuiet is how long no other node may have opened a connection before
+	// the wait for connections ends. Default 250 ms.
+	DrainQuiet time.Duration
 }
 
 // The defaults of Limits.
@@ -94,6 +100,8 @@
 	DefaultCallerIdle          = 60 * time.Second
 	DefaultPeerServerIdle      = 300 * time.Second
 	DefaultDrainNotice         = 2 * time.Second
+	DefaultDrainConnections    = 5 * time.Second
+	DefaultDrainQuiet          = 250 * time.Millisecond
 )
 
 func (l Limits) withDefaults() Limits {
@@ -109,6 +117,8 @@
 	defaultTo(&l.CallerIdle, DefaultCallerIdle)
 	defaultTo(&l.PeerServerIdle, DefaultPeerServerIdle)
 	defaultTo(&l.DrainNotice, DefaultDrainNotice)
+	defaultTo(&l.DrainConnections, DefaultDrainConnections)
+	defaultTo(&l.DrainQuiet, DefaultDrainQuiet)
 	return l
 }
 
--- a/internal/dataplane/destination.go
+++ b/internal/dataplane/destination.go
@@ -15,8 +15,12 @@
 	balancer *balance.Balancer
 	budget   *retry.Budget
 
-	updating sync.Mutex
-	view     atomic.Pointer[membership.View]
+	// retire is called with each address that is no longer one of the service's.
+	retire func(address string)
+
+	updating  sync.Mutex
+	addresses map[string]struct{}
+	view      atomic.Pointer[membership.View]
 }
 
 // destinations keeps one destination for each service ever called.
@@ -43,6 +47,7 @@
 func (p *Plane) newDestination(name string) *destination {
 	return &destination{
 		name:     name,
+		retire:   p.peers.retire,
 		balancer: balance.New(p.config.Balance),
 		budget:   retry.NewBudget(p.config.Budget),
 	}
@@ -60,8 +65,23 @@
 	if view == d.view.Load() {
 		return
 	}
-	d.balancer.Update(endpointsOf(view, d.name))
+	endpoints := endpointsOf(view, d.name)
+	d.balancer.Update(endpoints)
 	d.view.Store(view)
+	d.retireMissing(endpoints)
+}
+
+// retireMissing retires the addresses that were there before and are not now.
+func (d *destination) retireMissing(endpoints []balance.Endpoint) {
+	former := d.addresses
+	d.addresses = make(map[string]struct{}, len(endpoints))
+	for _, endpoint := range endpoints {
+		d.addresses[endpoint.Address] = struct{}{}
+		delete(former, endpoint.Address)
+	}
+	for address := range former {
+		d.retire(address)
+	}
 }
 
 func endpointsOf(view *membership.View, service string) []balance.Endpoint {
--- a/internal/dataplane/drain.go
+++ b/internal/dataplane/drain.go
@@ -9,13 +9,20 @@
 // inFlight counts calls and can be waited on to fall to zero.
 type inFlight struct {
 	calls atomic.Int64
+	total atomic.Int64
 	zero  chan struct{}
 }
 
 func newInFlight() inFlight { return inFlight{zero: make(chan struct{}, 1)} }
 
-func (f *inFlight) enter()     { f.calls.Add(1) }
-func (f *inFlight) count() int { return int(f.calls.Load()) }
+func (f *inFlight) enter() {
+	f.total.Add(1)
+	f.calls.Add(1)
+}
+
+// count returns how many are in flight, entered how many ever were.
+func (f *inFlight) count() int     { return int(f.calls.Load()) }
+func (f *inFlight) entered() int64 { return f.total.Load() }
 
 func (f *inFlight) leave() {
 	if f.calls.Add(-1) > 0 {
@@ -56,19 +63,21 @@
 // nodes as not-run, and closes the connections that its answers go out on.
 // Callers are still served, since the worker may need to call others to finish
 // what it has: until Limits.DrainNotice has passed and nothing is left at the
-// worker. Then they are refused too. Drain returns when no call is in flight or
-// the context is done, which is the bound for calls that never end. The servers
-// may be shut down after it. It must be called once.
+// worker. Then they are refused too. Drain returns when no call is in flight and
+// the other nodes have closed their connections, which they do when they see
+// the node leave, or when the context is done, which is the bound for calls that
+// never end. The servers may be shut down after it. It must be called once.
 func (p *Plane) Drain(ctx context.Context) DrainReport {
 	began := time.Now()
 	p.draining.Store(true)
 	p.config.Observer.DrainStarted(p.callerCalls.count() + p.peerCalls.count())
 	if p.worker != nil {
-		p.worker.gate.Load().Drain()
+		p.worker.gate.Drain()
 	}
 	if p.drainWorker(ctx) == nil {
 		p.closing.Store(true)
 		_ = p.callerCalls.wait(ctx)
+		p.drainConnections(ctx)
 	}
 	p.closing.Store(true)
 	report := DrainReport{
@@ -82,20 +91,41 @@
 
 // drainWorker waits for the notice to pass and the worker to be idle.
 func (p *Plane) drainWorker(ctx context.Context) error {
-	notice := time.NewTimer(p.limits.DrainNotice)
-	defer notice.Stop()
+	noticeEnd := time.Now().Add(p.limits.DrainNotice)
 	if err := p.peerCalls.wait(ctx); err != nil {
 		return err
 	}
 	if p.worker != nil {
-		if err := p.worker.gate.Load().WaitIdle(ctx); err != nil {
+		if err := p.worker.gate.WaitIdle(ctx); err != nil {
 			return err
 		}
 	}
+	pause(ctx, time.Until(noticeEnd))
+	return ctx.Err()
+}
+
+// drainConnections waits for other nodes to close their connections and to open
+// no further ones for a while. Closing them here instead could meet a request on
+// its way.
+func (p *Plane) drainConnections(ctx context.Context) {
+	bounded, cancel := context.WithTimeout(ctx, p.limits.DrainConnections)
+	defer cancel()
+	for p.peerConnections.wait(bounded) == nil {
+		seen := p.peerConnections.entered()
+		if !pause(bounded, p.limits.DrainQuiet) || p.peerConnections.entered() == seen {
+			return
+		}
+	}
+}
+
+// pause waits and reports whether the context was not done before.
+func pause(ctx context.Context, duration time.Duration) bool {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
 	select {
-	case <-notice.C:
-		return nil
+	case <-timer.C:
+		return true
 	case <-ctx.Done():
-		return ctx.Err()
+		return false
 	}
 }
--- a/internal/dataplane/peer.go
+++ b/internal/dataplane/peer.go
@@ -25,11 +25,10 @@
 	relay   informationalRelay
 	began   time.Time
 	report  CallReport
+	counted bool // in Plane.peerCalls
 }
 
 func (p *Plane) servePeer(w http.ResponseWriter, r *http.Request) {
-	p.peerCalls.enter()
-	defer p.peerCalls.leave()
 	control := http.NewResponseController(w)
 	c := &peerCall{
 		plane:   p,
@@ -41,7 +40,7 @@
 		began:   time.Now(),
 	}
 	defer c.end()
-	result, err := c.ask()
+	result, err := c.admit()
 	c.relay.close()
 	if err != nil {
 		c.fail(err)
@@ -51,10 +50,19 @@
 	c.deliver(result)
 }
 
-func (c *peerCall) ask() (*answer, error) {
+// admit refuses the call when the node drains. Refused calls are not counted,
+// since a drain does not wait for them.
+func (c *peerCall) admit() (*answer, error) {
+	c.plane.peerCalls.enter()
 	if c.plane.draining.Load() {
+		c.plane.peerCalls.leave()
 		return nil, outcome.New(outcome.Draining)
 	}
+	c.counted = true
+	return c.ask()
+}
+
+func (c *peerCall) ask() (*answer, error) {
 	route, err := c.route()
 	if err != nil {
 		return nil, err
@@ -152,7 +160,7 @@
 	if p.worker == nil {
 		return 0
 	}
-	return int(p.worker.gate.Load().Load() * loadScale)
+	return int(p.worker.gate.Load() * loadScale)
 }
 
 func (c *peerCall) end() {
@@ -163,6 +171,9 @@
 	c.report.Attempts = 1
 	c.report.Duration = time.Since(c.began)
 	c.plane.config.Observer.PeerCallFinished(c.report)
+	if c.counted {
+		c.plane.peerCalls.leave()
+	}
 }
 
 // callBounds is the time that a caller gives a call.
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -2,7 +2,6 @@
 
 import (
 	"net"
-	"net/http"
 	"sync"
 	"sync/atomic"
 
@@ -24,13 +23,15 @@
 	staged       atomic.Pointer[stagedTable]
 	destinations destinations
 
-	peers  *http.Transport
+	peers  *peerPool
 	worker *workerLeg
 
 	callerCalls inFlight
 	peerCalls   inFlight
-	draining    atomic.Bool // other nodes are refused
-	closing     atomic.Bool // callers are refused
+	// peerConnections are the connections that other nodes have opened.
+	peerConnections inFlight
+	draining        atomic.Bool // other nodes are refused
+	closing         atomic.Bool // callers are refused
 }
 
 // New returns a Plane. It fails with ErrInvalidConfig.
@@ -43,11 +44,13 @@
 		limits:      config.Limits,
 		callerCalls: newInFlight(),
 		peerCalls:   newInFlight(),
+
+		peerConnections: newInFlight(),
 	}
 	p.peerLimits = config.Limits
 	p.peerLimits.Grace *= 2
 	p.peerLimits.MinimumRate /= 2
-	p.peers = newPeerTransport(&p.config)
+	p.peers = newPeerPool(&p.config)
 	p.destinations.make = p.newDestination
 	if config.WorkerAddress != "" {
 		p.worker = newWorkerLeg(&p.config)
@@ -89,7 +92,7 @@
 // WorkerStarted tells that the worker has just started: slow start begins.
 func (p *Plane) WorkerStarted() {
 	if p.worker != nil {
-		p.worker.gate.Load().WorkerStarted()
+		p.worker.workerStarted()
 	}
 }
 
@@ -118,7 +121,7 @@
 		status.Version = current.snapshot.Version()
 	}
 	if p.worker != nil {
-		gate := p.worker.gate.Load()
+		gate := p.worker.gate
 		status.HasWorker = true
 		status.Worker = gate.Stats()
 		status.WorkerLoad = gate.Load()
@@ -129,7 +132,7 @@
 // Close ends the unused connections to other nodes and to the worker. Calls in
 // flight are not touched.
 func (p *Plane) Close() {
-	p.peers.CloseIdleConnections()
+	p.peers.close()
 	if p.worker != nil {
 		p.worker.transport.CloseIdleConnections()
 	}
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"net"
 	"net/http"
 	"time"
 )
@@ -33,5 +34,16 @@
 		IdleTimeout:                  p.limits.PeerServerIdle,
 		MaxHeaderBytes:               p.limits.HeaderBytes + addedHeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ConnState:                    p.countPeerConnection,
+	}
+}
+
+// countPeerConnection follows how many connections other nodes have open.
+func (p *Plane) countPeerConnection(_ net.Conn, state http.ConnState) {
+	switch state {
+	case http.StateNew:
+		p.peerConnections.enter()
+	case http.StateClosed, http.StateHijacked:
+		p.peerConnections.leave()
 	}
 }
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"net/url"
 	"sync"
-	"sync/atomic"
 	"time"
 
 	"github.com/levertide/levertide/pkg/admission"
@@ -22,30 +21,40 @@
 type workerLeg struct {
 	address   string
 	transport *http.Transport
-	gate      atomic.Pointer[admission.Gate]
+	gate      *admission.Gate
 
-	mutex   sync.Mutex
-	applied bool // the gate has the options of a service
+	mutex      sync.Mutex
+	started    bool // the worker was reported as just started
+	configured bool // the gate has the options of a service
 }
 
 func newWorkerLeg(config *Config) *workerLeg {
-	leg := &workerLeg{address: config.WorkerAddress, transport: newWorkerTransport(config)}
-	leg.gate.Store(admission.New(admission.Options{}))
-	return leg
+	return &workerLeg{
+		address:   config.WorkerAddress,
+		transport: newWorkerTransport(config),
+		gate:      admission.New(admission.Options{}),
+	}
 }
 
-// applyLimits gives the gate the limits of a service. The queue and the length
-// of slow start are taken from the first version only; slots and connections
-// follow every version.
+// applyLimits gives the gate the limits of a service. A start that was reported
+// before the first of them is reported again, since the gate did not know then
+// how long slow start takes.
 func (l *workerLeg) applyLimits(service *model.Service) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	if l.applied {
-		l.gate.Load().SetLimits(service.Slots, service.Connections)
-		return
+	l.gate.Reconfigure(gateOptions(service))
+	if l.started && !l.configured {
+		l.gate.WorkerStarted()
 	}
-	l.applied = true
-	l.gate.Store(admission.New(gateOptions(service)))
+	l.configured = true
+}
+
+// workerStarted begins slow start.
+func (l *workerLeg) workerStarted() {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.started = true
+	l.gate.WorkerStarted()
 }
 
 // workerCall is one request for the worker.
@@ -66,17 +75,22 @@
 	latency  time.Duration
 	permit   admission.Permit
 	measured time.Duration // for the gate; zero when it means nothing
+	// transport is that of the other node; nil for this node's own worker.
+	transport *peerTransport
 }
 
 // close ends the exchange and gives the slot back.
 func (a *answer) close() {
 	_ = a.response.Body.Close()
+	if a.transport != nil {
+		a.transport.used()
+	}
 	a.permit.Release(admission.Result{Latency: a.measured})
 }
 
 // ask admits a request and sends it to the worker.
 func (l *workerLeg) ask(call workerCall) (*answer, error) {
-	permit, err := l.gate.Load().Admit(call.life.admission(), priorityOf(call.route))
+	permit, err := l.gate.Admit(call.life.admission(), priorityOf(call.route))
 	if err != nil {
 		return nil, shedError(err)
 	}
