--- a/internal/lab/scale/child.go
+++ b/internal/lab/scale/child.go
@@ -6,7 +6,6 @@
 	"time"
 
 	"github.com/levertide/levertide/internal/lab/hollow"
-	"github.com/levertide/levertide/internal/lab/observe"
 	"github.com/levertide/levertide/internal/lab/process"
 )
 
@@ -21,14 +20,14 @@
 }
 
 // startChild starts a process for the hollow nodes of one zone.
-func startChild(group *process.Group, program, name string, recorder *observe.Recorder) (*child, error) {
+func startChild(group *process.Group, program, name string, events *eventSink) (*child, error) {
 	started := &child{replies: make(chan hollow.Reply, 1)}
 	running, err := group.Start(process.Options{
 		Name:        "hollow " + name,
 		Path:        program,
 		Arguments:   []string{"hollow"},
 		Input:       true,
-		OnErrorLine: recorder.ObserveLine,
+		OnErrorLine: events.take,
 		OnOutputLine: func(line []byte) {
 			var reply hollow.Reply
 			if err := json.Unmarshal(line, &reply); err != nil {
--- a/internal/lab/scale/cluster.go
+++ b/internal/lab/scale/cluster.go
@@ -26,6 +26,7 @@
 	links    *fabric.Links
 	group    *process.Group
 	recorder *observe.Recorder
+	events   *eventSink
 	worker   *worker.Worker
 	started  time.Time
 
@@ -67,6 +68,7 @@
 		work:     newWorkload(options.Size.Services, options.Seed),
 	}
 	cluster.measured = newMeasurements(cluster.started)
+	cluster.events = &eventSink{recorder: cluster.recorder, kept: options.Events}
 	for _, pair := range placed.delays(options.Size) {
 		cluster.links.SetDelay(pair.A, pair.B, pair.Delay)
 	}
@@ -113,7 +115,7 @@
 func (c *Cluster) startChildren() error {
 	setup := &hollow.Setup{StoreAddress: c.storeDirect, Delays: c.layout.delays(c.options.Size)}
 	for _, home := range c.layout.zones {
-		started, err := startChild(c.group, c.options.Lab, home.name, c.recorder)
+		started, err := startChild(c.group, c.options.Lab, home.name, c.events)
 		if err != nil {
 			return err
 		}
--- a/internal/lab/scale/command.go
+++ b/internal/lab/scale/command.go
@@ -96,6 +96,7 @@
 	options := Options{Progress: output}
 	herds := flagsOf(flags, &options)
 	path := flags.String("json", "", "file for the result")
+	events := flags.String("events", "", "file for the events of all nodes; none when empty")
 	return &ffcli.Command{
 		Name:       "scale",
 		ShortUsage: "levertide-lab scale [flags]",
@@ -106,6 +107,14 @@
 			if options.Size.Herds, err = parseHerds(*herds); err != nil {
 				return err
 			}
+			if *events != "" {
+				kept, err := os.Create(*events)
+				if err != nil {
+					return ErrOutput.Wrap(err, "events")
+				}
+				defer func() { _ = kept.Close() }()
+				options.Events = kept
+			}
 			return RunAndWrite(ctx, options, *path)
 		},
 	}
--- a/internal/lab/scale/options.go
+++ b/internal/lab/scale/options.go
@@ -18,6 +18,8 @@
 	Levertided string
 	// Progress takes lines for people.
 	Progress io.Writer
+	// Events takes every event line of every node; nil drops them.
+	Events io.Writer
 }
 
 // progress prints lines with the time since the start.
--- a/internal/lab/scale/quiet.go
+++ b/internal/lab/scale/quiet.go
@@ -4,6 +4,7 @@
 	"context"
 	"time"
 
+	"github.com/levertide/levertide/internal/lab/hollow"
 	"github.com/levertide/levertide/internal/lab/observe"
 	"github.com/levertide/levertide/internal/lab/process"
 	"github.com/levertide/levertide/internal/lab/results"
@@ -29,6 +30,7 @@
 	}
 	r.progress.say("version %d committed after %.1f s", made.version, made.committed.Sub(made.began).Seconds())
 	if err := r.cluster.recorder.AwaitVersion(ctx, made.version, r.cluster.names()); err != nil {
+		r.describeBehind(made.version)
 		return err
 	}
 	pause(ctx, settleTime+time.Duration(r.options.Size.Nodes)*settlePerNode)
@@ -37,6 +39,23 @@
 	return nil
 }
 
+// describeBehind prints some hollow nodes that do not run a version, and why.
+func (r *run) describeBehind(version uint64) {
+	shown := 0
+	for _, one := range r.cluster.children {
+		reply, err := one.ask(hollow.Request{Sample: &hollow.Sample{}})
+		if err != nil || reply.Sample == nil {
+			continue
+		}
+		for _, node := range reply.Sample.Nodes {
+			if node.InForce < version && shown < maxDetails {
+				r.progress.say("%s runs version %d: %s; parent %q", node.ID, node.InForce, node.Reason, node.Parent)
+				shown++
+			}
+		}
+	}
+}
+
 // quiet applies the changes of the quiet phase while nothing else happens.
 func (r *run) quiet(ctx context.Context) {
 	during := r.begin("quiet")
--- a/internal/lab/scale/real.go
+++ b/internal/lab/scale/real.go
@@ -62,7 +62,7 @@
 			})
 		}
 	}
-	n.cluster.recorder.ObserveLine(line)
+	n.cluster.events.take(line)
 }
 
 // arguments returns the command line of the process.
