--- a/internal/dataplane/conn.go
+++ b/internal/dataplane/conn.go
@@ -29,18 +29,18 @@
 	return c.state.CompareAndSwap(connUntouched, connSealed) || c.state.Load() == connSealed
 }
 
-// claim notes that bytes are about to be written. It reports false when the
-// connection is sealed.
-func (c *trackedConn) claim() bool {
-	return c.state.CompareAndSwap(connUntouched, connWritten) || c.state.Load() == connWritten
-}
-
-// Write implements net.Conn.
+// Write implements net.Conn. It counts as written before it is tried; a first
+// write of which the network took nothing is taken back.
 func (c *trackedConn) Write(p []byte) (int, error) {
-	if !c.claim() {
+	first := c.state.CompareAndSwap(connUntouched, connWritten)
+	if !first && c.state.Load() != connWritten {
 		return 0, net.ErrClosed
 	}
-	return c.Conn.Write(p)
+	n, err := c.Conn.Write(p)
+	if first && n == 0 && err != nil {
+		c.state.CompareAndSwap(connWritten, connUntouched)
+	}
+	return n, err
 }
 
 // ReadFrom implements io.ReaderFrom with a shared buffer, so that an upload
--- /dev/null
+++ b/internal/dataplane/conn_test.go
@@ -0,0 +1,62 @@
+package dataplane
+
+import (
+	"errors"
+	"net"
+	"testing"
+)
+
+// stubConn takes a number of bytes and then fails.
+type stubConn struct {
+	net.Conn
+	takes int
+}
+
+func (s *stubConn) Write(p []byte) (int, error) {
+	n := min(s.takes, len(p))
+	s.takes -= n
+	if n < len(p) {
+		return n, errors.New("broken")
+	}
+	return n, nil
+}
+
+func TestSealHoldsOnlyWhenNothingWasWritten(t *testing.T) {
+	request := []byte("request")
+	cases := []struct {
+		name  string
+		takes int
+		write bool
+		want  bool
+	}{
+		{"never written", 100, false, true},
+		{"refused at once", 0, true, true},
+		{"one byte taken", 1, true, false},
+		{"all taken", 100, true, false},
+	}
+	for _, c := range cases {
+		conn := &trackedConn{Conn: &stubConn{takes: c.takes}}
+		conn.begin()
+		if c.write {
+			_, _ = conn.Write(request)
+		}
+		if got := conn.seal(); got != c.want {
+			t.Errorf("%s: seal = %t", c.name, got)
+		}
+		if _, err := conn.Write(request); c.want && !errors.Is(err, net.ErrClosed) {
+			t.Errorf("%s: a sealed connection took a write: %v", c.name, err)
+		}
+	}
+}
+
+func TestConnectionIsJudgedForEachRequest(t *testing.T) {
+	conn := &trackedConn{Conn: &stubConn{takes: 10}}
+	conn.begin()
+	if _, err := conn.Write([]byte("first")); err != nil {
+		t.Fatal(err)
+	}
+	conn.begin()
+	if !conn.seal() {
+		t.Error("what an earlier request wrote counts for this one")
+	}
+}
