--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -57,6 +57,7 @@
 	servers := &storeServers{addresses: addresses, dial: dialer(d.settings.Source())}
 	return consul.New(consul.Config{
 		Address: scheme + "://" + addresses[0],
+		Token:   string(d.settings.StoreToken),
 		Client:  "levertided/" + d.settings.NodeID,
 		Dial:    servers.connect,
 	})
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -17,6 +17,10 @@
 	environmentPrefix = "LEVERTIDE"
 	settingsFileFlag  = "settings"
 	programName       = "levertided"
+	// storeTokenVariable holds Settings.StoreToken.
+	storeTokenVariable = environmentPrefix + "_STORE_TOKEN"
+	// nodeAddressVariable belongs to the operators' command line.
+	nodeAddressVariable = environmentPrefix + "_NODE_ADDRESS"
 )
 
 // Invocation is what the command line asked for besides the settings.
@@ -82,6 +86,7 @@
 		return newInvalid(Problem{Key: r.flags.Arg(0), Source: "command line", Message: "is not a flag", Allowed: "flags only; see -help"})
 	}
 	r.refuseUnknownVariables(os.Environ())
+	r.invocation.Settings.StoreToken = Token(os.Getenv(storeTokenVariable))
 	r.source = func(key Key) string { return "environment variable " + key.EnvironmentVariable() }
 	err := ff.Parse(r.flags, nil,
 		ff.WithEnvVarPrefix(environmentPrefix),
@@ -113,7 +118,12 @@
 }
 
 func (r *reader) refuseUnknownVariables(environment []string) {
-	known := map[string]bool{environmentPrefix + "_" + strings.ToUpper(settingsFileFlag): true, environmentPrefix + "_CHECK": true}
+	known := map[string]bool{
+		environmentPrefix + "_" + strings.ToUpper(settingsFileFlag): true,
+		environmentPrefix + "_CHECK":                                true,
+		storeTokenVariable:                                          true,
+		nodeAddressVariable:                                         true,
+	}
 	for _, key := range Keys() {
 		known[key.EnvironmentVariable()] = true
 	}
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"fmt"
 	"io"
 	"os"
 	"path/filepath"
@@ -80,6 +81,20 @@
 	}
 }
 
+func TestStoreTokenIsHidden(t *testing.T) {
+	t.Setenv("LEVERTIDE_STORE_TOKEN", "classified")
+	t.Setenv("LEVERTIDE_NODE_ADDRESS", "127.0.0.1:1")
+	invocation, problems := load(t)
+	if len(problems) > 0 || invocation.Settings.StoreToken != "classified" {
+		t.Errorf("problems %v", problems)
+	}
+	for _, verb := range []string{"%v", "%+v", "%#v", "%s"} {
+		if printed := fmt.Sprintf(verb, invocation.Settings); strings.Contains(printed, "classified") {
+			t.Errorf("%s shows the token", verb)
+		}
+	}
+}
+
 func TestInvocations(t *testing.T) {
 	if invocation, err := Load([]string{"-version"}, io.Discard); err != nil || !invocation.Version {
 		t.Errorf("version: %v, %v", invocation, err)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -41,6 +41,10 @@
 	// StoreAddresses lists the platform's store servers, as URL or IP:port.
 	StoreAddresses []string `key:"store-address" validate:"required,min=1,dive,store"`
 
+	// StoreToken is sent to the store with each request when it is not empty. It
+	// comes from the environment only, so that it shows in no list of processes.
+	StoreToken Token `key:"store-token"`
+
 	// FanOut is how many children a relay has; zero works it out from the byte budget.
 	FanOut int `key:"fan-out" validate:"min=0,max=256"`
 	// Hold is how long a relay holds back the answer to a watch.
@@ -61,6 +65,15 @@
 	LogLevel string `key:"log-level" validate:"oneof=debug info warn error"`
 }
 
+// Token is a secret that must not show in output.
+type Token string
+
+// String hides the token.
+func (Token) String() string { return "[redacted]" }
+
+// GoString hides the token from the %#v verb.
+func (Token) GoString() string { return "settings.Token([redacted])" }
+
 // TLSEnabled reports whether the node speaks mutual TLS to other nodes.
 func (s Settings) TLSEnabled() bool { return s.TLSCA != "" }
 
--- a/tests/integration/fixtures_test.go
+++ b/tests/integration/fixtures_test.go
@@ -31,6 +31,13 @@
 	}
 }
 
+// callable returns resources whose path is the same in each generation.
+func callable(generation int) []model.Resource {
+	set := resources(generation)
+	set[len(set)-1].Route.Match.PathPrefix = "/calls"
+	return set
+}
+
 func path(generation int) string { return fmt.Sprintf("/generation-%d", generation) }
 
 // twoZones is a gateway and two workers in each of two zones.
--- a/tests/integration/harness/calls.go
+++ b/tests/integration/harness/calls.go
@@ -84,6 +84,21 @@
 	return total
 }
 
+// AllExecutions returns, for each request, how often it ran to its end.
+func (m *Mesh) AllExecutions() map[string]int {
+	executions := make(map[string]int)
+	for _, node := range m.nodes {
+		if node.Worker == nil {
+			continue
+		}
+		records, _ := node.Worker.Records()
+		for _, record := range records {
+			executions[record.ID] += record.Executed
+		}
+	}
+	return executions
+}
+
 // Holder returns the node whose worker let a request in, or nil.
 func (m *Mesh) Holder(requestID string) *Node {
 	for _, node := range m.nodes {
--- a/tests/integration/harness/door.go
+++ b/tests/integration/harness/door.go
@@ -3,7 +3,7 @@
 import (
 	"context"
 	"encoding/json"
-	"net"
+	"os"
 	"strings"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
@@ -37,27 +37,23 @@
 	return toxiproxy.NewServer(toxiproxy.NewMetricsContainer(prometheus.NewRegistry()), zerolog.Nop())
 }
 
-// freeAddress returns IP:port that nothing listens on.
-func freeAddress(ip string) (string, error) {
-	listener, err := net.Listen("tcp", net.JoinHostPort(ip, "0"))
-	if err != nil {
-		return "", err
-	}
-	defer listener.Close()
-	return listener.Addr().String(), nil
-}
+// Ports of doors lie below those that the kernel gives to outgoing connections,
+// and differ between test processes on one machine.
+const (
+	lowestPort      = 10000
+	portsOfProcess  = 10
+	processesToTell = 2000
+)
 
-func newDoor(proxies *toxiproxy.ApiServer, links *fabric.Links, zone fabric.ZoneNumber, host uint8) (*Door, error) {
-	ip := fabric.Address(zone, host).String()
-	target, err := freeAddress(ip)
-	if err != nil {
-		return nil, err
-	}
-	address, err := freeAddress(ip)
-	if err != nil {
-		return nil, err
-	}
-	proxy := toxiproxy.NewProxy(proxies, address, net.JoinHostPort(ip, "0"), target)
+// portBase returns the first port of this test process.
+func portBase() int { return lowestPort + os.Getpid()%processesToTell*portsOfProcess }
+
+// newDoor makes a way to the listener with the given number on an address that
+// no other node of this process has.
+func newDoor(proxies *toxiproxy.ApiServer, links *fabric.Links, zone fabric.ZoneNumber, host uint8, number int) (*Door, error) {
+	address := fabric.HostPort(zone, host, portBase()+2*number)
+	target := fabric.HostPort(zone, host, portBase()+2*number+1)
+	proxy := toxiproxy.NewProxy(proxies, address, "127.0.0.1:0", target)
 	if err := proxy.Start(); err != nil {
 		return nil, err
 	}
--- a/tests/integration/harness/events.go
+++ b/tests/integration/harness/events.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"slices"
 	"sync"
 	"testing"
 	"time"
@@ -96,11 +97,16 @@
 	return count
 }
 
-// print shows every line, for tests that failed.
-func (e *Events) print() {
+// Lines returns every line that any node wrote.
+func (e *Events) Lines() []string {
 	e.mutex.Lock()
 	defer e.mutex.Unlock()
-	for _, line := range e.raw {
+	return slices.Clone(e.raw)
+}
+
+// print shows every line, for tests that failed.
+func (e *Events) print() {
+	for _, line := range e.Lines() {
 		e.t.Log(line)
 	}
 }
--- a/tests/integration/harness/mesh.go
+++ b/tests/integration/harness/mesh.go
@@ -4,6 +4,7 @@
 	"context"
 	"net"
 	"strings"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -16,12 +17,24 @@
 )
 
 const (
-	region               = "test"
-	sessionTTL           = time.Second
-	groupStopBound       = 10 * time.Second
-	firstHost      uint8 = 10
+	region         = "test"
+	sessionTTL     = time.Second
+	groupStopBound = 10 * time.Second
 )
 
+// Zone and host numbers, which make up the addresses of nodes. No two nodes of a
+// test process share a host number while their number does not exceed the range.
+const firstZone fabric.ZoneNumber = 100
+
+const (
+	firstHost = 1
+	hosts     = 250
+)
+
+var hostsGiven atomic.Uint32
+
+func newHost() uint8 { return uint8(firstHost + (hostsGiven.Add(1)-1)%hosts) }
+
 // Mesh is one store, its nodes and everything between them.
 type Mesh struct {
 	Store    *platform.Server
@@ -60,9 +73,9 @@
 		t.Fatal(err)
 	}
 	mesh.Operator = mesh.NewOperator("operator")
-	for index, options := range nodes {
+	for _, options := range nodes {
 		mesh.openZone(options.Zone)
-		mesh.nodes = append(mesh.nodes, mesh.newNode(options, mesh.zones[options.Zone], firstHost+uint8(index)))
+		mesh.nodes = append(mesh.nodes, mesh.newNode(options, mesh.zones[options.Zone], newHost()))
 	}
 	return mesh
 }
@@ -72,7 +85,7 @@
 	if _, found := m.zones[zone]; found {
 		return
 	}
-	m.zones[zone] = fabric.ZoneNumber(len(m.zones) + 1)
+	m.zones[zone] = firstZone + fabric.ZoneNumber(len(m.zones))
 	proxy := toxiproxy.NewProxy(m.proxies, "store-"+zone, "127.0.0.1:0", m.storeAddress)
 	if err := proxy.Start(); err != nil {
 		m.t.Fatal(err)
--- a/tests/integration/harness/node.go
+++ b/tests/integration/harness/node.go
@@ -43,10 +43,10 @@
 	m.t.Helper()
 	node := &Node{NodeOptions: options, mesh: m, zone: zone, host: host}
 	var err error
-	if node.Control, err = newDoor(m.proxies, m.Links, zone, host); err != nil {
+	if node.Control, err = newDoor(m.proxies, m.Links, zone, host, 0); err != nil {
 		m.t.Fatal(err)
 	}
-	if node.Calls, err = newDoor(m.proxies, m.Links, zone, host); err != nil {
+	if node.Calls, err = newDoor(m.proxies, m.Links, zone, host, 1); err != nil {
 		m.t.Fatal(err)
 	}
 	if options.Service != "" {
@@ -162,11 +162,15 @@
 	return role.Role
 }
 
-// CallerAddress returns where the running process takes calls of callers.
-func (n *Node) CallerAddress() string {
+// CallerAddress returns where the process that started last takes calls of callers.
+func (n *Node) CallerAddress() string { return n.listening().CallerAddress }
+
+// AdminAddress returns where it answers for administration.
+func (n *Node) AdminAddress() string { return n.listening().AdminAddress }
+
+func (n *Node) listening() observe.Event {
 	n.mesh.t.Helper()
-	listening := n.mesh.Events.Await(n.Name, "listening", func(event observe.Event) bool {
+	return n.mesh.Events.Await(n.Name, "listening", func(event observe.Event) bool {
 		return event.Number == observe.EventListening
 	})
-	return listening.CallerAddress
 }
--- a/tests/integration/harness/operator.go
+++ b/tests/integration/harness/operator.go
@@ -65,28 +65,50 @@
 // Outcome waits until an apply is decided and returns what became of it.
 func (o *Operator) Outcome(apply string) versionstore.ApplyState {
 	o.t.Helper()
-	deadline := time.After(Bound)
+	state, done := o.await(apply, Bound, func(phase versionstore.ApplyPhase) bool {
+		return phase == versionstore.ApplyCommitted || phase == versionstore.ApplyAborted
+	})
+	if !done {
+		o.t.Errorf("apply %s was not decided: %v", apply, state.Phase)
+	}
+	return state
+}
+
+// Settled is Outcome for an apply whose proposal may have failed, so that it may
+// not have been written.
+func (o *Operator) Settled(apply string) {
+	o.t.Helper()
+	if !o.SettledWithin(apply, Bound) {
+		o.t.Errorf("apply %s was not decided", apply)
+	}
+}
+
+// SettledWithin is Settled with a bound; it returns false when that went by.
+func (o *Operator) SettledWithin(apply string, bound time.Duration) bool {
+	_, done := o.await(apply, bound, func(phase versionstore.ApplyPhase) bool {
+		return phase != versionstore.ApplyProposed
+	})
+	return done
+}
+
+func (o *Operator) await(apply string, bound time.Duration, decided func(versionstore.ApplyPhase) bool) (versionstore.ApplyState, bool) {
+	deadline := time.After(bound)
 	poll := time.NewTicker(resolveInterval)
 	defer poll.Stop()
 	for {
 		state, err := o.versions.Resolve(o.t.Context(), apply)
 		if err == nil && decided(state.Phase) {
 			o.note(state)
-			return state
+			return state, true
 		}
 		select {
 		case <-poll.C:
 		case <-deadline:
-			o.t.Errorf("apply %s was not decided: %v, %v", apply, state.Phase, err)
-			return state
+			return state, false
 		}
 	}
 }
 
-func decided(phase versionstore.ApplyPhase) bool {
-	return phase == versionstore.ApplyCommitted || phase == versionstore.ApplyAborted
-}
-
 func (o *Operator) note(state versionstore.ApplyState) {
 	o.mutex.Lock()
 	defer o.mutex.Unlock()
@@ -95,6 +117,20 @@
 	}
 }
 
+// NoteCommitted adds a version that was applied in another way.
+func (o *Operator) NoteCommitted(version uint64) {
+	o.note(versionstore.ApplyState{Phase: versionstore.ApplyCommitted, Version: version})
+}
+
+// LastSeen returns the highest version that this operator saw committed.
+func (o *Operator) LastSeen() uint64 {
+	var highest uint64
+	for _, version := range o.seen() {
+		highest = max(highest, version)
+	}
+	return highest
+}
+
 // seen returns the versions that this operator saw committed.
 func (o *Operator) seen() []uint64 {
 	o.mutex.Lock()
--- a/tests/integration/harness/programs.go
+++ b/tests/integration/harness/programs.go
@@ -1,6 +1,7 @@
 package harness
 
 import (
+	"context"
 	"os"
 	"os/exec"
 	"path/filepath"
@@ -17,7 +18,7 @@
 		panic(err)
 	}
 	defer os.RemoveAll(directory)
-	build := exec.Command("go", "build", "-o", directory+"/", "../../cmd/levertided")
+	build := exec.Command("go", "build", "-o", directory+"/", "../../cmd/levertided", "../../cmd/levertide")
 	if output, err := build.CombinedOutput(); err != nil {
 		panic("build: " + string(output))
 	}
@@ -25,4 +26,21 @@
 	return m.Run()
 }
 
+// Command is what one run of the operators' command line gave.
+type Command struct {
+	ExitCode int
+	Output   string
+}
+
+// Levertide runs the operators' command line to its end. An interrupted one has
+// exit code -1.
+func Levertide(ctx context.Context, arguments ...string) Command {
+	command := exec.CommandContext(ctx, program("levertide"), arguments...)
+	output, _ := command.CombinedOutput()
+	return Command{ExitCode: command.ProcessState.ExitCode(), Output: string(output)}
+}
+
+// StoreAddress returns where operators reach the store.
+func (m *Mesh) StoreAddress() string { return m.storeAddress }
+
 func program(name string) string { return filepath.Join(programs, name) }
