--- a/internal/dataplane/drain_test.go
+++ b/internal/dataplane/drain_test.go
@@ -93,3 +93,28 @@
 		t.Errorf("reason %q", got.header.Get("Levertide-Reason"))
 	}
 }
+
+func TestLongUploadMovesOnFromARefusingNode(t *testing.T) {
+	m := newMesh(t)
+	var stored atomic.Int64
+	handler := func(_ http.ResponseWriter, r *http.Request) {
+		n, _ := io.Copy(io.Discard, r.Body)
+		stored.Add(n)
+	}
+	leaving := m.addHandler("a", handler)
+	m.addHandler("b", handler)
+	leaving.plane.draining.Store(true)
+	const size, calls = 1 << 20, 8
+	for range calls {
+		m.call("POST", "/never", strings.Repeat("x", size)).expect(t, http.StatusOK, "")
+		// Forget that the node is leaving, so that it is asked again.
+		m.entry.plane.destinations = destinations{make: m.entry.plane.newDestination}
+		m.entry.plane.active.Store(nil)
+	}
+	if stored.Load() != size*calls {
+		t.Errorf("%d bytes were stored, want %d", stored.Load(), size*calls)
+	}
+	if refused := leaving.watch.peerReports(); refused == 0 {
+		t.Error("the leaving node was never asked: the test shows nothing")
+	}
+}
--- a/internal/dataplane/fixture_test.go
+++ b/internal/dataplane/fixture_test.go
@@ -64,6 +64,7 @@
 	noObserver
 	mutex   sync.Mutex
 	reports []CallReport
+	peers   int
 }
 
 func (w *watcher) CallFinished(report CallReport) {
@@ -72,6 +73,19 @@
 	w.mutex.Unlock()
 }
 
+func (w *watcher) PeerCallFinished(CallReport) {
+	w.mutex.Lock()
+	w.peers++
+	w.mutex.Unlock()
+}
+
+// peerReports returns how many calls of other nodes have ended.
+func (w *watcher) peerReports() int {
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.peers
+}
+
 func (w *watcher) last() CallReport {
 	w.mutex.Lock()
 	defer w.mutex.Unlock()
