Break connections in the simulator, and test the broken variants

An ended process breaks the calls it was serving, so that unknown outcomes come before the deadline; a relay that resumes from a pause in a zone that is cut off meets children that were just restarted.

--- /dev/null
+++ b/internal/sim/broken_test.go
@@ -0,0 +1,116 @@
+package sim_test
+
+import (
+	"testing"
+
+	"github.com/levertide/levertide/internal/sim"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/snapshot"
+	"github.com/levertide/levertide/pkg/store"
+)
+
+// brokenVariant breaks one safeguard and says which invariant notices.
+type brokenVariant struct {
+	name      string
+	seams     sim.Seams
+	invariant string
+}
+
+func brokenVariants() []brokenVariant {
+	return []brokenVariant{
+		{"compare dropped", sim.Seams{Operations: withoutCompare}, sim.InvariantHead},
+		{"fencing dropped", sim.Seams{Participant: newForgetful}, sim.InvariantNeverBack},
+		{"floor dropped", sim.Seams{NoFloor: true}, sim.InvariantNeverBack},
+		{"partial swap", sim.Seams{Activation: partly}, sim.InvariantWhole},
+		{"unknown outcome repeated", sim.Seams{RepeatUnknown: true}, sim.InvariantOnce},
+		{"not-run said late", sim.Seams{LateNotRun: true}, sim.InvariantNotRun},
+	}
+}
+
+// withoutCompare writes whatever is in the store.
+func withoutCompare(_ string, operations []store.Operation) []store.Operation {
+	var written []store.Operation
+	for _, operation := range operations {
+		switch operation.Verb {
+		case store.VerbCheckIndex:
+			continue
+		case store.VerbCompareAndSwap:
+			operation.Verb, operation.Index = store.VerbSet, 0
+		}
+		written = append(written, operation)
+	}
+	return written
+}
+
+// forgetful is a participant that believes every head, the latest to arrive
+// above all.
+type forgetful struct {
+	*rollout.Participant
+	options rollout.ParticipantOptions
+}
+
+func newForgetful(options rollout.ParticipantOptions) sim.Participant {
+	return &forgetful{rollout.NewParticipant(options), options}
+}
+
+// ObserveHead starts over when the head is an older one.
+func (f *forgetful) ObserveHead(head rollout.Head) []rollout.Action {
+	state := f.State()
+	if state.FloorKnown && head.Generation < state.Head.Generation {
+		f.Participant = rollout.NewParticipant(f.options)
+		f.LearnFloor(0)
+	}
+	return f.Participant.ObserveHead(head)
+}
+
+// partly puts the new version in force but leaves one resource of the old one.
+func partly(inForce, next *snapshot.Snapshot) *snapshot.Snapshot {
+	if inForce == nil {
+		return next
+	}
+	var mixed []model.Resource
+	left := false
+	for resource := range next.Resources() {
+		old, found := inForce.Resource(resource.Key)
+		if found && !left && resource.Key.Kind == model.KindService {
+			resource, left = old, true
+		}
+		mixed = append(mixed, resource)
+	}
+	built, err := snapshot.New(next.Version(), mixed)
+	if err != nil {
+		return next
+	}
+	return built
+}
+
+// stepsToCatch returns the step at which the invariant was first broken.
+func stepsToCatch(variant brokenVariant, seed, most uint64) (uint64, bool) {
+	w := sim.New(sim.Options{Seed: seed, Seams: variant.seams})
+	defer w.Close()
+	for w.Steps() < most {
+		w.Step()
+		for _, violation := range w.Violations() {
+			if violation.Invariant == variant.invariant {
+				return violation.Step, true
+			}
+		}
+	}
+	return 0, false
+}
+
+func TestBrokenVariantsAreCaught(t *testing.T) {
+	const most = 300_000
+	for _, variant := range brokenVariants() {
+		t.Run(variant.name, func(t *testing.T) {
+			for seed := uint64(1); seed <= 12; seed++ {
+				step, caught := stepsToCatch(variant, seed, most)
+				if !caught {
+					t.Errorf("seed %d: not caught in %d steps", seed, most)
+				}
+				t.Logf("seed %d: caught at step %d", seed, step)
+			}
+		})
+	}
+}
--- a/internal/sim/calls.go
+++ b/internal/sim/calls.go
@@ -34,6 +34,8 @@
 	service    string
 	deadline   time.Duration
 	executions int
+	// mayHaveRun tells that the outcome of an attempt is not known.
+	mayHaveRun bool
 	told       outcome.Outcome
 	ended      bool
 	// entry is the process that the caller talks to.
@@ -172,7 +174,7 @@
 func (s *serving) attempt(r *request, balancer *balance.Balancer, allowance retry.Allowance, tried []string) {
 	picked, err := balancer.Pick(tried...)
 	if err != nil {
-		s.finish(r, outcome.NotRun, "")
+		s.end(r, reply{outcome: outcome.NotRun})
 		return
 	}
 	target := s.agent.world.byID[picked.Endpoint.ID]
@@ -213,6 +215,7 @@
 	case outcome.NotRun:
 		left, again = allowance.AfterNotRun()
 	case outcome.Unknown:
+		r.mayHaveRun = true
 		repeatable := r.repeatable || s.agent.world.options.Seams.RepeatUnknown
 		left, again = allowance.AfterUnknown(repeatable)
 	}
@@ -220,6 +223,15 @@
 		s.attempt(r, balancer, left, tried)
 		return
 	}
+	s.end(r, result)
+}
+
+// end tells the caller. A request of which an earlier attempt may have run is
+// not reported as not run.
+func (s *serving) end(r *request, result reply) {
+	if r.mayHaveRun && result.outcome == outcome.NotRun {
+		result.outcome = outcome.Unknown
+	}
 	s.finish(r, result.outcome, result.body)
 }
 
--- a/internal/sim/faults.go
+++ b/internal/sim/faults.go
@@ -1,6 +1,7 @@
 package sim
 
 import (
+	"slices"
 	"time"
 
 	"github.com/levertide/levertide/pkg/store/memory"
@@ -60,6 +61,7 @@
 		{4, w.CrashHerd},
 		{14, func() { w.Pause(pick(w.random, w.nodes)) }},
 		{6, w.PauseCoordinator},
+		{8, w.PauseRelay},
 		{10, func() { w.Cut(false) }},
 		{8, func() { w.Cut(true) }},
 		{7, w.StoreOutage},
@@ -206,9 +208,34 @@
 		return
 	}
 	w.faults.count("pause")
+	w.pauseFor(n, w.random.duration(longestPause))
+}
+
+func (w *World) pauseFor(n *node, length time.Duration) {
 	paused := n.process
 	paused.pause()
-	w.scheduler.after(w.random.duration(longestPause), "resume "+n.id, paused.resume)
+	w.scheduler.after(length, "resume "+n.id, paused.resume)
+}
+
+// PauseRelay pauses a node that has children. When it resumes, with what it
+// knew before, its zone is cut off, and its children have just been started
+// again.
+func (w *World) PauseRelay() {
+	relays := slices.DeleteFunc(w.liveNodes(), func(n *node) bool { return len(n.agent.children) == 0 })
+	if len(relays) == 0 {
+		return
+	}
+	w.faults.count("pause of a relay")
+	relay := pick(w.random, relays)
+	children := sortedKeys(relay.agent.children)
+	length := w.random.duration(longestPause)
+	w.pauseFor(relay, length)
+	w.scheduler.after(length, "restart children", func() {
+		w.isolate(relay.zone)
+		for _, id := range children {
+			w.Crash(w.byID[id])
+		}
+	})
 }
 
 // PauseCoordinator pauses a node that believes to coordinate.
@@ -235,6 +262,22 @@
 		w.faults.count("cut")
 		links = append(links, link{to, from})
 	}
+	w.cut(links)
+}
+
+// isolate cuts a zone off from all others.
+func (w *World) isolate(zone string) {
+	var links []link
+	for _, other := range w.zones {
+		if other != zone {
+			links = append(links, link{zone, other}, link{other, zone})
+		}
+	}
+	w.cut(links)
+}
+
+// cut cuts links for a time.
+func (w *World) cut(links []link) {
 	for _, l := range links {
 		w.network.cut[l] = true
 	}
--- a/internal/sim/network.go
+++ b/internal/sim/network.go
@@ -81,14 +81,31 @@
 		e.fromProcess.after(refusalDelay, e.name+" refused", func() { e.finish(nil, errNotConnected) })
 		return
 	}
+	server.serving = append(server.serving, e)
 	server.do(func() {
 		e.serve(func(reply any) { n.answer(e, server, reply) })
 	})
 }
 
+// breakConnections tells the senders of what an ended process was serving that
+// no answer will come.
+func (n *network) breakConnections(server *process) {
+	for _, e := range server.serving {
+		if n.passes(e.to, e.from) {
+			e.fromProcess.after(refusalDelay, e.name+" broken", func() { e.finish(nil, errNoAnswer) })
+		}
+	}
+	server.serving = nil
+}
+
 // answer carries the reply back if the way back is open.
 func (n *network) answer(e *exchange, server *process, reply any) {
-	if !server.alive || !n.passes(e.to, e.from) || n.world.disturbed(answerPerMille) {
+	server.forget(e)
+	if !server.alive || !n.passes(e.to, e.from) {
+		return
+	}
+	if n.world.disturbed(answerPerMille) {
+		e.fromProcess.after(n.delay(e.to, e.from), e.name+" broken", func() { e.finish(nil, errNoAnswer) })
 		return
 	}
 	e.fromProcess.after(n.delay(e.to, e.from), e.name+" answer", func() { e.finish(reply, nil) })
--- a/internal/sim/oracle.go
+++ b/internal/sim/oracle.go
@@ -4,6 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"time"
 
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/rollout"
@@ -57,6 +58,8 @@
 	head     rollout.Head
 	restored bool
 	restores int
+	// headAt is when the head was written last.
+	headAt time.Duration
 	// sets holds every file set by the identifier of its apply.
 	sets map[string]*appliedSet
 	// committed lists the applies that were committed under a number. There is
@@ -124,7 +127,7 @@
 	if head.Generation == before.Generation && head.ApplyID == before.ApplyID && head.Proposed == before.Proposed {
 		return
 	}
-	o.head = head
+	o.head, o.headAt = head, o.world.scheduler.now
 	o.world.log("head: %s", describe(head))
 	set := o.sets[head.ApplyID]
 	if set == nil {
@@ -137,7 +140,9 @@
 	}
 	if head.Committed != before.Committed && !recovered {
 		o.observeCommit(head)
-		o.restored = o.restored && set.recovers != o.restores
+		if o.restored && set.recovers == o.restores {
+			o.recovered(head.Committed)
+		}
 	}
 	if rejected := head.LastRejected; rejected != nil && rejected.Version == before.Proposed && head.Proposed == 0 {
 		set.aborted = true
@@ -204,6 +209,21 @@
 	o.ran[a.node.id] = ranVersion{version: version, incarnation: a.node.incarnation}
 }
 
+// recovered ends the time during which the store is a restored one. What a
+// node ran that the platform has lost since, and of which no process is left
+// that ran it, nobody can know any more.
+func (o *oracle) recovered(committed rollout.Version) {
+	o.restored = false
+	for _, n := range o.world.nodes {
+		before := o.ran[n.id]
+		runsIt := n.process.alive && before.incarnation == n.incarnation
+		if before.version > committed && !runsIt {
+			o.forgotten++
+			o.ran[n.id] = ranVersion{version: committed}
+		}
+	}
+}
+
 func (o *oracle) checkClosed(id string, s *snapshot.Snapshot) {
 	services, secrets := map[string]bool{}, map[string]bool{}
 	for _, key := range s.Keys() {
--- a/internal/sim/process.go
+++ b/internal/sim/process.go
@@ -1,6 +1,9 @@
 package sim
 
-import "time"
+import (
+	"slices"
+	"time"
+)
 
 // process is a running program: a node or an operator's command. What it was
 // to do while it is paused happens when it resumes; what it was to do after
@@ -13,6 +16,8 @@
 	// deferred holds what became due during a pause.
 	deferred []func()
 	store    *storeClient
+	// serving lists the calls that have arrived and were not answered.
+	serving []*exchange
 }
 
 func (w *World) newProcess(name string) *process {
@@ -48,9 +53,18 @@
 	}
 }
 
+// forget drops a call that is answered.
+func (p *process) forget(answered *exchange) {
+	index := slices.Index(p.serving, answered)
+	if index >= 0 {
+		p.serving = slices.Delete(p.serving, index, index+1)
+	}
+}
+
 // end stops the process at once.
 func (p *process) end() {
 	p.alive = false
 	p.deferred = nil
+	p.world.network.breakConnections(p)
 	p.store.abandon()
 }
--- a/internal/sim/settle.go
+++ b/internal/sim/settle.go
@@ -31,6 +31,9 @@
 			w.RunFor(settleTime)
 		}
 	}
+	for w.scheduler.now-w.oracle.headAt < convergenceTime {
+		w.RunFor(convergenceTime)
+	}
 	w.checkSettled()
 	before := w.oracle.head.Committed
 	w.applySet(newFileSet(w.random, w.applies.number+1, false), nil)
