Lower the adaptive limit by the share of refusals

One refusal in a window lowered the limit by a fifth, so that a worker that refuses a tenth of its requests for reasons of its own came down to one slot (shown by the new test on the former code: limit 1 of 8). The share of refusals tells the two cases apart: a worker beyond its true slots refuses most of what comes. Ruled out: the concurrency at which answers came, since refused requests count in it.

--- a/pkg/admission/adaptive.go
+++ b/pkg/admission/adaptive.go
@@ -7,20 +7,25 @@
 	windowLength    = 200 * time.Millisecond
 	windowSamples   = 10
 	slowTolerance   = 2.0
-	decreaseFactor  = 0.8
+	slowFactor      = 0.8
+	refusalFactor   = 0.6
 	increaseStep    = 1.0
 	baselineDrift   = 0.02
-	serviceWeight   = 0.1
 	smallestLimit   = 1.0
 	slowFloorFactor = 0.5
 )
 
-// adaptiveLimit lowers a limit by a factor after a window of requests in which
-// the worker refused, or in which the limit was reached and answers took more
-// than slowTolerance times as long as in the best recent window. It raises the
-// limit by a step after a window in which it was reached without either. Slow
-// answers alone do not take it below half of the worker's slots, because a
-// change in the mix of requests looks the same; refusals do.
+// adaptiveLimit adjusts a limit after each window of requests.
+//
+// Refusals by the worker lower it in proportion to their share: down to
+// refusalFactor when all were refused. A worker that is beyond its true slots
+// refuses most of what comes, because a refusal frees the place at once; a few
+// refusals for other reasons hardly count.
+//
+// The limit falls by slowFactor when it was reached and answers took more than
+// slowTolerance times as long as in the best recent window. Slow answers alone do
+// not take it below half of the worker's slots, because a change in the mix of
+// requests looks the same. Otherwise it rises by a step when it was reached.
 type adaptiveLimit struct {
 	value    float64
 	baseline float64 // seconds; best recent mean of a window
@@ -28,7 +33,7 @@
 	windowStart time.Time
 	samples     int
 	sum         float64 // seconds
-	refused     bool
+	refused     int
 	reached     bool
 }
 
@@ -46,37 +51,35 @@
 	if a.windowStart.IsZero() {
 		a.windowStart = now
 	}
-	if result.Refused {
-		a.refused = true
-	}
-	if result.Latency > 0 {
+	switch {
+	case result.Refused:
+		a.refused++
+	case result.Latency > 0:
 		a.samples++
 		a.sum += result.Latency.Seconds()
 	}
-	if now.Sub(a.windowStart) < windowLength {
-		return false
-	}
-	if !a.refused && a.samples < windowSamples {
+	if now.Sub(a.windowStart) < windowLength || a.samples+a.refused < windowSamples {
 		return false
 	}
-	a.closeWindow(slots)
+	a.closeWindow(float64(slots))
 	a.windowStart = now
 	return true
 }
 
-func (a *adaptiveLimit) closeWindow(slots int) {
+func (a *adaptiveLimit) closeWindow(slots float64) {
+	share := float64(a.refused) / float64(a.refused+a.samples)
 	slow := a.foldBaseline()
+	next := a.value * (1 - share*(1-refusalFactor))
 	switch {
-	case a.refused:
-		a.value = max(a.value*decreaseFactor, smallestLimit)
-	case slow && a.reached:
-		floor := max(float64(slots)*slowFloorFactor, smallestLimit)
-		a.value = max(a.value*decreaseFactor, min(floor, a.value))
-	case a.reached:
-		a.value = min(a.value+increaseStep, float64(slots))
+	case !a.reached:
+	case slow:
+		next = max(next*slowFactor, min(slots*slowFloorFactor, next))
+	default:
+		next += increaseStep * (1 - share)
 	}
-	a.samples, a.sum = 0, 0
-	a.refused, a.reached = false, false
+	a.value = min(max(next, smallestLimit), slots)
+	a.samples, a.sum, a.refused = 0, 0, 0
+	a.reached = false
 }
 
 // foldBaseline takes the window's mean into the baseline and reports whether
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -12,6 +12,10 @@
 	// queue is empty.
 	SlotsFullLoad = 0.75
 
+	// serviceWeight is the weight of one request in the moving average of the
+	// time that a slot is kept.
+	serviceWeight = 0.1
+
 	minimumRetryAfter = 50 * time.Millisecond
 	maximumRetryAfter = 5 * time.Second
 )
--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -2,6 +2,8 @@
 
 import (
 	"context"
+	"sync"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -91,6 +93,60 @@
 	})
 }
 
+// serveAsWorker runs requests at the gate for a time. The worker has trueSlots,
+// refuses what is beyond them at once, and refuses every refuseEvery-th request
+// for a reason of its own; zero for none.
+func serveAsWorker(t *testing.T, gate *admission.Gate, trueSlots, refuseEvery int) {
+	t.Helper()
+	const callers, service, refusal = 12, 20 * time.Millisecond, time.Millisecond
+	var running, count atomic.Int64
+	end := time.Now().Add(20 * time.Second)
+	var waiting sync.WaitGroup
+	for range callers {
+		waiting.Go(func() {
+			for time.Now().Before(end) {
+				permit, err := gate.Admit(context.Background(), admission.PriorityNormal)
+				if err != nil {
+					time.Sleep(refusal)
+					continue
+				}
+				number := count.Add(1)
+				if running.Add(1) > int64(trueSlots) || refuseEvery > 0 && number%int64(refuseEvery) == 0 {
+					running.Add(-1)
+					time.Sleep(refusal)
+					permit.Release(admission.Result{Refused: true})
+					continue
+				}
+				time.Sleep(service)
+				running.Add(-1)
+				permit.Release(admission.Result{Latency: service})
+			}
+		})
+	}
+	waiting.Wait()
+}
+
+func TestLimitFindsTheTrueSlots(t *testing.T) {
+	cases := []struct {
+		name                   string
+		trueSlots, refuseEvery int
+		lowest, highest        int
+	}{
+		{"twice as many stated", 4, 0, 2, 5},
+		{"a tenth refused for other reasons", 8, 10, 6, 8},
+		{"stated truly", 8, 0, 8, 8},
+	}
+	for _, c := range cases {
+		synctest.Test(t, func(t *testing.T) {
+			gate := admission.New(admission.Options{Slots: 8})
+			serveAsWorker(t, gate, c.trueSlots, c.refuseEvery)
+			if got := gate.Stats().Limit; got < c.lowest || got > c.highest {
+				t.Errorf("%s: limit %d, want %d to %d", c.name, got, c.lowest, c.highest)
+			}
+		})
+	}
+}
+
 func TestHopelessWaitIsRefusedAtOnce(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		gate := admission.New(admission.Options{Slots: 1, Queue: 5, QueueWait: time.Minute})
