--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -28,6 +28,7 @@
 }
 
 func TestSteadyMeasuresBothWays(t *testing.T) {
+	t.Parallel()
 	report := run(t, short(ModeSteady))
 	step := report.Steady[0]
 	for name, counts := range map[string]Counts{"direct": step.Direct, "through": step.Through} {
@@ -46,6 +47,7 @@
 }
 
 func TestFiguresNotMeasuredAreNull(t *testing.T) {
+	t.Parallel()
 	report := run(t, short(ModeUpload))
 	encoded, err := json.Marshal(report)
 	if err != nil {
@@ -86,6 +88,7 @@
 }
 
 func TestFaultsHarmNoUnrepeatableRequest(t *testing.T) {
+	t.Parallel()
 	report := run(t, short(ModeFaults))
 	for _, point := range report.Faults {
 		if point.Once.Calls == 0 || point.Any.Calls == 0 {
@@ -97,6 +100,26 @@
 	}
 }
 
+func TestRollingReplacesEverything(t *testing.T) {
+	t.Parallel()
+	options := short(ModeRolling)
+	options.Workers = 1
+	report := run(t, options)
+	if report.Rolling.Replaced != 2 || report.Rolling.Once.Calls == 0 || report.Rolling.UploadsWhole == 0 {
+		t.Errorf("%+v", report.Rolling)
+	}
+}
+
+func TestChainStaysWithinItsBound(t *testing.T) {
+	t.Parallel()
+	report := run(t, short(ModeChain))
+	for _, item := range report.Chain.Cases {
+		if item.Budget.Top.Calls == 0 || item.Budget.Bottom < item.Budget.Top.Calls {
+			t.Errorf("%g failing: %+v", item.FailedShare, item.Budget)
+		}
+	}
+}
+
 func TestFalseNotRunIsSeen(t *testing.T) {
 	seen := newTally()
 	seen.add("a", ending{kind: endingNotRun}, time.Second)
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -65,7 +65,7 @@
 	load.Go(func() { r.callOn(ctx, calling) })
 	load.Go(func() { r.uploadOn(ctx, calling) })
 	replaced, err := r.replaceAll(ctx, config)
-	sleepUntil(ctx, time.Now().Add(rollingTail))
+	sleepUntil(ctx, time.Now().Add(min(rollingTail, r.options.Duration)))
 	stop()
 	load.Wait()
 	if err != nil {
@@ -112,7 +112,7 @@
 					id:     fmt.Sprintf("upload%s%d-%d", onceMark, lane, index),
 					method: http.MethodPost, host: onceHost, path: "/receipts",
 					target: *r.target.Load(), size: rollingUpload,
-					pace: rollingUploadTime,
+					pace: min(rollingUploadTime, r.options.Duration),
 				}
 				r.uploads.add(c.id, c.do(ctx, r.transport), time.Since(began))
 			}
