Ask more than half of the zones for a floor while the store cannot be read

Ruled out: the store restored from a copy, and the participant itself. DecideFloor now also needs answers from more than half of all zones; a node answers for all that have reported to it, so that the relay of a zone answers for its zone; counts of members and zones include lost ones and are the largest of any answer. As a coordinator commits only what half of the live members have staged, one of those asked knows of it. Left: a proposal that not even half have staged is committed after the maximum age, and is not covered by that argument. An engine must fill FloorQuorum.Zones, FloorAnswer.Zone, Zones and ZoneMembers, ask the relay of each other zone, and answer with what was reported to it; with these left out the former rule applies. Regression tests in TestDecideFloor.

--- a/internal/sim/applies.go
+++ b/internal/sim/applies.go
@@ -113,20 +113,24 @@
 // Recover brings a restored store past what it holds and what the nodes know,
 // as an operator does after the alarm.
 func (w *World) Recover() {
-	var known rollout.Head
+	w.faults.count("store recovered")
+	known := w.oracle.head
 	for _, n := range w.nodes {
-		if !n.process.alive {
-			continue
-		}
-		if head := n.agent.participant.State().Head; head.Generation > known.Generation {
-			known = head
+		if n.process.alive {
+			known = n.agent.raise(known)
 		}
 	}
-	w.faults.count("store recovered")
-	stored := w.oracle.head
-	known.Generation = max(known.Generation, stored.Generation) + 1
-	known.Committed = max(known.Committed, stored.Committed)
-	known.HighestUsed = max(known.HighestUsed, stored.HighestUsed)
+	known.Generation++
 	known.Proposed = 0
 	w.Apply(&known)
 }
+
+// raise returns the head with the numbers that the node knows of, if they are
+// higher.
+func (a *agent) raise(known rollout.Head) rollout.Head {
+	state := a.participant.State()
+	known.Generation = max(known.Generation, state.Head.Generation)
+	known.Committed = max(known.Committed, state.Head.Committed, state.Floor, a.reported.committed)
+	known.HighestUsed = max(known.HighestUsed, known.Committed, state.Head.HighestUsed, a.reported.proposed)
+	return known
+}
--- a/internal/sim/node.go
+++ b/internal/sim/node.go
@@ -66,9 +66,11 @@
 	upstream upstream
 	children map[string]*child
 
-	floor  floorSearch
-	reader reader
-	serves serving
+	floor floorSearch
+	// reported is the highest that any child has ever reported.
+	reported reportedVersions
+	reader   reader
+	serves   serving
 }
 
 // unreachableNode is a former parent that may have died.
--- a/internal/sim/node_floor.go
+++ b/internal/sim/node_floor.go
@@ -4,14 +4,15 @@
 	"context"
 	"time"
 
+	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/topology"
 )
 
 // Times of the search for the floor.
 const (
-	floorRound     = 2 * time.Second
-	floorPatience  = 600 * time.Millisecond
-	floorElsewhere = 2
+	floorRound    = 2 * time.Second
+	floorPatience = 600 * time.Millisecond
 )
 
 // floorSearch is a started node's search for the lowest version it may run.
@@ -53,24 +54,59 @@
 	}
 	a.floor.asked++
 	a.confirmFloor(0, take)
-	elsewhere := 0
-	for _, record := range a.table.View().Live() {
-		sameZone := record.Zone == a.node.zone
-		if record.ID == a.node.id || (!sameZone && elsewhere == floorElsewhere) {
-			continue
+	a.floor.quorum.ZoneMembers, a.floor.quorum.Zones = a.countFor(a.node)
+	for record := range a.table.View().All() {
+		if record.Zone == a.node.zone && record.ID != a.node.id {
+			a.askFloor(a.world.byID[record.ID], take)
 		}
-		if sameZone {
-			a.floor.quorum.ZoneMembers++
-		} else {
-			elsewhere++
-			a.floor.quorum.OtherZones = true
+	}
+	for _, relay := range a.relaysElsewhere() {
+		a.askFloor(a.world.byID[relay.ID], take)
+	}
+}
+
+// countFor counts the other members of a node's zone, and the other zones, that
+// this node knows of, lost members included.
+func (a *agent) countFor(asking *node) (members, zones int) {
+	seen := make(map[string]bool)
+	for record := range a.table.View().All() {
+		switch {
+		case record.Zone != asking.zone:
+			seen[record.Zone] = true
+		case record.ID != asking.id:
+			members++
 		}
-		a.askFloor(a.world.byID[record.ID], sameZone, take)
 	}
+	return members, len(seen)
+}
+
+// relaysElsewhere lists one node of each other zone: its relay, or any if all
+// of its members are taken to be lost.
+func (a *agent) relaysElsewhere() []topology.Peer {
+	var relays []topology.Peer
+	for _, zone := range a.world.zones {
+		var relay, lost topology.Peer
+		for record := range a.table.View().All() {
+			switch {
+			case record.Zone != zone || zone == a.node.zone:
+			case record.State != membership.StateLive:
+				lost = peerOf(record)
+			case relay.ID == "" || topology.KeyOf(peerOf(record)).Compare(topology.KeyOf(relay)) < 0:
+				relay = peerOf(record)
+			}
+		}
+		if relay.ID == "" {
+			relay = lost
+		}
+		if relay.ID != "" {
+			relays = append(relays, relay)
+		}
+	}
+	return relays
 }
 
 // askFloor asks a node for what it knows itself.
-func (a *agent) askFloor(peer *node, sameZone bool, take func(rollout.FloorAnswer)) {
+func (a *agent) askFloor(peer *node, take func(rollout.FloorAnswer)) {
 	a.floor.asked++
 	a.world.network.call(a.node, peer, "floor", callTimeout,
 		func(answer func(any)) { answer(peer.agent.ownFloor(a.node)) },
@@ -79,7 +115,8 @@
 				return
 			}
 			known := reply.(rollout.FloorAnswer)
-			known.SameZone = sameZone
+			known.SameZone = peer.zone == a.node.zone
+			known.Zone = peer.zone
 			take(known)
 		})
 }
@@ -88,16 +125,13 @@
 // node that asks.
 func (a *agent) ownFloor(asking *node) rollout.FloorAnswer {
 	state := a.participant.State()
+	below := a.readiness()
 	answer := rollout.FloorAnswer{
 		Known:     state.FloorKnown && state.HeadKnown,
-		Committed: max(state.Head.Committed, state.Floor),
-		Staged:    state.Head.Proposed,
-	}
-	for _, record := range a.table.View().ByZone(asking.zone) {
-		if record.ID != asking.id {
-			answer.ZoneMembers++
-		}
+		Committed: max(state.Head.Committed, state.Floor, below.Committed, a.reported.committed),
+		Staged:    max(state.Head.Proposed, below.Proposed, a.reported.proposed),
 	}
+	answer.ZoneMembers, answer.Zones = a.countFor(asking)
 	if state.InForce != nil {
 		answer.Committed = max(answer.Committed, state.InForce.Version())
 	}
@@ -142,6 +176,7 @@
 	if !decision.Decided {
 		return
 	}
+	a.world.log("%s has answers %+v to %+v", a.node.id, a.floor.answers, a.floor.quorum)
 	a.world.oracle.observeFloor(a, decision.Floor)
 	a.act(a.participant.LearnFloor(decision.Floor))
 }
--- a/internal/sim/node_report.go
+++ b/internal/sim/node_report.go
@@ -14,6 +14,9 @@
 	members     []membership.Record
 }
 
+// reportedVersions are the highest versions that were heard of from below.
+type reportedVersions struct{ committed, proposed rollout.Version }
+
 // readiness sums up the node and its children.
 func (a *agent) readiness() rollout.Readiness {
 	state := a.participant.State()
@@ -66,6 +69,8 @@
 	if request.sequence > known.reportSequence {
 		known.reportSequence = request.sequence
 		known.readiness = request.readiness
+		a.reported.committed = max(a.reported.committed, request.readiness.Committed)
+		a.reported.proposed = max(a.reported.proposed, request.readiness.Proposed)
 		a.changed()
 	}
 	return true
--- a/pkg/rollout/floor_test.go
+++ b/pkg/rollout/floor_test.go
@@ -18,16 +18,20 @@
 		floor   rollout.Version
 		decided bool
 	}{
-		"store read":              {three, []rollout.FloorAnswer{{Confirmed: true, Committed: 5}}, 5, true},
-		"peer ahead of the store": {three, []rollout.FloorAnswer{{Confirmed: true, Committed: 5}, near(7, 0)}, 7, true},
-		"majority and elsewhere":  {three, []rollout.FloorAnswer{near(4, 0), near(5, 5), far}, 6, true},
-		"no majority":             {three, []rollout.FloorAnswer{near(4, 0), far}, 0, false},
-		"nobody elsewhere":        {three, []rollout.FloorAnswer{near(4, 0), near(5, 5)}, 0, false},
-		"may have been committed": {three, []rollout.FloorAnswer{near(4, 7), near(5, 5), far}, 0, false},
-		"answer knows of more":    {rollout.FloorQuorum{OtherZones: true}, []rollout.FloorAnswer{{Known: true, Committed: 6, ZoneMembers: 3}}, 0, false},
-		"restarted ones":          {three, []rollout.FloorAnswer{near(4, 0), {SameZone: true}, far}, 0, false},
-		"alone":                   {rollout.FloorQuorum{}, nil, 0, false},
-		"first of its zone":       {rollout.FloorQuorum{OtherZones: true}, []rollout.FloorAnswer{far}, 6, true},
+		"store read":                 {three, []rollout.FloorAnswer{{Confirmed: true, Committed: 5}}, 5, true},
+		"peer ahead of the store":    {three, []rollout.FloorAnswer{{Confirmed: true, Committed: 5}, near(7, 0)}, 7, true},
+		"majority and elsewhere":     {three, []rollout.FloorAnswer{near(4, 0), near(5, 5), far}, 6, true},
+		"no majority":                {three, []rollout.FloorAnswer{near(4, 0), far}, 0, false},
+		"nobody elsewhere":           {three, []rollout.FloorAnswer{near(4, 0), near(5, 5)}, 0, false},
+		"may have been committed":    {three, []rollout.FloorAnswer{near(4, 7), near(5, 5), far}, 0, false},
+		"half of the zones":          {rollout.FloorQuorum{Zones: 3}, []rollout.FloorAnswer{far}, 0, false},
+		"most of the zones":          {rollout.FloorQuorum{Zones: 3}, []rollout.FloorAnswer{far, {Known: true, Zone: "b", Committed: 5}}, 6, true},
+		"one zone twice":             {rollout.FloorQuorum{Zones: 3}, []rollout.FloorAnswer{far, far}, 0, false},
+		"answer knows of more zones": {rollout.FloorQuorum{OtherZones: true}, []rollout.FloorAnswer{{Known: true, Committed: 6, Zones: 3}}, 0, false},
+		"answer knows of more":       {rollout.FloorQuorum{OtherZones: true}, []rollout.FloorAnswer{{Known: true, Committed: 6, ZoneMembers: 3}}, 0, false},
+		"restarted ones":             {three, []rollout.FloorAnswer{near(4, 0), {SameZone: true}, far}, 0, false},
+		"alone":                      {rollout.FloorQuorum{}, nil, 0, false},
+		"first of its zone":          {rollout.FloorQuorum{OtherZones: true}, []rollout.FloorAnswer{far}, 6, true},
 	}
 	for name, test := range cases {
 		t.Run(name, func(t *testing.T) {
