Take the refusal of a node that is not ready as not-run

Such a node refuses before its data plane, so its answer lacks the load mark, and was reported as unknown: an unrepeatable request was given up for no reason. Nodes that are not ready, or serve something else, now count as failed for the choice of a worker, so that they are passed over after a few answers.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -194,14 +194,12 @@
 }
 
 // failureOf returns the failure that another node reported, or nil for an
-// answer. An answer without marks does not come from a node's PeerHandler.
+// answer. An answer without marks does not come from a node's PeerHandler. A
+// failure may: a node that is not ready yet refuses before its PeerHandler.
 func failureOf(response *http.Response, marked bool) error {
-	if !marked {
-		return outcome.New(outcome.InvalidAnswer)
-	}
 	reported, reason := outcome.FromResponse(response.Header)
 	if reported == outcome.Answered {
-		if !endsDetectably(response) {
+		if !marked || !endsDetectably(response) {
 			return outcome.New(outcome.InvalidAnswer)
 		}
 		return nil
@@ -227,8 +225,8 @@
 // blame tells the balancer what a failure says of the node.
 func blame(err error) balance.Outcome {
 	switch outcome.ReasonOf(err) {
-	case outcome.Overloaded, outcome.Draining, outcome.RefusedByOwnWorker, outcome.Misdirected,
-		outcome.NotReady, outcome.Malformed, outcome.DeadlineBeforeStart:
+	case outcome.Overloaded, outcome.Draining, outcome.RefusedByOwnWorker,
+		outcome.Malformed, outcome.DeadlineBeforeStart:
 		return balance.Shed
 	case outcome.Canceled, outcome.CanceledBeforeStart, outcome.UploadFailed, outcome.BodyNotReceived:
 		return balance.Canceled
--- a/internal/dataplane/faults_test.go
+++ b/internal/dataplane/faults_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -204,6 +205,28 @@
 	}
 }
 
+func TestNodeThatIsNotReadyIsPassedOver(t *testing.T) {
+	m := newMesh(t)
+	unready := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		w.WriteHeader(outcome.SetHeaders(w.Header(), outcome.New(outcome.NotReady)))
+	}))
+	t.Cleanup(unready.Close)
+	m.join("a", unready.Listener.Addr().String())
+	m.call("POST", "/never", "x").expect(t, http.StatusServiceUnavailable, "not-run")
+	m.addHandler("b", func(http.ResponseWriter, *http.Request) {})
+	for range 8 {
+		m.call("POST", "/never", "x").expect(t, http.StatusOK, "")
+	}
+}
+
+func TestStrangerAtANodesAddressIsUnknown(t *testing.T) {
+	m := newMesh(t)
+	stranger := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	t.Cleanup(stranger.Close)
+	m.join("a", stranger.Listener.Addr().String())
+	m.call("POST", "/never", "x").expect(t, http.StatusBadGateway, "unknown")
+}
+
 func TestDeadWorkerIsNotRun(t *testing.T) {
 	m := newMesh(t)
 	listener, err := net.Listen("tcp", "127.0.0.1:0")
