--- a/internal/platform/consul/request.go
+++ b/internal/platform/consul/request.go
@@ -127,7 +127,7 @@
 		return store.RateLimited(a.retryAfter())
 	case a.status == http.StatusRequestEntityTooLarge:
 		return store.ErrTooLarge.New("%s %s: %s", call.method, call.path, text)
-	case strings.Contains(text, wire.TextInvalidSession):
+	case a.status == http.StatusInternalServerError && strings.Contains(text, wire.TextInvalidSession):
 		return store.ErrSessionGone.New("%s %s: %s", call.method, call.path, text)
 	case a.status < http.StatusInternalServerError:
 		return store.ErrRefused.New("%s %s: status %d: %s", call.method, call.path, a.status, text)
--- a/pkg/lease/lease_test.go
+++ b/pkg/lease/lease_test.go
@@ -108,6 +108,39 @@
 	})
 }
 
+// slowStore carries renewals out at once and answers them late.
+type slowStore struct {
+	store.Store
+	delay   time.Duration
+	renewed time.Time
+}
+
+func (s *slowStore) RenewSession(ctx context.Context, session string) error {
+	sent := time.Now()
+	if err := s.Store.RenewSession(ctx, session); err != nil {
+		return err
+	}
+	s.renewed = sent
+	time.Sleep(s.delay)
+	return nil
+}
+
+// TestLeaseCountsFromTheSendingOfARenewal would fail if it counted from the
+// answer: the store has been counting since it carried the renewal out.
+func TestLeaseCountsFromTheSendingOfARenewal(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		p := startPlatform(t)
+		slow := &slowStore{Store: p, delay: testTTL / 3}
+		held := acquire(t, lease.New(lease.Options{Store: slow, TTL: testTTL}))
+		time.Sleep(2 * testTTL)
+		p.setFault(memory.FaultRefuse)
+		<-held.Lost()
+		if elapsed := time.Since(slow.renewed); elapsed > testTTL {
+			t.Errorf("the lease was trusted for %v after its last renewal was sent", elapsed)
+		}
+	})
+}
+
 func TestShortOutageIsSurvived(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		p := startPlatform(t)
@@ -130,7 +163,11 @@
 		if lapsed := p.LapseSessions(); lapsed != 1 {
 			t.Fatalf("%d sessions lapsed", lapsed)
 		}
+		start := time.Now()
 		<-held.Lost()
+		if elapsed := time.Since(start); elapsed > testTTL/2 {
+			t.Errorf("the next renewal did not end the lease; that took %v", elapsed)
+		}
 		if err := held.Release(t.Context()); !errorx.IsOfType(err, lease.ErrLeaseLost) {
 			t.Fatalf("release gave %v", err)
 		}
--- a/pkg/store/ratelimit/limiter_test.go
+++ b/pkg/store/ratelimit/limiter_test.go
@@ -59,6 +59,24 @@
 	})
 }
 
+func TestHousekeepingLeavesAReserve(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		limiter := ratelimit.New(memory.New(memory.Options{}), ratelimit.Options{RequestsPerSecond: 1, Burst: 4})
+		start := time.Now()
+		for range 4 {
+			list(t, limiter.Housekeeping())
+		}
+		if elapsed := time.Since(start); elapsed < 2*time.Second {
+			t.Errorf("four housekeeping requests took %v", elapsed)
+		}
+		start = time.Now()
+		list(t, limiter.Normal())
+		if elapsed := time.Since(start); elapsed != 0 {
+			t.Errorf("a normal request waited for %v", elapsed)
+		}
+	})
+}
+
 func TestRefusedRequestIsSentAgainAfterAPause(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		const refusals = 3
