Decide a superseded commit or abort by the version's own record

When the head had been replaced more than once since, a commit that took effect could be reported as a conflict. The record says how the version was decided; when it cannot be read the outcome is unknown.

--- a/pkg/versionstore/decide.go
+++ b/pkg/versionstore/decide.go
@@ -20,7 +20,7 @@
 // committed already returns the head as it is. ErrConflict tells that the
 // version is not the one proposed under applyID.
 func (v *VersionStore) Commit(ctx context.Context, version rollout.Version, applyID string) (rollout.Head, error) {
-	return v.decide(ctx, version, func(state headState) (headChange, bool, error) {
+	return v.decide(ctx, version, ApplyCommitted, func(state headState) (headChange, bool, error) {
 		if state.head.Committed == version {
 			return headChange{}, true, nil
 		}
@@ -40,7 +40,7 @@
 // Aborting what is aborted already returns the head as it is. ErrConflict
 // tells that the version is not proposed any more.
 func (v *VersionStore) Abort(ctx context.Context, version rollout.Version, rejection rollout.Rejection) (rollout.Head, error) {
-	return v.decide(ctx, version, func(state headState) (headChange, bool, error) {
+	return v.decide(ctx, version, ApplyAborted, func(state headState) (headChange, bool, error) {
 		last := state.head.LastRejected
 		if last != nil && last.Version == version {
 			return headChange{}, true, nil
@@ -63,6 +63,7 @@
 func (v *VersionStore) decide(
 	ctx context.Context,
 	version rollout.Version,
+	wanted ApplyPhase,
 	plan func(headState) (change headChange, done bool, err error),
 ) (rollout.Head, error) {
 	if version == 0 {
@@ -78,10 +79,13 @@
 		if swapError != nil {
 			return rollout.Head{}, swapError
 		}
-		if outcome.result == swapDone {
+		switch outcome.result {
+		case swapDone:
 			return change.to, nil
+		case swapSuperseded:
+			return v.supersededDecision(ctx, version, wanted, outcome.found.head)
 		}
-		state, err = v.stateAfter(ctx, outcome)
+		state, err = v.readHead(ctx, store.ReadOptions{Consistent: true})
 	}
 	if err != nil {
 		return rollout.Head{}, err
@@ -89,14 +93,18 @@
 	return rollout.Head{}, withHead(ErrConflict.New("the head moved while version %d was decided", version), v.guard.newest())
 }
 
-// stateAfter returns the head to go on from. After a change that may have
-// taken effect that is the one found then: were the store read again and not
-// reached, the caller would be told that nothing was written.
-func (v *VersionStore) stateAfter(ctx context.Context, outcome swapOutcome) (headState, error) {
-	if outcome.result == swapSuperseded {
-		return outcome.found, nil
+// supersededDecision tells, from the version's own record, how it was decided.
+// The caller's write may be what decided it, so that a failure to read leaves
+// the outcome unknown.
+func (v *VersionStore) supersededDecision(ctx context.Context, version rollout.Version, wanted ApplyPhase, head rollout.Head) (rollout.Head, error) {
+	record, err := v.ReadVersion(ctx, version)
+	if err != nil {
+		return rollout.Head{}, ErrUnknownOutcome.Wrap(err, "how version %d was decided could not be read back", version)
+	}
+	if phaseOf(record, head) != wanted {
+		return head, notProposed(head, version)
 	}
-	return v.readHead(ctx, store.ReadOptions{Consistent: true})
+	return head, nil
 }
 
 // abortion builds the change that rejects the proposed version, in the head
--- a/pkg/versionstore/machine_test.go
+++ b/pkg/versionstore/machine_test.go
@@ -216,12 +216,23 @@
 		m.decided(phase)
 	case m.rivalDecided != versionstore.ApplyNotWritten:
 		m.decided(m.rivalDecided)
+	case errorx.IsOfType(err, versionstore.ErrUnknownOutcome):
+		m.decided(m.readBack(t))
 	case !store.NotWritten(err):
 		t.Fatalf("%v on top of %+v gave %v", phase, m.head, err)
 	}
 	m.settleRival(t)
 }
 
+// readBack tells how the version was decided when the client could not.
+func (m *machine) readBack(t *rapid.T) versionstore.ApplyPhase {
+	state, err := m.client.Resolve(background, m.head.ApplyID)
+	if err != nil || state.Phase == versionstore.ApplyNotWritten || state.Phase == versionstore.ApplyProposed {
+		t.Fatalf("after an unknown outcome %s resolves to %v, %v", m.head.ApplyID, state.Phase, err)
+	}
+	return state.Phase
+}
+
 func (m *machine) decided(phase versionstore.ApplyPhase) {
 	m.head.Generation++
 	if phase == versionstore.ApplyCommitted {
