Close unused connections to leaving nodes whatever their service

Only a call to the same service closed them before, so that a drain waited its 5 s for callers that had gone quiet. The pool is now compared with the directory when that has changed, at the cost of one look-up for each address in use.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -26,7 +26,7 @@
 	var tried [maximumAttempts]string
 	var failure error
 	for c.report.Attempts = 0; ; {
-		c.destination.refresh(c.plane.config.Directory)
+		c.plane.refreshMembers(c.destination)
 		pick, err := c.pick(tried[:c.report.Attempts])
 		if err != nil {
 			c.giveUp(failure)
@@ -127,7 +127,7 @@
 }
 
 func (c *callerCall) attemptPeer(endpoint balance.Endpoint) (*answer, balance.Result, error) {
-	transport := c.plane.peers.get(endpoint.Address)
+	transport := c.plane.peers.get(endpoint.ID, endpoint.Address)
 	sending := sending{
 		transport: transport.Transport,
 		request:   c.peerRequest(endpoint.Address),
--- a/internal/dataplane/destination.go
+++ b/internal/dataplane/destination.go
@@ -15,12 +15,8 @@
 	balancer *balance.Balancer
 	budget   *retry.Budget
 
-	// retire is called with each address that is no longer one of the service's.
-	retire func(address string)
-
-	updating  sync.Mutex
-	addresses map[string]struct{}
-	view      atomic.Pointer[membership.View]
+	updating sync.Mutex
+	view     atomic.Pointer[membership.View]
 }
 
 // destinations keeps one destination for each service ever called.
@@ -47,12 +43,18 @@
 func (p *Plane) newDestination(name string) *destination {
 	return &destination{
 		name:     name,
-		retire:   p.peers.retire,
 		balancer: balance.New(p.config.Balance),
 		budget:   retry.NewBudget(p.config.Budget),
 	}
 }
 
+// refreshMembers brings a destination and the connections to other nodes up to
+// date with the directory.
+func (p *Plane) refreshMembers(d *destination) {
+	d.refresh(p.config.Directory)
+	p.peers.compare(p.config.Directory())
+}
+
 // refresh hands the members to the balancer when they have changed.
 func (d *destination) refresh(directory func() *membership.View) {
 	view := directory()
@@ -65,23 +67,8 @@
 	if view == d.view.Load() {
 		return
 	}
-	endpoints := endpointsOf(view, d.name)
-	d.balancer.Update(endpoints)
+	d.balancer.Update(endpointsOf(view, d.name))
 	d.view.Store(view)
-	d.retireMissing(endpoints)
-}
-
-// retireMissing retires the addresses that were there before and are not now.
-func (d *destination) retireMissing(endpoints []balance.Endpoint) {
-	former := d.addresses
-	d.addresses = make(map[string]struct{}, len(endpoints))
-	for _, endpoint := range endpoints {
-		d.addresses[endpoint.Address] = struct{}{}
-		delete(former, endpoint.Address)
-	}
-	for address := range former {
-		d.retire(address)
-	}
 }
 
 func endpointsOf(view *membership.View, service string) []balance.Endpoint {
--- a/internal/dataplane/drain_test.go
+++ b/internal/dataplane/drain_test.go
@@ -118,3 +118,16 @@
 		t.Error("the leaving node was never asked: the test shows nothing")
 	}
 }
+
+func TestUnusedConnectionsToALeavingNodeAreClosed(t *testing.T) {
+	m := newMesh(t)
+	leaving := m.addHandler("a", func(http.ResponseWriter, *http.Request) {})
+	m.call("GET", "/", "").expect(t, http.StatusOK, "")
+	if leaving.plane.peerConnections.count() == 0 {
+		t.Fatal("no connection was kept")
+	}
+	m.addHandler("b", func(http.ResponseWriter, *http.Request) {})
+	m.leave("a")
+	m.call("GET", "/", "").expect(t, http.StatusOK, "")
+	eventually(t, "connections closed", func() bool { return leaving.plane.peerConnections.count() == 0 })
+}
--- a/internal/dataplane/framing_test.go
+++ b/internal/dataplane/framing_test.go
@@ -3,9 +3,11 @@
 import (
 	"bufio"
 	"bytes"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -162,3 +164,30 @@
 		}
 	}
 }
+
+func TestCheckedListenerKeepsTheStateOfTLS(t *testing.T) {
+	certificate := httptest.NewUnstartedServer(nil)
+	certificate.StartTLS()
+	defer certificate.Close()
+	versions := make(chan uint16, 1)
+	server := httptest.NewUnstartedServer(http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		if r.TLS != nil && r.TLS.HandshakeComplete {
+			versions <- r.TLS.Version
+			return
+		}
+		versions <- 0
+	}))
+	server.Listener = CheckedListener(tls.NewListener(server.Listener, certificate.TLS))
+	server.Start()
+	defer server.Close()
+	client := certificate.Client()
+	defer client.CloseIdleConnections()
+	response, err := client.Get("https://" + server.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	if got := <-versions; got != tls.VersionTLS13 {
+		t.Errorf("the handler saw TLS version %#x", got)
+	}
+}
--- a/internal/dataplane/pool.go
+++ b/internal/dataplane/pool.go
@@ -4,11 +4,14 @@
 	"net/http"
 	"sync"
 	"sync/atomic"
+
+	"github.com/levertide/levertide/pkg/membership"
 )
 
 // peerTransport holds the connections to one address.
 type peerTransport struct {
 	*http.Transport
+	node    string
 	retired atomic.Bool
 }
 
@@ -29,6 +32,9 @@
 
 	mutex      sync.RWMutex
 	transports map[string]*peerTransport
+
+	// view is the directory that the transports were last compared with.
+	view atomic.Pointer[membership.View]
 }
 
 func newPeerPool(config *Config) *peerPool {
@@ -38,19 +44,24 @@
 	}
 }
 
-func (p *peerPool) get(address string) *peerTransport {
+// get returns the transport for a node at an address.
+func (p *peerPool) get(node, address string) *peerTransport {
 	p.mutex.RLock()
 	transport := p.transports[address]
 	p.mutex.RUnlock()
-	if transport != nil {
+	if transport != nil && transport.node == node {
 		return transport
 	}
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if transport := p.transports[address]; transport != nil {
+	transport = p.transports[address]
+	if transport != nil && transport.node == node {
 		return transport
 	}
-	transport = &peerTransport{Transport: p.make()}
+	if transport != nil {
+		transport.retire()
+	}
+	transport = &peerTransport{Transport: p.make(), node: node}
 	p.transports[address] = transport
 	return transport
 }
@@ -63,9 +74,38 @@
 	delete(p.transports, address)
 	p.mutex.Unlock()
 	if transport != nil {
-		transport.retired.Store(true)
-		transport.CloseIdleConnections()
+		transport.retire()
+	}
+}
+
+func (t *peerTransport) retire() {
+	t.retired.Store(true)
+	t.CloseIdleConnections()
+}
+
+// compare retires the addresses of nodes that a new directory does not list as
+// live there.
+func (p *peerPool) compare(view *membership.View) {
+	former := p.view.Load()
+	if view == nil || view == former || !p.view.CompareAndSwap(former, view) {
+		return
+	}
+	for _, address := range p.unlisted(view) {
+		p.retire(address)
+	}
+}
+
+func (p *peerPool) unlisted(view *membership.View) []string {
+	p.mutex.RLock()
+	defer p.mutex.RUnlock()
+	var addresses []string
+	for address, transport := range p.transports {
+		record, ok := view.Get(transport.node)
+		if !ok || record.State != membership.StateLive || record.CallAddress != address {
+			addresses = append(addresses, address)
+		}
 	}
+	return addresses
 }
 
 func (p *peerPool) close() {
