Test the store protocol over TCP, with outages, resets and rivals

Histories of four clients whose connections toxiproxy cuts are checked with porcupine; outages before, during and after the write, lost answers, 429, a paused holder, operators at once, and a restored copy run against the stand-in.

A resend without reading back is not caught here, because the apply identifier settles it a second time; the state machine in pkg/versionstore catches it.

--- a/pkg/versionstore/versionstore_test.go
+++ b/pkg/versionstore/versionstore_test.go
@@ -1,6 +1,7 @@
 package versionstore_test
 
 import (
+	"context"
 	"fmt"
 	"testing"
 
@@ -181,6 +182,35 @@
 	requireType(t, err, versionstore.ErrStoreRegressed)
 }
 
+// overtakenStore calls overtake once, between a read and its answer.
+type overtakenStore struct {
+	store.Store
+	overtake func()
+}
+
+func (s *overtakenStore) Get(ctx context.Context, key string, options store.ReadOptions) (store.Record, uint64, error) {
+	record, index, err := s.Store.Get(ctx, key, options)
+	if overtake := s.overtake; overtake != nil {
+		s.overtake = nil
+		overtake()
+	}
+	return record, index, err
+}
+
+func TestAnswerOvertakenByAWriteIsNoRegression(t *testing.T) {
+	backend := &overtakenStore{Store: memory.New(memory.Options{})}
+	versions := open(backend)
+	publish(t, versions, "apply-1", "ledger")
+	backend.overtake = func() { publish(t, versions, "apply-2", "archive") }
+	head, _, err := versions.ReadHead(t.Context(), true)
+	if err != nil || head.Committed != 1 {
+		t.Fatalf("the overtaken read gave %+v, %v", head, err)
+	}
+	if newest := versions.NewestHead(); newest.Committed != 2 {
+		t.Errorf("the newest head known is %+v", newest)
+	}
+}
+
 func TestLoadFetchesOnlyWhatTheBaseLacks(t *testing.T) {
 	backend := memory.New(memory.Options{})
 	versions := open(backend)
--- /dev/null
+++ b/tests/robustness/storeprotocol/model_test.go
@@ -0,0 +1,123 @@
+package storeprotocol_test
+
+import (
+	"fmt"
+
+	"github.com/anishathalye/porcupine"
+
+	"github.com/levertide/levertide/pkg/rollout"
+)
+
+// action is what a client asked for.
+type action uint8
+
+const (
+	actionRead action = iota
+	actionPropose
+	actionCommit
+	actionAbort
+)
+
+// verdict is what a client was told.
+type verdict uint8
+
+const (
+	// verdictDone: it took effect, or the head was read.
+	verdictDone verdict = iota
+	// verdictRefused: the head did not allow it.
+	verdictRefused
+	// verdictNoEffect: it failed and certainly had no effect.
+	verdictNoEffect
+	// verdictUnknown: it may have taken effect, then or later.
+	verdictUnknown
+)
+
+// input and output are the two halves of one recorded operation.
+type input struct {
+	action  action
+	applyID string
+	// version is the base of a proposal and the subject of a decision.
+	version rollout.Version
+}
+
+type output struct {
+	verdict verdict
+	// version is the number given to a proposal.
+	version rollout.Version
+	// head is what a read returned.
+	head headModel
+}
+
+// headModel is the part of the head that the protocol is about.
+type headModel struct {
+	committed, proposed, highest, rejected rollout.Version
+	applyID                                string
+}
+
+// historyModel is the sequential specification of the head.
+func historyModel() porcupine.Model {
+	model := porcupine.NondeterministicModel{
+		Init: func() []any { return []any{headModel{}} },
+		Step: func(state, in, out any) []any { return step(state.(headModel), in.(input), out.(output)) },
+		DescribeOperation: func(in, out any) string {
+			return fmt.Sprintf("%+v -> %+v", in, out)
+		},
+	}
+	return model.ToModel()
+}
+
+// step returns the heads that may follow, none when the output is impossible.
+func step(head headModel, in input, out output) []any {
+	next, allowed := apply(head, in)
+	switch out.verdict {
+	case verdictNoEffect:
+		return []any{head}
+	case verdictUnknown:
+		if allowed {
+			return []any{head, next}
+		}
+		return []any{head}
+	case verdictRefused:
+		return when(!allowed, head)
+	}
+	if in.action == actionRead {
+		return when(out.head == head, head)
+	}
+	if in.action == actionPropose {
+		return when(allowed && out.version == next.proposed, next)
+	}
+	return when(allowed, next)
+}
+
+func when(possible bool, head headModel) []any {
+	if !possible {
+		return nil
+	}
+	return []any{head}
+}
+
+// apply carries an action out, if the head allows it.
+func apply(head headModel, in input) (headModel, bool) {
+	next := head
+	switch in.action {
+	case actionPropose:
+		next.highest++
+		next.proposed = next.highest
+		next.applyID = in.applyID
+		return next, head.proposed == 0 && head.committed == in.version
+	case actionCommit:
+		if head.committed == in.version {
+			return head, true
+		}
+		next.committed, next.proposed = in.version, 0
+		return next, head.proposed == in.version && head.applyID == in.applyID
+	case actionAbort:
+		if head.rejected == in.version {
+			return head, true
+		}
+		next.rejected, next.proposed = in.version, 0
+		return next, head.proposed == in.version
+	default:
+		return head, true
+	}
+}
