--- a/internal/lab/baseline/baseline_test.go
+++ b/internal/lab/baseline/baseline_test.go
@@ -49,13 +49,13 @@
 }
 
 // check checks that every node got every change and that bytes were counted.
-func check(t *testing.T, result baseline.Result, err error) {
+func check(t *testing.T, result baseline.Result, err error, nodes int) {
 	t.Helper()
 	if err != nil {
 		t.Fatal(err)
 	}
-	if result.Missing != 0 || len(result.Convergence) != 2 || len(result.Rates) != 6 {
-		t.Errorf("result %+v, want 2 changes on 6 nodes", result)
+	if result.Missing != 0 || len(result.Convergence) != 2 || len(result.Rates) != nodes {
+		t.Errorf("result %+v, want 2 changes and %d rates", result, nodes)
 	}
 	for _, rate := range result.Rates {
 		if rate <= 0 {
@@ -66,7 +66,7 @@
 
 func TestPolling(t *testing.T) {
 	result, err := baseline.Polling(context.Background(), options(t))
-	check(t, result, err)
+	check(t, result, err, 6)
 	if result.Requests <= 0 {
 		t.Error("no requests counted")
 	}
@@ -74,7 +74,7 @@
 
 func TestHub(t *testing.T) {
 	result, err := baseline.Hub(context.Background(), options(t))
-	check(t, result, err)
+	check(t, result, err, 7)
 	if result.ServerRate <= 0 {
 		t.Error("no bytes of the hub counted")
 	}
--- a/internal/lab/baseline/hub.go
+++ b/internal/lab/baseline/hub.go
@@ -50,7 +50,10 @@
 	defer sending.closeAll()
 	defer func() { _ = listener.Close() }()
 	defer cancel()
-	return run.run(ctx, sending.next)
+	result, err := run.run(ctx, sending.next)
+	// The hub is a node too.
+	result.Rates = append(result.Rates, result.ServerRate)
+	return result, err
 }
 
 // accept serves nodes until the listener is closed.
--- a/internal/lab/baseline/options.go
+++ b/internal/lab/baseline/options.go
@@ -40,7 +40,7 @@
 	// had it, in milliseconds.
 	Convergence []float64
 	// Rates holds the control bytes of each node per second, both directions,
-	// averaged over the run.
+	// averaged over the run. The hub's own is among them.
 	Rates []float64
 	// ServerRate is the same for the store or the hub.
 	ServerRate float64
--- a/internal/lab/results/scale.go
+++ b/internal/lab/results/scale.go
@@ -65,12 +65,22 @@
 	Convergence        *Quantiles  `json:"convergence_ms"`
 	ControlBytes       *Spread     `json:"control_bytes_per_node_per_second"`
 	ControlBytesByRole RoleSpreads `json:"control_bytes_by_role"`
-	WindowSeconds      int         `json:"window_seconds"`
-	StoreReaders       *int        `json:"store_readers"`
-	StoreRequests      *float64    `json:"store_requests_per_second"`
-	Applied            int         `json:"changes_applied"`
-	Failed             int         `json:"changes_failed"`
-	Note               string      `json:"note,omitempty"`
+	// Heaviest lists the nodes that moved most in one window.
+	Heaviest      []HeavyNode `json:"heaviest_nodes"`
+	WindowSeconds int         `json:"window_seconds"`
+	StoreReaders  *int        `json:"store_readers"`
+	StoreRequests *float64    `json:"store_requests_per_second"`
+	Applied       int         `json:"changes_applied"`
+	Failed        int         `json:"changes_failed"`
+	Note          string      `json:"note,omitempty"`
+}
+
+// HeavyNode is a node that moved many control bytes, in its heaviest window.
+type HeavyNode struct {
+	Node           string  `json:"node"`
+	Role           string  `json:"role"`
+	BytesPerSecond float64 `json:"bytes_per_second"`
+	StartSecond    float64 `json:"start_second"`
 }
 
 // Second is one second of a run.
--- a/internal/lab/scale/fit_test.go
+++ b/internal/lab/scale/fit_test.go
@@ -47,7 +47,7 @@
 		})
 	}
 	values := windowsOf(samples, 0, 10, 3)
-	want := []windowValue{{100, 0}, {100, 0}, {100, 0}, {100, 1}, {100, 1}}
+	want := []windowValue{{100, 0, 0}, {100, 0, 1}, {100, 0, 5}, {100, 1, 6}, {100, 1, 7}}
 	if len(values) != len(want) {
 		t.Fatalf("%d windows, want %d: %v", len(values), len(want), values)
 	}
--- a/internal/lab/scale/measurements.go
+++ b/internal/lab/scale/measurements.go
@@ -1,7 +1,9 @@
 package scale
 
 import (
+	"cmp"
 	"math"
+	"slices"
 	"sync"
 	"time"
 
@@ -126,11 +128,15 @@
 
 // spreads are control bytes over nodes and windows, in all and by role.
 type spreads struct {
-	all    *results.Spread
-	byRole results.RoleSpreads
-	window int
+	all      *results.Spread
+	byRole   results.RoleSpreads
+	window   int
+	heaviest []results.HeavyNode
 }
 
+// mostHeavy bounds the heaviest nodes that are listed.
+const mostHeavy = 12
+
 // spreadsOver works out control bytes between two seconds of the run. Each
 // node gives one value for each window that slides over the span second by
 // second and in which it ran throughout; its role in a window is the largest
@@ -141,13 +147,22 @@
 	window = min(window, max(to-from-windowSlack, 1))
 	var all []float64
 	byRole := make([][]float64, len(results.Roles()))
-	for _, samples := range m.nodes {
+	var heavy []results.HeavyNode
+	for node, samples := range m.nodes {
+		heaviest := windowValue{}
 		for _, value := range windowsOf(samples, from, to, window) {
 			all = append(all, value.rate)
 			byRole[value.role] = append(byRole[value.role], value.rate)
+			if value.rate > heaviest.rate {
+				heaviest = value
+			}
 		}
+		heavy = append(heavy, results.HeavyNode{
+			Node: node, Role: results.Roles()[heaviest.role], BytesPerSecond: heaviest.rate, StartSecond: heaviest.start,
+		})
 	}
-	worked := spreads{all: results.SpreadOf(observe.Distribute(all)), window: int(math.Round(window))}
+	slices.SortFunc(heavy, func(a, b results.HeavyNode) int { return cmp.Compare(b.BytesPerSecond, a.BytesPerSecond) })
+	worked := spreads{heaviest: heavy[:min(len(heavy), mostHeavy)], all: results.SpreadOf(observe.Distribute(all)), window: int(math.Round(window))}
 	for number, role := range results.Roles() {
 		worked.byRole.Set(role, results.SpreadOf(observe.Distribute(byRole[number])))
 	}
@@ -156,8 +171,9 @@
 
 // windowValue is one node's rate in one window.
 type windowValue struct {
-	rate float64
-	role int
+	rate  float64
+	role  int
+	start float64
 }
 
 // windowsOf returns the rate of every window of a node in a span.
@@ -189,7 +205,7 @@
 		role = max(role, one.role)
 		end = one.to
 		if end-begin >= window-windowTolerance {
-			return windowValue{rate: total / (end - begin), role: role}, true
+			return windowValue{rate: total / (end - begin), role: role, start: begin}, true
 		}
 	}
 	return windowValue{}, false
--- a/internal/lab/scale/phase.go
+++ b/internal/lab/scale/phase.go
@@ -138,6 +138,7 @@
 		Convergence:        results.QuantilesOf(observe.Distribute(worked.last)),
 		ControlBytes:       bytes.all,
 		ControlBytesByRole: bytes.byRole,
+		Heaviest:           bytes.heaviest,
 		WindowSeconds:      bytes.window,
 		StoreReaders:       cluster.requests.mostReaders(ended.started, now),
 		StoreRequests:      &rate,
--- a/internal/lab/scale/workload.go
+++ b/internal/lab/scale/workload.go
@@ -1,6 +1,8 @@
 package scale
 
 import (
+	"encoding/base64"
+	"encoding/binary"
 	"fmt"
 	"maps"
 	"math/rand/v2"
@@ -46,7 +48,7 @@
 	}
 	for i := range services {
 		made.put(made.service(i, baseQueue))
-		made.put(secret(secretName(i), fmt.Sprintf("value-%d", i)))
+		made.put(made.secret(i))
 		for number := range routesPerService {
 			made.put(made.route(fmt.Sprintf("%s-%d", serviceName(i), number), i, time.Duration(number+1)*time.Second))
 		}
@@ -91,11 +93,18 @@
 	}
 }
 
-// secret returns a secret.
-func secret(name, value string) model.Resource {
+// secretBytes is the size of a secret, of random bytes as real ones are.
+const secretBytes = 32
+
+// secret returns a service's secret with a new random value.
+func (w *workload) secret(service int) model.Resource {
+	value := make([]byte, 0, secretBytes)
+	for len(value) < secretBytes {
+		value = binary.BigEndian.AppendUint64(value, w.random.Uint64())
+	}
 	return model.Resource{
-		Key:    model.Key{Kind: model.KindSecret, Name: name},
-		Secret: &model.Secret{Value: value},
+		Key:    model.Key{Kind: model.KindSecret, Name: secretName(service)},
+		Secret: &model.Secret{Value: base64.StdEncoding.EncodeToString(value)},
 	}
 }
 
@@ -116,7 +125,7 @@
 		w.added = append(w.added, name)
 		changed.set = []model.Resource{w.route(name, service, 3*time.Second)}
 	case 2:
-		changed.set = []model.Resource{secret(secretName(service), fmt.Sprintf("value-%d-%d", service, w.serial))}
+		changed.set = []model.Resource{w.secret(service)}
 	case 3:
 		changed.set = []model.Resource{w.service(service, baseQueue+w.serial)}
 	default:
