Recover a restored store also from a rollout and from another history

A head known to nodes may name a proposed version, or have the generation that other writes were given since; both left the recovery refused for good. What was proposed is given up under a higher number, and the generation goes past both. Settling a lost answer no longer takes the store that is being brought past for one that has gone back.

Seen to fail on a copy: the proposed version kept, the generation taken from the known head alone, the known head not compared with what was seen.

--- a/pkg/versionstore/propose.go
+++ b/pkg/versionstore/propose.go
@@ -26,7 +26,8 @@
 	Resources []model.Resource
 	// KnownHead is set only after the platform's store was restored from an
 	// older copy: the newest head that the nodes hold. A store that is behind
-	// it is then brought past it instead of being refused.
+	// it is then brought past it instead of being refused, and what was
+	// proposed in it or in the store is given up.
 	KnownHead *rollout.Head
 }
 
@@ -111,12 +112,24 @@
 		}
 		state = headState{head: head, modifyIndex: record.ModifyIndex}
 	}
-	if known := request.KnownHead; known != nil && state.head.Generation < known.Generation {
-		state.head = *known
+	if known := request.KnownHead; known != nil && regressed(state.head, *known) {
+		err := v.guard.check(*known, seenBefore)
+		state.head = broughtPast(state.head, *known)
+		return state, sweepIndex, err
 	}
 	return state, sweepIndex, v.guard.check(state.head, seenBefore)
 }
 
+// broughtPast returns the head to build on when the store has gone back: what
+// the nodes run, with generation and numbers that neither side has used.
+func broughtPast(found, known rollout.Head) rollout.Head {
+	next := known
+	next.Generation = max(found.Generation, known.Generation)
+	next.HighestUsed = max(found.HighestUsed, known.HighestUsed)
+	next.Proposed = 0
+	return next
+}
+
 func checkProposal(head rollout.Head, request ProposeRequest) error {
 	switch {
 	case head.ApplyID == request.ApplyID:
--- a/pkg/versionstore/swap.go
+++ b/pkg/versionstore/swap.go
@@ -84,11 +84,12 @@
 	defer cancel()
 	refused := false
 	for attempt := 0; ; attempt++ {
-		found, err := v.readCheckedHead(ctx, store.ReadOptions{Consistent: true})
+		// Only what this write became is asked here; a store that has gone back
+		// is noticed by the next read.
+		found, err := v.readUncheckedHead(ctx, store.ReadOptions{Consistent: true})
 		switch {
-		case errorx.IsOfType(err, ErrStoreRegressed):
-			return swapOutcome{result: swapUnknown}, ErrUnknownOutcome.Wrap(err, "the store went back while a write of the head was settled")
 		case err == nil && found.modifyIndex != change.from.modifyIndex:
+			v.guard.learn(found.head)
 			return swapOutcome{result: compareMoved(change, found), found: found}, nil
 		case err == nil && refused:
 			return swapOutcome{result: swapRefused}, nil
