Export the rule by which a store has gone back

The command line decides by the generation alone whether a recovery applies, which leaves out another history under the same or a higher generation.

--- a/pkg/versionstore/guard.go
+++ b/pkg/versionstore/guard.go
@@ -32,7 +32,7 @@
 // began. An older head that is newer than that is an answer that crossed
 // another on the way, not a regression.
 func (g *guard) check(found, seenBefore rollout.Head) error {
-	if regressed(found, seenBefore) {
+	if Regressed(found, seenBefore) {
 		return withHead(ErrStoreRegressed.New(
 			"the store holds head %d with version %d committed, but head %d with version %d was seen before",
 			found.Generation, found.Committed, seenBefore.Generation, seenBefore.Committed), found)
@@ -41,7 +41,9 @@
 	return nil
 }
 
-func regressed(found, seen rollout.Head) bool {
+// Regressed reports whether a store that holds found has gone back behind
+// seen, a head that it held before, or gives another history since.
+func Regressed(found, seen rollout.Head) bool {
 	switch {
 	case found.Generation < seen.Generation:
 		return true
--- a/pkg/versionstore/propose.go
+++ b/pkg/versionstore/propose.go
@@ -112,7 +112,7 @@
 		}
 		state = headState{head: head, modifyIndex: record.ModifyIndex}
 	}
-	if known := request.KnownHead; known != nil && regressed(state.head, *known) {
+	if known := request.KnownHead; known != nil && Regressed(state.head, *known) {
 		err := v.guard.check(*known, seenBefore)
 		state.head = broughtPast(state.head, *known)
 		return state, sweepIndex, err
