--- a/internal/sim/node_watch.go
+++ b/internal/sim/node_watch.go
@@ -199,7 +199,7 @@
 func (a *agent) takeDelta(message encodedDelta, scope snapshot.Scope) {
 	delta, err := snapshot.DecodeDelta(message.header, message.payload)
 	if err != nil {
-		a.world.oracle.violate("delta cannot be read", a.node.id, err.Error())
+		a.world.oracle.violate(InvariantDelta, a.node.id, err.Error())
 		return
 	}
 	received, err := delta.Apply(a.base(delta))
@@ -311,7 +311,7 @@
 	delta := snapshot.Diff(base, target.Restrict(request.scope))
 	payload, err := delta.Encode()
 	if err != nil {
-		a.world.oracle.violate("delta cannot be written", a.node.id, err.Error())
+		a.world.oracle.violate(InvariantDelta, a.node.id, err.Error())
 		return encodedDelta{}, false
 	}
 	delta.Upserts, delta.Removed = nil, nil
--- a/internal/sim/world.go
+++ b/internal/sim/world.go
@@ -202,3 +202,12 @@
 
 // Elapsed returns how much simulated time has gone by.
 func (w *World) Elapsed() time.Duration { return w.scheduler.now }
+
+// Machine is one of the machines that nodes run on.
+type Machine = *node
+
+// Nodes returns how many machines there are.
+func (w *World) Nodes() int { return len(w.nodes) }
+
+// Node returns one of them.
+func (w *World) Node(index int) Machine { return w.nodes[index] }
