--- a/Makefile
+++ b/Makefile
@@ -4,7 +4,7 @@
 GO ?= go
 STATICCHECK = $(GO) tool -modfile=tools/go.mod staticcheck
 VERSION ?= $(shell git describe --tags --always --dirty 2>/dev/null || echo unknown)
-LDFLAGS = -X github.com/levertide/levertide/internal/daemon.Version=$(VERSION)
+LDFLAGS = -X github.com/levertide/levertide/internal/daemon.Version=$(VERSION) -X main.version=$(VERSION)
 
 .PHONY: build demo test lint generate check-generated clean
 
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -62,6 +62,7 @@
 // Run runs the node until the context ends, and then stops it as planned:
 // calls in flight end first. The error is nil after a planned stop.
 func (d *Daemon) Run(ctx context.Context, signal func() string) error {
+	tuneMemory()
 	d.log.Started(Version, d.settings.Region, d.settings.Zone, d.settings.Service, d.incarnation)
 	d.log.Listening(d.listeners.caller.address, d.listeners.call.address,
 		d.listeners.control.Addr().String(), d.listeners.admin.address)
