Close the stand-in's listener before an outage is reported in force

Seen once in 25 runs under the race detector: an outage set right after Listen met a server that had not begun to serve, so that its listener was closed a moment later and a write met a reset instead of a refusal.

--- a/internal/lab/platform/server.go
+++ b/internal/lab/platform/server.go
@@ -45,6 +45,7 @@
 	mutex    sync.Mutex
 	address  string
 	server   *http.Server
+	listener net.Listener
 	closed   bool
 	stop     chan struct{}
 	stopOnce sync.Once
@@ -92,7 +93,7 @@
 
 func (s *Server) serveLocked(listener net.Listener) {
 	server := &http.Server{Handler: s.handler, ReadHeaderTimeout: readHeaderTimeout}
-	s.server = server
+	s.server, s.listener = server, listener
 	s.running.Go(func() {
 		err := server.Serve(listener)
 		if err != nil && !errors.Is(err, http.ErrServerClosed) {
@@ -108,15 +109,25 @@
 	if s.address == "" || s.closed {
 		return
 	}
-	if !listening && s.server != nil {
-		_ = s.server.Close() // the connections are to break
-		s.server = nil
+	if !listening {
+		s.stopServingLocked()
 	}
 	if listening && s.server == nil {
 		s.reopenLocked()
 	}
 }
 
+// stopServingLocked breaks all connections. The listener is closed here as
+// well, since a server that has not begun to serve does not know it yet.
+func (s *Server) stopServingLocked() {
+	if s.server == nil {
+		return
+	}
+	_ = s.listener.Close() // it may be closed already
+	_ = s.server.Close()   // nothing is left to be answered
+	s.server, s.listener = nil, nil
+}
+
 func (s *Server) reopenLocked() {
 	for {
 		listener, err := net.Listen("tcp", s.address)
@@ -137,12 +148,8 @@
 	s.stopOnce.Do(func() { close(s.stop) })
 	s.mutex.Lock()
 	s.closed = true
-	server := s.server
-	s.server = nil
+	s.stopServingLocked()
 	s.mutex.Unlock()
-	if server != nil {
-		_ = server.Close() // nothing is left to be answered
-	}
 	s.running.Wait()
 }
 
