Measure a steady step in rounds

The machine is shared, and a burst of other work within a step of ten seconds decided its p99 alone. The added time is the median over rounds of the difference of quantiles; every round's difference and the load average of the machine are in the report.

--- a/internal/lab/load/command.go
+++ b/internal/lab/load/command.go
@@ -22,6 +22,7 @@
 	events := flags.String("events", "", "file for the events of levertided processes; none when empty")
 	flags.StringVar(&options.Levertided, "levertided", "", "path of levertided; data planes inside the lab when empty")
 	flags.DurationVar(&options.Duration, "duration", DefaultDuration, "length of one step")
+	flags.IntVar(&options.Rounds, "rounds", DefaultRounds, "parts that a step of the steady mode is measured in")
 	flags.IntVar(&options.Workers, "workers", DefaultWorkers, "workers of the service")
 	flags.IntVar(&options.Zones, "zones", DefaultZones, "zones that they are spread over")
 	flags.IntVar(&options.Slots, "slots", DefaultSlots, "requests that one worker runs at once")
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -7,6 +7,7 @@
 	"testing"
 	"time"
 
+	"github.com/levertide/levertide/internal/lab/results"
 	"github.com/levertide/levertide/internal/lab/worker"
 )
 
@@ -41,6 +42,9 @@
 	if step.DirectMS.P50 < 1 || step.ThroughMS.P50 < 1 {
 		t.Errorf("times below the worker's own: direct %v, through %v", step.DirectMS, step.ThroughMS)
 	}
+	if len(step.AddedRounds) != DefaultRounds {
+		t.Errorf("%d rounds", len(step.AddedRounds))
+	}
 	if *report.Calls != step.Through.Calls || report.Added == nil {
 		t.Errorf("top of the report: %+v", report.Load)
 	}
@@ -77,6 +81,19 @@
 	}
 }
 
+func TestMediansOfRounds(t *testing.T) {
+	rounds := []results.Quantiles{{P50: 3, P99: 1}, {P50: 1, P99: 50}, {P50: 2, P99: 2}}
+	if got := medians(rounds); got.P50 != 2 || got.P99 != 2 {
+		t.Errorf("%+v", got)
+	}
+	if got := medians(rounds[:2]); got.P50 != 2 || got.P99 != 25.5 {
+		t.Errorf("%+v", got)
+	}
+	if medians(nil) != nil {
+		t.Error("figures without rounds")
+	}
+}
+
 func TestDuplicatesAcrossWorkers(t *testing.T) {
 	seen := executions{"a-once-1": 1, "a-once-2": 2, "b-3": 2}
 	if got := seen.duplicates(isOnce); got != 1 {
--- a/internal/lab/load/memory.go
+++ b/internal/lab/load/memory.go
@@ -46,3 +46,17 @@
 	value := float64(bytes) / megabyte
 	return &value
 }
+
+// loadAverage reads the load average of one minute; nil where there is none.
+func loadAverage() *float64 {
+	content, err := os.ReadFile("/proc/loadavg")
+	if err != nil {
+		return nil
+	}
+	first, _, _ := bytes.Cut(content, []byte(" "))
+	value, err := strconv.ParseFloat(string(first), 64)
+	if err != nil {
+		return nil
+	}
+	return &value
+}
--- a/internal/lab/load/meter.go
+++ b/internal/lab/load/meter.go
@@ -2,6 +2,7 @@
 
 import (
 	"maps"
+	"slices"
 	"sync"
 	"time"
 
@@ -50,6 +51,38 @@
 	}
 }
 
+// merge adds the times of another meter.
+func (m *meter) merge(other *meter) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.histogram.Merge(other.histogram)
+}
+
+// medians returns the median of each quantile; nil for no rounds.
+func medians(rounds []results.Quantiles) *results.Quantiles {
+	if len(rounds) == 0 {
+		return nil
+	}
+	return &results.Quantiles{
+		P50: medianOf(rounds, func(q results.Quantiles) float64 { return q.P50 }),
+		P99: medianOf(rounds, func(q results.Quantiles) float64 { return q.P99 }),
+		Max: medianOf(rounds, func(q results.Quantiles) float64 { return q.Max }),
+	}
+}
+
+func medianOf(rounds []results.Quantiles, field func(results.Quantiles) float64) float64 {
+	values := make([]float64, len(rounds))
+	for i, round := range rounds {
+		values[i] = field(round)
+	}
+	slices.Sort(values)
+	middle := len(values) / 2
+	if len(values)%2 == 1 {
+		return values[middle]
+	}
+	return (values[middle-1] + values[middle]) / 2
+}
+
 // difference subtracts quantile from quantile; nil when one is missing.
 func difference(through, direct *results.Quantiles) *results.Quantiles {
 	if through == nil || direct == nil {
@@ -80,7 +113,7 @@
 	defer t.mutex.Unlock()
 	t.counts.Calls++
 	if ended.reason != "" {
-		t.addReason(ended.reason)
+		t.addReason(ended.reason, 1)
 	}
 	switch ended.kind {
 	case endingAnswered:
@@ -95,11 +128,25 @@
 	}
 }
 
-func (t *tally) addReason(reason outcome.Reason) {
+// merge adds the calls of another tally that has come to its end.
+func (t *tally) merge(other *tally) {
+	t.times.merge(other.times)
+	t.counts.Calls += other.counts.Calls
+	t.counts.Answered += other.counts.Answered
+	t.counts.NotRun += other.counts.NotRun
+	t.counts.Unknown += other.counts.Unknown
+	t.counts.Wrong += other.counts.Wrong
+	t.notRun = append(t.notRun, other.notRun...)
+	for reason, count := range other.counts.Reasons {
+		t.addReason(reason, count)
+	}
+}
+
+func (t *tally) addReason(reason outcome.Reason, count int) {
 	if t.counts.Reasons == nil {
 		t.counts.Reasons = make(map[outcome.Reason]int)
 	}
-	t.counts.Reasons[reason]++
+	t.counts.Reasons[reason] += count
 }
 
 // result returns the counts, with what the workers' records show of these calls.
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -13,6 +13,7 @@
 	// Nodes tells what the calls went through.
 	Nodes    string       `json:"nodes"`
 	Seed     uint64       `json:"seed"`
+	Machine  Machine      `json:"machine"`
 	Steady   []Step       `json:"steady"`
 	Overload *Overload    `json:"overload"`
 	Chain    *Chain       `json:"chain"`
@@ -28,6 +29,15 @@
 	NodesInside    = "data planes inside the lab"
 )
 
+// Machine tells how busy the machine was with this and with other work.
+type Machine struct {
+	Cores int `json:"cores"`
+	// The load averages are those of one minute, at the start and at the end;
+	// nil where the system tells none.
+	LoadAtStart *float64 `json:"load_average_at_start"`
+	LoadAtEnd   *float64 `json:"load_average_at_end"`
+}
+
 // Counts are the calls of one kind by how they ended.
 type Counts struct {
 	Calls    int `json:"calls"`
@@ -52,7 +62,12 @@
 	Through     Counts             `json:"through"`
 	DirectMS    *results.Quantiles `json:"direct_ms"`
 	ThroughMS   *results.Quantiles `json:"through_ms"`
-	AddedMS     *results.Quantiles `json:"added_ms"`
+	// AddedMS is the median over the rounds of the difference between the
+	// quantiles of the two; a burst of other work on the machine spoils one
+	// round and not the step.
+	AddedMS *results.Quantiles `json:"added_ms"`
+	// AddedRounds are the differences of each round.
+	AddedRounds []results.Quantiles `json:"added_rounds_ms"`
 	// LatenessMS is how late the lab itself started calls; it is part of both times.
 	LatenessMS *results.Quantiles `json:"lateness_ms"`
 	// CallsPerCoreSecond is the calls for each second of processor time that all
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -3,15 +3,18 @@
 import (
 	"context"
 	"fmt"
+	"runtime"
 
 	"github.com/levertide/levertide/internal/lab/results"
 )
 
 // Run measures what the options ask for. A report with failures comes together
 // with an error of type ErrFailed.
-func Run(ctx context.Context, options Options) (Report, error) {
+func Run(ctx context.Context, options Options) (report Report, err error) {
 	options = options.withDefaults()
-	report := Report{Nodes: NodesInside, Seed: options.Seed}
+	report = Report{Nodes: NodesInside, Seed: options.Seed}
+	report.Machine = Machine{Cores: runtime.NumCPU(), LoadAtStart: loadAverage()}
+	defer func() { report.Machine.LoadAtEnd = loadAverage() }()
 	if options.Levertided != "" {
 		report.Nodes = NodesProcesses
 	}
