Send a request further when the endpoint chosen has no free slot

Spilling over followed the mean load of the own zone alone, so that at half the load of a zone a request could wait for a slot while endpoints half a millisecond away were idle. The load of the endpoint chosen counts as well now, and requests outstanding from here are its lower bound.

--- a/pkg/balance/balancer_test.go
+++ b/pkg/balance/balancer_test.go
@@ -134,7 +134,7 @@
 		c.Advance(5 * time.Millisecond)
 		counts[mustPick(t, b).Endpoint.ID]++
 	}
-	if own := counts["n0"] + counts["n1"]; own < slots || own > 3*slots {
+	if own := counts["n0"] + counts["n1"]; own < slots || own > 2*slots {
 		t.Errorf("%d of %d requests went to an own zone of %d slots", own, 10*slots, 2*slots)
 	}
 }
--- a/pkg/balance/endpoint.go
+++ b/pkg/balance/endpoint.go
@@ -69,7 +69,8 @@
 )
 
 // expectedLoad returns the last load reported, aged, and what the requests sent
-// since then must have added to it: in a burst no report comes in time.
+// since then must have added to it: in a burst no report comes in time. It is
+// never less than what the requests outstanding from here must make up.
 func (s *endpointState) expectedLoad(now int64, halfLife time.Duration) float64 {
 	at := s.loadAt.Load()
 	if at == noTime {
@@ -77,9 +78,11 @@
 	}
 	load := math.Float64frombits(s.loadBits.Load())
 	age := float64(max(now-at, 0)) / float64(halfLife)
-	since := float64(max(s.outstanding.Load()-s.loadWith.Load(), 0))
+	outstanding := s.outstanding.Load()
+	since := float64(max(outstanding-s.loadWith.Load(), 0))
 	share := math.Float64frombits(s.shareBits.Load())
-	return min(load*math.Exp2(-age)+since*share, 1)
+	expected := max(load*math.Exp2(-age)+since*share, float64(outstanding)*share)
+	return min(expected, 1)
 }
 
 // reportLoad takes a report that came while with requests were outstanding.
--- a/pkg/balance/options.go
+++ b/pkg/balance/options.go
@@ -10,6 +10,7 @@
 	DefaultLoadAge            = 500 * time.Millisecond
 	DefaultSpillStart         = 0.6
 	DefaultSpillFull          = 0.95
+	DefaultSpillBusy          = 0.75
 	DefaultFailuresToEject    = 3
 	DefaultEjectionTime       = 2 * time.Second
 	DefaultMaximumEjection    = 60 * time.Second
@@ -38,6 +39,10 @@
 	// requests begin to go further; at SpillFull all do, unless the endpoints
 	// there are busier.
 	SpillStart, SpillFull float64
+	// SpillBusy is the load of the chosen endpoint from which a request goes
+	// further if a less loaded one is found there. The default is the load at
+	// which an admission gate has no free slot, so that the request would wait.
+	SpillBusy float64
 	// FailuresToEject is the number of failures in a row after which an endpoint
 	// is ejected.
 	FailuresToEject int
@@ -70,6 +75,7 @@
 	defaultTo(&o.LoadAge, DefaultLoadAge)
 	defaultTo(&o.SpillStart, DefaultSpillStart)
 	defaultTo(&o.SpillFull, DefaultSpillFull)
+	defaultTo(&o.SpillBusy, DefaultSpillBusy)
 	defaultTo(&o.FailuresToEject, DefaultFailuresToEject)
 	defaultTo(&o.FailureRate, DefaultFailureRate)
 	defaultTo(&o.FailureRateSamples, DefaultFailureRateSamples)
--- a/pkg/balance/pick.go
+++ b/pkg/balance/pick.go
@@ -51,34 +51,36 @@
 	ignoreEjections bool
 }
 
-// run returns nil when no endpoint is usable.
+// run goes from near to far as long as requests spill over, and returns the
+// least loaded of the endpoints drawn. It returns nil when none is usable.
 func (s *search) run() *candidate {
-	var near *candidate
-	nearLoad := 0.0
+	var best *candidate
+	bestLoad, mean := 0.0, 1.0
 	for tier := range s.set.tiers {
 		found := s.pickIn(s.set.tiers[tier])
 		if found == nil {
 			continue
 		}
-		load := s.set.load(tier)
-		if near == nil || load < nearLoad {
-			near, nearLoad = found, load
+		load := s.load(found)
+		if best == nil || load < bestLoad {
+			best, bestLoad = found, load
 		}
-		if !s.balancer.spills(nearLoad) {
-			return near
+		mean = min(mean, s.set.load(tier))
+		if bestLoad < s.balancer.options.SpillBusy && !s.balancer.spills(mean) {
+			return best
 		}
 	}
-	return near
+	return best
 }
 
 // spills decides whether a request goes further than endpoints of the given
 // mean load.
-func (b *Balancer) spills(load float64) bool {
-	if load <= b.options.SpillStart {
+func (b *Balancer) spills(mean float64) bool {
+	if mean <= b.options.SpillStart {
 		return false
 	}
 	span := b.options.SpillFull - b.options.SpillStart
-	return b.chance((load - b.options.SpillStart) / span)
+	return b.chance((mean - b.options.SpillStart) / span)
 }
 
 // pickIn draws two usable endpoints and returns the cheaper.
@@ -146,6 +148,9 @@
 // cost rises with the requests outstanding from here and the load reported.
 func (s *search) cost(c *candidate) float64 {
 	outstanding := float64(max(c.state.outstanding.Load(), 0))
-	load := c.state.expectedLoad(s.now, s.balancer.options.LoadAge)
-	return (outstanding + 1) * (1 + load*reportedLoadWeight)
+	return (outstanding + 1) * (1 + s.load(c)*reportedLoadWeight)
+}
+
+func (s *search) load(c *candidate) float64 {
+	return c.state.expectedLoad(s.now, s.balancer.options.LoadAge)
 }
