Compress version records

A reader fetches the record of each version. 1,000 resources took 116,194 bytes of JSON and take 38,332 compressed. Decompression is bounded to 4 MiB and 256 KiB of window; a record that does not decompress is corrupt.

--- a/pkg/versionstore/record.go
+++ b/pkg/versionstore/record.go
@@ -48,6 +48,8 @@
 	Rejection *rollout.Rejection `json:"rejection,omitempty"`
 }
 
+// encodeRecord writes a record as compressed JSON: most of it is digests in
+// hexadecimal and the names of fields.
 func encodeRecord(record VersionRecord) ([]byte, error) {
 	encoded := encodedRecord{
 		Number:    record.Number,
@@ -70,12 +72,19 @@
 	if err != nil {
 		return nil, ErrInvalidRequest.Wrap(err, "version %d cannot be encoded", record.Number)
 	}
-	return value, nil
+	if len(value) > maxRecordBytes {
+		return nil, ErrTooLarge.New("the record of version %d takes %d bytes, the limit is %d", record.Number, len(value), maxRecordBytes)
+	}
+	return compress(value), nil
 }
 
 func decodeRecord(value []byte) (VersionRecord, error) {
+	plain, err := decompress(value)
+	if err != nil {
+		return VersionRecord{}, err
+	}
 	var encoded encodedRecord
-	if err := json.Unmarshal(value, &encoded); err != nil {
+	if err := json.Unmarshal(plain, &encoded); err != nil {
 		return VersionRecord{}, ErrCorrupt.Wrap(err, "a version record cannot be read")
 	}
 	snapshotDigest, err := parseDigest(encoded.Snapshot)
