Refuse requests whose route is out of a node's scope instead of misrouting them

Cause: Restrict dropped routes to services outside of the scope, so that a less specific route in scope took their requests: with / to A and /filings to B, a worker with calls: [A] had /filings sent to A.

Entries of kind OutOfScope are part of the digest and travel in deltas; New refuses them, so that they cannot be declared.

--- a/internal/dataplane/caller.go
+++ b/internal/dataplane/caller.go
@@ -92,6 +92,8 @@
 	switch result {
 	case routing.NoRoute:
 		return outcome.New(outcome.NoRoute)
+	case routing.OutOfScope:
+		return outcome.New(outcome.OutOfScope)
 	case routing.MethodNotAllowed:
 		methods := active.table.AllowedMethods(host, path)
 		c.writer.Header()["Allow"] = []string{strings.Join(methods, ", ")}
--- /dev/null
+++ b/internal/dataplane/scope_test.go
@@ -0,0 +1,41 @@
+package dataplane
+
+import (
+	"net/http"
+	"sync/atomic"
+	"testing"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/snapshot"
+)
+
+// A node that holds only its scope refuses a request of a route that it does not
+// hold; it does not send it to the service of a less specific route.
+func TestRequestOfARouteOutOfScopeReachesNoWorker(t *testing.T) {
+	m := newMesh(t)
+	filings := testRoute("/filings", model.RepeatNever)
+	filings.Service = "filings"
+	resources := append(
+		testResources(map[string]*model.Route{"default": testRoute("/", model.RepeatNever), "filings": filings}),
+		model.Resource{Key: model.Key{Kind: model.KindService, Name: "filings"}, Service: &model.Service{Slots: 1, Connections: 1}},
+	)
+	resources[0].Service.Calls = []string{}
+	whole, err := snapshot.New(2, resources)
+	if err != nil {
+		t.Fatal(err)
+	}
+	m.current.Store(whole.Restrict(snapshot.Scope{Service: testService}))
+	var requests atomic.Int64
+	m.addHandler("a", func(http.ResponseWriter, *http.Request) { requests.Add(1) })
+
+	got := m.call("POST", "/filings/7", "x")
+	got.expect(t, http.StatusMisdirectedRequest, "not-run")
+	if reason := got.header.Get("Levertide-Reason"); reason != string(outcome.OutOfScope) {
+		t.Errorf("reason %q", reason)
+	}
+	if requests.Load() != 0 {
+		t.Errorf("%d requests reached the worker of another service", requests.Load())
+	}
+	m.call("POST", "/other", "x").expect(t, http.StatusOK, "")
+}
--- a/pkg/model/encoding_test.go
+++ b/pkg/model/encoding_test.go
@@ -22,6 +22,7 @@
 			Repeatable: model.RepeatNever,
 			Credential: &model.Credential{Secret: "token", Header: "Authorization"},
 		}},
+		{Key: model.Key{Kind: model.KindOutOfScope, Name: "books"}, OutOfScope: &model.Match{Host: "*", Path: "/books"}},
 	}
 }
 
--- /dev/null
+++ b/pkg/model/match_test.go
@@ -0,0 +1,33 @@
+package model_test
+
+import (
+	"testing"
+
+	"github.com/levertide/levertide/pkg/model"
+)
+
+func TestOverlaps(t *testing.T) {
+	prefix := func(host, prefix string) model.Match { return model.Match{Host: host, PathPrefix: prefix} }
+	exact := func(host, path string) model.Match { return model.Match{Host: host, Path: path} }
+	for _, test := range []struct {
+		one, two model.Match
+		want     bool
+	}{
+		{prefix("*", "/"), prefix("a.example", "/x"), true},
+		{prefix("*.example", "/"), prefix("A.Example.", "/x"), true},
+		{prefix("*.example", "/"), prefix("*.a.example", "/x"), true},
+		{prefix("*.example", "/"), prefix("example", "/"), false},
+		{prefix("a.example", "/"), prefix("b.example", "/"), false},
+		{prefix("*.b", "/"), prefix("*.c", "/"), false},
+		{prefix("*", "/a"), prefix("*", "/a/"), true},
+		{prefix("*", "/a"), prefix("*", "/ab"), false},
+		{prefix("*", "/a/b"), exact("*", "/a/b/c"), true},
+		{prefix("*", "/a/b"), exact("*", "/a"), false},
+		{exact("*", "/a"), exact("*", "/a"), true},
+		{exact("*", "/a"), exact("*", "/a/"), false},
+	} {
+		if got, back := test.one.Overlaps(test.two), test.two.Overlaps(test.one); got != test.want || back != test.want {
+			t.Errorf("%v and %v: %v, %v the other way round, want %v", test.one, test.two, got, back, test.want)
+		}
+	}
+}
--- a/pkg/model/resource.go
+++ b/pkg/model/resource.go
@@ -16,6 +16,10 @@
 	KindSecret  Kind = "Secret"
 )
 
+// KindOutOfScope is the kind that stands, in a part of a set, for a route that
+// the part does not hold. Operators cannot declare it.
+const KindOutOfScope Kind = "OutOfScope"
+
 // Key identifies one resource inside a file set or a snapshot.
 type Key struct {
 	Kind Kind   `json:"kind"`
@@ -42,13 +46,15 @@
 // String returns the digest in lower-case hexadecimal.
 func (d Digest) String() string { return hex.EncodeToString(d[:]) }
 
-// Resource is one declared resource. Exactly one of Service, Route and Secret
-// is set, and it agrees with Key.Kind.
+// Resource is one resource. Exactly one of the bodies is set, and it agrees with
+// Key.Kind.
 type Resource struct {
 	Key     Key      `json:"key"`
 	Service *Service `json:"service,omitempty"`
 	Route   *Route   `json:"route,omitempty"`
 	Secret  *Secret  `json:"secret,omitempty"`
+	// OutOfScope is what a route that is not held takes.
+	OutOfScope *Match `json:"outOfScope,omitempty"`
 }
 
 // Service is a group of interchangeable workers that answer the same requests.
--- a/pkg/outcome/reason.go
+++ b/pkg/outcome/reason.go
@@ -17,6 +17,9 @@
 	NoRoute Reason = "no-route"
 	// MethodNotAllowed: routes match host and path, but none takes the method.
 	MethodNotAllowed Reason = "method-not-allowed"
+	// OutOfScope: the route that takes the request leads to a service which the
+	// worker beside the node is not declared to call, so the node does not hold it.
+	OutOfScope Reason = "out-of-scope"
 	// NotReady: the node has no configuration in force yet.
 	NotReady Reason = "not-ready"
 	// NoWorker: the service has no worker that may be tried.
@@ -69,6 +72,7 @@
 	Unsupported:         {NotRun, http.StatusNotImplemented, "the request is not supported"},
 	NoRoute:             {NotRun, http.StatusNotFound, "no route matches the request"},
 	MethodNotAllowed:    {NotRun, http.StatusMethodNotAllowed, "no route takes this method"},
+	OutOfScope:          {NotRun, http.StatusMisdirectedRequest, "the node does not hold the route of the request"},
 	NotReady:            {NotRun, http.StatusServiceUnavailable, "the node has no configuration in force"},
 	NoWorker:            {NotRun, http.StatusServiceUnavailable, "the service has no worker"},
 	Unreachable:         {NotRun, http.StatusServiceUnavailable, "no worker could be reached"},
--- a/pkg/routing/doc.go
+++ b/pkg/routing/doc.go
@@ -16,6 +16,10 @@
 // segment boundaries only: "/a" takes "/a", "/a/" and "/a/b", not "/ab"; a
 // trailing slash of a prefix is ignored.
 //
+// A snapshot that holds only a scope also tells which routes out of scope overlap
+// with its own. A request that such a route takes gives OutOfScope and never a
+// less specific route, which would lead to another service.
+//
 // Match makes no allocations, and its cost depends on the host's labels and the
 // path's segments, not on the number of routes.
 package routing
--- a/pkg/routing/match.go
+++ b/pkg/routing/match.go
@@ -20,6 +20,8 @@
 	NoRoute
 	// MethodNotAllowed: routes match host and path, but none takes the method.
 	MethodNotAllowed
+	// OutOfScope: the route that takes the request is not held.
+	OutOfScope
 )
 
 // Match returns the most specific route that takes a request. Host is the Host
@@ -27,13 +29,17 @@
 // unless the result is Matched.
 func (t *Table) Match(host, path, method string) (*Route, MatchResult) {
 	search := search{path: path, method: method}
-	if route := t.find(&search, host); route != nil {
+	route := t.find(&search, host)
+	switch {
+	case route != nil && route.outOfScope:
+		return nil, OutOfScope
+	case route != nil:
 		return route, Matched
-	}
-	if search.pathMatched {
+	case search.pathMatched:
 		return nil, MethodNotAllowed
+	default:
+		return nil, NoRoute
 	}
-	return nil, NoRoute
 }
 
 // search is a look-up in progress.
@@ -146,8 +152,8 @@
 	return methods.find(s.method)
 }
 
-// AllowedMethods returns the methods, sorted, that routes list for a host and
-// path. It is for answers to requests whose method is not allowed.
+// AllowedMethods returns the methods, sorted, that routes which are held list for
+// a host and path. It is for answers to requests whose method is not allowed.
 func (t *Table) AllowedMethods(host, path string) []string {
 	search := search{path: path, collect: map[string]struct{}{}}
 	t.find(&search, host)
--- a/pkg/routing/route.go
+++ b/pkg/routing/route.go
@@ -23,6 +23,9 @@
 	CredentialHeader string
 	// Credential is nil when the route has none.
 	Credential *model.Secret
+	// outOfScope marks a route of which only the match is known. It is never
+	// handed out.
+	outOfScope bool
 }
 
 func newRoute(name string, config *model.Route, source *snapshot.Snapshot) (*Route, error) {
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -4,16 +4,10 @@
 	"slices"
 	"strings"
 
+	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/snapshot"
 )
 
-// anyHost is the host of routes that take every host; anySubdomain begins the
-// host of routes that take every sub-domain.
-const (
-	anyHost      = "*"
-	anySubdomain = "*."
-)
-
 // Table finds routes. It is immutable and safe for concurrent use.
 type Table struct {
 	version  uint64
@@ -41,6 +35,12 @@
 		if err := table.add(route); err != nil {
 			return nil, err
 		}
+		table.routes[name] = route
+	}
+	for name, match := range source.OutOfScope() {
+		if err := table.add(&Route{Name: name, Config: &model.Route{Match: match}, outOfScope: true}); err != nil {
+			return nil, err
+		}
 	}
 	return table, nil
 }
@@ -48,10 +48,10 @@
 // Version returns the version of the snapshot that the table was compiled from.
 func (t *Table) Version() uint64 { return t.version }
 
-// Len returns the number of routes.
+// Len returns the number of routes that are held.
 func (t *Table) Len() int { return len(t.routes) }
 
-// Route returns a route by its name.
+// Route returns a route that is held by its name.
 func (t *Table) Route(name string) (*Route, bool) {
 	route, ok := t.routes[name]
 	return route, ok
@@ -69,17 +69,16 @@
 	if other := entry.add(route); other != nil {
 		return ErrAmbiguousRoute.New("routes %q and %q take the same requests", other.Name, route.Name)
 	}
-	t.routes[route.Name] = route
 	return nil
 }
 
 func (t *Table) pathsOf(route *Route) (*pathTable, error) {
-	host := strings.ToLower(strings.TrimSuffix(route.Config.Match.Host, "."))
+	host := route.Config.Match.CanonicalHost()
 	switch {
-	case host == anyHost:
+	case host == model.AnyHost:
 		return t.any, nil
-	case strings.HasPrefix(host, anySubdomain) && validName(host[len(anySubdomain):]):
-		return pathTableFor(t.suffixes, host[len(anyHost):]), nil
+	case strings.HasPrefix(host, model.AnySubdomain) && validName(host[len(model.AnySubdomain):]):
+		return pathTableFor(t.suffixes, host[len(model.AnyHost):]), nil
 	case validName(host):
 		return pathTableFor(t.exact, host), nil
 	default:
@@ -122,7 +121,7 @@
 	case match.Path != "" && match.PathPrefix == "" && match.Path[0] == '/':
 		return p.exactEntry(match.Path), nil
 	case match.PathPrefix != "" && match.Path == "" && match.PathPrefix[0] == '/':
-		return p.prefixEntry(match.PathPrefix), nil
+		return p.prefixEntry(match.CanonicalPrefix()), nil
 	default:
 		return nil, ErrInvalidRoute.New("route %q must have either a path or a path prefix, and it must begin with a slash", route.Name)
 	}
@@ -137,13 +136,13 @@
 	return entry
 }
 
+// prefixEntry returns the entry of a canonical prefix.
 func (p *pathTable) prefixEntry(prefix string) *methodTable {
 	node := &p.prefix
-	trimmed := strings.TrimSuffix(prefix[1:], "/")
-	if trimmed == "" {
+	if prefix == "" {
 		return &node.methods
 	}
-	for segment := range strings.SplitSeq(trimmed, "/") {
+	for segment := range strings.SplitSeq(prefix[1:], "/") {
 		node = node.child(segment)
 	}
 	return &node.methods
@@ -211,7 +210,9 @@
 func (m *methodTable) empty() bool { return m.any == nil && len(m.listed) == 0 }
 
 func (m *methodTable) collect(methods map[string]struct{}) {
-	for i := range m.listed {
-		methods[m.listed[i].method] = struct{}{}
+	for _, listed := range m.listed {
+		if !listed.route.outOfScope {
+			methods[listed.method] = struct{}{}
+		}
 	}
 }
--- a/pkg/snapshot/errors.go
+++ b/pkg/snapshot/errors.go
@@ -11,6 +11,9 @@
 	ErrDanglingReference = errorNamespace.NewType("dangling_reference")
 	// ErrDuplicate tells that two resources of a set have the same key.
 	ErrDuplicate = errorNamespace.NewType("duplicate")
+	// ErrNotDeclarable tells that a resource is of a kind that only a
+	// restriction makes.
+	ErrNotDeclarable = errorNamespace.NewType("not_declarable")
 	// ErrBaseMismatch tells that a delta starts from other content than the
 	// snapshot that it was to be applied to.
 	ErrBaseMismatch = errorNamespace.NewType("base_mismatch")
--- a/pkg/snapshot/restrict.go
+++ b/pkg/snapshot/restrict.go
@@ -16,6 +16,10 @@
 // same version number. It is closed, and shares its resources with s. A service
 // whose Calls is nil may call every service, so its scope covers everything; a
 // service that is not in the snapshot covers nothing.
+//
+// A route that the scope does not cover, but whose requests a covered route
+// could take in its place, stays as an entry of OutOfScope, without its service
+// and its secret.
 func (s *Snapshot) Restrict(scope Scope) *Snapshot {
 	if scope.All {
 		return s
@@ -36,31 +40,52 @@
 
 // reachable returns the entries that a worker of the service can need, in order.
 func (s *Snapshot) reachable(name string, own *model.Service) []*entry {
-	services := make(map[string]struct{}, len(own.Calls)+1)
-	services[name] = struct{}{}
+	services := nameSet{name: {}}
 	for _, callee := range own.Calls {
 		services[callee] = struct{}{}
 	}
-	secrets := map[string]struct{}{}
-	var kept []*entry
+	covered, others := s.routesTo(services)
+	kept := s.overlapping(covered, others)
+	kept = append(kept, covered...)
+	kept = appendNamed(kept, s.ofKind(model.KindSecret), secretsOf(covered))
+	return appendNamed(kept, s.ofKind(model.KindService), services)
+}
+
+// nameSet is a set of names of one kind.
+type nameSet map[string]struct{}
+
+func (n nameSet) has(name string) bool {
+	_, found := n[name]
+	return found
+}
+
+// routesTo parts the routes into those that lead to the services and the others.
+func (s *Snapshot) routesTo(services nameSet) (covered, others []*entry) {
 	for _, item := range s.ofKind(model.KindRoute) {
-		route := item.resource.Route
-		if _, wanted := services[route.Service]; !wanted {
-			continue
+		if services.has(item.resource.Route.Service) {
+			covered = append(covered, item)
+		} else {
+			others = append(others, item)
 		}
-		kept = append(kept, item)
-		if route.Credential != nil {
-			secrets[route.Credential.Secret] = struct{}{}
+	}
+	return covered, others
+}
+
+// secretsOf returns the names of the secrets that routes use.
+func secretsOf(routes []*entry) nameSet {
+	names := nameSet{}
+	for _, item := range routes {
+		if credential := item.resource.Route.Credential; credential != nil {
+			names[credential.Secret] = struct{}{}
 		}
 	}
-	kept = appendNamed(kept, s.ofKind(model.KindSecret), secrets)
-	return appendNamed(kept, s.ofKind(model.KindService), services)
+	return names
 }
 
 // appendNamed appends the items whose names are wanted.
-func appendNamed(kept, items []*entry, wanted map[string]struct{}) []*entry {
+func appendNamed(kept, items []*entry, wanted nameSet) []*entry {
 	for _, item := range items {
-		if _, found := wanted[item.key().Name]; found {
+		if wanted.has(item.key().Name) {
 			kept = append(kept, item)
 		}
 	}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -15,14 +15,18 @@
 	entries []*entry
 }
 
-// New builds a snapshot. It fails with ErrDanglingReference, ErrDuplicate or
-// model.ErrMalformed, and keeps the pointers inside the given resources.
+// New builds a snapshot of declared resources. It fails with
+// ErrDanglingReference, ErrDuplicate, ErrNotDeclarable or model.ErrMalformed,
+// and keeps the pointers inside the given resources.
 func New(version uint64, resources []model.Resource) (*Snapshot, error) {
 	entries := make([]*entry, 0, len(resources))
 	for _, resource := range resources {
 		if err := resource.CheckShape(); err != nil {
 			return nil, err
 		}
+		if resource.Key.Kind == model.KindOutOfScope {
+			return nil, ErrNotDeclarable.New("%s cannot be declared", resource.Key)
+		}
 		entries = append(entries, newEntry(resource))
 	}
 	if err := sortEntries(entries); err != nil {
@@ -69,8 +73,8 @@
 // no part of it: equal contents have equal digests.
 func (s *Snapshot) Digest() model.Digest { return s.digest }
 
-// Len returns how many resources there are.
-func (s *Snapshot) Len() int { return len(s.entries) }
+// Len returns how many resources are held.
+func (s *Snapshot) Len() int { return len(s.held()) }
 
 // WithVersion returns the same content under another number.
 func (s *Snapshot) WithVersion(version uint64) *Snapshot {
@@ -80,10 +84,11 @@
 	return &Snapshot{version: version, digest: s.digest, entries: s.entries}
 }
 
-// Keys returns the keys of all resources in order.
+// Keys returns the keys of all resources held, in order.
 func (s *Snapshot) Keys() []model.Key {
-	keys := make([]model.Key, len(s.entries))
-	for i, item := range s.entries {
+	held := s.held()
+	keys := make([]model.Key, len(held))
+	for i, item := range held {
 		keys[i] = item.key()
 	}
 	return keys
@@ -125,10 +130,10 @@
 	return resource.Secret, found
 }
 
-// Resources yields all resources in the order of their keys.
+// Resources yields all resources held in the order of their keys.
 func (s *Snapshot) Resources() iter.Seq[model.Resource] {
 	return func(yield func(model.Resource) bool) {
-		for _, item := range s.entries {
+		for _, item := range s.held() {
 			if !yield(item.resource) {
 				return
 			}
@@ -158,6 +163,25 @@
 	}
 }
 
+// OutOfScope yields, in the order of their names, routes of the whole set that
+// the snapshot does not hold although they overlap with routes that it holds.
+// Nothing but what they take is known of them.
+func (s *Snapshot) OutOfScope() iter.Seq2[string, model.Match] {
+	return func(yield func(string, model.Match) bool) {
+		for _, item := range s.ofKind(model.KindOutOfScope) {
+			if !yield(item.key().Name, *item.resource.OutOfScope) {
+				return
+			}
+		}
+	}
+}
+
+// held returns the entries besides those of routes out of scope, whose kind is
+// the first in order.
+func (s *Snapshot) held() []*entry {
+	return s.entries[len(s.ofKind(model.KindOutOfScope)):]
+}
+
 // ofKind returns the entries of one kind, which lie side by side.
 func (s *Snapshot) ofKind(kind model.Kind) []*entry {
 	first := sort.Search(len(s.entries), func(i int) bool { return s.entries[i].key().Kind >= kind })
--- a/pkg/validation/check.go
+++ b/pkg/validation/check.go
@@ -103,6 +103,8 @@
 		target.checkRoute(*resource.Route)
 	case model.KindSecret:
 		target.checkSecret(*resource.Secret)
+	default:
+		target.report("", "resources of this kind cannot be declared", "")
 	}
 	encoded, _ := model.Encode(resource)
 	if len(encoded) > c.limits.MaxResourceBytes {
