--- a/internal/sim/applies.go
+++ b/internal/sim/applies.go
@@ -110,26 +110,28 @@
 		errorx.IsOfType(err, versionstore.ErrStoreRegressed)
 }
 
-// Recover brings a restored store past what it holds and what the nodes know,
-// as an operator does after the alarm.
+// Recover brings a restored store past what the nodes know, as an operator does
+// after the alarm.
 func (w *World) Recover() {
 	w.faults.count("store recovered")
-	known := w.oracle.head
+	var known rollout.Head
 	for _, n := range w.nodes {
 		if n.process.alive {
 			known = n.agent.raise(known)
 		}
 	}
-	known.Generation++
-	known.Proposed = 0
 	w.Apply(&known)
 }
 
-// raise returns the head with the numbers that the node knows of, if they are
-// higher.
+// raise returns the newer of a head and the node's, with the highest numbers
+// that the node knows of.
 func (a *agent) raise(known rollout.Head) rollout.Head {
 	state := a.participant.State()
-	known.Generation = max(known.Generation, state.Head.Generation)
+	if state.Head.Generation > known.Generation {
+		committed, highest := known.Committed, known.HighestUsed
+		known = state.Head
+		known.Committed, known.HighestUsed = max(known.Committed, committed), max(known.HighestUsed, highest)
+	}
 	known.Committed = max(known.Committed, state.Head.Committed, state.Floor, a.reported.committed)
 	known.HighestUsed = max(known.HighestUsed, known.Committed, state.Head.HighestUsed, a.reported.proposed)
 	return known
