Test a store that is slower than the client's timeout

Writes take effect after the client has given them up. Seen to fail with a lost answer taken as refused.

--- a/tests/robustness/storeprotocol/outage_test.go
+++ b/tests/robustness/storeprotocol/outage_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/levertide/levertide/internal/lab/platform"
+	"github.com/levertide/levertide/internal/platform/consul"
 	"github.com/levertide/levertide/internal/platform/consul/wire"
 	"github.com/levertide/levertide/pkg/store"
 	"github.com/levertide/levertide/pkg/versionstore"
@@ -114,6 +115,25 @@
 	requireHead(t, address, 1, 0, 1)
 }
 
+// TestStoreSlowerThanTheTimeout makes answers come after the client has given
+// them up, while the writes take effect all the same.
+func TestStoreSlowerThanTheTimeout(t *testing.T) {
+	server, address := startPlatform(t)
+	const timeout = 400 * time.Millisecond
+	client := consul.New(consul.Config{Address: "http://" + address, Timeout: timeout})
+	t.Cleanup(client.Close)
+	watched := &watchedStore{Store: client}
+	watched.before = func(number int) {
+		if number == proposalTransaction {
+			server.SetFaults(platform.Faults{Delay: 2 * timeout})
+			go endOutage(t.Context(), server, platform.OutageNone)
+		}
+	}
+	versions := open(watched)
+	publish(t, versions, "apply-1", "ledger")
+	requireHead(t, address, 2, 1, 0)
+}
+
 func TestAnswersLostAfterEachWrite(t *testing.T) {
 	server, address := startPlatform(t)
 	versions := open(dial(t, address))
