Decide about further attempts in one state machine

One change of behaviour: a call that meets no worker at all no longer earns a share of a retry for the budget, since it made no attempt.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -16,45 +16,49 @@
 // noWorkerRetryAfter is what a caller is told to wait when a service has no worker.
 const noWorkerRetryAfter = time.Second
 
-// maximumAttempts bounds the attempts of one call, those that met a leaving node
-// included, which take nothing from the allowance.
-const maximumAttempts = 12
-
 // run makes attempts until one is answered or no further one is allowed.
 func (c *callerCall) run() {
-	c.destination.budget.Earn()
-	var tried [maximumAttempts]string
-	var failure error
-	for c.report.Attempts = 0; ; {
+	var tried [retry.MaximumAttempts]string
+	for {
 		c.plane.refreshMembers(c.destination)
-		pick, err := c.pick(tried[:c.report.Attempts])
+		pick, err := c.pick(tried[:c.attempts.Made()])
 		if err != nil {
-			c.giveUp(failure)
+			c.giveUp()
 			return
 		}
-		tried[c.report.Attempts] = pick.Endpoint.ID
-		c.report.Attempts++
+		tried[c.attempts.Made()] = pick.Endpoint.ID
+		c.carried = c.attempts.Begin()
 		result, seen, err := c.attempt(pick.Endpoint)
 		if err == nil {
 			c.conclude(result, &pick, seen)
 			return
 		}
 		pick.Done(seen)
-		failure = worse(failure, err)
-		if c.report.Attempts == maximumAttempts || !c.mayTryAgain(err) || !c.pause(err) {
-			c.giveUp(failure)
+		if !c.attempts.Fail(err, c.canGoOn(), time.Now()) || !c.pause() {
+			c.giveUp()
 			return
 		}
 	}
 }
 
-// worse returns the failure to report after another attempt has failed. Once an
-// attempt may have run, the request may have run, whatever later ones say.
-func worse(earlier, later error) error {
-	if earlier != nil && outcome.Of(earlier) == outcome.Unknown && outcome.Of(later) == outcome.NotRun {
-		return earlier
-	}
-	return later
+// newAttempts returns the state of the call before its first attempt.
+func (c *callerCall) newAttempts() retry.Attempts {
+	return retry.NewAttempts(retry.AttemptsOptions{
+		Allowance:  c.allowance,
+		Repeatable: c.route.MayRepeat(c.request.Method),
+		Budget:     c.destination.budget,
+		Unbounded:  c.plane.config.NoRetryBudget,
+	})
+}
+
+// canGoOn reports whether another attempt could be made at all.
+func (c *callerCall) canGoOn() bool { return c.life.ctx.Err() == nil && c.body.repeatable() }
+
+// pause waits before the next attempt. It reports false when the call ended
+// meanwhile.
+func (c *callerCall) pause() bool {
+	duration := c.attempts.Pause(c.plane.config.Backoff, rand.Float64())
+	return duration == 0 || pause(c.life.ctx, duration)
 }
 
 // pick chooses a node that was not tried yet, or one that was if there is no other.
@@ -85,9 +89,10 @@
 	return c.life.ctx.Err() != nil && !errors.Is(context.Cause(c.life.ctx), errDeadline)
 }
 
-// giveUp answers with the last failure, or says that there is no worker.
-func (c *callerCall) giveUp(failure error) {
+// giveUp answers with the failure of the attempts, or says that there is no worker.
+func (c *callerCall) giveUp() {
 	c.relay.close()
+	failure := c.attempts.Failure()
 	if failure == nil {
 		failure = outcome.WithRetryAfter(outcome.NoWorker, noWorkerRetryAfter)
 	}
@@ -110,7 +115,7 @@
 		body:      c.body,
 		life:      c.life,
 		relay:     &c.relay,
-		allowance: c.carried(),
+		allowance: c.carried,
 		expect:    c.request.Header.Get("Expect") != "",
 	})
 	seen := balance.Result{
@@ -158,7 +163,7 @@
 func (c *callerCall) peerRequest(address string) *http.Request {
 	header := outgoingHeader(c.request)
 	header[routeHeader] = []string{c.route.Name}
-	header[retry.AttemptsLeftHeader] = []string{c.carried().String()}
+	header[retry.AttemptsLeftHeader] = []string{c.carried.String()}
 	if left, ok := c.life.left(); ok {
 		header[retry.DeadlineHeader] = []string{retry.FormatDeadline(left)}
 	}
@@ -176,12 +181,6 @@
 	return outgoingRequest(c.request, scheme, address, header)
 }
 
-// carried is the allowance that the next attempt carries.
-func (c *callerCall) carried() retry.Allowance {
-	carried, _ := c.allowance.Share(c.repeatable)
-	return carried
-}
-
 // readMarks reads what another node says of itself.
 func readMarks(header http.Header) balance.Result {
 	seen := balance.Result{Draining: header.Get(drainingHeader) == drainingMark}
@@ -234,51 +233,3 @@
 		return balance.Failed
 	}
 }
-
-// mayTryAgain decides whether another attempt is allowed, and pays for it.
-func (c *callerCall) mayTryAgain(failure error) bool {
-	if c.life.ctx.Err() != nil || !c.body.repeatable() {
-		return false
-	}
-	next, ok := c.nextAllowance(failure)
-	if !ok {
-		return false
-	}
-	if !c.plane.config.NoRetryBudget && costly(failure) && !c.destination.budget.Spend(time.Now()) {
-		return false
-	}
-	c.allowance = next
-	return true
-}
-
-func (c *callerCall) nextAllowance(failure error) (retry.Allowance, bool) {
-	switch outcome.ReasonOf(failure) {
-	case outcome.DeadlineBeforeStart, outcome.CanceledBeforeStart, outcome.BodyNotReceived, outcome.Malformed,
-		outcome.Canceled, outcome.UploadFailed:
-		return 0, false
-	case outcome.Draining:
-		// Nothing was done, and the node will not be asked again for a while.
-		return c.allowance, true
-	}
-	if outcome.Of(failure) == outcome.NotRun {
-		return c.allowance.AfterNotRun()
-	}
-	if c.plane.config.NoRetryBudget && c.repeatable {
-		return c.allowance.AfterNotRun()
-	}
-	return c.allowance.AfterUnknown(c.repeatable)
-}
-
-// costly reports whether the retry counts against the budget of the service. A
-// node that is leaving refuses at no cost, and is not asked again.
-func costly(failure error) bool { return outcome.ReasonOf(failure) != outcome.Draining }
-
-// pause waits before the next attempt. It reports false when the call ended
-// meanwhile. Only a sign of overload makes it wait the first time.
-func (c *callerCall) pause(failure error) bool {
-	retryNumber := c.report.Attempts - 1
-	if retryNumber == 0 && outcome.ReasonOf(failure) != outcome.Overloaded {
-		return true
-	}
-	return pause(c.life.ctx, c.plane.config.Backoff.PauseAt(retryNumber, rand.Float64()))
-}
--- a/internal/dataplane/caller.go
+++ b/internal/dataplane/caller.go
@@ -24,8 +24,9 @@
 	relay       informationalRelay
 	route       *routing.Route
 	destination *destination
-	repeatable  bool
 	allowance   retry.Allowance
+	attempts    retry.Attempts
+	carried     retry.Allowance // by the attempt under way
 	began       time.Time
 	report      CallReport
 	// answered is set when a whole answer or a failure was written.
@@ -100,8 +101,8 @@
 		return outcome.New(outcome.MethodNotAllowed)
 	}
 	c.route = route
-	c.repeatable = route.MayRepeat(c.request.Method)
 	c.destination = active.destinations[route.ServiceName]
+	c.attempts = c.newAttempts()
 	c.report.Route, c.report.Service = route.Name, route.ServiceName
 	return nil
 }
@@ -155,6 +156,7 @@
 	if c.life != nil {
 		c.life.end()
 	}
+	c.report.Attempts = c.attempts.Made()
 	c.report.Duration = time.Since(c.began)
 	c.body.release(c.answered)
 	c.plane.config.Observer.CallFinished(c.report)
--- /dev/null
+++ b/pkg/retry/attempts.go
@@ -0,0 +1,124 @@
+package retry
+
+import (
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// MaximumAttempts bounds the attempts of one call on one node, those that met a
+// leaving node included, which take nothing from the allowance.
+const MaximumAttempts = 12
+
+// AttemptsOptions sets up Attempts.
+type AttemptsOptions struct {
+	// Allowance is what the call may still spend.
+	Allowance Allowance
+	// Repeatable tells whether the request may be sent again after an attempt
+	// that may have run.
+	Repeatable bool
+	// Budget is that of the service called.
+	Budget *Budget
+	// Unbounded takes the budget out, and has each level spend the whole
+	// allowance. It is for comparisons.
+	Unbounded bool
+}
+
+// Attempts decides, for one call on one node, whether a further attempt is made
+// and what its caller is told when none is. It reads no clock and is not safe
+// for concurrent use: Begin and Fail are called in turns.
+type Attempts struct {
+	options AttemptsOptions
+	left    Allowance
+	made    int
+	// last is the failure of the last attempt, reported the one to tell.
+	last, reported error
+}
+
+// NewAttempts returns the state of a call before its first attempt.
+func NewAttempts(options AttemptsOptions) Attempts {
+	return Attempts{options: options, left: options.Allowance}
+}
+
+// Made returns how many attempts have begun.
+func (a *Attempts) Made() int { return a.made }
+
+// Begin counts an attempt and returns the allowance that it carries.
+func (a *Attempts) Begin() Allowance {
+	a.made++
+	if a.made == 1 && !a.options.Unbounded {
+		a.options.Budget.Earn()
+	}
+	carried, _ := a.left.Share(a.options.Repeatable)
+	return carried
+}
+
+// Fail takes the failure of the attempt that has begun, an error of package
+// outcome, and reports whether another one is to be made. If so, it is paid
+// for. Possible tells whether the call could go on at all: its time is not
+// over, its caller is still there, and its body can be sent again.
+func (a *Attempts) Fail(failure error, possible bool, now time.Time) bool {
+	a.last = failure
+	if !a.mayHaveRun() || outcome.Of(failure) == outcome.Unknown {
+		a.reported = failure
+	}
+	if !possible || a.made >= MaximumAttempts {
+		return false
+	}
+	reason := outcome.ReasonOf(failure)
+	if reason == outcome.Draining {
+		// Nothing was done, and the node will not be asked again for a while.
+		return true
+	}
+	left, allowed := a.allowanceAfter(failure)
+	if endsCall(reason) || !allowed || !a.pay(now) {
+		return false
+	}
+	a.left = left
+	return true
+}
+
+// Failure returns what the caller is to be told when no further attempt is
+// made: the last failure, but never that the request did not run once an attempt
+// may have. It is nil when no attempt has failed.
+func (a *Attempts) Failure() error { return a.reported }
+
+// Pause returns the pause before the next attempt, with the random fraction
+// passed in as for Backoff.PauseAt. The first retry is made at once unless the
+// service is overloaded.
+func (a *Attempts) Pause(backoff Backoff, fraction float64) time.Duration {
+	if a.made == 1 && outcome.ReasonOf(a.last) != outcome.Overloaded {
+		return 0
+	}
+	return backoff.PauseAt(a.made-1, fraction)
+}
+
+func (a *Attempts) mayHaveRun() bool {
+	return a.reported != nil && outcome.Of(a.reported) == outcome.Unknown
+}
+
+func (a *Attempts) allowanceAfter(failure error) (Allowance, bool) {
+	switch {
+	case outcome.Of(failure) == outcome.NotRun:
+		return a.left.AfterNotRun()
+	case a.options.Unbounded && a.options.Repeatable:
+		return a.left.AfterNotRun()
+	default:
+		return a.left.AfterUnknown(a.options.Repeatable)
+	}
+}
+
+func (a *Attempts) pay(now time.Time) bool {
+	return a.options.Unbounded || a.options.Budget.Spend(now)
+}
+
+// endsCall reports whether a failure is one that another attempt would meet again.
+func endsCall(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.Malformed, outcome.DeadlineBeforeStart, outcome.CanceledBeforeStart, outcome.BodyNotReceived,
+		outcome.Canceled, outcome.UploadFailed:
+		return true
+	default:
+		return false
+	}
+}
--- a/pkg/retry/doc.go
+++ b/pkg/retry/doc.go
@@ -4,6 +4,8 @@
 // additional attempts of the whole tree of calls below it, so that levels do
 // not multiply each other's retries. Budget bounds the share of retries in the
 // requests to one service. Backoff spreads retries in time with full jitter.
+// Attempts puts the first two together: it decides after each failed attempt
+// whether another is made, and what the caller is told at the end.
 // The deadline of a call travels as the time that is left, so that clocks of
 // different machines are never compared.
 //
--- a/pkg/retry/retry_test.go
+++ b/pkg/retry/retry_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"pgregory.net/rapid"
+
+	"github.com/levertide/levertide/pkg/outcome"
 )
 
 func TestMain(m *testing.M) {
@@ -22,22 +24,22 @@
 		return 0
 	}
 	total := 0
-	repeatable := rapid.Bool().Draw(t, "repeatable")
+	attempts := NewAttempts(AttemptsOptions{
+		Allowance:  allowance,
+		Repeatable: rapid.Bool().Draw(t, "repeatable"),
+		Budget:     NewBudget(BudgetOptions{}),
+	})
 	for {
-		carried, _ := allowance.Share(repeatable)
-		var next Allowance
-		var again bool
-		if rapid.Bool().Draw(t, "notRun") {
-			next, again = allowance.AfterNotRun()
-		} else {
+		carried := attempts.Begin()
+		failure := outcome.New(outcome.Unreachable)
+		if !rapid.Bool().Draw(t, "notRun") {
 			total += extraAttempts(t, carried, levels-1)
-			next, again = allowance.AfterUnknown(repeatable)
+			failure = outcome.New(outcome.ConnectionLost)
 		}
-		if !again {
+		if !attempts.Fail(failure, true, testNow) {
 			return total
 		}
 		total++
-		allowance = next
 	}
 }
 
