Do not hold the store's own other history against a recovery

Cause: a command that recovers a restored store has read its head first, so its own guard took the nodes' head, of the same generation and another history, for a regression. Ruled out: opening a second version store for the proposal (hides the guard from all else). Before: exit 1 in TestApplyAfterTheStoreTookAnotherHistory; after: accepted. Older known heads are still refused (TestRecovery in pkg/versionstore, unchanged).

--- a/pkg/versionstore/propose.go
+++ b/pkg/versionstore/propose.go
@@ -113,13 +113,22 @@
 		state = headState{head: head, modifyIndex: record.ModifyIndex}
 	}
 	if known := request.KnownHead; known != nil && Regressed(state.head, *known) {
-		err := v.guard.check(*known, seenBefore)
+		err := v.checkKnown(*known, state.head, seenBefore)
 		state.head = broughtPast(state.head, *known)
 		return state, sweepIndex, err
 	}
 	return state, sweepIndex, v.guard.check(state.head, seenBefore)
 }
 
+// checkKnown refuses a known head that is older than one seen before. What the
+// store still holds is no such evidence: it is the history to be brought past.
+func (v *VersionStore) checkKnown(known, found, seenBefore rollout.Head) error {
+	if sameHead(found, seenBefore) {
+		return nil
+	}
+	return v.guard.check(known, seenBefore)
+}
+
 // broughtPast returns the head to build on when the store has gone back: what
 // the nodes run, with generation and numbers that neither side has used.
 func broughtPast(found, known rollout.Head) rollout.Head {
