--- a/internal/sim/settle.go
+++ b/internal/sim/settle.go
@@ -82,6 +82,8 @@
 	refused := state.Refusal != nil && state.RefusedVersion == head.Committed
 	switch {
 	case head.Committed == 0 || refused:
+	case state.Floor > head.Committed && w.oracle.restores > 0:
+		w.oracle.forgotten++ // it waits for a version that the platform has lost
 	case inForce == nil || inForce.Version() != head.Committed:
 		w.oracle.violate(InvariantInForce, n.id, fmt.Sprintf("version %d is committed: %s", head.Committed, w.describeNode(n)))
 	case !state.Ready:
