--- a/pkg/versionstore/swap.go
+++ b/pkg/versionstore/swap.go
@@ -101,9 +101,6 @@
 				return swapOutcome{result: swapDone}, nil
 			}
 		}
-		if refused {
-			continue
-		}
 		if !v.pause(ctx, attempt) {
 			return swapOutcome{result: swapUnknown}, ErrUnknownOutcome.Wrap(err, "the answer to a write of the head was lost")
 		}
