Share what calls from callers and from nodes have in common

caller.go and peer.go built, bounded, delivered, failed and ended calls by the same code twice; it stands once in inbound.go. Opening a plain and an encrypted connection share their bound and tracking.

--- a/internal/dataplane/caller.go
+++ b/internal/dataplane/caller.go
@@ -15,36 +15,18 @@
 
 // callerCall is one request from a caller, through all its attempts.
 type callerCall struct {
-	plane       *Plane
-	writer      http.ResponseWriter
-	request     *http.Request
-	control     *http.ResponseController
-	body        *requestBody
-	life        *lifetime
-	relay       informationalRelay
+	inboundCall
 	route       *routing.Route
 	destination *destination
 	allowance   retry.Allowance
 	attempts    retry.Attempts
 	carried     retry.Allowance // by the attempt under way
-	began       time.Time
-	report      CallReport
 	// answered is set when a whole answer or a failure was written.
 	answered bool
-	counted  bool // in Plane.callerCalls
 }
 
 func (p *Plane) serveCaller(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
-	c := &callerCall{
-		plane:   p,
-		writer:  w,
-		request: r,
-		control: control,
-		body:    newRequestBody(r, control, &p.limits),
-		relay:   informationalRelay{writer: w},
-		began:   time.Now(),
-	}
+	c := &callerCall{inboundCall: newInboundCall(p, &p.limits, w, r)}
 	defer c.end()
 	if err := c.prepare(); err != nil {
 		c.fail(err)
@@ -56,12 +38,9 @@
 
 // prepare does everything that comes before the first attempt.
 func (c *callerCall) prepare() error {
-	c.plane.callerCalls.enter()
-	if c.plane.closing.Load() {
-		c.plane.callerCalls.leave()
+	if !c.enter(&c.plane.callerCalls, c.plane.closing.Load) {
 		return outcome.New(outcome.Draining)
 	}
-	c.counted = true
 	if err := checkRequest(c.request); err != nil {
 		return err
 	}
@@ -76,7 +55,7 @@
 	if err := c.findRoute(); err != nil {
 		return err
 	}
-	c.startLifetime(bounds)
+	c.boundTime(bounds)
 	if err := c.body.prepare(); err != nil {
 		return outcome.Wrap(outcome.BodyNotReceived, err)
 	}
@@ -107,10 +86,10 @@
 	return nil
 }
 
-// startLifetime bounds the call by the caller's deadline, if it gave one, and by
+// boundTime bounds the call by the caller's deadline, if it gave one, and by
 // the route's. The latter starts anew with each part of a streamed body.
-func (c *callerCall) startLifetime(bounds callBounds) {
-	options := lifetimeOptions{Step: c.route.Timeout, Interrupt: c.body.interrupt}
+func (c *callerCall) boundTime(bounds callBounds) {
+	options := lifetimeOptions{Step: c.route.Timeout}
 	if bounds.given {
 		options.End = c.began.Add(bounds.left)
 		options.Deadline = options.End
@@ -118,47 +97,11 @@
 	if !c.body.streamed {
 		options.Deadline = c.began.Add(shorter(c.route.Timeout, options.End))
 	}
-	c.life = newLifetime(c.request.Context(), options)
-	c.body.moved = c.life.uploadMoved
+	c.startLifetime(options)
 }
 
-func (c *callerCall) deliver(result *answer) error {
-	c.report.Outcome = outcome.Answered
-	c.report.Status = result.response.StatusCode
-	limits := &c.plane.limits
-	delivery := delivery{
-		writer:   c.writer,
-		control:  c.control,
-		response: result.response,
-		life:     c.life,
-		stall:    limits.Stall,
-		pace:     pace{grace: limits.Grace, rate: limits.MinimumRate},
-		closing:  c.closing(),
-	}
-	err := delivery.run()
-	if err != nil {
-		c.report.Truncated = true
-		c.report.Cause = err
-	}
-	return err
-}
-
-func (c *callerCall) fail(err error) {
-	c.report.Outcome = outcome.Of(err)
-	c.report.Reason = outcome.ReasonOf(err)
-	c.report.Cause = err
-	c.report.Status = writeFailure(c.writer, c.control, err, c.closing())
-}
-
-func (c *callerCall) closing() bool { return c.plane.draining.Load() || !c.body.reusable() }
-
 func (c *callerCall) end() {
-	if c.life != nil {
-		c.life.end()
-	}
-	c.report.Attempts = c.attempts.Made()
-	c.report.Duration = time.Since(c.began)
-	c.body.release(c.answered)
+	c.finish(c.answered, c.attempts.Made())
 	c.plane.config.Observer.CallFinished(c.report)
 	if c.counted {
 		c.plane.callerCalls.leave()
--- /dev/null
+++ b/internal/dataplane/inbound.go
@@ -0,0 +1,98 @@
+package dataplane
+
+import (
+	"net/http"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// inboundCall is what requests from callers and from other nodes have in common.
+type inboundCall struct {
+	plane   *Plane
+	limits  *Limits
+	writer  http.ResponseWriter
+	request *http.Request
+	control *http.ResponseController
+	body    *requestBody
+	life    *lifetime // nil until the route is known
+	relay   informationalRelay
+	began   time.Time
+	report  CallReport
+	// counted tells that the call is among those in flight.
+	counted bool
+}
+
+func newInboundCall(p *Plane, limits *Limits, w http.ResponseWriter, r *http.Request) inboundCall {
+	control := http.NewResponseController(w)
+	return inboundCall{
+		plane:   p,
+		limits:  limits,
+		writer:  w,
+		request: r,
+		control: control,
+		body:    newRequestBody(r, control, limits),
+		relay:   informationalRelay{writer: w},
+		began:   time.Now(),
+	}
+}
+
+// enter counts the call among those in flight. It reports false, and does not
+// count it, when calls are refused: a drain does not wait for refused ones.
+func (c *inboundCall) enter(calls *inFlight, refused func() bool) bool {
+	calls.enter()
+	if refused() {
+		calls.leave()
+		return false
+	}
+	c.counted = true
+	return true
+}
+
+func (c *inboundCall) startLifetime(options lifetimeOptions) {
+	options.Interrupt = c.body.interrupt
+	c.life = newLifetime(c.request.Context(), options)
+	c.body.moved = c.life.uploadMoved
+}
+
+// deliver passes an answer on. After an error, which means that it did not
+// arrive whole, the handler must be aborted.
+func (c *inboundCall) deliver(result *answer) error {
+	c.report.Outcome = outcome.Answered
+	c.report.Status = result.response.StatusCode
+	delivery := delivery{
+		writer:   c.writer,
+		control:  c.control,
+		response: result.response,
+		life:     c.life,
+		stall:    c.limits.Stall,
+		pace:     pace{grace: c.limits.Grace, rate: c.limits.MinimumRate},
+		closing:  c.closing(),
+	}
+	err := delivery.run()
+	if err != nil {
+		c.report.Truncated = true
+		c.report.Cause = err
+	}
+	return err
+}
+
+func (c *inboundCall) fail(err error) {
+	c.report.Outcome = outcome.Of(err)
+	c.report.Reason = outcome.ReasonOf(err)
+	c.report.Cause = err
+	c.report.Status = writeFailure(c.writer, c.control, err, c.closing())
+}
+
+// closing reports whether the connection is not to be used again.
+func (c *inboundCall) closing() bool { return c.plane.draining.Load() || !c.body.reusable() }
+
+// finish releases what the call holds and completes its report.
+func (c *inboundCall) finish(answered bool, attempts int) {
+	if c.life != nil {
+		c.life.end()
+	}
+	c.body.release(answered)
+	c.report.Attempts = attempts
+	c.report.Duration = time.Since(c.began)
+}
--- a/internal/dataplane/peer.go
+++ b/internal/dataplane/peer.go
@@ -16,53 +16,30 @@
 
 // peerCall is one request from another node.
 type peerCall struct {
-	plane   *Plane
-	writer  http.ResponseWriter
-	request *http.Request
-	control *http.ResponseController
-	body    *requestBody
-	life    *lifetime
-	relay   informationalRelay
-	began   time.Time
-	report  CallReport
-	counted bool // in Plane.peerCalls
+	inboundCall
 }
 
 func (p *Plane) servePeer(w http.ResponseWriter, r *http.Request) {
-	control := http.NewResponseController(w)
-	c := &peerCall{
-		plane:   p,
-		writer:  w,
-		request: r,
-		control: control,
-		body:    newRequestBody(r, control, &p.peerLimits),
-		relay:   informationalRelay{writer: w},
-		began:   time.Now(),
-	}
+	c := &peerCall{newInboundCall(p, &p.peerLimits, w, r)}
 	defer c.end()
-	result, err := c.admit()
+	result, err := c.ask()
 	c.relay.close()
+	c.setMarks()
 	if err != nil {
 		c.fail(err)
 		return
 	}
 	defer result.close()
-	c.deliver(result)
-}
-
-// admit refuses the call when the node drains. Refused calls are not counted,
-// since a drain does not wait for them.
-func (c *peerCall) admit() (*answer, error) {
-	c.plane.peerCalls.enter()
-	if c.plane.draining.Load() {
-		c.plane.peerCalls.leave()
-		return nil, outcome.New(outcome.Draining)
+	if c.deliver(result) != nil {
+		panic(http.ErrAbortHandler)
 	}
-	c.counted = true
-	return c.ask()
 }
 
+// ask has the worker answer, unless the node drains.
 func (c *peerCall) ask() (*answer, error) {
+	if !c.enter(&c.plane.peerCalls, c.plane.draining.Load) {
+		return nil, outcome.New(outcome.Draining)
+	}
 	route, err := c.route()
 	if err != nil {
 		return nil, err
@@ -71,7 +48,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.startLifetime(route, bounds)
+	c.boundTime(route, bounds)
 	if err := c.body.prepare(); err != nil {
 		return nil, outcome.Wrap(outcome.BodyNotReceived, err)
 	}
@@ -100,8 +77,10 @@
 	return route, nil
 }
 
-func (c *peerCall) startLifetime(route *routing.Route, left callBounds) {
-	options := lifetimeOptions{Step: route.Timeout, Interrupt: c.body.interrupt}
+// boundTime bounds the call by the time that the other node gives it, else by
+// that of the route.
+func (c *peerCall) boundTime(route *routing.Route, left callBounds) {
+	options := lifetimeOptions{Step: route.Timeout}
 	switch {
 	case left.given:
 		options.Deadline = c.began.Add(left.left)
@@ -111,37 +90,7 @@
 	if left.given && !c.body.streamed {
 		options.Step = left.left
 	}
-	c.life = newLifetime(c.request.Context(), options)
-	c.body.moved = c.life.uploadMoved
-}
-
-func (c *peerCall) deliver(result *answer) {
-	c.setMarks()
-	c.report.Status = result.response.StatusCode
-	limits := &c.plane.peerLimits
-	delivery := delivery{
-		writer:   c.writer,
-		control:  c.control,
-		response: result.response,
-		life:     c.life,
-		stall:    limits.Stall,
-		pace:     pace{grace: limits.Grace, rate: limits.MinimumRate},
-		closing:  c.closing(),
-	}
-	c.report.Outcome = outcome.Answered
-	if err := delivery.run(); err != nil {
-		c.report.Truncated = true
-		c.report.Cause = err
-		panic(http.ErrAbortHandler)
-	}
-}
-
-func (c *peerCall) fail(err error) {
-	c.setMarks()
-	c.report.Outcome = outcome.Of(err)
-	c.report.Reason = outcome.ReasonOf(err)
-	c.report.Cause = err
-	c.report.Status = writeFailure(c.writer, c.control, err, c.closing())
+	c.startLifetime(options)
 }
 
 // setMarks tells the other node the load and whether this node is leaving.
@@ -153,8 +102,6 @@
 	}
 }
 
-func (c *peerCall) closing() bool { return c.plane.draining.Load() || !c.body.reusable() }
-
 // load returns the worker's load in thousandths.
 func (p *Plane) load() int {
 	if p.worker == nil {
@@ -164,12 +111,7 @@
 }
 
 func (c *peerCall) end() {
-	if c.life != nil {
-		c.life.end()
-	}
-	c.body.release(false)
-	c.report.Attempts = 1
-	c.report.Duration = time.Since(c.began)
+	c.finish(false, 1)
 	c.plane.config.Observer.PeerCallFinished(c.report)
 	if c.counted {
 		c.plane.peerCalls.leave()
--- a/internal/dataplane/transport.go
+++ b/internal/dataplane/transport.go
@@ -26,7 +26,7 @@
 	transport.IdleConnTimeout = config.Limits.PeerIdle
 	transport.MaxResponseHeaderBytes += addedHeaderBytes
 	if config.PeerTLS != nil {
-		transport.DialTLSContext = trackEncrypted(config.Dial, config.PeerTLS, config.Limits.Connect)
+		transport.DialTLSContext = track(encrypt(config.Dial, config.PeerTLS), config.Limits.Connect)
 	}
 	return transport
 }
@@ -41,14 +41,15 @@
 
 func newTransport(config *Config) *http.Transport {
 	return &http.Transport{
-		DialContext:            trackPlain(config.Dial, config.Limits.Connect),
+		DialContext:            track(config.Dial, config.Limits.Connect),
 		DisableCompression:     true,
 		ExpectContinueTimeout:  continueWait,
 		MaxResponseHeaderBytes: int64(config.Limits.HeaderBytes),
 	}
 }
 
-func trackPlain(dial dialFunc, bound time.Duration) dialFunc {
+// track bounds the time that opening a connection takes, and has it tracked.
+func track(dial dialFunc, bound time.Duration) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		ctx, cancel := context.WithTimeout(ctx, bound)
 		defer cancel()
@@ -60,10 +61,9 @@
 	}
 }
 
-func trackEncrypted(dial dialFunc, config *tls.Config, bound time.Duration) dialFunc {
+// encrypt has connections shake hands once they are open.
+func encrypt(dial dialFunc, config *tls.Config) dialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, bound)
-		defer cancel()
 		conn, err := dial(ctx, network, address)
 		if err != nil {
 			return nil, err
@@ -73,7 +73,7 @@
 			_ = conn.Close()
 			return nil, err
 		}
-		return &trackedConn{Conn: encrypted}, nil
+		return encrypted, nil
 	}
 }
 
