--- a/pkg/manifest/spec.go
+++ b/pkg/manifest/spec.go
@@ -17,9 +17,6 @@
 	priorityValues   = []string{string(model.PriorityLow), string(model.PriorityNormal), string(model.PriorityHigh)}
 )
 
-// anyHost is the host of a route that names none.
-const anyHost = "*"
-
 func readService(spec *objectReader, resource *model.Resource) {
 	resource.Service = &model.Service{
 		Calls:       spec.textList("calls"),
@@ -54,7 +51,7 @@
 		Methods:    object.textList("methods"),
 	}
 	if match.Host == "" {
-		match.Host = anyHost
+		match.Host = model.AnyHost
 	}
 	if len(match.Methods) == 0 {
 		match.Methods = nil
--- a/pkg/outcome/errors.go
+++ b/pkg/outcome/errors.go
@@ -27,7 +27,7 @@
 
 // New returns an error of type ErrNotRun or ErrUnknown, as the reason demands.
 func New(reason Reason) error {
-	return typeOf(reason).New("%s", reason.Message()).WithProperty(propertyReason, reason)
+	return newError(reason)
 }
 
 // Wrap is New with the cause attached. The cause is for logs, not for callers.
@@ -37,9 +37,11 @@
 
 // WithRetryAfter is New with a time after which another try is worth it.
 func WithRetryAfter(reason Reason, after time.Duration) error {
-	return typeOf(reason).New("%s", reason.Message()).
-		WithProperty(propertyReason, reason).
-		WithProperty(propertyRetryAfter, after)
+	return newError(reason).WithProperty(propertyRetryAfter, after)
+}
+
+func newError(reason Reason) *errorx.Error {
+	return typeOf(reason).New("%s", reason.Message()).WithProperty(propertyReason, reason)
 }
 
 func typeOf(reason Reason) *errorx.Type {
--- a/pkg/routing/match.go
+++ b/pkg/routing/match.go
@@ -28,14 +28,14 @@
 // header, with or without a port; path is the decoded path. The route is nil
 // unless the result is Matched.
 func (t *Table) Match(host, path, method string) (*Route, MatchResult) {
-	search := search{path: path, method: method}
-	route := t.find(&search, host)
+	lookup := search{path: path, method: method}
+	route := t.find(&lookup, host)
 	switch {
 	case route != nil && route.outOfScope:
 		return nil, OutOfScope
 	case route != nil:
 		return route, Matched
-	case search.pathMatched:
+	case lookup.pathMatched:
 		return nil, MethodNotAllowed
 	default:
 		return nil, NoRoute
@@ -51,21 +51,23 @@
 	collect map[string]struct{}
 }
 
-func (t *Table) find(search *search, host string) *Route {
+// find returns the most specific route of all hosts, or nil.
+func (t *Table) find(lookup *search, host string) *Route {
 	var buffer [maximumHostLength]byte
 	name := normalizeHost(&buffer, host)
 	if len(name) > 0 {
-		if route := search.in(t.exact[string(name)]); route != nil {
+		if route := lookup.inHost(t.exact[string(name)]); route != nil {
 			return route
 		}
-		if route := t.findSuffix(search, name); route != nil {
+		if route := t.findSuffix(lookup, name); route != nil {
 			return route
 		}
 	}
-	return search.in(t.any)
+	return lookup.inHost(t.anyHost)
 }
 
-func (t *Table) findSuffix(search *search, name []byte) *Route {
+// findSuffix tries the suffixes of a host from the longest to the shortest.
+func (t *Table) findSuffix(lookup *search, name []byte) *Route {
 	if len(t.suffixes) == 0 {
 		return nil
 	}
@@ -73,7 +75,7 @@
 		if name[i] != '.' {
 			continue
 		}
-		if route := search.in(t.suffixes[string(name[i:])]); route != nil {
+		if route := lookup.inHost(t.suffixes[string(name[i:])]); route != nil {
 			return route
 		}
 	}
@@ -108,8 +110,8 @@
 	return character
 }
 
-// in returns the most specific route of one host, or nil.
-func (s *search) in(paths *pathTable) *Route {
+// inHost returns the most specific route of one host, or nil.
+func (s *search) inHost(paths *pathTable) *Route {
 	if paths == nil {
 		return nil
 	}
@@ -119,6 +121,7 @@
 	return s.longestPrefix(&paths.prefix)
 }
 
+// longestPrefix returns the route with the longest prefix, or nil.
 func (s *search) longestPrefix(node *prefixNode) *Route {
 	if s.path == "" || s.path[0] != '/' {
 		return nil
@@ -142,6 +145,7 @@
 	return best
 }
 
+// take returns the route of one host and path that takes the method, or nil.
 func (s *search) take(methods *methodTable) *Route {
 	if methods == nil || methods.empty() {
 		return nil
@@ -156,7 +160,7 @@
 // AllowedMethods returns the methods, sorted, that routes which are held list for
 // a host and path. It is for answers to requests whose method is not allowed.
 func (t *Table) AllowedMethods(host, path string) []string {
-	search := search{path: path, collect: map[string]struct{}{}}
-	t.find(&search, host)
-	return slices.Sorted(maps.Keys(search.collect))
+	lookup := search{path: path, collect: map[string]struct{}{}}
+	t.find(&lookup, host)
+	return slices.Sorted(maps.Keys(lookup.collect))
 }
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -13,7 +13,7 @@
 	version  uint64
 	exact    map[string]*pathTable
 	suffixes map[string]*pathTable // keys begin with a dot
-	any      *pathTable
+	anyHost  *pathTable
 	routes   map[string]*Route
 }
 
@@ -24,7 +24,7 @@
 		version:  source.Version(),
 		exact:    map[string]*pathTable{},
 		suffixes: map[string]*pathTable{},
-		any:      newPathTable(),
+		anyHost:  newPathTable(),
 		routes:   map[string]*Route{},
 	}
 	for name, config := range source.Routes() {
@@ -76,7 +76,7 @@
 	host := route.Config.Match.CanonicalHost()
 	switch {
 	case host == model.AnyHost:
-		return t.any, nil
+		return t.anyHost, nil
 	case strings.HasPrefix(host, model.AnySubdomain) && validName(host[len(model.AnySubdomain):]):
 		return pathTableFor(t.suffixes, host[len(model.AnyHost):]), nil
 	case validName(host):
@@ -162,8 +162,8 @@
 
 // methodTable holds the routes of one host and path.
 type methodTable struct {
-	listed []listedMethod
-	any    *Route
+	listed    []listedMethod
+	anyMethod *Route
 	// holds tells whether there is a route that is not out of scope.
 	holds bool
 }
@@ -178,10 +178,10 @@
 	m.holds = m.holds || !route.outOfScope
 	methods := slices.Clone(route.Config.Match.Methods)
 	if len(methods) == 0 {
-		if m.any != nil {
-			return m.any
+		if m.anyMethod != nil {
+			return m.anyMethod
 		}
-		m.any = route
+		m.anyMethod = route
 		return nil
 	}
 	slices.Sort(methods)
@@ -207,10 +207,10 @@
 	if route := m.listedFor(method); route != nil {
 		return route
 	}
-	return m.any
+	return m.anyMethod
 }
 
-func (m *methodTable) empty() bool { return m.any == nil && len(m.listed) == 0 }
+func (m *methodTable) empty() bool { return m.anyMethod == nil && len(m.listed) == 0 }
 
 func (m *methodTable) collect(methods map[string]struct{}) {
 	for _, listed := range m.listed {
--- a/pkg/validation/check.go
+++ b/pkg/validation/check.go
@@ -95,7 +95,7 @@
 		target.report("", "the body does not agree with the kind", "")
 		return 0
 	}
-	checkName(target, resource.Key.Name)
+	target.checkName(resource.Key.Name)
 	switch resource.Key.Kind {
 	case model.KindService:
 		target.checkService(*resource.Service)
--- a/pkg/validation/syntax.go
+++ b/pkg/validation/syntax.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"net/url"
 	"strings"
+
+	"github.com/levertide/levertide/pkg/model"
 )
 
 // Bounds of names, from the DNS.
@@ -14,9 +16,9 @@
 
 const labelHint = "use at most 63 lower-case letters, digits and hyphens, with no hyphen at either end"
 
-func checkName(target subject, name string) {
+func (s subject) checkName(name string) {
 	if !isLabel(name) {
-		target.report("name", fmt.Sprintf("%q is not a valid name", name), labelHint)
+		s.report("name", fmt.Sprintf("%q is not a valid name", name), labelHint)
 	}
 }
 
@@ -41,10 +43,10 @@
 }
 
 func (s subject) checkHost(host string) {
-	if host == "*" {
+	if host == model.AnyHost {
 		return
 	}
-	name := strings.TrimPrefix(host, "*.")
+	name := strings.TrimPrefix(host, model.AnySubdomain)
 	if len(name) <= maximumHostLength && allLabels(name) {
 		return
 	}
