--- a/pkg/admission/gate_test.go
+++ b/pkg/admission/gate_test.go
@@ -21,6 +21,19 @@
 	return permit
 }
 
+// admitLater has a request wait at a gate that is full, and returns what came of
+// it once it was served.
+func admitLater(gate *admission.Gate, priority admission.Priority) <-chan error {
+	served := make(chan error, 1)
+	go func() {
+		permit, err := gate.Admit(context.Background(), priority)
+		permit.Release(admission.Result{})
+		served <- err
+	}()
+	synctest.Wait()
+	return served
+}
+
 func wantShed(t *testing.T, err error, reason admission.Reason) {
 	t.Helper()
 	if outcome.Of(err) != outcome.NotRun {
@@ -155,13 +168,7 @@
 			permit.Release(admission.Result{Latency: time.Second})
 		}
 		permit := mustAdmit(t, gate)
-		waiting := make(chan error, 1)
-		go func() {
-			next, err := gate.Admit(context.Background(), admission.PriorityNormal)
-			next.Release(admission.Result{})
-			waiting <- err
-		}()
-		synctest.Wait()
+		waiting := admitLater(gate, admission.PriorityNormal)
 		start := time.Now()
 		ctx, cancel := context.WithTimeout(context.Background(), 500*time.Millisecond)
 		defer cancel()
@@ -181,13 +188,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		gate := admission.New(admission.Options{Slots: 1})
 		permit := mustAdmit(t, gate)
-		served := make(chan error, 1)
-		go func() {
-			next, err := gate.Admit(context.Background(), admission.PriorityLow)
-			next.Release(admission.Result{})
-			served <- err
-		}()
-		synctest.Wait()
+		served := admitLater(gate, admission.PriorityLow)
 		gate.Drain()
 		_, err := gate.Admit(context.Background(), admission.PriorityHigh)
 		wantShed(t, err, admission.ReasonDraining)
@@ -242,16 +243,15 @@
 		if load := gate.Load(); load != admission.SlotsFullLoad {
 			t.Errorf("load %v with all slots taken", load)
 		}
-		go func() {
-			next, _ := gate.Admit(context.Background(), admission.PriorityNormal)
-			next.Release(admission.Result{})
-		}()
-		synctest.Wait()
+		waiting := admitLater(gate, admission.PriorityNormal)
 		if load := gate.Load(); load != 1 {
 			t.Errorf("load %v with a full queue", load)
 		}
 		first.Release(admission.Result{})
 		second.Release(admission.Result{})
+		if err := <-waiting; err != nil {
+			t.Errorf("waiting request refused: %v", err)
+		}
 	})
 }
 
