--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -128,7 +128,7 @@
 // that hints are dropped as soon as they do not answer.
 func (n *Node) takeHints(machines []store.Machine) {
 	for _, machine := range machines {
-		if machine.Leaving || machine.Node == n.self.ID || machine.ControlAddress == "" {
+		if machine.Leaving || machine.Node == n.self.ID || !isAddress(machine.ControlAddress) {
 			continue
 		}
 		n.plan.hints[machine.Node] = topology.Peer{
--- a/internal/control/children.go
+++ b/internal/control/children.go
@@ -16,6 +16,9 @@
 	polls int
 	// seenAt is when the last poll ended.
 	seenAt time.Time
+	// away tells that the last poll broke off, and omitted that the child was
+	// left out of a report for that.
+	away, omitted bool
 	// sequence is that of the newest report taken in.
 	sequence  uint64
 	readiness rollout.Readiness
@@ -57,17 +60,18 @@
 	return further
 }
 
-// attach takes in a child's own record and returns its entry. A new attachment
-// starts a new sequence of reports.
-func (c *children) attach(record membership.Record) *child {
+// attach takes in a child's own record and returns its entry, and whether the
+// attachment is a new one. That starts a new sequence of reports.
+func (c *children) attach(record membership.Record) (entry *child, attachedNow bool) {
 	delete(c.via, record.ID)
 	held, found := c.byID[record.ID]
-	if !found || held.record.Incarnation != record.Incarnation || held.record.Attachment != record.Attachment {
+	attachedNow = !found || held.record.Incarnation != record.Incarnation || held.record.Attachment != record.Attachment
+	if attachedNow {
 		held = &child{}
 		c.byID[record.ID] = held
 	}
 	held.record = record
-	return held
+	return held, attachedNow
 }
 
 // learn notes through which child nodes further below were reported, and
@@ -129,7 +133,7 @@
 func (c *children) readiness() rollout.Readiness {
 	var sum rollout.Readiness
 	for _, held := range c.byID {
-		if held.reported {
+		if held.reported && !held.away {
 			sum = rollout.MergeReadiness(sum, held.readiness)
 		}
 	}
@@ -140,6 +144,9 @@
 // and has nothing left to report about them.
 func (c *children) allReported(head rollout.Head) bool {
 	for _, held := range c.byID {
+		if held.away {
+			continue
+		}
 		if !held.reported || held.readiness.Proposed != head.Proposed || held.readiness.Committed != head.Committed {
 			return false
 		}
@@ -152,13 +159,16 @@
 
 // pollBegan and pollEnded follow a child's polls. A poll that broke off takes
 // the child's readiness out of the sum, because the child may report elsewhere.
-func (c *child) pollBegan() { c.polls++ }
+func (c *child) pollBegan() {
+	c.polls++
+	c.away = false
+}
 
 func (c *child) pollEnded(at time.Time, brokeOff bool) {
 	c.polls--
 	c.seenAt = at
 	if brokeOff && c.polls == 0 {
-		c.reported = false
+		c.away = true
 	}
 }
 
--- a/internal/control/clients.go
+++ b/internal/control/clients.go
@@ -88,7 +88,7 @@
 func (p *peerClients) at(address string) controlpb.Control {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
-	if p.recentAddress != address {
+	if p.recent == nil || p.recentAddress != address {
 		p.recent = controlpb.NewControlProtobufClient(p.scheme+"://"+address, p.client)
 		p.recentAddress = address
 	}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -126,8 +126,8 @@
 		return ErrConfig.New("the node has no identifier")
 	case c.Self.Zone == "" || c.Self.Region == "":
 		return ErrConfig.New("the node has no zone or no region")
-	case c.Self.ControlAddress == "":
-		return ErrConfig.New("the node has no control address")
+	case !isAddress(c.Self.ControlAddress):
+		return ErrConfig.New("the control address %q of the node is no IP address and port", c.Self.ControlAddress)
 	case c.Listener == nil:
 		return ErrConfig.New("the node has no listener")
 	case (c.TLS == nil) != (c.ClientTLS == nil):
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -97,11 +97,14 @@
 	}
 }
 
-// publishDirectory lets children hear of what has changed, once that is due.
+// publishDirectory lets children and the rest of the process hear of what has
+// changed, once that is due.
 func (n *Node) publishDirectory(at time.Time) {
 	if !n.table.flush(at) {
 		return
 	}
+	n.directory.Store(n.table.View())
+	n.observers.wake()
 	for _, directory := range n.table.scoped {
 		directory.update(n.table, n.latestWhole(), n.zoneLeaders())
 		directory.published = directory.sequence
@@ -241,8 +244,6 @@
 	n.table.changed(changed, at)
 	n.plan.invalidate(at)
 	n.refute(changed, at)
-	n.directory.Store(n.table.View())
-	n.observers.wake()
 	n.kick()
 }
 
@@ -257,11 +258,9 @@
 			n.alarm("another process uses the name of this node, or its clock went back")
 			n.self.Incarnation = record.Incarnation + 1
 		}
-		n.self.Attachment = record.Attachment + 1
-		n.reports.knownSent = false
+		n.self.Attachment = record.Attachment
 		n.discovery.reset()
-		n.announceSelf()
-		n.upstream.interrupt()
+		n.reattach()
 	}
 }
 
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -9,6 +9,7 @@
 )
 
 func TestRefusalAbortsEverywhere(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(3)
 	refusing := false
@@ -75,6 +76,7 @@
 }
 
 func TestChildrenOfDeadRelayGoOn(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(6)
 	m.eventually("every node knows every node", m.all(knows(12)))
@@ -88,6 +90,7 @@
 }
 
 func TestDeadRootIsReplaced(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(4)
 	m.eventually("every node knows every node", m.all(knows(8)))
@@ -101,6 +104,7 @@
 }
 
 func TestSilentNodeDoesNotHoldUpTheOthers(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(3)
 	m.start("silent", "b", "ledger", func(c *Config) { c.Hold = time.Second })
@@ -119,6 +123,7 @@
 }
 
 func TestCutOffNodeCatchesUp(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(4)
 	m.start("away", "b", "ledger", func(c *Config) { c.Store = nil })
@@ -156,6 +161,7 @@
 }
 
 func TestRestartWithStoreDown(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(4)
 	m.eventually("every node knows every node", m.all(knows(8)))
@@ -174,6 +180,7 @@
 }
 
 func TestAllRestartedWithStoreDown(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(2)
 	m.eventually("every node knows every node", m.all(knows(4)))
@@ -198,6 +205,7 @@
 }
 
 func TestLeavingNodeIsKnownEverywhere(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(4)
 	m.eventually("every node knows every node", m.all(knows(8)))
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/levertide/levertide/internal/controlpb"
@@ -40,6 +41,9 @@
 	if member.GetId() == "" || member.GetZone() == "" || member.GetRegion() == "" {
 		return ErrMalformed.New("a member without identifier, zone or region")
 	}
+	if !isAddress(member.GetControlAddress()) {
+		return ErrMalformed.New("a member without a control address")
+	}
 	if member.GetState() > uint32(membership.StateLost) {
 		return ErrMalformed.New("a member in an unknown state")
 	}
@@ -55,6 +59,12 @@
 	return nil
 }
 
+// isAddress reports whether a text is an IP address and a port.
+func isAddress(text string) bool {
+	_, err := netip.ParseAddrPort(text)
+	return err == nil
+}
+
 func checkWatch(request *controlpb.WatchRequest) error {
 	if request.GetHandle() != 0 {
 		return nil
--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -278,11 +278,12 @@
 	n.kick()
 }
 
-// reattach makes the node known again under a higher attachment number.
+// reattach makes the node, and all below it, known again under a higher
+// attachment number.
 func (n *Node) reattach() {
 	n.self.Attachment++
-	n.reports.knownSent = false
 	n.announceSelf()
+	n.reports.newParent(n.subtreeRecords(), now())
 	n.upstream.interrupt()
 }
 
--- a/internal/control/rollout_test.go
+++ b/internal/control/rollout_test.go
@@ -3,6 +3,7 @@
 import "testing"
 
 func TestVersionReachesEveryNode(t *testing.T) {
+	t.Parallel()
 	m := newMesh(t)
 	m.startZones(6)
 	m.eventually("every node knows every node", m.all(knows(12)))
--- a/internal/control/scoped_directory.go
+++ b/internal/control/scoped_directory.go
@@ -43,7 +43,9 @@
 }
 
 func newScopedDirectory(scope directoryScope) *scopedDirectory {
-	return &scopedDirectory{scope: scope, entries: make(map[string]scopedEntry)}
+	directory := &scopedDirectory{scope: scope, entries: make(map[string]scopedEntry)}
+	directory.setServices(nil)
+	return directory
 }
 
 // update takes in what changed in the table and in the snapshot.
--- a/internal/control/watch_client.go
+++ b/internal/control/watch_client.go
@@ -110,15 +110,31 @@
 	n.kick()
 }
 
-// subtreeRecords lists the records of this node and of all below it.
+// subtreeRecords lists the records of this node and of all below it. A child
+// that broke off is left out with those below it until it comes back: it may
+// be known through another node by now.
 func (n *Node) subtreeRecords() []membership.Record {
 	records := []membership.Record{n.self}
-	for id := range n.children.byID {
-		if record, found := n.table.Get(id); found {
-			records = append(records, record)
+	for id, entry := range n.children.byID {
+		if entry.away {
+			entry.omitted = true
+			continue
 		}
+		records = append(records, n.recordsOf(id)...)
 	}
-	for id := range n.children.via {
+	return records
+}
+
+// recordsOf lists the records of a child and of all below it.
+func (n *Node) recordsOf(child string) []membership.Record {
+	var records []membership.Record
+	if record, found := n.table.Get(child); found {
+		records = append(records, record)
+	}
+	for id, through := range n.children.via {
+		if through != child {
+			continue
+		}
 		if record, found := n.table.Get(id); found {
 			records = append(records, record)
 		}
--- a/internal/control/watch_server.go
+++ b/internal/control/watch_server.go
@@ -73,13 +73,13 @@
 			Directory: &controlpb.DirectoryUpdate{Members: []*controlpb.Member{memberMessage(known)}},
 		}
 	}
-	known := n.children.below(record.ID)
-	entry := n.children.attach(record)
+	entry, attachedNow := n.children.attach(record)
 	n.plan.trust(record.ID)
 	n.mergeBelow(now(), record)
-	if !known {
+	if attachedNow {
 		n.reportBelow([]membership.Record{record}, now())
 	}
+	n.reportReturned(entry)
 	n.widenForChildren()
 	entry.pollBegan()
 	return watchCall{child: entry, request: request, scope: scopeOf(request.GetScope())}, nil
@@ -91,12 +91,25 @@
 		if entry.handle != handle || entry.request == nil {
 			continue
 		}
+		n.reportReturned(entry)
 		entry.pollBegan()
 		return watchCall{child: entry, request: entry.request, scope: scopeOf(entry.request.GetScope())}, nil
 	}
 	return watchCall{}, &controlpb.WatchResponse{Resend: true}
 }
 
+// reportReturned passes on what was left out while a child was away.
+func (n *Node) reportReturned(entry *child) {
+	if entry.away {
+		entry.away = false
+		n.reports.readinessChanged(now(), n.reportsComplete())
+	}
+	if entry.omitted {
+		entry.omitted = false
+		n.reportBelow(n.recordsOf(entry.record.ID), now())
+	}
+}
+
 // widenForChildren makes a node that has just become a parent fetch what its
 // children may ask for.
 func (n *Node) widenForChildren() {
@@ -165,6 +178,9 @@
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	call.child.pollEnded(now(), brokeOff)
+	if brokeOff {
+		n.reports.readinessChanged(now(), false)
+	}
 	n.kick()
 }
 
