Run one deployment of the demo over mutual TLS, and restart only what has ended

A restart in the timeline began while the planned stop before it still drained, so the new process could not listen and ended, and the check took the old process's readiness for the new one's. A start now waits for the end of the process before it, and a node that fails to start, or a part that fails, fails the demo.

--- a/internal/lab/demo/conclude.go
+++ b/internal/lab/demo/conclude.go
@@ -31,6 +31,7 @@
 	r.concludeStore(result)
 	r.concludeVersions(ctx, result)
 	r.concludeCalls(ctx, result)
+	r.checkNotices()
 	r.concludeProcesses()
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -56,6 +57,17 @@
 	r.readers = r.mesh.NodesAskingStore()
 }
 
+// checkNotices checks that no node failed to start and that no part of one failed.
+func (r *run) checkNotices() {
+	failed := 0
+	for _, notice := range r.recorder.Notices() {
+		if notice.Number == observe.EventStartFailed || notice.Number == observe.EventPartFailed {
+			failed++
+		}
+	}
+	r.check("no-part-failed", failed == 0, "%d starts or parts of nodes failed", failed)
+}
+
 // concludeStore notes the store's requests and its readers.
 func (r *run) concludeStore(result *results.Experiment) {
 	counters := r.mesh.StoreCounters()
--- a/internal/lab/experiment/file.go
+++ b/internal/lab/experiment/file.go
@@ -39,6 +39,9 @@
 	Services []Workers `yaml:"services" validate:"required,min=1,unique=Name,dive"`
 	// Gateways is how many nodes without a worker take calls as well.
 	Gateways int `yaml:"gateways" validate:"min=0,max=16"`
+	// TLS makes nodes speak mutual TLS to one another, with certificates that
+	// the lab makes for the run.
+	TLS bool `yaml:"tls"`
 	// Worker describes each worker.
 	Worker Worker `yaml:"worker"`
 }
--- a/internal/lab/mesh/errors.go
+++ b/internal/lab/mesh/errors.go
@@ -17,5 +17,8 @@
 // ErrCommand tells that the levertide command could not be run or understood.
 var ErrCommand = errorsNamespace.NewType("command")
 
+// ErrCertificates tells that certificates could not be written.
+var ErrCertificates = errorsNamespace.NewType("certificates")
+
 // ErrMetrics tells that the metrics of a node could not be read.
 var ErrMetrics = errorsNamespace.NewType("metrics")
--- a/internal/lab/mesh/mesh.go
+++ b/internal/lab/mesh/mesh.go
@@ -43,6 +43,8 @@
 	links   *fabric.Links
 	store   *storeStandIn
 	nodes   []*Node
+	// certificates is nil when nodes speak without TLS.
+	certificates *certificates
 }
 
 // Start starts the store stand-in, the workers and the nodes; it does not wait
@@ -78,6 +80,9 @@
 	if m.store, err = startStore(m.links, m.options.FirstZone, base); err != nil {
 		return err
 	}
+	if err := m.issueCertificates(); err != nil {
+		return err
+	}
 	for _, node := range m.nodes {
 		node.base = base
 		node.seeds = m.seedsFor(node)
@@ -96,6 +101,23 @@
 	return nil
 }
 
+// issueCertificates gives every node its certificate if the deployment asks for that.
+func (m *Mesh) issueCertificates() error {
+	if !m.options.Deployment.TLS {
+		return nil
+	}
+	var err error
+	if m.certificates, err = newCertificates(); err != nil {
+		return err
+	}
+	for _, node := range m.nodes {
+		if node.files, err = m.certificates.issue(m.options.Deployment.Region, node); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // layOut names the nodes and spreads them over the zones.
 func (m *Mesh) layOut() {
 	deployment := m.options.Deployment
@@ -207,4 +229,7 @@
 	if m.store != nil {
 		m.store.close()
 	}
+	if m.certificates != nil {
+		m.certificates.remove()
+	}
 }
--- a/internal/lab/mesh/node.go
+++ b/internal/lab/mesh/node.go
@@ -9,6 +9,7 @@
 	"syscall"
 	"time"
 
+	"github.com/levertide/levertide/internal/identity"
 	"github.com/levertide/levertide/internal/lab/fabric"
 	"github.com/levertide/levertide/internal/lab/observe"
 	"github.com/levertide/levertide/internal/lab/process"
@@ -27,8 +28,12 @@
 	host   uint8
 	base   int
 	seeds  []string
+	files  identity.Files
 	relays []*fabric.Relay
 
+	// change is held while the process is started or ended, so that a start
+	// waits until the process before has ended.
+	change  sync.Mutex
 	mutex   sync.Mutex
 	process *process.Process
 }
@@ -116,11 +121,15 @@
 	}
 }
 
-// Start starts the node's process. The relays in front of it open as soon as
-// it listens.
+// Start starts the node's process once the one before has ended. The relays in
+// front of it open as soon as it listens.
 func (n *Node) Start() error {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
+	n.change.Lock()
+	defer n.change.Unlock()
+	if before := n.running(); before != nil {
+		<-before.Done()
+		n.gone()
+	}
 	n.makeRelays()
 	options := n.mesh.options
 	started, err := options.Processes.Start(process.Options{
@@ -138,6 +147,8 @@
 	if err != nil {
 		return err
 	}
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
 	n.process = started
 	return nil
 }
@@ -158,6 +169,10 @@
 		"--store-address", n.mesh.store.address,
 		"--seeds", strings.Join(n.seeds, ","),
 	}
+	if n.files.Certificate != "" {
+		arguments = append(arguments,
+			"--tls-ca", n.files.Authorities, "--tls-cert", n.files.Certificate, "--tls-key", n.files.Key)
+	}
 	if n.Service == "" {
 		return append(arguments, "--gateway")
 	}
@@ -216,6 +231,8 @@
 
 // Kill ends the node's process as a crash does. Its worker goes on.
 func (n *Node) Kill() {
+	n.change.Lock()
+	defer n.change.Unlock()
 	n.running().Kill()
 	n.gone()
 }
@@ -230,6 +247,8 @@
 // Stop ends the node's process as planned. It reports whether the process
 // ended by itself in time.
 func (n *Node) Stop() bool {
+	n.change.Lock()
+	defer n.change.Unlock()
 	stopping := n.running()
 	orderly := stopping.Stop(stopBound)
 	n.gone()
