Let nodes vouch for the floor only in the larger, settled part

While the store is down, a part that was cut off before a commit could tell a restarted node a floor below what it ran. A node now speaks for the system only when its tree has kept its root for 10 s and fewer nodes are lost than live; changed roots reach children at once. What remains: a version that less than half of the live nodes staged before the commit (after 10 s of waiting) while the silent part is the larger one.

--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -21,6 +21,7 @@
 	DefaultCallTimeout      = 2 * time.Second
 	DefaultDialTimeout      = time.Second
 	DefaultReaderLeaseTTL   = 10 * time.Second
+	DefaultTreeSettle       = 10 * time.Second
 	DefaultFanOut           = 6
 )
 
@@ -54,6 +55,10 @@
 	SuspectBound time.Duration
 	// CallTimeout bounds one call to a peer, the hold not counted.
 	CallTimeout time.Duration
+	// TreeSettle is how long a tree must have had the same root before its
+	// nodes vouch for what is committed while the store is down. A part that
+	// was cut off has noted by then that the others are lost.
+	TreeSettle time.Duration
 	// ReaderLeaseTTL is how long a reader's lease outlives its holder.
 	ReaderLeaseTTL time.Duration
 
@@ -93,6 +98,7 @@
 	setDefault(&c.SubtreeLossBound, DefaultSubtreeLossBound)
 	setDefault(&c.SuspectBound, DefaultSuspectBound)
 	setDefault(&c.CallTimeout, DefaultCallTimeout)
+	setDefault(&c.TreeSettle, DefaultTreeSettle)
 	setDefault(&c.ReaderLeaseTTL, DefaultReaderLeaseTTL)
 	if c.Self.Incarnation == 0 {
 		c.Self.Incarnation = uint64(time.Now().UnixNano())
--- a/internal/control/faults_test.go
+++ b/internal/control/faults_test.go
@@ -163,7 +163,8 @@
 func TestRestartWithStoreDown(t *testing.T) {
 	t.Parallel()
 	m := newMesh(t)
-	m.startZones(4)
+	settleSoon := func(c *Config) { c.TreeSettle = time.Second }
+	m.startZones(4, settleSoon)
 	m.eventually("every node knows every node", m.all(knows(8)))
 	first := m.propose("first")
 	m.eventually("every node runs the first version", m.all(runs(first)))
@@ -172,7 +173,7 @@
 	for _, id := range []string{m.leaf(), m.root()} {
 		record := m.nodes[id].record
 		m.kill(id)
-		m.start(id, record.Zone, record.Service)
+		m.start(id, record.Zone, record.Service, settleSoon)
 		m.eventually("the restarted node runs the version", m.all(runs(first)))
 		m.eventually("the restarted node is ready", m.all(ready))
 		m.eventually("every node knows every node again", m.all(knows(8)))
--- a/internal/control/floor_server.go
+++ b/internal/control/floor_server.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
@@ -32,7 +33,7 @@
 	defer n.mutex.Unlock()
 	state := n.participant.State()
 	response := &controlpb.FloorResponse{
-		Known:      state.FloorKnown && state.HeadKnown,
+		Known:      state.FloorKnown && state.HeadKnown && n.vouches(now()),
 		Generation: state.Head.Generation,
 		Committed:  max(state.Floor, state.Head.Committed),
 		Staged:     state.Head.Proposed,
@@ -42,3 +43,11 @@
 	}
 	return response
 }
+
+// vouches reports whether this node may speak for the system: a version could
+// have been committed without it while it was cut off with the smaller part.
+func (n *Node) vouches(at time.Time) bool {
+	view := n.table.View()
+	settled := at.Sub(n.upstream.topSince) >= n.config.TreeSettle
+	return settled && view.Lost() < view.Len()
+}
--- a/internal/control/next_flight.go
+++ b/internal/control/next_flight.go
@@ -15,6 +15,7 @@
 
 // sharedCall is one call with the answer that all its askers get.
 type sharedCall[Value any] struct {
+	call  func() (Value, error)
 	done  chan struct{}
 	value Value
 	err   error
@@ -37,18 +38,18 @@
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.waiting == nil {
-		f.waiting = &sharedCall[Value]{done: make(chan struct{})}
+		f.waiting = &sharedCall[Value]{call: call, done: make(chan struct{})}
 	}
 	joined := f.waiting
 	if !f.running {
 		f.running = true
-		go f.run(call)
+		go f.run()
 	}
 	return joined
 }
 
 // run makes calls until nobody waits for another one.
-func (f *nextFlight[Value]) run(call func() (Value, error)) {
+func (f *nextFlight[Value]) run() {
 	for {
 		f.mutex.Lock()
 		next := f.waiting
@@ -58,7 +59,7 @@
 		if next == nil {
 			return
 		}
-		next.value, next.err = call()
+		next.value, next.err = next.call()
 		close(next.done)
 	}
 }
--- a/internal/control/table_state.go
+++ b/internal/control/table_state.go
@@ -14,7 +14,7 @@
 	memberChangeInterval  = time.Second
 	memberUrgentInterval  = 250 * time.Millisecond
 	memberUrgentPause     = 50 * time.Millisecond
-	lostRecordRetention   = 2 * time.Minute
+	lostRecordRetention   = 10 * time.Minute
 	lostRecordPurgePeriod = 30 * time.Second
 )
 
--- a/internal/control/upstream.go
+++ b/internal/control/upstream.go
@@ -18,12 +18,14 @@
 	epoch uint64
 	// attached tells that the parent has answered in this epoch.
 	attached bool
-	// root tells that the node has no parent to turn to. rootSince is since when.
-	root      bool
-	rootSince time.Time
-	path      []string
-	pathHash  uint64
-	cursor    *controlpb.DirectoryCursor
+	// root tells that the node has no parent to turn to.
+	root     bool
+	path     []string
+	pathHash uint64
+	// top is the root of the tree that the node is in, and topSince since when.
+	top      string
+	topSince time.Time
+	cursor   *controlpb.DirectoryCursor
 	// handle stands for acknowledged, the last whole request that was answered.
 	handle       uint64
 	acknowledged *controlpb.WatchRequest
@@ -56,10 +58,25 @@
 	u.root = false
 }
 
-// setPath keeps the nodes from the parent up to the root.
-func (u *upstream) setPath(path []string) {
-	u.path = path
-	u.pathHash = hashPath(path)
+// setPath keeps the nodes from the parent up to the root. It reports whether
+// they have changed.
+func (u *upstream) setPath(path []string) bool {
+	hash := hashPath(path)
+	if hash == u.pathHash {
+		return false
+	}
+	u.path, u.pathHash = path, hash
+	if len(path) > 0 {
+		u.setTop(path[len(path)-1])
+	}
+	return true
+}
+
+// setTop keeps the root of the tree.
+func (u *upstream) setTop(id string) {
+	if u.top != id {
+		u.top, u.topSince = id, now()
+	}
 }
 
 // hashPath never returns zero, which stands for no path.
--- a/internal/control/watch_client.go
+++ b/internal/control/watch_client.go
@@ -105,7 +105,8 @@
 	n.upstream.cursor = nil
 	n.upstream.root = true
 	n.discovery.reset()
-	n.upstream.rootSince = now()
+	n.upstream.setTop(n.self.ID)
+	n.waiters.wake()
 	n.events.ParentChanged("")
 	n.kick()
 }
@@ -261,7 +262,9 @@
 		n.upstream.detach()
 		return true
 	}
-	n.upstream.setPath(path)
+	if n.upstream.setPath(path) {
+		n.waiters.wake()
+	}
 	return false
 }
 
--- a/internal/control/watch_server.go
+++ b/internal/control/watch_server.go
@@ -141,10 +141,18 @@
 func (n *Node) hasNews(call watchCall) bool {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	if n.versionNews(call.request) {
-		return true
-	}
-	return n.directoryNews(call.request)
+	return n.versionNews(call.request) || n.pathNews(call.request) || n.directoryNews(call.request)
+}
+
+// pathNews reports whether the nodes up to the root have changed.
+func (n *Node) pathNews(request *controlpb.WatchRequest) bool {
+	return hashPath(n.ownPath()) != request.GetPathHash()
+}
+
+// ownPath lists the nodes from this one up to the root.
+func (n *Node) ownPath() []string {
+	path := append([]string{n.self.ID}, n.upstream.path...)
+	return path[:min(len(path), maximumPath)]
 }
 
 // versionNews reports whether the child lacks a version that is held here, or
@@ -252,12 +260,12 @@
 
 // setPath names the nodes up to the root, unless the child knows them.
 func (n *Node) setPath(response *controlpb.WatchResponse, request *controlpb.WatchRequest) {
-	path := append([]string{n.self.ID}, n.upstream.path...)
+	path := n.ownPath()
 	if hashPath(path) == request.GetPathHash() {
 		response.PathUnchanged = true
 		return
 	}
-	response.Path = path[:min(len(path), maximumPath)]
+	response.Path = path
 }
 
 // pendingDeltas lists the deltas to the versions that the child lacks. A node
