--- a/internal/dataplane/bounds_test.go
+++ b/internal/dataplane/bounds_test.go
@@ -8,6 +8,16 @@
 	"time"
 )
 
+// requireCut lets virtual time pass and checks whether the call was then cut.
+func requireCut(t *testing.T, life *lifetime, after time.Duration, want bool, message string) {
+	t.Helper()
+	time.Sleep(after)
+	synctest.Wait()
+	if got := life.ctx.Err() != nil; got != want {
+		t.Fatal(message)
+	}
+}
+
 func TestUploadIsBoundedByStepsOnly(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		interrupted := false
@@ -17,13 +27,10 @@
 			time.Sleep(9 * time.Second) // virtual time
 			life.uploadMoved()
 		}
-		if life.ctx.Err() != nil {
-			t.Fatal("an upload that moves on was cut")
-		}
-		time.Sleep(11 * time.Second)
-		synctest.Wait()
+		requireCut(t, life, 0, false, "an upload that moves on was cut")
+		requireCut(t, life, 11*time.Second, true, "an upload that stands still was not cut")
 		if !errors.Is(context.Cause(life.ctx), errDeadline) || !interrupted {
-			t.Fatal("an upload that stands still was not cut")
+			t.Fatal("an upload that stands still was cut for another cause")
 		}
 	})
 }
@@ -36,16 +43,8 @@
 		defer life.end()
 		time.Sleep(4 * time.Second)
 		life.answerMoved(3 * time.Second)
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
-		if life.ctx.Err() != nil {
-			t.Fatal("the answer was cut at a deadline that bounds its beginning only")
-		}
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
-		if life.ctx.Err() == nil {
-			t.Fatal("a silent answer was not cut")
-		}
+		requireCut(t, life, 2*time.Second, false, "the answer was cut at a deadline that bounds its beginning only")
+		requireCut(t, life, 2*time.Second, true, "a silent answer was not cut")
 	})
 }
 
@@ -58,14 +57,8 @@
 			time.Sleep(time.Second)
 			life.answerMoved(10 * time.Second)
 		}
-		if life.ctx.Err() != nil {
-			t.Fatal("cut too early")
-		}
-		time.Sleep(2 * time.Second)
-		synctest.Wait()
-		if life.ctx.Err() == nil {
-			t.Fatal("the end given by the caller does not hold")
-		}
+		requireCut(t, life, 0, false, "cut too early")
+		requireCut(t, life, 2*time.Second, true, "the end given by the caller does not hold")
 	})
 }
 
--- a/internal/dataplane/chain_test.go
+++ b/internal/dataplane/chain_test.go
@@ -3,15 +3,12 @@
 import (
 	"fmt"
 	"net/http"
-	"net/http/httptest"
 	"sync/atomic"
 	"testing"
-	"time"
 
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/retry"
-	"github.com/levertide/levertide/pkg/snapshot"
 )
 
 // chainLevels is how many services call each other in a row.
@@ -25,18 +22,15 @@
 // that calls the next by its node. At the last, answers break off.
 func newChain(t *testing.T, change func(*Config)) (entry *mesh, bottom *atomic.Int64) {
 	m := &mesh{t: t, table: membership.NewTable()}
-	m.publishChain(t)
+	m.publishChain()
 	m.directory.Store(m.table.View())
 	bottom = &atomic.Int64{}
 	handlers := make([]atomic.Pointer[http.HandlerFunc], chainLevels)
 	nodes := make([]*testNode, chainLevels)
 	for level := range chainLevels {
-		worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-			(*handlers[level].Load())(w, r)
-		}))
-		t.Cleanup(worker.Close)
+		worker := listen(t, func(w http.ResponseWriter, r *http.Request) { (*handlers[level].Load())(w, r) })
 		service := fmt.Sprintf("level-%d", level)
-		nodes[level] = m.start(service, worker.Listener.Addr().String(), change, func(c *Config) { c.Service = service })
+		nodes[level] = m.start(service, worker, change, func(c *Config) { c.Service = service })
 		m.table.Merge(membership.Record{
 			ID: service, Incarnation: 1, Region: "region", Zone: "zone", Service: service,
 			CallAddress: nodes[level].peers.Listener.Addr().String(),
@@ -51,24 +45,14 @@
 	return m, bottom
 }
 
-func (m *mesh) publishChain(t *testing.T) {
+func (m *mesh) publishChain() {
 	var resources []model.Resource
 	for level := range chainLevels {
 		name := fmt.Sprintf("level-%d", level)
-		resources = append(resources,
-			model.Resource{Key: model.Key{Kind: model.KindService, Name: name}, Service: &model.Service{
-				Slots: 64, Connections: 130, Queue: 64, Timeout: time.Minute,
-			}},
-			model.Resource{Key: model.Key{Kind: model.KindRoute, Name: name}, Route: &model.Route{
-				Match: model.Match{Host: name, PathPrefix: "/"}, Service: name,
-			}},
-		)
+		route := &model.Route{Match: model.Match{Host: name, PathPrefix: "/"}, Service: name}
+		resources = append(resources, serviceNamed(name), routeNamed(name, route))
 	}
-	source, err := snapshot.New(1, resources)
-	if err != nil {
-		t.Fatal(err)
-	}
-	m.current.Store(source)
+	m.current.Store(m.snapshot(1, resources))
 }
 
 // levelHandler calls the next level; a failure there breaks the answer off, as
--- a/internal/dataplane/drain_test.go
+++ b/internal/dataplane/drain_test.go
@@ -48,11 +48,7 @@
 	}
 	_, _ = io.WriteString(writer, part)
 	_ = writer.Close()
-	got := <-upload
-	got.expect(t, http.StatusOK, "")
-	if got.body != "stored" {
-		t.Errorf("the upload was answered %q", got.body)
-	}
+	(<-upload).expectBody(t, "stored")
 	if report := <-drained; !report.Clean() {
 		t.Errorf("report %+v", report)
 	}
--- a/internal/dataplane/faults_test.go
+++ b/internal/dataplane/faults_test.go
@@ -88,15 +88,11 @@
 			broken := 0
 			const calls = 4
 			for range calls {
-				var body io.Reader
-				if c.body != "" {
-					body = strings.NewReader(c.body)
-				}
-				request := m.request(c.method, c.path, body)
+				var header []string
 				if c.key != "" {
-					request.Header.Set("Idempotency-Key", c.key)
+					header = []string{"Idempotency-Key", c.key}
 				}
-				if got := m.do(request); got.status != http.StatusNoContent {
+				if got := m.call(c.method, c.path, c.body, header...); got.status != http.StatusNoContent {
 					got.expect(t, http.StatusBadGateway, "unknown")
 					broken++
 				}
@@ -116,9 +112,7 @@
 	peer := newRawWorker(t, breaking("HTTP/1.1 200 OK\r\nLevertide-Load: 0\r\nContent-Length: 2\r\n\r\nok", onUsedConnection))
 	m.join("a", peer.address())
 	m.call("POST", "/", "x").expect(t, http.StatusOK, "")
-	request := m.request("GET", "/never", nil)
-	request.Header.Set("Idempotency-Key", "k")
-	m.do(request).expect(t, http.StatusBadGateway, "unknown")
+	m.call("GET", "/never", "", "Idempotency-Key", "k").expect(t, http.StatusBadGateway, "unknown")
 	if got := peer.requests.Load(); got != 2 {
 		t.Errorf("the peer got %d requests, want 2", got)
 	}
@@ -276,9 +270,7 @@
 		<-r.Context().Done()
 		close(canceled)
 	})
-	request := m.request("POST", "/", strings.NewReader("x"))
-	request.Header.Set("Levertide-Deadline-Ms", "1500")
-	m.do(request).expect(t, http.StatusGatewayTimeout, "unknown", outcome.Timeout)
+	m.call("POST", "/", "x", "Levertide-Deadline-Ms", "1500").expect(t, http.StatusGatewayTimeout, "unknown", outcome.Timeout)
 	<-canceled
 }
 
@@ -286,10 +278,7 @@
 	m := newMesh(t)
 	seen := make(chan http.Header, 1)
 	m.addHandler("a", func(_ http.ResponseWriter, r *http.Request) { seen <- r.Header })
-	request := m.request("GET", "/", nil)
-	request.Header.Set("Levertide-Deadline-Ms", "5000")
-	request.Header.Set("Levertide-Attempts-Left", "1")
-	m.do(request).expect(t, http.StatusOK, "")
+	m.call("GET", "/", "", "Levertide-Deadline-Ms", "5000", "Levertide-Attempts-Left", "1").expect(t, http.StatusOK, "")
 	header := <-seen
 	var left int
 	if _, err := fmt.Sscan(header.Get("Levertide-Deadline-Ms"), &left); err != nil || left > 5000 || left < 1 {
@@ -303,8 +292,7 @@
 	if _, err := fmt.Sscan(header.Get("Levertide-Deadline-Ms"), &left); err != nil || left > 10_000 {
 		t.Errorf("the route's timeout is not carried: %q", header.Get("Levertide-Deadline-Ms"))
 	}
-	request.Header.Set("Levertide-Attempts-Left", "10")
-	m.do(request).expect(t, http.StatusOK, "")
+	m.call("GET", "/", "", "Levertide-Deadline-Ms", "5000", "Levertide-Attempts-Left", "10").expect(t, http.StatusOK, "")
 	if header = <-seen; header.Get("Levertide-Attempts-Left") != "1" {
 		t.Errorf("a caller raised its allowance to %q", header.Get("Levertide-Attempts-Left"))
 	}
@@ -349,11 +337,7 @@
 	m.call("GET", "/slow", "").expect(t, http.StatusNotFound, "not-run")
 	m.call("GET", "/other", "").expect(t, http.StatusOK, "")
 	close(resume)
-	got := <-slow
-	got.expect(t, http.StatusOK, "")
-	if got.body != "whole" {
-		t.Errorf("body %q", got.body)
-	}
+	(<-slow).expectBody(t, "whole")
 }
 
 func TestNodeWithAnotherServiceSaysMisdirected(t *testing.T) {
--- a/internal/dataplane/fixture_test.go
+++ b/internal/dataplane/fixture_test.go
@@ -102,17 +102,15 @@
 	}
 }
 
-func testResources(routes map[string]*model.Route) []model.Resource {
-	resources := []model.Resource{
-		{Key: model.Key{Kind: model.KindService, Name: testService}, Service: &model.Service{
-			Slots: 64, Connections: 130, Queue: 64,
-		}},
-		{Key: model.Key{Kind: model.KindSecret, Name: "key"}, Secret: &model.Secret{Value: "s3cret"}},
+func serviceNamed(name string) model.Resource {
+	return model.Resource{
+		Key:     model.Key{Kind: model.KindService, Name: name},
+		Service: &model.Service{Slots: 64, Connections: 130, Queue: 64, Timeout: time.Minute},
 	}
-	for name, route := range routes {
-		resources = append(resources, model.Resource{Key: model.Key{Kind: model.KindRoute, Name: name}, Route: route})
-	}
-	return resources
+}
+
+func routeNamed(name string, route *model.Route) model.Resource {
+	return model.Resource{Key: model.Key{Kind: model.KindRoute, Name: name}, Route: route}
 }
 
 // newMesh starts a node without a worker, which calls enter by.
@@ -128,12 +126,24 @@
 	return m
 }
 
+// publish puts routes to testService in force.
 func (m *mesh) publish(version uint64, routes map[string]*model.Route) {
-	source, err := snapshot.New(version, testResources(routes))
+	resources := []model.Resource{
+		serviceNamed(testService),
+		{Key: model.Key{Kind: model.KindSecret, Name: "key"}, Secret: &model.Secret{Value: "s3cret"}},
+	}
+	for name, route := range routes {
+		resources = append(resources, routeNamed(name, route))
+	}
+	m.current.Store(m.snapshot(version, resources))
+}
+
+func (m *mesh) snapshot(version uint64, resources []model.Resource) *snapshot.Snapshot {
+	built, err := snapshot.New(version, resources)
 	if err != nil {
 		m.t.Fatal(err)
 	}
-	m.current.Store(source)
+	return built
 }
 
 func (m *mesh) start(id, worker string, change ...func(*Config)) *testNode {
@@ -247,13 +257,27 @@
 	return reply{status: response.StatusCode, header: response.Header, trailer: response.Trailer, body: string(body), err: err}
 }
 
-func (m *mesh) call(method, path, body string) reply {
+// call makes a request with header fields given as names and values in turn.
+func (m *mesh) call(method, path, body string, header ...string) reply {
 	m.t.Helper()
 	var reader io.Reader
 	if body != "" {
 		reader = strings.NewReader(body)
 	}
-	return m.do(m.request(method, path, reader))
+	request := m.request(method, path, reader)
+	for i := 0; i < len(header); i += 2 {
+		request.Header.Set(header[i], header[i+1])
+	}
+	return m.do(request)
+}
+
+// expectBody checks that a worker answered with status 200 and a body.
+func (r reply) expectBody(t testing.TB, want string) {
+	t.Helper()
+	r.expect(t, http.StatusOK, "")
+	if r.body != want {
+		t.Errorf("answered %q, want %q", r.body, want)
+	}
 }
 
 // expect checks status, outcome and, when one is given, the reason.
--- a/internal/dataplane/network_test.go
+++ b/internal/dataplane/network_test.go
@@ -144,10 +144,6 @@
 	t.Cleanup(encrypted.Close)
 	m.join("a", encrypted.Listener.Addr().String())
 	for range 2 {
-		got := m.call("POST", "/", "secret")
-		got.expect(t, http.StatusOK, "")
-		if got.body != "secret" {
-			t.Errorf("body %q", got.body)
-		}
+		m.call("POST", "/", "secret").expectBody(t, "secret")
 	}
 }
--- a/internal/dataplane/passing_test.go
+++ b/internal/dataplane/passing_test.go
@@ -51,14 +51,8 @@
 		w.Header().Set("Levertide-Outcome", "unknown")
 		w.Header().Set("Levertide-Load", "1")
 	})
-	request := m.request("GET", "/", nil)
-	request.Header.Set("Connection", "X-Listed, keep-alive")
-	request.Header.Set("X-Listed", "1")
-	request.Header.Set("Proxy-Authorization", "1")
-	request.Header.Set("Levertide-Route", "never")
-	request.Header.Set("Levertide-Load", "7")
-	request.Header.Set("X-Kept", "1")
-	got := m.do(request)
+	got := m.call("GET", "/", "", "Connection", "X-Listed, keep-alive", "X-Listed", "1", "Proxy-Authorization", "1",
+		"Levertide-Route", "never", "Levertide-Load", "7", "X-Kept", "1")
 	got.expect(t, http.StatusOK, "")
 	header := <-seen
 	for _, name := range []string{"X-Listed", "Proxy-Authorization", "Levertide-Route", "Levertide-Load", "Keep-Alive", "Connection"} {
@@ -123,9 +117,7 @@
 	m.addHandler("a", func(w http.ResponseWriter, r *http.Request) {
 		_, _ = fmt.Fprint(w, r.ContentLength, r.TransferEncoding, r.Header.Get("Idempotency-Key"), r.Header["Content-Length"])
 	})
-	request := m.request("POST", "/never", nil)
-	request.Header.Set("Idempotency-Key", "k1")
-	got := m.do(request)
+	got := m.call("POST", "/never", "", "Idempotency-Key", "k1")
 	got.expect(t, http.StatusOK, "")
 	if got.body != "0 []k1[0]" && got.body != "0 [] k1 [0]" {
 		t.Errorf("the worker saw %q", got.body)
@@ -163,9 +155,7 @@
 		w.WriteHeader(http.StatusForbidden) // without reading the body
 	})
 	const size = 1 << 20
-	request := m.request("PUT", "/", strings.NewReader(strings.Repeat("x", size)))
-	request.Header.Set("Expect", "100-continue")
-	m.do(request).expect(t, http.StatusForbidden, "")
+	m.call("PUT", "/", strings.Repeat("x", size), "Expect", "100-continue").expect(t, http.StatusForbidden, "")
 }
 
 func TestAnswersStreamAsTheyCome(t *testing.T) {
--- a/internal/dataplane/scope_test.go
+++ b/internal/dataplane/scope_test.go
@@ -14,17 +14,13 @@
 // hold; it does not send it to the service of a less specific route.
 func TestRequestOfARouteOutOfScopeReachesNoWorker(t *testing.T) {
 	m := newMesh(t)
-	filings := testRoute("/filings", model.RepeatNever)
+	own, filings := serviceNamed(testService), testRoute("/filings", model.RepeatNever)
+	own.Service.Calls = []string{}
 	filings.Service = "filings"
-	resources := append(
-		testResources(map[string]*model.Route{"default": testRoute("/", model.RepeatNever), "filings": filings}),
-		model.Resource{Key: model.Key{Kind: model.KindService, Name: "filings"}, Service: &model.Service{Slots: 1, Connections: 1}},
-	)
-	resources[0].Service.Calls = []string{}
-	whole, err := snapshot.New(2, resources)
-	if err != nil {
-		t.Fatal(err)
-	}
+	whole := m.snapshot(2, []model.Resource{
+		own, serviceNamed("filings"),
+		routeNamed("default", testRoute("/", model.RepeatNever)), routeNamed("filings", filings),
+	})
 	m.current.Store(whole.Restrict(snapshot.Scope{Service: testService}))
 	var requests atomic.Int64
 	m.addHandler("a", func(http.ResponseWriter, *http.Request) { requests.Add(1) })
