Let zone relays read the store when no candidate does

With the store out of reach of the first three zones nobody read it, although others could. A zone relay now tries for a lease once no other node has read the store for 8 s; leases still limit the readers. A plan that is due later no longer delays one that is due now.

--- a/internal/control/plan.go
+++ b/internal/control/plan.go
@@ -15,6 +15,9 @@
 	planPause = 150 * time.Millisecond
 	// switchPause spreads nodes that move to a better parent.
 	switchPause = time.Second
+	// standInPause is how long no node may read the store before zone relays
+	// that are no candidates try to.
+	standInPause = 8 * time.Second
 	// maximumSuspectDoublings bounds how much longer a peer stays out of the
 	// plan that failed again and again.
 	maximumSuspectDoublings = 4
@@ -45,6 +48,10 @@
 	// wholeUntil is when a node that is no longer a relay narrows its scope.
 	wholeUntil time.Time
 
+	// unreadSince is since when no other node is known to read the store; zero
+	// when one is.
+	unreadSince time.Time
+
 	leaders     map[string]struct{}
 	leadersView *membership.View
 }
@@ -59,9 +66,7 @@
 
 // invalidate asks for a new plan after a pause.
 func (p *plan) invalidate(at time.Time) {
-	if p.dueAt.IsZero() {
-		p.dueAt = at.Add(planPause)
-	}
+	p.dueAt = sooner(p.dueAt, at.Add(planPause))
 }
 
 // suspect keeps a peer out of the plan for a while, longer each time.
@@ -161,7 +166,36 @@
 	n.updateScope(at)
 	n.updateRole()
 	n.scheduleSwitch(at)
-	n.reader.candidate(n.plan.assignment.ReaderCandidate)
+	n.reader.candidate(n.plan.assignment.ReaderCandidate || n.standsIn(at))
+}
+
+// standsIn reports whether this zone relay, though it is no candidate, is to
+// try for a reader's lease: no other node has read the store for a while, so
+// that perhaps none of the candidates can reach it.
+func (n *Node) standsIn(at time.Time) bool {
+	eligible := n.versions != nil && n.plan.assignment.Rank == 0 && n.self.State == membership.StateLive
+	if !eligible || n.otherReader() {
+		n.plan.unreadSince = time.Time{}
+		return false
+	}
+	if n.plan.unreadSince.IsZero() {
+		n.plan.unreadSince = at
+	}
+	due := n.plan.unreadSince.Add(standInPause)
+	if at.Before(due) {
+		n.plan.dueAt = sooner(n.plan.dueAt, due)
+		return false
+	}
+	return true
+}
+
+func (n *Node) otherReader() bool {
+	for _, record := range n.table.View().Live() {
+		if record.Reader && record.ID != n.self.ID {
+			return true
+		}
+	}
+	return false
 }
 
 // planAsLeaving gives up every part but that of a leaf. Others no longer plan
