--- a/internal/control/floor.go
+++ b/internal/control/floor.go
@@ -8,7 +8,6 @@
 	"golang.org/x/sync/errgroup"
 
 	"github.com/levertide/levertide/internal/controlpb"
-	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/rollout"
 	"github.com/levertide/levertide/pkg/topology"
 )
@@ -20,9 +19,19 @@
 	// floorStoreTimeout bounds the read of the head that confirms a floor.
 	floorStoreTimeout = 1500 * time.Millisecond
 	// floorPeersAtATime is how many peers are asked at the same time.
-	floorPeersAtATime = 8
-	// floorOtherZones is how many nodes of other zones are asked at most.
-	floorOtherZones = 6
+	floorPeersAtATime = 16
+	// floorPeersOfReader is how many nodes of its zone a restarted reader asks
+	// beside the store, and floorPatience how long it waits for them.
+	floorPeersOfReader = 8
+	floorPatience      = 600 * time.Millisecond
+	// floorSpread bounds the random pause before peers are asked, which rises
+	// by floorSpreadPerPeer with their number.
+	floorSpread        = time.Second
+	floorSpreadPerPeer = 10 * time.Millisecond
+	// peersBackoffBase and peersBackoffCeiling bound the pause between two
+	// rounds of asking peers; the store is asked more often.
+	peersBackoffBase    = 400 * time.Millisecond
+	peersBackoffCeiling = 20 * time.Second
 )
 
 const reasonStarting = "the node is starting: the lowest version that may be run is not known yet"
@@ -48,9 +57,10 @@
 // runFloor learns from which version on this node may run.
 func (n *Node) runFloor(ctx context.Context) {
 	pauses := backoff{base: floorBackoffBase, ceiling: floorBackoffCeiling}
+	peers := peerRounds{pauses: backoff{base: peersBackoffBase, ceiling: peersBackoffCeiling}}
 	for ctx.Err() == nil {
 		n.awaitPlace(ctx)
-		if n.learnFloor(ctx) {
+		if n.learnFloor(ctx, &peers) {
 			return
 		}
 		sleep(ctx, floorBackoffBase/2+pauses.next())
@@ -74,13 +84,30 @@
 	return n.upstream.attached || n.upstream.root
 }
 
-func (n *Node) learnFloor(ctx context.Context) bool {
+// peerRounds spaces the rounds of asking peers, and keeps the last outcome.
+type peerRounds struct {
+	pauses backoff
+	dueAt  time.Time
+	err    error
+}
+
+func (r *peerRounds) ask(ctx context.Context, round func(context.Context) (floorAnswer, error)) (floorAnswer, error) {
+	if now().Before(r.dueAt) {
+		return floorAnswer{}, r.err
+	}
+	var answer floorAnswer
+	answer, r.err = round(ctx)
+	r.dueAt = now().Add(r.pauses.next())
+	return answer, r.err
+}
+
+func (n *Node) learnFloor(ctx context.Context, peers *peerRounds) bool {
 	answer, err := n.confirmedFloor(ctx)
 	if err == nil {
 		n.setFloor(answer.committed, floorFromStore)
 		return true
 	}
-	answer, peersErr := n.floorOfPeers(ctx)
+	answer, peersErr := peers.ask(ctx, n.floorOfPeers)
 	if peersErr == nil {
 		n.setFloor(answer.committed, floorFromPeers)
 		return true
@@ -137,7 +164,29 @@
 	if err != nil {
 		return floorAnswer{}, err
 	}
-	return floorAnswer{generation: head.Generation, committed: head.Committed, staged: head.Proposed}, nil
+	found := floorAnswer{generation: head.Generation, committed: head.Committed, staged: head.Proposed}
+	found.committed = max(found.committed, n.committedElsewhere())
+	return found, nil
+}
+
+// committedElsewhere returns the highest version that this node knows to be
+// committed without the store, which may have lost it. A node that has no floor
+// yet knows little itself, and asks some others.
+func (n *Node) committedElsewhere() rollout.Version {
+	known := n.ownCommitted()
+	if n.floorKnown() {
+		return known
+	}
+	for _, answer := range n.askFloors(n.serving, n.floorPeers().some(), floorPatience) {
+		known = max(known, answer.Committed)
+	}
+	return known
+}
+
+func (n *Node) floorKnown() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.participant.State().FloorKnown
 }
 
 func (n *Node) floorFromParent(parent topology.Peer) (floorAnswer, error) {
@@ -152,53 +201,30 @@
 	}
 	return floorAnswer{
 		generation: answer.GetGeneration(),
-		committed:  answer.GetCommitted(),
+		committed:  max(answer.GetCommitted(), n.ownCommitted()),
 		staged:     answer.GetStaged(),
 	}, nil
 }
 
-// floorOfPeers asks the other nodes of the zone, and some of other zones. What
-// they know must leave no doubt.
+// floorOfPeers asks the other nodes of the zone and one of each other zone.
+// What they know must leave no doubt.
 func (n *Node) floorOfPeers(ctx context.Context) (floorAnswer, error) {
-	own, others := n.floorPeers()
-	quorum := rollout.FloorQuorum{ZoneMembers: len(own), OtherZones: len(others) > 0}
-	answers := n.askFloors(ctx, append(own, others...))
-	decision := rollout.DecideFloor(quorum, answers)
+	peers := n.floorPeers()
+	asked := peers.all()
+	sleep(ctx, upTo(min(time.Duration(len(asked))*floorSpreadPerPeer, floorSpread)))
+	decision := rollout.DecideFloor(peers.quorum, n.askFloors(ctx, asked, n.config.CallTimeout))
 	if !decision.Decided {
 		return floorAnswer{}, ErrFloorUnknown.New("%s", decision.Reason)
 	}
 	return floorAnswer{committed: decision.Floor}, nil
 }
 
-// floorPeers lists the other nodes of the zone, and some of other zones.
-func (n *Node) floorPeers() (own, others []topology.Peer) {
-	n.mutex.Lock()
-	defer n.mutex.Unlock()
-	for record := range n.table.View().All() {
-		if record.ID == n.self.ID || record.State == membership.StateLost {
-			continue
-		}
-		if record.Zone == n.self.Zone && record.Region == n.self.Region {
-			own = append(own, peerOf(record))
-		} else {
-			others = append(others, peerOf(record))
-		}
-	}
-	for id, hint := range n.plan.hints {
-		if _, known := n.table.Get(id); !known && hint.Zone == n.self.Zone && hint.Region == n.self.Region {
-			own = append(own, hint)
-		}
-	}
-	shuffle(others)
-	return own, others[:min(len(others), floorOtherZones)]
-}
-
-// askFloors asks all peers, a few at a time.
-func (n *Node) askFloors(ctx context.Context, peers []topology.Peer) []rollout.FloorAnswer {
+// askFloors asks all peers, a few at a time, and takes what has come in time.
+func (n *Node) askFloors(ctx context.Context, peers []topology.Peer, limit time.Duration) []rollout.FloorAnswer {
 	var group errgroup.Group
 	group.SetLimit(floorPeersAtATime)
 	answers := make([]rollout.FloorAnswer, len(peers))
-	ctx, cancel := context.WithTimeout(ctx, n.config.CallTimeout)
+	ctx, cancel := context.WithTimeout(ctx, limit)
 	defer cancel()
 	for index, peer := range peers {
 		group.Go(func() error {
@@ -213,14 +239,23 @@
 // askPeerFloor returns an answer that counts for nothing when the peer cannot
 // be reached or does not know.
 func (n *Node) askPeerFloor(ctx context.Context, peer topology.Peer) rollout.FloorAnswer {
-	answer, err := n.clients.floor(ctx, peer, &controlpb.FloorRequest{Local: true})
+	home := zoneOfRecord(&n.config.Self)
+	answer, err := n.clients.floor(ctx, peer, &controlpb.FloorRequest{
+		Local:  true,
+		Node:   n.config.Self.ID,
+		Region: home.region,
+		Zone:   home.zone,
+	})
 	if err != nil {
 		return rollout.FloorAnswer{}
 	}
 	return rollout.FloorAnswer{
-		SameZone:  peer.Zone == n.config.Self.Zone && peer.Region == n.config.Self.Region,
-		Known:     answer.GetKnown(),
-		Committed: answer.GetCommitted(),
-		Staged:    answer.GetStaged(),
+		SameZone:    zoneOfPeer(peer) == home,
+		Zone:        zoneOfPeer(peer).String(),
+		Known:       answer.GetKnown(),
+		Committed:   answer.GetCommitted(),
+		Staged:      answer.GetStaged(),
+		ZoneMembers: int(answer.GetZoneMembers()),
+		Zones:       int(answer.GetZones()),
 	}
 }
--- a/internal/control/floor_server.go
+++ b/internal/control/floor_server.go
@@ -7,12 +7,14 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/rollout"
 )
 
 // Floor tells the lowest version that a restarted node may run.
 func (r rpc) Floor(ctx context.Context, request *controlpb.FloorRequest) (*controlpb.FloorResponse, error) {
 	if request.GetLocal() {
-		return r.node.localFloor(), nil
+		asking := zoneKey{region: request.GetRegion(), zone: request.GetZone()}
+		return r.node.localFloor(request.GetNode(), asking), nil
 	}
 	answer, err := r.node.confirmedFloor(ctx)
 	if err != nil {
@@ -27,21 +29,51 @@
 	}, nil
 }
 
-// localFloor tells what this node itself knows.
-func (n *Node) localFloor() *controlpb.FloorResponse {
+// localFloor tells what this node itself knows, of itself and of all that have
+// ever reported to it, and whom it knows beside the asking node. It is worked
+// out anew for each request, without calls to others.
+func (n *Node) localFloor(node string, zone zoneKey) *controlpb.FloorResponse {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	state := n.participant.State()
-	response := &controlpb.FloorResponse{
-		Known:      state.FloorKnown && state.HeadKnown && n.vouches(now()),
-		Generation: state.Head.Generation,
-		Committed:  max(state.Floor, state.Head.Committed),
-		Staged:     state.Head.Proposed,
+	return &controlpb.FloorResponse{
+		Known:       state.FloorKnown && state.HeadKnown && n.vouches(now()),
+		Generation:  state.Head.Generation,
+		Committed:   n.highestCommitted(state),
+		Staged:      n.highestProposed(state),
+		ZoneMembers: uint32(n.membersBeside(zone, node)),
+		Zones:       uint32(n.zonesBeside(zone)),
 	}
+}
+
+func (n *Node) ownCommitted() rollout.Version {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.highestCommitted(n.participant.State())
+}
+
+// highestCommitted returns the highest version that this node, or any node that
+// has reported to it, runs or knows to be committed.
+func (n *Node) highestCommitted(state rollout.ParticipantState) rollout.Version {
+	highest := max(state.Floor, state.Head.Committed, n.reported.committed)
+	if state.InForce != nil {
+		highest = max(highest, state.InForce.Version())
+	}
+	return highest
+}
+
+// highestProposed returns the highest version that one of them holds or knows
+// to be proposed, and that may have been committed as far as this node knows. A
+// number that the head has gone past without committing it was given up.
+func (n *Node) highestProposed(state rollout.ParticipantState) rollout.Version {
+	highest := state.Head.Proposed
 	if state.Staged != nil {
-		response.Staged = max(response.Staged, state.Staged.Version())
+		highest = max(highest, state.Staged.Version())
+	}
+	if reported := n.reported.proposed; reported > state.Head.HighestUsed {
+		highest = max(highest, reported)
 	}
-	return response
+	return highest
 }
 
 // vouches reports whether this node may speak for the system: a version could
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -56,6 +56,7 @@
 	coordinator coordinatorState
 	storeState  storeState
 	floor       floorState
+	reported    reportedVersions
 	strangers   strangers
 	discovery   backoff
 	alarms      []string
--- a/internal/control/report_server.go
+++ b/internal/control/report_server.go
@@ -38,6 +38,7 @@
 	}
 	entry.sequence = request.GetSequence()
 	entry.readiness, entry.reported = readinessOf(request.GetReadiness()), true
+	n.reported.raise(entry.readiness)
 	at := now()
 	below := records[:min(int(request.GetBelow()), len(records))]
 	n.mergeBelow(at, below...)
--- a/internal/control/table_state.go
+++ b/internal/control/table_state.go
@@ -32,6 +32,8 @@
 	scoped    map[directoryScope]*scopedDirectory
 	// marks remember sequences by time, for purging records of lost nodes.
 	marks []sequenceMark
+	// pastZones are the zones of records that were dropped.
+	pastZones map[zoneKey]struct{}
 }
 
 type sequenceMark struct {
@@ -45,6 +47,8 @@
 		interner: interner,
 		epoch:    self.Incarnation,
 		scoped:   make(map[directoryScope]*scopedDirectory),
+
+		pastZones: make(map[zoneKey]struct{}),
 	}
 	state.Merge(self)
 	return state
@@ -74,6 +78,7 @@
 
 // replace drops every record that keep does not name. Sequences start again.
 func (t *tableState) replace(keep []membership.Record) {
+	t.rememberZones()
 	t.Table = membership.NewTableWithInterner(t.interner)
 	t.Merge(keep...)
 	t.epoch++
@@ -94,6 +99,7 @@
 	}
 	oldest := t.marks[0]
 	t.marks = t.marks[1:]
+	t.rememberZones()
 	if t.PurgeLost(oldest.sequence) == 0 {
 		return
 	}
--- a/internal/control/vouch_test.go
+++ b/internal/control/vouch_test.go
@@ -21,13 +21,13 @@
 		state := node.participant.State()
 		return state.FloorKnown && state.HeadKnown
 	})
-	if node.localFloor().GetKnown() {
+	if node.localFloor("", zoneKey{}).GetKnown() {
 		t.Fatal("a node vouches although its tree is new")
 	}
 	node.mutex.Lock()
 	node.upstream.topSince = time.Now().Add(-2 * time.Hour)
 	node.mutex.Unlock()
-	if !node.localFloor().GetKnown() {
+	if !node.localFloor("", zoneKey{}).GetKnown() {
 		t.Fatal("a node does not vouch in a settled tree")
 	}
 	node.mutex.Lock()
@@ -35,7 +35,7 @@
 		node.table.Merge(membership.Record{ID: fmt.Sprint("lost", index), Region: "nl", Zone: "b", State: membership.StateLost})
 	}
 	node.mutex.Unlock()
-	if node.localFloor().GetKnown() {
+	if node.localFloor("", zoneKey{}).GetKnown() {
 		t.Fatal("a node vouches although most nodes are lost")
 	}
 }
