--- a/internal/control/coordinator_loop.go
+++ b/internal/control/coordinator_loop.go
@@ -176,6 +176,7 @@
 		state.pauses.reset()
 		done()
 		n.observeHead(head)
+		n.startSweep()
 		return
 	}
 	if errorx.IsOfType(err, versionstore.ErrConflict) {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -54,6 +54,7 @@
 	reports     reportState
 	reader      readerState
 	coordinator coordinatorState
+	sweeping    sweepState
 	storeState  storeState
 	floor       floorState
 	reported    reportedVersions
