Measure calls while machines crash

One machine, a worker with its node, is killed, and then three of seven at once, under unrepeatable and repeatable calls. All machines are in one zone: with four zones the killed ones of other zones had no calls, and the second crash showed nothing.

--- a/internal/lab/load/command.go
+++ b/internal/lab/load/command.go
@@ -15,7 +15,7 @@
 func Command() *ffcli.Command {
 	flags := flag.NewFlagSet("load", flag.ContinueOnError)
 	options := Options{Progress: os.Stderr}
-	modes := flags.String("mode", string(ModeSteady), "what to measure: steady, overload, chain, upload, rolling, faults, separated by commas, or all")
+	modes := flags.String("mode", string(ModeSteady), "what to measure: steady, overload, chain, upload, rolling, faults, crash, separated by commas, or all")
 	rates := flags.String("rate", "280,2800", "calls a second that a node takes in, one step of steady for each")
 	sizes := flags.String("upload-mb", "1,16,128,1024", "sizes of the uploads in megabytes")
 	file := flags.String("json", "", "file for the report; standard output when empty")
--- /dev/null
+++ b/internal/lab/load/crash.go
@@ -0,0 +1,85 @@
+package load
+
+import (
+	"context"
+	"fmt"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/worker"
+)
+
+// crashPause is the longest time of calls before and after each crash.
+const crashPause = 5 * time.Second
+
+// measureCrash kills one machine, a worker with its node, and then half of all
+// machines at once, while calls go on. The list of machines tells at once; the
+// nodes find out as the calls and the control messages show it. All machines are
+// in one zone, so that all of them take calls.
+func measureCrash(ctx context.Context, options Options) (*Crash, error) {
+	f, err := newFleet(options)
+	if err != nil {
+		return nil, err
+	}
+	options.Zones = 1
+	config := worker.Config{Slots: options.Slots, Service: options.Service}
+	m, err := startMesh(ctx, f, options, config, serviceShape{slots: options.Slots, queue: 2 * options.Slots})
+	defer m.close()
+	if err != nil {
+		return nil, err
+	}
+	run := newRollingRun(options, m)
+	defer run.transport.CloseIdleConnections()
+	calling, stop := context.WithCancel(ctx)
+	defer stop()
+	var load sync.WaitGroup
+	load.Go(func() { run.callOn(ctx, calling) })
+	pause := min(crashPause, options.Duration)
+	result := &Crash{}
+	for _, machines := range []int{1, max(options.Workers/2, 1)} {
+		sleepUntil(ctx, time.Now().Add(pause))
+		result.Events = append(result.Events, run.crash(ctx, machines, pause))
+		if err := run.replaceCrashed(ctx, config, machines); err != nil {
+			return nil, err
+		}
+	}
+	sleepUntil(ctx, time.Now().Add(pause))
+	stop()
+	load.Wait()
+	run.seen.take(m.workers()...)
+	result.Once, result.Any = run.once.result(run.seen), run.any.result(run.seen)
+	fmt.Fprintf(options.Progress, "crash: %+v\n", *result)
+	return result, nil
+}
+
+// crash kills the first machines of the mesh at once and watches the calls.
+func (r *rollingRun) crash(ctx context.Context, machines int, pause time.Duration) CrashEvent {
+	event := CrashEvent{Machines: machines, Of: len(r.mesh.members)}
+	moment := time.Now()
+	var killing sync.WaitGroup
+	for _, item := range r.mesh.members[:machines] {
+		killing.Go(item.worker.Close)
+		killing.Go(item.node.kill)
+	}
+	killing.Wait()
+	sleepUntil(ctx, moment.Add(pause))
+	failing := max(r.once.failedUntil(moment), r.any.failedUntil(moment))
+	event.FailingMS = float64(failing) / float64(time.Millisecond)
+	return event
+}
+
+// replaceCrashed starts new machines in place of the crashed ones, all at once,
+// and keeps the records of the latter.
+func (r *rollingRun) replaceCrashed(ctx context.Context, config worker.Config, machines int) error {
+	for _, item := range r.mesh.members[:machines] {
+		r.seen.take(item.worker)
+	}
+	r.mesh.members = r.mesh.members[machines:]
+	for index := range machines {
+		suffix := fmt.Sprintf("%s-%d-%d", rollingSuffix, machines, index)
+		if err := r.mesh.addMember(ctx, index, r.options.Zones, config, suffix); err != nil {
+			return err
+		}
+	}
+	return nil
+}
--- a/internal/lab/load/fleet.go
+++ b/internal/lab/load/fleet.go
@@ -29,6 +29,8 @@
 	memory() (resident, peak uint64, ok bool)
 	// stop ends the node as planned and reports whether it ended by itself.
 	stop(bound time.Duration) bool
+	// kill ends the node at once, as a crash does.
+	kill()
 }
 
 // fleet starts nodes and gives them their configuration.
--- a/internal/lab/load/fleet_inside.go
+++ b/internal/lab/load/fleet_inside.go
@@ -121,6 +121,11 @@
 	n.plane.Close()
 }
 
+func (n *insideNode) kill() {
+	n.end()
+	n.fleet.announce(n.record.With(membership.StateLost))
+}
+
 // stop marks the node as leaving, drains it and closes its listeners.
 func (n *insideNode) stop(bound time.Duration) bool {
 	ctx, cancel := context.WithTimeout(context.Background(), bound)
--- a/internal/lab/load/fleet_process.go
+++ b/internal/lab/load/fleet_process.go
@@ -230,6 +230,12 @@
 	return ended
 }
 
+func (n *processNode) kill() {
+	n.process.Kill()
+	n.fleet.platform.Deregister(n.spec.id)
+	n.fleet.remove(n)
+}
+
 func (f *processFleet) remove(gone *processNode) {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -128,6 +128,14 @@
 	}
 }
 
+func TestCrashesHarmNoUnrepeatableRequest(t *testing.T) {
+	t.Parallel()
+	report := run(t, short(ModeCrash))
+	if len(report.Crash.Events) != 2 || report.Crash.Once.Calls == 0 || report.Crash.Any.Answered == 0 {
+		t.Errorf("%+v", report.Crash)
+	}
+}
+
 func TestChainStaysWithinItsBound(t *testing.T) {
 	t.Parallel()
 	report := run(t, short(ModeChain))
@@ -148,7 +156,7 @@
 }
 
 func TestOptionsAreChecked(t *testing.T) {
-	if modes, err := ParseModes("all"); err != nil || len(modes) != 6 {
+	if modes, err := ParseModes("all"); err != nil || len(modes) != 7 {
 		t.Errorf("all modes: %v, %v", modes, err)
 	}
 	for _, text := range []string{"", "fast", "steady,"} {
--- a/internal/lab/load/meter.go
+++ b/internal/lab/load/meter.go
@@ -101,6 +101,8 @@
 	counts Counts
 	notRun []string // identifiers of the calls that were refused as not run
 	times  *meter
+	// lastFailed is when a call last ended without its answer.
+	lastFailed time.Time
 }
 
 func newTally() *tally { return &tally{times: newMeter()} }
@@ -112,6 +114,9 @@
 	t.mutex.Lock()
 	defer t.mutex.Unlock()
 	t.counts.Calls++
+	if ended.kind != endingAnswered {
+		t.lastFailed = time.Now()
+	}
 	if ended.reason != "" {
 		t.addReason(ended.reason, 1)
 	}
@@ -149,6 +154,13 @@
 	t.counts.Reasons[reason] += count
 }
 
+// failedUntil returns how long after moment calls went on failing.
+func (t *tally) failedUntil(moment time.Time) time.Duration {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	return max(t.lastFailed.Sub(moment), 0)
+}
+
 // result returns the counts, with what the workers' records show of these calls.
 func (t *tally) result(seen executions) Counts {
 	t.mutex.Lock()
--- a/internal/lab/load/options.go
+++ b/internal/lab/load/options.go
@@ -27,9 +27,11 @@
 	ModeRolling Mode = "rolling"
 	// ModeFaults counts what callers see while workers fail in each way.
 	ModeFaults Mode = "faults"
+	// ModeCrash kills machines, one and then half of them at once.
+	ModeCrash Mode = "crash"
 )
 
-var allModes = []Mode{ModeSteady, ModeOverload, ModeChain, ModeUpload, ModeRolling, ModeFaults}
+var allModes = []Mode{ModeSteady, ModeOverload, ModeChain, ModeUpload, ModeRolling, ModeFaults, ModeCrash}
 
 // Default values of Options.
 const (
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -20,6 +20,7 @@
 	Upload   *Upload      `json:"upload"`
 	Rolling  *Rolling     `json:"rolling"`
 	Faults   []FaultPoint `json:"faults"`
+	Crash    *Crash       `json:"crash"`
 	Failures []string     `json:"failures"`
 }
 
@@ -152,6 +153,21 @@
 	Killed int `json:"killed"`
 }
 
+// Crash is what callers saw while machines crashed.
+type Crash struct {
+	Events []CrashEvent `json:"events"`
+	Once   Counts       `json:"unrepeatable"`
+	Any    Counts       `json:"repeatable"`
+}
+
+// CrashEvent is the crash of some machines, worker and node together, at once.
+type CrashEvent struct {
+	Machines int `json:"machines"`
+	Of       int `json:"of"`
+	// FailingMS is how long after it calls of either kind went on failing.
+	FailingMS float64 `json:"calls_failed_for_ms"`
+}
+
 // FaultPoint is what callers saw while workers failed in one way.
 type FaultPoint struct {
 	Fault worker.FaultKind `json:"fault"`
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -48,18 +48,23 @@
 	if err != nil {
 		return nil, err
 	}
+	run := newRollingRun(options, m)
+	defer run.transport.CloseIdleConnections()
+	return run.measure(ctx, config)
+}
+
+func newRollingRun(options Options, m *mesh) *rollingRun {
 	run := &rollingRun{
 		options: options, mesh: m, transport: newTransport(),
 		once: newTally(), any: newTally(), uploads: newTally(), seen: executions{},
 	}
-	defer run.transport.CloseIdleConnections()
-	return run.measure(ctx, config)
+	address := m.gateway.callerAddress()
+	run.target.Store(&address)
+	return run
 }
 
 func (r *rollingRun) measure(ctx context.Context, config worker.Config) (*Rolling, error) {
 	began := time.Now()
-	address := r.mesh.gateway.callerAddress()
-	r.target.Store(&address)
 	calling, stop := context.WithCancel(ctx)
 	var load sync.WaitGroup
 	load.Go(func() { r.callOn(ctx, calling) })
--- a/internal/lab/load/run.go
+++ b/internal/lab/load/run.go
@@ -43,6 +43,8 @@
 		r.Upload, err = measureUpload(ctx, options)
 	case ModeFaults:
 		r.Faults, err = measureFaults(ctx, options)
+	case ModeCrash:
+		r.Crash, err = measureCrash(ctx, options)
 	case ModeRolling:
 		r.Rolling, err = measureRolling(ctx, options)
 	}
@@ -95,6 +97,10 @@
 		note(string(point.Fault)+", unrepeatable", point.Once)
 		note(string(point.Fault)+", repeatable", point.Any)
 	}
+	if r.Crash != nil {
+		note("crash, unrepeatable", r.Crash.Once)
+		note("crash, repeatable", r.Crash.Any)
+	}
 	if r.Chain != nil {
 		failures = append(failures, r.Chain.failures()...)
 	}
