--- a/tests/integration/harness/operator.go
+++ b/tests/integration/harness/operator.go
@@ -12,6 +12,7 @@
 	"github.com/levertide/levertide/internal/platform/consul"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/store"
 	"github.com/levertide/levertide/pkg/versionstore"
 )
 
@@ -167,3 +168,12 @@
 	}
 	return head
 }
+
+// Overwrite replaces the value of one key of the store, as a fault would.
+func (o *Operator) Overwrite(key, value string) {
+	o.t.Helper()
+	err := o.client.Transact(o.t.Context(), []store.Operation{{Verb: store.VerbSet, Key: key, Value: []byte(value)}})
+	if err != nil {
+		o.t.Fatal(err)
+	}
+}
--- a/tests/integration/store_test.go
+++ b/tests/integration/store_test.go
@@ -1,6 +1,7 @@
 package integration_test
 
 import (
+	"fmt"
 	"testing"
 	"time"
 
@@ -176,3 +177,24 @@
 func isStoreUnreachable(event observe.Event) bool {
 	return event.Number == observe.EventStoreUnreachable
 }
+
+func TestUnreadableVersionIsAborted(t *testing.T) {
+	mesh, first := running(t, twoZones()...)
+	for _, node := range mesh.Nodes("") {
+		node.Pause()
+	}
+	apply, broken, err := mesh.Operator.Propose(first, resources(2))
+	if err != nil {
+		t.Fatal(err)
+	}
+	mesh.Operator.Overwrite(fmt.Sprintf("levertide/version/%020d", broken), "no record of a version")
+	for _, node := range mesh.Nodes("") {
+		node.Resume()
+	}
+	mesh.Eventually("the version is given up", func() bool { return mesh.Operator.Head().LastRejected != nil })
+	if rejected := mesh.Operator.Head().LastRejected; rejected.ApplyID != apply || rejected.Reason == "" {
+		t.Errorf("rejection %+v", rejected)
+	}
+	second := mesh.Operator.Apply(resources(3))
+	mesh.AwaitVersion(second, mesh.Nodes("")...)
+}
--- a/tests/integration/tls_test.go
+++ b/tests/integration/tls_test.go
@@ -2,11 +2,17 @@
 
 import (
 	"crypto/tls"
+	"errors"
 	"net"
+	"net/http"
 	"path/filepath"
 	"testing"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
+	"github.com/levertide/levertide/internal/command/exit"
+	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/internal/identity"
 	"github.com/levertide/levertide/internal/lab/observe"
 	"github.com/levertide/levertide/tests/integration/harness"
@@ -137,3 +143,55 @@
 		t.Errorf("exit code %d", code)
 	}
 }
+
+func TestOperatorAsksForStatusOverTLS(t *testing.T) {
+	authority, nodes := newAuthority(t), twoZones()
+	withCertificates(t, authority, t.TempDir(), nodes)
+	mesh, _ := running(t, nodes...)
+	operator := identity.Identity{Region: testRegion, Zone: "a", Role: identity.RoleOperator, Node: "someone"}
+	files := issue(t, authority, operator, t.TempDir())
+	status := harness.Levertide(t.Context(), "status", "--node", nodeDoor(mesh).Control.Address,
+		"--tls-ca", files.Authorities, "--tls-cert", files.Certificate, "--tls-key", files.Key)
+	if status.ExitCode != int(exit.Accepted) {
+		t.Errorf("status: %+v", status)
+	}
+	for _, method := range []string{"Watch", "Report", "Members", "Floor"} {
+		if answered := postAs(t, mesh, clientOf(t, authority, operator), method); answered != http.StatusForbidden {
+			t.Errorf("%s answered an operator with %d", method, answered)
+		}
+	}
+}
+
+// postAs sends an empty message of one kind and returns the status.
+func postAs(t *testing.T, mesh *harness.Mesh, config *tls.Config, method string) int {
+	t.Helper()
+	client := &http.Client{Transport: &http.Transport{TLSClientConfig: config}}
+	url := "https://" + nodeDoor(mesh).Control.Address + "/twirp/levertide.control.v1.Control/" + method
+	response, err := client.Post(url, "application/protobuf", nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer response.Body.Close()
+	return response.StatusCode
+}
+
+func TestSenderMustBeWhoItsCertificateNames(t *testing.T) {
+	authority, nodes := newAuthority(t), twoZones()
+	withCertificates(t, authority, t.TempDir(), nodes)
+	mesh, _ := running(t, nodes...)
+	holder := identity.Identity{Region: testRegion, Zone: "a", Role: identity.RoleNode, Node: "intruder"}
+	client := controlpb.NewControlProtobufClient("https://"+nodeDoor(mesh).Control.Address,
+		&http.Client{Transport: &http.Transport{TLSClientConfig: clientOf(t, authority, holder)}})
+	claims := map[string]*controlpb.Member{
+		"another zone": {Id: "intruder", Region: testRegion, Zone: "b"},
+		"another node": {Id: "a-ledger-2", Region: testRegion, Zone: "a"},
+	}
+	for name, claim := range claims {
+		claim.Incarnation, claim.ControlAddress = 1, "127.0.0.1:1"
+		_, err := client.Watch(t.Context(), &controlpb.WatchRequest{Self: claim, Scope: &controlpb.Scope{All: true}})
+		var answer twirp.Error
+		if !errors.As(err, &answer) || answer.Code() != twirp.PermissionDenied {
+			t.Errorf("%s: %v", name, err)
+		}
+	}
+}
