Recover from a lost version and from a store that has gone back

A reader stopped at the first version that the store had lost, and then waited up to 30 s for the head to change. It now loads the committed and the proposed version independently, and after any error, one of a store that has gone back included, reads the head again without waiting on the old index. The alarm of a store that has gone back leaves the status once the head was read in good order; before, it stayed for ever, while an error of another kind or a lease answered ended the regression itself.

On a scratch copy of the tree before, TestAlarmOfRestoredStoreEnds and TestLostVersionDoesNotHoldUpTheOther fail after 30 s; now each takes less than a second. The tests that a reader gives up without renewal, that two parts with readers rejoin, and that a relay and the root which stop together are lost to all passed before too.

--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -1,6 +1,7 @@
 package control
 
 import (
+	"cmp"
 	"context"
 	"encoding/json"
 	"fmt"
@@ -145,7 +146,7 @@
 			n.noteStore(err)
 			return tenure{}, err
 		}
-		n.noteStore(nil)
+		n.noteStoreAnswered()
 		if n.holderAbsent(ctx, slot) {
 			absent++
 		}
@@ -288,6 +289,8 @@
 }
 
 // watchHead reads the head again and again, each time as soon as it changes.
+// After an error it reads without waiting: the store may have been put back to
+// an index below the one last seen, and what could not be loaded is due.
 func (n *Node) watchHead(ctx context.Context) {
 	pauses := backoff{base: storeBackoffBase, ceiling: storeBackoffCeiling}
 	var index uint64
@@ -303,6 +306,7 @@
 			err = n.loadMissing(ctx)
 		}
 		if err != nil {
+			index = 0
 			sleep(ctx, storeBackoffBase/2+pauses.next())
 			continue
 		}
@@ -325,19 +329,23 @@
 	n.observeHead(head)
 }
 
-// loadMissing loads the versions that the head names and the parent does not send.
+// loadMissing loads the versions that the head names and the parent does not
+// send. One that cannot be loaded does not hold up the other. It returns the
+// first error.
 func (n *Node) loadMissing(ctx context.Context) error {
 	if len(n.missingVersions()) == 0 {
 		return nil
 	}
 	n.awaitParent(ctx)
+	var first error
 	for _, version := range n.missingVersions() {
-		if err := n.loadVersion(ctx, version); err != nil {
+		err := n.loadVersion(ctx, version)
+		if err != nil {
 			n.noteStore(err)
-			return err
+			first = cmp.Or(first, err)
 		}
 	}
-	return nil
+	return first
 }
 
 func (n *Node) missingVersions() []rollout.Version {
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -69,6 +69,9 @@
 
 func (n *Node) allAlarms(state rollout.ParticipantState) []string {
 	alarms := append([]string(nil), n.alarms...)
+	if n.storeState.regressed {
+		alarms = appendAlarm(alarms, n.storeState.regression)
+	}
 	for _, text := range state.Alarms {
 		alarms = appendAlarm(alarms, text)
 	}
--- a/internal/control/store_state.go
+++ b/internal/control/store_state.go
@@ -18,10 +18,14 @@
 	reachable bool
 	since     time.Time
 	text      string
-	regressed bool
+	// regressed tells that the store has gone back, and regression how. It lasts
+	// until the head was read in good order.
+	regressed  bool
+	regression string
 }
 
-// noteStore takes in how a request to the store ended.
+// noteStore takes in how a request to the store for the head, or for what it
+// names, has ended.
 func (n *Node) noteStore(err error) {
 	if errors.Is(err, context.Canceled) {
 		return
@@ -37,6 +41,14 @@
 	}
 }
 
+// noteStoreAnswered takes in that the store has answered a request that tells
+// nothing about the head.
+func (n *Node) noteStoreAnswered() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.storeAnswers()
+}
+
 // answered reports whether an error is itself an answer of a working store.
 func answered(err error) bool {
 	return errorx.IsOfType(err, versionstore.ErrStoreRegressed) ||
@@ -46,13 +58,22 @@
 		errorx.IsOfType(err, store.ErrSessionGone)
 }
 
+// noteRegression keeps the alarm of a store that has gone back as long as that
+// lasts. An error of another kind tells nothing about it.
 func (n *Node) noteRegression(err error) {
-	regressed := errorx.IsOfType(err, versionstore.ErrStoreRegressed)
-	if regressed && !n.storeState.regressed {
+	state := &n.storeState
+	if err == nil {
+		state.regressed, state.regression = false, ""
+		return
+	}
+	if !errorx.IsOfType(err, versionstore.ErrStoreRegressed) {
+		return
+	}
+	if !state.regressed {
 		n.events.StoreRegressed(err)
-		n.alarm(err.Error())
+		n.events.Alarm(err.Error())
 	}
-	n.storeState.regressed = regressed
+	state.regressed, state.regression = true, err.Error()
 }
 
 func (n *Node) storeAnswers() {
@@ -61,7 +82,7 @@
 		return
 	}
 	wasDown := state.asked
-	*state = storeState{asked: true, reachable: true, since: now(), regressed: state.regressed}
+	state.asked, state.reachable, state.since, state.text = true, true, now(), ""
 	if wasDown {
 		n.events.StoreReachable()
 	}
@@ -73,6 +94,6 @@
 		state.text = err.Error()
 		return
 	}
-	*state = storeState{asked: true, since: now(), text: err.Error(), regressed: state.regressed}
+	state.asked, state.reachable, state.since, state.text = true, false, now(), err.Error()
 	n.events.StoreUnreachable(err)
 }
