Draw control bytes on a logarithmic scale, smoothed over five seconds

A start or a herd is a hundred times the quiet rate, which hid the budget line; and between changes nodes poll all at about the same second, which drew as a block.

--- a/internal/lab/report/call_plots.go
+++ b/internal/lab/report/call_plots.go
@@ -10,13 +10,14 @@
 
 // callPicture draws how calls ended in each second of an experiment.
 func callPicture(run named[results.Experiment]) (picture, bool, error) {
-	if len(run.Result.Seconds) == 0 {
+	if len(run.Result.Seconds) < 2 {
 		return picture{}, false, nil
 	}
 	drawn := newPlot("Calls through faults, "+run.Result.Experiment, "time (s)", "calls per second")
 	var answered, notRun, unknown, wrong plotter.XYs
 	top := 0.0
-	for _, second := range run.Result.Seconds {
+	// The last second is not a whole one.
+	for _, second := range run.Result.Seconds[:len(run.Result.Seconds)-1] {
 		at := float64(second.Second)
 		answered = append(answered, plotter.XY{X: at, Y: float64(second.Answered)})
 		notRun = append(notRun, plotter.XY{X: at, Y: float64(second.NotRun)})
--- a/internal/lab/report/scale_plots.go
+++ b/internal/lab/report/scale_plots.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"image/color"
+	"math"
 	"slices"
 
 	"gonum.org/v1/plot"
@@ -88,12 +89,14 @@
 	}
 	last := float64(seconds[len(seconds)-1].Second)
 	lines := []series{
-		{name: "mean of nodes", points: mean, colour: colourBlue},
-		{name: "p99 of nodes", points: high, colour: colourOrange},
+		{name: "mean of nodes", points: smooth(mean), colour: colourBlue},
+		{name: "p99 of nodes", points: smooth(high), colour: colourOrange},
 		horizontalLine("budget 8 KB/s", 0, last, results.BudgetBytesPerSecond/bytesPerKilobyte),
 	}
 	for _, phase := range run.Result.Phases {
-		lines = append(lines, verticalLine(phase.StartSecond, top*budgetMargin))
+		line := verticalLine(phase.StartSecond, top*budgetMargin)
+		line.points[0].Y = lowestBytes
+		lines = append(lines, line)
 	}
 	for _, line := range lines {
 		if err := addSeries(drawn, line); err != nil {
@@ -103,13 +106,41 @@
 	if err := addPhaseNames(drawn, run.Result.Phases, top*budgetMargin); err != nil {
 		return picture{}, false, err
 	}
-	drawn.Y.Min = 0
-	drawn.Y.Max = top * storyMargin
+	drawn.Y.Scale = plot.LogScale{}
+	drawn.Y.Tick.Marker = plot.LogTicks{Prec: -1}
+	drawn.Y.Min = lowestBytes
+	drawn.Y.Max = top * logMargin
 	rendered, err := render(drawn, run.Name+"-bytes.png",
-		"Control bytes of each second, both directions, headers included. Grey lines mark the phases.")
+		"Control bytes on a logarithmic scale, both directions, headers included, each point the mean of five seconds: between changes, nodes poll all at about the same second. Grey lines mark the phases.")
 	return rendered, true, err
 }
 
+// smoothing is how many seconds to either side a point is averaged with.
+const smoothing = 2
+
+// smooth averages every value with its neighbours and keeps it on the scale.
+func smooth(points plotter.XYs) plotter.XYs {
+	smoothed := make(plotter.XYs, len(points))
+	for i := range points {
+		around := points[max(i-smoothing, 0):min(i+smoothing+1, len(points))]
+		sum := 0.0
+		for _, one := range around {
+			sum += one.Y
+		}
+		smoothed[i] = plotter.XY{X: points[i].X, Y: max(sum/float64(len(around)), lowestBytes)}
+	}
+	return smoothed
+}
+
+// lowestBytes is the lowest value of the logarithmic scale, in KB/s, logMargin
+// the factor that leaves room for names, and labelStep the factor between the
+// heights of neighbouring names.
+const (
+	lowestBytes = 0.05
+	logMargin   = 6.0
+	labelStep   = 1.8
+)
+
 // storyMargin leaves room for the names of phases.
 const storyMargin = 1.5
 
@@ -121,7 +152,7 @@
 	var labels plotter.XYLabels
 	for i, phase := range phases {
 		// Neighbouring names stand at different heights.
-		height := top * (1 - 0.07*float64(i%3))
+		height := top / math.Pow(labelStep, float64(i%3))
 		labels.XYs = append(labels.XYs, plotter.XY{X: phase.StartSecond, Y: height})
 		labels.Labels = append(labels.Labels, " "+phase.Name)
 	}
