--- a/internal/control/table_state.go
+++ b/internal/control/table_state.go
@@ -7,12 +7,13 @@
 	"github.com/levertide/levertide/pkg/rollout"
 )
 
-// Pauses before changed members are passed on to children. Ordinary changes
-// wait longer, so that they travel together; nodes that leave or are lost do not.
+// Pauses before changed members are passed on to children, and the least time
+// between two such answers. Where members come and go all the time, changes
+// travel together; nodes that leave do not wait for the others.
 const (
 	memberChangePause     = 150 * time.Millisecond
-	memberChangeInterval  = time.Second
-	memberUrgentInterval  = 250 * time.Millisecond
+	memberChangeInterval  = 2 * time.Second
+	memberUrgentInterval  = 500 * time.Millisecond
 	memberUrgentPause     = 50 * time.Millisecond
 	lostRecordRetention   = 10 * time.Minute
 	lostRecordPurgePeriod = 30 * time.Second
@@ -136,7 +137,7 @@
 
 func anyUrgent(records []membership.Record) bool {
 	for _, record := range records {
-		if record.State != membership.StateLive {
+		if record.State == membership.StateLeaving {
 			return true
 		}
 	}
