Have the simulator decide about attempts by the code of the data plane

It uses retry.Attempts now, and pauses as internal/dataplane does. The parts of Allowance that only Attempts uses are no longer exported. The forwarding part of calls.go is a file of its own.

--- a/internal/sim/calls.go
+++ b/internal/sim/calls.go
@@ -34,8 +34,6 @@
 	service    string
 	deadline   time.Duration
 	executions int
-	// mayHaveRun tells that the outcome of an attempt is not known.
-	mayHaveRun bool
 	told       outcome.Outcome
 	ended      bool
 	// entry is the process that the caller talks to.
@@ -84,7 +82,8 @@
 
 // reply is what a worker's node answers.
 type reply struct {
-	outcome  outcome.Outcome
+	// reason says why there is no answer; empty when there is one.
+	reason   outcome.Reason
 	body     string
 	draining bool
 	load     float64
@@ -163,96 +162,18 @@
 	s.balancers[service].Update(endpoints)
 }
 
-// forward carries a request to a worker.
-func (s *serving) forward(r *request) {
-	s.forwarding++
-	balancer := s.balancer(r.service)
-	s.budgets[r.service].Earn()
-	s.attempt(r, balancer, retry.DefaultAllowance, nil)
-}
-
-func (s *serving) attempt(r *request, balancer *balance.Balancer, allowance retry.Allowance, tried []string) {
-	picked, err := balancer.Pick(tried...)
-	if err != nil {
-		s.end(r, reply{outcome: outcome.NotRun})
-		return
-	}
-	target := s.agent.world.byID[picked.Endpoint.ID]
-	tried = append(tried, target.id)
-	w := s.agent.world
-	left := r.deadline - w.scheduler.now
-	w.network.call(s.agent.node, target, "call", left,
-		func(answer func(any)) { target.agent.serves.serve(r, s.agent, answer) },
-		func(answer any, err error) {
-			result := reply{outcome: outcome.Unknown}
-			switch {
-			case err == errNotConnected:
-				result.outcome = outcome.NotRun
-				picked.Done(balance.Result{Outcome: balance.Failed})
-			case err != nil:
-				picked.Done(balance.Result{Outcome: balance.Failed})
-			default:
-				result = answer.(reply)
-				picked.Done(balance.Result{Outcome: balanceOutcome(result.outcome), Load: result.load, LoadKnown: true, Draining: result.draining})
-			}
-			s.attempted(r, balancer, allowance, tried, result)
-		})
-}
-
-func balanceOutcome(o outcome.Outcome) balance.Outcome {
-	if o == outcome.Answered {
-		return balance.Answered
-	}
-	return balance.Shed
-}
-
-// attempted decides whether a further attempt is made.
-func (s *serving) attempted(r *request, balancer *balance.Balancer, allowance retry.Allowance, tried []string, result reply) {
-	now := s.agent.world.scheduler.now
-	var left retry.Allowance
-	again := false
-	switch result.outcome {
-	case outcome.NotRun:
-		left, again = allowance.AfterNotRun()
-	case outcome.Unknown:
-		r.mayHaveRun = true
-		repeatable := r.repeatable || s.agent.world.options.Seams.RepeatUnknown
-		left, again = allowance.AfterUnknown(repeatable)
-	}
-	if again && now < r.deadline && s.budgets[r.service].Spend(s.agent.world.wallClock()) {
-		s.attempt(r, balancer, left, tried)
-		return
-	}
-	s.end(r, result)
-}
-
-// end tells the caller. A request of which an earlier attempt may have run is
-// not reported as not run.
-func (s *serving) end(r *request, result reply) {
-	if r.mayHaveRun && result.outcome == outcome.NotRun {
-		result.outcome = outcome.Unknown
-	}
-	s.finish(r, result.outcome, result.body)
-}
-
-func (s *serving) finish(r *request, told outcome.Outcome, body string) {
-	s.forwarding--
-	s.agent.world.oracle.observeOutcome(r, told, body)
-	delete(s.agent.world.callers.open, r.id)
-}
-
 // serve admits a request and has the worker run it.
 func (s *serving) serve(r *request, entry *agent, answer func(any)) {
 	w := s.agent.world
 	w.oracle.observeArrival(s, entry)
 	permit, err := s.gate.Admit(context.Background(), admission.PriorityNormal)
 	if err != nil {
-		answer(reply{outcome: outcome.Of(err), draining: s.leaving, load: s.gate.Load()})
+		answer(reply{reason: refusalOf(err), draining: s.leaving, load: s.gate.Load()})
 		return
 	}
 	if w.random.percent(workerRefusal) {
 		permit.Release(admission.Result{Refused: true})
-		answer(reply{outcome: outcome.NotRun, load: s.gate.Load()})
+		answer(reply{reason: outcome.RefusedByOwnWorker, load: s.gate.Load()})
 		return
 	}
 	w.oracle.observeExecution(r, s)
@@ -262,13 +183,21 @@
 		s.executing--
 		permit.Release(admission.Result{Latency: took})
 		if w.options.Seams.LateNotRun && w.random.percent(lateNotRunChance) {
-			answer(reply{outcome: outcome.NotRun})
+			answer(reply{reason: outcome.RefusedByOwnWorker})
 			return
 		}
-		answer(reply{outcome: outcome.Answered, body: bodyOf(r.id), draining: s.leaving, load: s.gate.Load()})
+		answer(reply{body: bodyOf(r.id), draining: s.leaving, load: s.gate.Load()})
 	})
 }
 
+// refusalOf returns the reason of a request that the gate refused.
+func refusalOf(err error) outcome.Reason {
+	if admission.ReasonOf(err) == admission.ReasonDraining {
+		return outcome.Draining
+	}
+	return outcome.Overloaded
+}
+
 // Leave has a node leave as planned: it is announced, takes nothing new, and
 // its process ends once nothing is in flight.
 func (w *World) Leave(n *node) {
--- /dev/null
+++ b/internal/sim/forward.go
@@ -0,0 +1,109 @@
+package sim
+
+import (
+	"github.com/levertide/levertide/pkg/balance"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/retry"
+)
+
+// forward carries a request to a worker.
+func (s *serving) forward(r *request) {
+	s.forwarding++
+	balancer := s.balancer(r.service)
+	s.attempt(&forwarded{
+		request:  r,
+		balancer: balancer,
+		attempts: retry.NewAttempts(retry.AttemptsOptions{
+			Allowance:  retry.DefaultAllowance,
+			Repeatable: r.repeatable || s.agent.world.options.Seams.RepeatUnknown,
+			Budget:     s.budgets[r.service],
+		}),
+	})
+}
+
+// forwarded is a request on its way, through all its attempts.
+type forwarded struct {
+	*request
+	balancer *balance.Balancer
+	attempts retry.Attempts
+	tried    []string
+}
+
+func (s *serving) attempt(f *forwarded) {
+	picked, err := f.balancer.Pick(f.tried...)
+	if err != nil {
+		s.giveUp(f)
+		return
+	}
+	target := s.agent.world.byID[picked.Endpoint.ID]
+	f.tried = append(f.tried, target.id)
+	f.attempts.Begin()
+	w := s.agent.world
+	left := f.deadline - w.scheduler.now
+	w.network.call(s.agent.node, target, "call", left,
+		func(answer func(any)) { target.agent.serves.serve(f.request, s.agent, answer) },
+		func(answer any, err error) {
+			result := reply{reason: outcome.ConnectionLost}
+			switch {
+			case err == errNotConnected:
+				result.reason = outcome.Unreachable
+				picked.Done(balance.Result{Outcome: balance.Failed})
+			case err != nil:
+				picked.Done(balance.Result{Outcome: balance.Failed})
+			default:
+				result = answer.(reply)
+				picked.Done(balance.Result{Outcome: balanceOutcome(result.reason), Load: result.load, LoadKnown: true, Draining: result.draining})
+			}
+			s.attempted(f, result)
+		})
+}
+
+func balanceOutcome(reason outcome.Reason) balance.Outcome {
+	if reason == "" {
+		return balance.Answered
+	}
+	return balance.Shed
+}
+
+// attempted ends a request that was answered, and makes a further attempt at
+// one that was not if it may.
+func (s *serving) attempted(f *forwarded, result reply) {
+	if result.reason == "" {
+		s.finish(f.request, outcome.Answered, result.body)
+		return
+	}
+	w := s.agent.world
+	inTime := w.scheduler.now < f.deadline
+	if !f.attempts.Fail(outcome.New(result.reason), inTime, w.wallClock()) {
+		s.giveUp(f)
+		return
+	}
+	longest := f.attempts.Pause(retry.DefaultBackoff, 1)
+	if longest == 0 {
+		s.attempt(f)
+		return
+	}
+	s.agent.process.after(w.random.duration(longest), "attempt", func() {
+		if w.scheduler.now >= f.deadline {
+			s.giveUp(f)
+			return
+		}
+		s.attempt(f)
+	})
+}
+
+// giveUp tells the caller why there is no answer. Without an attempt there was
+// no worker.
+func (s *serving) giveUp(f *forwarded) {
+	told := outcome.NotRun
+	if failure := f.attempts.Failure(); failure != nil {
+		told = outcome.Of(failure)
+	}
+	s.finish(f.request, told, "")
+}
+
+func (s *serving) finish(r *request, told outcome.Outcome, body string) {
+	s.forwarding--
+	s.agent.world.oracle.observeOutcome(r, told, body)
+	delete(s.agent.world.callers.open, r.id)
+}
--- a/pkg/retry/allowance.go
+++ b/pkg/retry/allowance.go
@@ -43,18 +43,18 @@
 	return a, 0
 }
 
-// AfterNotRun returns the allowance that is left for the next attempt after one
+// afterNotRun returns the allowance that is left for the next attempt after one
 // that did not run. It reports false when none may be made.
-func (a Allowance) AfterNotRun() (Allowance, bool) {
+func (a Allowance) afterNotRun() (Allowance, bool) {
 	if a == 0 {
 		return 0, false
 	}
 	return a - 1, true
 }
 
-// AfterUnknown returns the allowance that is left for the next attempt after
+// afterUnknown returns the allowance that is left for the next attempt after
 // one that may have run. It reports false when none may be made.
-func (a Allowance) AfterUnknown(repeatable bool) (Allowance, bool) {
+func (a Allowance) afterUnknown(repeatable bool) (Allowance, bool) {
 	if !repeatable || a == 0 {
 		return 0, false
 	}
--- a/pkg/retry/attempts.go
+++ b/pkg/retry/attempts.go
@@ -100,11 +100,11 @@
 func (a *Attempts) allowanceAfter(failure error) (Allowance, bool) {
 	switch {
 	case outcome.Of(failure) == outcome.NotRun:
-		return a.left.AfterNotRun()
+		return a.left.afterNotRun()
 	case a.options.Unbounded && a.options.Repeatable:
-		return a.left.AfterNotRun()
+		return a.left.afterNotRun()
 	default:
-		return a.left.AfterUnknown(a.options.Repeatable)
+		return a.left.afterUnknown(a.options.Repeatable)
 	}
 }
 
