--- a/internal/control/answer_limiter.go
+++ b/internal/control/answer_limiter.go
@@ -12,7 +12,7 @@
 	largeAnswersPerSecond = 256 << 10
 	largeAnswersBurst     = 1 << 20
 	minimumRetryAfter     = 50 * time.Millisecond
-	maximumRetryAfter     = 2 * time.Second
+	maximumRetryAfter     = 800 * time.Millisecond
 )
 
 // answerLimiter spreads the large answers of a storm over time.
--- a/internal/control/watch_client.go
+++ b/internal/control/watch_client.go
@@ -14,10 +14,11 @@
 	"github.com/levertide/levertide/pkg/topology"
 )
 
-// Pauses between polls that failed or were turned away.
+// Pauses between polls that failed or were turned away. They stay below the
+// bound after which a parent calls a child lost.
 const (
 	pollBackoffBase    = 30 * time.Millisecond
-	pollBackoffCeiling = 2 * time.Second
+	pollBackoffCeiling = time.Second
 	// answerGrace is how much longer than the hold an answer may take.
 	answerGrace = time.Second
 	// loopPause keeps a parent out of the plan that pulls from this node itself.
