--- /dev/null
+++ b/internal/control/reader_lease.go
@@ -0,0 +1,99 @@
+package control
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/lease"
+	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/topology"
+	"github.com/levertide/levertide/pkg/versionstore"
+)
+
+// readerLeasePrefix goes before the number of the slot in the keys of leases.
+const readerLeasePrefix = versionstore.DefaultPrefix + "reader/"
+
+// readerHolder is what a reader leaves at its lease.
+type readerHolder struct {
+	Node           string `json:"node"`
+	ControlAddress string `json:"controlAddress"`
+}
+
+// tenure is the right to read the store. Without a lease it lasts until the
+// next attempt to get one.
+type tenure struct {
+	lease lease.Lease
+	slot  int
+}
+
+// acquireReader tries the slots in turn, the one of the node's place first.
+func (n *Node) acquireReader(ctx context.Context) (tenure, error) {
+	value, err := json.Marshal(readerHolder{Node: n.ID(), ControlAddress: n.config.Self.ControlAddress})
+	if err != nil {
+		return tenure{}, ErrMalformed.Wrap(err, "the name of the reader cannot be encoded")
+	}
+	first := n.preferredSlot()
+	absent := 0
+	for offset := range topology.DefaultReaders {
+		slot := (first + offset) % topology.DefaultReaders
+		held, err := n.tryLease(ctx, slot, value)
+		if err == nil {
+			return tenure{lease: held, slot: slot}, nil
+		}
+		if !errorx.IsOfType(err, lease.ErrLeaseHeld) {
+			n.noteStore(err)
+			return tenure{}, err
+		}
+		n.noteStoreAnswered()
+		if n.holderAbsent(ctx, slot) {
+			absent++
+		}
+	}
+	if absent == topology.DefaultReaders {
+		return tenure{slot: noSlot}, nil
+	}
+	return tenure{}, lease.ErrLeaseHeld.New("all readers' leases are held")
+}
+
+func (n *Node) preferredSlot() int {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return max(n.plan.assignment.ApexIndex, 0) % topology.DefaultReaders
+}
+
+func (n *Node) tryLease(ctx context.Context, slot int, value []byte) (lease.Lease, error) {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	return n.lessor.TryAcquire(ctx, leaseKey(slot), value)
+}
+
+func leaseKey(slot int) string { return fmt.Sprintf("%s%d", readerLeasePrefix, slot) }
+
+// holderAbsent reports whether the holder of a slot is gone, so that its lease
+// will lapse. A live holder that is not known here becomes known.
+func (n *Node) holderAbsent(ctx context.Context, slot int) bool {
+	ctx, cancel := context.WithTimeout(ctx, leaseTimeout)
+	defer cancel()
+	found, err := n.lessor.Holder(ctx, leaseKey(slot))
+	if err != nil {
+		return false
+	}
+	var holder readerHolder
+	if json.Unmarshal(found.Value, &holder) != nil {
+		return false
+	}
+	if n.memberPresent(holder.Node) {
+		return false
+	}
+	return !n.askMembers(ctx, holder.ControlAddress)
+}
+
+func (n *Node) memberPresent(id string) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	record, found := n.table.Get(id)
+	return found && record.State == membership.StateLive && !n.plan.suspected(id, now())
+}
