Wait for callers' connections before a planned stop ends

Cause: in a demo run a GET ended in EOF at the moment a node was stopped as planned: the server closed idle kept connections of callers while a request was on its way on one of them. Ruled out: the drain of calls (no call was in flight at the node) and of peers' connections (they are waited for already). Conclusion: each answer of a draining node ends its connection; what is still open is waited for within the same bound as peers'.

--- a/internal/dataplane/config.go
+++ b/internal/dataplane/config.go
@@ -79,7 +79,8 @@
 	// so that they can turn elsewhere. Default 2 s.
 	DrainNotice time.Duration
 	// DrainConnections bounds how long a draining node waits, after its last
-	// call, for other nodes to close their connections to it. Default 5 s.
+	// call, for other nodes and callers to close their connections to it.
+	// Default 5 s.
 	DrainConnections time.Duration
 	// DrainQuiet is how long no other node may have opened a connection before
 	// the wait for connections ends. Default 250 ms.
--- a/internal/dataplane/drain.go
+++ b/internal/dataplane/drain.go
@@ -64,9 +64,9 @@
 // Callers are still served, since the worker may need to call others to finish
 // what it has: until Limits.DrainNotice has passed and nothing is left at the
 // worker. Then they are refused too. Drain returns when no call is in flight and
-// the other nodes have closed their connections, which they do when they see
-// the node leave, or when the context is done, which is the bound for calls that
-// never end. The servers may be shut down after it. It must be called once.
+// the connections are closed: by other nodes when they see the node leave, by
+// callers after their next request. Idle ones are waited for no longer than
+// Limits.DrainConnections, calls that never end no longer than the context. The servers may be shut down after it. It must be called once.
 func (p *Plane) Drain(ctx context.Context) DrainReport {
 	began := time.Now()
 	p.draining.Store(true)
@@ -104,15 +104,22 @@
 	return ctx.Err()
 }
 
-// drainConnections waits for other nodes to close their connections and to open
-// no further ones for a while. Closing them here instead could meet a request on
-// its way.
+// drainConnections waits for other nodes and for callers to close their
+// connections. Closing them here instead could meet a request on its way. Each
+// answer of a draining node ends its connection, so what stays open is idle.
 func (p *Plane) drainConnections(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, p.limits.DrainConnections)
 	defer cancel()
-	for p.peerConnections.wait(bounded) == nil {
+	p.drainPeerConnections(bounded)
+	_ = p.callerConnections.wait(bounded)
+}
+
+// drainPeerConnections waits until other nodes have closed their connections
+// and opened no further ones for a while.
+func (p *Plane) drainPeerConnections(ctx context.Context) {
+	for p.peerConnections.wait(ctx) == nil {
 		seen := p.peerConnections.entered()
-		if !pause(bounded, p.limits.DrainQuiet) || p.peerConnections.entered() == seen {
+		if !pause(ctx, p.limits.DrainQuiet) || p.peerConnections.entered() == seen {
 			return
 		}
 	}
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -28,10 +28,12 @@
 
 	callerCalls inFlight
 	peerCalls   inFlight
-	// peerConnections are the connections that other nodes have opened.
-	peerConnections inFlight
-	draining        atomic.Bool // other nodes are refused
-	closing         atomic.Bool // callers are refused
+	// peerConnections and callerConnections are the connections that other nodes
+	// and callers have opened.
+	peerConnections   inFlight
+	callerConnections inFlight
+	draining          atomic.Bool // other nodes are refused
+	closing           atomic.Bool // callers are refused
 }
 
 // New returns a Plane. It fails with ErrInvalidConfig.
@@ -45,7 +47,8 @@
 		callerCalls: newInFlight(),
 		peerCalls:   newInFlight(),
 
-		peerConnections: newInFlight(),
+		peerConnections:   newInFlight(),
+		callerConnections: newInFlight(),
 	}
 	p.peerLimits = config.Limits
 	p.peerLimits.Grace *= 2
--- a/internal/dataplane/server.go
+++ b/internal/dataplane/server.go
@@ -22,6 +22,7 @@
 		IdleTimeout:                  p.limits.CallerIdle,
 		MaxHeaderBytes:               p.limits.HeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ConnState:                    p.callerConnections.follow,
 	}
 }
 
@@ -34,16 +35,16 @@
 		IdleTimeout:                  p.limits.PeerServerIdle,
 		MaxHeaderBytes:               p.limits.HeaderBytes + addedHeaderBytes,
 		DisableGeneralOptionsHandler: true,
-		ConnState:                    p.countPeerConnection,
+		ConnState:                    p.peerConnections.follow,
 	}
 }
 
-// countPeerConnection follows how many connections other nodes have open.
-func (p *Plane) countPeerConnection(_ net.Conn, state http.ConnState) {
+// follow counts the connections that are open. It is a ConnState of http.Server.
+func (f *inFlight) follow(_ net.Conn, state http.ConnState) {
 	switch state {
 	case http.StateNew:
-		p.peerConnections.enter()
+		f.enter()
 	case http.StateClosed, http.StateHijacked:
-		p.peerConnections.leave()
+		f.leave()
 	}
 }
