Count a floor answer only of the node that was asked

Lost members are asked too, by the addresses they had. Answers now name the node, and one of another node is refused, also on the way to the store.

--- a/internal/control/floor.go
+++ b/internal/control/floor.go
@@ -192,7 +192,7 @@
 func (n *Node) floorFromParent(parent topology.Peer) (floorAnswer, error) {
 	ctx, cancel := context.WithTimeout(n.serving, n.config.CallTimeout)
 	defer cancel()
-	answer, err := n.clients.floor(ctx, parent, &controlpb.FloorRequest{})
+	answer, err := n.callFloor(ctx, parent, &controlpb.FloorRequest{})
 	if err != nil {
 		return floorAnswer{}, err
 	}
@@ -240,7 +240,7 @@
 // be reached or does not know.
 func (n *Node) askPeerFloor(ctx context.Context, peer topology.Peer) rollout.FloorAnswer {
 	home := zoneOfRecord(&n.config.Self)
-	answer, err := n.clients.floor(ctx, peer, &controlpb.FloorRequest{
+	answer, err := n.callFloor(ctx, peer, &controlpb.FloorRequest{
 		Local:  true,
 		Node:   n.config.Self.ID,
 		Region: home.region,
@@ -259,3 +259,15 @@
 		Zones:       int(answer.GetZones()),
 	}
 }
+
+// callFloor refuses an answer of another node than the one that was asked.
+func (n *Node) callFloor(ctx context.Context, peer topology.Peer, request *controlpb.FloorRequest) (*controlpb.FloorResponse, error) {
+	answer, err := n.clients.floor(ctx, peer, request)
+	if err != nil {
+		return nil, err
+	}
+	if answer.GetNode() != peer.ID {
+		return nil, ErrMalformed.New("%s was asked, and %q has answered", peer.ID, answer.GetNode())
+	}
+	return answer, nil
+}
--- a/internal/control/floor_server.go
+++ b/internal/control/floor_server.go
@@ -26,6 +26,7 @@
 		Generation: answer.generation,
 		Committed:  answer.committed,
 		Staged:     answer.staged,
+		Node:       r.node.ID(),
 	}, nil
 }
 
@@ -43,6 +44,7 @@
 		Staged:      n.highestProposed(state),
 		ZoneMembers: uint32(n.membersBeside(zone, node)),
 		Zones:       uint32(n.zonesBeside(zone)),
+		Node:        n.ID(),
 	}
 }
 
--- a/internal/control/floor_test.go
+++ b/internal/control/floor_test.go
@@ -12,6 +12,7 @@
 
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/rollout"
+	"github.com/levertide/levertide/pkg/topology"
 )
 
 // partition lets nodes reach only those of their own side.
@@ -218,6 +219,24 @@
 	}
 }
 
+// TestFloorAnswerOfAnotherNodeDoesNotCount asks a node at the address of one
+// that is gone.
+func TestFloorAnswerOfAnotherNodeDoesNotCount(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	asking := m.start("c1", "c", "ledger")
+	m.start("c0", "c", "ledger", func(c *Config) { c.TreeSettle = time.Nanosecond })
+	m.eventually("every node runs the first version", m.all(runs(m.propose("first"))))
+	peer := topology.Peer{ID: "c0", Region: "nl", Zone: "c", ControlAddress: m.nodes["c0"].address}
+	if answer := asking.askPeerFloor(t.Context(), peer); !answer.Known || !answer.SameZone {
+		t.Fatalf("the answer is %+v", answer)
+	}
+	peer.ID = "gone"
+	if answer := asking.askPeerFloor(t.Context(), peer); answer != (rollout.FloorAnswer{}) {
+		t.Fatalf("the answer of another node counts: %+v", answer)
+	}
+}
+
 func BenchmarkLocalFloor(b *testing.B) {
 	m := newMesh(b)
 	node := m.start("c0", "c", "ledger")
