--- a/internal/dataplane/callerdrain_test.go
+++ b/internal/dataplane/callerdrain_test.go
@@ -27,13 +27,20 @@
 	return response
 }
 
+// keptConnections is so many that a stop which does not wait for them ends
+// before the last one is used.
+const keptConnections = 200
+
 // A planned stop once closed callers' idle connections while a request was on
 // its way on one of them.
 func TestPlannedStopAnswersOnKeptCallerConnections(t *testing.T) {
-	m := newMesh(t, func(c *Config) { c.Limits.DrainConnections = time.Minute })
+	m := newMesh(t, func(c *Config) {
+		c.Limits.DrainConnections = time.Minute
+		c.Limits.DrainQuiet = time.Microsecond
+	})
 	m.addHandler("a", func(http.ResponseWriter, *http.Request) {})
 	var kept []keptConnection
-	for range 3 {
+	for range keptConnections {
 		conn, err := net.Dial("tcp", m.entry.callers.Listener.Addr().String())
 		if err != nil {
 			t.Fatal(err)
