Keep meshes and reused addresses apart

A trial start of 1,000 nodes came to know 1,149: ports of nodes that had ended were taken over by test meshes of other processes on the machine, and both trees joined.

--- a/internal/control/benchmark_test.go
+++ b/internal/control/benchmark_test.go
@@ -7,6 +7,8 @@
 	"runtime"
 	"testing"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/snapshot"
@@ -26,7 +28,7 @@
 	child := &pollingChild{traffic: NewTraffic()}
 	transport := &http.Transport{DialContext: child.traffic.Dial(newDialer().DialContext), Protocols: protocols}
 	b.Cleanup(transport.CloseIdleConnections)
-	child.client = controlpb.NewControlProtobufClient("http://"+node.config.Self.ControlAddress, &http.Client{Transport: transport})
+	child.client = controlpb.NewControlProtobufClient("http://"+node.config.Self.ControlAddress, &http.Client{Transport: transport}, twirp.WithClientPathPrefix(node.config.pathPrefix()))
 	record := membership.Record{
 		ID: "n0042", Incarnation: 5, Attachment: 2, Region: "nl-west", Zone: "nl-west-a",
 		Service: "ledger", ControlAddress: "127.0.0.1:1", CallAddress: "127.0.0.1:2",
--- a/internal/control/clients.go
+++ b/internal/control/clients.go
@@ -7,6 +7,8 @@
 	"net/http"
 	"sync"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/pkg/topology"
 )
@@ -20,6 +22,7 @@
 // peerClients calls other nodes over one connection to each.
 type peerClients struct {
 	scheme    string
+	prefix    string
 	transport *http.Transport
 	client    *http.Client
 
@@ -59,6 +62,7 @@
 	}
 	return &peerClients{
 		scheme:    scheme,
+		prefix:    config.pathPrefix(),
 		transport: transport,
 		client:    &http.Client{Transport: boundedAnswers{transport}},
 	}
@@ -89,7 +93,7 @@
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	if p.recent == nil || p.recentAddress != address {
-		p.recent = controlpb.NewControlProtobufClient(p.scheme+"://"+address, p.client)
+		p.recent = p.other(address)
 		p.recentAddress = address
 	}
 	return p.recent
@@ -123,7 +127,7 @@
 
 // other returns a client without taking the place of the parent's.
 func (p *peerClients) other(address string) controlpb.Control {
-	return controlpb.NewControlProtobufClient(p.scheme+"://"+address, p.client)
+	return controlpb.NewControlProtobufClient(p.scheme+"://"+address, p.client, twirp.WithClientPathPrefix(p.prefix))
 }
 
 // boundedAnswers refuses answers that are larger than any node sends.
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -4,6 +4,7 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"regexp"
 	"time"
 
 	"github.com/levertide/levertide/pkg/membership"
@@ -36,6 +37,10 @@
 	// the wall clock in nanoseconds. State, Attachment and Reader are the
 	// engine's to set.
 	Self membership.Record
+	// Mesh names the system that the node belongs to: at most 64 lower-case
+	// letters, digits and dashes. Nodes of another mesh, which may have taken
+	// over the address of a former node, are not listened to.
+	Mesh string
 	// Gateway makes the node hold every resource. It is implied by an empty Self.Service.
 	Gateway bool
 	// Seeds are control addresses (IP:port) that are asked for members first.
@@ -134,6 +139,8 @@
 		return ErrConfig.New("the node has no zone or no region")
 	case !isAddress(c.Self.ControlAddress):
 		return ErrConfig.New("the control address %q of the node is no IP address and port", c.Self.ControlAddress)
+	case !meshName.MatchString(c.Mesh):
+		return ErrConfig.New("the mesh cannot be named %q", c.Mesh)
 	case c.Listener == nil:
 		return ErrConfig.New("the node has no listener")
 	case (c.TLS == nil) != (c.ClientTLS == nil):
@@ -144,6 +151,17 @@
 	return nil
 }
 
+var meshName = regexp.MustCompile("^[a-z0-9-]{0,64}$")
+
+// pathPrefix goes before the paths of all messages. It is written once for each
+// connection, because HTTP/2 remembers it.
+func (c Config) pathPrefix() string {
+	if c.Mesh == "" {
+		return "/twirp"
+	}
+	return "/twirp/" + c.Mesh
+}
+
 func isLoopback(address net.Addr) bool {
 	tcp, ok := address.(*net.TCPAddr)
 	if !ok {
--- a/internal/control/fabric_test.go
+++ b/internal/control/fabric_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"math/rand/v2"
 	"net"
 	"sync"
 	"sync/atomic"
@@ -33,6 +34,7 @@
 	mutex    sync.Mutex
 	nodes    map[string]*running
 	cut      map[string]bool
+	name     string
 	open     map[string][]net.Conn
 }
 
@@ -45,7 +47,7 @@
 }
 
 func newMesh(t testing.TB) *mesh {
-	m := &mesh{t: t, shared: NewShared(), nodes: map[string]*running{}, cut: map[string]bool{}, open: map[string][]net.Conn{}}
+	m := &mesh{t: t, name: fmt.Sprintf("test-%d", rand.Uint64()), shared: NewShared(), nodes: map[string]*running{}, cut: map[string]bool{}, open: map[string][]net.Conn{}}
 	m.store = memory.New(memory.Options{Intercept: func(memory.Request) memory.Fault {
 		if m.down.Load() {
 			return memory.FaultRefuse
@@ -112,6 +114,7 @@
 		},
 		Seeds:    m.seeds(),
 		FanOut:   2,
+		Mesh:     m.name,
 		Listener: listener,
 		Dial:     m.dial(address),
 		Store:    m.store,
--- a/internal/control/peer_test.go
+++ b/internal/control/peer_test.go
@@ -15,13 +15,13 @@
 	"github.com/levertide/levertide/pkg/rollout"
 )
 
-const watchPath = "/twirp/levertide.control.v1.Control/Watch"
+const watchPath = "/levertide.control.v1.Control/Watch"
 
 // post sends a body to a node and returns the status of the answer.
 func post(t *testing.T, node *Node, path string, body io.Reader) int {
 	t.Helper()
 	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: waitLimit}
-	response, err := client.Post("http://"+node.config.Self.ControlAddress+path, "application/protobuf", body)
+	response, err := client.Post("http://"+node.config.Self.ControlAddress+node.config.pathPrefix()+path, "application/protobuf", body)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -163,3 +163,19 @@
 		t.Fatal(err)
 	}
 }
+
+// The address of a node that is gone may be taken over by another mesh.
+func TestOtherMeshIsNotListenedTo(t *testing.T) {
+	t.Parallel()
+	other := newMesh(t).start("other", "a", "ledger")
+	m := newMesh(t)
+	node := m.start("a0", "a", "ledger", func(c *Config) {
+		c.Seeds = []string{other.config.Self.ControlAddress}
+	})
+	m.eventually("the node goes on by itself", func() bool { return node.Tree().Root })
+	version := m.propose("first")
+	m.eventually("the node runs its own version", m.all(runs(version)))
+	if node.Directory().Len() != 1 || other.Directory().Len() != 1 {
+		t.Fatal("two meshes know each other")
+	}
+}
--- a/internal/control/server.go
+++ b/internal/control/server.go
@@ -8,12 +8,14 @@
 	"net"
 	"net/http"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/levertide/levertide/internal/controlpb"
 )
 
 // controlHandler serves the messages of other nodes within bounds.
 func (n *Node) controlHandler() http.Handler {
-	return n.verified(bounded(controlpb.NewControlServer(rpc{n})))
+	return n.verified(bounded(controlpb.NewControlServer(rpc{n}, twirp.WithServerPathPrefix(n.config.pathPrefix()))))
 }
 
 // verified turns away clients whose identity is not accepted.
--- a/internal/control/watch_client.go
+++ b/internal/control/watch_client.go
@@ -216,6 +216,10 @@
 	if answer.GetResend() {
 		return n.resend(records)
 	}
+	if answeredByOther(call.parent, answer) {
+		n.suspect(call.parent, nil)
+		return pollResult{failed: true}
+	}
 	if refused := n.refuseParent(call.parent, answer); refused {
 		return pollResult{failed: true}
 	}
@@ -233,6 +237,11 @@
 	return pollResult{}
 }
 
+// answeredByOther reports whether another node has taken over the parent's address.
+func answeredByOther(parent topology.Peer, answer *controlpb.WatchResponse) bool {
+	return !answer.GetPathUnchanged() && (len(answer.GetPath()) == 0 || answer.GetPath()[0] != parent.ID)
+}
+
 // resend makes the next request a whole one. The parent names the record of
 // this node that it holds when that is newer than the node's own.
 func (n *Node) resend(records []membership.Record) pollResult {
