Close connections to other nodes sooner when they are idle

In a start of 1,000 nodes at once each process part held 35 goroutines a node for half a minute, most of them of connections that had served one question to a seed; they now end after 8 s.

--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -23,7 +23,7 @@
 	maximumHold           = 30 * time.Second
 	headerTimeout         = 5 * time.Second
 	bodyTimeout           = 10 * time.Second
-	idleConnectionTimeout = 30 * time.Second
+	idleConnectionTimeout = 8 * time.Second
 	shutdownTimeout       = 250 * time.Millisecond
 )
 
