Ask a sample of a large zone for the floor first

With the store down, a zone of 86 restarted at once asked 106 peers per node again and again though nobody could vouch. Now 8 of the zone are asked first, and the others only when 2 of them vouch.

--- a/internal/control/floor.go
+++ b/internal/control/floor.go
@@ -24,6 +24,11 @@
 	// beside the store, and floorPatience how long it waits for them.
 	floorPeersOfReader = 8
 	floorPatience      = 600 * time.Millisecond
+	// floorSample is how many nodes of a zone of more than floorWholeZone others
+	// are asked first, of which floorSampleVouched have to vouch.
+	floorSample        = 8
+	floorWholeZone     = 16
+	floorSampleVouched = 2
 	// floorSpread bounds the random pause before peers are asked, which rises
 	// by floorSpreadPerPeer with their number.
 	floorSpread        = time.Second
@@ -207,18 +212,40 @@
 }
 
 // floorOfPeers asks the other nodes of the zone and one of each other zone.
-// What they know must leave no doubt.
+// What they know must leave no doubt. In a large zone a sample is asked first:
+// where hardly any of it can vouch, a majority of the zone cannot.
 func (n *Node) floorOfPeers(ctx context.Context) (floorAnswer, error) {
 	peers := n.floorPeers()
-	asked := peers.all()
-	sleep(ctx, upTo(min(time.Duration(len(asked))*floorSpreadPerPeer, floorSpread)))
-	decision := rollout.DecideFloor(peers.quorum, n.askFloors(ctx, asked, n.config.CallTimeout))
+	sample, others := peers.split()
+	n.spreadAsking(ctx, len(sample))
+	answers := n.askFloors(ctx, sample, n.config.CallTimeout)
+	if len(others) > 0 && vouched(answers) >= floorSampleVouched {
+		n.spreadAsking(ctx, len(others))
+		answers = append(answers, n.askFloors(ctx, others, n.config.CallTimeout)...)
+	}
+	decision := rollout.DecideFloor(peers.quorum, answers)
 	if !decision.Decided {
 		return floorAnswer{}, ErrFloorUnknown.New("%s", decision.Reason)
 	}
 	return floorAnswer{committed: decision.Floor}, nil
 }
 
+// spreadAsking waits a random time that rises with the number to be asked.
+func (n *Node) spreadAsking(ctx context.Context, asked int) {
+	sleep(ctx, upTo(min(time.Duration(asked)*floorSpreadPerPeer, floorSpread)))
+}
+
+// vouched counts the answers that tell something.
+func vouched(answers []rollout.FloorAnswer) int {
+	count := 0
+	for _, answer := range answers {
+		if answer.Known {
+			count++
+		}
+	}
+	return count
+}
+
 // askFloors asks all peers, a few at a time, and takes what has come in time.
 func (n *Node) askFloors(ctx context.Context, peers []topology.Peer, limit time.Duration) []rollout.FloorAnswer {
 	var group errgroup.Group
--- a/internal/control/floor_test.go
+++ b/internal/control/floor_test.go
@@ -237,6 +237,22 @@
 	}
 }
 
+// TestFloorSampleOfLargeZone checks that a sample and the others make up all.
+func TestFloorSampleOfLargeZone(t *testing.T) {
+	t.Parallel()
+	peers := floorPeers{relays: make([]topology.Peer, 21)}
+	for _, members := range []int{3, floorWholeZone, floorWholeZone + 1, 85} {
+		peers.own = make([]topology.Peer, members)
+		sample, others := peers.split()
+		if len(sample)+len(others) != members+21 {
+			t.Fatalf("of %d members %d and %d are asked", members, len(sample), len(others))
+		}
+		if members > floorWholeZone && len(sample) != floorSample {
+			t.Fatalf("the sample of %d members has %d", members, len(sample))
+		}
+	}
+}
+
 func BenchmarkLocalFloor(b *testing.B) {
 	m := newMesh(b)
 	node := m.start("c0", "c", "ledger")
--- a/internal/control/floor_zones.go
+++ b/internal/control/floor_zones.go
@@ -53,7 +53,14 @@
 	quorum rollout.FloorQuorum
 }
 
-func (p floorPeers) all() []topology.Peer { return append(slices.Clone(p.relays), p.own...) }
+// split returns whom to ask first, and whom then. In a small zone all are asked
+// at once.
+func (p floorPeers) split() (sample, others []topology.Peer) {
+	if len(p.own) <= floorWholeZone {
+		return append(slices.Clone(p.relays), p.own...), nil
+	}
+	return p.own[:floorSample], append(slices.Clone(p.relays), p.own[floorSample:]...)
+}
 
 // some lists the relays and a bounded number of nodes of the zone.
 func (p floorPeers) some() []topology.Peer {
