Pass on that a node below was seen elsewhere

One run in about six of the test that restarts a node among silent ones failed: the root kept a node that was cut off as live, because a relay that had seen its new record from above no longer counted it as its own and did not say so. The relay now names it in its report. The suite passes race-clean once after the change.

--- a/internal/control/children.go
+++ b/internal/control/children.go
@@ -111,9 +111,12 @@
 	return dropped
 }
 
-// seenElsewhere drops a node that took a parent elsewhere.
-func (c *children) seenElsewhere(record membership.Record) {
+// seenElsewhere drops a node further below that took a parent elsewhere, and
+// reports whether there was one.
+func (c *children) seenElsewhere(record membership.Record) bool {
+	_, known := c.via[record.ID]
 	delete(c.via, record.ID)
+	return known
 }
 
 // remove forgets a child and returns the nodes that were known through it.
--- a/internal/control/directory.go
+++ b/internal/control/directory.go
@@ -176,9 +176,13 @@
 	if len(changed) == 0 {
 		return
 	}
+	var moved []string
 	for _, record := range changed {
-		n.children.seenElsewhere(record)
+		if n.children.seenElsewhere(record) {
+			moved = append(moved, record.ID)
+		}
 	}
+	n.detached(moved, at)
 	n.membersChanged(changed, at)
 }
 
