Name the mesh in the settings, and probe the ports of integration tests

The engine now keeps meshes apart by a name; the setting mesh hands it over. Two of six runs of the integration suite had four tests each fail in New with an address in use; which process held the addresses was not found in eight further runs of 15 tests with ss. The harness now claims its range of ports by a listener and takes only hosts whose ports can be opened.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -119,6 +119,7 @@
 	d.store = d.newStoreClient()
 	config := control.Config{
 		Self:        d.self(),
+		Mesh:        d.settings.Mesh,
 		Gateway:     d.settings.Gateway,
 		Seeds:       d.settings.Seeds,
 		FanOut:      d.settings.FanOut,
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -29,6 +29,7 @@
 
 const (
 	allowedIdentifier = "1 to 63 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
+	allowedMesh       = "up to 64 of a-z, 0-9 and '-'"
 	allowedListener   = "IP:port, port 0 for any free one; a loopback address unless TLS is set"
 	allowedEndpoint   = "IP:port with a port from 1 to 65535"
 	allowedPEM        = "path of a readable PEM file; tls-ca, tls-cert and tls-key are set together or not at all"
@@ -40,6 +41,7 @@
 func Keys() []Key {
 	return []Key{
 		{"node-id", "name of this node, shared with no other live node", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.NodeID) }},
+		{"mesh", "name of the mesh; nodes of another mesh are not listened to", allowedMesh, "", func(s *Settings) flag.Value { return (*textValue)(&s.Mesh) }},
 		{"region", "region that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Region) }},
 		{"zone", "zone that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Zone) }},
 		{"service", "service of the worker beside the node; empty for none", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Service) }},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -10,6 +10,9 @@
 type Settings struct {
 	// NodeID names the node; no two live nodes share one.
 	NodeID string `key:"node-id" validate:"required,identifier"`
+	// Mesh names the system that the node belongs to; nodes of another mesh are
+	// not listened to. Empty is a name too.
+	Mesh   string `key:"mesh" validate:"omitempty,mesh"`
 	Region string `key:"region" validate:"required,identifier"`
 	Zone   string `key:"zone" validate:"required,identifier"`
 	// Service is the service that the worker beside the node answers for. It is
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -15,11 +15,14 @@
 
 var identifierPattern = regexp.MustCompile(`^[a-z0-9][a-z0-9._-]{0,62}$`)
 
+var meshPattern = regexp.MustCompile(`^[a-z0-9-]{1,64}$`)
+
 func newValidator() *validator.Validate {
 	check := validator.New(validator.WithRequiredStructEnabled())
 	check.RegisterTagNameFunc(func(field reflect.StructField) string { return field.Tag.Get("key") })
 	rules := map[string]func(string) bool{
 		"identifier": identifierPattern.MatchString,
+		"mesh":       meshPattern.MatchString,
 		"endpoint":   isEndpoint,
 		"listener":   isListener,
 		"store":      isStoreAddress,
--- a/tests/integration/harness/door.go
+++ b/tests/integration/harness/door.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"encoding/json"
+	"net"
 	"os"
+	"strconv"
 	"strings"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
@@ -47,13 +49,37 @@
 	processesToTell = 2000
 )
 
-// portBase returns the first port of this test process.
-func portBase() int { return lowestPort + os.Getpid()%processesToTell*portsOfProcess }
+// portBase is the first port of this test process. portClaim, a listener on it
+// that is held to the end, keeps another test process from taking the same.
+var portBase, portClaim = claimPorts()
+
+func claimPorts() (int, net.Listener) {
+	for attempt := range processesToTell {
+		base := lowestPort + (os.Getpid()+attempt)%processesToTell*portsOfProcess
+		claim, err := net.Listen("tcp", net.JoinHostPort("127.0.0.1", strconv.Itoa(base)))
+		if err == nil {
+			return base, claim
+		}
+	}
+	panic("harness: every range of ports is taken")
+}
+
+// portsAreFree reports whether all ports that doors of a host use can be opened.
+func portsAreFree(zone fabric.ZoneNumber, host uint8) bool {
+	for offset := range portsOfProcess {
+		listener, err := net.Listen("tcp", fabric.HostPort(zone, host, portBase+offset))
+		if err != nil {
+			return false
+		}
+		_ = listener.Close()
+	}
+	return true
+}
 
 // newDoor makes a way to the listener with the given number on an address that
 // no other node of this process has.
 func newDoor(proxies *toxiproxy.ApiServer, links *fabric.Links, zone fabric.ZoneNumber, host uint8, number int) (*Door, error) {
-	first := portBase() + portsOfDoor*number
+	first := portBase + portsOfDoor*number
 	address := fabric.HostPort(zone, host, first)
 	target := fabric.HostPort(zone, host, first+1)
 	proxy := toxiproxy.NewProxy(proxies, address, fabric.HostPort(zone, host, first+2), target)
--- a/tests/integration/harness/mesh.go
+++ b/tests/integration/harness/mesh.go
@@ -33,7 +33,16 @@
 
 var hostsGiven atomic.Uint32
 
-func newHost() uint8 { return uint8(firstHost + (hostsGiven.Add(1)-1)%hosts) }
+// newHost returns a host number whose ports in a zone nobody listens on.
+func newHost(zone fabric.ZoneNumber) uint8 {
+	for range hosts {
+		host := uint8(firstHost + (hostsGiven.Add(1)-1)%hosts)
+		if portsAreFree(zone, host) {
+			return host
+		}
+	}
+	panic("harness: every host is taken")
+}
 
 // Mesh is one store, its nodes and everything between them.
 type Mesh struct {
@@ -69,13 +78,13 @@
 	}
 	t.Cleanup(mesh.end)
 	var err error
-	if mesh.storeAddress, err = mesh.Store.Listen(fabric.HostPort(fabric.ZonePlatform, newHost(), portBase())); err != nil {
+	if mesh.storeAddress, err = mesh.Store.Listen(fabric.HostPort(fabric.ZonePlatform, newHost(fabric.ZonePlatform), portBase)); err != nil {
 		t.Fatal(err)
 	}
 	mesh.Operator = mesh.NewOperator("operator")
 	for _, options := range nodes {
 		mesh.openZone(options.Zone)
-		mesh.nodes = append(mesh.nodes, mesh.newNode(options, mesh.zones[options.Zone], newHost()))
+		mesh.nodes = append(mesh.nodes, mesh.newNode(options, mesh.zones[options.Zone], newHost(mesh.zones[options.Zone])))
 	}
 	return mesh
 }
@@ -86,7 +95,7 @@
 		return
 	}
 	m.zones[zone] = firstZone + fabric.ZoneNumber(len(m.zones))
-	proxy := toxiproxy.NewProxy(m.proxies, "store-"+zone, fabric.HostPort(fabric.ZonePlatform, newHost(), portBase()), m.storeAddress)
+	proxy := toxiproxy.NewProxy(m.proxies, "store-"+zone, fabric.HostPort(fabric.ZonePlatform, newHost(fabric.ZonePlatform), portBase), m.storeAddress)
 	if err := proxy.Start(); err != nil {
 		m.t.Fatal(err)
 	}
--- a/tests/integration/harness/programs.go
+++ b/tests/integration/harness/programs.go
@@ -18,6 +18,7 @@
 		panic(err)
 	}
 	defer os.RemoveAll(directory)
+	defer portClaim.Close()
 	build := exec.Command("go", "build", "-o", directory+"/", "../../cmd/levertided", "../../cmd/levertide")
 	if output, err := build.CombinedOutput(); err != nil {
 		panic("build: " + string(output))
