Convert heads from messages in one place

Cause: the engine and the command line each had the same conversion (listed by a search for duplicates). Ruled out: exporting the engine's, which would make the command line import the engine. Conclusion: it stands beside the generated messages.

--- a/internal/command/apply/await.go
+++ b/internal/command/apply/await.go
@@ -11,6 +11,7 @@
 	"github.com/levertide/levertide/internal/command/applied"
 	"github.com/levertide/levertide/internal/command/connect"
 	"github.com/levertide/levertide/internal/command/exit"
+	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/pkg/versionstore"
 )
 
@@ -92,7 +93,7 @@
 	if err != nil {
 		return nil
 	}
-	head := connect.HeadOf(answer.GetHead())
+	head := controlpb.HeadOf(answer.GetHead())
 	state := versionstore.ApplyState{Version: a.report.Version, Head: head, Rejection: head.LastRejected}
 	switch {
 	case head.Committed == a.report.Version:
--- a/internal/command/apply/run.go
+++ b/internal/command/apply/run.go
@@ -10,6 +10,7 @@
 	"github.com/levertide/levertide/internal/command/console"
 	"github.com/levertide/levertide/internal/command/exit"
 	"github.com/levertide/levertide/internal/command/fileset"
+	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/rollout"
 	"github.com/levertide/levertide/pkg/snapshot"
@@ -164,7 +165,7 @@
 		a.terminal.Progress("no node answers: %v", err)
 		return nil
 	}
-	a.versions.NoteHead(connect.HeadOf(answer.GetHead()))
+	a.versions.NoteHead(controlpb.HeadOf(answer.GetHead()))
 	head, _, err := a.versions.ReadHead(ctx, true)
 	if err != nil {
 		return a.stop(exit.OfRead(err), "nothing was written: "+err.Error()+restoreHint(err))
--- a/internal/command/status/report.go
+++ b/internal/command/status/report.go
@@ -67,7 +67,7 @@
 }
 
 func reportOf(answer *controlpb.StatusResponse) Report {
-	head := connect.HeadOf(answer.GetHead())
+	head := controlpb.HeadOf(answer.GetHead())
 	return Report{
 		Outcome:      console.Done(exit.Accepted, ""),
 		AnsweredBy:   answer.GetAnsweredBy(),
--- a/internal/control/convert.go
+++ b/internal/control/convert.go
@@ -80,27 +80,6 @@
 	return message
 }
 
-func headOf(message *controlpb.Head) rollout.Head {
-	head := rollout.Head{
-		Generation:  message.GetGeneration(),
-		Committed:   message.GetCommitted(),
-		Proposed:    message.GetProposed(),
-		HighestUsed: message.GetHighestUsed(),
-		ApplyID:     message.GetApplyId(),
-		ChangedAt:   timeOf(message.GetChangedAtUnixNanoseconds()),
-	}
-	if rejected := message.GetLastRejected(); rejected != nil {
-		head.LastRejected = &rollout.Rejection{
-			Version: rejected.GetVersion(),
-			ApplyID: rejected.GetApplyId(),
-			Node:    rejected.GetNode(),
-			Reason:  rejected.GetReason(),
-			At:      timeOf(rejected.GetAtUnixNanoseconds()),
-		}
-	}
-	return head
-}
-
 // unixNanoseconds returns zero for the zero time, which has none.
 func unixNanoseconds(moment time.Time) int64 {
 	if moment.IsZero() {
@@ -109,13 +88,6 @@
 	return moment.UnixNano()
 }
 
-func timeOf(nanoseconds int64) time.Time {
-	if nanoseconds == 0 {
-		return time.Time{}
-	}
-	return time.Unix(0, nanoseconds).UTC()
-}
-
 func sumMessage(sum rollout.MemberSum) *controlpb.MemberSum {
 	return &controlpb.MemberSum{Count: sum.Count, Hash: sum.Hash}
 }
--- a/internal/control/status.go
+++ b/internal/control/status.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"time"
 
 	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/pkg/rollout"
@@ -86,7 +87,7 @@
 		readiness.InForce == n.table.LiveSum()
 	switch {
 	case !everywhere && n.inForceVersion != head.Committed:
-		n.inForceEverywhere = timeOf(0)
+		n.inForceEverywhere = time.Time{}
 	case everywhere && n.inForceVersion != head.Committed:
 		n.inForceEverywhere, n.inForceVersion = now(), head.Committed
 	}
--- a/internal/control/watch_client.go
+++ b/internal/control/watch_client.go
@@ -298,7 +298,7 @@
 	if message == nil {
 		return
 	}
-	n.observeHead(headOf(message))
+	n.observeHead(controlpb.HeadOf(message))
 }
 
 // takeSnapshots takes in received versions, unless the scope has changed since.
