Check messages of nodes against their certificates

The engine now tells message and claim; the daemon allows operators the status message only, and refuses a message that speaks for another node, zone or region than its sender's certificate names.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -135,7 +135,7 @@
 	if d.keeper != nil {
 		config.TLS = d.keeper.Mutual(identity.RoleNode, identity.RoleOperator)
 		config.ClientTLS = d.keeper.Client()
-		config.VerifyPeer = verifyNode
+		config.VerifySender = verifySender
 	}
 	node, err := control.New(config)
 	d.node = node
--- a/internal/daemon/network.go
+++ b/internal/daemon/network.go
@@ -10,6 +10,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/levertide/levertide/internal/control"
 	"github.com/levertide/levertide/internal/identity"
 	"github.com/levertide/levertide/internal/platform/consul"
 )
@@ -172,8 +173,16 @@
 	return err == nil && parsed.Addr().IsLoopback()
 }
 
-// verifyNode is asked by the control engine for each request of a peer.
-func verifyNode(state *tls.ConnectionState) error {
-	_, err := identity.RequireRole(state, identity.RoleNode)
-	return err
+// verifySender is asked by the control engine about each message of a peer.
+// Operators may send the status message only.
+func verifySender(sender control.Sender) error {
+	roles := []identity.Role{identity.RoleNode}
+	if sender.Message == control.MessageStatus {
+		roles = append(roles, identity.RoleOperator)
+	}
+	peer, err := identity.RequireRole(sender.Connection, roles...)
+	if err != nil || sender.Claim == nil {
+		return err
+	}
+	return peer.CheckClaim(sender.Claim.Region, sender.Claim.Zone, sender.Claim.ID)
 }
