Drop nodes that a child lost between two attachments

Cause: a child that attached again to the same parent named all below it in its first report, but the parent kept what the child had left out, and what the child had meanwhile noted as gone was forgotten with the new attachment. Such a node stayed live for ever, since the root calls nobody lost that is held as below it. A node that came and went before the parent heard of it was told of as gone and as below in one report, with the same end. Conclusion: below is decided when a report is written, and a first report is the whole truth.

--- /dev/null
+++ b/internal/control/below_test.go
@@ -0,0 +1,82 @@
+package control
+
+import (
+	"context"
+	"testing"
+
+	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/membership"
+)
+
+func furtherBelow(id string) membership.Record {
+	return membership.Record{ID: id, Incarnation: 1, Attachment: 1, Region: "nl", Zone: "a", ControlAddress: "127.0.0.1:1"}
+}
+
+// isBelow reads what a node holds of another one.
+func isBelow(node *Node, id string) bool {
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	return node.children.below(id)
+}
+
+// TestFirstReportDropsWhoIsNotNamed lets a child lose a node between two
+// attachments to the same parent, which then once kept that node for ever.
+func TestFirstReportDropsWhoIsNotNamed(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	node := m.start("a0", "a", "ledger")
+	child := attachedChild(t, node)
+	report := func(sequence uint64, below ...membership.Record) {
+		request := reportOf(child, sequence, 1)
+		request.Members, request.Below = memberMessages(below), uint32(len(below))
+		answer, err := rpc{node}.Report(context.Background(), request)
+		if err != nil || !answer.GetAttached() {
+			t.Fatalf("answer %v, error %v", answer, err)
+		}
+	}
+	report(1, child, furtherBelow("x"), furtherBelow("y"))
+	report(2)
+	if !isBelow(node, "x") || !isBelow(node, "y") {
+		t.Fatal("a later report that names nobody dropped those below")
+	}
+
+	child.Attachment++
+	request := &controlpb.WatchRequest{Self: memberMessage(child), Scope: &controlpb.Scope{All: true}}
+	if _, err := (rpc{node}).Watch(context.Background(), request); err != nil {
+		t.Fatal(err)
+	}
+	report(1, child, furtherBelow("y"))
+	if isBelow(node, "x") {
+		t.Error("a node that the first report leaves out is still held as below")
+	}
+	if !isBelow(node, "y") {
+		t.Error("a node that the first report names was dropped")
+	}
+}
+
+// TestReportTellsWhoIsBelowNow lets a node below come and go before the parent
+// heard of it, and one go and come back.
+func TestReportTellsWhoIsBelowNow(t *testing.T) {
+	t.Parallel()
+	m := newMesh(t)
+	node := m.start("a0", "a", "ledger")
+	node.mutex.Lock()
+	defer node.mutex.Unlock()
+	gone, back := furtherBelow("gone"), furtherBelow("back")
+	node.reports.addMember(reportedMember{record: gone, below: true}, now())
+	node.children.learn("child", []membership.Record{back})
+	if node.stillBelow(gone) {
+		t.Error("a node that has gone again is told of as below")
+	}
+	if !node.stillBelow(back) || !node.stillBelow(node.self) {
+		t.Error("a node that is below is not told of as such")
+	}
+	lost := gone
+	lost.State = membership.StateLost
+	if !node.stillBelow(lost) {
+		t.Error("the loss of a node below is not told of as such")
+	}
+	if ids := node.notBelow([]string{"gone", "back"}); len(ids) != 1 || ids[0] != "gone" {
+		t.Errorf("told of as gone: %v", ids)
+	}
+}
--- a/internal/control/children.go
+++ b/internal/control/children.go
@@ -111,6 +111,23 @@
 	return dropped
 }
 
+// retain drops all nodes learned through a child that its first report under a
+// new attachment, which names everybody below it, leaves out. What a child lost
+// between two attachments to the same parent is not told in any other way.
+func (c *children) retain(through string, named []membership.Record) []string {
+	kept := make(map[string]struct{}, len(named))
+	for _, record := range named {
+		kept[record.ID] = struct{}{}
+	}
+	var gone []string
+	for id, childID := range c.via {
+		if _, isKept := kept[id]; childID == through && !isKept {
+			gone = append(gone, id)
+		}
+	}
+	return c.unlearn(through, gone)
+}
+
 // seenElsewhere drops a node further below that took a parent elsewhere, and
 // reports whether there was one.
 func (c *children) seenElsewhere(record membership.Record) bool {
--- a/internal/control/report_client.go
+++ b/internal/control/report_client.go
@@ -133,6 +133,7 @@
 	state.sequence++
 	call := reportCall{parent: n.upstream.parent, epoch: n.upstream.epoch, summary: summary}
 	for _, member := range state.members {
+		member.below = member.below && n.stillBelow(member.record)
 		call.members = append(call.members, member)
 	}
 	clear(state.members)
@@ -143,7 +144,7 @@
 		Sequence:       state.sequence,
 		Readiness:      readinessMessage(summary),
 		HeadGeneration: n.head().Generation,
-		Detached:       state.detached,
+		Detached:       n.notBelow(state.detached),
 	}
 	state.detached = nil
 	state.inFlight = true
@@ -151,6 +152,23 @@
 	n.spawn(func() { n.sendReport(ctx, call) })
 }
 
+// stillBelow reports whether a node that was to be told of as below this one is
+// so at this moment. The loss of a node is told by whoever it was below.
+func (n *Node) stillBelow(record membership.Record) bool {
+	return record.State == membership.StateLost || record.ID == n.self.ID || n.children.below(record.ID)
+}
+
+// notBelow leaves out the nodes that are below this one again.
+func (n *Node) notBelow(ids []string) []string {
+	var gone []string
+	for _, id := range ids {
+		if !n.children.below(id) {
+			gone = append(gone, id)
+		}
+	}
+	return gone
+}
+
 func (n *Node) sendReport(ctx context.Context, call reportCall) {
 	response, err := n.callReport(ctx, call)
 	n.mutex.Lock()
--- a/internal/control/report_server.go
+++ b/internal/control/report_server.go
@@ -42,10 +42,14 @@
 		return true
 	}
 	entry.sequence = request.GetSequence()
+	isFirst := !entry.reported
 	entry.readiness, entry.reported = readinessOf(request.GetReadiness()), true
 	n.reported.raise(entry.readiness)
 	at := now()
 	below := records[:min(int(request.GetBelow()), len(records))]
+	if isFirst {
+		n.detached(n.children.retain(request.GetNode(), below), at)
+	}
 	n.mergeBelow(at, below...)
 	n.mergeNews(at, records[len(below):]...)
 	n.detached(n.children.unlearn(request.GetNode(), request.GetDetached()), at)
