Write an alarm once

Cause: the alarm that another process uses the node's name was written many times a second (seen in integration runs). Conclusion: an alarm that stands is not told again; status shows it as long as it stands.

--- a/internal/control/versions.go
+++ b/internal/control/versions.go
@@ -3,6 +3,7 @@
 import (
 	"github.com/levertide/levertide/pkg/rollout"
 	"github.com/levertide/levertide/pkg/snapshot"
+	"slices"
 )
 
 // observeHead takes in a head, wherever it comes from.
@@ -96,17 +97,20 @@
 	n.kick()
 }
 
-// alarm tells an operator of something that the participant does not see.
+// alarm tells an operator, once, of something that the participant does not see.
 func (n *Node) alarm(text string) {
+	if slices.Contains(n.alarms, text) {
+		return
+	}
 	n.alarms = appendAlarm(n.alarms, text)
 	n.events.Alarm(text)
 }
 
+// appendAlarm adds an alarm that is not there yet, and drops the oldest one
+// where there are too many.
 func appendAlarm(alarms []string, text string) []string {
-	for _, known := range alarms {
-		if known == text {
-			return alarms
-		}
+	if slices.Contains(alarms, text) {
+		return alarms
 	}
 	if len(alarms) == rollout.MaxAlarms {
 		alarms = alarms[1:]
