--- a/internal/command/connect/node.go
+++ b/internal/command/connect/node.go
@@ -53,6 +53,10 @@
 	return nil
 }
 
+// maximumHops is how often nodes may pass a question on towards the
+// coordinator; without hops the node that is asked answers for itself.
+const maximumHops = 16
+
 // nodeTimeout bounds the question to one node before the next is asked. A node
 // may have to forward it, level by level, to the coordinator.
 const (
@@ -120,7 +124,7 @@
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
 	client := controlpb.NewControlProtobufClient(n.scheme+"://"+address, &http.Client{Transport: n.transport})
-	return client.Status(ctx, &controlpb.StatusRequest{})
+	return client.Status(ctx, &controlpb.StatusRequest{Hops: maximumHops})
 }
 
 // Close drops the connections.
--- a/internal/command/status/text.go
+++ b/internal/command/status/text.go
@@ -22,7 +22,7 @@
 	line(out, "coordinator", orNone(r.Coordinator))
 	line(out, "readers", orNone(strings.Join(r.Readers, ", ")))
 	line(out, "last rejected", r.LastRejected.text())
-	line(out, "answered by", r.AnsweredBy)
+	line(out, "answered by", r.answeredText())
 }
 
 // labelWidth is the width of the column of labels.
@@ -88,3 +88,11 @@
 	}
 	return text
 }
+
+// answeredText warns of a view that may lack what other nodes know.
+func (r Report) answeredText() string {
+	if r.AnsweredBy == r.Coordinator {
+		return r.AnsweredBy
+	}
+	return r.AnsweredBy + ", which is not the coordinator: counts and reasons cover only what it hears of"
+}
