--- a/internal/command/apply/run.go
+++ b/internal/command/apply/run.go
@@ -84,13 +84,15 @@
 
 // start chooses the base, shows what will change, and proposes.
 func (a *attempt) start(ctx context.Context) Report {
+	if stop := a.compareWithNodes(ctx); stop != nil {
+		return *stop
+	}
 	if stop := a.chooseBase(ctx); stop != nil {
 		return *stop
 	}
 	if stop := a.showChanges(ctx); stop != nil {
 		return *stop
 	}
-	a.noteNodes(ctx)
 	a.report.ApplyID = a.options.applyID
 	a.terminal.Progress("apply %s by %s, based on version %d", a.options.applyID, a.options.operator, a.report.Base)
 	return a.propose(ctx)
@@ -150,16 +152,23 @@
 	return nil
 }
 
-// noteNodes lets a store that is behind the nodes be noticed before anything is
-// written to it. Nodes that do not answer change nothing.
-func (a *attempt) noteNodes(ctx context.Context) {
-	if !a.options.nodes.Given() || a.knownHead != nil {
-		return
+// compareWithNodes returns a report if the store is behind the nodes. They are
+// asked before the store is read again, so that a store in order never seems to
+// be behind. Nodes that do not answer change nothing.
+func (a *attempt) compareWithNodes(ctx context.Context) *Report {
+	if !a.options.nodes.Given() || a.options.afterRestore {
+		return nil
 	}
 	answer, err := a.nodes.Status(ctx)
 	if err != nil {
 		a.terminal.Progress("no node answers: %v", err)
-		return
+		return nil
 	}
 	a.versions.NoteHead(connect.HeadOf(answer.GetHead()))
+	head, _, err := a.versions.ReadHead(ctx, true)
+	if err != nil {
+		return a.stop(exit.OfRead(err), "nothing was written: "+err.Error()+restoreHint(err))
+	}
+	a.versions.Head = head
+	return nil
 }
