--- a/internal/command/apply/run.go
+++ b/internal/command/apply/run.go
@@ -106,7 +106,7 @@
 		if err != nil {
 			return a.stop(exit.Unreachable, "nothing was written: "+err.Error())
 		}
-		if known.Generation <= head.Generation {
+		if !versionstore.Regressed(head, known) {
 			return a.stop(exit.Conflict, "nothing was written: the store is not behind the nodes, so that --after-restore does not apply")
 		}
 		head, a.knownHead = known, &known
--- a/internal/command/root/apply_test.go
+++ b/internal/command/root/apply_test.go
@@ -235,3 +235,15 @@
 	m.apply(t, ledger+archive, "--after-restore", "--node", m.node.address).want(t, exit.Accepted, "version 5 is committed")
 	m.apply(t, ledger, "--after-restore", "--node", m.node.address).want(t, exit.Conflict, "the store is not behind the nodes")
 }
+
+// A restored store in which another apply has been committed since has the
+// generation of the nodes' head, or a higher one, and yet another history.
+func TestApplyAfterTheStoreTookAnotherHistory(t *testing.T) {
+	m := newMesh(t)
+	m.publish(t, "other")
+	found := m.versions.NewestHead()
+	known := &controlpb.Head{Generation: found.Generation, Committed: found.Committed, HighestUsed: found.HighestUsed, ApplyId: "lost"}
+	m.node.set(&controlpb.StatusResponse{Head: known})
+	m.coordinate(t, accept)
+	m.apply(t, ledger+archive, "--after-restore", "--node", m.node.address).want(t, exit.Accepted, "is committed")
+}
