--- a/internal/command/connect/node.go
+++ b/internal/command/connect/node.go
@@ -11,6 +11,8 @@
 	"os"
 	"time"
 
+	"github.com/twitchtv/twirp"
+
 	"github.com/levertide/levertide/internal/command/exit"
 	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/internal/identity"
@@ -19,6 +21,7 @@
 // NodeFlags holds the control addresses of nodes and the operator's certificate.
 type NodeFlags struct {
 	addresses string
+	mesh      string
 	files     identity.Files
 }
 
@@ -26,6 +29,7 @@
 func (n *NodeFlags) Register(flags *flag.FlagSet) {
 	flags.StringVar(&n.addresses, "node", os.Getenv(variableNode),
 		"control `addresses` (IP:port) of nodes, comma-separated; any node will do, the first that answers is used ($"+variableNode+")")
+	flags.StringVar(&n.mesh, "mesh", os.Getenv(variableMesh), "`name` of the mesh, if its nodes were given one ($"+variableMesh+")")
 	flags.StringVar(&n.files.Authorities, "tls-ca", os.Getenv(variableCA), "PEM `file` with the authorities of the nodes ($"+variableCA+")")
 	flags.StringVar(&n.files.Certificate, "tls-cert", os.Getenv(variableCert), "PEM `file` with the operator's certificate ($"+variableCert+")")
 	flags.StringVar(&n.files.Key, "tls-key", os.Getenv(variableKey), "PEM `file` with the operator's key ($"+variableKey+")")
@@ -69,13 +73,14 @@
 // Nodes asks nodes for the state of the system.
 type Nodes struct {
 	addresses []string
+	mesh      string
 	scheme    string
 	transport *http.Transport
 }
 
 // Open reads the certificate files; it makes no connection yet.
 func (n *NodeFlags) Open() (*Nodes, error) {
-	nodes := &Nodes{addresses: split(n.addresses), scheme: "http", transport: newTransport()}
+	nodes := &Nodes{addresses: split(n.addresses), mesh: n.mesh, scheme: "http", transport: newTransport()}
 	if n.files.Authorities == "" {
 		return nodes, nil
 	}
@@ -123,7 +128,8 @@
 func (n *Nodes) ask(ctx context.Context, address string) (*controlpb.StatusResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
-	client := controlpb.NewControlProtobufClient(n.scheme+"://"+address, &http.Client{Transport: n.transport})
+	prefix := twirp.WithClientPathPrefix(controlpb.PathPrefix(n.mesh))
+	client := controlpb.NewControlProtobufClient(n.scheme+"://"+address, &http.Client{Transport: n.transport}, prefix)
 	return client.Status(ctx, &controlpb.StatusRequest{Hops: maximumHops})
 }
 
--- a/internal/command/connect/store.go
+++ b/internal/command/connect/store.go
@@ -22,6 +22,7 @@
 	variableStore = "LEVERTIDE_STORE_ADDRESS"
 	variableToken = "LEVERTIDE_STORE_TOKEN"
 	variableNode  = "LEVERTIDE_NODE_ADDRESS"
+	variableMesh  = "LEVERTIDE_MESH"
 	variableCA    = "LEVERTIDE_TLS_CA"
 	variableCert  = "LEVERTIDE_TLS_CERT"
 	variableKey   = "LEVERTIDE_TLS_KEY"
--- a/internal/command/root/status_test.go
+++ b/internal/command/root/status_test.go
@@ -181,3 +181,11 @@
 	run(t, "history").want(t, exit.Accepted)
 	run(t, "status").want(t, exit.Accepted)
 }
+
+func TestStatusOfAMeshWithAName(t *testing.T) {
+	node := newFakeNodeOf(t, "blue")
+	node.set(busyAnswer())
+	run(t, "status", "--node", node.address, "--mesh", "blue").want(t, exit.Accepted, "12, in force on 85")
+	run(t, "status", "--node", node.address, "--mesh", "green").want(t, exit.Unreachable, "")
+	run(t, "status", "--node", node.address).want(t, exit.Unreachable, "")
+}
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -7,6 +7,7 @@
 	"regexp"
 	"time"
 
+	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/snapshot"
 	"github.com/levertide/levertide/pkg/store"
@@ -156,14 +157,8 @@
 
 var meshName = regexp.MustCompile("^[a-z0-9-]{0,64}$")
 
-// pathPrefix goes before the paths of all messages. It is written once for each
-// connection, because HTTP/2 remembers it.
-func (c Config) pathPrefix() string {
-	if c.Mesh == "" {
-		return "/twirp"
-	}
-	return "/twirp/" + c.Mesh
-}
+// pathPrefix goes before the paths of all messages.
+func (c Config) pathPrefix() string { return controlpb.PathPrefix(c.Mesh) }
 
 func isLoopback(address net.Addr) bool {
 	tcp, ok := address.(*net.TCPAddr)
