Prepare the hosted mode: node records, registrations, window budget, exchange protocol

Cause: on the users' platform an accepted document is already decided, so the two-phase rollout, its head record and its tree have nothing to do there. Ruled out (docs/PLATFORM.md): the rollout over the platform's document, a watch on every node, the tree of the standalone mode. Connections that know what was written move to internal/httpleg, so that both call paths share them.

--- a/Makefile
+++ b/Makefile
@@ -32,14 +32,15 @@
 
 ## lint: formatter, vet and staticcheck
 lint:
-	@unformatted="$$(gofmt -l cmd internal pkg tests examples)"; \
+	@unformatted="$$(gofmt -l cmd platform internal pkg tests examples)"; \
 	if [ -n "$$unformatted" ]; then echo "gofmt needed:"; echo "$$unformatted"; exit 1; fi
 	$(GO) vet ./...
 	$(STATICCHECK) ./...
 
-## generate: write the code that comes from the protocol description
+## generate: write the code that comes from the protocol descriptions
 generate:
-	scripts/generate.sh internal/controlpb
+	scripts/generate.sh control internal/controlpb
+	scripts/generate.sh exchange internal/exchangepb
 
 ## check-generated: compare the committed code with what protoc writes, if it is here
 check-generated:
--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -5,6 +5,8 @@
 	"net/http"
 	"slices"
 	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
 )
 
 // discardLimit is how much of an unwanted answer is read to keep its connection.
@@ -69,8 +71,8 @@
 	if d.response.Body == http.NoBody {
 		return nil
 	}
-	buffer := getBuffer()
-	defer putBuffer(buffer)
+	buffer := httpleg.GetBuffer()
+	defer httpleg.PutBuffer(buffer)
 	left := d.response.ContentLength
 	for {
 		n, readErr := d.response.Body.Read(buffer[:])
--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -7,15 +7,14 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
 )
 
 // lingerTime is how long the rest of a body that nobody wants is still read, so
 // that the caller gets to see the answer.
 const lingerTime = time.Second
 
-// identityEncoding keeps the transport from probing or chunking an empty body.
-var identityEncoding = []string{"identity"}
-
 // chunkedEncoding keeps the transport from probing a body of unknown length.
 var chunkedEncoding = []string{"chunked"}
 
@@ -94,33 +93,14 @@
 	case len(b.buffered) > 0:
 		out.ContentLength = b.request.ContentLength
 		out.Body = io.NopCloser(bytes.NewReader(b.buffered))
-	case needsContentLength(out.Method):
+	case httpleg.NeedsContentLength(out.Method):
 		// The transport repeats such a request only if it has an idempotency
 		// key, which it looks up under its canonical name.
 		out.Body = nil
-		hideIdempotencyKey(out.Header)
+		httpleg.HideIdempotencyKey(out.Header)
 	default:
-		out.Body = emptyBody{}
-		out.TransferEncoding = identityEncoding
-	}
-}
-
-// needsContentLength lists the methods that say "Content-Length: 0".
-func needsContentLength(method string) bool {
-	return method == http.MethodPost || method == http.MethodPut || method == http.MethodPatch
-}
-
-// hideIdempotencyKey writes the names of the keys in lower case, which means the
-// same to every receiver.
-func hideIdempotencyKey(header http.Header) {
-	renameHeader(header, "Idempotency-Key", "idempotency-key")
-	renameHeader(header, "X-Idempotency-Key", "x-idempotency-key")
-}
-
-func renameHeader(header http.Header, from, to string) {
-	if values, ok := header[from]; ok {
-		header[to] = values
-		delete(header, from)
+		out.Body = httpleg.EmptyBody{}
+		out.TransferEncoding = httpleg.IdentityEncoding
 	}
 }
 
@@ -209,8 +189,8 @@
 		return
 	}
 	_ = b.control.SetReadDeadline(time.Now().Add(lingerTime))
-	buffer := getBuffer()
-	defer putBuffer(buffer)
+	buffer := httpleg.GetBuffer()
+	defer httpleg.PutBuffer(buffer)
 	for {
 		if _, err := b.request.Body.Read(buffer[:]); err != nil {
 			return
@@ -254,14 +234,5 @@
 	return nil
 }
 
-// emptyBody is a body without content that is neither nil nor http.NoBody.
-type emptyBody struct{}
-
-// Read implements io.Reader.
-func (emptyBody) Read([]byte) (int, error) { return 0, io.EOF }
-
-// Close implements io.Closer.
-func (emptyBody) Close() error { return nil }
-
 // reusable reports whether the connection can take another request after this one.
 func (b *requestBody) reusable() bool { return b.complete.Load() && !b.interrupted.Load() }
--- a/internal/dataplane/header.go
+++ b/internal/dataplane/header.go
@@ -5,6 +5,8 @@
 	"net/textproto"
 	"slices"
 	"strings"
+
+	"github.com/levertide/levertide/internal/httpleg"
 )
 
 // The headers between nodes.
@@ -34,9 +36,7 @@
 // forwardable reports whether a header with this canonical name goes on to the
 // next leg: it does not when it belongs to one connection or to the system.
 func forwardable(name string) bool {
-	switch name {
-	case connectionName, "Proxy-Connection", "Keep-Alive", "Proxy-Authenticate", "Proxy-Authorization",
-		"Te", "Trailer", "Transfer-Encoding", "Upgrade", "Expect", "Host":
+	if httpleg.OfOneConnection(name) {
 		return false
 	}
 	return !strings.HasPrefix(name, headerPrefix)
@@ -50,19 +50,7 @@
 			target[name] = values
 		}
 	}
-	for _, list := range source[connectionName] {
-		removeListed(target, list)
-	}
-}
-
-// removeListed removes the headers that a Connection header names.
-func removeListed(target http.Header, list string) {
-	for name := range strings.SplitSeq(list, ",") {
-		name = textproto.TrimString(name)
-		if name != "" && !strings.EqualFold(name, closeValue) {
-			target.Del(name)
-		}
-	}
+	httpleg.RemoveListed(target, source)
 }
 
 // outgoingHeader returns the headers of a request for the next leg, with room
--- a/internal/dataplane/send.go
+++ b/internal/dataplane/send.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 
+	"github.com/levertide/levertide/internal/httpleg"
 	"github.com/levertide/levertide/pkg/outcome"
 )
 
@@ -16,7 +17,7 @@
 	body      *requestBody
 	relay     *informationalRelay
 
-	conn   *trackedConn // nil until the request got a connection
+	conn   *httpleg.Conn // nil until the request got a connection
 	reused bool
 }
 
@@ -46,11 +47,11 @@
 }
 
 func (s *sending) gotConn(info httptrace.GotConnInfo) {
-	tracked, ok := info.Conn.(*trackedConn)
+	tracked, ok := info.Conn.(*httpleg.Conn)
 	if !ok {
 		return
 	}
-	tracked.begin()
+	tracked.Begin()
 	s.conn, s.reused = tracked, info.Reused
 }
 
@@ -62,7 +63,7 @@
 
 // classify tells what became of a request that got no answer.
 func (s *sending) classify(ctx context.Context, err error) error {
-	nothingWritten := s.conn == nil || s.conn.seal()
+	nothingWritten := s.conn == nil || s.conn.Seal()
 	if nothingWritten {
 		return outcome.Wrap(s.reasonBeforeStart(ctx), err)
 	}
--- a/internal/dataplane/transport.go
+++ b/internal/dataplane/transport.go
@@ -6,6 +6,8 @@
 	"net"
 	"net/http"
 	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
 )
 
 const (
@@ -17,16 +19,13 @@
 	continueWait = 2 * time.Second
 )
 
-// dialFunc opens a connection.
-type dialFunc func(ctx context.Context, network, address string) (net.Conn, error)
-
 func newPeerTransport(config *Config) *http.Transport {
 	transport := newTransport(config)
 	transport.MaxIdleConnsPerHost = config.Limits.PeerIdleConnections
 	transport.IdleConnTimeout = config.Limits.PeerIdle
 	transport.MaxResponseHeaderBytes += addedHeaderBytes
 	if config.PeerTLS != nil {
-		transport.DialTLSContext = track(encrypt(config.Dial, config.PeerTLS), config.Limits.Connect)
+		transport.DialTLSContext = httpleg.Track(encrypt(config.Dial, config.PeerTLS), config.Limits.Connect)
 	}
 	return transport
 }
@@ -41,28 +40,15 @@
 
 func newTransport(config *Config) *http.Transport {
 	return &http.Transport{
-		DialContext:            track(config.Dial, config.Limits.Connect),
+		DialContext:            httpleg.Track(config.Dial, config.Limits.Connect),
 		DisableCompression:     true,
 		ExpectContinueTimeout:  continueWait,
 		MaxResponseHeaderBytes: int64(config.Limits.HeaderBytes),
 	}
 }
 
-// track bounds the time that opening a connection takes, and has it tracked.
-func track(dial dialFunc, bound time.Duration) dialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		ctx, cancel := context.WithTimeout(ctx, bound)
-		defer cancel()
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		return &trackedConn{Conn: conn}, nil
-	}
-}
-
 // encrypt has connections shake hands once they are open.
-func encrypt(dial dialFunc, config *tls.Config) dialFunc {
+func encrypt(dial httpleg.DialFunc, config *tls.Config) httpleg.DialFunc {
 	return func(ctx context.Context, network, address string) (net.Conn, error) {
 		conn, err := dial(ctx, network, address)
 		if err != nil {
--- a/internal/dataplane/conn.go
+++ b/internal/httpleg/conn.go
@@ -1,4 +1,4 @@
-package dataplane
+package httpleg
 
 import (
 	"io"
@@ -7,31 +7,31 @@
 	"sync/atomic"
 )
 
-// The states of a trackedConn, as far as the request on it is concerned.
+// The states of a Conn, as far as the request on it is concerned.
 const (
 	connUntouched int32 = iota // nothing was written since the request got it
 	connWritten                // something may have been written
 	connSealed                 // nothing was written and nothing ever will be
 )
 
-// trackedConn knows whether anything of a request was handed to the network.
-type trackedConn struct {
+// Conn knows whether anything of a request was handed to the network.
+type Conn struct {
 	net.Conn
 	state atomic.Int32
 }
 
-// begin is called when a request gets the connection.
-func (c *trackedConn) begin() { c.state.Store(connUntouched) }
+// Begin is called when a request gets the connection.
+func (c *Conn) Begin() { c.state.Store(connUntouched) }
 
-// seal forbids further writes and reports whether nothing was written since
-// begin. When it reports true, nothing of the request can reach the other side.
-func (c *trackedConn) seal() bool {
+// Seal forbids further writes and reports whether nothing was written since
+// Begin. When it reports true, nothing of the request can reach the other side.
+func (c *Conn) Seal() bool {
 	return c.state.CompareAndSwap(connUntouched, connSealed) || c.state.Load() == connSealed
 }
 
 // Write implements net.Conn. It counts as written before it is tried; a first
 // write of which the network took nothing is taken back.
-func (c *trackedConn) Write(p []byte) (int, error) {
+func (c *Conn) Write(p []byte) (int, error) {
 	first := c.state.CompareAndSwap(connUntouched, connWritten)
 	if !first && c.state.Load() != connWritten {
 		return 0, net.ErrClosed
@@ -45,9 +45,9 @@
 
 // ReadFrom implements io.ReaderFrom with a shared buffer, so that an upload
 // takes no buffer of its own in the transport.
-func (c *trackedConn) ReadFrom(source io.Reader) (int64, error) {
-	buffer := getBuffer()
-	defer putBuffer(buffer)
+func (c *Conn) ReadFrom(source io.Reader) (int64, error) {
+	buffer := GetBuffer()
+	defer PutBuffer(buffer)
 	return io.CopyBuffer(writerOnly{c}, source, buffer[:])
 }
 
@@ -59,5 +59,8 @@
 
 var copyBuffers = sync.Pool{New: func() any { return new([copyBufferSize]byte) }}
 
-func getBuffer() *[copyBufferSize]byte       { return copyBuffers.Get().(*[copyBufferSize]byte) }
-func putBuffer(buffer *[copyBufferSize]byte) { copyBuffers.Put(buffer) }
+// GetBuffer returns a buffer for copying a body; give it back with PutBuffer.
+func GetBuffer() *[copyBufferSize]byte { return copyBuffers.Get().(*[copyBufferSize]byte) }
+
+// PutBuffer gives a buffer back.
+func PutBuffer(buffer *[copyBufferSize]byte) { copyBuffers.Put(buffer) }
--- a/internal/dataplane/conn_test.go
+++ b/internal/httpleg/conn_test.go
@@ -1,4 +1,4 @@
-package dataplane
+package httpleg
 
 import (
 	"errors"
@@ -35,12 +35,12 @@
 		{"all taken", 100, true, false},
 	}
 	for _, c := range cases {
-		conn := &trackedConn{Conn: &stubConn{takes: c.takes}}
-		conn.begin()
+		conn := &Conn{Conn: &stubConn{takes: c.takes}}
+		conn.Begin()
 		if c.write {
 			_, _ = conn.Write(request)
 		}
-		if got := conn.seal(); got != c.want {
+		if got := conn.Seal(); got != c.want {
 			t.Errorf("%s: seal = %t", c.name, got)
 		}
 		if _, err := conn.Write(request); c.want && !errors.Is(err, net.ErrClosed) {
@@ -50,13 +50,13 @@
 }
 
 func TestConnectionIsJudgedForEachRequest(t *testing.T) {
-	conn := &trackedConn{Conn: &stubConn{takes: 10}}
-	conn.begin()
+	conn := &Conn{Conn: &stubConn{takes: 10}}
+	conn.Begin()
 	if _, err := conn.Write([]byte("first")); err != nil {
 		t.Fatal(err)
 	}
-	conn.begin()
-	if !conn.seal() {
+	conn.Begin()
+	if !conn.Seal() {
 		t.Error("what an earlier request wrote counts for this one")
 	}
 }
--- /dev/null
+++ b/pkg/fleet/table_test.go
@@ -0,0 +1,131 @@
+package fleet
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+func node(id string, incarnation, sequence uint64) Node {
+	return Node{ID: id, Incarnation: incarnation, Sequence: sequence, Zone: "z" + id[:1], State: StateLive, ReadsStore: true}
+}
+
+func TestMergeKeepsTheNewest(t *testing.T) {
+	table := NewTable(node("self", 5, 1))
+	table.Merge([]Node{node("a", 2, 2)})
+	merged := table.Merge([]Node{node("a", 1, 9), node("a", 2, 2), node("b", 1, 1)})
+	if len(merged.News) != 1 || merged.News[0].ID != "b" {
+		t.Fatalf("news %v", merged.News)
+	}
+	if held, _ := table.View().Node("a"); held.Incarnation != 2 {
+		t.Fatalf("held %v", held)
+	}
+}
+
+func TestFormerLifeIsToldAndNotTaken(t *testing.T) {
+	table := NewTable(node("self", 5, 1))
+	former := node("self", 7, 3)
+	former.Workers = []workers.Worker{{Instance: "i", State: workers.StateDraining}}
+	merged := table.Merge([]Node{former})
+	if merged.FormerSelf == nil || merged.FormerSelf.Workers[0].Instance != "i" {
+		t.Fatalf("merged %+v", merged)
+	}
+	if table.View().Self().Incarnation != 5 {
+		t.Fatal("the record of the former life was taken")
+	}
+}
+
+// TestTablesConverge merges records in any order and expects equal digests.
+func TestTablesConverge(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var records []Node
+		for range rapid.IntRange(1, 20).Draw(t, "records") {
+			id := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "id")
+			records = append(records, node(id, rapid.Uint64Range(1, 3).Draw(t, "incarnation"), rapid.Uint64Range(1, 4).Draw(t, "sequence")))
+		}
+		one, two := NewTable(node("self", 1, 1)), NewTable(node("self", 1, 1))
+		one.Merge(records)
+		for _, index := range rapid.Permutation(records).Draw(t, "order") {
+			two.Merge([]Node{index})
+		}
+		if one.View().Digest() != two.View().Digest() {
+			t.Fatal("tables differ")
+		}
+	})
+}
+
+// TestSpreadReachesEveryNodeOnce plays a broadcast through and counts.
+func TestSpreadReachesEveryNodeOnce(t *testing.T) {
+	for _, size := range []int{0, 1, 2, 5, 12, 100, 301} {
+		var peers []Node
+		for index := range size {
+			peers = append(peers, node(fmt.Sprintf("n%04d", index), 1, 1))
+		}
+		reached := map[string]int{}
+		depth := spreadAll(peers, "", "", reached)
+		if len(reached) != size {
+			t.Fatalf("%d of %d reached", len(reached), size)
+		}
+		for id, times := range reached {
+			if times != 1 {
+				t.Fatalf("%s reached %d times", id, times)
+			}
+		}
+		if size == 301 && depth > 6 {
+			t.Fatalf("%d hops for %d nodes", depth, size)
+		}
+	}
+}
+
+func spreadAll(peers []Node, after, until string, reached map[string]int) int {
+	deepest := 0
+	for _, part := range Spread(peers, after, until, 4) {
+		head := part.Candidates[0]
+		reached[head.ID]++
+		if head.ID != part.Until {
+			deepest = max(deepest, spreadAll(peers, head.ID, part.Until, reached))
+		}
+	}
+	return deepest + 1
+}
+
+func TestReadersComeFromSeveralZones(t *testing.T) {
+	table := NewTable(node("a0", 1, 1))
+	for _, id := range []string{"a1", "a2", "b1", "c1"} {
+		table.Merge([]Node{node(id, 1, 1)})
+	}
+	everybody := func(string) bool { return true }
+	readers := Readers(table.View(), everybody, 3)
+	zones := map[string]bool{}
+	for _, id := range readers {
+		record, _ := table.View().Node(id)
+		zones[record.Zone] = true
+	}
+	if len(readers) != 3 || len(zones) != 3 {
+		t.Fatalf("readers %v in zones %v", readers, zones)
+	}
+	without := Readers(table.View(), func(id string) bool { return id != "b1" && id != "c1" }, 3)
+	if len(without) != 3 {
+		t.Fatalf("readers %v", without)
+	}
+	if alone := Readers(table.View(), func(string) bool { return false }, 3); len(alone) != 1 || alone[0] != "a0" {
+		t.Fatalf("a node that reaches nobody must read itself: %v", alone)
+	}
+}
+
+func TestContactsSpreadTries(t *testing.T) {
+	contacts, now := NewContacts(), time.Unix(1000, 0)
+	if !contacts.Reachable("a") || !contacts.Failed("a", now, 0.5) || contacts.Failed("a", now, 0.5) {
+		t.Fatal("only the first failure changes the belief")
+	}
+	if contacts.Reachable("a") || len(contacts.Due(now)) != 0 || len(contacts.Due(now.Add(time.Minute))) != 1 {
+		t.Fatal("the next try is not spread")
+	}
+	if !contacts.Reached("a") || !contacts.Reachable("a") {
+		t.Fatal("an answer must end the belief")
+	}
+}
--- a/pkg/model/resource.go
+++ b/pkg/model/resource.go
@@ -76,6 +76,9 @@
 	// Timeout bounds one request, unless its route sets a bound of its own.
 	// Zero means DefaultTimeout.
 	Timeout time.Duration `json:"timeout"`
+	// HealthPath is where a worker tells whether it is healthy; empty when it
+	// does not.
+	HealthPath string `json:"healthPath,omitempty"`
 }
 
 // DefaultTimeout bounds a request when neither route nor service says otherwise.
@@ -114,6 +117,24 @@
 	Timeout    time.Duration `json:"timeout"`
 	// Credential, when set, is added to each request before it reaches the worker.
 	Credential *Credential `json:"credential,omitempty"`
+	// Backends parts the requests among services by weight. When it is empty,
+	// Service takes them all; otherwise Service is the first of them.
+	Backends []Backend `json:"backends,omitempty"`
+	// Attempts bounds how many workers one request is sent to; zero sets no
+	// bound beside the budget of retries.
+	Attempts int `json:"attempts,omitempty"`
+	// Rank orders routes where requests wait for a slot: the lowest goes first.
+	Rank int `json:"rank,omitempty"`
+	// TargetLatency is the time within which an answer is worth most to the
+	// caller; zero when nothing is said.
+	TargetLatency time.Duration `json:"targetLatency,omitempty"`
+}
+
+// Backend is one of the services that share the requests of a route.
+type Backend struct {
+	Service string `json:"service"`
+	// Weight is the share of the service, relative to the other weights.
+	Weight int `json:"weight"`
 }
 
 // Match says which requests a route takes. All parts given must agree.
--- a/pkg/snapshot/restrict.go
+++ b/pkg/snapshot/restrict.go
@@ -62,7 +62,7 @@
 // routesTo parts the routes into those that lead to the services and the others.
 func (s *Snapshot) routesTo(services nameSet) (covered, others []*entry) {
 	for _, item := range s.ofKind(model.KindRoute) {
-		if services.has(item.resource.Route.Service) {
+		if leadsTo(item.resource.Route, services) {
 			covered = append(covered, item)
 		} else {
 			others = append(others, item)
@@ -71,6 +71,18 @@
 	return covered, others
 }
 
+// leadsTo reports whether every service that a route may send to is among those
+// given. A route with a backend elsewhere is not held, since holding it would
+// need a service that the scope does not cover.
+func leadsTo(route *model.Route, services nameSet) bool {
+	for _, backend := range route.Backends {
+		if !services.has(backend.Service) {
+			return false
+		}
+	}
+	return services.has(route.Service)
+}
+
 // secretsOf returns the names of the secrets that routes use.
 func secretsOf(routes []*entry) nameSet {
 	names := nameSet{}
--- a/pkg/snapshot/snapshot.go
+++ b/pkg/snapshot/snapshot.go
@@ -56,6 +56,11 @@
 		if _, found := s.Service(route.Service); !found {
 			return ErrDanglingReference.New("route %s names service %s, which is not in the set", name, route.Service)
 		}
+		for _, backend := range route.Backends {
+			if _, found := s.Service(backend.Service); !found {
+				return ErrDanglingReference.New("route %s names service %s, which is not in the set", name, backend.Service)
+			}
+		}
 		if route.Credential == nil {
 			continue
 		}
--- /dev/null
+++ b/pkg/workers/registry_test.go
@@ -0,0 +1,127 @@
+package workers
+
+import (
+	"testing"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+)
+
+var start = time.Unix(1000, 0)
+
+func beat(instance string, sequence uint64, draining bool) Heartbeat {
+	return Heartbeat{Instance: instance, Service: "ledger", Address: "127.0.0.1:1", Slots: 6, Sequence: sequence, Draining: draining}
+}
+
+func mustBeat(t *testing.T, r *Registry, b Heartbeat, now time.Time) Change {
+	t.Helper()
+	change, err := r.Heartbeat(b, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	return change
+}
+
+func TestLateHeartbeatNeverUndoesADrain(t *testing.T) {
+	r := NewRegistry(time.Minute)
+	mustBeat(t, r, beat("i1", 3, false), start)
+	if change := mustBeat(t, r, beat("i1", 5, true), start); !change.Changed {
+		t.Fatal("the drain was not a change")
+	}
+	for _, late := range []uint64{4, 6} {
+		mustBeat(t, r, beat("i1", late, false), start)
+		if _, ok := r.Ready("ledger"); ok {
+			t.Fatalf("heartbeat %d brought the worker back", late)
+		}
+	}
+}
+
+func TestSignOffOfAnUnknownWorkerBinds(t *testing.T) {
+	r := NewRegistry(time.Minute)
+	if _, err := r.Leave("i1", start); err != nil {
+		t.Fatal(err)
+	}
+	mustBeat(t, r, beat("i1", 9, false), start)
+	if _, ok := r.Ready(""); ok {
+		t.Fatal("a late heartbeat brought in a worker that had signed off")
+	}
+}
+
+func TestRestartedNodeLearnsPromises(t *testing.T) {
+	former := NewRegistry(time.Minute)
+	mustBeat(t, former, beat("i1", 3, true), start)
+	restarted := NewRegistry(time.Minute)
+	mustBeat(t, restarted, beat("i1", 2, false), start)
+	if changed := restarted.Learn(former.Workers(), start); len(changed) != 1 {
+		t.Fatalf("changed %v", changed)
+	}
+	if _, ok := restarted.Ready("ledger"); ok {
+		t.Fatal("the promise of the former life is not kept")
+	}
+}
+
+func TestSilentWorkerComesBackWithItsNextHeartbeat(t *testing.T) {
+	r := NewRegistry(5 * time.Second)
+	mustBeat(t, r, beat("i1", 1, false), start)
+	if changed := r.Expire(start.Add(6 * time.Second)); len(changed) != 1 || changed[0].State != StateSilent {
+		t.Fatalf("changed %v", changed)
+	}
+	mustBeat(t, r, beat("i1", 2, false), start.Add(7*time.Second))
+	if _, ok := r.Ready("ledger"); !ok {
+		t.Fatal("not back")
+	}
+}
+
+func TestNewestInstanceTakesTheRequests(t *testing.T) {
+	r := NewRegistry(time.Minute)
+	mustBeat(t, r, beat("old", 1, false), start)
+	other := beat("new", 1, false)
+	other.Service = "archive"
+	mustBeat(t, r, other, start.Add(time.Second))
+	if worker, _ := r.Ready(""); worker.Instance != "new" || r.Service() != "archive" {
+		t.Fatalf("worker %v, service %v", worker, r.Service())
+	}
+}
+
+func TestInvalidHeartbeatIsRefused(t *testing.T) {
+	r := NewRegistry(time.Minute)
+	for _, bad := range []Heartbeat{{}, {Instance: "i", Service: "s", Address: "a"}, {Instance: "i", Service: "s", Slots: 1}} {
+		if _, err := r.Heartbeat(bad, start); !errorx.IsOfType(err, ErrInvalid) {
+			t.Errorf("%+v: %v", bad, err)
+		}
+	}
+	if len(r.Workers()) != 0 {
+		t.Fatal("something was registered")
+	}
+}
+
+// TestPromisesAreFinal lets heartbeats come in any order and checks that a
+// worker that was seen to drain or to sign off never gets work again.
+func TestPromisesAreFinal(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		r := NewRegistry(3 * time.Second)
+		now, promised := start, map[string]bool{}
+		for range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(0, 900).Draw(t, "pause")) * time.Millisecond)
+			instance := rapid.SampledFrom([]string{"a", "b", "c"}).Draw(t, "instance")
+			sequence := rapid.Uint64Range(1, 20).Draw(t, "sequence")
+			switch rapid.IntRange(0, 3).Draw(t, "step") {
+			case 0:
+				_, _ = r.Heartbeat(beat(instance, sequence, false), now)
+			case 1:
+				if change, _ := r.Heartbeat(beat(instance, sequence, true), now); change.Worker.State.Promised() {
+					promised[instance] = true
+				}
+			case 2:
+				_, _ = r.Leave(instance, now)
+				promised[instance] = true
+			case 3:
+				r.Expire(now)
+			}
+			if worker, ok := r.Ready(""); ok && promised[worker.Instance] {
+				t.Fatalf("%s gets work after the promise", worker.Instance)
+			}
+		}
+	})
+}
--- /dev/null
+++ b/pkg/workers/worker.go
@@ -0,0 +1,51 @@
+package workers
+
+import "time"
+
+// State is what may be done with a worker.
+type State uint8
+
+// The states of a worker.
+const (
+	StateReady State = iota + 1
+	// StateDraining: the worker finishes what it has. Final but for StateGone.
+	StateDraining
+	// StateGone: the worker has signed off. Final.
+	StateGone
+	// StateSilent: no heartbeat came for long; the next one ends it.
+	StateSilent
+)
+
+// Promised reports whether the state is a promise to send no new work.
+func (s State) Promised() bool { return s == StateDraining || s == StateGone }
+
+// String names the state in logs.
+func (s State) String() string {
+	switch s {
+	case StateReady:
+		return "ready"
+	case StateDraining:
+		return "draining"
+	case StateGone:
+		return "gone"
+	case StateSilent:
+		return "silent"
+	default:
+		return "unknown"
+	}
+}
+
+// Worker is one registration.
+type Worker struct {
+	// Instance names one life of a worker; a restarted worker has another.
+	Instance string
+	Service  string
+	Address  string
+	// Slots is how many requests the worker runs at once.
+	Slots int
+	State State
+	// Sequence rises with each heartbeat of the instance.
+	Sequence uint64
+	// WarmUntil is when the worker stops being slow from its start.
+	WarmUntil time.Time
+}
