--- a/cmd/levertided/main.go
+++ b/cmd/levertided/main.go
@@ -7,13 +7,16 @@
 	"errors"
 	"flag"
 	"fmt"
+	"io"
 	"os"
 	"os/signal"
 	"syscall"
 
 	"github.com/levertide/levertide/internal/daemon"
 	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/sidecar"
 	"github.com/levertide/levertide/internal/telemetry"
+	"github.com/levertide/levertide/platform"
 )
 
 // Exit codes; docs/SETTINGS.md lists them.
@@ -40,7 +43,7 @@
 		fmt.Println("settings are valid")
 		return exitStopped
 	}
-	return serve(invocation.Settings)
+	return serve(invocation)
 }
 
 func printProblems(err error) {
@@ -50,15 +53,52 @@
 	}
 }
 
-func serve(chosen settings.Settings) int {
+func serve(invocation settings.Invocation) int {
+	if invocation.Settings.Mode == settings.ModeHosted {
+		return serveHosted(invocation.Settings)
+	}
+	return serveStandalone(invocation.Settings)
+}
+
+func serveStandalone(chosen settings.Settings) int {
 	events := telemetry.NewLog(os.Stderr, chosen.NodeID, telemetry.Level(chosen.LogLevel))
-	stopping, signals := notify()
 	node, err := daemon.New(chosen, events)
 	if err != nil {
 		events.StartFailed(err)
 		return exitFailed
 	}
-	if err := node.Run(stopping, signals); err != nil {
+	return runUntilSignal(events, node.Run)
+}
+
+// serveHosted runs a node whose configuration a platform decides.
+func serveHosted(chosen settings.Settings) int {
+	lines := telemetry.NewQueue(os.Stdout)
+	defer lines.Flush()
+	events := telemetry.NewLog(lines, chosen.NodeID, telemetry.Level(chosen.LogLevel))
+	node, err := sidecar.New(chosen, platform.Adapter(), events, lines)
+	if err != nil {
+		events.StartFailed(err)
+		return exitFailed
+	}
+	reloadOnSignal(node)
+	return runUntilSignal(events, node.Run)
+}
+
+// reloadOnSignal reads the settings again at each SIGHUP.
+func reloadOnSignal(node *sidecar.Node) {
+	received := make(chan os.Signal, 1)
+	signal.Notify(received, syscall.SIGHUP)
+	go func() {
+		for range received {
+			_, err := settings.Load(os.Args[1:], io.Discard)
+			node.Reload(err)
+		}
+	}()
+}
+
+func runUntilSignal(events *telemetry.Log, run func(context.Context, func() string) error) int {
+	stopping, signals := notify()
+	if err := run(stopping, signals); err != nil {
 		events.PartFailed("node", err.Error())
 		return exitFailed
 	}
--- /dev/null
+++ b/internal/forwarding/answer.go
@@ -0,0 +1,157 @@
+package forwarding
+
+import (
+	"bytes"
+	"context"
+	"io"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/slotqueue"
+)
+
+// answer is what a worker answered: whole when rest is nil.
+type answer struct {
+	status int
+	header http.Header
+	held   []byte
+	// rest is what follows a long answer's beginning.
+	rest   io.ReadCloser
+	length int64 // -1 when it is not known
+	// load is that of the worker's node after the call.
+	load    slotqueue.Load
+	hasLoad bool
+	// ran is how long the worker had the call; zero when it is not known.
+	ran time.Duration
+	// finish gives back what a streamed answer holds.
+	finish func(whole bool)
+}
+
+// readAnswer reads the body of an answer, whole if it is short. An error is
+// unknown: the call has run and its answer is not whole.
+func readAnswer(ctx context.Context, response *http.Response) (*answer, error) {
+	a := &answer{status: response.StatusCode, header: response.Header, length: response.ContentLength}
+	if response.ContentLength > bufferedAnswer {
+		a.rest = response.Body
+		return a, nil
+	}
+	held, whole, err := readAnswerHead(response)
+	if err != nil {
+		_ = response.Body.Close()
+		return nil, brokenAnswer(ctx, err)
+	}
+	a.held = held
+	if !whole {
+		a.rest = response.Body
+		return a, nil
+	}
+	_ = response.Body.Close()
+	a.length = int64(len(held))
+	return a, nil
+}
+
+func brokenAnswer(ctx context.Context, err error) error {
+	switch {
+	case context.Cause(ctx) == errEnd:
+		return outcome.Wrap(outcome.Timeout, err)
+	case ctx.Err() != nil:
+		return outcome.Wrap(outcome.Canceled, err)
+	default:
+		return outcome.Wrap(outcome.ConnectionLost, err)
+	}
+}
+
+func readAnswerHead(response *http.Response) (held []byte, whole bool, err error) {
+	if response.Request.Method == http.MethodHead {
+		return nil, true, nil
+	}
+	if response.ContentLength >= 0 {
+		held = make([]byte, response.ContentLength)
+		_, err = io.ReadFull(response.Body, held)
+		if err == nil {
+			// Seeing the end lets the connection be used again.
+			_, _ = response.Body.Read(make([]byte, 1))
+		}
+		return held, true, err
+	}
+	var buffer bytes.Buffer
+	_, err = io.CopyN(&buffer, response.Body, bufferedAnswer)
+	if err == io.EOF {
+		return buffer.Bytes(), true, nil
+	}
+	return buffer.Bytes(), false, err
+}
+
+// release ends an answer that is not passed on to its end.
+func (a *answer) release(whole bool) {
+	if a.rest != nil {
+		_ = a.rest.Close()
+	}
+	if a.finish != nil {
+		a.finish(whole)
+	}
+}
+
+// write passes an answer on. An error means that it did not arrive whole: the
+// handler must then be aborted.
+func (a *answer) write(w http.ResponseWriter, closing bool) error {
+	target := w.Header()
+	for name, values := range a.header {
+		if !httpleg.OfOneConnection(name) && name != hopLoadHeader && name != hopFailureHeader {
+			target[name] = values
+		}
+	}
+	httpleg.RemoveListed(target, a.header)
+	if _, ok := target["Content-Type"]; !ok {
+		target["Content-Type"] = nil // keeps the server from guessing
+	}
+	if a.length >= 0 && bodyAllowed(a.status) {
+		if _, given := target["Content-Length"]; !given {
+			target["Content-Length"] = []string{strconv.FormatInt(a.length, 10)}
+		}
+	}
+	if closing {
+		target["Connection"] = []string{"close"}
+	}
+	w.WriteHeader(a.status)
+	if len(a.held) > 0 {
+		if _, err := w.Write(a.held); err != nil {
+			return err
+		}
+	}
+	if a.rest == nil {
+		return nil
+	}
+	return a.stream(w)
+}
+
+// bodyAllowed reports whether an answer with the status may have a body.
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+func (a *answer) stream(w http.ResponseWriter) error {
+	buffer := httpleg.GetBuffer()
+	defer httpleg.PutBuffer(buffer)
+	control := http.NewResponseController(w)
+	for {
+		count, readErr := a.rest.Read(buffer[:])
+		if count > 0 {
+			if _, err := w.Write(buffer[:count]); err != nil {
+				return err
+			}
+			if err := control.Flush(); err != nil {
+				return err
+			}
+		}
+		if readErr == io.EOF {
+			return nil
+		}
+		if readErr != nil {
+			return readErr
+		}
+	}
+}
--- /dev/null
+++ b/internal/forwarding/attempts.go
@@ -0,0 +1,173 @@
+package forwarding
+
+import (
+	"context"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// attempts offers the call to workers until one has answered or no further offer
+// is allowed.
+func (c *call) attempts(ctx context.Context) (*answer, error) {
+	service := c.state.pickService(c.route)
+	c.report.Route, c.report.Service = c.route.Name, service
+	destination := c.plane.destination(service)
+	destination.budget.First(c.began)
+	offers := offers{call: c, destination: destination, latestStart: c.latestStart()}
+	result, err := offers.run(ctx)
+	c.report.Offers, c.report.Arrivals = offers.made, offers.arrivals
+	if err != nil {
+		c.report.BudgetLeft = destination.budget.Left(time.Now())
+	}
+	return result, err
+}
+
+// latestStart is until when the call may wait for a slot.
+func (c *call) latestStart() time.Time {
+	patience := time.Duration(patienceShare * float64(c.target()))
+	latest := c.began.Add(min(patience, longestPatience))
+	if latest.After(c.end) {
+		return c.end
+	}
+	return latest
+}
+
+// target is the time within which an answer is worth most.
+func (c *call) target() time.Duration {
+	if target := c.route.Config.TargetLatency; target > 0 {
+		return target
+	}
+	return c.route.Timeout
+}
+
+// offers are the attempts of one call.
+type offers struct {
+	call        *call
+	destination *destination
+	latestStart time.Time
+	tried       []string
+	// made counts the nodes that were asked, refusals those that had no slot in
+	// time, arrivals the workers that had the call.
+	made, refusals, arrivals int
+	last                     error
+}
+
+func (o *offers) run(ctx context.Context) (*answer, error) {
+	for {
+		chosen, ok := o.choose()
+		if !ok {
+			return nil, o.giveUp()
+		}
+		result, arrived, err := o.offer(ctx, chosen)
+		if err == nil {
+			return result, nil
+		}
+		o.last = err
+		if arrived {
+			o.arrivals++
+		}
+		if !o.goOn(ctx, err, arrived) {
+			return nil, o.giveUp()
+		}
+	}
+}
+
+func (o *offers) choose() (choice, bool) {
+	work, answerBytes := o.call.state.expected()
+	return o.destination.choose(wish{
+		bytes:     answerBytes + len(o.call.body.held),
+		tried:     o.tried,
+		work:      work,
+		local:     o.local,
+		reachable: o.call.plane.config.Contacts.Reachable,
+	}, time.Now())
+}
+
+// goOn reports whether a further offer may be made after a failure. Only an
+// offer that has reached a worker costs budget, and only one that may have run
+// is bound to what may be repeated.
+func (o *offers) goOn(ctx context.Context, err error, arrived bool) bool {
+	if ctx.Err() != nil || !o.call.body.repeatable() {
+		return false
+	}
+	unknown := outcome.Of(err) == outcome.Unknown
+	if unknown && !o.call.route.MayRepeat(o.call.request.Method) {
+		return false
+	}
+	if !arrived && !unknown {
+		o.refusals++
+		return o.refusals < maximumRefusals && time.Now().Before(o.latestStart)
+	}
+	limit := o.call.route.Config.Attempts
+	if limit > 0 && o.arrivals >= limit {
+		return false
+	}
+	return o.destination.budget.Spend(time.Now())
+}
+
+// giveUp returns the failure that the caller is told.
+func (o *offers) giveUp() error {
+	if o.last == nil {
+		return outcome.WithRetryAfter(outcome.NoWorker, defaultRetryAfter)
+	}
+	return o.last
+}
+
+// offer asks one node. It reports whether a worker may have had the call.
+func (o *offers) offer(ctx context.Context, chosen choice) (*answer, bool, error) {
+	endpoint := chosen.endpoint
+	o.made++
+	o.tried = append(o.tried, endpoint.node)
+	report := &o.call.report
+	report.Node, report.Instance = endpoint.node, endpoint.instance
+	report.Running, report.Waiting, report.Slots = chosen.load.Running, chosen.load.Waiting, chosen.load.Slots
+	latestStart := o.latestStart
+	if o.refusals < maximumRefusals-1 && len(o.destination.ordered) > o.made {
+		latestStart = earlier(latestStart, time.Now().Add(shallowPatience))
+	}
+	var answered *answer
+	var arrived bool
+	var err error
+	if endpoint.node == o.call.plane.config.Node {
+		answered, arrived, err = o.askLocal(ctx, endpoint, latestStart)
+	} else {
+		answered, arrived, err = o.askNode(ctx, endpoint, latestStart)
+	}
+	o.learn(chosen, answered, err)
+	return answered, arrived, err
+}
+
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
+
+// learn keeps what an offer has shown.
+func (o *offers) learn(chosen choice, answered *answer, err error) {
+	seen := result{}
+	switch {
+	case err == nil:
+		seen.load, seen.hasLoad = answered.load, answered.hasLoad
+		if answered.rest == nil && answered.ran > 0 {
+			seen.relative = o.call.state.observe(answered.ran, len(answered.held))
+		}
+	default:
+		if load, ok := loadOfRefusal(err); ok {
+			seen.load, seen.hasLoad = load, true
+		}
+		seen.failed = pausesEndpoint(outcome.ReasonOf(err))
+	}
+	o.destination.done(chosen, seen, time.Now())
+}
+
+// pausesEndpoint reports whether a failure speaks against the endpoint.
+func pausesEndpoint(reason outcome.Reason) bool {
+	switch reason {
+	case outcome.Unreachable, outcome.NoWorker, outcome.Draining, outcome.ConnectionLost, outcome.Misdirected, outcome.NotReady:
+		return true
+	}
+	return false
+}
--- /dev/null
+++ b/internal/forwarding/body.go
@@ -0,0 +1,143 @@
+package forwarding
+
+import (
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// chunkedEncoding keeps the transport from probing a body of unknown length.
+var chunkedEncoding = []string{"chunked"}
+
+// errTooLarge is the cause of a failure for a body over the operators' limit.
+var errTooLarge = errors.New("the body is larger than the configuration allows")
+
+// requestBody is the body of one call. One of up to bufferedBody bytes is held
+// whole and can be sent any number of times. A longer one is held up to there
+// and streamed from then on, and can be sent once.
+type requestBody struct {
+	held   []byte
+	rest   io.Reader // nil when the whole body is held
+	length int64     // -1 when it is not known
+	sent   atomic.Bool
+}
+
+// bodyMemory counts the bytes of the bodies that a node holds.
+type bodyMemory struct{ used atomic.Int64 }
+
+// reserve takes memory for a body; it reports false when there is too little.
+func (m *bodyMemory) reserve(bytes int64) bool {
+	if m.used.Add(bytes) > maximumBodyBytes {
+		m.used.Add(-bytes)
+		return false
+	}
+	return true
+}
+
+func (m *bodyMemory) release(bytes int64) { m.used.Add(-bytes) }
+
+// holdBody reads the body of a request within the memory for bodies. Give it back
+// with releaseBody. Errors are those of package outcome.
+func (p *Plane) holdBody(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) (*requestBody, error) {
+	reserved := min(max(r.ContentLength, 0), bufferedBody)
+	if !p.memory.reserve(reserved) {
+		return nil, outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
+	}
+	body, err := readBody(w, r, limit, end)
+	if err != nil {
+		p.memory.release(reserved)
+		return nil, err
+	}
+	p.memory.used.Add(int64(len(body.held)) - reserved)
+	return body, nil
+}
+
+// releaseBody gives the memory of a body back; nil is none.
+func (p *Plane) releaseBody(body *requestBody) {
+	if body != nil {
+		p.memory.release(int64(len(body.held)))
+	}
+}
+
+// readBody reads the body of a request, up to what is held, until the given end.
+// Errors are those of package outcome; nothing of the call has run.
+func readBody(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) (*requestBody, error) {
+	if r.ContentLength == 0 {
+		return &requestBody{}, nil
+	}
+	if limit > 0 && r.ContentLength > limit {
+		return nil, outcome.Wrap(outcome.Malformed, errTooLarge)
+	}
+	control := http.NewResponseController(w)
+	_ = control.SetReadDeadline(end)
+	body := &requestBody{length: r.ContentLength}
+	held, whole, err := readHead(r.Body, r.ContentLength)
+	if err != nil {
+		return nil, outcome.Wrap(outcome.BodyNotReceived, err)
+	}
+	body.held = held
+	if !whole {
+		body.rest = r.Body
+		// An answer that begins before the body has ended must not wait for it.
+		_ = control.EnableFullDuplex()
+		return body, nil
+	}
+	body.length = int64(len(held))
+	// A deadline would look like a caller that left.
+	_ = control.SetReadDeadline(time.Time{})
+	return body, nil
+}
+
+// readHead reads up to bufferedBody bytes, and tells whether that was all.
+func readHead(source io.Reader, length int64) (held []byte, whole bool, err error) {
+	if length > 0 && length <= bufferedBody {
+		held = make([]byte, length)
+		if _, err = io.ReadFull(source, held); err != nil {
+			return nil, false, err
+		}
+		// The end must have been seen, too, for the server to watch the caller.
+		_, err = source.Read(make([]byte, 1))
+		if err == io.EOF {
+			err = nil
+		}
+		return held, true, err
+	}
+	var buffer bytes.Buffer
+	count, err := io.CopyN(&buffer, source, bufferedBody)
+	if err == io.EOF {
+		return buffer.Bytes(), true, nil
+	}
+	return buffer.Bytes(), count < bufferedBody, err
+}
+
+// repeatable reports whether the body can be sent from its beginning.
+func (b *requestBody) repeatable() bool { return b.rest == nil || !b.sent.Load() }
+
+// attach gives the body to an outgoing request in a form that http.Transport
+// cannot send twice by itself: a body that is there and has no GetBody.
+func (b *requestBody) attach(out *http.Request) {
+	switch {
+	case b.rest != nil:
+		b.sent.Store(true)
+		out.ContentLength = b.length
+		if b.length < 0 {
+			out.TransferEncoding = chunkedEncoding
+		}
+		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(b.held), b.rest))
+	case len(b.held) > 0:
+		out.ContentLength = int64(len(b.held))
+		out.Body = io.NopCloser(bytes.NewReader(b.held))
+	case httpleg.NeedsContentLength(out.Method):
+		out.Body = nil
+		httpleg.HideIdempotencyKey(out.Header)
+	default:
+		out.Body = httpleg.EmptyBody{}
+		out.TransferEncoding = httpleg.IdentityEncoding
+	}
+}
--- /dev/null
+++ b/internal/forwarding/caller.go
@@ -0,0 +1,108 @@
+package forwarding
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/routing"
+)
+
+// call is one request from a caller, through all its attempts.
+type call struct {
+	plane   *Plane
+	request *http.Request
+	route   *routing.Route
+	state   *routeState
+	body    *requestBody
+	began   time.Time
+	// end is when the caller or the route has no more use of an answer.
+	end    time.Time
+	report CallReport
+}
+
+func (p *Plane) serveCaller(w http.ResponseWriter, r *http.Request) {
+	p.calls.Add(1)
+	defer p.calls.Add(-1)
+	c := &call{plane: p, request: r, began: time.Now()}
+	c.report.RequestID = r.Header.Get(p.config.Dialect.RequestID)
+	result, err := c.answer(w)
+	p.releaseBody(c.body)
+	c.conclude(w, result, err)
+}
+
+// answer has a worker answer the call. Errors are those of package outcome.
+func (c *call) answer(w http.ResponseWriter) (*answer, error) {
+	configuration := c.plane.config.Current()
+	if configuration == nil {
+		return nil, outcome.New(outcome.NotReady)
+	}
+	c.report.Version = configuration.Table.Version()
+	route, matched := configuration.Table.Match(c.request.Host, c.request.URL.Path, c.request.Method)
+	if matched != routing.Matched {
+		return nil, outcome.New(outcome.NoRoute)
+	}
+	c.route = route
+	c.state = c.plane.routes.get(route.Name)
+	c.end = c.began.Add(min(c.callerTimeout(), route.Timeout))
+	body, err := c.plane.holdBody(w, c.request, configuration.MaximumBody, c.end)
+	if err != nil {
+		return nil, err
+	}
+	c.body = body
+	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.end, errEnd)
+	result, err := c.attempts(ctx)
+	if err != nil || result.rest == nil {
+		cancel()
+		return result, err
+	}
+	finish := result.finish
+	result.finish = func(whole bool) {
+		cancel()
+		if finish != nil {
+			finish(whole)
+		}
+	}
+	return result, nil
+}
+
+// callerTimeout is how long the caller will wait; the longest time if it does not say.
+func (c *call) callerTimeout() time.Duration {
+	const longest = time.Hour
+	milliseconds, err := strconv.ParseInt(c.request.Header.Get(c.plane.config.Dialect.Timeout), 10, 64)
+	if err != nil || milliseconds < 0 || milliseconds > longest.Milliseconds() {
+		return longest
+	}
+	return time.Duration(milliseconds) * time.Millisecond
+}
+
+// conclude answers the caller and reports.
+func (c *call) conclude(w http.ResponseWriter, result *answer, err error) {
+	closing := c.plane.leaving.Load()
+	if err != nil {
+		closing = closing || c.body == nil && c.request.ContentLength != 0 || c.body != nil && c.body.rest != nil
+		c.report.Outcome, c.report.Reason, c.report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
+		c.report.Status, c.report.RetryAfter = writeFailure(w, err, closing)
+		c.finish()
+		return
+	}
+	c.report.Outcome, c.report.Status = outcome.Answered, result.status
+	failure := result.write(w, closing)
+	result.release(failure == nil)
+	c.report.Truncated, c.report.Cause = failure != nil, failure
+	c.finish()
+	if failure != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *call) finish() {
+	now := time.Now()
+	c.report.Duration = now.Sub(c.began)
+	if !c.end.IsZero() {
+		c.report.Left = c.end.Sub(now)
+	}
+	c.plane.config.Observer.CallFinished(c.report)
+}
--- /dev/null
+++ b/internal/forwarding/config.go
@@ -0,0 +1,89 @@
+package forwarding
+
+import (
+	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/routing"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// Configuration is one version made ready for calls. It is immutable.
+type Configuration struct {
+	Table *routing.Table
+	// MaximumBody bounds the body of a request, in bytes; zero sets no bound.
+	MaximumBody int64
+}
+
+// Config sets up a Plane. All fields but Observer must be given.
+type Config struct {
+	// Node is the identifier of this node, Zone where it is.
+	Node, Zone string
+	// Service is the service of the worker beside the node, until one registers.
+	Service string
+	Dialect Dialect
+	// Current returns the configuration in force; nil while there is none.
+	Current func() *Configuration
+	// View returns the nodes as this one knows them.
+	View func() *fleet.View
+	// Contacts is what this node believes of whether it reaches the others.
+	Contacts *fleet.Contacts
+	// Workers are the workers beside this node.
+	Workers *workers.Registry
+	// Dial opens connections to nodes and to the worker.
+	Dial httpleg.DialFunc
+	// Retries bounds the attempts beyond the first to one service over all
+	// nodes; Slack is shared among them.
+	Retries retry.WindowOptions
+	// Observer is told how calls ended; nil means that nobody is.
+	Observer Observer
+}
+
+// Bounds of calls that no operator sets.
+const (
+	// bufferedBody is the size up to which a body is held whole.
+	bufferedBody = 1 << 20
+	// bufferedAnswer is the size up to which an answer is held whole before it
+	// is passed on, so that one that breaks off can be asked for again.
+	bufferedAnswer = 256 << 10
+	// maximumBodyBytes bounds the memory of all bodies held by this node.
+	maximumBodyBytes = 96 << 20
+
+	// dialBound bounds the opening of a connection. It is shorter than the
+	// second after which a lost first packet is sent again: another node is
+	// tried instead.
+	dialBound = 300 * time.Millisecond
+	// peerIdle is how long an unused connection to another node is kept, and
+	// peerServerIdle how long one from another node is; the latter is longer, so
+	// that no request meets a closing connection.
+	peerIdle       = 60 * time.Second
+	peerServerIdle = 180 * time.Second
+	// callerIdle is how long an unused connection of a caller is kept. Operators
+	// tell callers a shorter time.
+	callerIdle = 120 * time.Second
+	// readHeaderTime bounds the arrival of the head of a request.
+	readHeaderTime = 10 * time.Second
+	// maximumHeaderBytes bounds the head of a request.
+	maximumHeaderBytes = 64 << 10
+	// idleConnections bounds the unused connections to one node.
+	idleConnections = 32
+
+	// maximumRefusals bounds how many nodes are asked for a slot.
+	maximumRefusals = 4
+	// patienceShare is the share of a route's target latency that a call may
+	// wait for a slot, counted from its arrival. What has waited longer without
+	// being offered to a worker is refused, while the caller has time to come back.
+	patienceShare = 0.2
+	// longestPatience bounds the wait on routes that name no target.
+	longestPatience = 500 * time.Millisecond
+	// shallowPatience is the wait that a call asks for while other nodes may
+	// have a free slot.
+	shallowPatience = 3 * time.Millisecond
+
+	// defaultRetryAfter is what a refused caller is told to wait when nothing
+	// better is known, and shortestRetryAfter the least.
+	defaultRetryAfter  = 100 * time.Millisecond
+	shortestRetryAfter = 20 * time.Millisecond
+)
--- /dev/null
+++ b/internal/forwarding/dialect.go
@@ -0,0 +1,33 @@
+package forwarding
+
+import "net/http"
+
+// Dialect says how callers and workers spell what they tell in headers. Names
+// are canonical. It is set up once and never changed.
+type Dialect struct {
+	// RequestID names the header that carries a caller's id to the worker and
+	// back.
+	RequestID string
+	// Timeout names the header with the time that is left, in milliseconds.
+	Timeout string
+	// CallerService names the header that tells the worker where a call began.
+	CallerService string
+	// ExpectInstance names the header with the worker that a call is meant for.
+	ExpectInstance string
+	// NotRun names the header by which a worker says that it did not run a call.
+	NotRun string
+}
+
+// own reports whether a header of a caller is replaced by one of the node.
+func (d *Dialect) own(name string) bool {
+	switch name {
+	case d.Timeout, d.CallerService, d.ExpectInstance, hopHeader, hopLoadHeader, hopFailureHeader:
+		return true
+	}
+	return false
+}
+
+// refused reports whether an answer says that the worker did not run the call.
+func (d *Dialect) refused(response *http.Response) bool {
+	return response.StatusCode == http.StatusMisdirectedRequest || len(response.Header[d.NotRun]) > 0
+}
--- /dev/null
+++ b/internal/forwarding/endpoints.go
@@ -0,0 +1,220 @@
+package forwarding
+
+import (
+	"math/rand/v2"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/slotqueue"
+)
+
+// Figures of the choice of a worker.
+const (
+	// speedWeight is the weight of one more observation of an endpoint's speed.
+	speedWeight = 0.15
+	// reportLife is how long a told load counts; it fades over that time.
+	reportLife = 500 * time.Millisecond
+	// otherZonePenalty is what another zone costs beside its distance, for each
+	// KiB that crosses, in time: bytes between zones are paid for.
+	otherZonePenalty = 700 * time.Microsecond
+	otherZoneDelay   = 1500 * time.Microsecond
+	// crowdPenalty is the share by which work takes longer at a full worker.
+	crowdPenalty = 0.3
+	// scoreNoise keeps many nodes from choosing the same endpoint.
+	scoreNoise = 0.1
+	// failurePause is how long an endpoint that could not be used is left alone.
+	failurePause = 300 * time.Millisecond
+	// unknownHold is taken for the time of a request before any was seen.
+	unknownHold = 20 * time.Millisecond
+	// typicalSlots is taken for a worker whose node told no load yet.
+	typicalSlots = 4
+	// slowestFactor and fastestFactor bound what is believed of a speed.
+	slowestFactor = 20.0
+	fastestFactor = 0.2
+)
+
+// endpoint is one worker as the node where calls begin sees it.
+type endpoint struct {
+	node, zone, address, instance string
+	slots                         int
+	// outstanding are the requests that this node has there now.
+	outstanding int
+	// report is what the worker's node told last, at reportedAt, when this node
+	// had reportedOutstanding requests there.
+	report              slotqueue.Load
+	reportedAt          time.Time
+	reportedOutstanding int
+	// slowness is how long requests take there, relative to all endpoints.
+	slowness float64
+	// pausedUntil is until when the endpoint is chosen only as the last resort.
+	pausedUntil time.Time
+}
+
+// destination is what is known of the workers of one service.
+type destination struct {
+	service string
+	self    string
+	zone    string
+	budget  *retry.WindowBudget
+	view    atomic.Pointer[fleet.View]
+
+	mutex     sync.Mutex
+	endpoints map[string]*endpoint
+	ordered   []*endpoint
+}
+
+// refresh brings the endpoints in line with the nodes.
+func (d *destination) refresh(view *fleet.View) {
+	if view == d.view.Load() {
+		return
+	}
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	d.view.Store(view)
+	known := d.endpoints
+	d.endpoints = make(map[string]*endpoint, len(known))
+	d.ordered = d.ordered[:0]
+	for _, node := range view.Nodes() {
+		worker, ok := node.Serves(d.service)
+		if !ok {
+			continue
+		}
+		found, same := known[node.ID]
+		if !same || found.instance != worker.Instance || found.address != node.CallAddress {
+			found = &endpoint{node: node.ID, zone: node.Zone, address: node.CallAddress, instance: worker.Instance, slowness: 1}
+		}
+		found.slots = worker.Slots
+		d.endpoints[node.ID] = found
+		d.ordered = append(d.ordered, found)
+	}
+}
+
+// choice is an endpoint that was chosen, with what decided.
+type choice struct {
+	endpoint *endpoint
+	load     slotqueue.Load
+	// free tells that a slot was taken to be free.
+	free bool
+}
+
+// wish is what one request asks of the choice.
+type wish struct {
+	// bytes that will cross to the endpoint and back.
+	bytes int
+	// tried are the nodes that are not to be chosen again.
+	tried []string
+	// work is how long the request is expected to run.
+	work time.Duration
+	// local returns the load of this node's own worker.
+	local func() (slotqueue.Load, bool)
+	// reachable tells which nodes this one reaches.
+	reachable func(string) bool
+}
+
+// choose takes the endpoint with the least expected delay; false when there is
+// none. The request counts as outstanding there until done is called.
+func (d *destination) choose(w wish, now time.Time) (choice, bool) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	var best choice
+	var bestScore float64
+	for _, e := range d.ordered {
+		if contains(w.tried, e.node) {
+			continue
+		}
+		load, usable := d.loadOf(e, w, now)
+		score := d.score(e, load, w, usable)
+		if best.endpoint == nil || score < bestScore {
+			best = choice{endpoint: e, load: load, free: load.Running+load.Waiting < load.Slots}
+			bestScore = score
+		}
+	}
+	if best.endpoint == nil {
+		return choice{}, false
+	}
+	best.endpoint.outstanding++
+	return best, true
+}
+
+// loadOf returns the load that an endpoint is taken to have, and whether the
+// endpoint is usable as far as this node knows.
+func (d *destination) loadOf(e *endpoint, w wish, now time.Time) (slotqueue.Load, bool) {
+	usable := now.After(e.pausedUntil)
+	if e.node == d.self {
+		if load, ok := w.local(); ok {
+			return load, usable
+		}
+		return slotqueue.Load{Slots: max(e.slots, 1), Hold: unknownHold}, false
+	}
+	load := e.report
+	if load.Slots == 0 {
+		load = slotqueue.Load{Slots: max(e.slots, 1), Hold: unknownHold}
+	}
+	others := float64(load.Running + load.Waiting - e.reportedOutstanding)
+	fading := 1 - float64(now.Sub(e.reportedAt))/float64(2*reportLife)
+	expected := max(others*max(fading, 0.25), 0) + float64(e.outstanding)
+	load.Running = min(int(expected+0.5), load.Slots)
+	load.Waiting = int(expected+0.5) - load.Running
+	return load, usable && w.reachable(e.node)
+}
+
+// score is the expected delay in nanoseconds, with what else speaks against an
+// endpoint.
+func (d *destination) score(e *endpoint, load slotqueue.Load, w wish, usable bool) float64 {
+	work := float64(max(w.work, time.Millisecond)) * e.slowness
+	busy := float64(load.Running) / float64(load.Slots)
+	score := work * (1 + crowdPenalty*busy*busy)
+	if load.Running >= load.Slots {
+		hold := float64(max(load.Hold, time.Millisecond))
+		score += float64(load.Waiting+1) * hold / float64(load.Slots)
+	}
+	if e.zone != d.zone {
+		score += float64(otherZoneDelay) + float64(otherZonePenalty)*float64(w.bytes)/1024
+	}
+	score *= 1 + scoreNoise*rand.Float64()
+	if !usable {
+		score += float64(time.Hour)
+	}
+	return score
+}
+
+// result is what was seen of a request to an endpoint.
+type result struct {
+	load    slotqueue.Load
+	hasLoad bool
+	// relative is how long the request took, relative to the mean of its route;
+	// zero when it says nothing.
+	relative float64
+	// failed tells that the endpoint is better left alone for a while.
+	failed bool
+}
+
+// done ends a request to an endpoint.
+func (d *destination) done(c choice, r result, now time.Time) {
+	d.mutex.Lock()
+	defer d.mutex.Unlock()
+	e := c.endpoint
+	e.outstanding--
+	if r.hasLoad {
+		e.report, e.reportedAt, e.reportedOutstanding = r.load, now, e.outstanding
+	}
+	if r.relative > 0 {
+		bounded := min(max(r.relative, fastestFactor), slowestFactor)
+		e.slowness += speedWeight * (bounded - e.slowness)
+	}
+	if r.failed {
+		e.pausedUntil = now.Add(failurePause)
+	}
+}
+
+func contains(list []string, wanted string) bool {
+	for _, item := range list {
+		if item == wanted {
+			return true
+		}
+	}
+	return false
+}
--- /dev/null
+++ b/internal/forwarding/failure.go
@@ -0,0 +1,62 @@
+package forwarding
+
+import (
+	"errors"
+	"net/http"
+	"strconv"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// statusOf returns the status of a failure. The statuses 408, 421, 429 and 503
+// promise that the call did not run and never will; an unknown outcome is told
+// by 502 and 504 only.
+func statusOf(err error) int {
+	reason := outcome.ReasonOf(err)
+	switch {
+	case errors.Is(err, errTooLarge):
+		return http.StatusRequestEntityTooLarge
+	case reason == outcome.NoRoute:
+		return http.StatusNotFound
+	case reason == outcome.Malformed:
+		return http.StatusBadRequest
+	case reason == outcome.BodyNotReceived:
+		return http.StatusRequestTimeout
+	case reason.Outcome() == outcome.NotRun:
+		return http.StatusServiceUnavailable
+	case reason == outcome.Timeout:
+		return http.StatusGatewayTimeout
+	default:
+		return http.StatusBadGateway
+	}
+}
+
+// writeFailure tells a caller that its call got no answer. It returns the status
+// and the time that the caller was told to wait.
+func writeFailure(w http.ResponseWriter, err error, closing bool) (int, time.Duration) {
+	status := statusOf(err)
+	header := w.Header()
+	var wait time.Duration
+	if status == http.StatusServiceUnavailable {
+		wait = retryAfter(err)
+		header["Retry-After"] = []string{strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}
+	}
+	message := outcome.ReasonOf(err).Message() + "\n"
+	header["Content-Type"] = []string{"text/plain; charset=utf-8"}
+	header["Content-Length"] = []string{strconv.Itoa(len(message))}
+	if closing {
+		header["Connection"] = []string{"close"}
+	}
+	w.WriteHeader(status)
+	_, _ = w.Write([]byte(message))
+	return status, wait
+}
+
+// retryAfter returns when another try is worth it.
+func retryAfter(err error) time.Duration {
+	if wait := outcome.RetryAfterOf(err); wait > 0 {
+		return max(min(wait, defaultRetryAfter), shortestRetryAfter)
+	}
+	return defaultRetryAfter
+}
--- /dev/null
+++ b/internal/forwarding/hop.go
@@ -0,0 +1,102 @@
+package forwarding
+
+import (
+	"strconv"
+	"strings"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/slotqueue"
+)
+
+// The headers between nodes.
+const (
+	// hopHeader carries a hop from the node where a call began.
+	hopHeader = "Levertide-Hop"
+	// hopLoadHeader carries the load of the worker's node back.
+	hopLoadHeader = "Levertide-Hop-Load"
+	// hopFailureHeader carries the reason of a call that got no answer.
+	hopFailureHeader = "Levertide-Hop-Failure"
+
+	hopFields     = 6
+	loadFields    = 5
+	failureFields = 2
+	hopSeparator  = ","
+)
+
+// hop is what the node where a call began tells the worker's node.
+type hop struct {
+	// service and instance name the worker.
+	service, instance string
+	// caller is the service of the node where the call began.
+	caller string
+	rank   int
+	// patience is how long the call may wait for a slot, left until its end.
+	patience, left time.Duration
+}
+
+func (h hop) encode() string {
+	return strings.Join([]string{
+		h.service, h.instance, h.caller, strconv.Itoa(h.rank), formatMicroseconds(h.patience), formatMicroseconds(h.left),
+	}, hopSeparator)
+}
+
+func parseHop(text string) (hop, bool) {
+	fields := strings.Split(text, hopSeparator)
+	if len(fields) != hopFields {
+		return hop{}, false
+	}
+	rank, rankErr := strconv.Atoi(fields[3])
+	patience, patienceOK := parseMicroseconds(fields[4])
+	left, leftOK := parseMicroseconds(fields[5])
+	parsed := hop{service: fields[0], instance: fields[1], caller: fields[2], rank: rank, patience: patience, left: left}
+	return parsed, rankErr == nil && patienceOK && leftOK
+}
+
+// formatLoad writes the load of a worker's node, and how long the worker had the
+// call that this goes with.
+func formatLoad(load slotqueue.Load, ran time.Duration) string {
+	return strings.Join([]string{
+		strconv.Itoa(load.Running), strconv.Itoa(load.Waiting), strconv.Itoa(load.Slots),
+		formatMicroseconds(load.Hold), formatMicroseconds(ran),
+	}, hopSeparator)
+}
+
+func parseLoad(text string) (load slotqueue.Load, ran time.Duration, ok bool) {
+	fields := strings.Split(text, hopSeparator)
+	if len(fields) != loadFields {
+		return slotqueue.Load{}, 0, false
+	}
+	running, runningErr := strconv.Atoi(fields[0])
+	waiting, waitingErr := strconv.Atoi(fields[1])
+	slots, slotsErr := strconv.Atoi(fields[2])
+	hold, holdOK := parseMicroseconds(fields[3])
+	ran, ranOK := parseMicroseconds(fields[4])
+	load = slotqueue.Load{Running: running, Waiting: waiting, Slots: slots, Hold: hold}
+	return load, ran, runningErr == nil && waitingErr == nil && slotsErr == nil && holdOK && ranOK && slots > 0
+}
+
+// formatFailure writes why a call got no answer.
+func formatFailure(err error) string {
+	return string(outcome.ReasonOf(err)) + hopSeparator + formatMicroseconds(outcome.RetryAfterOf(err))
+}
+
+// parseFailure returns the failure that another node told. One that cannot be
+// read is unknown, which is always safe.
+func parseFailure(text string) error {
+	fields := strings.Split(text, hopSeparator)
+	if len(fields) != failureFields || !outcome.Reason(fields[0]).Known() {
+		return outcome.New(outcome.NotSpecified)
+	}
+	wait, _ := parseMicroseconds(fields[1])
+	return outcome.WithRetryAfter(outcome.Reason(fields[0]), wait)
+}
+
+func formatMicroseconds(duration time.Duration) string {
+	return strconv.FormatInt(duration.Microseconds(), 10)
+}
+
+func parseMicroseconds(text string) (time.Duration, bool) {
+	number, err := strconv.ParseInt(text, 10, 64)
+	return time.Duration(number) * time.Microsecond, err == nil
+}
--- /dev/null
+++ b/internal/forwarding/inbound.go
@@ -0,0 +1,109 @@
+package forwarding
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/slotqueue"
+)
+
+// hopCall is one request from another node for the worker of this one.
+type hopCall struct {
+	plane   *Plane
+	request *http.Request
+	hop     hop
+	leg     *workerLeg
+	body    *requestBody
+	began   time.Time
+	arrived bool
+}
+
+func (p *Plane) serveHop(w http.ResponseWriter, r *http.Request) {
+	p.hops.Add(1)
+	defer p.hops.Add(-1)
+	c := &hopCall{plane: p, request: r, began: time.Now()}
+	parsed, ok := parseHop(r.Header.Get(hopHeader))
+	if !ok {
+		c.conclude(w, nil, outcome.New(outcome.Misdirected))
+		return
+	}
+	c.hop = parsed
+	ctx, cancel := context.WithDeadlineCause(r.Context(), c.began.Add(parsed.left), errEnd)
+	defer cancel()
+	result, err := c.ask(ctx, w)
+	p.releaseBody(c.body)
+	c.conclude(w, result, err)
+}
+
+// ask has the worker answer.
+func (c *hopCall) ask(ctx context.Context, w http.ResponseWriter) (*answer, error) {
+	leg, err := c.plane.local.find(c.hop.service, c.hop.instance)
+	if err != nil {
+		return nil, err
+	}
+	c.leg = leg
+	end := c.began.Add(c.hop.left)
+	c.body, err = c.plane.holdBody(w, c.request, 0, end)
+	if err != nil {
+		return nil, err
+	}
+	request := workerCall{
+		inbound:     c.request,
+		body:        c.body,
+		caller:      c.hop.caller,
+		rank:        c.hop.rank,
+		latestStart: c.began.Add(c.hop.patience),
+		end:         end,
+	}
+	result, err := leg.ask(ctx, &request)
+	c.arrived = request.arrived
+	return result, err
+}
+
+// conclude answers the other node and reports.
+func (c *hopCall) conclude(w http.ResponseWriter, result *answer, err error) {
+	report := CallReport{
+		RequestID: c.request.Header.Get(c.plane.config.Dialect.RequestID),
+		Service:   c.hop.service,
+		Instance:  c.hop.instance,
+		Node:      c.plane.config.Node,
+		Left:      c.hop.left,
+	}
+	var load slotqueue.Load
+	if c.leg != nil {
+		load = c.leg.load()
+		report.Running, report.Waiting, report.Slots = load.Running, load.Waiting, load.Slots
+	}
+	if c.arrived {
+		report.Arrivals = 1
+	}
+	var ran time.Duration
+	if result != nil {
+		ran = result.ran
+	}
+	if load.Slots > 0 {
+		w.Header()[hopLoadHeader] = []string{formatLoad(load, ran)}
+	}
+	if err != nil {
+		w.Header()[hopFailureHeader] = []string{formatFailure(err)}
+		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
+		report.Status, report.RetryAfter = writeFailure(w, err, c.plane.stopping.Load())
+		c.finish(report)
+		return
+	}
+	report.Outcome, report.Status = outcome.Answered, result.status
+	failure := result.write(w, c.plane.stopping.Load())
+	result.release(failure == nil)
+	report.Truncated, report.Cause = failure != nil, failure
+	c.finish(report)
+	if failure != nil {
+		panic(http.ErrAbortHandler)
+	}
+}
+
+func (c *hopCall) finish(report CallReport) {
+	report.Duration = time.Since(c.began)
+	c.plane.config.Observer.HopFinished(report)
+}
--- /dev/null
+++ b/internal/forwarding/leg.go
@@ -0,0 +1,126 @@
+package forwarding
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"net/http/httptrace"
+	"net/url"
+	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// errEnd is the cause of a context that ended because the call's time was over.
+var errEnd = errors.New("the time of the call is over")
+
+// leg is one request on its way over one connection.
+type leg struct {
+	transport *http.Transport
+	request   *http.Request
+	body      *requestBody
+	conn      *httpleg.Conn // nil until the request got a connection
+	reused    bool
+}
+
+// do sends the request and returns the head of the answer. Errors are those of
+// package outcome: not-run when nothing was written on any connection.
+func (l *leg) do(ctx context.Context) (*http.Response, error) {
+	response, err := l.try(ctx)
+	stale := err != nil && l.reused && ctx.Err() == nil && outcome.Of(err) == outcome.NotRun && l.body.repeatable()
+	if stale {
+		response, err = l.try(ctx)
+	}
+	return response, err
+}
+
+func (l *leg) try(ctx context.Context) (*http.Response, error) {
+	l.conn, l.reused = nil, false
+	l.body.attach(l.request)
+	trace := &httptrace.ClientTrace{GotConn: l.gotConn}
+	response, err := l.transport.RoundTrip(l.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
+	if err != nil {
+		return nil, l.classify(ctx, err)
+	}
+	return response, nil
+}
+
+func (l *leg) gotConn(info httptrace.GotConnInfo) {
+	if tracked, ok := info.Conn.(*httpleg.Conn); ok {
+		tracked.Begin()
+		l.conn, l.reused = tracked, info.Reused
+	}
+}
+
+// classify tells what became of a request that got no answer.
+func (l *leg) classify(ctx context.Context, err error) error {
+	ended := errors.Is(context.Cause(ctx), errEnd)
+	if l.conn == nil || l.conn.Seal() {
+		switch {
+		case ended:
+			return outcome.Wrap(outcome.DeadlineBeforeStart, err)
+		case ctx.Err() != nil:
+			return outcome.Wrap(outcome.CanceledBeforeStart, err)
+		default:
+			return outcome.Wrap(outcome.Unreachable, err)
+		}
+	}
+	switch {
+	case ended:
+		return outcome.Wrap(outcome.Timeout, err)
+	case ctx.Err() != nil:
+		return outcome.Wrap(outcome.Canceled, err)
+	default:
+		return outcome.Wrap(outcome.ConnectionLost, err)
+	}
+}
+
+// newTransport returns a transport whose connections know what was written.
+func newTransport(dial httpleg.DialFunc, idle time.Duration, connections int) *http.Transport {
+	return &http.Transport{
+		DialContext:            httpleg.Track(dial, dialBound),
+		DisableCompression:     true,
+		MaxIdleConnsPerHost:    connections,
+		IdleConnTimeout:        idle,
+		MaxResponseHeaderBytes: maximumHeaderBytes,
+	}
+}
+
+// newRequest returns the request for the next leg, without its body. Target and
+// host are passed on as they came.
+func newRequest(from *http.Request, address string, header http.Header) *http.Request {
+	return &http.Request{
+		Method: from.Method,
+		URL: &url.URL{
+			Scheme:     "http",
+			Host:       address,
+			Path:       from.URL.Path,
+			RawPath:    from.URL.RawPath,
+			RawQuery:   from.URL.RawQuery,
+			ForceQuery: from.URL.ForceQuery,
+		},
+		Host:       from.Host,
+		Header:     header,
+		ProtoMajor: 1,
+		ProtoMinor: 1,
+	}
+}
+
+// forwardedHeader returns the headers that go on to the next leg, with room for
+// those that the leg adds. The values are shared, not copied.
+func forwardedHeader(from *http.Request, dialect *Dialect) http.Header {
+	const added = 6
+	header := make(http.Header, len(from.Header)+added)
+	for name, values := range from.Header {
+		if !httpleg.OfOneConnection(name) && !dialect.own(name) {
+			header[name] = values
+		}
+	}
+	httpleg.RemoveListed(header, from.Header)
+	delete(header, "Content-Length")
+	if _, ok := header["User-Agent"]; !ok {
+		header["User-Agent"] = nil // keeps the transport from adding its own
+	}
+	return header
+}
--- /dev/null
+++ b/internal/forwarding/local.go
@@ -0,0 +1,71 @@
+package forwarding
+
+import (
+	"sync"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// localWorkers are the ways to the workers beside this node.
+type localWorkers struct {
+	plane *Plane
+	mutex sync.Mutex
+	legs  map[string]*workerLeg
+}
+
+// find returns the way to the worker that takes the requests of a service. An
+// instance that is not empty must be that worker's.
+func (l *localWorkers) find(service, instance string) (*workerLeg, error) {
+	if l.plane.stopping.Load() {
+		return nil, outcome.New(outcome.Draining)
+	}
+	if !l.plane.open.Load() {
+		return nil, outcome.New(outcome.NotReady)
+	}
+	worker, ok := l.plane.config.Workers.Ready(service)
+	if !ok || instance != "" && instance != worker.Instance {
+		return nil, outcome.New(outcome.NoWorker)
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	leg, known := l.legs[worker.Instance]
+	if !known {
+		leg = l.plane.newWorkerLeg(worker)
+		l.legs[worker.Instance] = leg
+	}
+	return leg, nil
+}
+
+// Update brings the ways to the workers in line with their registrations. It
+// must be called after each change, before the change is acknowledged: from
+// then on, a worker that was promised to be left alone gets nothing new.
+func (p *Plane) Update(registered []workers.Worker) {
+	p.local.update(registered)
+}
+
+func (l *localWorkers) update(registered []workers.Worker) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	kept := make(map[string]bool, len(registered))
+	for _, worker := range registered {
+		leg, known := l.legs[worker.Instance]
+		if worker.State.Promised() {
+			if known {
+				leg.close()
+				delete(l.legs, worker.Instance)
+			}
+			continue
+		}
+		kept[worker.Instance] = true
+		if known {
+			leg.queue.SetSlots(worker.Slots)
+		}
+	}
+	for instance, leg := range l.legs {
+		if !kept[instance] {
+			leg.close()
+			delete(l.legs, instance)
+		}
+	}
+}
--- /dev/null
+++ b/internal/forwarding/observer.go
@@ -0,0 +1,52 @@
+package forwarding
+
+import (
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+// Observer is told what happens. Its methods are called from many goroutines, on
+// the path of calls: they must be quick and must not block.
+type Observer interface {
+	// CallFinished tells how a call that began at this node ended.
+	CallFinished(report CallReport)
+	// HopFinished tells how a call from another node ended here.
+	HopFinished(report CallReport)
+}
+
+// CallReport is how one call ended on one node.
+type CallReport struct {
+	// RequestID is the caller's id.
+	RequestID string
+	// Route and Service are empty when no route was found.
+	Route, Service string
+	// Version is the version of the configuration that decided.
+	Version uint64
+	// Outcome, Reason and Status are what the caller or the other node was told.
+	Outcome outcome.Outcome
+	Reason  outcome.Reason
+	Status  int
+	// Node and Instance are the worker that was asked last.
+	Node, Instance string
+	// Offers is how many nodes were asked, Arrivals how many workers had the call.
+	Offers, Arrivals int
+	// Running, Waiting and Slots are the load that decided the last choice.
+	Running, Waiting, Slots int
+	// BudgetLeft is how many further attempts the budget allowed at the end.
+	BudgetLeft float64
+	// Left is the time that was left of the call.
+	Left     time.Duration
+	Duration time.Duration
+	// RetryAfter is what the caller was told to wait.
+	RetryAfter time.Duration
+	// Truncated tells that the answer did not reach the caller whole.
+	Truncated bool
+	// Cause is what lay behind Reason; nil when there is nothing more to tell.
+	Cause error
+}
+
+type noObserver struct{}
+
+func (noObserver) CallFinished(CallReport) {}
+func (noObserver) HopFinished(CallReport)  {}
--- /dev/null
+++ b/internal/forwarding/offer.go
@@ -0,0 +1,103 @@
+package forwarding
+
+import (
+	"context"
+	"net/http"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/slotqueue"
+)
+
+var propertyLoad = errorx.RegisterProperty("load")
+
+// withLoad attaches the load that a refusing node has told.
+func withLoad(err error, load slotqueue.Load) error {
+	if typed := errorx.Cast(err); typed != nil {
+		return typed.WithProperty(propertyLoad, load)
+	}
+	return err
+}
+
+func loadOfRefusal(err error) (slotqueue.Load, bool) {
+	value, found := errorx.ExtractProperty(err, propertyLoad)
+	load, ok := value.(slotqueue.Load)
+	return load, found && ok
+}
+
+// local returns the load of the worker beside this node.
+func (o *offers) local() (slotqueue.Load, bool) {
+	return o.call.plane.localLoad(o.destination.service)
+}
+
+// askLocal asks the worker beside this node.
+func (o *offers) askLocal(ctx context.Context, e *endpoint, latestStart time.Time) (*answer, bool, error) {
+	leg, err := o.call.plane.local.find(o.destination.service, e.instance)
+	if err != nil {
+		return nil, false, err
+	}
+	request := workerCall{
+		inbound:     o.call.request,
+		body:        o.call.body,
+		caller:      o.call.plane.serviceHere(),
+		rank:        o.call.route.Config.Rank,
+		latestStart: latestStart,
+		end:         o.call.end,
+	}
+	answered, err := leg.ask(ctx, &request)
+	return answered, request.arrived, err
+}
+
+// askNode asks the node beside another worker.
+func (o *offers) askNode(ctx context.Context, e *endpoint, latestStart time.Time) (*answer, bool, error) {
+	c := o.call
+	header := forwardedHeader(c.request, &c.plane.config.Dialect)
+	now := time.Now()
+	header[hopHeader] = []string{hop{
+		service:  o.destination.service,
+		instance: e.instance,
+		caller:   c.plane.serviceHere(),
+		rank:     c.route.Config.Rank,
+		patience: latestStart.Sub(now),
+		left:     c.end.Sub(now),
+	}.encode()}
+	exchange := leg{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body}
+	response, err := exchange.do(ctx)
+	if err != nil {
+		c.plane.noteFailure(e.node, err)
+		return nil, outcome.Of(err) != outcome.NotRun, err
+	}
+	c.plane.config.Contacts.Reached(e.node)
+	return readHopAnswer(ctx, response)
+}
+
+// noteFailure keeps that a node could not be reached.
+func (p *Plane) noteFailure(node string, err error) {
+	switch outcome.ReasonOf(err) {
+	case outcome.Unreachable, outcome.ConnectionLost:
+		p.config.Contacts.Failed(node, time.Now(), 0)
+	}
+}
+
+// readHopAnswer reads what another node answered: a worker's answer, or why
+// there is none.
+func readHopAnswer(ctx context.Context, response *http.Response) (*answer, bool, error) {
+	load, ran, hasLoad := parseLoad(response.Header.Get(hopLoadHeader))
+	if failure := response.Header.Get(hopFailureHeader); failure != "" {
+		_ = response.Body.Close()
+		err := parseFailure(failure)
+		if hasLoad {
+			err = withLoad(err, load)
+		}
+		arrived := outcome.Of(err) == outcome.Unknown || outcome.ReasonOf(err) == outcome.RefusedByOwnWorker
+		return nil, arrived, err
+	}
+	answered, err := readAnswer(ctx, response)
+	if err != nil {
+		return nil, true, err
+	}
+	answered.load, answered.hasLoad, answered.ran = load, hasLoad, ran
+	return answered, true, nil
+}
--- /dev/null
+++ b/internal/forwarding/plane.go
@@ -0,0 +1,141 @@
+package forwarding
+
+import (
+	"context"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/slotqueue"
+)
+
+// Plane carries the calls of one node. Use New.
+type Plane struct {
+	config Config
+	peers  *http.Transport
+	local  localWorkers
+	routes routeStates
+	memory bodyMemory
+
+	mutex        sync.Mutex
+	destinations map[string]*destination
+
+	// open is set once the node knows what a former life of it has promised.
+	open atomic.Bool
+	// leaving is set when callers are asked to close their connections, stopping
+	// when the node takes no more calls from other nodes.
+	leaving  atomic.Bool
+	stopping atomic.Bool
+	calls    atomic.Int64
+	hops     atomic.Int64
+}
+
+// New returns a Plane.
+func New(config Config) *Plane {
+	if config.Observer == nil {
+		config.Observer = noObserver{}
+	}
+	p := &Plane{
+		config:       config,
+		peers:        newTransport(config.Dial, peerIdle, idleConnections),
+		destinations: map[string]*destination{},
+	}
+	p.local = localWorkers{plane: p, legs: map[string]*workerLeg{}}
+	p.routes.states = map[string]*routeState{}
+	return p
+}
+
+// destination returns what is known of a service, up to date with the nodes.
+func (p *Plane) destination(service string) *destination {
+	p.mutex.Lock()
+	d, known := p.destinations[service]
+	if !known {
+		d = &destination{
+			service: service,
+			self:    p.config.Node,
+			zone:    p.config.Zone,
+			budget:  retry.NewWindowBudget(p.config.Retries),
+		}
+		p.destinations[service] = d
+	}
+	p.mutex.Unlock()
+	view := p.config.View()
+	if view != d.view.Load() {
+		d.refresh(view)
+		d.budget.SetSlack(p.config.Retries.Slack / float64(max(len(view.Nodes()), 1)))
+	}
+	return d
+}
+
+// localLoad returns the load of this node's worker of a service.
+func (p *Plane) localLoad(service string) (slotqueue.Load, bool) {
+	leg, err := p.local.find(service, "")
+	if err != nil || leg.quiet() {
+		return slotqueue.Load{}, false
+	}
+	return leg.load(), true
+}
+
+// serviceHere is the service that the calls of this node begin at.
+func (p *Plane) serviceHere() string {
+	if service := p.config.Workers.Service(); service != "" {
+		return service
+	}
+	return p.config.Service
+}
+
+// CallerServer returns a server for callers. It listens on nothing by itself.
+func (p *Plane) CallerServer() *http.Server {
+	return &http.Server{
+		Handler:                      http.HandlerFunc(p.serveCaller),
+		ReadHeaderTimeout:            readHeaderTime,
+		IdleTimeout:                  callerIdle,
+		MaxHeaderBytes:               maximumHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+}
+
+// HopServer returns a server for other nodes. What they say is trusted.
+func (p *Plane) HopServer() *http.Server {
+	return &http.Server{
+		Handler:                      http.HandlerFunc(p.serveHop),
+		ReadHeaderTimeout:            readHeaderTime,
+		IdleTimeout:                  peerServerIdle,
+		MaxHeaderBytes:               2 * maximumHeaderBytes,
+		DisableGeneralOptionsHandler: true,
+	}
+}
+
+// Open lets the workers beside this node be given work. Before, the node may not
+// know which of them a former life of it has promised to leave alone.
+func (p *Plane) Open() { p.open.Store(true) }
+
+// Leave has the node ask callers to close their connections.
+func (p *Plane) Leave() { p.leaving.Store(true) }
+
+// Stop has the node refuse calls from other nodes as not-run. Calls in flight and
+// calls of callers go on, to workers beside other nodes.
+func (p *Plane) Stop() { p.stopping.Store(true) }
+
+// InFlight returns the calls from callers and from other nodes in flight.
+func (p *Plane) InFlight() (calls, hops int64) { return p.calls.Load(), p.hops.Load() }
+
+// WaitIdle waits until no call is in flight, or for the context to end.
+func (p *Plane) WaitIdle(ctx context.Context) error {
+	const interval = 20 * time.Millisecond
+	ticker := time.NewTicker(interval)
+	defer ticker.Stop()
+	for p.calls.Load()+p.hops.Load() > 0 {
+		select {
+		case <-ticker.C:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+	return nil
+}
+
+// Close ends the unused connections.
+func (p *Plane) Close() { p.peers.CloseIdleConnections() }
--- /dev/null
+++ b/internal/forwarding/routes.go
@@ -0,0 +1,100 @@
+package forwarding
+
+import (
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/routing"
+)
+
+// routeWeight is the weight of one more observation of a route.
+const routeWeight = 0.05
+
+// routeState is what a node keeps of a route from version to version.
+type routeState struct {
+	mutex sync.Mutex
+	// passed is, for each service, how much of its share it has been given too
+	// little (above zero) or too much.
+	credit map[string]float64
+	// work and answerBytes are means of the answers seen.
+	work        time.Duration
+	answerBytes float64
+}
+
+// routeStates are the states of all routes ever called.
+type routeStates struct {
+	mutex  sync.Mutex
+	states map[string]*routeState
+}
+
+func (r *routeStates) get(name string) *routeState {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	state, known := r.states[name]
+	if !known {
+		state = &routeState{credit: map[string]float64{}}
+		r.states[name] = state
+	}
+	return state
+}
+
+// pickService returns the service that takes the next request of a route. Each
+// gets its share as evenly as whole requests allow.
+func (s *routeState) pickService(route *routing.Route) string {
+	backends := route.Config.Backends
+	if len(backends) == 0 {
+		return route.ServiceName
+	}
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.forgetOthers(backends)
+	total := 0
+	best := -1
+	for index, backend := range backends {
+		total += backend.Weight
+		s.credit[backend.Service] += float64(backend.Weight)
+		if best < 0 || s.credit[backend.Service] > s.credit[backends[best].Service] {
+			best = index
+		}
+	}
+	chosen := backends[best].Service
+	s.credit[chosen] -= float64(total)
+	return chosen
+}
+
+// forgetOthers drops the credit of services that the route has left.
+func (s *routeState) forgetOthers(backends []model.Backend) {
+	if len(s.credit) <= len(backends) {
+		return
+	}
+	kept := make(map[string]float64, len(backends))
+	for _, backend := range backends {
+		kept[backend.Service] = s.credit[backend.Service]
+	}
+	s.credit = kept
+}
+
+// expected returns the work and the size of an answer to be expected.
+func (s *routeState) expected() (time.Duration, int) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.work == 0 {
+		return unknownHold, 0
+	}
+	return s.work, int(s.answerBytes)
+}
+
+// observe counts an answer. It returns how long the worker took relative to the mean.
+func (s *routeState) observe(work time.Duration, answerBytes int) float64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if s.work == 0 {
+		s.work, s.answerBytes = work, float64(answerBytes)
+		return 1
+	}
+	relative := float64(work) / float64(max(s.work, time.Microsecond))
+	s.work += time.Duration(routeWeight * float64(work-s.work))
+	s.answerBytes += routeWeight * (float64(answerBytes) - s.answerBytes)
+	return relative
+}
--- /dev/null
+++ b/internal/forwarding/worker.go
@@ -0,0 +1,203 @@
+package forwarding
+
+import (
+	"context"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/slotqueue"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+const (
+	// workerIdle is how long an unused connection to a worker is kept when the
+	// worker does not say, and keepAliveMargin how much earlier than it says one
+	// is given up: a request must not meet a connection that is just closing.
+	workerIdle      = 4 * time.Second
+	keepAliveMargin = time.Second
+	// shortestWorkerIdle bounds what a worker's word can do.
+	shortestWorkerIdle = 100 * time.Millisecond
+	// unreachablePause is how long a worker that takes no connection is left alone.
+	unreachablePause = 250 * time.Millisecond
+	// shortestTime is the least time worth giving to a worker.
+	shortestTime = 2 * time.Millisecond
+)
+
+// workerLeg is the way from this node to one life of a worker beside it.
+type workerLeg struct {
+	dialect *Dialect
+	queue   *slotqueue.Queue
+	make    func(idle time.Duration) *http.Transport
+
+	mutex     sync.Mutex
+	worker    workers.Worker
+	transport *http.Transport
+	idle      time.Duration
+	// quietUntil, in nanoseconds, is until when the worker is left alone after
+	// it took no connection.
+	quietUntil atomic.Int64
+	// replaced is set when another worker answered at the address.
+	replaced atomic.Bool
+}
+
+func (p *Plane) newWorkerLeg(worker workers.Worker) *workerLeg {
+	leg := &workerLeg{
+		dialect: &p.config.Dialect,
+		queue:   slotqueue.New(worker.Slots),
+		worker:  worker,
+		idle:    workerIdle,
+		make: func(idle time.Duration) *http.Transport {
+			return newTransport(p.config.Dial, idle, worker.Slots*2)
+		},
+	}
+	leg.transport = leg.make(workerIdle)
+	return leg
+}
+
+// workerCall is one request for the worker.
+type workerCall struct {
+	inbound *http.Request
+	body    *requestBody
+	caller  string
+	rank    int
+	// latestStart is until when a start is useful, end when the call's time is over.
+	latestStart, end time.Time
+	// arrived is set once the request may have reached the worker.
+	arrived bool
+}
+
+// ask admits a request and sends it to the worker.
+func (l *workerLeg) ask(ctx context.Context, call *workerCall) (*answer, error) {
+	if l.quiet() {
+		return nil, outcome.New(outcome.NoWorker)
+	}
+	permit, err := l.queue.Admit(ctx, slotqueue.Request{Rank: call.rank, LatestStart: call.latestStart})
+	if err != nil {
+		return nil, admissionFailure(ctx, err)
+	}
+	if time.Until(call.end) < shortestTime {
+		permit.Release(false)
+		return nil, outcome.New(outcome.DeadlineBeforeStart)
+	}
+	began := time.Now()
+	result, err := l.send(ctx, call)
+	if err != nil {
+		permit.Release(outcome.ReasonOf(err) == outcome.Timeout)
+		return nil, err
+	}
+	result.ran = time.Since(began)
+	if result.rest == nil {
+		permit.Release(true)
+	} else {
+		result.finish = func(bool) { permit.Release(false) }
+	}
+	return result, nil
+}
+
+func admissionFailure(ctx context.Context, err error) error {
+	switch {
+	case errorx.IsOfType(err, slotqueue.ErrClosed):
+		return outcome.New(outcome.Draining)
+	case errorx.IsOfType(err, slotqueue.ErrAbandoned) && context.Cause(ctx) == errEnd:
+		return outcome.New(outcome.DeadlineBeforeStart)
+	case errorx.IsOfType(err, slotqueue.ErrAbandoned):
+		return outcome.New(outcome.CanceledBeforeStart)
+	default:
+		return outcome.WithRetryAfter(outcome.Overloaded, slotqueue.WaitOf(err))
+	}
+}
+
+// send hands an admitted request to the worker and sorts out answers that are none.
+func (l *workerLeg) send(ctx context.Context, call *workerCall) (*answer, error) {
+	transport := l.current()
+	exchange := leg{transport: transport, request: l.request(call), body: call.body}
+	response, err := exchange.do(ctx)
+	if err != nil {
+		call.arrived = outcome.Of(err) != outcome.NotRun
+		if outcome.ReasonOf(err) == outcome.Unreachable {
+			l.quietUntil.Store(time.Now().Add(unreachablePause).UnixNano())
+		}
+		return nil, err
+	}
+	call.arrived = true
+	l.followKeepAlive(response.Header)
+	if sent := call.inbound.Header.Get(l.dialect.RequestID); sent != response.Header.Get(l.dialect.RequestID) {
+		// A surplus answer of a former request, or none that can be told apart.
+		_ = response.Body.Close()
+		return nil, outcome.New(outcome.InvalidAnswer)
+	}
+	if l.dialect.refused(response) {
+		_ = response.Body.Close()
+		if response.StatusCode == http.StatusMisdirectedRequest {
+			l.replaced.Store(true)
+		}
+		return nil, outcome.New(outcome.RefusedByOwnWorker)
+	}
+	return readAnswer(ctx, response)
+}
+
+func (l *workerLeg) request(call *workerCall) *http.Request {
+	header := forwardedHeader(call.inbound, l.dialect)
+	left := max(time.Until(call.end).Milliseconds(), 1)
+	header[l.dialect.Timeout] = []string{strconv.FormatInt(left, 10)}
+	header[l.dialect.CallerService] = []string{call.caller}
+	header[l.dialect.ExpectInstance] = []string{l.worker.Instance}
+	return newRequest(call.inbound, l.worker.Address, header)
+}
+
+func (l *workerLeg) current() *http.Transport {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.transport
+}
+
+// followKeepAlive keeps unused connections for less long than the worker says.
+func (l *workerLeg) followKeepAlive(header http.Header) {
+	idle, ok := keepAliveOf(header)
+	if !ok {
+		return
+	}
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if idle == l.idle {
+		return
+	}
+	l.idle = idle
+	former := l.transport
+	l.transport = l.make(idle)
+	former.CloseIdleConnections()
+}
+
+func keepAliveOf(header http.Header) (time.Duration, bool) {
+	for _, value := range header["Keep-Alive"] {
+		for parameter := range strings.SplitSeq(value, ",") {
+			name, text, _ := strings.Cut(strings.TrimSpace(parameter), "=")
+			seconds, err := strconv.Atoi(text)
+			if strings.EqualFold(name, "timeout") && err == nil {
+				return max(time.Duration(seconds)*time.Second-keepAliveMargin, shortestWorkerIdle), true
+			}
+		}
+	}
+	return 0, false
+}
+
+// load returns the load of the worker as this node knows it.
+func (l *workerLeg) load() slotqueue.Load { return l.queue.Load() }
+
+// close ends the admission. Requests that run are not touched.
+func (l *workerLeg) close() {
+	l.queue.Close()
+	l.current().CloseIdleConnections()
+}
+
+// quiet reports whether the worker is left alone for now.
+func (l *workerLeg) quiet() bool {
+	return l.replaced.Load() || time.Now().UnixNano() < l.quietUntil.Load()
+}
--- /dev/null
+++ b/internal/hosted/agent.go
@@ -0,0 +1,332 @@
+package hosted
+
+import (
+	"context"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/levertide/levertide/internal/exchangepb"
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+const (
+	// promiseHolders is how many other nodes must hold a promise before it is
+	// acknowledged, and promiseBound how long that is waited for.
+	promiseHolders = 2
+	promiseBound   = 400 * time.Millisecond
+	// formerBound is how long a starting node waits for others to tell what its
+	// former life has promised, once the store has named them.
+	formerBound = 800 * time.Millisecond
+	// firstSyncs is how many nodes a starting node asks at once.
+	firstSyncs = 3
+	// farewellBound bounds the telling of others at a planned stop.
+	farewellBound = 500 * time.Millisecond
+)
+
+// Config sets up an Agent. All fields must be given.
+type Config struct {
+	// Mesh names the system; nodes of another one are not listened to.
+	Mesh      string
+	Table     *fleet.Table
+	Contacts  *fleet.Contacts
+	Workers   *workers.Registry
+	Source    Source
+	Directory Directory
+	Consumer  Consumer
+	// Serving is told of the workers that may be given work: Update is called
+	// after each change of a registration, Open when the first may be.
+	Serving Serving
+	// Listener takes the messages of other nodes.
+	Listener net.Listener
+	Dial     httpleg.DialFunc
+	Events   Events
+}
+
+// Serving is the part of the node that gives work to its workers.
+type Serving interface {
+	// Update returns when no worker that was promised to be left alone can be
+	// given anything new.
+	Update(registered []workers.Worker)
+	Open()
+}
+
+// Agent coordinates one node with the others. Use New.
+type Agent struct {
+	config     Config
+	documents  *Documents
+	peers      *Peers
+	announcer  *Announcer
+	supervisor *suture.Supervisor
+	web        *http.Server
+
+	// informed is set once the node knows what its former life has promised.
+	informed  atomic.Bool
+	informing sync.Mutex
+
+	backgroundContext atomic.Pointer[context.Context]
+}
+
+// New puts the parts of an agent together. Nothing runs before Serve.
+func New(config Config) *Agent {
+	agent := &Agent{config: config}
+	agent.documents = NewDocuments(config.Consumer, config.Events)
+	agent.peers = newPeers(config, agent.documents)
+	agent.peers.former = agent.learnFormer
+	agent.announcer = &Announcer{directory: config.Directory, table: config.Table, found: agent.meet}
+	server := &Server{peers: agent.peers, background: agent.background, heard: agent.heard}
+	agent.web = &http.Server{
+		Handler:     server.handler(),
+		IdleTimeout: idleServerMessages,
+		ErrorLog:    log.New(io.Discard, "", 0),
+	}
+	agent.supervisor = suture.New("hosted", suture.Spec{PassThroughPanics: true, Timeout: time.Second})
+	agent.supervisor.Add(&Reader{
+		source: config.Source, documents: agent.documents, table: config.Table, contacts: config.Contacts,
+		events: config.Events, spread: agent.spreadDocument, announce: agent.spreadRecord,
+	})
+	agent.supervisor.Add(agent.announcer)
+	agent.supervisor.Add(&Syncer{
+		peers: agent.peers, table: config.Table, contacts: config.Contacts,
+		housekeeping: agent.housekeeping, leftSince: map[string]time.Time{},
+	})
+	agent.supervisor.Add(&listener{agent: agent})
+	return agent
+}
+
+// String names the part in events.
+func (a *Agent) String() string { return "agent" }
+
+// Serve runs the parts until the context ends.
+func (a *Agent) Serve(ctx context.Context) error {
+	a.backgroundContext.Store(&ctx)
+	return a.supervisor.Serve(ctx)
+}
+
+// listener answers other nodes, as a suture service.
+type listener struct{ agent *Agent }
+
+// String names the part in events.
+func (l *listener) String() string { return "messages" }
+
+// Serve answers until the context ends.
+func (l *listener) Serve(ctx context.Context) error {
+	stop := context.AfterFunc(ctx, func() { _ = l.agent.web.Close() })
+	defer stop()
+	return l.agent.web.Serve(l.agent.config.Listener)
+}
+
+// background runs what goes on after an answer, until the agent ends.
+func (a *Agent) background(work func(ctx context.Context)) {
+	ctx := context.Background()
+	if running := a.backgroundContext.Load(); running != nil {
+		ctx = *running
+	}
+	go work(ctx)
+}
+
+// Ready reports whether the node knows a document and its former promises.
+func (a *Agent) Ready() bool { return a.informed.Load() && a.documents.Revision() > 0 }
+
+// meet takes the nodes that the store names and asks some of them.
+func (a *Agent) meet(ctx context.Context, nodes []fleet.Node) {
+	a.config.Table.Merge(nodes)
+	answered := make(chan bool, len(nodes))
+	asked := min(len(nodes), firstSyncs)
+	for _, node := range pickRandom(nodes, asked) {
+		go func() { answered <- a.peers.Sync(ctx, node) }()
+	}
+	bound := time.After(formerBound)
+	for range asked {
+		select {
+		case ok := <-answered:
+			if ok {
+				a.inform()
+			}
+		case <-bound:
+		case <-ctx.Done():
+		}
+	}
+	// Nobody answers: the others have started just now, too, or are lost.
+	a.inform()
+	a.spreadRecord(ctx)
+}
+
+// heard takes that another node has spoken with this one. A node that has just
+// started, and cannot ask the store, learns from it.
+func (a *Agent) heard(id string) {
+	if a.informed.Load() {
+		return
+	}
+	node, known := a.config.Table.View().Node(id)
+	if !known {
+		return
+	}
+	a.background(func(ctx context.Context) {
+		if a.peers.Sync(ctx, node) {
+			a.inform()
+		}
+	})
+}
+
+// learnFormer takes what former lives of this node have left with others.
+func (a *Agent) learnFormer(merged fleet.Merged, promised []*exchangepb.Worker) {
+	former := workersOf(promised)
+	if merged.FormerSelf != nil {
+		a.config.Table.Outlive(*merged.FormerSelf)
+		former = append(former, merged.FormerSelf.Workers...)
+		a.config.Events.FormerLife(merged.FormerSelf.Incarnation, len(promised))
+	}
+	changed := a.config.Workers.Learn(former, time.Now())
+	if len(changed) > 0 {
+		a.refreshWorkers()
+	}
+	for _, worker := range changed {
+		a.config.Events.WorkerChanged(worker, "promised by a former life")
+	}
+}
+
+// inform lets the workers be given work: what former lives have promised is known
+// as far as it can be.
+func (a *Agent) inform() {
+	a.informing.Lock()
+	defer a.informing.Unlock()
+	if a.informed.Load() {
+		return
+	}
+	a.config.Serving.Open()
+	a.informed.Store(true)
+	a.refreshWorkers()
+}
+
+// refreshWorkers brings the serving part and the own record in line with the
+// registrations.
+func (a *Agent) refreshWorkers() {
+	registered := a.config.Workers.Workers()
+	a.config.Serving.Update(registered)
+	informed := a.informed.Load()
+	a.config.Table.Update(func(own *fleet.Node) {
+		own.Workers = registered
+		if !informed {
+			own.Workers = promisedOnly(registered)
+		}
+	})
+}
+
+func promisedOnly(list []workers.Worker) []workers.Worker {
+	var promised []workers.Worker
+	for _, worker := range list {
+		if worker.State.Promised() {
+			promised = append(promised, worker)
+		}
+	}
+	return promised
+}
+
+// Heartbeat takes a worker's heartbeat. When it returns nil the heartbeat may be
+// acknowledged: a promise that it brings is kept from now on, whoever dies.
+func (a *Agent) Heartbeat(ctx context.Context, beat workers.Heartbeat) error {
+	change, err := a.config.Workers.Heartbeat(beat, time.Now())
+	if err != nil {
+		return err
+	}
+	a.changed(ctx, change, "heartbeat")
+	return nil
+}
+
+// Leave takes a worker's sign-off, like Heartbeat.
+func (a *Agent) Leave(ctx context.Context, instance string) error {
+	change, err := a.config.Workers.Leave(instance, time.Now())
+	if err != nil {
+		return err
+	}
+	a.changed(ctx, change, "sign-off")
+	return nil
+}
+
+func (a *Agent) changed(ctx context.Context, change workers.Change, cause string) {
+	if !change.Changed {
+		return
+	}
+	a.refreshWorkers()
+	a.config.Events.WorkerChanged(change.Worker, cause)
+	if !change.Worker.State.Promised() {
+		a.background(a.spreadRecord)
+		return
+	}
+	holders := a.promise(ctx)
+	a.config.Events.PromiseKept(change.Worker.Instance, holders)
+}
+
+// promise tells all other nodes of the own record, and returns once enough hold
+// it, or the time for that is over.
+func (a *Agent) promise(ctx context.Context) int {
+	wanted := min(promiseHolders, len(a.peers.reachablePeers()))
+	taken := make(chan struct{}, fanOut)
+	done := make(chan struct{})
+	a.background(func(ctx context.Context) {
+		what := news{nodes: nodeMessages([]fleet.Node{a.config.Table.View().Self()})}
+		a.peers.Broadcast(ctx, what, "", "", func() { taken <- struct{}{} })
+		close(done)
+	})
+	bound := time.NewTimer(promiseBound)
+	defer bound.Stop()
+	for holders := 0; ; holders++ {
+		if holders >= wanted {
+			return holders
+		}
+		select {
+		case <-taken:
+		case <-done:
+			return holders + len(taken)
+		case <-bound.C:
+			return holders
+		case <-ctx.Done():
+			return holders
+		}
+	}
+}
+
+// spreadRecord tells all other nodes of the own record.
+func (a *Agent) spreadRecord(ctx context.Context) {
+	what := news{nodes: nodeMessages([]fleet.Node{a.config.Table.View().Self()})}
+	a.peers.Broadcast(ctx, what, "", "", nil)
+}
+
+// spreadDocument hands the newest document to all other nodes, without waiting.
+func (a *Agent) spreadDocument(context.Context) {
+	what := news{document: a.documents.After(0)}
+	a.background(func(ctx context.Context) { a.peers.Broadcast(ctx, what, "", "", nil) })
+}
+
+// housekeeping marks workers that went silent.
+func (a *Agent) housekeeping(context.Context) {
+	expired := a.config.Workers.Expire(time.Now())
+	if len(expired) == 0 {
+		return
+	}
+	a.refreshWorkers()
+	for _, worker := range expired {
+		a.config.Events.WorkerChanged(worker, "not heard from")
+	}
+	a.background(a.spreadRecord)
+}
+
+// Farewell tells the other nodes the state of a node that stops as planned.
+func (a *Agent) Farewell(ctx context.Context, state fleet.State) {
+	a.config.Table.Update(func(own *fleet.Node) { own.State = state })
+	bounded, cancel := context.WithTimeout(ctx, farewellBound)
+	defer cancel()
+	a.spreadRecord(bounded)
+	if state == fleet.StateLeft {
+		a.announcer.withdraw(bounded)
+	}
+}
--- /dev/null
+++ b/internal/hosted/events.go
@@ -0,0 +1,24 @@
+package hosted
+
+import "github.com/levertide/levertide/pkg/workers"
+
+// Events is told what the agent learns and believes.
+type Events interface {
+	// DocumentRejected tells that a document cannot be used.
+	DocumentRejected(revision uint64, err error)
+	// ReaderRoleChanged tells that this node reads the store for all, or no longer.
+	ReaderRoleChanged(reads bool)
+	// StoreReachable and StoreUnreachable tell of the store.
+	StoreReachable()
+	StoreUnreachable(err error)
+	// NodeLost and NodeFound tell that another node cannot be reached, and that
+	// it can again.
+	NodeLost(id string, err error)
+	NodeFound(id string)
+	// WorkerChanged tells of a worker beside this node.
+	WorkerChanged(worker workers.Worker, cause string)
+	// PromiseKept tells how many nodes hold a promise when it is acknowledged.
+	PromiseKept(instance string, holders int)
+	// FormerLife tells that a record of a former life was found.
+	FormerLife(incarnation uint64, promised int)
+}
--- /dev/null
+++ b/internal/hosted/peers.go
@@ -0,0 +1,155 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/twitchtv/twirp"
+
+	"github.com/levertide/levertide/internal/exchangepb"
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/fleet"
+)
+
+const (
+	// messageBound bounds one message to another node.
+	messageBound = 700 * time.Millisecond
+	// idleMessages is how long an unused connection for messages is kept; the
+	// server keeps it longer.
+	idleMessages       = 20 * time.Second
+	idleServerMessages = 60 * time.Second
+	messageDialBound   = 400 * time.Millisecond
+)
+
+// Peers sends messages to other nodes and keeps what they answer.
+type Peers struct {
+	mesh      string
+	table     *fleet.Table
+	contacts  *fleet.Contacts
+	documents *Documents
+	events    Events
+	web       *http.Client
+	// former is called with what this node promised in former lives.
+	former func(merged fleet.Merged, promised []*exchangepb.Worker)
+
+	mutex   sync.Mutex
+	clients map[string]exchangepb.Exchange
+}
+
+func newPeers(config Config, documents *Documents) *Peers {
+	return &Peers{
+		mesh:      config.Mesh,
+		table:     config.Table,
+		contacts:  config.Contacts,
+		documents: documents,
+		events:    config.Events,
+		clients:   map[string]exchangepb.Exchange{},
+		web: &http.Client{Transport: &http.Transport{
+			DialContext:         httpleg.Track(config.Dial, messageDialBound),
+			IdleConnTimeout:     idleMessages,
+			MaxIdleConnsPerHost: 2,
+			DisableCompression:  true,
+		}},
+	}
+}
+
+func (p *Peers) client(address string) exchangepb.Exchange {
+	p.mutex.Lock()
+	defer p.mutex.Unlock()
+	client, known := p.clients[address]
+	if !known {
+		client = exchangepb.NewExchangeProtobufClient("http://"+address, p.web, twirp.WithClientPathPrefix(""))
+		p.clients[address] = client
+	}
+	return client
+}
+
+// Sync compares what this node knows with another one. It reports whether the
+// other one answered.
+func (p *Peers) Sync(ctx context.Context, node fleet.Node) bool {
+	view := p.table.View()
+	request := &exchangepb.SyncRequest{
+		Mesh:             p.mesh,
+		Sender:           nodeMessage(view.Self()),
+		NodesDigest:      view.Digest(),
+		DocumentRevision: p.documents.Revision(),
+	}
+	response, err := p.sync(ctx, node, request)
+	if err != nil {
+		return false
+	}
+	lacks := response.GetDocumentRevision() < p.documents.Revision()
+	if len(response.GetNodes()) == 0 && !lacks {
+		return true
+	}
+	second := &exchangepb.SyncRequest{Mesh: p.mesh, Sender: nodeMessage(p.table.View().Self())}
+	if missing := p.lackedBy(response); len(missing) > 0 {
+		second.Nodes = missing
+	}
+	if lacks {
+		second.Document = p.documents.After(response.GetDocumentRevision())
+	}
+	if len(second.Nodes) == 0 && second.Document == nil {
+		return true
+	}
+	second.NodesDigest = p.table.View().Digest()
+	second.DocumentRevision = p.documents.Revision()
+	_, err = p.sync(ctx, node, second)
+	return err == nil
+}
+
+// lackedBy returns the records that a node which has told all of its own lacks.
+func (p *Peers) lackedBy(response *exchangepb.SyncResponse) []*exchangepb.Node {
+	if len(response.GetNodes()) == 0 {
+		return nil
+	}
+	held := make(map[string]fleet.Node, len(response.GetNodes()))
+	for _, node := range nodesOf(response.GetNodes()...) {
+		held[node.ID] = node
+	}
+	var missing []*exchangepb.Node
+	for _, node := range p.table.View().Nodes() {
+		if other, known := held[node.ID]; !known || node.NewerThan(other) {
+			missing = append(missing, nodeMessage(node))
+		}
+	}
+	return missing
+}
+
+func (p *Peers) sync(ctx context.Context, node fleet.Node, request *exchangepb.SyncRequest) (*exchangepb.SyncResponse, error) {
+	ctx, cancel := context.WithTimeout(ctx, messageBound)
+	defer cancel()
+	response, err := p.client(node.ControlAddress).Sync(ctx, request)
+	if err != nil {
+		p.noteFailure(node.ID, err)
+		return nil, err
+	}
+	p.noteContact(node.ID)
+	p.merge(append(nodesOf(response.GetNodes()...), nodesOf(response.GetReceiver())...), response.GetPromised())
+	p.documents.TakeMessage(response.GetDocument())
+	return response, nil
+}
+
+// merge takes records, and hands on what is told of former lives of this node.
+func (p *Peers) merge(nodes []fleet.Node, promised []*exchangepb.Worker) []fleet.Node {
+	merged := p.table.Merge(nodes)
+	if merged.FormerSelf != nil || len(promised) > 0 {
+		p.former(merged, promised)
+	}
+	return merged.News
+}
+
+func (p *Peers) noteFailure(id string, err error) {
+	if p.contacts.Failed(id, time.Now(), rand.Float64()) {
+		p.events.NodeLost(id, err)
+	}
+}
+
+func (p *Peers) noteContact(id string) {
+	if p.contacts.Reached(id) {
+		p.events.NodeFound(id)
+	}
+}
--- /dev/null
+++ b/internal/hosted/reader.go
@@ -0,0 +1,169 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/fleet"
+)
+
+const (
+	// readerCount is how many nodes watch the store.
+	readerCount = 3
+	// watchWait is how long one watch is held. It bounds how long a store that
+	// went silent, and came back, goes unnoticed.
+	watchWait = 2500 * time.Millisecond
+	// answerBound is how long the store may take beyond that.
+	answerBound = time.Second
+	// roleInterval is how often a node looks whether it is its turn to read.
+	roleInterval = 250 * time.Millisecond
+	// retryPause is the mean pause before a store that failed is tried again, in
+	// a mesh of up to pauseNodes; in larger ones it grows with the nodes, so that
+	// all together try no more often.
+	retryPause = 400 * time.Millisecond
+	pauseNodes = 12
+	// longestRetryPause bounds that pause.
+	longestRetryPause = 20 * time.Second
+)
+
+// Reader watches the store while it is this node's turn. It is a suture service.
+type Reader struct {
+	source    Source
+	documents *Documents
+	table     *fleet.Table
+	contacts  *fleet.Contacts
+	events    Events
+	// spread hands a new document to all nodes, and announce this node's record.
+	spread, announce func(ctx context.Context)
+
+	// after is the revision to watch from; zero reads whole.
+	after uint64
+	reads bool
+}
+
+// String names the part in events.
+func (r *Reader) String() string { return "reader" }
+
+// Serve reads the store until the context ends.
+func (r *Reader) Serve(ctx context.Context) error {
+	for ctx.Err() == nil {
+		switch {
+		case !r.table.View().Self().ReadsStore:
+			r.recover(ctx)
+		case r.documents.Revision() > 0 && !r.turn():
+			r.after = 0
+			sleep(ctx, roleInterval)
+		default:
+			r.step(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+// turn reports whether this node is one of those that read for all.
+func (r *Reader) turn() bool {
+	view := r.table.View()
+	own := view.Self().ID
+	reads := false
+	for _, id := range fleet.Readers(view, r.contacts.Reachable, readerCount) {
+		reads = reads || id == own
+	}
+	if reads != r.reads {
+		r.reads = reads
+		r.events.ReaderRoleChanged(reads)
+	}
+	return reads
+}
+
+// step makes one call to the store.
+func (r *Reader) step(ctx context.Context) {
+	if r.after == 0 {
+		r.read(ctx)
+		return
+	}
+	bounded, cancel := context.WithTimeout(ctx, watchWait+answerBound)
+	defer cancel()
+	document, next, err := r.source.Watch(bounded, r.after, watchWait)
+	switch {
+	case errorx.IsOfType(err, ErrHistoryGone):
+		r.after = 0
+	case err != nil:
+		r.lost(ctx, err)
+	default:
+		r.after = next
+		if document != nil {
+			r.take(ctx, *document)
+		}
+	}
+}
+
+// read reads the document whole. It reports whether the store answered.
+func (r *Reader) read(ctx context.Context) bool {
+	bounded, cancel := context.WithTimeout(ctx, answerBound)
+	defer cancel()
+	document, next, err := r.source.Read(bounded)
+	switch {
+	case errorx.IsOfType(err, ErrNoDocument):
+		sleep(ctx, jittered(roleInterval))
+		return true
+	case err != nil:
+		r.lost(ctx, err)
+		return false
+	}
+	r.after = next
+	r.take(ctx, document)
+	return true
+}
+
+func (r *Reader) take(ctx context.Context, document Document) {
+	if r.documents.Take(document) {
+		r.spread(ctx)
+	}
+}
+
+// lost tells the other nodes that this one does not reach the store, so that
+// another takes its part.
+func (r *Reader) lost(ctx context.Context, err error) {
+	if ctx.Err() != nil || !r.table.View().Self().ReadsStore {
+		return
+	}
+	r.after = 0
+	r.table.Update(func(own *fleet.Node) { own.ReadsStore = false })
+	r.events.StoreUnreachable(err)
+	r.announce(ctx)
+}
+
+// recover tries the store again after a pause.
+func (r *Reader) recover(ctx context.Context) {
+	sleep(ctx, r.pause())
+	if ctx.Err() != nil || !r.read(ctx) {
+		return
+	}
+	r.table.Update(func(own *fleet.Node) { own.ReadsStore = true })
+	r.events.StoreReachable()
+	r.announce(ctx)
+}
+
+func (r *Reader) pause() time.Duration {
+	nodes := len(r.table.View().Nodes())
+	mean := retryPause * time.Duration(max(nodes, pauseNodes)) / pauseNodes
+	return jittered(min(mean, longestRetryPause))
+}
+
+// jittered returns a duration from half to one and a half of the mean.
+func jittered(mean time.Duration) time.Duration {
+	return mean/2 + time.Duration(rand.Int64N(int64(mean)+1))
+}
+
+// sleep waits, or until the context ends.
+func sleep(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/hosted/syncer.go
@@ -0,0 +1,97 @@
+package hosted
+
+import (
+	"context"
+	"math/rand/v2"
+	"time"
+
+	"github.com/levertide/levertide/pkg/fleet"
+)
+
+const (
+	// syncInterval is the mean time between two comparisons with other nodes.
+	syncInterval = time.Second
+	// lostInterval is how often lost nodes are looked after.
+	lostInterval = 250 * time.Millisecond
+	// lostTries bounds how many lost nodes are tried at a time.
+	lostTries = 3
+	// forgetLost is how long a lost node is tried, forgetLeft how long one that
+	// has left is remembered.
+	forgetLost = 5 * time.Minute
+	forgetLeft = 30 * time.Second
+)
+
+// Syncer compares notes with a random other node, and tries those that are taken
+// to be lost. It is a suture service.
+type Syncer struct {
+	peers    *Peers
+	table    *fleet.Table
+	contacts *fleet.Contacts
+	// housekeeping is called at each turn.
+	housekeeping func(ctx context.Context)
+	leftSince    map[string]time.Time
+}
+
+// String names the part in events.
+func (s *Syncer) String() string { return "syncer" }
+
+// Serve works until the context ends.
+func (s *Syncer) Serve(ctx context.Context) error {
+	next := time.Now().Add(jittered(syncInterval))
+	for ctx.Err() == nil {
+		sleep(ctx, lostInterval)
+		s.housekeeping(ctx)
+		s.tryLost(ctx)
+		s.forget(time.Now())
+		if now := time.Now(); !now.Before(next) {
+			next = now.Add(jittered(syncInterval))
+			s.compare(ctx)
+		}
+	}
+	return ctx.Err()
+}
+
+// compare compares notes with a random node that is taken to be reachable.
+func (s *Syncer) compare(ctx context.Context) {
+	if peers := s.peers.reachablePeers(); len(peers) > 0 {
+		s.peers.Sync(ctx, peers[rand.IntN(len(peers))])
+	}
+}
+
+// tryLost tries some of the lost nodes whose time has come.
+func (s *Syncer) tryLost(ctx context.Context) {
+	due := s.contacts.Due(time.Now())
+	rand.Shuffle(len(due), func(i, j int) { due[i], due[j] = due[j], due[i] })
+	view := s.table.View()
+	for _, id := range due[:min(len(due), lostTries)] {
+		if node, known := view.Node(id); known && node.State != fleet.StateLeft {
+			go s.peers.Sync(ctx, node)
+		} else {
+			s.contacts.Reached(id)
+		}
+	}
+}
+
+// forget drops nodes that have left or were lost for long.
+func (s *Syncer) forget(now time.Time) {
+	for _, node := range s.table.View().Nodes() {
+		since, lost := s.contacts.LostSince(node.ID)
+		switch {
+		case node.State == fleet.StateLeft && s.leftFor(node.ID, now) > forgetLeft:
+			delete(s.leftSince, node.ID)
+			s.table.Remove(node.ID)
+		case lost && now.Sub(since) > forgetLost:
+			s.table.Remove(node.ID)
+			s.contacts.Reached(node.ID)
+		}
+	}
+}
+
+func (s *Syncer) leftFor(id string, now time.Time) time.Duration {
+	since, known := s.leftSince[id]
+	if !known {
+		s.leftSince[id] = now
+		return 0
+	}
+	return now.Sub(since)
+}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -30,7 +30,8 @@
 const (
 	allowedIdentifier = "1 to 63 of a-z, 0-9, '.', '_' and '-', starting with a letter or digit"
 	allowedMesh       = "up to 64 of a-z, 0-9 and '-'"
-	allowedListener   = "IP:port, port 0 for any free one; a loopback address unless TLS is set"
+	allowedListener   = "IP:port, port 0 for any free one; a loopback address unless TLS or private-network is set"
+	allowedShare      = "number from 0 to 1"
 	allowedEndpoint   = "IP:port with a port from 1 to 65535"
 	allowedPEM        = "path of a readable PEM file; tls-ca, tls-cert and tls-key are set together or not at all"
 	allowedBound      = "duration from 100ms to 60s, such as 2s"
@@ -42,6 +43,7 @@
 	return []Key{
 		{"node-id", "name of this node, shared with no other live node", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.NodeID) }},
 		{"mesh", "name of the mesh; nodes of another mesh are not listened to", allowedMesh, "", func(s *Settings) flag.Value { return (*textValue)(&s.Mesh) }},
+		{"mode", "who decides the configuration: the operators' file sets, or a platform that keeps an accepted document", "standalone or hosted", ModeStandalone, func(s *Settings) flag.Value { return (*textValue)(&s.Mode) }},
 		{"region", "region that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Region) }},
 		{"zone", "zone that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Zone) }},
 		{"service", "service of the worker beside the node; empty for none", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Service) }},
@@ -51,6 +53,9 @@
 		{"call-address", "listener for calls from other nodes", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.CallAddress) }},
 		{"control-address", "listener for control messages from other nodes", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.ControlAddress) }},
 		{"admin-address", "listener for health, metrics and status", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.AdminAddress) }},
+		{"readiness-address", "listener that tells whether callers may come; hosted mode", allowedListener + "; empty for none", "", func(s *Settings) flag.Value { return (*textValue)(&s.ReadinessAddress) }},
+		{"metrics-address", "listener for metrics; hosted mode", allowedListener + "; empty for none", "", func(s *Settings) flag.Value { return (*textValue)(&s.MetricsAddress) }},
+		{"private-network", "whoever reaches the listeners may be trusted, so that they need no TLS", "true or false", "false", func(s *Settings) flag.Value { return (*switchValue)(&s.PrivateNetwork) }},
 		{"advertise-call-address", "address at which other nodes reach call-address, when it differs", allowedEndpoint, "", func(s *Settings) flag.Value { return (*textValue)(&s.AdvertiseCallAddress) }},
 		{"advertise-control-address", "address at which other nodes reach control-address, when it differs", allowedEndpoint, "", func(s *Settings) flag.Value { return (*textValue)(&s.AdvertiseControlAddress) }},
 		{"source-address", "local address of outgoing connections", "IP address", "", func(s *Settings) flag.Value { return (*textValue)(&s.SourceAddress) }},
@@ -60,6 +65,12 @@
 		{"hold", "how long a watch may be held before it is answered", allowedBound, "3s", func(s *Settings) flag.Value { return (*durationValue)(&s.Hold) }},
 		{"silent-bound", "how long silent nodes may hold up a rollout", allowedBound, "2s", func(s *Settings) flag.Value { return (*durationValue)(&s.SilentBound) }},
 		{"drain-bound", "how long a planned stop waits for calls in flight", "duration from 0s to 1h", "10m", func(s *Settings) flag.Value { return (*durationValue)(&s.DrainBound) }},
+		{"heartbeat-interval", "how often a worker tells of itself; hosted mode", allowedBound, "1500ms", func(s *Settings) flag.Value { return (*durationValue)(&s.HeartbeatInterval) }},
+		{"stop-notice", "how long a node that stops still takes calls; hosted mode", "duration from 0s to 10m", "2300ms", func(s *Settings) flag.Value { return (*durationValue)(&s.StopNotice) }},
+		{"retry-ratio", "retries to a service, over all nodes, as a share of its requests; hosted mode", allowedShare, "0.2", func(s *Settings) flag.Value { return (*fractionValue)(&s.RetryRatio) }},
+		{"retry-slack", "retries to a service allowed beside that in each window, over all nodes; hosted mode", "number from 0 to 1000000", "64", func(s *Settings) flag.Value { return (*fractionValue)(&s.RetrySlack) }},
+		{"retry-window", "time over which retries are bounded; hosted mode", "duration from 100ms to 10m", "10s", func(s *Settings) flag.Value { return (*durationValue)(&s.RetryWindow) }},
+		{"memory-limit", "memory of the process in MiB, which the collector keeps within; 0 for its own choice", "whole number from 0 to 1048576", "0", func(s *Settings) flag.Value { return (*numberValue)(&s.MemoryLimit) }},
 		{"max-resources", "most resources in a version that the node accepts", "whole number from 1 to 1000000", "2000", func(s *Settings) flag.Value { return (*numberValue)(&s.MaxResources) }},
 		{"tls-ca", "certificates of the authorities that nodes are checked against", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSCA) }},
 		{"tls-cert", "certificate of this node", allowedPEM, "", func(s *Settings) flag.Value { return (*textValue)(&s.TLSCert) }},
@@ -92,6 +103,15 @@
 }
 func (v *numberValue) String() string { return strconv.Itoa(int(*v)) }
 
+type fractionValue float64
+
+func (v *fractionValue) Set(text string) error {
+	parsed, err := strconv.ParseFloat(text, 64)
+	*v = fractionValue(parsed)
+	return err
+}
+func (v *fractionValue) String() string { return strconv.FormatFloat(float64(*v), 'g', -1, 64) }
+
 type durationValue time.Duration
 
 func (v *durationValue) Set(text string) error {
--- a/internal/settings/load.go
+++ b/internal/settings/load.go
@@ -16,7 +16,9 @@
 const (
 	environmentPrefix = "LEVERTIDE"
 	settingsFileFlag  = "settings"
-	programName       = "levertided"
+	// foreignVariablesFlag is for surroundings that use the same prefix.
+	foreignVariablesFlag = "foreign-variables"
+	programName          = "levertided"
 	// storeTokenVariable holds Settings.StoreToken.
 	storeTokenVariable = environmentPrefix + "_STORE_TOKEN"
 	// nodeAddressVariable belongs to the operators' command line.
@@ -28,6 +30,9 @@
 	Settings Settings
 	// Check asks to validate the settings and leave.
 	Check bool
+	// ForeignVariables takes variables with the prefix of the settings that are no
+	// settings for somebody else's.
+	ForeignVariables bool
 	// Version asks to print the program's version and leave.
 	Version bool
 }
@@ -73,6 +78,7 @@
 	}
 	r.flags.StringVar(&r.file, settingsFileFlag, "", "YAML file with settings under the same names")
 	r.flags.BoolVar(&r.invocation.Check, "check", false, "validate the settings and leave")
+	r.flags.BoolVar(&r.invocation.ForeignVariables, foreignVariablesFlag, false, "pass over variables with the prefix "+environmentPrefix+"_ that are no settings, instead of refusing them")
 	r.flags.BoolVar(&r.invocation.Version, "version", false, "print the version and leave")
 	return r
 }
@@ -85,7 +91,9 @@
 	if r.flags.NArg() > 0 {
 		return newInvalid(Problem{Key: r.flags.Arg(0), Source: "command line", Message: "is not a flag", Allowed: "flags only; see -help"})
 	}
-	r.refuseUnknownVariables(os.Environ())
+	if !r.invocation.ForeignVariables {
+		r.refuseUnknownVariables(os.Environ())
+	}
 	r.invocation.Settings.StoreToken = Token(os.Getenv(storeTokenVariable))
 	r.source = func(key Key) string { return "environment variable " + key.EnvironmentVariable() }
 	err := ff.Parse(r.flags, nil,
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -23,6 +23,12 @@
 	// Gateway makes the node hold every resource, whatever its service calls.
 	Gateway bool `key:"gateway"`
 
+	// Mode says who decides the configuration; see ModeStandalone and ModeHosted.
+	Mode string `key:"mode" validate:"oneof=standalone hosted"`
+	// PrivateNetwork says that whoever reaches the listeners may be trusted, so
+	// that they need no TLS off loopback.
+	PrivateNetwork bool `key:"private-network"`
+
 	// CallerAddress, CallAddress, ControlAddress and AdminAddress are IP:port
 	// of the four listeners: callers, calls from other nodes, control messages,
 	// and administration.
@@ -30,6 +36,10 @@
 	CallAddress    string `key:"call-address" validate:"listener"`
 	ControlAddress string `key:"control-address" validate:"listener"`
 	AdminAddress   string `key:"admin-address" validate:"listener"`
+	// ReadinessAddress answers whether callers may come, and MetricsAddress tells
+	// the metrics, in hosted mode. Empty is none.
+	ReadinessAddress string `key:"readiness-address" validate:"omitempty,listener"`
+	MetricsAddress   string `key:"metrics-address" validate:"omitempty,listener"`
 	// AdvertiseCallAddress and AdvertiseControlAddress are what other nodes
 	// connect to, when that is not the listener's own address.
 	AdvertiseCallAddress    string `key:"advertise-call-address" validate:"omitempty,endpoint"`
@@ -64,10 +74,33 @@
 	TLSCert string `key:"tls-cert" validate:"required_with=TLSCA TLSKey,omitempty,file"`
 	TLSKey  string `key:"tls-key" validate:"required_with=TLSCA TLSCert,omitempty,file"`
 
+	// HeartbeatInterval is how often a worker tells of itself, in hosted mode.
+	HeartbeatInterval time.Duration `key:"heartbeat-interval" validate:"min=100ms,max=60s"`
+	// RetryRatio, RetrySlack and RetryWindow bound the retries to one service
+	// over all nodes, in hosted mode: in each window no more than the ratio of
+	// the requests and the slack.
+	RetryRatio  float64       `key:"retry-ratio" validate:"min=0,max=1"`
+	RetrySlack  float64       `key:"retry-slack" validate:"min=0,max=1000000"`
+	RetryWindow time.Duration `key:"retry-window" validate:"min=100ms,max=10m"`
+	// StopNotice is how long a node that stops still takes calls, so that callers
+	// and other nodes can turn elsewhere, in hosted mode.
+	StopNotice time.Duration `key:"stop-notice" validate:"min=0s,max=10m"`
+	// MemoryLimit is the memory that the process may take, in MiB; zero sets no
+	// limit of its own.
+	MemoryLimit int `key:"memory-limit" validate:"min=0,max=1048576"`
+
 	// LogLevel is the lowest level of events that are written.
 	LogLevel string `key:"log-level" validate:"oneof=debug info warn error"`
 }
 
+// The values of Settings.Mode.
+const (
+	// ModeStandalone: operators apply file sets, and nodes agree on versions.
+	ModeStandalone = "standalone"
+	// ModeHosted: a platform keeps one accepted document in its store.
+	ModeHosted = "hosted"
+)
+
 // Token is a secret that must not show in output.
 type Token string
 
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -39,7 +39,7 @@
 func validate(s Settings, origins map[string]string) []Problem {
 	problems := fieldProblems(s, origins)
 	problems = append(problems, unreachableListeners(s, origins)...)
-	if !s.TLSEnabled() {
+	if !s.TLSEnabled() && !s.PrivateNetwork {
 		problems = append(problems, exposedListeners(s, origins)...)
 	}
 	return problems
@@ -84,12 +84,14 @@
 		{"call-address", s.CallAddress},
 		{"control-address", s.ControlAddress},
 		{"admin-address", s.AdminAddress},
+		{"readiness-address", s.ReadinessAddress},
+		{"metrics-address", s.MetricsAddress},
 	}
 	var problems []Problem
 	for _, listener := range listeners {
 		parsed, err := netip.ParseAddrPort(listener.address)
 		if err == nil && !parsed.Addr().IsLoopback() {
-			problems = append(problems, newProblem(listener.name, listener.address, "is not a loopback address and TLS is not set", origins))
+			problems = append(problems, newProblem(listener.name, listener.address, "is not a loopback address, and neither TLS nor private-network is set", origins))
 		}
 	}
 	return problems
--- /dev/null
+++ b/internal/sidecar/adapter.go
@@ -0,0 +1,41 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/levertide/levertide/internal/forwarding"
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// Translation is an operators' document in the words of the product.
+type Translation struct {
+	Version   uint64
+	Resources []model.Resource
+	// MaximumBody bounds the body of a request, in bytes; zero sets no bound.
+	MaximumBody int64
+}
+
+// Registrar takes what workers say of themselves. When a method returns nil, the
+// worker may be told so.
+type Registrar interface {
+	Heartbeat(ctx context.Context, beat workers.Heartbeat) error
+	Leave(ctx context.Context, instance string) error
+}
+
+// Adapter translates between the product and one platform. It decides nothing
+// and keeps nothing beyond connections.
+type Adapter struct {
+	Dialect forwarding.Dialect
+	// Open connects to the platform's store.
+	Open func(address string, dial httpleg.DialFunc) (hosted.Source, hosted.Directory)
+	// Translate reads a document; it fails with hosted.ErrInvalidDocument.
+	Translate func(content []byte) (Translation, error)
+	// Registration returns the handler of the address that workers call.
+	Registration func(registrar Registrar) http.Handler
+	// Readiness returns the handler that tells whether callers may come.
+	Readiness func(ready func() bool) http.Handler
+}
--- /dev/null
+++ b/internal/sidecar/listener.go
@@ -0,0 +1,69 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"io"
+	"log"
+	"net"
+	"net/http"
+	"sync"
+)
+
+// listener is one HTTP server with its address, as a suture service.
+type listener struct {
+	name   string
+	server *http.Server
+
+	mutex sync.Mutex
+	first net.Listener
+	// address is where it listens, and again when it is started again.
+	address string
+}
+
+// listen opens an address at once, so that a fault shows before anything runs.
+func listen(name, address string, server *http.Server) (*listener, error) {
+	opened, err := newListenConfig().Listen(context.Background(), "tcp", address)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "listener for %s", name)
+	}
+	// Faults of single connections are no events of the node.
+	server.ErrorLog = log.New(io.Discard, "", 0)
+	return &listener{name: name, server: server, first: opened, address: opened.Addr().String()}, nil
+}
+
+// String names the part in events.
+func (l *listener) String() string { return l.name }
+
+// Serve answers until the context ends.
+func (l *listener) Serve(ctx context.Context) error {
+	opened, err := l.take()
+	if err != nil {
+		return err
+	}
+	stop := context.AfterFunc(ctx, func() { _ = l.server.Close() })
+	defer stop()
+	err = l.server.Serve(opened)
+	if errors.Is(err, http.ErrServerClosed) {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return err
+}
+
+func (l *listener) take() (net.Listener, error) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	if opened := l.first; opened != nil {
+		l.first = nil
+		return opened, nil
+	}
+	return newListenConfig().Listen(context.Background(), "tcp", l.address)
+}
+
+// shutdown ends the server once its requests have ended, or with the context.
+func (l *listener) shutdown(ctx context.Context) {
+	if l.server.Shutdown(ctx) != nil {
+		_ = l.server.Close()
+	}
+}
--- /dev/null
+++ b/internal/sidecar/node.go
@@ -0,0 +1,187 @@
+package sidecar
+
+import (
+	"context"
+	"errors"
+	"net/http"
+	"sync/atomic"
+	"time"
+
+	"github.com/thejerf/suture/v4"
+
+	"github.com/levertide/levertide/internal/forwarding"
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/telemetry"
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/retry"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+const (
+	// silentHeartbeats is how many heartbeats may be missing before a worker is
+	// taken to be silent.
+	silentHeartbeats = 4
+	// budgetShare is the share of the retry budget that a node uses of its part:
+	// calls that workers make for a repeated request count, too, and nobody here
+	// sees them.
+	budgetShare = 0.4
+	// supervisorTimeout bounds the end of the parts.
+	supervisorTimeout = time.Second
+	// stopMargin is what a planned stop leaves of its bound for ending the process.
+	stopMargin = 500 * time.Millisecond
+	// stopInterval is how often a node that stops looks whether it may end.
+	stopInterval = 50 * time.Millisecond
+	// farewellTime is how long other nodes are given to turn elsewhere before a
+	// node that stops refuses their calls.
+	farewellTime = 100 * time.Millisecond
+)
+
+// Node is one node in hosted mode.
+type Node struct {
+	settings settings.Settings
+	log      *telemetry.Log
+	lines    *telemetry.Queue
+
+	table    *fleet.Table
+	workers  *workers.Registry
+	plane    *forwarding.Plane
+	agent    *hosted.Agent
+	callers  *listener
+	calls    *listener
+	others   []*listener
+	stopping atomic.Bool
+}
+
+// New opens the listeners and puts the parts together. Nothing runs before Run.
+func New(s settings.Settings, adapter Adapter, log *telemetry.Log, lines *telemetry.Queue) (*Node, error) {
+	node := &Node{settings: s, log: log, lines: lines}
+	lines.Report(log.LinesDropped)
+	node.workers = workers.NewRegistry(silentHeartbeats * s.HeartbeatInterval)
+	contacts := fleet.NewContacts()
+	config := &configuration{translate: adapter.Translate, inForce: log.DocumentInForce}
+	dial := newDialer()
+	registry := telemetry.NewHostedRegistry(node.reading(config))
+	node.table = fleet.NewTable(node.record())
+	node.plane = forwarding.New(forwarding.Config{
+		Node:     s.NodeID,
+		Zone:     s.Zone,
+		Service:  s.Service,
+		Dialect:  adapter.Dialect,
+		Current:  config.current.Load,
+		View:     node.table.View,
+		Contacts: contacts,
+		Workers:  node.workers,
+		Dial:     dial,
+		Retries: retry.WindowOptions{
+			Window: s.RetryWindow,
+			Ratio:  s.RetryRatio * budgetShare,
+			Slack:  s.RetrySlack * budgetShare,
+		},
+		Observer: telemetry.NewForwardingObserver(registry.Registerer(), log, lines.Drop),
+	})
+	messages, err := newListenConfig().Listen(context.Background(), "tcp", s.ControlAddress)
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "listener for messages")
+	}
+	source, directory := adapter.Open(s.StoreAddresses[0], dial)
+	node.agent = hosted.New(hosted.Config{
+		Mesh: s.Mesh, Table: node.table, Contacts: contacts, Workers: node.workers,
+		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
+		Listener: messages, Dial: dial, Events: log,
+	})
+	return node, node.openListeners(adapter, registry)
+}
+
+func (n *Node) openListeners(adapter Adapter, registry *telemetry.Registry) error {
+	var err error
+	if n.callers, err = listen("callers", n.settings.CallerAddress, n.plane.CallerServer()); err != nil {
+		return err
+	}
+	if n.calls, err = listen("calls", n.settings.CallAddress, n.plane.HopServer()); err != nil {
+		return err
+	}
+	for _, other := range []struct {
+		name, address string
+		handler       http.Handler
+	}{
+		{"registration", n.settings.AdminAddress, adapter.Registration(n.agent)},
+		{"readiness", n.settings.ReadinessAddress, adapter.Readiness(n.ready)},
+		{"metrics", n.settings.MetricsAddress, registry.Handler()},
+	} {
+		if other.address == "" {
+			continue
+		}
+		opened, err := listen(other.name, other.address, &http.Server{Handler: other.handler})
+		if err != nil {
+			return err
+		}
+		n.others = append(n.others, opened)
+	}
+	return nil
+}
+
+// record is what the node says of itself when it starts.
+func (n *Node) record() fleet.Node {
+	return fleet.Node{
+		ID:             n.settings.NodeID,
+		Incarnation:    uint64(time.Now().UnixNano()),
+		Sequence:       1,
+		Region:         n.settings.Region,
+		Zone:           n.settings.Zone,
+		ControlAddress: n.settings.ControlAddress,
+		CallAddress:    n.settings.CallAddress,
+		State:          fleet.StateLive,
+		ReadsStore:     true,
+	}
+}
+
+// ready reports whether callers may come.
+func (n *Node) ready() bool { return n.agent.Ready() && !n.stopping.Load() }
+
+// Run runs the node until the context ends, and then stops it as planned. The
+// error is nil after a planned stop.
+func (n *Node) Run(ctx context.Context, signal func() string) error {
+	tuneMemory(n.settings.MemoryLimit)
+	n.log.Started(Version, n.settings.Region, n.settings.Zone, n.settings.Service, n.table.View().Self().Incarnation)
+	n.log.Listening(n.callers.address, n.calls.address, n.settings.ControlAddress, n.settings.AdminAddress)
+	running, cancel := context.WithCancel(context.Background())
+	defer cancel()
+	ended := n.supervisor().ServeBackground(running)
+	select {
+	case err := <-ended:
+		return err
+	case <-ctx.Done():
+	}
+	n.log.StopRequested(signal())
+	n.stop()
+	n.log.Stopped()
+	cancel()
+	if err := <-ended; err != nil && !errors.Is(err, context.Canceled) {
+		return err
+	}
+	return nil
+}
+
+func (n *Node) supervisor() *suture.Supervisor {
+	supervisor := suture.New("levertided", suture.Spec{
+		EventHook:         n.partEvent,
+		PassThroughPanics: true,
+		Timeout:           supervisorTimeout,
+	})
+	supervisor.Add(n.lines)
+	supervisor.Add(n.agent)
+	supervisor.Add(n.callers)
+	supervisor.Add(n.calls)
+	for _, other := range n.others {
+		supervisor.Add(other)
+	}
+	return supervisor
+}
+
+func (n *Node) partEvent(event suture.Event) {
+	if failed, ok := event.(suture.EventServiceTerminate); ok {
+		text, _ := failed.Map()["error"].(string)
+		n.log.PartFailed(failed.ServiceName, text)
+	}
+}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -38,6 +38,7 @@
 	fieldError         = "error"
 	fieldDuration      = "duration_milliseconds"
 	fieldCallsInFlight = "calls_in_flight"
+	fieldRevision      = "revision"
 )
 
 // Events of the process.
@@ -93,6 +94,36 @@
 	eventCertificatesFailed = Event{502, "certificates not loaded", LevelError, []string{fieldError}, "Changed certificate files cannot be used; the former ones stay in use."}
 )
 
+// Events of the hosted mode.
+var (
+	eventDocumentRejected = Event{601, "document rejected", LevelError, []string{fieldRevision, fieldError}, "A document of the platform cannot be used; the version in force stays."}
+	eventDocumentInForce  = Event{602, "document in force", LevelInfo, []string{fieldVersion, "routes"}, "The version is in force on this node, whole. The number never falls within a process."}
+	eventReaderRole       = Event{603, "reader role changed", LevelInfo, []string{"reads"}, "Whether this node watches the store for all."}
+	eventNodeLost         = Event{604, "node lost", LevelWarning, []string{"peer", fieldError}, "Another node cannot be reached from here; it is tried again with pauses and gets calls as the last resort only."}
+	eventNodeFound        = Event{605, "node found", LevelInfo, []string{"peer"}, "A node that was lost answers again."}
+	eventWorkerChanged    = Event{606, "worker changed", LevelInfo, []string{"instance", "service", "slots", "state", "sequence", "cause"}, "What may be done with a worker beside this node, and what told it."}
+	eventPromiseKept      = Event{607, "promise kept", LevelInfo, []string{"instance", "holders"}, "A worker's leave is about to be acknowledged; holders counts the other nodes that know of it."}
+	eventFormerLife       = Event{608, "former life", LevelInfo, []string{"incarnation", "promised"}, "Another node told a record of a former life of this node, with what was promised."}
+	eventSettingsReloaded = Event{609, "settings reloaded", LevelInfo, []string{fieldError}, "The settings were read again; with an error, those before stay."}
+	eventLinesDropped     = Event{610, "lines dropped", LevelWarning, []string{"lines"}, "Lines of this log that were not written, because their reader was slow or there were too many."}
+)
+
+// Events of single calls in the hosted mode.
+var (
+	eventCallFailed = Event{701, "call not served", LevelWarning, callFields, "A call that began here was not answered by a worker in time, or not at the first attempt; the fields are what decided."}
+	eventHopFailed  = Event{702, "hop not served", LevelWarning, hopFields, "A call of another node for the worker beside this one got no answer."}
+)
+
+var callFields = []string{
+	"request", "route", "service", fieldVersion, "outcome", fieldReason, "status", "peer", "instance", "offers", "arrivals",
+	"running", "waiting", "slots", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
+}
+
+var hopFields = []string{
+	"request", "service", "instance", "outcome", fieldReason, "status", "arrivals",
+	"running", "waiting", "slots", "left_milliseconds", fieldDuration, "truncated", fieldError,
+}
+
 // Catalogue returns every event, ordered by number.
 func Catalogue() []Event {
 	events := []Event{
@@ -103,6 +134,8 @@
 		eventParentChanged, eventRoleChanged, eventMemberLost, eventPeerRefused,
 		eventStoreReachable, eventStoreUnreachable, eventStoreRegressed, eventAlarm, eventLeaseAcquired, eventLeaseLost,
 		eventCertificatesLoaded, eventCertificatesFailed,
+		eventDocumentRejected, eventDocumentInForce, eventReaderRole, eventNodeLost, eventNodeFound, eventWorkerChanged,
+		eventPromiseKept, eventFormerLife, eventSettingsReloaded, eventLinesDropped, eventCallFailed, eventHopFailed,
 	}
 	slices.SortFunc(events, func(a, b Event) int { return a.Number - b.Number })
 	return events
--- /dev/null
+++ b/internal/telemetry/hosted.go
@@ -0,0 +1,69 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+var _ hosted.Events = (*Log)(nil)
+
+// DocumentRejected records that a document of the platform cannot be used.
+func (l *Log) DocumentRejected(revision uint64, err error) {
+	end(l.begin(eventDocumentRejected).Uint64(fieldRevision, revision).Str(fieldError, err.Error()))
+}
+
+// DocumentInForce records that a version of the platform is in force.
+func (l *Log) DocumentInForce(version uint64, routes int) {
+	end(l.begin(eventDocumentInForce).Uint64(fieldVersion, version).Int("routes", routes))
+}
+
+// ReaderRoleChanged records whether this node watches the store for all.
+func (l *Log) ReaderRoleChanged(reads bool) { end(l.begin(eventReaderRole).Bool("reads", reads)) }
+
+// NodeLost records that another node cannot be reached.
+func (l *Log) NodeLost(id string, err error) {
+	end(l.begin(eventNodeLost).Str("peer", id).Str(fieldError, err.Error()))
+}
+
+// NodeFound records that a lost node answers again.
+func (l *Log) NodeFound(id string) { end(l.begin(eventNodeFound).Str("peer", id)) }
+
+// WorkerChanged records what may be done with a worker beside this node.
+func (l *Log) WorkerChanged(worker workers.Worker, cause string) {
+	end(l.begin(eventWorkerChanged).Str("instance", worker.Instance).Str("service", worker.Service).
+		Int("slots", worker.Slots).Str("state", worker.State.String()).Uint64("sequence", worker.Sequence).Str("cause", cause))
+}
+
+// PromiseKept records that a worker's leave is about to be acknowledged.
+func (l *Log) PromiseKept(instance string, holders int) {
+	end(l.begin(eventPromiseKept).Str("instance", instance).Int("holders", holders))
+}
+
+// FormerLife records what was told of a former life of this node.
+func (l *Log) FormerLife(incarnation uint64, promised int) {
+	end(l.begin(eventFormerLife).Uint64("incarnation", incarnation).Int("promised", promised))
+}
+
+// SettingsReloaded records that the settings were read again.
+func (l *Log) SettingsReloaded(err error) {
+	text := ""
+	if err != nil {
+		text = err.Error()
+	}
+	end(l.begin(eventSettingsReloaded).Str(fieldError, text))
+}
+
+// LinesDropped records that lines were not written.
+func (l *Log) LinesDropped(lines uint64) { end(l.begin(eventLinesDropped).Uint64("lines", lines)) }
+
+// CallsDrained records that the calls in flight have ended by themselves.
+func (l *Log) CallsDrained(took time.Duration) {
+	end(l.begin(eventDrained).Int64(fieldDuration, took.Milliseconds()))
+}
+
+// DrainExceeded records that calls are cut off at the end of a planned stop.
+func (l *Log) DrainExceeded(took time.Duration, inFlight int) {
+	end(l.begin(eventDrainExceeded).Int64(fieldDuration, took.Milliseconds()).Int(fieldCallsInFlight, inFlight))
+}
--- /dev/null
+++ b/internal/telemetry/hosted_calls.go
@@ -0,0 +1,120 @@
+package telemetry
+
+import (
+	"time"
+
+	"github.com/phuslu/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"golang.org/x/time/rate"
+
+	"github.com/levertide/levertide/internal/forwarding"
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+const (
+	// callLines and callLinesBurst bound the lines of single calls a second.
+	callLines      = 50
+	callLinesBurst = 200
+)
+
+// ForwardingObserver turns what the call path of the hosted mode tells into
+// metrics and events.
+type ForwardingObserver struct {
+	log       *Log
+	limiter   *rate.Limiter
+	dropped   func()
+	calls     *prometheus.CounterVec
+	hops      *prometheus.CounterVec
+	offers    prometheus.Counter
+	arrivals  prometheus.Counter
+	durations prometheus.Histogram
+}
+
+var _ forwarding.Observer = (*ForwardingObserver)(nil)
+
+// NewForwardingObserver registers the metrics of calls. Dropped is called for
+// each line that is left out because there are too many.
+func NewForwardingObserver(registerer prometheus.Registerer, log *Log, dropped func()) *ForwardingObserver {
+	labels := []string{"service", labelOutcome, labelReason}
+	o := &ForwardingObserver{
+		log:      log,
+		limiter:  rate.NewLimiter(callLines, callLinesBurst),
+		dropped:  dropped,
+		calls:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "calls_total", Help: "Calls that began at this node, by service, outcome and reason."}, labels),
+		hops:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hops_total", Help: "Calls of other nodes for the worker beside this one, by service, outcome and reason."}, labels),
+		offers:   prometheus.NewCounter(prometheus.CounterOpts{Name: "call_offers_total", Help: "Nodes asked on behalf of callers."}),
+		arrivals: prometheus.NewCounter(prometheus.CounterOpts{Name: "call_arrivals_total", Help: "Workers that may have had a call that failed there."}),
+		durations: prometheus.NewHistogram(prometheus.HistogramOpts{
+			Name:    "call_duration_seconds",
+			Help:    "Time from the head of a caller's request to the end of its answer.",
+			Buckets: []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2},
+		}),
+	}
+	registerer.MustRegister(o.calls, o.hops, o.offers, o.arrivals, o.durations)
+	return o
+}
+
+// CallFinished counts a call, and records one that was not served at once.
+func (o *ForwardingObserver) CallFinished(report forwarding.CallReport) {
+	o.calls.WithLabelValues(report.Service, string(report.Outcome), string(report.Reason)).Inc()
+	o.offers.Add(float64(report.Offers))
+	o.arrivals.Add(float64(report.Arrivals))
+	o.durations.Observe(report.Duration.Seconds())
+	served := report.Outcome == outcome.Answered && !report.Truncated
+	if served && report.Offers <= 1 || report.Reason == outcome.NotReady {
+		return
+	}
+	if served && report.Arrivals == 0 {
+		return
+	}
+	if !o.allowed() {
+		return
+	}
+	entry := o.log.begin(eventCallFailed).Str("request", report.RequestID).Str("route", report.Route).Str("service", report.Service).
+		Uint64(fieldVersion, report.Version)
+	o.outcome(entry, report).Str("peer", report.Node).Str("instance", report.Instance).
+		Int("offers", report.Offers)
+	o.decided(entry, report).Float64("budget", report.BudgetLeft).
+		Int64("left_milliseconds", report.Left.Milliseconds()).Int64(fieldDuration, report.Duration.Milliseconds()).
+		Int64("retry_after_milliseconds", report.RetryAfter.Milliseconds()).Bool("truncated", report.Truncated)
+	end(entry.Str(fieldError, causeText(report.Cause)))
+}
+
+// HopFinished counts a call of another node, and records one that may have run
+// without an answer.
+func (o *ForwardingObserver) HopFinished(report forwarding.CallReport) {
+	o.hops.WithLabelValues(report.Service, string(report.Outcome), string(report.Reason)).Inc()
+	quiet := report.Outcome == outcome.Answered && !report.Truncated || report.Reason == outcome.Overloaded
+	if quiet || !o.allowed() {
+		return
+	}
+	entry := o.log.begin(eventHopFailed).Str("request", report.RequestID).Str("service", report.Service).Str("instance", report.Instance)
+	o.outcome(entry, report)
+	o.decided(entry, report).Int64("left_milliseconds", report.Left.Milliseconds()).
+		Int64(fieldDuration, report.Duration.Milliseconds()).Bool("truncated", report.Truncated)
+	end(entry.Str(fieldError, causeText(report.Cause)))
+}
+
+func (o *ForwardingObserver) allowed() bool {
+	if o.limiter.AllowN(time.Now(), 1) {
+		return true
+	}
+	o.dropped()
+	return false
+}
+
+func (o *ForwardingObserver) outcome(entry *log.Entry, report forwarding.CallReport) *log.Entry {
+	return entry.Str("outcome", string(report.Outcome)).Str(fieldReason, string(report.Reason)).Int("status", report.Status)
+}
+
+func (o *ForwardingObserver) decided(entry *log.Entry, report forwarding.CallReport) *log.Entry {
+	return entry.Int("arrivals", report.Arrivals).
+		Int("running", report.Running).Int("waiting", report.Waiting).Int("slots", report.Slots)
+}
+
+func causeText(err error) string {
+	if err == nil {
+		return ""
+	}
+	return err.Error()
+}
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -15,7 +15,10 @@
 
 	"github.com/levertide/levertide/internal/control"
 	"github.com/levertide/levertide/internal/dataplane"
+	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // writeAll writes each event once.
@@ -54,6 +57,19 @@
 	l.Alarm("text")
 	l.CertificatesLoaded("identity", time.Unix(0, 0))
 	l.CertificatesFailed(errors.New("fault"))
+	l.DocumentRejected(1, errors.New("fault"))
+	l.DocumentInForce(1, 2)
+	l.ReaderRoleChanged(true)
+	l.NodeLost("n", errors.New("fault"))
+	l.NodeFound("n")
+	l.WorkerChanged(workers.Worker{Instance: "i"}, "heartbeat")
+	l.PromiseKept("i", 2)
+	l.FormerLife(1, 2)
+	l.SettingsReloaded(nil)
+	l.LinesDropped(3)
+	hosted := NewForwardingObserver(prometheus.NewRegistry(), l, func() {})
+	hosted.CallFinished(forwarding.CallReport{Outcome: outcome.Unknown})
+	hosted.HopFinished(forwarding.CallReport{Outcome: outcome.Unknown})
 }
 
 func decode(t *testing.T, output []byte) []map[string]any {
--- /dev/null
+++ b/internal/telemetry/queue.go
@@ -0,0 +1,82 @@
+package telemetry
+
+import (
+	"context"
+	"io"
+	"slices"
+	"sync/atomic"
+	"time"
+)
+
+const (
+	// queuedLines bounds the lines that wait for a slow reader of the log.
+	queuedLines = 1024
+	// dropReport is how often dropped lines are told.
+	dropReport = time.Second
+)
+
+// Queue takes the lines of a log without ever waiting for whoever reads them:
+// when too many wait, further ones are dropped and counted. It is a suture
+// service, and an io.Writer.
+type Queue struct {
+	writer  io.Writer
+	lines   chan []byte
+	dropped atomic.Uint64
+	// report is told of dropped lines.
+	report func(lines uint64)
+}
+
+// NewQueue returns a queue in front of a writer.
+func NewQueue(writer io.Writer) *Queue {
+	return &Queue{writer: writer, lines: make(chan []byte, queuedLines), report: func(uint64) {}}
+}
+
+// Report sets who is told how many lines were dropped. Call it before Serve.
+func (q *Queue) Report(report func(lines uint64)) { q.report = report }
+
+// Write implements io.Writer. It never blocks and never fails.
+func (q *Queue) Write(line []byte) (int, error) {
+	select {
+	case q.lines <- slices.Clone(line):
+	default:
+		q.dropped.Add(1)
+	}
+	return len(line), nil
+}
+
+// Drop counts a line that was left out for another reason.
+func (q *Queue) Drop() { q.dropped.Add(1) }
+
+// String names the part in events.
+func (q *Queue) String() string { return "log" }
+
+// Serve writes lines until the context ends, and then those that wait.
+func (q *Queue) Serve(ctx context.Context) error {
+	ticker := time.NewTicker(dropReport)
+	defer ticker.Stop()
+	for {
+		select {
+		case line := <-q.lines:
+			_, _ = q.writer.Write(line)
+		case <-ticker.C:
+			if lines := q.dropped.Swap(0); lines > 0 {
+				q.report(lines)
+			}
+		case <-ctx.Done():
+			q.Flush()
+			return ctx.Err()
+		}
+	}
+}
+
+// Flush writes the lines that wait now.
+func (q *Queue) Flush() {
+	for {
+		select {
+		case line := <-q.lines:
+			_, _ = q.writer.Write(line)
+		default:
+			return
+		}
+	}
+}
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -8,6 +8,8 @@
 	"sync/atomic"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // Table holds the newest record of each node. It is safe for concurrent use.
@@ -15,12 +17,19 @@
 	self  string
 	mutex sync.Mutex
 	nodes map[string]Node
-	view  atomic.Pointer[View]
+	// promises are workers that former lives of nodes have promised to leave
+	// alone. A new life starts with a record that does not name them.
+	promises map[string][]workers.Worker
+	view     atomic.Pointer[View]
 }
 
 // NewTable returns a table that holds the record of the node that keeps it.
 func NewTable(self Node) *Table {
-	table := &Table{self: self.ID, nodes: map[string]Node{self.ID: self}}
+	table := &Table{
+		self:     self.ID,
+		nodes:    map[string]Node{self.ID: self},
+		promises: map[string][]workers.Worker{},
+	}
 	table.publish()
 	return table
 }
@@ -48,6 +57,7 @@
 			former := node
 			merged.FormerSelf = &former
 		default:
+			t.keepPromises(held, node)
 			t.nodes[node.ID] = node
 			merged.News = append(merged.News, node)
 		}
@@ -58,6 +68,43 @@
 	return merged
 }
 
+// maximumPromises bounds what is kept of the former lives of one node.
+const maximumPromises = 32
+
+// keepPromises remembers what a life of a node has promised when the next one
+// replaces its record. The mutex is held.
+func (t *Table) keepPromises(former, next Node) {
+	if former.Incarnation == next.Incarnation {
+		return
+	}
+	kept := t.promises[next.ID]
+	for _, worker := range former.Workers {
+		if worker.State.Promised() {
+			kept = append(kept, worker)
+		}
+	}
+	if surplus := len(kept) - maximumPromises; surplus > 0 {
+		kept = slices.Clone(kept[surplus:])
+	}
+	if len(kept) > 0 {
+		t.promises[next.ID] = kept
+	}
+}
+
+// Promised returns the workers that a node, in this life or a former one, has
+// promised to give no more work.
+func (t *Table) Promised(id string) []workers.Worker {
+	t.mutex.Lock()
+	defer t.mutex.Unlock()
+	promised := slices.Clone(t.promises[id])
+	for _, worker := range t.nodes[id].Workers {
+		if worker.State.Promised() {
+			promised = append(promised, worker)
+		}
+	}
+	return promised
+}
+
 // Update writes the own record with the next sequence and returns it.
 func (t *Table) Update(change func(*Node)) Node {
 	t.mutex.Lock()
@@ -71,6 +118,15 @@
 	return own
 }
 
+// Outlive gives the own record a higher incarnation than a former life had.
+func (t *Table) Outlive(former Node) {
+	t.Update(func(own *Node) {
+		if own.Incarnation <= former.Incarnation {
+			own.Incarnation = former.Incarnation + 1
+		}
+	})
+}
+
 // Remove forgets a node, until a record of it comes again.
 func (t *Table) Remove(id string) {
 	t.mutex.Lock()
@@ -79,6 +135,7 @@
 		return
 	}
 	delete(t.nodes, id)
+	delete(t.promises, id)
 	t.publish()
 }
 
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -129,3 +129,27 @@
 		t.Fatal("an answer must end the belief")
 	}
 }
+
+func TestPromisesOutliveTheNodeThatGaveThem(t *testing.T) {
+	table := NewTable(node("self", 1, 1))
+	former := node("a", 2, 3)
+	former.Workers = []workers.Worker{
+		{Instance: "draining", State: workers.StateDraining},
+		{Instance: "ready", State: workers.StateReady},
+	}
+	table.Merge([]Node{former})
+	table.Merge([]Node{node("a", 3, 1)})
+	promised := table.Promised("a")
+	if len(promised) != 1 || promised[0].Instance != "draining" {
+		t.Fatalf("promised %v", promised)
+	}
+}
+
+func TestRestartedNodeOutlivesItsFormerRecord(t *testing.T) {
+	table := NewTable(node("self", 5, 1))
+	former := node("self", 9, 4)
+	table.Outlive(former)
+	if own := table.View().Self(); !own.NewerThan(former) {
+		t.Fatalf("own record %+v", own)
+	}
+}
--- /dev/null
+++ b/pkg/slotqueue/queue.go
@@ -0,0 +1,196 @@
+package slotqueue
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+)
+
+const (
+	// firstHold is taken for how long a request holds a slot before any was seen.
+	firstHold = 20 * time.Millisecond
+	// holdWeight is the weight of one more observation in the mean.
+	holdWeight = 0.05
+)
+
+// Request is what one request asks of a Queue.
+type Request struct {
+	// Rank orders requests; the lowest starts first.
+	Rank int
+	// LatestStart is when a start is not useful any more.
+	LatestStart time.Time
+}
+
+// Queue admits requests to the slots of one worker. It is safe for concurrent use.
+type Queue struct {
+	mutex   sync.Mutex
+	slots   int
+	running int
+	waiting []*waiter
+	hold    time.Duration
+	closed  bool
+}
+
+type waiter struct {
+	Request
+	// admitted is closed once the waiter has a slot or the queue is closed.
+	admitted chan struct{}
+	refused  bool
+}
+
+// New returns a queue for a worker with the given number of slots.
+func New(slots int) *Queue {
+	return &Queue{slots: max(slots, 1), hold: firstHold}
+}
+
+// Load is what a queue holds at one moment.
+type Load struct {
+	Running, Waiting, Slots int
+	// Hold is how long requests have held their slots lately.
+	Hold time.Duration
+}
+
+// Load returns what the queue holds now.
+func (q *Queue) Load() Load {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	return Load{Running: q.running, Waiting: len(q.waiting), Slots: q.slots, Hold: q.hold}
+}
+
+// SetSlots changes the number of slots. Requests that run keep theirs.
+func (q *Queue) SetSlots(slots int) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.slots = max(slots, 1)
+	q.startWaiting()
+}
+
+// Admit waits for a slot. Errors are ErrFull, ErrClosed and ErrAbandoned.
+func (q *Queue) Admit(ctx context.Context, request Request) (Permit, error) {
+	w, err := q.enter(request)
+	if err != nil {
+		return Permit{}, err
+	}
+	if w == nil {
+		return Permit{queue: q, began: time.Now()}, nil
+	}
+	timer := time.NewTimer(time.Until(request.LatestStart))
+	defer timer.Stop()
+	select {
+	case <-w.admitted:
+	case <-timer.C:
+		err = newFull(0)
+	case <-ctx.Done():
+		err = ErrAbandoned.New("the caller has gone away")
+	}
+	return q.conclude(w, err)
+}
+
+// enter takes a slot, or a place among the waiting.
+func (q *Queue) enter(request Request) (*waiter, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.closed {
+		return nil, ErrClosed.New("the worker takes no more requests")
+	}
+	if q.running < q.slots && len(q.waiting) == 0 {
+		q.running++
+		return nil, nil
+	}
+	wait := q.expectedWait(request.Rank)
+	if time.Now().Add(wait).After(request.LatestStart) {
+		return nil, newFull(wait)
+	}
+	w := &waiter{Request: request, admitted: make(chan struct{})}
+	index := q.place(request.Rank)
+	q.waiting = slices.Insert(q.waiting, index, w)
+	return w, nil
+}
+
+// place returns where a request of the rank stands among the waiting.
+func (q *Queue) place(rank int) int {
+	for index, other := range q.waiting {
+		if other.Rank > rank {
+			return index
+		}
+	}
+	return len(q.waiting)
+}
+
+// expectedWait returns how long a request of the rank would wait. The mutex is held.
+func (q *Queue) expectedWait(rank int) time.Duration {
+	ahead := q.place(rank) + 1
+	return time.Duration(ahead) * q.hold / time.Duration(q.slots)
+}
+
+// conclude sorts out who was first: the slot or the end of the wait.
+func (q *Queue) conclude(w *waiter, err error) (Permit, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	select {
+	case <-w.admitted:
+		if w.refused {
+			return Permit{}, ErrClosed.New("the worker takes no more requests")
+		}
+		if err == nil {
+			return Permit{queue: q, began: time.Now()}, nil
+		}
+		q.leave()
+	default:
+		if index := slices.Index(q.waiting, w); index >= 0 {
+			q.waiting = slices.Delete(q.waiting, index, index+1)
+		}
+	}
+	return Permit{}, err
+}
+
+// leave gives a slot back. The mutex is held.
+func (q *Queue) leave() {
+	q.running--
+	q.startWaiting()
+}
+
+// startWaiting gives free slots to those that wait. The mutex is held.
+func (q *Queue) startWaiting() {
+	for q.running < q.slots && len(q.waiting) > 0 {
+		next := q.waiting[0]
+		q.waiting = slices.Delete(q.waiting, 0, 1)
+		q.running++
+		close(next.admitted)
+	}
+}
+
+// Close refuses those that wait and all that come.
+func (q *Queue) Close() {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	q.closed = true
+	for _, w := range q.waiting {
+		w.refused = true
+		close(w.admitted)
+	}
+	q.waiting = nil
+}
+
+// Permit is the right to run one request. The zero value is none.
+type Permit struct {
+	queue *Queue
+	began time.Time
+}
+
+// Release gives the slot back. Observed tells that the time for which it was
+// held says something about the worker.
+func (p Permit) Release(observed bool) {
+	if p.queue == nil {
+		return
+	}
+	held := time.Since(p.began)
+	q := p.queue
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if observed {
+		q.hold += time.Duration(holdWeight * float64(held-q.hold))
+	}
+	q.leave()
+}
--- /dev/null
+++ b/pkg/slotqueue/queue_test.go
@@ -0,0 +1,133 @@
+package slotqueue
+
+import (
+	"context"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
+)
+
+func in(wait time.Duration) time.Time { return time.Now().Add(wait) }
+
+func TestLowestRankStartsFirst(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := New(1)
+		first, err := queue.Admit(t.Context(), Request{LatestStart: in(time.Second)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		order := make(chan int, 3)
+		for _, rank := range []int{2, 1, 0} {
+			go func() {
+				permit, err := queue.Admit(t.Context(), Request{Rank: rank, LatestStart: in(time.Second)})
+				if err == nil {
+					order <- rank
+					permit.Release(true)
+				}
+			}()
+			synctest.Wait()
+		}
+		first.Release(true)
+		for want := range 3 {
+			if got := <-order; got != want {
+				t.Errorf("rank %d started in place of %d", got, want)
+			}
+		}
+	})
+}
+
+func TestHopelessRequestIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := New(1)
+		if _, err := queue.Admit(t.Context(), Request{LatestStart: in(time.Second)}); err != nil {
+			t.Fatal(err)
+		}
+		began := time.Now()
+		_, err := queue.Admit(t.Context(), Request{LatestStart: in(firstHold / 2)})
+		if !errorx.IsOfType(err, ErrFull) || WaitOf(err) != firstHold || time.Since(began) != 0 {
+			t.Errorf("%v after %v, wait %v", err, time.Since(began), WaitOf(err))
+		}
+	})
+}
+
+func TestWaiterIsRefusedWhenItsTimeComes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := New(1)
+		permit, _ := queue.Admit(t.Context(), Request{LatestStart: in(time.Second)})
+		began := time.Now()
+		_, err := queue.Admit(t.Context(), Request{LatestStart: in(50 * time.Millisecond)})
+		if !errorx.IsOfType(err, ErrFull) || time.Since(began) != 50*time.Millisecond {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		permit.Release(true)
+		if load := queue.Load(); load.Running != 0 || load.Waiting != 0 {
+			t.Errorf("load %+v", load)
+		}
+	})
+}
+
+func TestCallerThatLeavesGivesItsPlaceBack(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := New(1)
+		permit, _ := queue.Admit(t.Context(), Request{LatestStart: in(time.Second)})
+		ctx, cancel := context.WithCancel(t.Context())
+		go cancel()
+		if _, err := queue.Admit(ctx, Request{LatestStart: in(time.Second)}); !errorx.IsOfType(err, ErrAbandoned) {
+			t.Error(err)
+		}
+		permit.Release(true)
+		if load := queue.Load(); load.Running != 0 || load.Waiting != 0 {
+			t.Errorf("load %+v", load)
+		}
+	})
+}
+
+func TestCloseRefusesAll(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := New(1)
+		permit, _ := queue.Admit(t.Context(), Request{LatestStart: in(time.Second)})
+		refused := make(chan error, 1)
+		go func() {
+			_, err := queue.Admit(t.Context(), Request{LatestStart: in(time.Second)})
+			refused <- err
+		}()
+		synctest.Wait()
+		queue.Close()
+		if err := <-refused; !errorx.IsOfType(err, ErrClosed) {
+			t.Error(err)
+		}
+		permit.Release(true)
+		if _, err := queue.Admit(t.Context(), Request{LatestStart: in(time.Second)}); !errorx.IsOfType(err, ErrClosed) {
+			t.Error(err)
+		}
+	})
+}
+
+// TestNeverMoreThanSlots lets requests of many ranks come, wait, leave and run,
+// and counts those that run.
+func TestNeverMoreThanSlots(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		slots := rapid.IntRange(1, 4).Draw(t, "slots")
+		queue := New(slots)
+		var held []Permit
+		for range rapid.IntRange(1, 80).Draw(t, "steps") {
+			if rapid.Bool().Draw(t, "release") && len(held) > 0 {
+				held[0].Release(rapid.Bool().Draw(t, "observed"))
+				held = held[1:]
+				continue
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			cancel()
+			permit, err := queue.Admit(ctx, Request{Rank: rapid.IntRange(0, 3).Draw(t, "rank"), LatestStart: in(time.Hour)})
+			if err == nil {
+				held = append(held, permit)
+			}
+			if len(held) > slots || queue.Load().Running != len(held) || queue.Load().Waiting != 0 {
+				t.Fatalf("%d held, load %+v", len(held), queue.Load())
+			}
+		}
+	})
+}
