Keep calls in their zone while that is expected to be in time; end callers' connections after the notice

Cause 1: the choice of worker gave bytes between zones a small fixed price in time, and a first offer waited 3 ms only, so that most calls crossed zones. Now crossing costs a share of the route's target for each KiB, and an offer waits for as long as the next best worker is expected to be later. The callers' server is now shut down after the notice. Ruled out for 1: control traffic alone; it is the next largest part.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -79,6 +79,7 @@
 		bytes:     answerBytes + len(o.call.body.held),
 		tried:     o.tried,
 		work:      work,
+		target:    o.call.target(),
 		local:     o.local,
 		reachable: o.call.plane.config.Contacts.Reachable,
 	}, time.Now())
@@ -122,10 +123,9 @@
 	report := &o.call.report
 	report.Node, report.Instance = endpoint.node, endpoint.instance
 	report.Running, report.Waiting, report.Slots = chosen.load.Running, chosen.load.Waiting, chosen.load.Slots
-	latestStart := o.latestStart
-	if o.refusals < maximumRefusals-1 && len(o.destination.ordered) > o.made {
-		latestStart = earlier(latestStart, time.Now().Add(shallowPatience))
-	}
+	// Waiting here is worth it for as long as the next best worker is expected
+	// to be later.
+	latestStart := earlier(o.latestStart, time.Now().Add(max(chosen.lead, shallowPatience)))
 	var answered *answer
 	var arrived bool
 	var err error
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"math"
 	"math/rand/v2"
 	"sync"
 	"sync/atomic"
@@ -17,10 +18,13 @@
 	speedWeight = 0.15
 	// reportLife is how long a told load counts; it fades over that time.
 	reportLife = 500 * time.Millisecond
-	// otherZonePenalty is what another zone costs beside its distance, for each
-	// KiB that crosses, in time: bytes between zones are paid for.
-	otherZonePenalty = 700 * time.Microsecond
-	otherZoneDelay   = 1500 * time.Microsecond
+	// otherZoneShare is the share of its route's target latency by which a call
+	// may rather be later than take a KiB to another zone and back: bytes
+	// between zones are paid for. headBytes is the size of the heads of a call.
+	otherZoneShare = 0.07
+	headBytes      = 700
+	// otherZoneDelay is the distance of another zone.
+	otherZoneDelay = 3 * time.Millisecond
 	// crowdPenalty is the share by which work takes longer at a full worker.
 	crowdPenalty = 0.3
 	// scoreNoise keeps many nodes from choosing the same endpoint.
@@ -31,6 +35,8 @@
 	unknownHold = 20 * time.Millisecond
 	// typicalSlots is taken for a worker whose node told no load yet.
 	typicalSlots = 4
+	// longestLead stands for an endpoint without a next best one.
+	longestLead = time.Hour
 	// slowestFactor and fastestFactor bound what is believed of a speed.
 	slowestFactor = 20.0
 	fastestFactor = 0.2
@@ -96,8 +102,9 @@
 type choice struct {
 	endpoint *endpoint
 	load     slotqueue.Load
-	// free tells that a slot was taken to be free.
-	free bool
+	// lead is by how much the next best endpoint is expected to be later; the
+	// longest time when there is none.
+	lead time.Duration
 }
 
 // wish is what one request asks of the choice.
@@ -106,8 +113,9 @@
 	bytes int
 	// tried are the nodes that are not to be chosen again.
 	tried []string
-	// work is how long the request is expected to run.
-	work time.Duration
+	// work is how long the request is expected to run, target the time within
+	// which its answer is worth most.
+	work, target time.Duration
 	// local returns the load of this node's own worker.
 	local func() (slotqueue.Load, bool)
 	// reachable tells which nodes this one reaches.
@@ -120,21 +128,27 @@
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	var best choice
-	var bestScore float64
+	bestScore, nextScore := math.Inf(1), math.Inf(1)
 	for _, e := range d.ordered {
 		if contains(w.tried, e.node) {
 			continue
 		}
 		load, usable := d.loadOf(e, w, now)
 		score := d.score(e, load, w, usable)
-		if best.endpoint == nil || score < bestScore {
-			best = choice{endpoint: e, load: load, free: load.Running+load.Waiting < load.Slots}
-			bestScore = score
+		if score >= bestScore {
+			nextScore = min(nextScore, score)
+			continue
 		}
+		nextScore = bestScore
+		best, bestScore = choice{endpoint: e, load: load}, score
 	}
 	if best.endpoint == nil {
 		return choice{}, false
 	}
+	best.lead = longestLead
+	if lead := nextScore - bestScore; lead < float64(longestLead) {
+		best.lead = time.Duration(lead)
+	}
 	best.endpoint.outstanding++
 	return best, true
 }
@@ -172,7 +186,8 @@
 		score += float64(load.Waiting+1) * hold / float64(load.Slots)
 	}
 	if e.zone != d.zone {
-		score += float64(otherZoneDelay) + float64(otherZonePenalty)*float64(w.bytes)/1024
+		kibibytes := float64(w.bytes+headBytes) / 1024
+		score += float64(otherZoneDelay) + otherZoneShare*kibibytes*float64(w.target)
 	}
 	score *= 1 + scoreNoise*rand.Float64()
 	if !usable {
--- a/internal/sidecar/stop.go
+++ b/internal/sidecar/stop.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"sync"
 	"time"
 
 	"github.com/levertide/levertide/pkg/fleet"
@@ -12,8 +13,9 @@
 
 // stop ends the node as planned. It is unready at once and asks callers to close
 // their connections, but still takes what comes until the platform has noticed;
-// the worker is served meanwhile. Then other nodes turn elsewhere, and the
-// process ends when nothing is in flight, or when the bound is reached.
+// the worker is served meanwhile. Then other nodes turn elsewhere, nothing more is
+// taken from callers, also from those that would go on for ever, and the process
+// ends when nothing is in flight, or when the bound is reached.
 func (n *Node) stop() {
 	began := time.Now()
 	n.stopping.Store(true)
@@ -21,13 +23,15 @@
 	bounded, cancel := context.WithDeadline(context.Background(), began.Add(n.settings.DrainBound-stopMargin))
 	defer cancel()
 	wait(bounded, time.Until(began.Add(n.settings.StopNotice)))
+	var ending sync.WaitGroup
+	ending.Go(func() { n.callers.shutdown(bounded) })
 	n.agent.Farewell(bounded, fleet.StateLeaving)
 	wait(bounded, farewellTime)
 	n.plane.Stop()
+	ending.Wait()
 	_ = n.plane.WaitIdle(bounded)
 	calls, hops := n.plane.InFlight()
 	n.reportDrain(time.Since(began), int(calls+hops))
-	n.callers.shutdown(bounded)
 	n.calls.shutdown(bounded)
 	n.agent.Farewell(context.Background(), fleet.StateLeft)
 	n.plane.Close()
