Send documents by their predecessor, and news once to each zone

Cause: each document crossed zones whole, from three readers, by ranges of identifiers that ignore zones; comparisons crossed zones three times in four. Ruled out: a watch on every node (store calls grow with the nodes), sending from the first reader only (a document would wait for a dead one to be found).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -28,6 +28,9 @@
 	formerBound = 800 * time.Millisecond
 	// firstSyncs is how many nodes a starting node asks at once.
 	firstSyncs = 3
+	// reminderPause is how long after a document the zones that read the store
+	// themselves are told that it exists.
+	reminderPause = 200 * time.Millisecond
 	// farewellBound bounds the telling of others at a planned stop.
 	farewellBound = 500 * time.Millisecond
 )
@@ -270,11 +273,11 @@
 // it, or the time for that is over.
 func (a *Agent) promise(ctx context.Context) int {
 	wanted := min(promiseHolders, len(a.peers.reachablePeers()))
-	taken := make(chan struct{}, fanOut)
+	taken := make(chan struct{}, len(a.config.Table.View().Nodes())+fanOut)
 	done := make(chan struct{})
 	a.background(func(ctx context.Context) {
 		what := news{nodes: nodeMessages([]fleet.Node{a.config.Table.View().Self()})}
-		a.peers.Broadcast(ctx, what, "", "", func() { taken <- struct{}{} })
+		a.peers.Broadcast(ctx, what, func() { taken <- struct{}{} })
 		close(done)
 	})
 	bound := time.NewTimer(promiseBound)
@@ -298,13 +301,41 @@
 // spreadRecord tells all other nodes of the own record.
 func (a *Agent) spreadRecord(ctx context.Context) {
 	what := news{nodes: nodeMessages([]fleet.Node{a.config.Table.View().Self()})}
-	a.peers.Broadcast(ctx, what, "", "", nil)
+	a.peers.Broadcast(ctx, what, nil)
 }
 
-// spreadDocument hands the newest document to all other nodes, without waiting.
+// spreadDocument hands the newest document on, without waiting: to the own zone
+// and to zones where nobody else reads the store. The readers of the other zones
+// have it from there; these zones are told a little later that it exists, for the
+// case that they have not.
 func (a *Agent) spreadDocument(context.Context) {
-	what := news{document: a.documents.After(0)}
-	a.background(func(ctx context.Context) { a.peers.Broadcast(ctx, what, "", "", nil) })
+	revision := a.documents.Revision()
+	what := news{document: a.documents.News(), revision: revision}
+	others := a.readerZones()
+	a.background(func(ctx context.Context) {
+		a.peers.BroadcastOwnZone(ctx, what, "", "")
+	})
+	a.background(func(ctx context.Context) {
+		a.peers.BroadcastZones(ctx, what, func(zone string) bool { return !others[zone] })
+	})
+	a.background(func(ctx context.Context) {
+		sleep(ctx, reminderPause)
+		if a.documents.Revision() == revision {
+			a.peers.BroadcastZones(ctx, news{revision: revision}, func(zone string) bool { return others[zone] })
+		}
+	})
+}
+
+// readerZones returns the zones of the other nodes that read the store.
+func (a *Agent) readerZones() map[string]bool {
+	view := a.config.Table.View()
+	zones := map[string]bool{}
+	for _, id := range fleet.Readers(view, a.config.Contacts.Reachable, readerCount) {
+		if node, known := view.Node(id); known && id != view.Self().ID {
+			zones[node.Zone] = true
+		}
+	}
+	return zones
 }
 
 // housekeeping marks workers that went silent.
--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -2,40 +2,84 @@
 
 import (
 	"context"
+	"slices"
+	"strings"
 	"sync"
-	"sync/atomic"
 
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/fleet"
 )
 
-// fanOut is how many nodes hand on the news of one.
+// fanOut is how many nodes of its zone a node hands news to.
 const fanOut = 4
 
 // news is what a broadcast carries.
 type news struct {
 	nodes    []*exchangepb.Node
 	document *exchangepb.Document
+	// revision is the newest document's, for those who lack it.
+	revision uint64
 }
 
-// Broadcast hands news to all nodes whose identifiers lie in the range, each by
-// one message, and returns how many of the first hop took them. Taken, which may
-// be nil, is called for each of these.
-func (p *Peers) Broadcast(ctx context.Context, what news, after, until string, taken func()) int {
-	var count atomic.Int64
+// Broadcast hands news to all other nodes, each by one message: to one node of
+// each other zone, which hands them on there, and to some of the own zone. Taken,
+// which may be nil, is called for each of the first hop that took them.
+func (p *Peers) Broadcast(ctx context.Context, what news, taken func()) {
+	own := p.table.View().Self().Zone
+	var parts []fleet.Part
+	for zone, nodes := range p.byZone() {
+		if zone != own {
+			parts = append(parts, wholeZone(nodes))
+		}
+	}
+	parts = append(parts, fleet.Spread(p.inZone(own), "", "", fanOut)...)
+	p.handOnAll(ctx, what, parts, taken)
+}
+
+// BroadcastZones hands news to one node of each of the other zones that the
+// function takes, which hands them on there if it lacks them.
+func (p *Peers) BroadcastZones(ctx context.Context, what news, wanted func(zone string) bool) {
+	own := p.table.View().Self().Zone
+	var parts []fleet.Part
+	for zone, nodes := range p.byZone() {
+		if zone != own && wanted(zone) {
+			parts = append(parts, wholeZone(nodes))
+		}
+	}
+	p.handOnAll(ctx, what, parts, nil)
+}
+
+// BroadcastOwnZone hands news to the nodes of the own zone in a range.
+func (p *Peers) BroadcastOwnZone(ctx context.Context, what news, after, until string) {
+	own := p.table.View().Self().Zone
+	p.handOnAll(ctx, what, fleet.Spread(p.inZone(own), after, until, fanOut), nil)
+}
+
+func wholeZone(nodes []fleet.Node) fleet.Part {
+	slices.SortFunc(nodes, func(a, b fleet.Node) int { return strings.Compare(a.ID, b.ID) })
+	return fleet.Part{Candidates: nodes, Until: nodes[len(nodes)-1].ID}
+}
+
+func (p *Peers) byZone() map[string][]fleet.Node {
+	zones := map[string][]fleet.Node{}
+	for _, node := range p.reachablePeers() {
+		zones[node.Zone] = append(zones[node.Zone], node)
+	}
+	return zones
+}
+
+func (p *Peers) inZone(zone string) []fleet.Node { return p.byZone()[zone] }
+
+func (p *Peers) handOnAll(ctx context.Context, what news, parts []fleet.Part, taken func()) {
 	var waiting sync.WaitGroup
-	for _, part := range fleet.Spread(p.reachablePeers(), after, until, fanOut) {
+	for _, part := range parts {
 		waiting.Go(func() {
-			if p.handOn(ctx, what, part) {
-				count.Add(1)
-				if taken != nil {
-					taken()
-				}
+			if p.handOn(ctx, what, part) && taken != nil {
+				taken()
 			}
 		})
 	}
 	waiting.Wait()
-	return int(count.Load())
 }
 
 // reachablePeers leaves out nodes that are taken to be lost: they compare notes
@@ -56,13 +100,14 @@
 func (p *Peers) handOn(ctx context.Context, what news, part fleet.Part) bool {
 	for _, head := range part.Candidates {
 		request := &exchangepb.BroadcastRequest{
-			Mesh:     p.mesh,
-			Sender:   nodeMessage(p.table.View().Self()),
-			Nodes:    what.nodes,
-			Document: what.document,
+			Mesh:             p.mesh,
+			Sender:           p.table.View().Self().ID,
+			Nodes:            what.nodes,
+			Document:         what.document,
+			DocumentRevision: what.revision,
 		}
-		if head.ID != part.Until {
-			request.After, request.Until = head.ID, part.Until
+		if len(part.Candidates) > 1 {
+			request.After, request.Until = part.After, part.Until
 		}
 		if p.send(ctx, head, request) {
 			return true
@@ -77,12 +122,10 @@
 func (p *Peers) send(ctx context.Context, node fleet.Node, request *exchangepb.BroadcastRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, messageBound)
 	defer cancel()
-	response, err := p.client(node.ControlAddress).Broadcast(ctx, request)
-	if err != nil {
+	if _, err := p.client(node.ControlAddress).Broadcast(ctx, request); err != nil {
 		p.noteFailure(node.ID, err)
 		return false
 	}
 	p.noteContact(node.ID)
-	p.merge(nodesOf(response.GetReceiver()), nil)
 	return true
 }
--- /dev/null
+++ b/internal/hosted/compress.go
@@ -0,0 +1,56 @@
+package hosted
+
+import (
+	"fmt"
+
+	"github.com/klauspost/compress/zstd"
+)
+
+const (
+	// maximumDocument bounds a document, in bytes.
+	maximumDocument = 8 << 20
+	// documentWindow is the window of the compressor: it must reach back over the
+	// document before, and larger ones cost memory.
+	documentWindow = 512 << 10
+	// dictionaryID marks content that was compressed by a former document.
+	dictionaryID = 1
+)
+
+// compress returns content in fewer bytes; by a dictionary, what both have in
+// common costs next to nothing. Coders are made for each document, since they
+// are few and a coder that is kept costs memory all day.
+func compress(content, dictionary []byte) []byte {
+	options := []zstd.EOption{
+		zstd.WithEncoderLevel(zstd.SpeedFastest),
+		zstd.WithEncoderConcurrency(1),
+		zstd.WithWindowSize(documentWindow),
+		zstd.WithLowerEncoderMem(true),
+	}
+	if len(dictionary) > 0 {
+		options = append(options, zstd.WithEncoderDictRaw(dictionaryID, dictionary))
+	}
+	encoder, err := zstd.NewWriter(nil, options...)
+	if err != nil {
+		panic(fmt.Sprintf("hosted: options of the compressor: %v", err))
+	}
+	defer func() { _ = encoder.Close() }()
+	return encoder.EncodeAll(content, nil)
+}
+
+// decompress undoes compress with the same dictionary.
+func decompress(compressed, dictionary []byte) ([]byte, error) {
+	options := []zstd.DOption{
+		zstd.WithDecoderConcurrency(1),
+		zstd.WithDecoderLowmem(true),
+		zstd.WithDecoderMaxMemory(maximumDocument),
+	}
+	if len(dictionary) > 0 {
+		options = append(options, zstd.WithDecoderDictRaw(dictionaryID, dictionary))
+	}
+	decoder, err := zstd.NewReader(nil, options...)
+	if err != nil {
+		panic(fmt.Sprintf("hosted: options of the decompressor: %v", err))
+	}
+	defer decoder.Close()
+	return decoder.DecodeAll(compressed, nil)
+}
--- a/internal/hosted/documents.go
+++ b/internal/hosted/documents.go
@@ -1,108 +1,119 @@
 package hosted
 
 import (
-	"fmt"
 	"sync"
 
-	"github.com/klauspost/compress/zstd"
-
 	"github.com/levertide/levertide/internal/exchangepb"
 )
 
-const (
-	// maximumDocument bounds a document, in bytes.
-	maximumDocument = 8 << 20
-	// documentWindow is the window of the compressor; larger ones cost memory.
-	documentWindow = 128 << 10
-)
-
 // Documents holds the newest document that this node knows.
 type Documents struct {
 	consumer Consumer
 	events   Events
 
-	mutex        sync.Mutex
-	revision     uint64
-	compressed   []byte
-	compressor   *zstd.Encoder
-	decompressor *zstd.Decoder
+	mutex    sync.Mutex
+	newest   Document
+	whole    *exchangepb.Document // the newest in full, made when it is needed
+	delta    *exchangepb.Document // the newest by the one before it; nil if there is none
+	previous uint64
 }
 
 // NewDocuments returns an empty Documents.
 func NewDocuments(consumer Consumer, events Events) *Documents {
-	compressor, err := zstd.NewWriter(nil,
-		zstd.WithEncoderLevel(zstd.SpeedDefault),
-		zstd.WithEncoderConcurrency(1),
-		zstd.WithWindowSize(documentWindow),
-		zstd.WithLowerEncoderMem(true))
-	if err != nil {
-		panic(fmt.Sprintf("hosted: options of the compressor: %v", err))
-	}
-	decompressor, err := zstd.NewReader(nil,
-		zstd.WithDecoderConcurrency(1),
-		zstd.WithDecoderLowmem(true),
-		zstd.WithDecoderMaxMemory(maximumDocument))
-	if err != nil {
-		panic(fmt.Sprintf("hosted: options of the decompressor: %v", err))
-	}
-	return &Documents{consumer: consumer, events: events, compressor: compressor, decompressor: decompressor}
+	return &Documents{consumer: consumer, events: events}
 }
 
 // Revision returns the revision of the newest document; zero when there is none.
 func (d *Documents) Revision() uint64 {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	return d.revision
+	return d.newest.Revision
 }
 
-// After returns the newest document in the form of messages if it is newer than
-// the given revision, else nil.
+// After returns the newest document, in the form of messages, for a node that
+// holds the given revision; nil when that is no older.
 func (d *Documents) After(revision uint64) *exchangepb.Document {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if d.revision <= revision {
+	switch {
+	case d.newest.Revision <= revision:
 		return nil
+	case d.delta != nil && d.delta.GetBase() == revision:
+		return d.delta
+	}
+	if d.whole == nil {
+		d.whole = &exchangepb.Document{Revision: d.newest.Revision, Content: compress(d.newest.Content, nil)}
 	}
-	return &exchangepb.Document{Revision: d.revision, Content: d.compressed}
+	return d.whole
+}
+
+// News returns the newest document for all others: by the one before it, which
+// most of them hold, if there is one.
+func (d *Documents) News() *exchangepb.Document {
+	d.mutex.Lock()
+	base := d.previous
+	d.mutex.Unlock()
+	return d.After(base)
 }
 
 // Take takes a document from the store. It reports whether it was news.
 func (d *Documents) Take(document Document) bool {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if document.Revision <= d.revision {
+	if document.Revision <= d.newest.Revision {
 		return false
 	}
-	d.compressed = d.compressor.EncodeAll(document.Content, nil)
-	d.put(document)
+	d.put(document, nil)
 	return true
 }
 
-// TakeMessage takes a document from another node. It reports whether it was news.
+// TakeMessage takes a document from another node. It reports whether this node
+// holds the revision of the message afterwards: it does not when the document
+// was compressed by one that it lacks.
 func (d *Documents) TakeMessage(message *exchangepb.Document) bool {
 	if message == nil {
 		return false
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
-	if message.GetRevision() <= d.revision {
+	if message.GetRevision() <= d.newest.Revision {
+		return true
+	}
+	if base := message.GetBase(); base != 0 && base != d.newest.Revision {
 		return false
 	}
-	content, err := d.decompressor.DecodeAll(message.GetContent(), nil)
+	var dictionary []byte
+	if message.GetBase() != 0 {
+		dictionary = d.newest.Content
+	}
+	content, err := decompress(message.GetContent(), dictionary)
 	if err != nil {
 		d.events.DocumentRejected(message.GetRevision(), err)
 		return false
 	}
-	d.compressed = message.GetContent()
-	d.put(Document{Revision: message.GetRevision(), Content: content})
+	d.put(Document{Revision: message.GetRevision(), Content: content}, message)
 	return true
 }
 
 // put offers a document to the consumer. One that cannot be used is kept and
 // handed on all the same: others may be able to, and all must agree on which is
 // the newest. The mutex is held.
-func (d *Documents) put(document Document) {
-	d.revision = document.Revision
+func (d *Documents) put(document Document, message *exchangepb.Document) {
+	former := d.newest
+	d.newest, d.previous = document, former.Revision
+	d.whole, d.delta = nil, nil
+	switch {
+	case message.GetBase() != 0:
+		d.delta = message
+	case former.Revision != 0:
+		d.delta = &exchangepb.Document{
+			Revision: document.Revision, Base: former.Revision,
+			Content: compress(document.Content, former.Content),
+		}
+	}
+	if message != nil && message.GetBase() == 0 {
+		d.whole = message
+	}
 	if err := d.consumer.Offer(document.Content); err != nil {
 		d.events.DocumentRejected(document.Revision, err)
 	}
--- /dev/null
+++ b/internal/hosted/documents_test.go
@@ -0,0 +1,81 @@
+package hosted
+
+import (
+	"bytes"
+	"fmt"
+	"strings"
+	"testing"
+
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// recordingConsumer keeps what it was offered.
+type recordingConsumer struct{ offered [][]byte }
+
+func (c *recordingConsumer) Offer(content []byte) error {
+	c.offered = append(c.offered, content)
+	return nil
+}
+
+// quietEvents is told everything and does nothing.
+type quietEvents struct{}
+
+func (quietEvents) DocumentRejected(uint64, error)       {}
+func (quietEvents) ReaderRoleChanged(bool)               {}
+func (quietEvents) StoreReachable()                      {}
+func (quietEvents) StoreUnreachable(error)               {}
+func (quietEvents) NodeLost(string, error)               {}
+func (quietEvents) NodeFound(string)                     {}
+func (quietEvents) WorkerChanged(workers.Worker, string) {}
+func (quietEvents) PromiseKept(string, int)              {}
+func (quietEvents) FormerLife(uint64, int)               {}
+
+// exampleDocument has many routes, of which one depends on the version.
+func exampleDocument(version int) []byte {
+	var text strings.Builder
+	for route := range 300 {
+		fmt.Fprintf(&text, "route %d at /%x/ to service %d\n", route, route*7919, route%7)
+	}
+	fmt.Fprintf(&text, "version %d\n", version)
+	return []byte(text.String())
+}
+
+func TestDocumentsTravelByTheirPredecessor(t *testing.T) {
+	consumer := &recordingConsumer{}
+	source, target := NewDocuments(&recordingConsumer{}, quietEvents{}), NewDocuments(consumer, quietEvents{})
+	source.Take(Document{Revision: 10, Content: exampleDocument(1)})
+	first := source.News()
+	if !target.TakeMessage(first) {
+		t.Fatal("a whole document was not taken")
+	}
+	source.Take(Document{Revision: 12, Content: exampleDocument(2)})
+	second := source.News()
+	if second.GetBase() != 10 || len(second.GetContent()) > len(first.GetContent())/5 {
+		t.Fatalf("base %d, %d bytes after %d", second.GetBase(), len(second.GetContent()), len(first.GetContent()))
+	}
+	if !target.TakeMessage(second) || !bytes.Equal(consumer.offered[1], exampleDocument(2)) {
+		t.Fatal("the second document did not arrive as it was")
+	}
+}
+
+func TestNodeThatLacksTheBaseAsksForTheWholeDocument(t *testing.T) {
+	source := NewDocuments(&recordingConsumer{}, quietEvents{})
+	source.Take(Document{Revision: 10, Content: exampleDocument(1)})
+	source.Take(Document{Revision: 12, Content: exampleDocument(2)})
+	consumer := &recordingConsumer{}
+	target := NewDocuments(consumer, quietEvents{})
+	if target.TakeMessage(source.News()) {
+		t.Fatal("a document was made of a base that is not held")
+	}
+	if !target.TakeMessage(source.After(target.Revision())) || !bytes.Equal(consumer.offered[0], exampleDocument(2)) {
+		t.Fatal("the whole document was not taken")
+	}
+}
+
+func TestOlderDocumentIsNotTaken(t *testing.T) {
+	documents := NewDocuments(&recordingConsumer{}, quietEvents{})
+	documents.Take(Document{Revision: 12, Content: exampleDocument(2)})
+	if documents.Take(Document{Revision: 10, Content: exampleDocument(1)}) || documents.Revision() != 12 {
+		t.Fatal("an older document was taken")
+	}
+}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -32,7 +32,7 @@
 
 // Sync implements exchangepb.Exchange.
 func (s *Server) Sync(_ context.Context, request *exchangepb.SyncRequest) (*exchangepb.SyncResponse, error) {
-	if err := s.check(request.GetMesh(), request.GetSender()); err != nil {
+	if err := s.check(request.GetMesh(), request.GetSender().GetId()); err != nil {
 		return nil, err
 	}
 	p := s.peers
@@ -66,27 +66,36 @@
 		return nil, err
 	}
 	p := s.peers
-	p.noteContact(request.GetSender().GetId())
-	if request.GetUntil() != "" {
-		what := news{nodes: request.GetNodes(), document: request.GetDocument()}
-		s.background(func(ctx context.Context) {
-			p.Broadcast(ctx, what, request.GetAfter(), request.GetUntil(), nil)
-		})
-	}
-	p.merge(append(nodesOf(request.GetNodes()...), nodesOf(request.GetSender())...), nil)
-	p.documents.TakeMessage(request.GetDocument())
-	return &exchangepb.BroadcastResponse{
-		Receiver:         nodeMessage(p.table.View().Self()),
-		DocumentRevision: p.documents.Revision(),
-	}, nil
+	p.noteContact(request.GetSender())
+	p.merge(nodesOf(request.GetNodes()...), nil)
+	held := p.documents.TakeMessage(request.GetDocument()) || p.documents.Revision() >= request.GetDocumentRevision()
+	what := news{nodes: request.GetNodes(), document: request.GetDocument(), revision: request.GetDocumentRevision()}
+	s.background(func(ctx context.Context) {
+		if !held && s.fetch(ctx, request.GetSender()) {
+			what.document = p.documents.News()
+		}
+		// A message without news has been handed on by whoever brought them.
+		if request.GetUntil() != "" && (what.document != nil || len(what.nodes) > 0) {
+			p.BroadcastOwnZone(ctx, what, request.GetAfter(), request.GetUntil())
+		}
+	})
+	return &exchangepb.BroadcastResponse{}, nil
+}
+
+// fetch asks the sender of news for a document that this node could not make of
+// them. It reports whether there was one.
+func (s *Server) fetch(ctx context.Context, sender string) bool {
+	node, known := s.peers.table.View().Node(sender)
+	before := s.peers.documents.Revision()
+	return known && s.peers.Sync(ctx, node) && s.peers.documents.Revision() > before
 }
 
 // check refuses messages of other systems and those without a sender.
-func (s *Server) check(mesh string, sender *exchangepb.Node) error {
+func (s *Server) check(mesh, sender string) error {
 	switch {
 	case mesh != s.peers.mesh:
 		return twirp.InvalidArgumentError("mesh", "is another one")
-	case sender.GetId() == "":
+	case sender == "":
 		return twirp.RequiredArgumentError("sender")
 	}
 	return nil
--- a/internal/hosted/syncer.go
+++ b/internal/hosted/syncer.go
@@ -11,6 +11,8 @@
 const (
 	// syncInterval is the mean time between two comparisons with other nodes.
 	syncInterval = time.Second
+	// nearShare is the share of comparisons within the own zone.
+	nearShare = 0.75
 	// lostInterval is how often lost nodes are looked after.
 	lostInterval = 250 * time.Millisecond
 	// lostTries bounds how many lost nodes are tried at a time.
@@ -51,9 +53,14 @@
 	return ctx.Err()
 }
 
-// compare compares notes with a random node that is taken to be reachable.
+// compare compares notes with a random node that is taken to be reachable, mostly
+// of the own zone: bytes between zones are dear.
 func (s *Syncer) compare(ctx context.Context) {
-	if peers := s.peers.reachablePeers(); len(peers) > 0 {
+	peers := s.peers.reachablePeers()
+	if near := s.peers.inZone(s.table.View().Self().Zone); len(near) > 0 && rand.Float64() < nearShare {
+		peers = near
+	}
+	if len(peers) > 0 {
 		s.peers.Sync(ctx, peers[rand.IntN(len(peers))])
 	}
 }
