--- /dev/null
+++ b/internal/hosted/fleet_test.go
@@ -0,0 +1,318 @@
+package hosted_test
+
+import (
+	"bytes"
+	"context"
+	"fmt"
+	"net"
+	"sync"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// patience bounds the waits of these tests; what is waited for comes much sooner.
+const patience = 30 * time.Second
+
+// testNode is one agent with what it was told.
+type testNode struct {
+	agent    *hosted.Agent
+	table    *fleet.Table
+	contacts *fleet.Contacts
+	workers  *workers.Registry
+	events   *recorder
+	cancel   context.CancelFunc
+	ended    chan struct{}
+	address  string
+
+	mutex   sync.Mutex
+	content []byte
+	updated []workers.Worker
+	open    bool
+}
+
+func (n *testNode) Offer(content []byte) error {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.content = content
+	return nil
+}
+
+func (n *testNode) Update(registered []workers.Worker) {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.updated = registered
+}
+
+func (n *testNode) Open() {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	n.open = true
+}
+
+func (n *testNode) holds(content []byte) bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return bytes.Equal(n.content, content)
+}
+
+// recorder keeps the promises that were told.
+type recorder struct {
+	mutex    sync.Mutex
+	promises map[string]int
+}
+
+func (r *recorder) DocumentRejected(uint64, error)       {}
+func (r *recorder) ReaderRoleChanged(bool)               {}
+func (r *recorder) StoreReachable()                      {}
+func (r *recorder) StoreUnreachable(error)               {}
+func (r *recorder) NodeLost(string, error)               {}
+func (r *recorder) NodeFound(string)                     {}
+func (r *recorder) WorkerChanged(workers.Worker, string) {}
+func (r *recorder) FormerLife(uint64, int)               {}
+func (r *recorder) PromiseKept(instance string, holders int) {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	r.promises[instance] = holders
+}
+
+func (r *recorder) holders(instance string) int {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	return r.promises[instance]
+}
+
+// startNode starts an agent; an empty address takes any.
+func startNode(t *testing.T, store *hostedstore.Store, id, address string) *testNode {
+	t.Helper()
+	if address == "" {
+		address = "127.0.0.1:0"
+	}
+	listener, err := net.Listen("tcp", address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	record := fleet.Node{
+		ID: id, Incarnation: uint64(time.Now().UnixNano()), Sequence: 1, Region: "r", Zone: "zone-" + id[:1],
+		ControlAddress: listener.Addr().String(), State: fleet.StateLive, ReadsStore: true,
+	}
+	node := &testNode{
+		table:    fleet.NewTable(record),
+		contacts: fleet.NewContacts(),
+		workers:  workers.NewRegistry(time.Minute),
+		events:   &recorder{promises: map[string]int{}},
+		address:  listener.Addr().String(),
+		ended:    make(chan struct{}),
+	}
+	client := store.Client(id)
+	node.agent = hosted.New(hosted.Config{
+		Mesh: "test", Table: node.table, Contacts: node.contacts, Workers: node.workers,
+		Source: client, Directory: client, Consumer: node, Serving: node,
+		Listener: listener, Dial: (&net.Dialer{}).DialContext, Events: node.events,
+	})
+	ctx, cancel := context.WithCancel(context.Background())
+	node.cancel = cancel
+	go func() {
+		_ = node.agent.Serve(ctx)
+		close(node.ended)
+	}()
+	t.Cleanup(node.kill)
+	return node
+}
+
+// kill ends an agent without a word to the others.
+func (n *testNode) kill() {
+	n.cancel()
+	<-n.ended
+}
+
+func startNodes(t *testing.T, store *hostedstore.Store, ids ...string) []*testNode {
+	t.Helper()
+	nodes := make([]*testNode, 0, len(ids))
+	for _, id := range ids {
+		nodes = append(nodes, startNode(t, store, id, ""))
+	}
+	eventually(t, "all nodes know each other", func() bool {
+		for _, node := range nodes {
+			if len(node.table.View().Nodes()) != len(ids) || !node.agent.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+	return nodes
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func allHold(nodes []*testNode, content []byte) func() bool {
+	return func() bool {
+		for _, node := range nodes {
+			if !node.holds(content) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+func testDocument(number int) []byte { return []byte(fmt.Sprintf("document %d", number)) }
+
+func newStore() *hostedstore.Store {
+	store := hostedstore.New()
+	store.Put(testDocument(0))
+	return store
+}
+
+func TestEveryNodeLearnsEachDocument(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "a2", "b1", "b2", "c1", "c2", "d1")
+	for number := 1; number <= 5; number++ {
+		store.Put(testDocument(number))
+		eventually(t, "a document is everywhere", allHold(nodes, testDocument(number)))
+	}
+}
+
+func TestNodesThatTheStoreRefusesLearnFromOthers(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "a2", "b1", "b2", "c1", "c2")
+	for _, refused := range []string{"a1", "a2", "b1", "b2"} {
+		store.SetFaults(refused, hostedstore.Faults{Refuse: true})
+	}
+	store.SetFaults("c1", hostedstore.Faults{Silent: true})
+	store.Put(testDocument(1))
+	eventually(t, "the document is everywhere", allHold(nodes, testDocument(1)))
+}
+
+func TestReadersThatDieAreReplaced(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "a2", "b1", "b2", "c1", "c2")
+	everybody := func(string) bool { return true }
+	readers := fleet.Readers(nodes[0].table.View(), everybody, 3)
+	var survivors []*testNode
+	for _, node := range nodes {
+		dies := false
+		for _, reader := range readers {
+			dies = dies || reader == node.table.View().Self().ID
+		}
+		if dies {
+			node.kill()
+		} else {
+			survivors = append(survivors, node)
+		}
+	}
+	store.Put(testDocument(1))
+	eventually(t, "the document is with all survivors", allHold(survivors, testDocument(1)))
+}
+
+func TestDocumentAfterTheHistoryIsGone(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "b1", "c1")
+	store.SetFaults("", hostedstore.Faults{Refuse: true})
+	store.Put(testDocument(1))
+	store.Forget()
+	store.SetFaults("", hostedstore.Faults{})
+	eventually(t, "the document is everywhere", allHold(nodes, testDocument(1)))
+}
+
+func TestHerdWaitsForTheStore(t *testing.T) {
+	store := newStore()
+	store.SetFaults("", hostedstore.Faults{Refuse: true})
+	var nodes []*testNode
+	for _, id := range []string{"a1", "a2", "b1", "c1"} {
+		nodes = append(nodes, startNode(t, store, id, ""))
+	}
+	eventually(t, "the store was asked", func() bool { return store.Calls() > len(nodes) })
+	for _, node := range nodes {
+		if node.agent.Ready() {
+			t.Fatal("ready without a document")
+		}
+	}
+	store.SetFaults("", hostedstore.Faults{})
+	eventually(t, "all are ready", func() bool {
+		for _, node := range nodes {
+			if !node.agent.Ready() {
+				return false
+			}
+		}
+		return true
+	})
+}
+
+func TestRestartedNodeIsFoundWhileTheStoreIsDown(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "b1", "c1")
+	nodes[0].kill()
+	store.SetFaults("", hostedstore.Faults{Silent: true})
+	eventually(t, "the others miss it", func() bool {
+		return !nodes[1].contacts.Reachable("a1") || !nodes[2].contacts.Reachable("a1")
+	})
+	restarted := startNode(t, store, "a1", nodes[0].address)
+	eventually(t, "the restarted node is ready", restarted.agent.Ready)
+	if !restarted.holds(testDocument(0)) {
+		t.Fatal("the restarted node has another document")
+	}
+}
+
+func heartbeat(instance string, sequence uint64, draining bool) workers.Heartbeat {
+	return workers.Heartbeat{Instance: instance, Service: "ledger", Address: "127.0.0.1:1", Slots: 6, Sequence: sequence, Draining: draining}
+}
+
+func mustBeat(t *testing.T, node *testNode, beat workers.Heartbeat) {
+	t.Helper()
+	if err := node.agent.Heartbeat(t.Context(), beat); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestAcknowledgedDrainBindsWhoeverDies kills the node that acknowledged a drain,
+// with the store down, and lets a late heartbeat come to the next life of it.
+func TestAcknowledgedDrainBindsWhoeverDies(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "b1", "c1", "d1")
+	mustBeat(t, nodes[0], heartbeat("w1", 3, false))
+	mustBeat(t, nodes[0], heartbeat("w1", 5, true))
+	if holders := nodes[0].events.holders("w1"); holders < 2 {
+		t.Fatalf("acknowledged with %d other holders", holders)
+	}
+	nodes[0].kill()
+	store.SetFaults("", hostedstore.Faults{Silent: true})
+	restarted := startNode(t, store, "a1", nodes[0].address)
+	mustBeat(t, restarted, heartbeat("w1", 4, false))
+	if worker, known := restarted.table.View().Self().Serves("ledger"); known {
+		t.Fatalf("%v is offered before the former life is known", worker)
+	}
+	eventually(t, "the restarted node is ready", restarted.agent.Ready)
+	if worker, ready := restarted.workers.Ready("ledger"); ready {
+		t.Fatalf("%v gets work after its drain was acknowledged", worker)
+	}
+}
+
+func TestPlannedStopIsTold(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "b1", "c1")
+	nodes[0].agent.Farewell(t.Context(), fleet.StateLeaving)
+	eventually(t, "the others know that it leaves", func() bool {
+		for _, other := range nodes[1:] {
+			if node, _ := other.table.View().Node("a1"); node.State != fleet.StateLeaving {
+				return false
+			}
+		}
+		return true
+	})
+	nodes[0].agent.Farewell(t.Context(), fleet.StateLeft)
+	eventually(t, "its entry is gone", func() bool { return store.Entries() == 2 })
+}
--- /dev/null
+++ b/internal/lab/hostedstore/store.go
@@ -0,0 +1,247 @@
+package hostedstore
+
+import (
+	"context"
+	"strconv"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/hosted"
+)
+
+// Faults are what goes wrong with a Store for one client or all.
+type Faults struct {
+	// Refuse answers each call with hosted.ErrRefused.
+	Refuse bool
+	// Silent answers no call.
+	Silent bool
+	// LoseAnswers does what is asked and answers nothing.
+	LoseAnswers bool
+	// Delay is added to each call.
+	Delay time.Duration
+}
+
+// Store is the stand-in. It is safe for concurrent use.
+type Store struct {
+	mutex    sync.Mutex
+	revision uint64
+	document *hosted.Document
+	// history is the lowest revision that watches can start from.
+	history uint64
+	entries map[string]entry
+	changed chan struct{}
+	faults  map[string]Faults
+	calls   int
+	leases  uint64
+}
+
+type entry struct {
+	value []byte
+	lease hosted.Lease
+}
+
+// everybody is the key of the faults that strike all clients.
+const everybody = ""
+
+// New returns a store without a document.
+func New() *Store {
+	return &Store{entries: map[string]entry{}, changed: make(chan struct{}), faults: map[string]Faults{}}
+}
+
+// Put accepts a document and returns its revision.
+func (s *Store) Put(content []byte) uint64 {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.document = &hosted.Document{Revision: s.revision, Content: content}
+	close(s.changed)
+	s.changed = make(chan struct{})
+	return s.revision
+}
+
+// Forget drops the history up to now.
+func (s *Store) Forget() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.revision++
+	s.history = s.revision
+}
+
+// EndLeases lets all leases run out, and their entries with them.
+func (s *Store) EndLeases() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.entries = map[string]entry{}
+}
+
+// SetFaults strikes the client of one node, or all when the name is empty.
+func (s *Store) SetFaults(node string, faults Faults) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.faults[node] = faults
+}
+
+// Calls returns how many calls were made.
+func (s *Store) Calls() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.calls
+}
+
+// Entries returns how many nodes have an entry.
+func (s *Store) Entries() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return len(s.entries)
+}
+
+// Client is the way of one node to a Store.
+type Client struct {
+	store *Store
+	node  string
+}
+
+var (
+	_ hosted.Source    = (*Client)(nil)
+	_ hosted.Directory = (*Client)(nil)
+)
+
+// Client returns the way of a node.
+func (s *Store) Client(node string) *Client { return &Client{store: s, node: node} }
+
+// begin counts a call and lets faults strike it.
+func (c *Client) begin(ctx context.Context) (Faults, error) {
+	c.store.mutex.Lock()
+	c.store.calls++
+	faults, own := c.store.faults[c.node]
+	if !own {
+		faults = c.store.faults[everybody]
+	}
+	c.store.mutex.Unlock()
+	if faults.Silent {
+		<-ctx.Done()
+		return faults, hosted.ErrUnanswered.New("silent")
+	}
+	if faults.Refuse {
+		return faults, hosted.ErrRefused.New("refused")
+	}
+	select {
+	case <-time.After(faults.Delay):
+	case <-ctx.Done():
+		return faults, hosted.ErrUnanswered.New("slow")
+	}
+	return faults, nil
+}
+
+func (f Faults) lost(ctx context.Context) error {
+	if !f.LoseAnswers {
+		return nil
+	}
+	<-ctx.Done()
+	return hosted.ErrUnanswered.New("answer lost")
+}
+
+// Read implements hosted.Source.
+func (c *Client) Read(ctx context.Context) (hosted.Document, uint64, error) {
+	if _, err := c.begin(ctx); err != nil {
+		return hosted.Document{}, 0, err
+	}
+	c.store.mutex.Lock()
+	defer c.store.mutex.Unlock()
+	if c.store.document == nil {
+		return hosted.Document{}, 0, hosted.ErrNoDocument.New("none")
+	}
+	return *c.store.document, c.store.revision, nil
+}
+
+// Watch implements hosted.Source.
+func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (*hosted.Document, uint64, error) {
+	if _, err := c.begin(ctx); err != nil {
+		return nil, 0, err
+	}
+	bound := time.NewTimer(wait)
+	defer bound.Stop()
+	for {
+		c.store.mutex.Lock()
+		document, revision, history, changed := c.store.document, c.store.revision, c.store.history, c.store.changed
+		c.store.mutex.Unlock()
+		if after < history {
+			return nil, 0, hosted.ErrHistoryGone.New("forgotten")
+		}
+		if document != nil && document.Revision > after {
+			return document, revision, nil
+		}
+		select {
+		case <-changed:
+		case <-bound.C:
+			return nil, revision, nil
+		case <-ctx.Done():
+			return nil, 0, hosted.ErrUnanswered.New("given up")
+		}
+	}
+}
+
+// Announce implements hosted.Directory.
+func (c *Client) Announce(ctx context.Context, id string, value []byte, _ time.Duration) (hosted.Lease, error) {
+	faults, err := c.begin(ctx)
+	if err != nil {
+		return "", err
+	}
+	c.store.mutex.Lock()
+	c.store.leases++
+	lease := hosted.Lease(strconv.FormatUint(c.store.leases, 10))
+	c.store.entries[id] = entry{value: value, lease: lease}
+	c.store.mutex.Unlock()
+	return lease, faults.lost(ctx)
+}
+
+// Renew implements hosted.Directory.
+func (c *Client) Renew(ctx context.Context, lease hosted.Lease) error {
+	if _, err := c.begin(ctx); err != nil {
+		return err
+	}
+	if _, held := c.store.holder(lease); !held {
+		return hosted.ErrLeaseEnded.New("ended")
+	}
+	return nil
+}
+
+// Withdraw implements hosted.Directory.
+func (c *Client) Withdraw(ctx context.Context, lease hosted.Lease) error {
+	if _, err := c.begin(ctx); err != nil {
+		return err
+	}
+	id, held := c.store.holder(lease)
+	if !held {
+		return hosted.ErrLeaseEnded.New("ended")
+	}
+	c.store.mutex.Lock()
+	defer c.store.mutex.Unlock()
+	delete(c.store.entries, id)
+	return nil
+}
+
+func (s *Store) holder(lease hosted.Lease) (string, bool) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	for id, held := range s.entries {
+		if held.lease == lease {
+			return id, true
+		}
+	}
+	return "", false
+}
+
+// List implements hosted.Directory.
+func (c *Client) List(ctx context.Context) ([][]byte, error) {
+	if _, err := c.begin(ctx); err != nil {
+		return nil, err
+	}
+	c.store.mutex.Lock()
+	defer c.store.mutex.Unlock()
+	values := make([][]byte, 0, len(c.store.entries))
+	for _, held := range c.store.entries {
+		values = append(values, held.value)
+	}
+	return values, nil
+}
