Bound the end of a planned stop; test it with callers that go on for ever

Calls that last, the farewell and the supervisors' bounds added up to more than the grace. Their bounds are shorter now. TestPlannedStopCutsNothingOff fails without the shutdown of the callers' server (the node ends at its bound only) and passes with it.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -31,8 +31,10 @@
 	// reminderPause is how long after a document the zones that read the store
 	// themselves are told that it exists.
 	reminderPause = 200 * time.Millisecond
+	// endBound bounds the end of the parts.
+	endBound = 200 * time.Millisecond
 	// farewellBound bounds the telling of others at a planned stop.
-	farewellBound = 500 * time.Millisecond
+	farewellBound = 300 * time.Millisecond
 )
 
 // Config sets up an Agent. All fields must be given.
@@ -91,7 +93,7 @@
 		IdleTimeout: idleServerMessages,
 		ErrorLog:    log.New(io.Discard, "", 0),
 	}
-	agent.supervisor = suture.New("hosted", suture.Spec{PassThroughPanics: true, Timeout: time.Second})
+	agent.supervisor = suture.New("hosted", suture.Spec{PassThroughPanics: true, Timeout: endBound})
 	agent.supervisor.Add(&Reader{
 		source: config.Source, documents: agent.documents, table: config.Table, contacts: config.Contacts,
 		events: config.Events, spread: agent.spreadDocument, announce: agent.spreadRecord,
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -27,9 +27,9 @@
 	// sees them.
 	budgetShare = 0.4
 	// supervisorTimeout bounds the end of the parts.
-	supervisorTimeout = time.Second
+	supervisorTimeout = 200 * time.Millisecond
 	// stopMargin is what a planned stop leaves of its bound for ending the process.
-	stopMargin = 500 * time.Millisecond
+	stopMargin = 800 * time.Millisecond
 	// stopInterval is how often a node that stops looks whether it may end.
 	stopInterval = 50 * time.Millisecond
 	// farewellTime is how long other nodes are given to turn elsewhere before a
--- /dev/null
+++ b/internal/sidecar/node_test.go
@@ -0,0 +1,318 @@
+package sidecar
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/internal/forwarding"
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/telemetry"
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// patience bounds waits for what comes much sooner.
+const patience = 30 * time.Second
+
+// testDocument is the document of these tests.
+type testDocument struct {
+	Version uint64
+	Routes  map[string]string // service by path prefix
+}
+
+func (d testDocument) encode() []byte {
+	encoded, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+func translateTest(content []byte) (Translation, error) {
+	var document testDocument
+	if err := json.Unmarshal(content, &document); err != nil {
+		return Translation{}, hosted.ErrInvalidDocument.Wrap(err, "test")
+	}
+	translation := Translation{Version: document.Version}
+	for prefix, service := range document.Routes {
+		translation.Resources = append(translation.Resources,
+			model.Resource{Key: model.Key{Kind: model.KindService, Name: service}, Service: &model.Service{}},
+			model.Resource{Key: model.Key{Kind: model.KindRoute, Name: prefix}, Route: &model.Route{
+				Match: model.Match{Host: "mesh.example", PathPrefix: prefix}, Service: service,
+				Repeatable: model.RepeatNever, Timeout: 5 * time.Second, TargetLatency: time.Second,
+			}})
+	}
+	return translation, nil
+}
+
+// runningNode is a node with what a test needs of it.
+type runningNode struct {
+	node      *Node
+	registrar Registrar
+	stop      context.CancelFunc
+	ended     chan error
+	log       *lockedBuffer
+}
+
+// lockedBuffer is a log that may be read while it is written.
+type lockedBuffer struct {
+	mutex sync.Mutex
+	text  strings.Builder
+}
+
+func (b *lockedBuffer) Write(p []byte) (int, error) {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.Write(p)
+}
+
+func (b *lockedBuffer) String() string {
+	b.mutex.Lock()
+	defer b.mutex.Unlock()
+	return b.text.String()
+}
+
+// freeAddress returns an address that was free a moment ago.
+func freeAddress(t *testing.T) string {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = listener.Close() }()
+	return listener.Addr().String()
+}
+
+func startNode(t *testing.T, store *hostedstore.Store, id string, service string) *runningNode {
+	t.Helper()
+	running := &runningNode{ended: make(chan error, 1), log: &lockedBuffer{}}
+	adapter := Adapter{
+		Dialect: forwarding.Dialect{RequestID: "X-Id", Timeout: "X-Timeout", CallerService: "X-Caller", ExpectInstance: "X-Expect", NotRun: "X-Not-Run"},
+		Open: func(string, httpleg.DialFunc) (hosted.Source, hosted.Directory) {
+			client := store.Client(id)
+			return client, client
+		},
+		Translate: translateTest,
+		Registration: func(registrar Registrar) http.Handler {
+			running.registrar = registrar
+			return http.NotFoundHandler()
+		},
+		Readiness: func(ready func() bool) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !ready() {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+		},
+	}
+	lines := telemetry.NewQueue(running.log)
+	log := telemetry.NewLog(lines, id, telemetry.LevelInfo)
+	node, err := New(settings.Settings{
+		NodeID: id, Region: "r", Zone: "z", Service: service, Mode: settings.ModeHosted,
+		CallerAddress: "127.0.0.1:0", CallAddress: freeAddress(t), ControlAddress: freeAddress(t),
+		AdminAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", MetricsAddress: "127.0.0.1:0",
+		StoreAddresses: []string{"unused"}, DrainBound: 10 * time.Second, StopNotice: 200 * time.Millisecond,
+		HeartbeatInterval: time.Minute, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
+	}, adapter, log, lines)
+	if err != nil {
+		t.Fatal(err)
+	}
+	running.node = node
+	ctx, stop := context.WithCancel(context.Background())
+	running.stop = stop
+	go func() { running.ended <- node.Run(ctx, func() string { return "test" }) }()
+	t.Cleanup(func() {
+		stop()
+		select {
+		case <-running.ended:
+		case <-time.After(patience):
+		}
+	})
+	return running
+}
+
+func eventually(t *testing.T, what string, condition func() bool) {
+	t.Helper()
+	deadline := time.Now().Add(patience)
+	for !condition() {
+		if time.Now().After(deadline) {
+			t.Fatalf("not within %v: %s", patience, what)
+		}
+		time.Sleep(5 * time.Millisecond)
+	}
+}
+
+func (n *runningNode) beat(t *testing.T, instance, service, address string) {
+	t.Helper()
+	err := n.registrar.Heartbeat(t.Context(), workers.Heartbeat{Instance: instance, Service: service, Address: address, Slots: 6, Sequence: 1})
+	if err != nil {
+		t.Fatal(err)
+	}
+}
+
+func (n *runningNode) isReady() bool {
+	response, err := http.Get("http://" + n.node.others[1].address)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
+
+// call sends one request to a node on a client's connection.
+func (n *runningNode) call(t *testing.T, client *http.Client, path string) (int, string, error) {
+	t.Helper()
+	request, err := http.NewRequestWithContext(t.Context(), http.MethodPost, "http://"+n.node.callers.address+path, strings.NewReader("vat"))
+	if err != nil {
+		t.Fatal(err)
+	}
+	request.Host = "mesh.example"
+	request.Header.Set("X-Id", "id")
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// slowWorker answers after a moment and counts.
+func slowWorker(t *testing.T, ran *atomic.Int64) string {
+	t.Helper()
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.ReadAll(r.Body)
+		ran.Add(1)
+		time.Sleep(20 * time.Millisecond)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		_, _ = fmt.Fprint(w, "whole")
+	}))
+	t.Cleanup(server.Close)
+	return server.Listener.Addr().String()
+}
+
+var ledgerDocument = testDocument{Version: 1, Routes: map[string]string{"/ledger/": "ledger"}}
+
+// TestPlannedStopCutsNothingOff stops a node while callers go on and on. Each call
+// that a worker ran must have been answered whole, and the node must end although
+// its callers never do.
+func TestPlannedStopCutsNothingOff(t *testing.T) {
+	store := hostedstore.New()
+	store.Put(ledgerDocument.encode())
+	var ran, answered atomic.Int64
+	front, back := startNode(t, store, "front", "desk"), startNode(t, store, "back", "ledger")
+	eventually(t, "both are ready", func() bool { return front.isReady() && back.isReady() })
+	back.beat(t, "w1", "ledger", slowWorker(t, &ran))
+	client := &http.Client{Timeout: patience}
+	eventually(t, "calls are served", func() bool {
+		status, _, _ := front.call(t, client, "/ledger/1")
+		return status == http.StatusOK
+	})
+	ran.Store(0)
+	ending := make(chan struct{})
+	var callers sync.WaitGroup
+	for range 4 {
+		callers.Go(func() {
+			own := &http.Client{Timeout: patience, Transport: &http.Transport{}}
+			for {
+				select {
+				case <-ending:
+					return
+				default:
+				}
+				if status, body, err := front.call(t, own, "/ledger/1"); err == nil && status == http.StatusOK && body == "whole" {
+					answered.Add(1)
+				}
+			}
+		})
+	}
+	eventually(t, "callers are served", func() bool { return answered.Load() > 8 })
+	front.stop()
+	eventually(t, "callers are sent away", func() bool { return !front.isReady() })
+	select {
+	case err := <-front.ended:
+		front.ended <- nil
+		if err != nil {
+			t.Error(err)
+		}
+	case <-time.After(9 * time.Second):
+		t.Error("the node does not end while callers go on")
+	}
+	close(ending)
+	callers.Wait()
+	if ran.Load() != answered.Load() {
+		t.Errorf("%d calls ran, %d were answered whole", ran.Load(), answered.Load())
+	}
+}
+
+// TestChangeIsInForceOnEveryNode puts documents in the store and expects each
+// node to route by them, and never by an older one again.
+func TestChangeIsInForceOnEveryNode(t *testing.T) {
+	store := hostedstore.New()
+	store.Put(ledgerDocument.encode())
+	var ran atomic.Int64
+	nodes := []*runningNode{startNode(t, store, "one", "ledger"), startNode(t, store, "two", "desk"), startNode(t, store, "three", "desk")}
+	eventually(t, "all are ready", func() bool {
+		return nodes[0].isReady() && nodes[1].isReady() && nodes[2].isReady()
+	})
+	nodes[0].beat(t, "w1", "ledger", slowWorker(t, &ran))
+	client := &http.Client{Timeout: patience}
+	inForceEverywhere := func(version uint64, prefix string) {
+		store.Put(testDocument{Version: version, Routes: map[string]string{prefix: "ledger"}}.encode())
+		for _, node := range nodes {
+			eventually(t, prefix+" is served", func() bool {
+				status, _, _ := node.call(t, client, prefix+"1")
+				return status == http.StatusOK
+			})
+		}
+	}
+	inForceEverywhere(3, "/archive/")
+	store.Put([]byte("no document"))
+	store.Put(testDocument{Version: 2, Routes: map[string]string{"/stale/": "ledger"}}.encode())
+	inForceEverywhere(4, "/filing/")
+	for _, node := range nodes {
+		for _, gone := range []string{"/ledger/1", "/archive/1", "/stale/1"} {
+			if status, _, _ := node.call(t, client, gone); status != http.StatusNotFound {
+				t.Errorf("%s: status %d", gone, status)
+			}
+		}
+	}
+	store.Put([]byte("no document"))
+	eventually(t, "the document that cannot be read is told", func() bool {
+		return strings.Contains(nodes[0].log.String(), "document rejected")
+	})
+}
+
+func TestMetricsAreTold(t *testing.T) {
+	store := hostedstore.New()
+	store.Put(ledgerDocument.encode())
+	node := startNode(t, store, "one", "ledger")
+	eventually(t, "the node is ready", node.isReady)
+	response, err := http.Get("http://" + node.node.others[2].address)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = response.Body.Close() }()
+	text, err := io.ReadAll(response.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, name := range []string{"levertide_ready 1", "levertide_version_in_force 1", "levertide_live_nodes 1"} {
+		if !strings.Contains(string(text), name) {
+			t.Errorf("%q is missing", name)
+		}
+	}
+}
