--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -224,7 +224,7 @@
 	ran.Store(0)
 	ending := make(chan struct{})
 	var callers sync.WaitGroup
-	for range 4 {
+	for range 16 {
 		callers.Go(func() {
 			own := &http.Client{Timeout: patience, Transport: &http.Transport{}}
 			for {
