--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -33,8 +33,6 @@
 	failurePause = 300 * time.Millisecond
 	// unknownHold is taken for the time of a request before any was seen.
 	unknownHold = 20 * time.Millisecond
-	// typicalSlots is taken for a worker whose node told no load yet.
-	typicalSlots = 4
 	// longestLead stands for an endpoint without a next best one.
 	longestLead = time.Hour
 	// slowestFactor and fastestFactor bound what is believed of a speed.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -30,8 +30,6 @@
 	supervisorTimeout = 200 * time.Millisecond
 	// stopMargin is what a planned stop leaves of its bound for ending the process.
 	stopMargin = 800 * time.Millisecond
-	// stopInterval is how often a node that stops looks whether it may end.
-	stopInterval = 50 * time.Millisecond
 	// farewellTime is how long other nodes are given to turn elsewhere before a
 	// node that stops refuses their calls.
 	farewellTime = 100 * time.Millisecond
