Make the choice certain in TestLongUploadMovesOnFromARefusingNode

The test goes on until the leaving node was asked, its assertions are as they were. Also fixed seeds and examples for the packages of the hosted mode.

--- a/internal/dataplane/drain_test.go
+++ b/internal/dataplane/drain_test.go
@@ -96,8 +96,11 @@
 	leaving := m.addHandler("a", handler)
 	m.addHandler("b", handler)
 	leaving.plane.draining.Store(true)
-	const size, calls = 1 << 20, 8
-	for range calls {
+	// The choice between the two nodes is drawn: go on until the leaving one was
+	// asked. That 200 draws all miss it does not happen.
+	const size, fewest, most = 1 << 20, 8, 200
+	calls := int64(0)
+	for ; calls < fewest || calls < most && leaving.watch.peerReports() == 0; calls++ {
 		m.call("POST", "/never", strings.Repeat("x", size)).expect(t, http.StatusOK, "")
 		// Forget that the node is leaving, so that it is asked again.
 		m.entry.plane.destinations = destinations{make: m.entry.plane.newDestination}
--- /dev/null
+++ b/pkg/fleet/main_test.go
@@ -0,0 +1,9 @@
+package fleet
+
+import (
+	"testing"
+
+	"github.com/levertide/levertide/pkg/internal/fixedseed"
+)
+
+func TestMain(m *testing.M) { fixedseed.Main(m) }
--- /dev/null
+++ b/pkg/workers/example_test.go
@@ -0,0 +1,19 @@
+package workers_test
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+func ExampleRegistry() {
+	registry, now := workers.NewRegistry(6*time.Second), time.Now()
+	beat := workers.Heartbeat{Instance: "i1", Service: "ledger", Address: "127.0.0.1:9000", Slots: 6, Sequence: 2, Draining: true}
+	_, _ = registry.Heartbeat(beat, now)
+	beat.Sequence, beat.Draining = 1, false // late
+	_, _ = registry.Heartbeat(beat, now)
+	_, ready := registry.Ready("ledger")
+	fmt.Println("gets work:", ready)
+	// Output: gets work: false
+}
