Add a fault soak of the hosted mode: nodes, store and workers in one process

levertide-lab soak runs the product's own nodes with stand-ins, lets crashes, planned stops, leaves, lost answers, store outages and forgotten history strike by a seed, and checks a ledger: unrepeatable at most once, not-run is true, whole answers to the right request, no work after an acknowledged leave, versions never back, all whole in the end.

--- a/internal/lab/command/root.go
+++ b/internal/lab/command/root.go
@@ -17,6 +17,7 @@
 	"github.com/levertide/levertide/internal/lab/load"
 	"github.com/levertide/levertide/internal/lab/report"
 	"github.com/levertide/levertide/internal/lab/scale"
+	"github.com/levertide/levertide/internal/lab/soak"
 	"github.com/levertide/levertide/internal/lab/worker"
 )
 
@@ -81,6 +82,7 @@
 		scale.Command(os.Stdout),
 		scale.SlopesCommand(os.Stdout),
 		fuzz.Command(),
+		soak.Command(os.Stdout, os.Stderr),
 		load.Command(),
 		report.Command(os.Stdout),
 		certs.Command(),
--- /dev/null
+++ b/internal/lab/soak/caller.go
@@ -0,0 +1,65 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net/http"
+	"strings"
+	"time"
+)
+
+const (
+	statusServed  = http.StatusOK
+	statusRefused = http.StatusServiceUnavailable
+	// callerPause is how long a caller waits when a node cannot be reached.
+	callerPause = 20 * time.Millisecond
+)
+
+// call sends one request to a machine and enters what came of it.
+func call(ctx context.Context, client *http.Client, m *machine, l *ledger, id string) {
+	repeatable := rand.Float64() < 0.5
+	method, path := http.MethodPost, oncePrefix
+	if repeatable {
+		method, path = http.MethodGet, safePrefix
+	}
+	l.began(id, repeatable)
+	status, body, err := send(ctx, client, m, method, path+id, id)
+	if err != nil {
+		status = 0
+		time.Sleep(callerPause)
+	}
+	l.told(id, status, body)
+}
+
+func send(ctx context.Context, client *http.Client, m *machine, method, path, id string) (int, string, error) {
+	request, err := http.NewRequestWithContext(ctx, method, "http://"+m.callers+path, nil)
+	if err != nil {
+		return 0, "", err
+	}
+	if method == http.MethodPost {
+		request.Body = io.NopCloser(strings.NewReader(id))
+		request.ContentLength = int64(len(id))
+	}
+	request.Host = hostName
+	request.Header.Set(dialect.RequestID, id)
+	request.Header.Set(dialect.Timeout, fmt.Sprint(callBound.Milliseconds()))
+	response, err := client.Do(request)
+	if err != nil {
+		return 0, "", err
+	}
+	defer func() { _ = response.Body.Close() }()
+	body, err := io.ReadAll(response.Body)
+	return response.StatusCode, string(body), err
+}
+
+// callOn sends requests to random machines until the context ends.
+func callOn(ctx context.Context, machines []*machine, l *ledger, caller int) {
+	client := &http.Client{Timeout: 2 * callBound, Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for number := 0; ctx.Err() == nil; number++ {
+		m := machines[rand.IntN(len(machines))]
+		call(context.WithoutCancel(ctx), client, m, l, fmt.Sprintf("request-%d-%d", caller, number))
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/document.go
@@ -0,0 +1,55 @@
+package soak
+
+import (
+	"encoding/json"
+	"fmt"
+	"time"
+
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/sidecar"
+	"github.com/levertide/levertide/pkg/model"
+)
+
+const (
+	hostName   = "mesh.example"
+	safePrefix = "/safe/"
+	oncePrefix = "/once/"
+	callBound  = 2 * time.Second
+	idleRoutes = 50
+)
+
+// document is what the soak's operator writes.
+type document struct{ Version uint64 }
+
+func (d document) encode() []byte {
+	encoded, err := json.Marshal(d)
+	if err != nil {
+		panic(err)
+	}
+	return encoded
+}
+
+// versionPrefix is a route that only one version has: it shows which is in force.
+func versionPrefix(version uint64) string { return fmt.Sprintf("/version-%d/", version) }
+
+func translate(content []byte) (sidecar.Translation, error) {
+	var parsed document
+	if err := json.Unmarshal(content, &parsed); err != nil {
+		return sidecar.Translation{}, hosted.ErrInvalidDocument.Wrap(err, "soak")
+	}
+	translation := sidecar.Translation{Version: parsed.Version, Resources: []model.Resource{
+		{Key: model.Key{Kind: model.KindService, Name: serviceName}, Service: &model.Service{}},
+		route(safePrefix, model.RepeatAlways), route(oncePrefix, model.RepeatNever), route(versionPrefix(parsed.Version), model.RepeatAlways),
+	}}
+	for idle := range idleRoutes {
+		translation.Resources = append(translation.Resources, route(fmt.Sprintf("/idle-%d/", idle), model.RepeatAlways))
+	}
+	return translation, nil
+}
+
+func route(prefix string, repeatable model.Repeatable) model.Resource {
+	return model.Resource{Key: model.Key{Kind: model.KindRoute, Name: prefix}, Route: &model.Route{
+		Match: model.Match{Host: hostName, PathPrefix: prefix}, Service: serviceName,
+		Repeatable: repeatable, Timeout: callBound, Attempts: 3, TargetLatency: callBound / 4,
+	}}
+}
--- /dev/null
+++ b/internal/lab/soak/faults.go
@@ -0,0 +1,148 @@
+package soak
+
+import (
+	"context"
+	"math/rand/v2"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+)
+
+const (
+	shortestFaultPause = 50 * time.Millisecond
+	longestFaultPause  = 400 * time.Millisecond
+	longestFault       = 1500 * time.Millisecond
+)
+
+// faults strike machines and the store, as the seed decides.
+type faults struct {
+	options  Options
+	random   *rand.Rand
+	machines []*machine
+	store    *hostedstore.Store
+	ledger   *ledger
+	version  uint64
+	// busy are machines with a fault of their own under way.
+	mutex   sync.Mutex
+	busy    map[*machine]bool
+	running sync.WaitGroup
+	broken  error
+}
+
+// run lets faults strike until the context ends, and waits for the last to be over.
+func (f *faults) run(ctx context.Context) {
+	for ctx.Err() == nil {
+		pause := shortestFaultPause + time.Duration(f.random.Int64N(int64(longestFaultPause-shortestFaultPause)))
+		wait(ctx, pause)
+		f.strike(ctx)
+	}
+	f.running.Wait()
+}
+
+func (f *faults) strike(ctx context.Context) {
+	duration := time.Duration(f.random.Int64N(int64(longestFault)))
+	target := f.machines[f.random.IntN(len(f.machines))]
+	f.ledger.fault()
+	switch f.random.IntN(9) {
+	case 0, 1, 2:
+		f.change()
+	case 3:
+		f.onMachine(target, "crash of the node", func() { f.restart(ctx, target, false, duration) })
+	case 4:
+		f.onMachine(target, "planned stop of the node", func() { f.restart(ctx, target, true, 0) })
+	case 5:
+		f.onMachine(target, "leave of the worker", func() { f.replaceWorker(ctx, target, false) })
+	case 6:
+		f.onMachine(target, "crash of the worker", func() { f.replaceWorker(ctx, target, true) })
+	case 7:
+		f.strikeStore(ctx, target, duration)
+	case 8:
+		f.loseAnswers(ctx, target, duration)
+	}
+}
+
+// change writes the next document.
+func (f *faults) change() {
+	f.version += 1 + uint64(f.random.IntN(3))
+	f.store.Put(document{Version: f.version}.encode())
+	f.ledger.document()
+	if f.random.IntN(4) == 0 {
+		f.store.Forget()
+	}
+}
+
+// onMachine runs a fault of a machine, unless one is under way there.
+func (f *faults) onMachine(m *machine, what string, fault func()) {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	if f.busy[m] {
+		return
+	}
+	f.busy[m] = true
+	f.options.Log("%s: %s", m.id, what)
+	f.running.Go(func() {
+		fault()
+		f.mutex.Lock()
+		delete(f.busy, m)
+		f.mutex.Unlock()
+	})
+}
+
+func (f *faults) restart(ctx context.Context, m *machine, planned bool, down time.Duration) {
+	m.endNode(planned)
+	wait(ctx, down)
+	f.note(m.startNode())
+}
+
+func (f *faults) replaceWorker(ctx context.Context, m *machine, crash bool) {
+	if crash {
+		m.worker.kill()
+	} else {
+		m.worker.leave(ctx)
+	}
+	_, err := m.renewWorker()
+	f.note(err)
+}
+
+func (f *faults) strikeStore(ctx context.Context, m *machine, duration time.Duration) {
+	kinds := []hostedstore.Faults{{Refuse: true}, {Silent: true}, {LoseAnswers: true}, {Delay: 300 * time.Millisecond}}
+	node := m.id
+	if f.random.IntN(2) == 0 {
+		node = ""
+	}
+	struck := kinds[f.random.IntN(len(kinds))]
+	f.options.Log("store for %q: %+v", node, struck)
+	f.store.SetFaults(node, struck)
+	f.running.Go(func() {
+		wait(ctx, duration)
+		f.store.SetFaults(node, hostedstore.Faults{})
+	})
+}
+
+func (f *faults) loseAnswers(ctx context.Context, m *machine, duration time.Duration) {
+	f.onMachine(m, "answers of the worker are lost", func() {
+		m.worker.breaking.Store(30)
+		wait(ctx, duration)
+		m.worker.breaking.Store(0)
+	})
+}
+
+// note keeps a fault of the soak itself.
+func (f *faults) note(err error) {
+	if err == nil {
+		return
+	}
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	f.broken = err
+}
+
+func wait(ctx context.Context, duration time.Duration) {
+	timer := time.NewTimer(duration)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+	case <-ctx.Done():
+	}
+}
--- /dev/null
+++ b/internal/lab/soak/ledger.go
@@ -0,0 +1,124 @@
+package soak
+
+import (
+	"fmt"
+	"sync"
+	"time"
+)
+
+const (
+	// maximumViolations bounds how many violations are kept.
+	maximumViolations = 20
+	// promiseSlack is how long after an acknowledged leave a request that was on
+	// its way may still arrive.
+	promiseSlack = 2 * time.Second
+)
+
+// ledger is what callers were told and what workers ran.
+type ledger struct {
+	mutex      sync.Mutex
+	report     Report
+	runs       map[string]int
+	refused    map[string]bool
+	repeatable map[string]bool
+	// promised is when a worker's leave was acknowledged.
+	promised map[string]time.Time
+}
+
+func newLedger(seed uint64) *ledger {
+	return &ledger{
+		report: Report{Seed: seed, Violations: []string{}},
+		runs:   map[string]int{}, refused: map[string]bool{}, repeatable: map[string]bool{},
+		promised: map[string]time.Time{},
+	}
+}
+
+// violate records a violation. The mutex is held.
+func (l *ledger) violate(format string, arguments ...any) {
+	if len(l.report.Violations) < maximumViolations {
+		l.report.Violations = append(l.report.Violations, fmt.Sprintf(format, arguments...))
+	}
+}
+
+// began records that a caller sends a request.
+func (l *ledger) began(id string, repeatable bool) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.report.Calls++
+	l.repeatable[id] = repeatable
+}
+
+// ran records that a worker has begun a request.
+func (l *ledger) ran(id, instance string, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.report.Runs++
+	l.runs[id]++
+	repeatable, known := l.repeatable[id]
+	switch {
+	case !known:
+		l.violate("worker %s ran request %s that no caller sent", instance, id)
+	case !repeatable && l.runs[id] > 1:
+		l.violate("unrepeatable request %s ran %d times", id, l.runs[id])
+	}
+	if l.refused[id] {
+		l.violate("request %s ran after its caller was told that it would not", id)
+	}
+	if at, leaving := l.promised[instance]; leaving && now.Sub(at) > promiseSlack {
+		l.violate("worker %s got request %s %v after its leave was acknowledged", instance, id, now.Sub(at))
+	}
+}
+
+// acknowledged records that a worker was told that it gets nothing new.
+func (l *ledger) acknowledged(instance string, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.report.Promises++
+	l.promised[instance] = now
+}
+
+// told records what a caller was told.
+func (l *ledger) told(id string, status int, body string) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	switch status {
+	case statusServed:
+		l.report.Served++
+		if body != answerTo(id) {
+			l.violate("request %s was answered with %q", id, body)
+		}
+		if l.runs[id] == 0 {
+			l.violate("request %s was answered and never ran", id)
+		}
+	case statusRefused:
+		l.report.Refused++
+		l.refused[id] = true
+		if l.runs[id] > 0 {
+			l.violate("request %s was told not to have run, and has run", id)
+		}
+	default:
+		l.report.Unknown++
+	}
+}
+
+func (l *ledger) fault()    { l.count(&l.report.Faults) }
+func (l *ledger) document() { l.count(&l.report.Documents) }
+
+func (l *ledger) count(counter *int) {
+	l.mutex.Lock()
+	*counter++
+	l.mutex.Unlock()
+}
+
+// fail records a violation that the run as a whole has shown.
+func (l *ledger) fail(format string, arguments ...any) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.violate(format, arguments...)
+}
+
+func (l *ledger) result() Report {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.report
+}
--- /dev/null
+++ b/internal/lab/soak/machine.go
@@ -0,0 +1,152 @@
+package soak
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/forwarding"
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/sidecar"
+	"github.com/levertide/levertide/internal/telemetry"
+)
+
+// dialect is what callers and workers of the soak speak.
+var dialect = forwarding.Dialect{
+	RequestID: "X-Request", Timeout: "X-Timeout", CallerService: "X-Caller", ExpectInstance: "X-Expect", NotRun: "X-Not-Run",
+}
+
+const (
+	stopBound = 3 * time.Second
+	anyPort   = "127.0.0.1:0"
+)
+
+// machine is a node with the worker beside it.
+type machine struct {
+	id, zone        string
+	store           *hostedstore.Store
+	ledger          *ledger
+	control, call   string
+	callers, probes string
+
+	mutex     sync.Mutex
+	node      *sidecar.Node
+	stop      context.CancelFunc
+	ended     chan struct{}
+	registrar sidecar.Registrar
+	worker    *worker
+	lives     int
+	lowest    uint64 // version seen in force in this life
+}
+
+// newMachine reserves the addresses of a machine, which outlast its processes.
+func newMachine(id, zone string, store *hostedstore.Store, l *ledger) (*machine, error) {
+	m := &machine{id: id, zone: zone, store: store, ledger: l}
+	for _, address := range []*string{&m.control, &m.call, &m.callers, &m.probes} {
+		opened, err := net.Listen("tcp", anyPort)
+		if err != nil {
+			return nil, ErrStart.Wrap(err, "address")
+		}
+		*address = opened.Addr().String()
+		_ = opened.Close()
+	}
+	return m, nil
+}
+
+// startNode starts the node of the machine.
+func (m *machine) startNode() error {
+	var registrar sidecar.Registrar
+	adapter := sidecar.Adapter{
+		Dialect: dialect,
+		Open: func(string, httpleg.DialFunc) (hosted.Source, hosted.Directory) {
+			client := m.store.Client(m.id)
+			return client, client
+		},
+		Translate: translate,
+		Registration: func(given sidecar.Registrar) http.Handler {
+			registrar = given
+			return http.NotFoundHandler()
+		},
+		Readiness: func(ready func() bool) http.Handler {
+			return http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+				if !ready() {
+					w.WriteHeader(http.StatusServiceUnavailable)
+				}
+			})
+		},
+	}
+	lines := telemetry.NewQueue(io.Discard)
+	node, err := sidecar.New(settings.Settings{
+		NodeID: m.id, Region: "region", Zone: m.zone, Service: serviceName, Mode: settings.ModeHosted,
+		CallerAddress: m.callers, CallAddress: m.call, ControlAddress: m.control, ReadinessAddress: m.probes, AdminAddress: anyPort,
+		StoreAddresses: []string{"in memory"}, DrainBound: stopBound, StopNotice: 200 * time.Millisecond,
+		HeartbeatInterval: heartbeatInterval, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
+	}, adapter, telemetry.NewLog(lines, m.id, telemetry.LevelError), lines)
+	if err != nil {
+		return err
+	}
+	ctx, stop := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() {
+		_ = node.Run(ctx, func() string { return "soak" })
+		close(ended)
+	}()
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	m.node, m.stop, m.ended, m.registrar, m.lowest = node, stop, ended, registrar, 0
+	return nil
+}
+
+// endNode ends the node, as planned or as a crash does.
+func (m *machine) endNode(planned bool) {
+	m.mutex.Lock()
+	node, stop, ended := m.node, m.stop, m.ended
+	if !planned {
+		m.registrar = nil
+	}
+	m.mutex.Unlock()
+	if planned {
+		stop()
+	} else {
+		node.Abort()
+	}
+	<-ended
+	m.mutex.Lock()
+	m.registrar = nil
+	m.mutex.Unlock()
+	stop()
+}
+
+func (m *machine) currentRegistrar() sidecar.Registrar {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.registrar
+}
+
+// renewWorker starts the next life of the worker and returns the one before.
+func (m *machine) renewWorker() (*worker, error) {
+	m.lives++
+	next, err := startWorker(instanceName(m.id, m.lives), m.ledger, m)
+	if err != nil {
+		return nil, err
+	}
+	before := m.worker
+	m.worker = next
+	return before, nil
+}
+
+// ready reports whether the node says that callers may come.
+func (m *machine) ready(client *http.Client) bool {
+	response, err := client.Get("http://" + m.probes)
+	if err != nil {
+		return false
+	}
+	_ = response.Body.Close()
+	return response.StatusCode == http.StatusOK
+}
--- /dev/null
+++ b/internal/lab/soak/soak.go
@@ -0,0 +1,165 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"math/rand/v2"
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+)
+
+const (
+	zones = 3
+	// settleBound is how long the deployment may take to start, and after the
+	// last fault to be whole again. It is meant for busy machines; it takes a
+	// second or two otherwise.
+	settleBound    = 60 * time.Second
+	settleInterval = 20 * time.Millisecond
+)
+
+// Run starts a deployment, lets faults strike while callers call, and checks what
+// must hold at each moment and in the end.
+func Run(ctx context.Context, options Options) (Report, error) {
+	options = options.withDefaults()
+	run := &soak{options: options, ledger: newLedger(options.Seed), store: hostedstore.New(), probe: &http.Client{Timeout: callBound}}
+	defer run.end()
+	run.store.Put(document{Version: 1}.encode())
+	if err := run.start(); err != nil {
+		return Report{}, err
+	}
+	striking := &faults{
+		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), machines: run.machines,
+		store: run.store, ledger: run.ledger, version: 1, busy: map[*machine]bool{},
+	}
+	run.play(ctx, striking)
+	if striking.broken != nil {
+		return Report{}, striking.broken
+	}
+	run.checkWhole(striking.version)
+	return run.ledger.result(), nil
+}
+
+// soak is one run.
+type soak struct {
+	options  Options
+	ledger   *ledger
+	store    *hostedstore.Store
+	machines []*machine
+	probe    *http.Client
+}
+
+func (s *soak) start() error {
+	for number := range s.options.Machines {
+		m, err := newMachine(fmt.Sprintf("node-%d", number), fmt.Sprintf("zone-%d", number%zones), s.store, s.ledger)
+		if err != nil {
+			return err
+		}
+		if err := m.startNode(); err != nil {
+			return err
+		}
+		s.machines = append(s.machines, m)
+		if _, err := m.renewWorker(); err != nil {
+			return err
+		}
+	}
+	if !s.within(s.allReady) {
+		return ErrStart.New("not all nodes are ready")
+	}
+	return nil
+}
+
+// play lets callers call and faults strike for the length of the run.
+func (s *soak) play(ctx context.Context, striking *faults) {
+	calling, stopCalling := context.WithCancel(ctx)
+	var callers sync.WaitGroup
+	for caller := range s.options.Callers {
+		callers.Go(func() { callOn(calling, s.machines, s.ledger, caller) })
+	}
+	watching, stopWatching := context.WithCancel(ctx)
+	callers.Go(func() { s.watchVersions(watching) })
+	bounded, cancel := context.WithTimeout(ctx, s.options.Duration)
+	striking.run(bounded)
+	cancel()
+	stopCalling()
+	stopWatching()
+	callers.Wait()
+}
+
+// watchVersions checks that no node goes back within a life.
+func (s *soak) watchVersions(ctx context.Context) {
+	for ctx.Err() == nil {
+		for _, m := range s.machines {
+			m.checkVersion(s.ledger)
+		}
+		wait(ctx, settleInterval)
+	}
+}
+
+func (m *machine) checkVersion(l *ledger) {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	version := m.node.Version()
+	if version < m.lowest {
+		l.fail("%s went back from version %d to %d", m.id, m.lowest, version)
+	}
+	m.lowest = max(m.lowest, version)
+}
+
+// checkWhole checks that after the last fault each node has the last version in
+// force and serves calls.
+func (s *soak) checkWhole(version uint64) {
+	s.store.SetFaults("", hostedstore.Faults{})
+	for _, m := range s.machines {
+		s.store.SetFaults(m.id, hostedstore.Faults{})
+	}
+	if !s.within(s.allReady) {
+		s.ledger.fail("not all nodes are ready after the last fault")
+	}
+	for _, m := range s.machines {
+		if !s.within(func() bool { return s.serves(m, version) }) {
+			s.ledger.fail("%s does not serve version %d after the last fault", m.id, version)
+		}
+	}
+}
+
+func (s *soak) serves(m *machine, version uint64) bool {
+	id := "check-" + m.id
+	s.ledger.mutex.Lock()
+	s.ledger.repeatable[id] = true
+	s.ledger.mutex.Unlock()
+	status, _, err := send(context.Background(), s.probe, m, http.MethodGet, versionPrefix(version), id)
+	return err == nil && status == statusServed
+}
+
+func (s *soak) allReady() bool {
+	for _, m := range s.machines {
+		if !m.ready(s.probe) {
+			return false
+		}
+	}
+	return true
+}
+
+func (s *soak) within(condition func() bool) bool {
+	deadline := time.Now().Add(settleBound)
+	for !condition() {
+		if time.Now().After(deadline) {
+			return false
+		}
+		time.Sleep(settleInterval)
+	}
+	return true
+}
+
+func (s *soak) end() {
+	for _, m := range s.machines {
+		m.endNode(false)
+		if m.worker != nil {
+			m.worker.kill()
+		}
+	}
+	s.probe.CloseIdleConnections()
+}
--- /dev/null
+++ b/internal/lab/soak/worker.go
@@ -0,0 +1,122 @@
+package soak
+
+import (
+	"context"
+	"fmt"
+	"io"
+	"math/rand/v2"
+	"net"
+	"net/http"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+const (
+	serviceName       = "ledger"
+	workerSlots       = 4
+	heartbeatInterval = 100 * time.Millisecond
+	runTime           = 10 * time.Millisecond
+	// staleHeartbeats is how often an old heartbeat is sent again.
+	staleHeartbeats = 0.1
+)
+
+// answerTo is the whole answer to a request.
+func answerTo(id string) string { return "answer to " + id }
+
+// worker is one life of a worker.
+type worker struct {
+	instance string
+	ledger   *ledger
+	server   *http.Server
+	address  string
+	sequence atomic.Uint64
+	draining atomic.Bool
+	// breaking is the share of answers that are lost after the run.
+	breaking atomic.Uint32
+	end      context.CancelFunc
+	ended    sync.WaitGroup
+}
+
+// startWorker starts a life of the worker beside a machine, whose node is asked
+// for at each heartbeat.
+func startWorker(instance string, l *ledger, m *machine) (*worker, error) {
+	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return nil, ErrStart.Wrap(err, "worker")
+	}
+	ctx, end := context.WithCancel(context.Background())
+	w := &worker{instance: instance, ledger: l, address: opened.Addr().String(), end: end}
+	w.server = &http.Server{Handler: w}
+	w.ended.Go(func() { _ = w.server.Serve(opened) })
+	w.ended.Go(func() { w.beat(ctx, m) })
+	return w, nil
+}
+
+// ServeHTTP runs a request.
+func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	id := r.Header.Get(dialect.RequestID)
+	if expected := r.Header.Get(dialect.ExpectInstance); expected != w.instance {
+		out.WriteHeader(http.StatusMisdirectedRequest)
+		return
+	}
+	_, _ = io.Copy(io.Discard, r.Body)
+	w.ledger.ran(id, w.instance, time.Now())
+	time.Sleep(runTime)
+	out.Header().Set(dialect.RequestID, id)
+	if rand.Uint32N(100) < w.breaking.Load() {
+		panic(http.ErrAbortHandler)
+	}
+	_, _ = io.WriteString(out, answerTo(id))
+}
+
+// beat sends heartbeats to the node beside the worker, and now and then an old
+// one again.
+func (w *worker) beat(ctx context.Context, m *machine) {
+	for ctx.Err() == nil {
+		w.send(ctx, m, w.sequence.Add(1), w.draining.Load())
+		if sequence := w.sequence.Load(); sequence > 1 && rand.Float64() < staleHeartbeats {
+			w.send(ctx, m, sequence-1, false)
+		}
+		timer := time.NewTimer(heartbeatInterval)
+		select {
+		case <-timer.C:
+		case <-ctx.Done():
+			timer.Stop()
+		}
+	}
+}
+
+func (w *worker) send(ctx context.Context, m *machine, sequence uint64, draining bool) {
+	registrar := m.currentRegistrar()
+	if registrar == nil {
+		return
+	}
+	err := registrar.Heartbeat(ctx, workers.Heartbeat{
+		Instance: w.instance, Service: serviceName, Address: w.address, Slots: workerSlots, Sequence: sequence, Draining: draining,
+	})
+	if err == nil && draining && m.currentRegistrar() == registrar {
+		w.ledger.acknowledged(w.instance, time.Now())
+	}
+}
+
+// leave has the worker drain, and then ends it.
+func (w *worker) leave(ctx context.Context) {
+	w.draining.Store(true)
+	select {
+	case <-time.After(promiseSlack + 4*heartbeatInterval):
+	case <-ctx.Done():
+	}
+	w.kill()
+}
+
+// kill ends the worker without a word.
+func (w *worker) kill() {
+	w.end()
+	_ = w.server.Close()
+	w.ended.Wait()
+}
+
+func instanceName(machine string, life int) string { return fmt.Sprintf("%s-life-%d", machine, life) }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -4,6 +4,7 @@
 	"context"
 	"errors"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -18,6 +19,9 @@
 	"github.com/levertide/levertide/pkg/workers"
 )
 
+// readinessName names the listener for the readiness question.
+const readinessName = "readiness"
+
 const (
 	// silentHeartbeats is how many heartbeats may be missing before a worker is
 	// taken to be silent.
@@ -43,23 +47,28 @@
 
 	table    *fleet.Table
 	workers  *workers.Registry
+	config   *configuration
 	plane    *forwarding.Plane
 	agent    *hosted.Agent
 	callers  *listener
 	calls    *listener
 	others   []*listener
 	stopping atomic.Bool
+	// aborted is closed when the node is to end at once.
+	aborted   chan struct{}
+	abortOnce sync.Once
 }
 
 // New opens the listeners and puts the parts together. Nothing runs before Run.
 func New(s settings.Settings, adapter Adapter, log *telemetry.Log, lines *telemetry.Queue) (*Node, error) {
-	node := &Node{settings: s, log: log, lines: lines}
+	node := &Node{settings: s, log: log, lines: lines, aborted: make(chan struct{})}
 	lines.Report(log.LinesDropped)
 	node.workers = workers.NewRegistry(silentHeartbeats * s.HeartbeatInterval)
 	contacts := fleet.NewContacts()
 	config := &configuration{translate: adapter.Translate, inForce: log.DocumentInForce}
+	node.config = config
 	dial := newDialer()
-	registry := telemetry.NewHostedRegistry(node.reading(config))
+	registry := telemetry.NewHostedRegistry(node.reading)
 	node.table = fleet.NewTable(node.record())
 	node.plane = forwarding.New(forwarding.Config{
 		Node:     s.NodeID,
@@ -104,7 +113,7 @@
 		handler       http.Handler
 	}{
 		{"registration", n.settings.AdminAddress, adapter.Registration(n.agent)},
-		{"readiness", n.settings.ReadinessAddress, adapter.Readiness(n.ready)},
+		{readinessName, n.settings.ReadinessAddress, adapter.Readiness(n.ready)},
 		{"metrics", n.settings.MetricsAddress, registry.Handler()},
 	} {
 		if other.address == "" {
@@ -149,6 +158,10 @@
 	select {
 	case err := <-ended:
 		return err
+	case <-n.aborted:
+		cancel()
+		<-ended
+		return nil
 	case <-ctx.Done():
 	}
 	n.log.StopRequested(signal())
@@ -161,6 +174,20 @@
 	return nil
 }
 
+// Abort ends the node at once, without a word to anybody, as a crash does. It is
+// for tests and the lab.
+func (n *Node) Abort() { n.abortOnce.Do(func() { close(n.aborted) }) }
+
+// Addresses returns where callers and the readiness question go.
+func (n *Node) Addresses() (callers, readiness string) {
+	for _, other := range n.others {
+		if other.name == readinessName {
+			readiness = other.address
+		}
+	}
+	return n.callers.address, readiness
+}
+
 func (n *Node) supervisor() *suture.Supervisor {
 	supervisor := suture.New("levertided", suture.Spec{
 		EventHook:         n.partEvent,
