--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -62,6 +62,8 @@
 	// time, arrivals the workers that had the call.
 	made, refusals, arrivals int
 	last                     error
+	// unknown is the first failure after which the call may have run.
+	unknown error
 }
 
 func (o *offers) run(ctx context.Context) (*answer, error) {
@@ -75,6 +77,9 @@
 			return result, nil
 		}
 		o.last = err
+		if o.unknown == nil && outcome.Of(err) == outcome.Unknown {
+			o.unknown = err
+		}
 		if arrived {
 			o.arrivals++
 		}
@@ -118,12 +123,17 @@
 	return o.destination.budget.Spend(time.Now())
 }
 
-// giveUp returns the failure that the caller is told.
+// giveUp returns the failure that the caller is told. Once an offer may have run,
+// no later refusal can make the call one that has not.
 func (o *offers) giveUp() error {
-	if o.last == nil {
+	switch {
+	case o.unknown != nil:
+		return o.unknown
+	case o.last != nil:
+		return o.last
+	default:
 		return outcome.WithRetryAfter(outcome.NoWorker, defaultRetryAfter)
 	}
-	return o.last
 }
 
 // offer asks one node. It reports whether a worker may have had the call.
--- a/internal/forwarding/calls_test.go
+++ b/internal/forwarding/calls_test.go
@@ -449,3 +449,25 @@
 		t.Errorf("the nested call: status %d", status)
 	}
 }
+
+// TestCallThatMayHaveRunIsNeverToldNotRun lets a first attempt break off after the
+// worker had it, and a second one be refused.
+func TestCallThatMayHaveRunIsNeverToldNotRun(t *testing.T) {
+	broken, refusing := startWorker(t), startWorker(t)
+	broken.answer(func(w http.ResponseWriter, _ *http.Request) { reset(hijack(t, w)) })
+	refusing.answer(func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("X-Not-Run", "1")
+		w.WriteHeader(http.StatusServiceUnavailable)
+	})
+	front := startNode(t, "front", "desk", nil)
+	first, second := startNode(t, "first", "ledger", broken), startNode(t, "second", "ledger", refusing)
+	introduce(front, first, second)
+	configure(t, ledgerRoutes, front, first, second)
+	for call := range 20 {
+		before := broken.calls.Load()
+		status, _, _ := get(t, front, "/read/1")
+		if broken.calls.Load() > before && status == http.StatusServiceUnavailable {
+			t.Fatalf("call %d ran and was told not to have run", call)
+		}
+	}
+}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -44,7 +44,7 @@
 	duration := time.Duration(f.random.Int64N(int64(longestFault)))
 	target := f.machines[f.random.IntN(len(f.machines))]
 	f.ledger.fault()
-	switch f.random.IntN(9) {
+	switch f.random.IntN(10) {
 	case 0, 1, 2:
 		f.change()
 	case 3:
@@ -59,9 +59,29 @@
 		f.strikeStore(ctx, target, duration)
 	case 8:
 		f.loseAnswers(ctx, target, duration)
+	case 9:
+		f.onMachine(target, "leave of the worker, and crash of the node that acknowledged it", func() { f.crashAfterPromise(ctx, target) })
 	}
 }
 
+// crashAfterPromise lets a worker leave, kills the node that has acknowledged it,
+// and lets an old heartbeat be the first that the next life of the node hears.
+func (f *faults) crashAfterPromise(ctx context.Context, m *machine) {
+	leaving := m.worker
+	leaving.draining.Store(true)
+	wait(ctx, promiseSlack+heartbeatInterval)
+	leaving.mute.Store(true)
+	m.endNode(false)
+	f.note(m.startNode())
+	for range lateHeartbeats {
+		leaving.send(ctx, m, leaving.sequence.Load()-1, false)
+		wait(ctx, heartbeatInterval)
+	}
+	leaving.kill()
+	_, err := m.renewWorker()
+	f.note(err)
+}
+
 // change writes the next document.
 func (f *faults) change() {
 	f.version += 1 + uint64(f.random.IntN(3))
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -73,8 +73,10 @@
 func (l *ledger) acknowledged(instance string, now time.Time) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.report.Promises++
-	l.promised[instance] = now
+	if _, before := l.promised[instance]; !before {
+		l.report.Promises++
+		l.promised[instance] = now
+	}
 }
 
 // told records what a caller was told.
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -19,6 +19,9 @@
 	workerSlots       = 4
 	heartbeatInterval = 100 * time.Millisecond
 	runTime           = 10 * time.Millisecond
+	// lateHeartbeats is how many heartbeats of a worker that leaves are sent after
+	// the time in which requests may still arrive.
+	lateHeartbeats = 10
 	// staleHeartbeats is how often an old heartbeat is sent again.
 	staleHeartbeats = 0.1
 )
@@ -34,6 +37,8 @@
 	address  string
 	sequence atomic.Uint64
 	draining atomic.Bool
+	// mute holds back heartbeats.
+	mute atomic.Bool
 	// breaking is the share of answers that are lost after the run.
 	breaking atomic.Uint32
 	end      context.CancelFunc
@@ -76,7 +81,9 @@
 // one again.
 func (w *worker) beat(ctx context.Context, m *machine) {
 	for ctx.Err() == nil {
-		w.send(ctx, m, w.sequence.Add(1), w.draining.Load())
+		if !w.mute.Load() {
+			w.send(ctx, m, w.sequence.Add(1), w.draining.Load())
+		}
 		if sequence := w.sequence.Load(); sequence > 1 && rand.Float64() < staleHeartbeats {
 			w.send(ctx, m, sequence-1, false)
 		}
@@ -106,7 +113,7 @@
 func (w *worker) leave(ctx context.Context) {
 	w.draining.Store(true)
 	select {
-	case <-time.After(promiseSlack + 4*heartbeatInterval):
+	case <-time.After(promiseSlack + lateHeartbeats*heartbeatInterval):
 	case <-ctx.Done():
 	}
 	w.kill()
