--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -8,6 +8,8 @@
 	"net/http"
 	"strings"
 	"time"
+
+	"github.com/levertide/levertide/internal/httpleg"
 )
 
 const (
@@ -42,6 +44,12 @@
 		request.Body = io.NopCloser(strings.NewReader(id))
 		request.ContentLength = int64(len(id))
 	}
+	if request.Body == nil {
+		// The library would send a request without a body again by itself, under
+		// the same id, when its connection breaks; callers do not.
+		request.Body = httpleg.EmptyBody{}
+		request.TransferEncoding = httpleg.IdentityEncoding
+	}
 	request.Host = hostName
 	request.Header.Set(dialect.RequestID, id)
 	request.Header.Set(dialect.Timeout, fmt.Sprint(callBound.Milliseconds()))
