--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -76,6 +77,8 @@
 	// informed is set once the node knows what its former life has promised.
 	informed  atomic.Bool
 	informing sync.Mutex
+	// hearing is set while this node asks others because one has spoken with it.
+	hearing atomic.Bool
 
 	backgroundContext atomic.Pointer[context.Context]
 }
@@ -144,44 +147,41 @@
 // meet takes the nodes that the store names and asks some of them.
 func (a *Agent) meet(ctx context.Context, nodes []fleet.Node) {
 	a.config.Table.Merge(nodes)
-	answered := make(chan bool, len(nodes))
-	asked := min(len(nodes), firstSyncs)
-	for _, node := range pickRandom(nodes, asked) {
-		go func() { answered <- a.peers.Sync(ctx, node) }()
-	}
-	bound := time.After(formerBound)
-	for range asked {
-		select {
-		case ok := <-answered:
-			if ok {
-				a.inform()
-			}
-		case <-bound:
-		case <-ctx.Done():
-		}
-	}
-	// Nobody answers: the others have started just now, too, or are lost.
-	a.inform()
+	a.ask(ctx, nodes)
 	a.spreadRecord(ctx)
 }
 
 // heard takes that another node has spoken with this one. A node that has just
-// started, and cannot ask the store, learns from it.
+// started, and cannot ask the store, learns from it, and of it who else to ask.
 func (a *Agent) heard(id string) {
-	if a.informed.Load() {
-		return
-	}
 	node, known := a.config.Table.View().Node(id)
-	if !known {
+	if a.informed.Load() || !known || !a.hearing.CompareAndSwap(false, true) {
 		return
 	}
 	a.background(func(ctx context.Context) {
-		if a.peers.Sync(ctx, node) {
-			a.inform()
+		defer a.hearing.Store(false)
+		if !a.peers.Sync(ctx, node) {
+			return
 		}
+		others := slices.DeleteFunc(a.peers.reachablePeers(), func(other fleet.Node) bool { return other.ID == id })
+		a.ask(ctx, others)
 	})
 }
 
+// ask asks some nodes what they know of this one, and waits for all of them: one
+// alone may have been restarted just now and lack a promise that others hold.
+// Those that do not answer in time are lost, or have started just now, too.
+func (a *Agent) ask(ctx context.Context, nodes []fleet.Node) {
+	bounded, cancel := context.WithTimeout(ctx, formerBound)
+	defer cancel()
+	var answers sync.WaitGroup
+	for _, node := range pickRandom(nodes, firstSyncs) {
+		answers.Go(func() { a.peers.Sync(bounded, node) })
+	}
+	answers.Wait()
+	a.inform()
+}
+
 // learnFormer takes what former lives of this node have left with others.
 func (a *Agent) learnFormer(merged fleet.Merged, promised []*exchangepb.Worker) {
 	former := workersOf(promised)
