--- /dev/null
+++ b/internal/command/explain/lines.go
@@ -0,0 +1,73 @@
+package explain
+
+import (
+	"bufio"
+	"bytes"
+	"encoding/json"
+	"io"
+	"slices"
+	"strings"
+	"time"
+)
+
+// maximumLine bounds one line of a log, in bytes.
+const maximumLine = 1 << 20
+
+// Line is one event of a log.
+type Line struct {
+	Time  time.Time      `json:"time"`
+	Node  string         `json:"node"`
+	Event int            `json:"event"`
+	Name  string         `json:"name"`
+	Level string         `json:"level"`
+	Field map[string]any `json:"fields"`
+}
+
+// text returns a field that is a text; empty when there is none.
+func (l Line) text(name string) string {
+	value, _ := l.Field[name].(string)
+	return value
+}
+
+// readLines reads the events of a log. What stands before an event in its line,
+// as some collectors write it, is passed over, and so is what is no event.
+func readLines(source io.Reader) ([]Line, error) {
+	var lines []Line
+	scanner := bufio.NewScanner(source)
+	scanner.Buffer(make([]byte, 0, 64<<10), maximumLine)
+	for scanner.Scan() {
+		start := bytes.IndexByte(scanner.Bytes(), '{')
+		if start < 0 {
+			continue
+		}
+		if line, ok := parseLine(scanner.Bytes()[start:]); ok {
+			lines = append(lines, line)
+		}
+	}
+	return lines, scanner.Err()
+}
+
+func parseLine(encoded []byte) (Line, bool) {
+	var line Line
+	if json.Unmarshal(encoded, &line) != nil || line.Event == 0 {
+		return Line{}, false
+	}
+	if json.Unmarshal(encoded, &line.Field) != nil {
+		return Line{}, false
+	}
+	for _, name := range []string{"time", "node", "event", "name", "level", "message"} {
+		delete(line.Field, name)
+	}
+	return line, true
+}
+
+// sorted orders lines by time, and by node where the times are equal.
+func sorted(lines []Line) []Line {
+	slices.SortStableFunc(lines, func(a, b Line) int {
+		if order := a.Time.Compare(b.Time); order != 0 {
+			return order
+		}
+		return strings.Compare(a.Node, b.Node)
+	})
+	return lines
+}
--- /dev/null
+++ b/internal/command/explain/story.go
@@ -0,0 +1,110 @@
+package explain
+
+import (
+	"fmt"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+)
+
+const (
+	// eventCall and eventHop are the events of single calls.
+	eventCall = 701
+	eventHop  = 702
+	// beliefWindow is how long before a call's event a change of belief is taken
+	// to bear on it.
+	beliefWindow = 3 * time.Second
+)
+
+// beliefs are the events that change what a node believes.
+var beliefs = map[int]bool{
+	104: true, 105: true, 401: true, 402: true, 601: true, 602: true, 603: true, 604: true, 605: true, 606: true, 607: true, 610: true,
+}
+
+// causes say what lies behind a reason, and where to look.
+var causes = map[outcome.Reason]string{
+	outcome.NotReady:            "the node had no configuration yet: see when it started, and whether it reaches the store or another node (402, 604)",
+	outcome.NoRoute:             "no route of the version in force takes the host and path: compare the version with the operators' document (602)",
+	outcome.NoWorker:            "no worker of the service could be given the call: see what the nodes said of their workers (606) and which nodes were lost (604)",
+	outcome.Unreachable:         "the connection to the node or the worker was not made, and nothing was sent: see whether it was lost or restarted (604, 101)",
+	outcome.Overloaded:          "no slot was expected to be free in time on any node asked: see running, waiting and slots; the caller was told when to come back",
+	outcome.Draining:            "the worker or its node was leaving (606, 105)",
+	outcome.RefusedByOwnWorker:  "the worker itself said that it did not run the call, and the attempts or the budget were spent",
+	outcome.Misdirected:         "the node asked does not know the call: mixed versions of the program",
+	outcome.DeadlineBeforeStart: "the time was over before a worker was reached: see how long it waited",
+	outcome.CanceledBeforeStart: "the caller left before a worker was reached",
+	outcome.BodyNotReceived:     "the caller's body broke off or came too slowly; nothing was sent on",
+	outcome.TooLarge:            "the body is larger than the operators allow",
+	outcome.ConnectionLost:      "the connection broke after the call was sent: the worker or its node ended, or its answer broke off; the call may have run",
+	outcome.Timeout:             "the worker had the call when its time was over: compare the time with the route's, and with other calls to the instance",
+	outcome.Canceled:            "the caller left while a worker had the call",
+	outcome.InvalidAnswer:       "the worker answered with what belongs to another request; the call may have run",
+}
+
+// Story is what the logs tell of one request.
+type Story struct {
+	// Calls are the lines of the request itself, Beliefs what the nodes on its
+	// way came to believe shortly before.
+	Calls   []Line `json:"calls"`
+	Beliefs []Line `json:"beliefs"`
+	Cause   string `json:"cause"`
+}
+
+// tell puts the story of a request together; false when no line names it.
+func tell(lines []Line, request string) (Story, bool) {
+	var story Story
+	involved := map[string]bool{}
+	for _, line := range lines {
+		if line.text("request") != request {
+			continue
+		}
+		story.Calls = append(story.Calls, line)
+		involved[line.Node] = true
+		if peer := line.text("peer"); peer != "" {
+			involved[peer] = true
+		}
+	}
+	if len(story.Calls) == 0 {
+		return Story{}, false
+	}
+	first := story.Calls[0].Time.Add(-beliefWindow)
+	last := story.Calls[len(story.Calls)-1].Time
+	for _, line := range lines {
+		near := !line.Time.Before(first) && !line.Time.After(last)
+		if beliefs[line.Event] && near && (involved[line.Node] || involved[line.text("peer")]) {
+			story.Beliefs = append(story.Beliefs, line)
+		}
+	}
+	story.Cause = causeOf(story.Calls)
+	return story, true
+}
+
+// causeOf says why a request ended as it did. The node beside the worker knows
+// more than the one where the call began.
+func causeOf(calls []Line) string {
+	var begun, deepest *Line
+	for index := range calls {
+		switch calls[index].Event {
+		case eventCall:
+			begun = &calls[index]
+		case eventHop:
+			deepest = &calls[index]
+		}
+	}
+	deciding := begun
+	if begun == nil || begun.text("reason") == "" && deepest != nil {
+		deciding = deepest
+	}
+	if deciding == nil {
+		return "no line tells the end of the call"
+	}
+	reason := outcome.Reason(deciding.text("reason"))
+	if reason == "" {
+		return "the call was answered by a worker, after more than one attempt"
+	}
+	explanation, known := causes[reason]
+	if !known {
+		explanation = "see the lines"
+	}
+	return fmt.Sprintf("%s (%s), decided by %s: %s", reason, deciding.text("outcome"), deciding.Node, explanation)
+}
--- /dev/null
+++ b/internal/command/root/explain_test.go
@@ -0,0 +1,34 @@
+package root_test
+
+import (
+	"os"
+	"path/filepath"
+	"testing"
+
+	"github.com/levertide/levertide/internal/command/exit"
+	"github.com/levertide/levertide/internal/command/explain"
+)
+
+const exampleLog = `  9.9 collector {"time":"2026-12-02T10:00:01.000000Z","level":"warn","node":"n1","event":604,"name":"node lost","peer":"n2","error":"refused"}
+{"time":"2026-12-02T10:00:02.000000Z","level":"warn","node":"n1","event":701,"name":"call not served","request":"id-1","route":"r","service":"ledger","version":7,"outcome":"unknown","reason":"connection-lost","status":502,"peer":"n2","offers":1,"arrivals":1}
+{"time":"2026-12-02T10:00:01.900000Z","level":"warn","node":"n2","event":702,"name":"hop not served","request":"id-1","service":"ledger","outcome":"unknown","reason":"connection-lost","status":502}
+{"time":"2026-12-02T09:00:00.000000Z","level":"warn","node":"n1","event":604,"name":"node lost","peer":"n2","error":"long ago"}
+not a line of ours
+{"event":"of somebody else"}
+`
+
+func TestExplainTellsTheStoryOfARequest(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(exampleLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(t, "explain", "--request", "id-1", path).want(t, exit.Accepted, "702 hop not served", "604 node lost", "cause: connection-lost (unknown), decided by n1")
+	var report explain.Report
+	run(t, "explain", "--request", "id-1", "-o", "json", path).want(t, exit.Accepted).decode(t, &report)
+	if len(report.Calls) != 2 || report.Calls[0].Node != "n2" || len(report.Beliefs) != 1 {
+		t.Errorf("report %+v", report)
+	}
+	run(t, "explain", "--request", "id-2", path).want(t, exit.Rejected, "no line names request id-2")
+	run(t, "explain", path).want(t, exit.Usage)
+	run(t, "explain", "--request", "id-1", path+"-missing").want(t, exit.Usage)
+}
--- a/internal/command/root/root.go
+++ b/internal/command/root/root.go
@@ -15,6 +15,7 @@
 	"github.com/levertide/levertide/internal/command/console"
 	"github.com/levertide/levertide/internal/command/diff"
 	"github.com/levertide/levertide/internal/command/exit"
+	"github.com/levertide/levertide/internal/command/explain"
 	"github.com/levertide/levertide/internal/command/history"
 	"github.com/levertide/levertide/internal/command/status"
 	"github.com/levertide/levertide/internal/command/validate"
@@ -44,7 +45,7 @@
 	showVersion := flags.Bool("version", false, "show the program's version")
 	command := &ffcli.Command{
 		Name:       name,
-		ShortUsage: "levertide <validate|diff|apply|status|history> [flags]",
+		ShortUsage: "levertide <validate|diff|apply|status|history|explain> [flags]",
 		LongHelp:   longHelp,
 		FlagSet:    flags,
 		Subcommands: []*ffcli.Command{
@@ -53,6 +54,7 @@
 			apply.Command(terminal),
 			status.Command(terminal),
 			history.Command(terminal),
+			explain.Command(terminal),
 		},
 		Exec: func(_ context.Context, rest []string) error {
 			return withoutVerb(terminal, *showVersion, version, rest)
@@ -73,7 +75,7 @@
 	if len(rest) > 0 {
 		return exit.UsageError(fmt.Sprintf("unknown command %q", rest[0]))
 	}
-	return exit.UsageError("name a command: validate, diff, apply, status or history")
+	return exit.UsageError("name a command: validate, diff, apply, status, history or explain")
 }
 
 // parseFailed shows help where it was asked for, and otherwise what is wrong.
--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -25,6 +25,9 @@
 
 // latestStart is until when the call may wait for a slot.
 func (c *call) latestStart() time.Time {
+	if c.nested {
+		return c.began.Add(time.Duration(nestedPatienceShare * float64(c.end.Sub(c.began))))
+	}
 	patience := time.Duration(patienceShare * float64(c.target()))
 	latest := c.began.Add(min(patience, longestPatience))
 	if latest.After(c.end) {
@@ -33,6 +36,14 @@
 	return latest
 }
 
+// rank orders the call where calls wait for a slot.
+func (c *call) rank() int {
+	if c.nested {
+		return nestedRank
+	}
+	return c.route.Config.Rank
+}
+
 // target is the time within which an answer is worth most.
 func (c *call) target() time.Duration {
 	if target := c.route.Config.TargetLatency; target > 0 {
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -19,7 +19,9 @@
 	body    *requestBody
 	began   time.Time
 	// end is when the caller or the route has no more use of an answer.
-	end    time.Time
+	end time.Time
+	// nested tells that a worker made the call for another one.
+	nested bool
 	report CallReport
 }
 
@@ -28,6 +30,7 @@
 	defer p.calls.Add(-1)
 	c := &call{plane: p, request: r, began: time.Now()}
 	c.report.RequestID = r.Header.Get(p.config.Dialect.RequestID)
+	c.nested = p.config.Dialect.nested(c.report.RequestID)
 	result, err := c.answer(w)
 	p.releaseBody(c.body)
 	c.conclude(w, result, err)
--- a/internal/forwarding/calls_test.go
+++ b/internal/forwarding/calls_test.go
@@ -410,3 +410,42 @@
 		t.Errorf("%q, %d calls", answer[:count], worker.calls.Load())
 	}
 }
+
+// TestNestedCallWaitsLongerAndGoesFirst fills a worker and lets a call of a caller
+// and one that a worker made for another call wait for it.
+func TestNestedCallWaitsLongerAndGoesFirst(t *testing.T) {
+	front, back, worker := twoNodes(t)
+	for _, node := range []*testNode{front, back} {
+		node.plane.config.Dialect.Nested = func(id string) bool { return strings.Contains(id, "/") }
+	}
+	release := make(chan struct{})
+	worker.answer(func(http.ResponseWriter, *http.Request) { <-release })
+	for range 4 {
+		go func() {
+			if response, err := http.DefaultClient.Do(callerRequest(t, front, http.MethodGet, "/read/1", nil)); err == nil {
+				_ = response.Body.Close()
+			}
+		}()
+	}
+	eventually(t, "all slots are taken", func() bool { return worker.calls.Load() == 4 })
+	nested := callerRequest(t, front, http.MethodGet, "/short/1", nil)
+	nested.Header.Set("X-Id", "parent/1")
+	done := make(chan int, 1)
+	go func() {
+		response, err := http.DefaultClient.Do(nested)
+		if err != nil {
+			done <- 0
+			return
+		}
+		_ = response.Body.Close()
+		done <- response.StatusCode
+	}()
+	eventually(t, "the nested call waits", func() bool { return back.plane.hops.Load() == 5 })
+	if status, _, _ := post(t, front, "/short/1", "vat"); status != http.StatusServiceUnavailable {
+		t.Errorf("a call of a caller: status %d", status)
+	}
+	close(release)
+	if status := <-done; status != http.StatusOK {
+		t.Errorf("the nested call: status %d", status)
+	}
+}
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -76,6 +76,11 @@
 	// wait for a slot, counted from its arrival. What has waited longer without
 	// being offered to a worker is refused, while the caller has time to come back.
 	patienceShare = 0.2
+	// nestedPatienceShare is the share of the time left that a call may wait which
+	// a worker made for another call: when it fails, the work on that other one
+	// is lost, too. For the same reason such calls go first: nestedRank.
+	nestedPatienceShare = 0.5
+	nestedRank          = -1
 	// longestPatience bounds the wait on routes that name no target.
 	longestPatience = 500 * time.Millisecond
 	// shallowPatience is the wait that a call asks for while other nodes may
--- a/internal/forwarding/dialect.go
+++ b/internal/forwarding/dialect.go
@@ -16,8 +16,14 @@
 	ExpectInstance string
 	// NotRun names the header by which a worker says that it did not run a call.
 	NotRun string
+	// Nested reports, by its id, whether a call was made by a worker for another
+	// call. Nil takes none for one.
+	Nested func(requestID string) bool
 }
 
+// nested reports whether a worker made the call for another one.
+func (d *Dialect) nested(requestID string) bool { return d.Nested != nil && d.Nested(requestID) }
+
 // own reports whether a header of a caller is replaced by one of the node.
 func (d *Dialect) own(name string) bool {
 	switch name {
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -42,7 +42,7 @@
 		inbound:     o.call.request,
 		body:        o.call.body,
 		caller:      o.call.plane.serviceHere(),
-		rank:        o.call.route.Config.Rank,
+		rank:        o.call.rank(),
 		latestStart: latestStart,
 		end:         o.call.end,
 	}
@@ -59,7 +59,7 @@
 		service:  o.destination.service,
 		instance: e.instance,
 		caller:   c.plane.serviceHere(),
-		rank:     c.route.Config.Rank,
+		rank:     c.rank(),
 		patience: latestStart.Sub(now),
 		left:     c.end.Sub(now),
 	}.encode()}
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -82,8 +82,8 @@
 var (
 	eventStoreReachable   = Event{401, "store reachable", LevelInfo, []string{}, "The store answers again."}
 	eventStoreUnreachable = Event{402, "store unreachable", LevelWarning, []string{fieldError}, "The store does not answer. The version in force stays; applies wait."}
-	eventStoreRegressed   = Event{403, "store regressed", LevelError, []string{fieldError}, "The store offers an older head than one seen before, as after a restore of an old copy. Nothing is taken from it; see OPERATING.md."}
-	eventAlarm            = Event{404, "alarm", LevelError, []string{"text"}, "A condition that needs an operator; see OPERATING.md."}
+	eventStoreRegressed   = Event{403, "store regressed", LevelError, []string{fieldError}, "The store offers an older head than one seen before, as after a restore of an old copy. Nothing is taken from it; see OPERATIONS.md."}
+	eventAlarm            = Event{404, "alarm", LevelError, []string{"text"}, "A condition that needs an operator; see OPERATIONS.md."}
 	eventLeaseAcquired    = Event{405, "reader lease acquired", LevelInfo, []string{"slot"}, "This node is one of the few that read the store."}
 	eventLeaseLost        = Event{406, "reader lease lost", LevelWarning, []string{"slot"}, "This node no longer reads the store by this lease."}
 )
