Keep promises in the node's entry of the store

Cause: a drain was acknowledged once two other nodes held the promise. When all nodes die at once, as in a loss of power, nobody remembers it, and an old heartbeat that arrives late gives the worker work again.

Replace works on condition of the revision last seen, so a new life learns what a former one has promised, and a write that arrives late cannot wipe out a newer entry.

Ruled out: reading the entry at each start (a call more for each node; the condition tells the same for nothing), waiting for a second heartbeat (1.5 s without work after each restart).

Tests: with the workers left out of the entry, TestAcknowledgedDrainOutlastsAllNodes and TestPromiseReachesTheStoreLater fail; with them they pass (3 of 3 runs of the package).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -89,7 +89,8 @@
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.peers = newPeers(config, agent.documents)
 	agent.peers.former = agent.learnFormer
-	agent.announcer = &Announcer{directory: config.Directory, table: config.Table, found: agent.meet}
+	agent.announcer = newAnnouncer(config.Directory, config.Table)
+	agent.announcer.found, agent.announcer.former = agent.meet, agent.recall
 	server := &Server{peers: agent.peers, background: agent.background, heard: agent.heard}
 	agent.web = &http.Server{
 		Handler:     server.handler(),
@@ -199,6 +200,16 @@
 	}
 }
 
+// recall takes what an entry of the store tells of a former life of this node. It
+// may also be one of this life, whose write arrived late.
+func (a *Agent) recall(former fleet.Node) {
+	if former.Incarnation == a.config.Table.View().Self().Incarnation {
+		return
+	}
+	promised := promisedOnly(former.Workers)
+	a.learnFormer(fleet.Merged{FormerSelf: &former}, workerMessages(promised))
+}
+
 // inform lets the workers be given work: what former lives have promised is known
 // as far as it can be.
 func (a *Agent) inform() {
@@ -267,37 +278,61 @@
 		a.background(a.spreadRecord)
 		return
 	}
-	holders := a.promise(ctx)
-	a.config.Events.PromiseKept(change.Worker.Instance, holders)
+	holders, stored := a.promise(ctx)
+	a.config.Events.PromiseKept(change.Worker.Instance, holders, stored)
 }
 
-// promise tells all other nodes of the own record, and returns once enough hold
-// it, or the time for that is over.
-func (a *Agent) promise(ctx context.Context) int {
-	wanted := min(promiseHolders, len(a.peers.reachablePeers()))
-	taken := make(chan struct{}, len(a.config.Table.View().Nodes())+fanOut)
-	done := make(chan struct{})
+// promise tells all other nodes of the own record, and the store. It returns once
+// enough nodes hold it and the store has answered, or the time for that is over:
+// the nodes outlast this one, the store outlasts all nodes.
+func (a *Agent) promise(ctx context.Context) (holders int, stored bool) {
+	kept := promiseKeepers{wanted: min(promiseHolders, len(a.peers.reachablePeers()))}
+	kept.taken = make(chan struct{}, len(a.config.Table.View().Nodes())+fanOut)
+	kept.told = make(chan struct{})
+	kept.stored = make(chan bool, 1)
 	a.background(func(ctx context.Context) {
 		what := news{nodes: nodeMessages([]fleet.Node{a.config.Table.View().Self()})}
-		a.peers.Broadcast(ctx, what, func() { taken <- struct{}{} })
-		close(done)
+		a.peers.Broadcast(ctx, what, func() { kept.taken <- struct{}{} })
+		close(kept.told)
 	})
+	a.background(func(ctx context.Context) { kept.stored <- a.announcer.Keep(ctx) == nil })
+	return kept.wait(ctx, a.config.Table.View().Self().ReadsStore)
+}
+
+// promiseKeepers are those who are told of a promise before it is acknowledged.
+type promiseKeepers struct {
+	// wanted is how many other nodes are enough.
+	wanted int
+	// taken gets a token for each node of the first hop that holds the promise;
+	// told is closed when no further one can come.
+	taken chan struct{}
+	told  chan struct{}
+	// stored gets whether the store holds the promise.
+	stored chan bool
+}
+
+// wait waits for enough keepers, at most for promiseBound. A store that this node
+// does not reach is not waited for.
+func (k *promiseKeepers) wait(ctx context.Context, reachesStore bool) (holders int, stored bool) {
 	bound := time.NewTimer(promiseBound)
 	defer bound.Stop()
-	for holders := 0; ; holders++ {
-		if holders >= wanted {
-			return holders
-		}
+	answered, told := !reachesStore, false
+	for !answered || holders < k.wanted && !told {
 		select {
-		case <-taken:
-		case <-done:
-			return holders + len(taken)
+		case <-k.taken:
+			holders++
+		case <-k.told:
+			k.told, told = nil, true
+			holders += len(k.taken)
+		case stored = <-k.stored:
+			answered = true
 		case <-bound.C:
-			return holders
+			return holders, stored
 		case <-ctx.Done():
-			return holders
+			return holders, stored
 		}
 	}
+	return holders, stored
 }
 
 // spreadRecord tells all other nodes of the own record.
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -86,9 +86,9 @@
 	return list
 }
 
-// encodeEntry returns a node's record as its entry in the store.
+// encodeEntry returns a node's record as its entry in the store. The workers are
+// part of it: the same incarnation and sequence must never name two records.
 func encodeEntry(node fleet.Node) []byte {
-	node.Workers = nil
 	encoded, err := proto.Marshal(nodeMessage(node))
 	if err != nil {
 		panic("hosted: a record cannot be encoded: " + err.Error())
--- a/internal/hosted/documents_test.go
+++ b/internal/hosted/documents_test.go
@@ -27,7 +27,7 @@
 func (quietEvents) NodeLost(string, error)               {}
 func (quietEvents) NodeFound(string)                     {}
 func (quietEvents) WorkerChanged(workers.Worker, string) {}
-func (quietEvents) PromiseKept(string, int)              {}
+func (quietEvents) PromiseKept(string, int, bool)        {}
 func (quietEvents) FormerLife(uint64, int)               {}
 
 // exampleDocument has many routes, of which one depends on the version.
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -17,8 +17,9 @@
 	NodeFound(id string)
 	// WorkerChanged tells of a worker beside this node.
 	WorkerChanged(worker workers.Worker, cause string)
-	// PromiseKept tells how many nodes hold a promise when it is acknowledged.
-	PromiseKept(instance string, holders int)
+	// PromiseKept tells how many nodes hold a promise when it is acknowledged, and
+	// whether the store does.
+	PromiseKept(instance string, holders int, stored bool)
 	// FormerLife tells that a record of a former life was found.
 	FormerLife(incarnation uint64, promised int)
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -72,7 +72,7 @@
 func (r *recorder) NodeFound(string)                     {}
 func (r *recorder) WorkerChanged(workers.Worker, string) {}
 func (r *recorder) FormerLife(uint64, int)               {}
-func (r *recorder) PromiseKept(instance string, holders int) {
+func (r *recorder) PromiseKept(instance string, holders int, _ bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	r.promises[instance] = holders
@@ -288,6 +288,42 @@
 	}
 }
 
+// TestAcknowledgedDrainOutlastsAllNodes kills every node right after a drain was
+// acknowledged: only the store can tell the next lives.
+func TestAcknowledgedDrainOutlastsAllNodes(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "b1", "c1")
+	mustBeat(t, nodes[0], heartbeat("w1", 3, false))
+	mustBeat(t, nodes[0], heartbeat("w1", 5, true))
+	for _, node := range nodes {
+		node.kill()
+	}
+	var restarted []*testNode
+	for _, node := range nodes {
+		restarted = append(restarted, startNode(t, store, node.table.View().Self().ID, node.address))
+	}
+	mustBeat(t, restarted[0], heartbeat("w1", 4, false))
+	testwait.Eventually(t, "the restarted node is ready", restarted[0].agent.Ready)
+	if worker, ready := restarted[0].workers.Ready("ledger"); ready {
+		t.Fatalf("%v gets work after its drain was acknowledged", worker)
+	}
+}
+
+// TestPromiseReachesTheStoreLater lets the store fail while a drain is acknowledged.
+func TestPromiseReachesTheStoreLater(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "b1", "c1")
+	mustBeat(t, nodes[0], heartbeat("w1", 3, false))
+	store.SetFaults("a1", hostedstore.Faults{Refuse: true})
+	before := store.Calls()
+	mustBeat(t, nodes[0], heartbeat("w1", 5, true))
+	testwait.Eventually(t, "the store was asked", func() bool { return store.Calls() > before })
+	store.SetFaults("a1", hostedstore.Faults{})
+	testwait.Eventually(t, "the entry names the promise", func() bool {
+		return bytes.Contains(store.Entry("a1"), []byte("w1"))
+	})
+}
+
 func TestPlannedStopIsTold(t *testing.T) {
 	store := newStore()
 	nodes := startNodes(t, store, "a1", "b1", "c1")
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -26,11 +26,23 @@
 // Lease names a lease of the store.
 type Lease string
 
-// Directory is where nodes leave their addresses for those that start. Errors
-// are ErrRefused, ErrUnanswered and ErrLeaseEnded.
+// Entry is what a node has left of itself in the directory.
+type Entry struct {
+	Content []byte
+	// Revision is that of its last change; zero when there is no entry.
+	Revision uint64
+}
+
+// Directory is where nodes leave their addresses for those that start, and the
+// promises that must outlast them. Errors are ErrRefused, ErrUnanswered and
+// ErrLeaseEnded.
 type Directory interface {
-	// Announce writes the node's entry under a new lease of the given life.
-	Announce(ctx context.Context, id string, entry []byte, life time.Duration) (Lease, error)
+	// Grant returns a new lease of the given life.
+	Grant(ctx context.Context, life time.Duration) (Lease, error)
+	// Replace writes a node's entry under a lease, if the entry held is still that
+	// of the given revision, and returns the entry held afterwards. When replaced
+	// is false, nothing was written.
+	Replace(ctx context.Context, id string, e Entry, lease Lease) (held Entry, replaced bool, err error)
 	// Renew lengthens the lease.
 	Renew(ctx context.Context, lease Lease) error
 	// Withdraw ends the lease, and the entry with it.
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -33,10 +33,11 @@
 	faults  map[string]Faults
 	calls   int
 	leases  uint64
+	granted map[hosted.Lease]bool
 }
 
 type entry struct {
-	value []byte
+	hosted.Entry
 	lease hosted.Lease
 }
 
@@ -45,7 +46,12 @@
 
 // New returns a store without a document.
 func New() *Store {
-	return &Store{entries: map[string]entry{}, changed: make(chan struct{}), faults: map[string]Faults{}}
+	return &Store{
+		entries: map[string]entry{},
+		granted: map[hosted.Lease]bool{},
+		changed: make(chan struct{}),
+		faults:  map[string]Faults{},
+	}
 }
 
 // Put accepts a document and returns its revision.
@@ -72,6 +78,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.entries = map[string]entry{}
+	s.granted = map[hosted.Lease]bool{}
 }
 
 // SetFaults strikes the client of one node, or all when the name is empty.
@@ -95,6 +102,13 @@
 	return len(s.entries)
 }
 
+// Entry returns the entry of a node; nil when there is none.
+func (s *Store) Entry(id string) []byte {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.entries[id].Content
+}
+
 // Client is the way of one node to a Store.
 type Client struct {
 	store *Store
@@ -181,8 +195,8 @@
 	}
 }
 
-// Announce implements hosted.Directory.
-func (c *Client) Announce(ctx context.Context, id string, value []byte, _ time.Duration) (hosted.Lease, error) {
+// Grant implements hosted.Directory.
+func (c *Client) Grant(ctx context.Context, _ time.Duration) (hosted.Lease, error) {
 	faults, err := c.begin(ctx)
 	if err != nil {
 		return "", err
@@ -190,17 +204,47 @@
 	c.store.mutex.Lock()
 	c.store.leases++
 	lease := hosted.Lease(strconv.FormatUint(c.store.leases, 10))
-	c.store.entries[id] = entry{value: value, lease: lease}
+	c.store.granted[lease] = true
 	c.store.mutex.Unlock()
 	return lease, faults.lost(ctx)
 }
 
+// Replace implements hosted.Directory.
+func (c *Client) Replace(ctx context.Context, id string, e hosted.Entry, lease hosted.Lease) (hosted.Entry, bool, error) {
+	faults, err := c.begin(ctx)
+	if err != nil {
+		return hosted.Entry{}, false, err
+	}
+	held, replaced, err := c.store.replace(id, e, lease)
+	if err != nil {
+		return hosted.Entry{}, false, err
+	}
+	return held, replaced, faults.lost(ctx)
+}
+
+func (s *Store) replace(id string, e hosted.Entry, lease hosted.Lease) (hosted.Entry, bool, error) {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	if !s.granted[lease] {
+		return hosted.Entry{}, false, hosted.ErrLeaseEnded.New("ended")
+	}
+	if held := s.entries[id]; held.Revision != e.Revision {
+		return held.Entry, false, nil
+	}
+	s.revision++
+	written := hosted.Entry{Content: e.Content, Revision: s.revision}
+	s.entries[id] = entry{Entry: written, lease: lease}
+	return written, true, nil
+}
+
 // Renew implements hosted.Directory.
 func (c *Client) Renew(ctx context.Context, lease hosted.Lease) error {
 	if _, err := c.begin(ctx); err != nil {
 		return err
 	}
-	if _, held := c.store.holder(lease); !held {
+	c.store.mutex.Lock()
+	defer c.store.mutex.Unlock()
+	if !c.store.granted[lease] {
 		return hosted.ErrLeaseEnded.New("ended")
 	}
 	return nil
@@ -211,25 +255,18 @@
 	if _, err := c.begin(ctx); err != nil {
 		return err
 	}
-	id, held := c.store.holder(lease)
-	if !held {
-		return hosted.ErrLeaseEnded.New("ended")
-	}
 	c.store.mutex.Lock()
 	defer c.store.mutex.Unlock()
-	delete(c.store.entries, id)
-	return nil
-}
-
-func (s *Store) holder(lease hosted.Lease) (string, bool) {
-	s.mutex.Lock()
-	defer s.mutex.Unlock()
-	for id, held := range s.entries {
+	if !c.store.granted[lease] {
+		return hosted.ErrLeaseEnded.New("ended")
+	}
+	delete(c.store.granted, lease)
+	for id, held := range c.store.entries {
 		if held.lease == lease {
-			return id, true
+			delete(c.store.entries, id)
 		}
 	}
-	return "", false
+	return nil
 }
 
 // List implements hosted.Directory.
@@ -241,7 +278,7 @@
 	defer c.store.mutex.Unlock()
 	values := make([][]byte, 0, len(c.store.entries))
 	for _, held := range c.store.entries {
-		values = append(values, held.value)
+		values = append(values, held.Content)
 	}
 	return values, nil
 }
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -102,8 +102,8 @@
 	eventNodeLost         = Event{604, "node lost", LevelWarning, []string{"peer", fieldError}, "Another node cannot be reached from here; it is tried again with pauses and gets calls as the last resort only."}
 	eventNodeFound        = Event{605, "node found", LevelInfo, []string{"peer"}, "A node that was lost answers again."}
 	eventWorkerChanged    = Event{606, "worker changed", LevelInfo, []string{"instance", "service", "slots", "state", "sequence", "cause"}, "What may be done with a worker beside this node, and what told it."}
-	eventPromiseKept      = Event{607, "promise kept", LevelInfo, []string{"instance", "holders"}, "A worker's leave is about to be acknowledged; holders counts the other nodes that know of it."}
-	eventFormerLife       = Event{608, "former life", LevelInfo, []string{"incarnation", "promised"}, "Another node told a record of a former life of this node, with what was promised."}
+	eventPromiseKept      = Event{607, "promise kept", LevelInfo, []string{"instance", "holders", "stored"}, "A worker's leave is about to be acknowledged; holders counts the other nodes that know of it, stored tells whether the platform's store does."}
+	eventFormerLife       = Event{608, "former life", LevelInfo, []string{"incarnation", "promised"}, "Another node or the platform's store told a record of a former life of this node, with what was promised."}
 	eventSettingsReloaded = Event{609, "settings reloaded", LevelInfo, []string{fieldError}, "The settings were read again; with an error, those before stay."}
 	eventLinesDropped     = Event{610, "lines dropped", LevelWarning, []string{"lines"}, "Lines of this log that were not written, because their reader was slow or there were too many."}
 )
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -37,8 +37,8 @@
 }
 
 // PromiseKept records that a worker's leave is about to be acknowledged.
-func (l *Log) PromiseKept(instance string, holders int) {
-	end(l.begin(eventPromiseKept).Str("instance", instance).Int("holders", holders))
+func (l *Log) PromiseKept(instance string, holders int, stored bool) {
+	end(l.begin(eventPromiseKept).Str("instance", instance).Int("holders", holders).Bool("stored", stored))
 }
 
 // FormerLife records what was told of a former life of this node.
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -63,7 +63,7 @@
 	l.NodeLost("n", errors.New("fault"))
 	l.NodeFound("n")
 	l.WorkerChanged(workers.Worker{Instance: "i"}, "heartbeat")
-	l.PromiseKept("i", 2)
+	l.PromiseKept("i", 2, true)
 	l.FormerLife(1, 2)
 	l.SettingsReloaded(nil)
 	l.LinesDropped(3)
