Keep what a node holds and sends small in a large mesh

Four things grew with the mesh: - two nodes whose digests differed sent each other all records; now 64 digests of buckets, and only the records of the buckets that differ; - each merge of one record copied and sorted all; views now share records, and the digest is kept by exclusive or; - every broadcast went through the first node of each zone and of each quarter of the own zone; the order is now the sender's own (rendezvous hashing); - each record went on alone; while news are on their way to a part, further ones are collected and go together. A reader that gets several documents at once reads the newest instead of watching on. Documents are handed on before, and put in force beside, the answer; those that come faster than they can be put in force are left out.

Ruled out: preferring large machines as heads of broadcasts (the same two nodes of a zone would take all messages of 72), sending identifiers and sequences of all records instead of buckets (6 kB at 300 nodes, 512 bytes now).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -102,6 +102,7 @@
 		source: config.Source, documents: agent.documents, table: config.Table, contacts: config.Contacts,
 		events: config.Events, spread: agent.spreadDocument, announce: agent.spreadRecord,
 	})
+	agent.supervisor.Add(agent.documents)
 	agent.supervisor.Add(agent.announcer)
 	agent.supervisor.Add(&Syncer{
 		peers: agent.peers, table: config.Table, contacts: config.Contacts,
@@ -142,13 +143,18 @@
 	go work(ctx)
 }
 
-// Ready reports whether the node knows a document and its former promises.
-func (a *Agent) Ready() bool { return a.informed.Load() && a.documents.Revision() > 0 }
+// Ready reports whether the node has put a document in force and knows its former
+// promises.
+func (a *Agent) Ready() bool { return a.informed.Load() && a.documents.InForce() }
 
 // meet takes the nodes that the store names and asks some of them.
 func (a *Agent) meet(ctx context.Context, nodes []fleet.Node) {
 	a.config.Table.Merge(nodes)
-	a.ask(ctx, nodes)
+	named := make([]*fleet.Node, len(nodes))
+	for i := range nodes {
+		named[i] = &nodes[i]
+	}
+	a.ask(ctx, named)
 	a.spreadRecord(ctx)
 }
 
@@ -164,7 +170,7 @@
 		if !a.peers.Sync(ctx, node) {
 			return
 		}
-		others := slices.DeleteFunc(a.peers.reachablePeers(), func(other fleet.Node) bool { return other.ID == id })
+		others := slices.DeleteFunc(a.peers.reachablePeers(), func(other *fleet.Node) bool { return other.ID == id })
 		a.ask(ctx, others)
 	})
 }
@@ -172,12 +178,12 @@
 // ask asks some nodes what they know of this one, and waits for all of them: one
 // alone may have been restarted just now and lack a promise that others hold.
 // Those that do not answer in time are lost, or have started just now, too.
-func (a *Agent) ask(ctx context.Context, nodes []fleet.Node) {
+func (a *Agent) ask(ctx context.Context, nodes []*fleet.Node) {
 	bounded, cancel := context.WithTimeout(ctx, formerBound)
 	defer cancel()
 	var answers sync.WaitGroup
 	for _, node := range pickRandom(nodes, firstSyncs) {
-		answers.Go(func() { a.peers.Sync(bounded, node) })
+		answers.Go(func() { a.peers.Sync(bounded, *node) })
 	}
 	answers.Wait()
 	a.inform()
@@ -291,7 +297,7 @@
 	kept.told = make(chan struct{})
 	kept.stored = make(chan bool, 1)
 	a.background(func(ctx context.Context) {
-		what := news{nodes: nodeMessages([]fleet.Node{a.config.Table.View().Self()})}
+		what := news{nodes: a.ownRecord()}
 		a.peers.Broadcast(ctx, what, func() { kept.taken <- struct{}{} })
 		close(kept.told)
 	})
@@ -335,9 +341,14 @@
 	return holders, stored
 }
 
+// ownRecord returns the own record as news.
+func (a *Agent) ownRecord() []*exchangepb.Node {
+	return []*exchangepb.Node{nodeMessage(a.config.Table.View().Self())}
+}
+
 // spreadRecord tells all other nodes of the own record.
 func (a *Agent) spreadRecord(ctx context.Context) {
-	what := news{nodes: nodeMessages([]fleet.Node{a.config.Table.View().Self()})}
+	what := news{nodes: a.ownRecord()}
 	a.peers.Broadcast(ctx, what, nil)
 }
 
--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -2,8 +2,6 @@
 
 import (
 	"context"
-	"slices"
-	"strings"
 	"sync"
 
 	"github.com/levertide/levertide/internal/exchangepb"
@@ -25,25 +23,26 @@
 // each other zone, which hands them on there, and to some of the own zone. Taken,
 // which may be nil, is called for each of the first hop that took them.
 func (p *Peers) Broadcast(ctx context.Context, what news, taken func()) {
-	own := p.table.View().Self().Zone
+	self := p.table.View().Self()
 	var parts []fleet.Part
 	for zone, nodes := range p.byZone() {
-		if zone != own {
-			parts = append(parts, wholeZone(nodes))
+		if zone == self.Zone {
+			parts = append(parts, fleet.Spread(nodes, self.ID, "", "", fanOut)...)
+			continue
 		}
+		parts = append(parts, fleet.Whole(nodes, self.ID))
 	}
-	parts = append(parts, fleet.Spread(p.inZone(own), "", "", fanOut)...)
 	p.handOnAll(ctx, what, parts, taken)
 }
 
 // BroadcastZones hands news to one node of each of the other zones that the
 // function takes, which hands them on there if it lacks them.
 func (p *Peers) BroadcastZones(ctx context.Context, what news, wanted func(zone string) bool) {
-	own := p.table.View().Self().Zone
+	self := p.table.View().Self()
 	var parts []fleet.Part
 	for zone, nodes := range p.byZone() {
-		if zone != own && wanted(zone) {
-			parts = append(parts, wholeZone(nodes))
+		if zone != self.Zone && wanted(zone) {
+			parts = append(parts, fleet.Whole(nodes, self.ID))
 		}
 	}
 	p.handOnAll(ctx, what, parts, nil)
@@ -51,24 +50,19 @@
 
 // BroadcastOwnZone hands news to the nodes of the own zone in a range.
 func (p *Peers) BroadcastOwnZone(ctx context.Context, what news, after, until string) {
-	own := p.table.View().Self().Zone
-	p.handOnAll(ctx, what, fleet.Spread(p.inZone(own), after, until, fanOut), nil)
+	self := p.table.View().Self()
+	p.handOnAll(ctx, what, fleet.Spread(p.inZone(self.Zone), self.ID, after, until, fanOut), nil)
 }
 
-func wholeZone(nodes []fleet.Node) fleet.Part {
-	slices.SortFunc(nodes, func(a, b fleet.Node) int { return strings.Compare(a.ID, b.ID) })
-	return fleet.Part{Candidates: nodes, Until: nodes[len(nodes)-1].ID}
-}
-
-func (p *Peers) byZone() map[string][]fleet.Node {
-	zones := map[string][]fleet.Node{}
+func (p *Peers) byZone() map[string][]*fleet.Node {
+	zones := map[string][]*fleet.Node{}
 	for _, node := range p.reachablePeers() {
 		zones[node.Zone] = append(zones[node.Zone], node)
 	}
 	return zones
 }
 
-func (p *Peers) inZone(zone string) []fleet.Node { return p.byZone()[zone] }
+func (p *Peers) inZone(zone string) []*fleet.Node { return p.byZone()[zone] }
 
 func (p *Peers) handOnAll(ctx context.Context, what news, parts []fleet.Part, taken func()) {
 	var waiting sync.WaitGroup
@@ -84,7 +78,7 @@
 
 // reachablePeers leaves out nodes that are taken to be lost: they compare notes
 // when they are found again.
-func (p *Peers) reachablePeers() []fleet.Node {
+func (p *Peers) reachablePeers() []*fleet.Node {
 	all := p.table.View().Peers()
 	reachable := all[:0]
 	for _, node := range all {
@@ -109,7 +103,7 @@
 		if len(part.Candidates) > 1 {
 			request.After, request.Until = part.After, part.Until
 		}
-		if p.send(ctx, head, request) {
+		if p.send(ctx, *head, request) {
 			return true
 		}
 		if ctx.Err() != nil {
--- a/internal/hosted/compress.go
+++ b/internal/hosted/compress.go
@@ -9,9 +9,8 @@
 const (
 	// maximumDocument bounds a document, in bytes.
 	maximumDocument = 8 << 20
-	// documentWindow is the window of the compressor: it must reach back over the
-	// document before, and larger ones cost memory.
-	documentWindow = 512 << 10
+	// smallestWindow bounds the window of the compressor from below.
+	smallestWindow = 64 << 10
 	// dictionaryID marks content that was compressed by a former document.
 	dictionaryID = 1
 )
@@ -23,7 +22,7 @@
 	options := []zstd.EOption{
 		zstd.WithEncoderLevel(zstd.SpeedFastest),
 		zstd.WithEncoderConcurrency(1),
-		zstd.WithWindowSize(documentWindow),
+		zstd.WithWindowSize(windowFor(len(content) + len(dictionary))),
 		zstd.WithLowerEncoderMem(true),
 	}
 	if len(dictionary) > 0 {
@@ -37,6 +36,16 @@
 	return encoder.EncodeAll(content, nil)
 }
 
+// windowFor returns the window for content and dictionary together: it must reach
+// back over both, and a larger one costs memory.
+func windowFor(size int) int {
+	window := smallestWindow
+	for window < size && window < maximumDocument {
+		window *= 2
+	}
+	return window
+}
+
 // decompress undoes compress with the same dictionary.
 func decompress(compressed, dictionary []byte) ([]byte, error) {
 	options := []zstd.DOption{
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -20,6 +20,7 @@
 		State:          exchangepb.NodeState(node.State),
 		ReadsStore:     node.ReadsStore,
 		Workers:        workerMessages(node.Workers),
+		Capacity:       uint32(node.Capacity),
 	}
 }
 
@@ -35,13 +36,14 @@
 		State:          fleet.State(message.GetState()),
 		ReadsStore:     message.GetReadsStore(),
 		Workers:        workersOf(message.GetWorkers()),
+		Capacity:       int(message.GetCapacity()),
 	}
 }
 
-func nodeMessages(nodes []fleet.Node) []*exchangepb.Node {
+func nodeMessages(nodes []*fleet.Node) []*exchangepb.Node {
 	messages := make([]*exchangepb.Node, 0, len(nodes))
 	for _, node := range nodes {
-		messages = append(messages, nodeMessage(node))
+		messages = append(messages, nodeMessage(*node))
 	}
 	return messages
 }
--- a/internal/hosted/documents.go
+++ b/internal/hosted/documents.go
@@ -1,17 +1,24 @@
 package hosted
 
 import (
+	"context"
 	"sync"
+	"sync/atomic"
 
 	"github.com/levertide/levertide/internal/exchangepb"
 )
 
-// Documents holds the newest document that this node knows.
+// Documents holds the newest document that this node knows, and has it put in
+// force. It is a suture service.
 type Documents struct {
 	consumer Consumer
 	events   Events
+	// news is signalled when there is a document that was not offered yet.
+	news chan struct{}
+	// offered is the revision of the last document that the consumer took.
+	offered atomic.Uint64
 
-	mutex    sync.Mutex
+	mu       sync.Mutex
 	newest   Document
 	whole    *exchangepb.Document // the newest in full, made when it is needed
 	delta    *exchangepb.Document // the newest by the one before it; nil if there is none
@@ -20,21 +27,53 @@
 
 // NewDocuments returns an empty Documents.
 func NewDocuments(consumer Consumer, events Events) *Documents {
-	return &Documents{consumer: consumer, events: events}
+	return &Documents{consumer: consumer, events: events, news: make(chan struct{}, 1)}
 }
 
+// String names the part in events.
+func (d *Documents) String() string { return "documents" }
+
+// Serve offers the newest document to the consumer, until the context ends. When
+// documents come faster than they can be put in force, those between are left out:
+// on a slow machine a storm of changes must not queue up.
+func (d *Documents) Serve(ctx context.Context) error {
+	for {
+		select {
+		case <-d.news:
+			d.offer()
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// offer has the consumer put the newest document in force.
+func (d *Documents) offer() {
+	d.mu.Lock()
+	document := d.newest
+	d.mu.Unlock()
+	if err := d.consumer.Offer(document.Content); err != nil {
+		d.events.DocumentRejected(document.Revision, err)
+		return
+	}
+	d.offered.Store(document.Revision)
+}
+
+// InForce reports whether a document has been put in force.
+func (d *Documents) InForce() bool { return d.offered.Load() > 0 }
+
 // Revision returns the revision of the newest document; zero when there is none.
 func (d *Documents) Revision() uint64 {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	return d.newest.Revision
 }
 
 // After returns the newest document, in the form of messages, for a node that
 // holds the given revision; nil when that is no older.
 func (d *Documents) After(revision uint64) *exchangepb.Document {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	switch {
 	case d.newest.Revision <= revision:
 		return nil
@@ -50,16 +89,16 @@
 // News returns the newest document for all others: by the one before it, which
 // most of them hold, if there is one.
 func (d *Documents) News() *exchangepb.Document {
-	d.mutex.Lock()
+	d.mu.Lock()
 	base := d.previous
-	d.mutex.Unlock()
+	d.mu.Unlock()
 	return d.After(base)
 }
 
 // Take takes a document from the store. It reports whether it was news.
 func (d *Documents) Take(document Document) bool {
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if document.Revision <= d.newest.Revision {
 		return false
 	}
@@ -74,8 +113,8 @@
 	if message == nil {
 		return false
 	}
-	d.mutex.Lock()
-	defer d.mutex.Unlock()
+	d.mu.Lock()
+	defer d.mu.Unlock()
 	if message.GetRevision() <= d.newest.Revision {
 		return true
 	}
@@ -95,9 +134,9 @@
 	return true
 }
 
-// put offers a document to the consumer. One that cannot be used is kept and
-// handed on all the same: others may be able to, and all must agree on which is
-// the newest. The mutex is held.
+// put makes a document the newest. One that cannot be used is kept and handed on
+// all the same: others may be able to, and all must agree on which is the newest.
+// The mutex is held.
 func (d *Documents) put(document Document, message *exchangepb.Document) {
 	former := d.newest
 	d.newest, d.previous = document, former.Revision
@@ -114,7 +153,8 @@
 	if message != nil && message.GetBase() == 0 {
 		d.whole = message
 	}
-	if err := d.consumer.Offer(document.Content); err != nil {
-		d.events.DocumentRejected(document.Revision, err)
+	select {
+	case d.news <- struct{}{}:
+	default:
 	}
 }
--- a/internal/hosted/documents_test.go
+++ b/internal/hosted/documents_test.go
@@ -30,6 +30,15 @@
 func (quietEvents) PromiseKept(string, int, bool)        {}
 func (quietEvents) FormerLife(uint64, int)               {}
 
+// offerNews does what Serve does when there are news.
+func offerNews(d *Documents) {
+	select {
+	case <-d.news:
+		d.offer()
+	default:
+	}
+}
+
 // exampleDocument has many routes, of which one depends on the version.
 func exampleDocument(version int) []byte {
 	var text strings.Builder
@@ -48,12 +57,15 @@
 	if !target.TakeMessage(first) {
 		t.Fatal("a whole document was not taken")
 	}
+	offerNews(target)
 	source.Take(Document{Revision: 12, Content: exampleDocument(2)})
 	second := source.News()
 	if second.GetBase() != 10 || len(second.GetContent()) > len(first.GetContent())/5 {
 		t.Fatalf("base %d, %d bytes after %d", second.GetBase(), len(second.GetContent()), len(first.GetContent()))
 	}
-	if !target.TakeMessage(second) || !bytes.Equal(consumer.offered[1], exampleDocument(2)) {
+	held := target.TakeMessage(second)
+	offerNews(target)
+	if !held || !bytes.Equal(consumer.offered[1], exampleDocument(2)) {
 		t.Fatal("the second document did not arrive as it was")
 	}
 }
@@ -67,7 +79,9 @@
 	if target.TakeMessage(source.News()) {
 		t.Fatal("a document was made of a base that is not held")
 	}
-	if !target.TakeMessage(source.After(target.Revision())) || !bytes.Equal(consumer.offered[0], exampleDocument(2)) {
+	held := target.TakeMessage(source.After(target.Revision()))
+	offerNews(target)
+	if !held || !bytes.Equal(consumer.offered[0], exampleDocument(2)) {
 		t.Fatal("the whole document was not taken")
 	}
 }
@@ -79,3 +93,33 @@
 		t.Fatal("an older document was taken")
 	}
 }
+
+// TestDocumentsBetweenAreLeftOut lets two documents come before the consumer is free.
+func TestDocumentsBetweenAreLeftOut(t *testing.T) {
+	consumer := &recordingConsumer{}
+	documents := NewDocuments(consumer, quietEvents{})
+	if documents.InForce() {
+		t.Fatal("in force before there is a document")
+	}
+	documents.Take(Document{Revision: 10, Content: exampleDocument(1)})
+	documents.Take(Document{Revision: 12, Content: exampleDocument(2)})
+	offerNews(documents)
+	offerNews(documents)
+	if len(consumer.offered) != 1 || !bytes.Equal(consumer.offered[0], exampleDocument(2)) || !documents.InForce() {
+		t.Fatalf("%d documents offered", len(consumer.offered))
+	}
+}
+
+// rejectingConsumer can use no document.
+type rejectingConsumer struct{}
+
+func (rejectingConsumer) Offer([]byte) error { return ErrInvalidDocument.New("test") }
+
+func TestDocumentThatCannotBeUsedIsNotInForce(t *testing.T) {
+	documents := NewDocuments(rejectingConsumer{}, quietEvents{})
+	documents.Take(Document{Revision: 10, Content: exampleDocument(1)})
+	offerNews(documents)
+	if documents.InForce() || documents.News() == nil {
+		t.Fatal("a document that cannot be used must be handed on and not be in force")
+	}
+}
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -34,13 +34,15 @@
 	web       *http.Client
 	// former is called with what this node promised in former lives.
 	former func(merged fleet.Merged, promised []*exchangepb.Worker)
+	// relay hands on what other nodes have sent.
+	relay *relay
 
 	mutex   sync.Mutex
 	clients map[string]exchangepb.Exchange
 }
 
 func newPeers(config Config, documents *Documents) *Peers {
-	return &Peers{
+	p := &Peers{
 		mesh:      config.Mesh,
 		table:     config.Table,
 		contacts:  config.Contacts,
@@ -54,6 +56,10 @@
 			DisableCompression:  true,
 		}},
 	}
+	p.relay = newRelay(func(ctx context.Context, what news, part partKey) {
+		p.BroadcastOwnZone(ctx, what, part.after, part.until)
+	})
+	return p
 }
 
 func (p *Peers) client(address string) exchangepb.Exchange {
@@ -68,7 +74,8 @@
 }
 
 // Sync compares what this node knows with another one. It reports whether the
-// other one answered.
+// other one answered. Where the records differ, only those of the differing
+// buckets travel.
 func (p *Peers) Sync(ctx context.Context, node fleet.Node) bool {
 	view := p.table.View()
 	request := &exchangepb.SyncRequest{
@@ -81,39 +88,47 @@
 	if err != nil {
 		return false
 	}
-	lacks := response.GetDocumentRevision() < p.documents.Revision()
-	if len(response.GetNodes()) == 0 && !lacks {
+	if request = p.followUp(response); request == nil {
 		return true
 	}
-	second := &exchangepb.SyncRequest{Mesh: p.mesh, Sender: nodeMessage(p.table.View().Self())}
-	if missing := p.lackedBy(response); len(missing) > 0 {
-		second.Nodes = missing
-	}
-	if lacks {
-		second.Document = p.documents.After(response.GetDocumentRevision())
-	}
-	if len(second.Nodes) == 0 && second.Document == nil {
-		return true
-	}
-	second.NodesDigest = p.table.View().Digest()
-	second.DocumentRevision = p.documents.Revision()
-	_, err = p.sync(ctx, node, second)
+	_, err = p.sync(ctx, node, request)
 	return err == nil
 }
 
-// lackedBy returns the records that a node which has told all of its own lacks.
-func (p *Peers) lackedBy(response *exchangepb.SyncResponse) []*exchangepb.Node {
-	if len(response.GetNodes()) == 0 {
+// followUp returns what a node that has answered is to be told and asked; nil when
+// there is nothing.
+func (p *Peers) followUp(response *exchangepb.SyncResponse) *exchangepb.SyncRequest {
+	view := p.table.View()
+	request := &exchangepb.SyncRequest{
+		Mesh:             p.mesh,
+		Sender:           nodeMessage(view.Self()),
+		NodesDigest:      view.Digest(),
+		DocumentRevision: p.documents.Revision(),
+	}
+	if digests := response.GetBucketDigests(); len(digests) > 0 {
+		request.Buckets = view.Differing(digests)
+		request.Nodes = nodeMessages(view.InBuckets(request.Buckets))
+	}
+	if revision := response.GetDocumentRevision(); revision < request.GetDocumentRevision() {
+		request.Document = p.documents.After(revision)
+	}
+	if len(request.Buckets) == 0 && request.Document == nil {
 		return nil
 	}
-	held := make(map[string]fleet.Node, len(response.GetNodes()))
-	for _, node := range nodesOf(response.GetNodes()...) {
-		held[node.ID] = node
+	return request
+}
+
+// lackedBy returns the records of buckets that a node lacks which has told all its
+// own of them.
+func lackedBy(view *fleet.View, buckets []uint32, told []*exchangepb.Node) []*exchangepb.Node {
+	held := make(map[string]fleet.Node, len(told))
+	for _, n := range nodesOf(told...) {
+		held[n.ID] = n
 	}
 	var missing []*exchangepb.Node
-	for _, node := range p.table.View().Nodes() {
-		if other, known := held[node.ID]; !known || node.NewerThan(other) {
-			missing = append(missing, nodeMessage(node))
+	for _, n := range view.InBuckets(buckets) {
+		if other, known := held[n.ID]; !known || n.NewerThan(other) {
+			missing = append(missing, nodeMessage(*n))
 		}
 	}
 	return missing
--- a/internal/hosted/random.go
+++ b/internal/hosted/random.go
@@ -8,7 +8,7 @@
 )
 
 // pickRandom returns some of the nodes, in random order.
-func pickRandom(nodes []fleet.Node, count int) []fleet.Node {
+func pickRandom(nodes []*fleet.Node, count int) []*fleet.Node {
 	shuffled := slices.Clone(nodes)
 	rand.Shuffle(len(shuffled), func(i, j int) { shuffled[i], shuffled[j] = shuffled[j], shuffled[i] })
 	return shuffled[:min(count, len(shuffled))]
--- a/internal/hosted/reader.go
+++ b/internal/hosted/reader.go
@@ -86,16 +86,21 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, watchWait+answerBound)
 	defer cancel()
-	document, next, err := r.source.Watch(bounded, r.after, watchWait)
+	watched, err := r.source.Watch(bounded, r.after, watchWait)
 	switch {
 	case errorx.IsOfType(err, ErrHistoryGone):
 		r.after = 0
 	case err != nil:
 		r.lost(ctx, err)
 	default:
-		r.after = next
-		if document != nil {
-			r.take(ctx, *document)
+		r.after = watched.Next
+		if watched.Superseded > 0 {
+			// Documents come faster than the link carries them: a watch from here
+			// would bring each of them, a read brings only the newest.
+			r.after = 0
+		}
+		if watched.Document != nil {
+			r.take(ctx, *watched.Document)
 		}
 	}
 }
--- /dev/null
+++ b/internal/hosted/relay.go
@@ -0,0 +1,86 @@
+package hosted
+
+import (
+	"context"
+	"sync"
+
+	"github.com/levertide/levertide/internal/exchangepb"
+)
+
+// partKey names the part of the own zone that news are handed on to.
+type partKey struct{ after, until string }
+
+// relay hands news on to parts of the own zone. While news are on their way to a
+// part, further ones for it are collected and go together: when many nodes have
+// news at the same time, as after a loss of power, messages stay few.
+type relay struct {
+	send func(ctx context.Context, what news, part partKey)
+
+	mu sync.Mutex
+	// waiting holds what is to follow, for each part with news on their way.
+	waiting map[partKey]*news
+}
+
+func newRelay(send func(ctx context.Context, what news, part partKey)) *relay {
+	return &relay{send: send, waiting: map[partKey]*news{}}
+}
+
+// handOn sends news to a part, or leaves them to whoever is sending there now.
+func (r *relay) handOn(ctx context.Context, what news, part partKey) {
+	if r.leave(what, part) {
+		return
+	}
+	for next := &what; next != nil; next = r.next(part) {
+		r.send(ctx, *next, part)
+	}
+}
+
+// leave adds news to those that wait, if others are on their way.
+func (r *relay) leave(what news, part partKey) bool {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting, busy := r.waiting[part]
+	switch {
+	case !busy:
+		r.waiting[part] = nil
+	case waiting == nil:
+		r.waiting[part] = &what
+	default:
+		waiting.add(what)
+	}
+	return busy
+}
+
+// next takes what waits for a part; nil when there is nothing, and the part is free.
+func (r *relay) next(part partKey) *news {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	waiting := r.waiting[part]
+	if waiting == nil {
+		delete(r.waiting, part)
+		return nil
+	}
+	r.waiting[part] = nil
+	return waiting
+}
+
+// add joins later news: the newest record of each node and the newest document.
+func (n *news) add(later news) {
+	nodes := make([]*exchangepb.Node, 0, len(n.nodes)+len(later.nodes))
+	place := map[string]int{}
+	for _, message := range append(append(nodes, n.nodes...), later.nodes...) {
+		i, known := place[message.GetId()]
+		switch {
+		case !known:
+			place[message.GetId()] = len(nodes)
+			nodes = append(nodes, message)
+		case nodeOf(message).NewerThan(nodeOf(nodes[i])):
+			nodes[i] = message
+		}
+	}
+	n.nodes = nodes
+	if later.document.GetRevision() > n.document.GetRevision() {
+		n.document = later.document
+	}
+	n.revision = max(n.revision, later.revision)
+}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -50,8 +50,12 @@
 		Document:         p.documents.After(request.GetDocumentRevision()),
 		Promised:         workerMessages(promised),
 	}
-	if view.Digest() != request.GetNodesDigest() {
-		response.Nodes = nodeMessages(view.Nodes())
+	switch {
+	case len(request.GetBuckets()) > 0:
+		response.Nodes = lackedBy(view, request.GetBuckets(), request.GetNodes())
+	case view.Digest() != request.GetNodesDigest():
+		digests := view.Digests()
+		response.BucketDigests = digests[:]
 	}
 	if known && former.NewerThan(nodeOf(request.GetSender())) {
 		response.Nodes = append(response.Nodes, nodeMessage(former))
@@ -59,8 +63,8 @@
 	return response, nil
 }
 
-// Broadcast implements exchangepb.Exchange. News are put in force before they
-// are handed on, and handed on after the answer.
+// Broadcast implements exchangepb.Exchange. News are handed on after the answer,
+// beside being put in force.
 func (s *Server) Broadcast(_ context.Context, request *exchangepb.BroadcastRequest) (*exchangepb.BroadcastResponse, error) {
 	if err := s.check(request.GetMesh(), request.GetSender()); err != nil {
 		return nil, err
@@ -76,7 +80,7 @@
 		}
 		// A message without news has been handed on by whoever brought them.
 		if request.GetUntil() != "" && (what.document != nil || len(what.nodes) > 0) {
-			p.BroadcastOwnZone(ctx, what, request.GetAfter(), request.GetUntil())
+			p.relay.handOn(ctx, what, partKey{after: request.GetAfter(), until: request.GetUntil()})
 		}
 	})
 	return &exchangepb.BroadcastResponse{}, nil
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -18,9 +18,18 @@
 	// Read returns the newest document, and the revision to watch from.
 	Read(ctx context.Context) (Document, uint64, error)
 	// Watch waits for a document after the given revision, at most for the given
-	// time. It returns the revision to go on from; the document is nil when
-	// there was none.
-	Watch(ctx context.Context, after uint64, wait time.Duration) (*Document, uint64, error)
+	// time.
+	Watch(ctx context.Context, after uint64, wait time.Duration) (Watched, error)
+}
+
+// Watched is what a watch has brought.
+type Watched struct {
+	// Document is the newest one; nil when there was none.
+	Document *Document
+	// Superseded is how many older ones came with it.
+	Superseded int
+	// Next is the revision to go on from.
+	Next uint64
 }
 
 // Lease names a lease of the store.
--- a/internal/hosted/syncer.go
+++ b/internal/hosted/syncer.go
@@ -61,7 +61,7 @@
 		peers = near
 	}
 	if len(peers) > 0 {
-		s.peers.Sync(ctx, peers[rand.IntN(len(peers))])
+		s.peers.Sync(ctx, *peers[rand.IntN(len(peers))])
 	}
 }
 
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -169,9 +169,9 @@
 }
 
 // Watch implements hosted.Source.
-func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (*hosted.Document, uint64, error) {
+func (c *Client) Watch(ctx context.Context, after uint64, wait time.Duration) (hosted.Watched, error) {
 	if _, err := c.begin(ctx); err != nil {
-		return nil, 0, err
+		return hosted.Watched{}, err
 	}
 	bound := time.NewTimer(wait)
 	defer bound.Stop()
@@ -180,17 +180,17 @@
 		document, revision, history, changed := c.store.document, c.store.revision, c.store.history, c.store.changed
 		c.store.mutex.Unlock()
 		if after < history {
-			return nil, 0, hosted.ErrHistoryGone.New("forgotten")
+			return hosted.Watched{}, hosted.ErrHistoryGone.New("forgotten")
 		}
 		if document != nil && document.Revision > after {
-			return document, revision, nil
+			return hosted.Watched{Document: document, Next: revision}, nil
 		}
 		select {
 		case <-changed:
 		case <-bound.C:
-			return nil, revision, nil
+			return hosted.Watched{Next: revision}, nil
 		case <-ctx.Done():
-			return nil, 0, hosted.ErrUnanswered.New("given up")
+			return hosted.Watched{}, hosted.ErrUnanswered.New("given up")
 		}
 	}
 }
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -19,8 +19,11 @@
 	"github.com/levertide/levertide/pkg/workers"
 )
 
-// readinessName names the listener for the readiness question.
-const readinessName = "readiness"
+// Names of listeners.
+const (
+	readinessName = "readiness"
+	metricsName   = "metrics"
+)
 
 const (
 	// silentHeartbeats is how many heartbeats may be missing before a worker is
@@ -114,12 +117,17 @@
 	}{
 		{"registration", n.settings.AdminAddress, adapter.Registration(n.agent)},
 		{readinessName, n.settings.ReadinessAddress, adapter.Readiness(n.ready)},
-		{"metrics", n.settings.MetricsAddress, registry.Handler()},
+		{metricsName, n.settings.MetricsAddress, registry.Handler()},
 	} {
 		if other.address == "" {
 			continue
 		}
 		opened, err := listen(other.name, other.address, &http.Server{Handler: other.handler})
+		if err != nil && other.name == metricsName {
+			// Calls go on when a foreign program has the port of the metrics.
+			n.log.PartFailed(metricsName, err.Error())
+			continue
+		}
 		if err != nil {
 			return err
 		}
@@ -140,6 +148,7 @@
 		CallAddress:    n.settings.CallAddress,
 		State:          fleet.StateLive,
 		ReadsStore:     true,
+		Capacity:       int(n.settings.Capacity),
 	}
 }
 
--- a/pkg/fleet/example_test.go
+++ b/pkg/fleet/example_test.go
@@ -17,11 +17,11 @@
 }
 
 func ExampleSpread() {
-	peers := []fleet.Node{{ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
-	for _, part := range fleet.Spread(peers, "", "", 2) {
-		fmt.Println(part.Candidates[0].ID, "hands on to those after it, until", part.Until)
+	peers := []*fleet.Node{{ID: "b"}, {ID: "c"}, {ID: "d"}, {ID: "e"}}
+	for _, part := range fleet.Spread(peers, "a", "", "", 2) {
+		fmt.Printf("one of %d nodes after %q, until %q, hands on to the others\n", len(part.Candidates), part.After, part.Until)
 	}
 	// Output:
-	// b hands on to those after it, until c
-	// d hands on to those after it, until e
+	// one of 2 nodes after "", until "c", hands on to the others
+	// one of 2 nodes after "c", until "e", hands on to the others
 }
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/levertide/levertide/pkg/workers"
+import (
+	"math/bits"
+
+	"github.com/levertide/levertide/pkg/workers"
+)
 
 // State is what a node says of its own stay.
 type State uint8
@@ -27,6 +31,9 @@
 	State                       State
 	// ReadsStore tells that the node reaches the store and may read for others.
 	ReadsStore bool
+	// Capacity tells how much the machine can carry, compared with others; zero
+	// when it is not known.
+	Capacity int
 	// Workers are those that the node vouches for, with those that it has
 	// promised to leave alone.
 	Workers []workers.Worker
@@ -40,6 +47,10 @@
 	return n.Sequence > other.Sequence
 }
 
+// class parts nodes by their capacity so that only a difference of about two times
+// counts.
+func (n *Node) class() int { return bits.Len(uint(max(n.Capacity, 0))) }
+
 // Serves returns the worker of the service that may be given work, if the node
 // has one.
 func (n Node) Serves(service string) (workers.Worker, bool) {
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -1,22 +1,23 @@
 package fleet
 
 import (
-	"encoding/binary"
+	"maps"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 
-	"github.com/cespare/xxhash/v2"
-
 	"github.com/levertide/levertide/pkg/workers"
 )
 
 // Table holds the newest record of each node. It is safe for concurrent use.
 type Table struct {
-	self  string
-	mutex sync.Mutex
-	nodes map[string]Node
+	self string
+	mu   sync.Mutex
+	// nodes are ordered by identifier. The records are never changed, and the
+	// slice is replaced whole, since views share both.
+	nodes []*Node
+	// digests holds, for each bucket, the digests of its records by exclusive or.
+	digests [Buckets]uint64
 	// promises are workers that former lives of nodes have promised to leave
 	// alone. A new life starts with a record that does not name them.
 	promises map[string][]workers.Worker
@@ -27,9 +28,9 @@
 func NewTable(self Node) *Table {
 	table := &Table{
 		self:     self.ID,
-		nodes:    map[string]Node{self.ID: self},
 		promises: map[string][]workers.Worker{},
 	}
+	table.put([]*Node{&self})
 	table.publish()
 	return table
 }
@@ -46,23 +47,28 @@
 // Merge takes the records that are newer than those held. The own record is
 // written with Update only.
 func (t *Table) Merge(nodes []Node) Merged {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	var merged Merged
-	for _, node := range nodes {
-		held, known := t.nodes[node.ID]
+	taken := map[string]*Node{}
+	for _, n := range nodes {
+		held, known := t.held(n.ID)
+		if earlier, again := taken[n.ID]; again {
+			held, known = *earlier, true
+		}
 		switch {
-		case node.ID == "" || known && !node.NewerThan(held):
-		case node.ID == t.self:
-			former := node
+		case n.ID == "" || known && !n.NewerThan(held):
+		case n.ID == t.self:
+			former := n
 			merged.FormerSelf = &former
 		default:
-			t.keepPromises(held, node)
-			t.nodes[node.ID] = node
-			merged.News = append(merged.News, node)
+			t.keepPromises(held, n)
+			taken[n.ID] = &n
+			merged.News = append(merged.News, n)
 		}
 	}
-	if len(merged.News) > 0 {
+	if len(taken) > 0 {
+		t.put(slices.SortedFunc(maps.Values(taken), byID))
 		t.publish()
 	}
 	return merged
@@ -72,7 +78,7 @@
 const maximumPromises = 32
 
 // keepPromises remembers what a life of a node has promised when the next one
-// replaces its record. The mutex is held.
+// replaces its record. The mu is held.
 func (t *Table) keepPromises(former, next Node) {
 	if former.Incarnation == next.Incarnation {
 		return
@@ -94,10 +100,11 @@
 // Promised returns the workers that a node, in this life or a former one, has
 // promised to give no more work.
 func (t *Table) Promised(id string) []workers.Worker {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	promised := slices.Clone(t.promises[id])
-	for _, worker := range t.nodes[id].Workers {
+	held, _ := t.held(id)
+	for _, worker := range held.Workers {
 		if worker.State.Promised() {
 			promised = append(promised, worker)
 		}
@@ -107,13 +114,13 @@
 
 // Update writes the own record with the next sequence and returns it.
 func (t *Table) Update(change func(*Node)) Node {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
-	own := t.nodes[t.self]
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	own, _ := t.held(t.self)
 	own.Workers = slices.Clone(own.Workers)
 	change(&own)
 	own.Sequence++
-	t.nodes[t.self] = own
+	t.put([]*Node{&own})
 	t.publish()
 	return own
 }
@@ -129,12 +136,15 @@
 
 // Remove forgets a node, until a record of it comes again.
 func (t *Table) Remove(id string) {
-	t.mutex.Lock()
-	defer t.mutex.Unlock()
+	t.mu.Lock()
+	defer t.mu.Unlock()
 	if id == t.self {
 		return
 	}
-	delete(t.nodes, id)
+	if i, known := t.find(id); known {
+		t.count(t.nodes[i])
+		t.nodes = slices.Delete(slices.Clone(t.nodes), i, i+1)
+	}
 	delete(t.promises, id)
 	t.publish()
 }
@@ -142,63 +152,40 @@
 // View returns the records held now.
 func (t *Table) View() *View { return t.view.Load() }
 
-// publish makes the records visible. The mutex is held, or the table is new.
-func (t *Table) publish() {
-	nodes := make([]Node, 0, len(t.nodes))
-	for _, node := range t.nodes {
-		nodes = append(nodes, node)
-	}
-	slices.SortFunc(nodes, func(a, b Node) int { return strings.Compare(a.ID, b.ID) })
-	t.view.Store(&View{self: t.self, nodes: nodes, digest: digestOf(nodes)})
-}
-
-// View is an immutable set of records, ordered by identifier.
-type View struct {
-	self   string
-	nodes  []Node
-	digest uint64
-}
-
-// Nodes returns all records, the own one among them. The caller must not change them.
-func (v *View) Nodes() []Node { return v.nodes }
-
-// Digest is equal for equal sets of records.
-func (v *View) Digest() uint64 { return v.digest }
-
-// Self returns the own record.
-func (v *View) Self() Node {
-	own, _ := v.Node(v.self)
-	return own
-}
+// find returns the place of a node's record. The mutex is held.
+func (t *Table) find(id string) (int, bool) { return findNode(t.nodes, id) }
 
-// Node returns the record of a node.
-func (v *View) Node(id string) (Node, bool) {
-	index, found := slices.BinarySearchFunc(v.nodes, id, func(node Node, id string) int { return strings.Compare(node.ID, id) })
-	if !found {
+// held returns the record held of a node. The mutex is held.
+func (t *Table) held(id string) (Node, bool) {
+	i, known := t.find(id)
+	if !known {
 		return Node{}, false
 	}
-	return v.nodes[index], true
+	return *t.nodes[i], true
 }
 
-// Peers returns the records of the other nodes that have not left.
-func (v *View) Peers() []Node {
-	peers := make([]Node, 0, len(v.nodes))
-	for _, node := range v.nodes {
-		if node.ID != v.self && node.State != StateLeft {
-			peers = append(peers, node)
+// put takes records, ordered by identifier, in place of those held. The mutex is
+// held, or the table is new; views keep the former slice.
+func (t *Table) put(news []*Node) {
+	former := t.nodes
+	t.nodes = make([]*Node, 0, len(former)+len(news))
+	for _, n := range news {
+		i, known := findNode(former, n.ID)
+		t.nodes = append(append(t.nodes, former[:i]...), n)
+		t.count(n)
+		former = former[i:]
+		if known {
+			t.count(former[0])
+			former = former[1:]
 		}
 	}
-	return peers
+	t.nodes = append(t.nodes, former...)
 }
 
-func digestOf(nodes []Node) uint64 {
-	digest := xxhash.New()
-	var number [16]byte
-	for _, node := range nodes {
-		_, _ = digest.WriteString(node.ID)
-		binary.LittleEndian.PutUint64(number[:8], node.Incarnation)
-		binary.LittleEndian.PutUint64(number[8:], node.Sequence)
-		_, _ = digest.Write(number[:])
-	}
-	return digest.Sum64()
+// count takes a record into the digest of its bucket, or out of it.
+func (t *Table) count(n *Node) { t.digests[bucketOf(n.ID)] ^= digestOf(n) }
+
+// publish makes the records visible. The mutex is held, or the table is new.
+func (t *Table) publish() {
+	t.view.Store(&View{self: t.self, nodes: t.nodes, digests: t.digests})
 }
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"slices"
 	"testing"
 	"time"
 
@@ -55,18 +56,23 @@
 		if one.View().Digest() != two.View().Digest() {
 			t.Fatal("tables differ")
 		}
+		digests := two.View().Digests()
+		if differing := one.View().Differing(digests[:]); len(differing) > 0 {
+			t.Fatalf("buckets %v differ", differing)
+		}
 	})
 }
 
 // TestSpreadReachesEveryNodeOnce plays a broadcast through and counts.
 func TestSpreadReachesEveryNodeOnce(t *testing.T) {
 	for _, size := range []int{0, 1, 2, 5, 12, 100, 301} {
-		var peers []Node
+		var peers []*Node
 		for index := range size {
-			peers = append(peers, node(fmt.Sprintf("n%04d", index), 1, 1))
+			record := node(fmt.Sprintf("n%04d", index), 1, 1)
+			peers = append(peers, &record)
 		}
 		reached := map[string]int{}
-		depth := spreadAll(peers, "", "", reached)
+		depth := spreadAll(peers, "sender", "", "", reached)
 		if len(reached) != size {
 			t.Fatalf("%d of %d reached", len(reached), size)
 		}
@@ -81,18 +87,38 @@
 	}
 }
 
-func spreadAll(peers []Node, after, until string, reached map[string]int) int {
+func spreadAll(peers []*Node, sender, after, until string, reached map[string]int) int {
 	deepest := 0
-	for _, part := range Spread(peers, after, until, 4) {
+	for _, part := range Spread(peers, sender, after, until, 4) {
 		head := part.Candidates[0]
 		reached[head.ID]++
-		if head.ID != part.Until {
-			deepest = max(deepest, spreadAll(peers, head.ID, part.Until, reached))
+		others := slices.DeleteFunc(slices.Clone(peers), func(n *Node) bool { return n == head })
+		if len(part.Candidates) > 1 {
+			deepest = max(deepest, spreadAll(others, head.ID, part.After, part.Until, reached))
 		}
 	}
 	return deepest + 1
 }
 
+// TestHeadsDifferByTheSender counts how often each node is the first that others
+// send to.
+func TestHeadsDifferByTheSender(t *testing.T) {
+	var peers []*Node
+	for i := range 100 {
+		record := node(fmt.Sprintf("n%04d", i), 1, 1)
+		peers = append(peers, &record)
+	}
+	heads := map[string]int{}
+	for i := range 400 {
+		heads[Whole(peers, fmt.Sprintf("sender %d", i)).Candidates[0].ID]++
+	}
+	for id, times := range heads {
+		if times > 20 {
+			t.Errorf("%s is the head of %d of 400 broadcasts to 100 nodes", id, times)
+		}
+	}
+}
+
 func TestReadersComeFromSeveralZones(t *testing.T) {
 	table := NewTable(node("a0", 1, 1))
 	for _, id := range []string{"a1", "a2", "b1", "c1"} {
@@ -117,6 +143,20 @@
 	}
 }
 
+func TestReadersHaveTheHighestCapacity(t *testing.T) {
+	table := NewTable(node("a0", 1, 1))
+	for id, capacity := range map[string]int{"a1": 10, "a2": 200, "b1": 10, "b2": 190, "b3": 10, "c1": 200} {
+		record := node(id, 1, 1)
+		record.Capacity = capacity
+		table.Merge([]Node{record})
+	}
+	readers := Readers(table.View(), func(string) bool { return true }, 3)
+	slices.Sort(readers)
+	if !slices.Equal(readers, []string{"a2", "b2", "c1"}) {
+		t.Fatalf("readers %v", readers)
+	}
+}
+
 func TestContactsSpreadTries(t *testing.T) {
 	contacts, now := NewContacts(), time.Unix(1000, 0)
 	if !contacts.Reachable("a") || !contacts.Failed("a", now, 0.5) || contacts.Failed("a", now, 0.5) {
@@ -153,3 +193,43 @@
 		t.Fatalf("own record %+v", own)
 	}
 }
+
+// TestComparingBucketsFindsWhatIsLacking gives a table what the differing buckets
+// of another one hold.
+func TestComparingBucketsFindsWhatIsLacking(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		one, two := NewTable(node("self", 1, 1)), NewTable(node("other", 1, 1))
+		two.Merge([]Node{node("self", 1, 1)})
+		for i := range rapid.IntRange(0, 200).Draw(t, "records") {
+			record := node(fmt.Sprintf("n%03d", i), 1, 1)
+			two.Merge([]Node{record})
+			if rapid.Bool().Draw(t, "known") {
+				one.Merge([]Node{record})
+			}
+		}
+		digests := one.View().Digests()
+		for _, lacking := range two.View().InBuckets(two.View().Differing(digests[:])) {
+			one.Merge([]Node{*lacking})
+		}
+		if one.View().Digest() != two.View().Digest() {
+			t.Fatal("tables differ")
+		}
+	})
+}
+
+// TestViewsStayAsTheyWere changes a table after a view of it was taken.
+func TestViewsStayAsTheyWere(t *testing.T) {
+	table := NewTable(node("m", 1, 1))
+	table.Merge([]Node{node("a", 1, 1), node("z", 1, 1)})
+	before := table.View()
+	digest := before.Digest()
+	table.Merge([]Node{node("a", 2, 1), node("k", 1, 1)})
+	table.Update(func(own *Node) { own.State = StateLeaving })
+	table.Remove("z")
+	if held, _ := before.Node("a"); len(before.Nodes()) != 3 || held.Incarnation != 1 || before.Self().State != StateLive || before.Digest() != digest {
+		t.Fatalf("the view has changed: %v", before.Nodes())
+	}
+	if after := table.View(); len(after.Nodes()) != 3 || after.Digest() == digest {
+		t.Fatalf("nodes %v", after.Nodes())
+	}
+}
