Send a node's calls to a part of the workers in a large mesh

Cause: every node called every worker: connections and new connections of the busiest node grew with the mesh (power 0.69 and 0.75; 11,284 and 1,933 a second at 17,106 machines), and a node that sends 15 calls a second to 44 workers knows the load of none.

Each node now takes at most 24 workers of a service, up to 16 of its own zone and the rest from others, by rendezvous hashing.

--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -35,6 +35,11 @@
 	unknownHold = 20 * time.Millisecond
 	// longestLead stands for an endpoint without a next best one.
 	longestLead = time.Hour
+	// maximumEndpoints bounds the workers of a service that a node sends calls to,
+	// and nearEndpoints those of the own zone among them: the others are for the
+	// time when the own zone is in trouble.
+	maximumEndpoints = 24
+	nearEndpoints    = 16
 	// slowestFactor and fastestFactor bound what is believed of a speed.
 	slowestFactor = 20.0
 	fastestFactor = 0.2
@@ -81,11 +86,8 @@
 	known := d.endpoints
 	d.endpoints = make(map[string]*endpoint, len(known))
 	d.ordered = d.ordered[:0]
-	for _, node := range view.Nodes() {
-		worker, ok := node.Serves(d.service)
-		if !ok {
-			continue
-		}
+	for _, node := range d.serving(view) {
+		worker, _ := node.Serves(d.service)
 		found, same := known[node.ID]
 		if !same || found.instance != worker.Instance || found.address != node.CallAddress {
 			found = &endpoint{node: node.ID, zone: node.Zone, address: node.CallAddress, instance: worker.Instance, slowness: 1}
@@ -96,6 +98,19 @@
 	}
 }
 
+// serving returns the nodes whose workers take this node's calls. In a large mesh
+// they are a part of all: connections, and what is known of each worker, then stay
+// the same however many there are.
+func (d *destination) serving(view *fleet.View) []*fleet.Node {
+	var serving []*fleet.Node
+	for _, node := range view.Nodes() {
+		if _, ok := node.Serves(d.service); ok {
+			serving = append(serving, node)
+		}
+	}
+	return fleet.Subset(serving, d.self, d.zone, nearEndpoints, maximumEndpoints)
+}
+
 // choice is an endpoint that was chosen, with what decided.
 type choice struct {
 	endpoint *endpoint
