--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -98,6 +98,11 @@
 }
 
 func startNode(t *testing.T, store *hostedstore.Store, id string, service string) *runningNode {
+	t.Helper()
+	return startNodeWith(t, store, id, service, "127.0.0.1:0")
+}
+
+func startNodeWith(t *testing.T, store *hostedstore.Store, id, service, metricsAddress string) *runningNode {
 	t.Helper()
 	running := &runningNode{ended: make(chan error, 1), log: &lockedBuffer{}}
 	adapter := Adapter{
@@ -124,7 +129,7 @@
 	node, err := New(settings.Settings{
 		NodeID: id, Region: "r", Zone: "z", Service: service, Mode: settings.ModeHosted,
 		CallerAddress: "127.0.0.1:0", CallAddress: freeAddress(t), ControlAddress: freeAddress(t),
-		AdminAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", MetricsAddress: "127.0.0.1:0",
+		AdminAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", MetricsAddress: metricsAddress,
 		StoreAddresses: []string{"unused"}, DrainBound: 10 * time.Second, StopNotice: 200 * time.Millisecond,
 		HeartbeatInterval: time.Minute, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
 	}, adapter, log, lines)
@@ -306,3 +311,17 @@
 		}
 	}
 }
+
+// TestNodeServesWithoutItsMetricsPort has a foreign program hold that port.
+func TestNodeServesWithoutItsMetricsPort(t *testing.T) {
+	foreign, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = foreign.Close() }()
+	store := hostedstore.New()
+	store.Put(ledgerDocument.encode())
+	n := startNodeWith(t, store, "a1", "ledger", foreign.Addr().String())
+	testwait.Eventually(t, "the node is ready", n.isReady)
+	testwait.Eventually(t, "the fault is told", func() bool { return strings.Contains(n.log.String(), "metrics") })
+}
