Tell store calls, slots and the worker's part in metrics and log lines

store_calls_total by kind and result, store_call_seconds_total, worker_running, worker_waiting, worker_slots, worker_wait_seconds, worker_run_seconds; lines 701 and 702 have waited_milliseconds and ran_milliseconds. Cost not measured by itself.

--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -17,7 +17,8 @@
 	leg     *workerLeg
 	body    *requestBody
 	began   time.Time
-	arrived bool
+	// request that the worker was asked with; its zero value until then.
+	asked workerCall
 }
 
 func (p *Plane) serveHop(w http.ResponseWriter, r *http.Request) {
@@ -49,7 +50,7 @@
 	if err != nil {
 		return nil, err
 	}
-	request := workerCall{
+	c.asked = workerCall{
 		inbound:     c.request,
 		body:        c.body,
 		caller:      c.hop.caller,
@@ -57,9 +58,7 @@
 		latestStart: c.began.Add(c.hop.patience),
 		end:         end,
 	}
-	result, err := leg.ask(ctx, &request)
-	c.arrived = request.arrived
-	return result, err
+	return leg.ask(ctx, &c.asked)
 }
 
 // conclude answers the other node and reports.
@@ -76,7 +75,8 @@
 		load = c.leg.load()
 		report.Running, report.Waiting, report.Slots = load.Running, load.Waiting, load.Slots
 	}
-	if c.arrived {
+	report.Waited, report.Ran = c.asked.waited, c.asked.ran
+	if c.asked.arrived {
 		report.Arrivals = 1
 	}
 	var ran time.Duration
--- a/internal/forwarding/local.go
+++ b/internal/forwarding/local.go
@@ -4,6 +4,7 @@
 	"sync"
 
 	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/slotqueue"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -37,6 +38,20 @@
 	return leg, nil
 }
 
+// load sums up what the workers hold; Hold is left out.
+func (l *localWorkers) load() slotqueue.Load {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	var sum slotqueue.Load
+	for _, leg := range l.legs {
+		load := leg.load()
+		sum.Running += load.Running
+		sum.Waiting += load.Waiting
+		sum.Slots += load.Slots
+	}
+	return sum
+}
+
 // Update brings the ways to the workers in line with their registrations. It
 // must be called after each change, before the change is acknowledged: from
 // then on, a worker that was promised to be left alone gets nothing new.
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -33,6 +33,9 @@
 	Offers, Arrivals int
 	// Running, Waiting and Slots are the load that decided the last choice.
 	Running, Waiting, Slots int
+	// Waited is how long the call waited for a slot of the worker beside this node,
+	// Ran how long that worker had it; zero when it was not asked.
+	Waited, Ran time.Duration
 	// BudgetLeft is how many further attempts the budget allowed at the end.
 	BudgetLeft float64
 	// Left is the time that was left of the call.
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -47,6 +47,7 @@
 		end:         o.call.end,
 	}
 	answered, err := leg.ask(ctx, &request)
+	o.call.report.Waited, o.call.report.Ran = request.waited, request.ran
 	return answered, request.arrived, err
 }
 
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -78,6 +78,9 @@
 	return leg.load(), true
 }
 
+// WorkerLoad returns the load of all workers beside this node together.
+func (p *Plane) WorkerLoad() slotqueue.Load { return p.local.load() }
+
 // serviceHere is the service that the calls of this node begin at.
 func (p *Plane) serviceHere() string {
 	if service := p.config.Workers.Service(); service != "" {
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -71,6 +71,8 @@
 	latestStart, end time.Time
 	// arrived is set once the request may have reached the worker.
 	arrived bool
+	// waited is how long it waited for a slot, ran how long the worker had it.
+	waited, ran time.Duration
 }
 
 // ask admits a request and sends it to the worker.
@@ -78,7 +80,9 @@
 	if l.quiet() {
 		return nil, outcome.New(outcome.NoWorker)
 	}
+	came := time.Now()
 	permit, err := l.queue.Admit(ctx, slotqueue.Request{Rank: call.rank, LatestStart: call.latestStart})
+	call.waited = time.Since(came)
 	if err != nil {
 		return nil, admissionFailure(ctx, err)
 	}
@@ -88,11 +92,12 @@
 	}
 	began := time.Now()
 	result, err := l.send(ctx, call)
+	call.ran = time.Since(began)
 	if err != nil {
 		permit.Release(outcome.ReasonOf(err) == outcome.Timeout)
 		return nil, err
 	}
-	result.ran = time.Since(began)
+	result.ran = call.ran
 	if result.rest == nil {
 		permit.Release(true)
 	} else {
--- /dev/null
+++ b/internal/hosted/observed.go
@@ -0,0 +1,114 @@
+package hosted
+
+import (
+	"context"
+	"time"
+
+	"github.com/joomcode/errorx"
+)
+
+// StoreObserver is told of each call to the store: its kind, how it ended and how
+// long it took. It must not block.
+type StoreObserver func(call, result string, took time.Duration)
+
+// Results of calls to the store.
+const (
+	resultDone     = "done"
+	resultRefused  = "refused"
+	resultSilent   = "unanswered"
+	resultMissing  = "missing"
+	resultConflict = "conflict"
+)
+
+// Observe returns a source and a directory whose calls are told to the observer.
+func Observe(source Source, directory Directory, observer StoreObserver) (Source, Directory) {
+	return observedSource{source, observer}, observedDirectory{directory, observer}
+}
+
+// resultOf names how a call ended.
+func resultOf(err error) string {
+	switch {
+	case err == nil:
+		return resultDone
+	case errorx.IsOfType(err, ErrRefused):
+		return resultRefused
+	case errorx.IsOfType(err, ErrHistoryGone), errorx.IsOfType(err, ErrLeaseEnded), errorx.IsOfType(err, ErrNoDocument):
+		return resultMissing
+	default:
+		return resultSilent
+	}
+}
+
+func (o StoreObserver) tell(call string, began time.Time, err error) {
+	o(call, resultOf(err), time.Since(began))
+}
+
+type observedSource struct {
+	Source
+	observer StoreObserver
+}
+
+// Read implements Source.
+func (s observedSource) Read(ctx context.Context) (Document, uint64, error) {
+	began := time.Now()
+	document, next, err := s.Source.Read(ctx)
+	s.observer.tell("read", began, err)
+	return document, next, err
+}
+
+// Watch implements Source.
+func (s observedSource) Watch(ctx context.Context, after uint64, wait time.Duration) (Watched, error) {
+	began := time.Now()
+	watched, err := s.Source.Watch(ctx, after, wait)
+	s.observer.tell("watch", began, err)
+	return watched, err
+}
+
+type observedDirectory struct {
+	Directory
+	observer StoreObserver
+}
+
+// Grant implements Directory.
+func (d observedDirectory) Grant(ctx context.Context, life time.Duration) (Lease, error) {
+	began := time.Now()
+	lease, err := d.Directory.Grant(ctx, life)
+	d.observer.tell("grant", began, err)
+	return lease, err
+}
+
+// Replace implements Directory.
+func (d observedDirectory) Replace(ctx context.Context, id string, e Entry, lease Lease) (Entry, bool, error) {
+	began := time.Now()
+	held, replaced, err := d.Directory.Replace(ctx, id, e, lease)
+	if err == nil && !replaced {
+		d.observer("replace", resultConflict, time.Since(began))
+		return held, false, nil
+	}
+	d.observer.tell("replace", began, err)
+	return held, replaced, err
+}
+
+// Renew implements Directory.
+func (d observedDirectory) Renew(ctx context.Context, lease Lease) error {
+	began := time.Now()
+	err := d.Directory.Renew(ctx, lease)
+	d.observer.tell("renew", began, err)
+	return err
+}
+
+// Withdraw implements Directory.
+func (d observedDirectory) Withdraw(ctx context.Context, lease Lease) error {
+	began := time.Now()
+	err := d.Directory.Withdraw(ctx, lease)
+	d.observer.tell("withdraw", began, err)
+	return err
+}
+
+// List implements Directory.
+func (d observedDirectory) List(ctx context.Context) ([][]byte, error) {
+	began := time.Now()
+	entries, err := d.Directory.List(ctx)
+	d.observer.tell("list", began, err)
+	return entries, err
+}
--- /dev/null
+++ b/internal/hosted/observed_test.go
@@ -0,0 +1,42 @@
+package hosted_test
+
+import (
+	"context"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+)
+
+func TestCallsToTheStoreAreTold(t *testing.T) {
+	store := newStore()
+	client := store.Client("a1")
+	told := map[string]int{}
+	source, directory := hosted.Observe(client, client, func(call, result string, _ time.Duration) { told[call+" "+result]++ })
+	lease, err := directory.Grant(t.Context(), time.Minute)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_, _, _ = directory.Replace(t.Context(), "a1", hosted.Entry{Content: []byte("e")}, lease)
+	_, _, _ = directory.Replace(t.Context(), "a1", hosted.Entry{Content: []byte("e")}, lease)
+	_, _, _ = source.Read(t.Context())
+	_, _ = directory.List(t.Context())
+	_ = directory.Renew(t.Context(), lease)
+	_ = directory.Withdraw(t.Context(), lease)
+	_ = directory.Renew(t.Context(), lease)
+	store.SetFaults("", hostedstore.Faults{Refuse: true})
+	_, _ = source.Watch(t.Context(), 1, time.Second)
+	store.SetFaults("", hostedstore.Faults{Silent: true})
+	ctx, cancel := context.WithTimeout(t.Context(), 10*time.Millisecond)
+	defer cancel()
+	_, _, _ = source.Read(ctx)
+	for _, want := range []string{
+		"grant done", "replace done", "replace conflict", "read done", "list done", "renew done", "withdraw done",
+		"renew missing", "watch refused", "read unanswered",
+	} {
+		if told[want] != 1 {
+			t.Errorf("%q was told %d times", want, told[want])
+		}
+	}
+}
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -16,6 +16,8 @@
 	}
 	calls, hops := n.plane.InFlight()
 	reading.InFlight = int(calls + hops)
+	load := n.plane.WorkerLoad()
+	reading.Running, reading.Waiting, reading.Slots = load.Running, load.Waiting, load.Slots
 	return reading
 }
 
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -115,12 +115,12 @@
 )
 
 var callFields = []string{
-	"request", "route", "service", fieldVersion, "outcome", fieldReason, "status", "peer", "instance", "offers", "arrivals",
+	"request", "route", "service", fieldVersion, "outcome", fieldReason, "status", "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
 }
 
 var hopFields = []string{
-	"request", "service", "instance", "outcome", fieldReason, "status", "arrivals",
+	"request", "service", "instance", "outcome", fieldReason, "status", "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "left_milliseconds", fieldDuration, "truncated", fieldError,
 }
 
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -28,6 +28,8 @@
 	offers    prometheus.Counter
 	arrivals  prometheus.Counter
 	durations prometheus.Histogram
+	waits     prometheus.Histogram
+	runs      prometheus.Histogram
 }
 
 var _ forwarding.Observer = (*ForwardingObserver)(nil)
@@ -37,29 +39,44 @@
 func NewForwardingObserver(registerer prometheus.Registerer, log *Log, dropped func()) *ForwardingObserver {
 	labels := []string{"service", labelOutcome, labelReason}
 	o := &ForwardingObserver{
-		log:      log,
-		limiter:  rate.NewLimiter(callLines, callLinesBurst),
-		dropped:  dropped,
-		calls:    prometheus.NewCounterVec(prometheus.CounterOpts{Name: "calls_total", Help: "Calls that began at this node, by service, outcome and reason."}, labels),
-		hops:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hops_total", Help: "Calls of other nodes for the worker beside this one, by service, outcome and reason."}, labels),
-		offers:   prometheus.NewCounter(prometheus.CounterOpts{Name: "call_offers_total", Help: "Nodes asked on behalf of callers."}),
-		arrivals: prometheus.NewCounter(prometheus.CounterOpts{Name: "call_arrivals_total", Help: "Workers that may have had a call that failed there."}),
-		durations: prometheus.NewHistogram(prometheus.HistogramOpts{
-			Name:    "call_duration_seconds",
-			Help:    "Time from the head of a caller's request to the end of its answer.",
-			Buckets: []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2},
-		}),
+		log:       log,
+		limiter:   rate.NewLimiter(callLines, callLinesBurst),
+		dropped:   dropped,
+		calls:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "calls_total", Help: "Calls that began at this node, by service, outcome and reason."}, labels),
+		hops:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hops_total", Help: "Calls of other nodes for the worker beside this one, by service, outcome and reason."}, labels),
+		offers:    prometheus.NewCounter(prometheus.CounterOpts{Name: "call_offers_total", Help: "Nodes asked on behalf of callers."}),
+		arrivals:  prometheus.NewCounter(prometheus.CounterOpts{Name: "call_arrivals_total", Help: "Workers that may have had a call that failed there."}),
+		durations: newLatencies("call_duration_seconds", "Time from the head of a caller's request to the end of its answer."),
+		waits:     newLatencies("worker_wait_seconds", "Time that calls waited for a slot of the worker beside this node, also when they got none."),
+		runs:      newLatencies("worker_run_seconds", "Time that the worker beside this node had a call."),
 	}
-	registerer.MustRegister(o.calls, o.hops, o.offers, o.arrivals, o.durations)
+	registerer.MustRegister(o.calls, o.hops, o.offers, o.arrivals, o.durations, o.waits, o.runs)
 	return o
 }
 
+func newLatencies(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Name: name, Help: help, Buckets: []float64{0.005, 0.01, 0.025, 0.05, 0.1, 0.15, 0.2, 0.3, 0.5, 1, 2},
+	})
+}
+
+// observeWorker counts what the worker beside this node had of a call.
+func (o *ForwardingObserver) observeWorker(report forwarding.CallReport) {
+	if report.Waited > 0 {
+		o.waits.Observe(report.Waited.Seconds())
+	}
+	if report.Ran > 0 {
+		o.runs.Observe(report.Ran.Seconds())
+	}
+}
+
 // CallFinished counts a call, and records one that was not served at once.
 func (o *ForwardingObserver) CallFinished(report forwarding.CallReport) {
 	o.calls.WithLabelValues(report.Service, string(report.Outcome), string(report.Reason)).Inc()
 	o.offers.Add(float64(report.Offers))
 	o.arrivals.Add(float64(report.Arrivals))
 	o.durations.Observe(report.Duration.Seconds())
+	o.observeWorker(report)
 	served := report.Outcome == outcome.Answered && !report.Truncated
 	if served && report.Offers <= 1 || report.Reason == outcome.NotReady {
 		return
@@ -84,6 +101,7 @@
 // without an answer.
 func (o *ForwardingObserver) HopFinished(report forwarding.CallReport) {
 	o.hops.WithLabelValues(report.Service, string(report.Outcome), string(report.Reason)).Inc()
+	o.observeWorker(report)
 	quiet := report.Outcome == outcome.Answered && !report.Truncated || report.Reason == outcome.Overloaded
 	if quiet || !o.allowed() {
 		return
@@ -109,6 +127,7 @@
 
 func (o *ForwardingObserver) decided(entry *log.Entry, report forwarding.CallReport) *log.Entry {
 	return entry.Int("arrivals", report.Arrivals).
+		Int64("waited_milliseconds", report.Waited.Milliseconds()).Int64("ran_milliseconds", report.Ran.Milliseconds()).
 		Int("running", report.Running).Int("waiting", report.Waiting).Int("slots", report.Slots)
 }
 
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -1,8 +1,12 @@
 package telemetry
 
 import (
+	"time"
+
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/prometheus/client_golang/prometheus/collectors"
+
+	"github.com/levertide/levertide/internal/hosted"
 )
 
 // HostedReading is the state of one node in hosted mode at the moment of a scrape.
@@ -12,6 +16,8 @@
 	Version    uint64
 	LiveNodes  int
 	InFlight   int
+	// Running, Waiting and Slots are of the workers beside the node.
+	Running, Waiting, Slots int
 }
 
 // NewHostedRegistry returns a registry that reads the node's state at each scrape.
@@ -28,6 +34,27 @@
 		gauge("version_in_force", "Number of the configuration version in force; 0 for none.", func(r HostedReading) float64 { return float64(r.Version) }),
 		gauge("live_nodes", "Nodes that this node knows to be live, itself among them.", func(r HostedReading) float64 { return float64(r.LiveNodes) }),
 		gauge("calls_in_flight", "Calls of callers and of other nodes in flight.", func(r HostedReading) float64 { return float64(r.InFlight) }),
+		gauge("worker_running", "Calls that hold a slot of a worker beside this node.", func(r HostedReading) float64 { return float64(r.Running) }),
+		gauge("worker_waiting", "Calls that wait for a slot of a worker beside this node.", func(r HostedReading) float64 { return float64(r.Waiting) }),
+		gauge("worker_slots", "Slots of the workers beside this node that may be given work.", func(r HostedReading) float64 { return float64(r.Slots) }),
 	)
 	return &Registry{registry: registry}
 }
+
+// NewStoreObserver registers the metrics of calls to the platform's store, and
+// returns what is to be told of each.
+func NewStoreObserver(registerer prometheus.Registerer) hosted.StoreObserver {
+	calls := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "store_calls_total",
+		Help: "Calls to the platform's store, by kind and result.",
+	}, []string{"call", "result"})
+	seconds := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Name: "store_call_seconds_total",
+		Help: "Time that calls to the platform's store took, by kind; watches wait for news.",
+	}, []string{"call"})
+	registerer.MustRegister(calls, seconds)
+	return func(call, result string, took time.Duration) {
+		calls.WithLabelValues(call, result).Inc()
+		seconds.WithLabelValues(call).Add(took.Seconds())
+	}
+}
