Run the soak's nodes on simulated time, over a network in memory

internal/lab/memnet is a network inside the process: delays, cuts in one or both directions, resets, deadlines. A node takes its Network as a dependency. New faults: herds of crashes, cuts between machines, resets of all connections of one.

--- a/cmd/levertided/main.go
+++ b/cmd/levertided/main.go
@@ -79,7 +79,7 @@
 	lines := telemetry.NewQueue(os.Stdout)
 	defer lines.Flush()
 	events := telemetry.NewLog(lines, chosen.NodeID, telemetry.Level(chosen.LogLevel))
-	node, err := sidecar.New(chosen, platform.Adapter(), events, lines)
+	node, err := sidecar.New(chosen, platform.Adapter(), sidecar.TCP{}, events, lines)
 	if err != nil {
 		events.StartFailed(err)
 		return exitFailed
--- /dev/null
+++ b/internal/lab/memnet/conn.go
@@ -0,0 +1,262 @@
+package memnet
+
+import (
+	"io"
+	"net"
+	"net/netip"
+	"os"
+	"sync"
+	"syscall"
+	"time"
+)
+
+// window is how many bytes may be under way in one direction of a connection.
+const window = 256 << 10
+
+// conn is one end of a connection.
+type conn struct {
+	reads, writes *pipe
+	local, remote netip.AddrPort
+	once          sync.Once
+}
+
+// Read implements net.Conn.
+func (c *conn) Read(b []byte) (int, error) { return c.reads.read(b) }
+
+// Write implements net.Conn.
+func (c *conn) Write(b []byte) (int, error) { return c.writes.write(b) }
+
+// Close implements net.Conn. What was written still arrives; what was not read is
+// answered by a reset.
+func (c *conn) Close() error {
+	c.once.Do(func() {
+		c.writes.finish()
+		c.reads.abandon()
+	})
+	return nil
+}
+
+// CloseWrite ends the sending direction.
+func (c *conn) CloseWrite() error {
+	c.writes.finish()
+	return nil
+}
+
+// reset breaks both directions.
+func (c *conn) reset() {
+	c.writes.fail(syscall.ECONNRESET)
+	c.reads.fail(syscall.ECONNRESET)
+}
+
+// LocalAddr implements net.Conn.
+func (c *conn) LocalAddr() net.Addr { return net.TCPAddrFromAddrPort(c.local) }
+
+// RemoteAddr implements net.Conn.
+func (c *conn) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.remote) }
+
+// SetDeadline implements net.Conn.
+func (c *conn) SetDeadline(t time.Time) error {
+	c.reads.readDeadline.set(t)
+	c.writes.writeDeadline.set(t)
+	return nil
+}
+
+// SetReadDeadline implements net.Conn.
+func (c *conn) SetReadDeadline(t time.Time) error {
+	c.reads.readDeadline.set(t)
+	return nil
+}
+
+// SetWriteDeadline implements net.Conn.
+func (c *conn) SetWriteDeadline(t time.Time) error {
+	c.writes.writeDeadline.set(t)
+	return nil
+}
+
+// segment is what one write has sent.
+type segment struct {
+	bytes []byte
+	// due is when it arrives.
+	due time.Time
+}
+
+// pipe is one direction of a connection.
+type pipe struct {
+	network *Network
+	link    link
+
+	mu      sync.Mutex
+	changed *sync.Cond
+	sent    []segment
+	size    int
+	// finished is set when the writer has ended, abandoned when the reader has.
+	finished, abandoned bool
+	broken              error
+	readDeadline        deadline
+	writeDeadline       deadline
+}
+
+func newPipe(n *Network, l link) *pipe {
+	p := &pipe{network: n, link: l}
+	p.changed = sync.NewCond(&p.mu)
+	p.readDeadline.wake, p.writeDeadline.wake = p.wake, p.wake
+	return p
+}
+
+// wake has everybody who waits look again.
+func (p *pipe) wake() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.changed.Broadcast()
+}
+
+func (p *pipe) read(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	for {
+		switch {
+		case p.readDeadline.passed():
+			return 0, os.ErrDeadlineExceeded
+		case p.broken != nil:
+			return 0, p.broken
+		case p.abandoned:
+			return 0, net.ErrClosed
+		case len(b) == 0:
+			return 0, nil
+		}
+		if n := p.take(b); n > 0 {
+			p.changed.Broadcast()
+			return n, nil
+		}
+		if len(p.sent) == 0 && p.finished && !p.network.cut(p.link) {
+			return 0, io.EOF
+		}
+		p.await()
+	}
+}
+
+// take reads what has arrived. The mutex is held.
+func (p *pipe) take(b []byte) int {
+	total := 0
+	for total < len(b) && len(p.sent) > 0 && !p.network.cut(p.link) && !p.sent[0].due.After(time.Now()) {
+		first := &p.sent[0]
+		n := copy(b[total:], first.bytes)
+		first.bytes = first.bytes[n:]
+		total += n
+		if len(first.bytes) == 0 {
+			p.sent = p.sent[1:]
+		}
+	}
+	p.size -= total
+	return total
+}
+
+// await waits for a change, or for the next segment to arrive. The mutex is held.
+func (p *pipe) await() {
+	if len(p.sent) > 0 {
+		if left := time.Until(p.sent[0].due); left > 0 {
+			t := time.AfterFunc(left, p.wake)
+			defer t.Stop()
+		}
+	}
+	p.changed.Wait()
+}
+
+func (p *pipe) write(b []byte) (int, error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	written := 0
+	for {
+		switch {
+		case p.writeDeadline.passed():
+			return written, os.ErrDeadlineExceeded
+		case p.broken != nil:
+			return written, p.broken
+		case p.finished:
+			return written, net.ErrClosed
+		case p.abandoned:
+			return written, syscall.EPIPE
+		case written == len(b):
+			return written, nil
+		}
+		if room := min(window-p.size, len(b)-written); room > 0 {
+			p.send(b[written : written+room])
+			written += room
+			continue
+		}
+		p.changed.Wait()
+	}
+}
+
+// send puts bytes on their way. The mutex is held.
+func (p *pipe) send(b []byte) {
+	p.sent = append(p.sent, segment{bytes: append([]byte(nil), b...), due: time.Now().Add(p.network.delay)})
+	p.size += len(b)
+	p.changed.Broadcast()
+}
+
+// finish ends the writer's side.
+func (p *pipe) finish() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.finished = true
+	p.changed.Broadcast()
+	p.forgetIfOver()
+}
+
+// abandon ends the reader's side. Unread bytes make it a reset for the writer.
+func (p *pipe) abandon() {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.abandoned = true
+	p.sent = nil
+	p.changed.Broadcast()
+	p.forgetIfOver()
+}
+
+// forgetIfOver takes the pipe out of the network once both sides have ended. The
+// mutex is held.
+func (p *pipe) forgetIfOver() {
+	if p.finished && p.abandoned {
+		p.network.forget(p)
+	}
+}
+
+// fail breaks the pipe for both sides.
+func (p *pipe) fail(err error) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	p.broken, p.sent = err, nil
+	p.changed.Broadcast()
+	p.network.forget(p)
+}
+
+// deadline is until when a wait may last.
+type deadline struct {
+	wake func()
+
+	mu    sync.Mutex
+	at    time.Time
+	timer *time.Timer
+}
+
+// set changes the deadline; the zero time is none.
+func (d *deadline) set(t time.Time) {
+	d.mu.Lock()
+	if d.timer != nil {
+		d.timer.Stop()
+		d.timer = nil
+	}
+	d.at = t
+	if left := time.Until(t); !t.IsZero() && left > 0 {
+		d.timer = time.AfterFunc(left, d.wake)
+	}
+	d.mu.Unlock()
+	d.wake()
+}
+
+func (d *deadline) passed() bool {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	return !d.at.IsZero() && !d.at.After(time.Now())
+}
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/internal/sidecar"
 )
 
 const (
@@ -62,9 +63,14 @@
 	return response.StatusCode, string(body), err
 }
 
+// newClient returns a client on the given network.
+func newClient(network sidecar.Network, bound time.Duration) *http.Client {
+	return &http.Client{Timeout: bound, Transport: &http.Transport{DialContext: network.Dial}}
+}
+
 // callOn sends requests to random machines until the context ends.
-func callOn(ctx context.Context, machines []*machine, l *ledger, caller int) {
-	client := &http.Client{Timeout: 2 * callBound, Transport: &http.Transport{}}
+func callOn(ctx context.Context, network sidecar.Network, machines []*machine, l *ledger, caller int) {
+	client := newClient(network, 2*callBound)
 	defer client.CloseIdleConnections()
 	for number := 0; ctx.Err() == nil; number++ {
 		m := machines[rand.IntN(len(machines))]
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math/rand/v2"
+	"slices"
 	"sync"
 	"time"
 
@@ -44,7 +45,7 @@
 	duration := time.Duration(f.random.Int64N(int64(longestFault)))
 	target := f.machines[f.random.IntN(len(f.machines))]
 	f.ledger.fault()
-	switch f.random.IntN(10) {
+	switch f.random.IntN(13) {
 	case 0, 1, 2:
 		f.change()
 	case 3:
@@ -61,6 +62,12 @@
 		f.loseAnswers(ctx, target, duration)
 	case 9:
 		f.onMachine(target, "leave of the worker, and crash of the node that acknowledged it", func() { f.crashAfterPromise(ctx, target) })
+	case 10:
+		f.herd(ctx, duration)
+	case 11:
+		f.cutOff(ctx, target, duration)
+	case 12:
+		f.options.Network.Reset(f.number(target))
 	}
 }
 
@@ -82,6 +89,44 @@
 	f.note(err)
 }
 
+// herd crashes most nodes at the same moment.
+func (f *faults) herd(ctx context.Context, down time.Duration) {
+	for _, m := range f.machines {
+		if f.random.IntN(4) > 0 {
+			f.onMachine(m, "crash of the node, in a herd", func() { f.restart(ctx, m, false, down) })
+		}
+	}
+}
+
+// cutOff cuts a machine off from some others, and sometimes from the store. Cuts
+// are healed together: one may end earlier because another one does.
+func (f *faults) cutOff(ctx context.Context, m *machine, duration time.Duration) {
+	cut := false
+	for n, other := range f.machines {
+		if other != m && f.random.IntN(2) == 0 {
+			cut = f.options.Network.Cut(f.number(m), n) || cut
+		}
+	}
+	if !cut {
+		return
+	}
+	f.options.Log("%s: cut off from some others", m.id)
+	silent := f.random.IntN(2) == 0
+	if silent {
+		f.store.SetFaults(m.id, hostedstore.Faults{Silent: true})
+	}
+	f.running.Go(func() {
+		wait(ctx, duration)
+		f.options.Network.Heal()
+		if silent {
+			f.store.SetFaults(m.id, hostedstore.Faults{})
+		}
+	})
+}
+
+// number returns the place of a machine.
+func (f *faults) number(m *machine) int { return slices.Index(f.machines, m) }
+
 // change writes the next document.
 func (f *faults) change() {
 	f.version += 1 + uint64(f.random.IntN(3))
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"io"
-	"net"
 	"net/http"
 	"sync"
 	"time"
@@ -22,14 +21,12 @@
 	RequestID: "X-Request", Timeout: "X-Timeout", CallerService: "X-Caller", ExpectInstance: "X-Expect", NotRun: "X-Not-Run",
 }
 
-const (
-	stopBound = 3 * time.Second
-	anyPort   = "127.0.0.1:0"
-)
+const stopBound = 3 * time.Second
 
 // machine is a node with the worker beside it.
 type machine struct {
 	id, zone        string
+	network         MachineNetwork
 	store           *hostedstore.Store
 	ledger          *ledger
 	control, call   string
@@ -46,15 +43,14 @@
 }
 
 // newMachine reserves the addresses of a machine, which outlast its processes.
-func newMachine(id, zone string, store *hostedstore.Store, l *ledger) (*machine, error) {
-	m := &machine{id: id, zone: zone, store: store, ledger: l}
+func newMachine(id, zone string, network MachineNetwork, store *hostedstore.Store, l *ledger) (*machine, error) {
+	m := &machine{id: id, zone: zone, network: network, store: store, ledger: l}
 	for _, address := range []*string{&m.control, &m.call, &m.callers, &m.probes} {
-		opened, err := net.Listen("tcp", anyPort)
+		reserved, err := network.Reserve()
 		if err != nil {
-			return nil, ErrStart.Wrap(err, "address")
+			return nil, err
 		}
-		*address = opened.Addr().String()
-		_ = opened.Close()
+		*address = reserved
 	}
 	return m, nil
 }
@@ -84,10 +80,10 @@
 	lines := telemetry.NewQueue(io.Discard)
 	node, err := sidecar.New(settings.Settings{
 		NodeID: m.id, Region: "region", Zone: m.zone, Service: serviceName, Mode: settings.ModeHosted,
-		CallerAddress: m.callers, CallAddress: m.call, ControlAddress: m.control, ReadinessAddress: m.probes, AdminAddress: anyPort,
+		CallerAddress: m.callers, CallAddress: m.call, ControlAddress: m.control, ReadinessAddress: m.probes, AdminAddress: m.network.AnyPort(),
 		StoreAddresses: []string{"in memory"}, DrainBound: stopBound, StopNotice: 200 * time.Millisecond,
 		HeartbeatInterval: heartbeatInterval, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
-	}, adapter, telemetry.NewLog(lines, m.id, telemetry.LevelError), lines)
+	}, adapter, m.network, telemetry.NewLog(lines, m.id, telemetry.LevelError), lines)
 	if err != nil {
 		return err
 	}
--- /dev/null
+++ b/internal/lab/soak/network.go
@@ -0,0 +1,126 @@
+package soak
+
+import (
+	"fmt"
+	"net"
+
+	"github.com/levertide/levertide/internal/lab/memnet"
+	"github.com/levertide/levertide/internal/sidecar"
+)
+
+// Network is what the machines and the callers of a soak are connected by.
+type Network interface {
+	// Machine returns the network as the n-th machine has it.
+	Machine(n int) MachineNetwork
+	// Callers returns the network as the callers have it.
+	Callers() sidecar.Network
+	// Cut cuts a machine off from another one, until Heal. It reports false when
+	// this network cannot be cut.
+	Cut(a, b int) bool
+	Heal()
+	// Reset breaks the connections of a machine. It reports false when this
+	// network cannot do that.
+	Reset(n int) bool
+}
+
+// MachineNetwork is the network of one machine.
+type MachineNetwork interface {
+	sidecar.Network
+	// Reserve returns an IP:port that outlasts the machine's processes.
+	Reserve() (string, error)
+	// AnyPort is the address to listen on where the port does not matter.
+	AnyPort() string
+}
+
+// Loopback is the machine's own network.
+type Loopback struct{ sidecar.TCP }
+
+var _ Network = Loopback{}
+
+// Machine implements Network.
+func (l Loopback) Machine(int) MachineNetwork { return l }
+
+// Callers implements Network.
+func (l Loopback) Callers() sidecar.Network { return l.TCP }
+
+// Cut implements Network.
+func (Loopback) Cut(int, int) bool { return false }
+
+// Heal implements Network.
+func (Loopback) Heal() {}
+
+// Reset implements Network.
+func (Loopback) Reset(int) bool { return false }
+
+// AnyPort implements MachineNetwork.
+func (Loopback) AnyPort() string { return "127.0.0.1:0" }
+
+// Reserve implements MachineNetwork.
+func (l Loopback) Reserve() (string, error) {
+	opened, err := net.Listen("tcp", l.AnyPort())
+	if err != nil {
+		return "", ErrStart.Wrap(err, "address")
+	}
+	defer func() { _ = opened.Close() }()
+	return opened.Addr().String(), nil
+}
+
+// InMemory connects the machines of a soak inside the process, so that it can run
+// on simulated time and be cut.
+type InMemory struct{ network *memnet.Network }
+
+var _ Network = InMemory{}
+
+// NewInMemory returns an InMemory on the given network.
+func NewInMemory(network *memnet.Network) InMemory { return InMemory{network: network} }
+
+// callersHost is the address of the callers; machines have higher ones.
+const callersHost = "10.0.0.1"
+
+// hostsPerNetwork is how many machines share the first three bytes of an address.
+const hostsPerNetwork = 250
+
+func machineHost(n int) string {
+	return fmt.Sprintf("10.1.%d.%d", n/hostsPerNetwork, n%hostsPerNetwork+1)
+}
+
+// Machine implements Network.
+func (m InMemory) Machine(n int) MachineNetwork {
+	return &memoryMachine{Host: m.network.Host(machineHost(n)), nextPort: firstReserved}
+}
+
+// Callers implements Network.
+func (m InMemory) Callers() sidecar.Network { return m.network.Host(callersHost) }
+
+// Cut implements Network.
+func (m InMemory) Cut(a, b int) bool {
+	m.network.Cut(machineHost(a), machineHost(b))
+	return true
+}
+
+// Heal implements Network.
+func (m InMemory) Heal() { m.network.Heal() }
+
+// Reset implements Network.
+func (m InMemory) Reset(n int) bool {
+	m.network.Reset(machineHost(n))
+	return true
+}
+
+// firstReserved is the first of the ports that memoryMachine reserves.
+const firstReserved = 8000
+
+// memoryMachine is the network of one machine of an InMemory.
+type memoryMachine struct {
+	*memnet.Host
+	nextPort int
+}
+
+// Reserve implements MachineNetwork.
+func (m *memoryMachine) Reserve() (string, error) {
+	m.nextPort++
+	return m.Address(m.nextPort), nil
+}
+
+// AnyPort implements MachineNetwork.
+func (m *memoryMachine) AnyPort() string { return m.Address(0) }
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -24,6 +24,8 @@
 	Machines int
 	// Callers is how many callers send requests, one at a time each.
 	Callers int
+	// Network connects the machines; nil takes Loopback.
+	Network Network
 	// Log is told of faults; nil means that nobody is.
 	Log func(format string, arguments ...any)
 }
@@ -45,6 +47,9 @@
 	if o.Callers <= 0 {
 		o.Callers = DefaultCallers
 	}
+	if o.Network == nil {
+		o.Network = Loopback{}
+	}
 	if o.Log == nil {
 		o.Log = func(string, ...any) {}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -24,7 +24,7 @@
 // must hold at each moment and in the end.
 func Run(ctx context.Context, options Options) (Report, error) {
 	options = options.withDefaults()
-	run := &soak{options: options, ledger: newLedger(options.Seed), store: hostedstore.New(), probe: &http.Client{Timeout: callBound}}
+	run := &soak{options: options, ledger: newLedger(options.Seed), store: hostedstore.New(), probe: newClient(options.Network.Callers(), callBound)}
 	defer run.end()
 	run.store.Put(document{Version: 1}.encode())
 	if err := run.start(); err != nil {
@@ -53,7 +53,7 @@
 
 func (s *soak) start() error {
 	for number := range s.options.Machines {
-		m, err := newMachine(fmt.Sprintf("node-%d", number), fmt.Sprintf("zone-%d", number%zones), s.store, s.ledger)
+		m, err := newMachine(fmt.Sprintf("node-%d", number), fmt.Sprintf("zone-%d", number%zones), s.options.Network.Machine(number), s.store, s.ledger)
 		if err != nil {
 			return err
 		}
@@ -76,7 +76,7 @@
 	calling, stopCalling := context.WithCancel(ctx)
 	var callers sync.WaitGroup
 	for caller := range s.options.Callers {
-		callers.Go(func() { callOn(calling, s.machines, s.ledger, caller) })
+		callers.Go(func() { callOn(calling, s.options.Network.Callers(), s.machines, s.ledger, caller) })
 	}
 	watching, stopWatching := context.WithCancel(ctx)
 	callers.Go(func() { s.watchVersions(watching) })
@@ -111,6 +111,7 @@
 // checkWhole checks that after the last fault each node has the last version in
 // force and serves calls.
 func (s *soak) checkWhole(version uint64) {
+	s.options.Network.Heal()
 	s.store.SetFaults("", hostedstore.Faults{})
 	for _, m := range s.machines {
 		s.store.SetFaults(m.id, hostedstore.Faults{})
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -5,7 +5,6 @@
 	"fmt"
 	"io"
 	"math/rand/v2"
-	"net"
 	"net/http"
 	"sync"
 	"sync/atomic"
@@ -48,7 +47,7 @@
 // startWorker starts a life of the worker beside a machine, whose node is asked
 // for at each heartbeat.
 func startWorker(instance string, l *ledger, m *machine) (*worker, error) {
-	opened, err := net.Listen("tcp", "127.0.0.1:0")
+	opened, err := m.network.Listen(m.network.AnyPort())
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "worker")
 	}
--- a/internal/sidecar/dial.go
+++ b/internal/sidecar/dial.go
@@ -1,13 +1,12 @@
 package sidecar
 
 import (
+	"context"
 	"net"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
-
-	"github.com/levertide/levertide/internal/httpleg"
 )
 
 // A machine behind a cut says nothing, and a connection to it would hang. Unsent
@@ -32,11 +31,25 @@
 	})
 }
 
-func newDialer() httpleg.DialFunc {
-	dialer := &net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: boundUnanswered}
-	return dialer.DialContext
+// Network is what a node listens and dials on.
+type Network interface {
+	// Listen opens an IP:port.
+	Listen(address string) (net.Listener, error)
+	// Dial opens a connection, as net.Dialer does.
+	Dial(ctx context.Context, network, address string) (net.Conn, error)
+}
+
+// TCP is the Network of the operating system.
+type TCP struct{}
+
+// Listen implements Network.
+func (TCP) Listen(address string) (net.Listener, error) {
+	listening := net.ListenConfig{KeepAliveConfig: keepAlive(), Control: boundUnanswered}
+	return listening.Listen(context.Background(), "tcp", address)
 }
 
-func newListenConfig() *net.ListenConfig {
-	return &net.ListenConfig{KeepAliveConfig: keepAlive(), Control: boundUnanswered}
+// Dial implements Network.
+func (TCP) Dial(ctx context.Context, network, address string) (net.Conn, error) {
+	dialer := net.Dialer{Timeout: dialTimeout, KeepAliveConfig: keepAlive(), Control: boundUnanswered}
+	return dialer.DialContext(ctx, network, address)
 }
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -12,8 +12,9 @@
 
 // listener is one HTTP server with its address, as a suture service.
 type listener struct {
-	name   string
-	server *http.Server
+	name    string
+	network Network
+	server  *http.Server
 
 	mutex sync.Mutex
 	first net.Listener
@@ -22,14 +23,14 @@
 }
 
 // listen opens an address at once, so that a fault shows before anything runs.
-func listen(name, address string, server *http.Server) (*listener, error) {
-	opened, err := newListenConfig().Listen(context.Background(), "tcp", address)
+func listen(network Network, name, address string, server *http.Server) (*listener, error) {
+	opened, err := network.Listen(address)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listener for %s", name)
 	}
 	// Faults of single connections are no events of the node.
 	server.ErrorLog = log.New(io.Discard, "", 0)
-	return &listener{name: name, server: server, first: opened, address: opened.Addr().String()}, nil
+	return &listener{name: name, network: network, server: server, first: opened, address: opened.Addr().String()}, nil
 }
 
 // String names the part in events.
@@ -58,7 +59,7 @@
 		l.first = nil
 		return opened, nil
 	}
-	return newListenConfig().Listen(context.Background(), "tcp", l.address)
+	return l.network.Listen(l.address)
 }
 
 // shutdown ends the server once its requests have ended, or with the context.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -45,6 +45,7 @@
 // Node is one node in hosted mode.
 type Node struct {
 	settings settings.Settings
+	network  Network
 	log      *telemetry.Log
 	lines    *telemetry.Queue
 
@@ -63,14 +64,13 @@
 }
 
 // New opens the listeners and puts the parts together. Nothing runs before Run.
-func New(s settings.Settings, adapter Adapter, log *telemetry.Log, lines *telemetry.Queue) (*Node, error) {
-	node := &Node{settings: s, log: log, lines: lines, aborted: make(chan struct{})}
+func New(s settings.Settings, adapter Adapter, network Network, log *telemetry.Log, lines *telemetry.Queue) (*Node, error) {
+	node := &Node{settings: s, network: network, log: log, lines: lines, aborted: make(chan struct{})}
 	lines.Report(log.LinesDropped)
 	node.workers = workers.NewRegistry(silentHeartbeats * s.HeartbeatInterval)
 	contacts := fleet.NewContacts()
 	config := &configuration{translate: adapter.Translate, inForce: log.DocumentInForce}
 	node.config = config
-	dial := newDialer()
 	registry := telemetry.NewHostedRegistry(node.reading)
 	node.table = fleet.NewTable(node.record())
 	node.plane = forwarding.New(forwarding.Config{
@@ -82,7 +82,7 @@
 		View:     node.table.View,
 		Contacts: contacts,
 		Workers:  node.workers,
-		Dial:     dial,
+		Dial:     network.Dial,
 		Retries: retry.WindowOptions{
 			Window: s.RetryWindow,
 			Ratio:  s.RetryRatio * budgetShare,
@@ -90,25 +90,26 @@
 		},
 		Observer: telemetry.NewForwardingObserver(registry.Registerer(), log, lines.Drop),
 	})
-	messages, err := newListenConfig().Listen(context.Background(), "tcp", s.ControlAddress)
+	messages, err := network.Listen(s.ControlAddress)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listener for messages")
 	}
-	source, directory := adapter.Open(s.StoreAddresses[0], dial)
+	source, directory := adapter.Open(s.StoreAddresses[0], network.Dial)
+	source, directory = hosted.Observe(source, directory, telemetry.NewStoreObserver(registry.Registerer()))
 	node.agent = hosted.New(hosted.Config{
 		Mesh: s.Mesh, Table: node.table, Contacts: contacts, Workers: node.workers,
 		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
-		Listener: messages, Dial: dial, Events: log,
+		Listener: messages, Dial: network.Dial, Events: log,
 	})
 	return node, node.openListeners(adapter, registry)
 }
 
 func (n *Node) openListeners(adapter Adapter, registry *telemetry.Registry) error {
 	var err error
-	if n.callers, err = listen("callers", n.settings.CallerAddress, n.plane.CallerServer()); err != nil {
+	if n.callers, err = listen(n.network, "callers", n.settings.CallerAddress, n.plane.CallerServer()); err != nil {
 		return err
 	}
-	if n.calls, err = listen("calls", n.settings.CallAddress, n.plane.HopServer()); err != nil {
+	if n.calls, err = listen(n.network, "calls", n.settings.CallAddress, n.plane.HopServer()); err != nil {
 		return err
 	}
 	for _, other := range []struct {
@@ -122,7 +123,7 @@
 		if other.address == "" {
 			continue
 		}
-		opened, err := listen(other.name, other.address, &http.Server{Handler: other.handler})
+		opened, err := listen(n.network, other.name, other.address, &http.Server{Handler: other.handler})
 		if err != nil && other.name == metricsName {
 			// Calls go on when a foreign program has the port of the metrics.
 			n.log.PartFailed(metricsName, err.Error())
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -132,7 +132,7 @@
 		AdminAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", MetricsAddress: metricsAddress,
 		StoreAddresses: []string{"unused"}, DrainBound: 10 * time.Second, StopNotice: 200 * time.Millisecond,
 		HeartbeatInterval: time.Minute, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
-	}, adapter, log, lines)
+	}, adapter, TCP{}, log, lines)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -305,7 +305,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for _, name := range []string{"levertide_ready 1", "levertide_version_in_force 1", "levertide_live_nodes 1"} {
+	for _, name := range []string{"levertide_ready 1", "levertide_version_in_force 1", "levertide_live_nodes 1", "levertide_worker_waiting 0", `levertide_store_calls_total{call="read",result="done"}`} {
 		if !strings.Contains(string(text), name) {
 			t.Errorf("%q is missing", name)
 		}
