--- a/internal/control/fabric_test.go
+++ b/internal/control/fabric_test.go
@@ -211,8 +211,12 @@
 		if current := run.node.Current(); current != nil {
 			version = current.Version()
 		}
-		m.t.Logf("%s: version %d, ready %v (%s), %s under %q path %v children %v, knows %d, root %v, role %s",
-			id, version, isReady, reason, tree.Role, tree.Parent, tree.Path, tree.Children, run.node.Directory().Len(), tree.Root, run.node.Role())
+		var known []string
+		for record := range run.node.Directory().All() {
+			known = append(known, record.ID)
+		}
+		m.t.Logf("%s: version %d, ready %v (%s), %s under %q path %v children %v, knows %v, root %v, role %s",
+			id, version, isReady, reason, tree.Role, tree.Parent, tree.Path, tree.Children, known, tree.Root, run.node.Role())
 	}
 }
 
