Ask before a long body is sent to another node

Under a burst an upload of 60 kB was offered to up to four nodes, and each got the whole body before it refused: the links of busy machines were filled with bodies that nobody ran.

A body of 8 kB or more is now announced (100-continue), and the other node refuses what it would not admit before it reads. A call whose body was never begun to be sent, and cannot be any more, has not run: told so, and offered again, where it was unknown before.

--- a/internal/forwarding/body.go
+++ b/internal/forwarding/body.go
@@ -21,7 +21,8 @@
 	held   []byte
 	rest   io.Reader // nil when the whole body is held
 	length int64     // -1 when it is not known
-	sent   atomic.Bool
+	// sent is set once anything of the body was taken to be sent.
+	sent atomic.Bool
 }
 
 // bodyMemory counts the bytes of the bodies that a node holds.
@@ -115,19 +116,54 @@
 // repeatable reports whether the body can be sent from its beginning.
 func (b *requestBody) repeatable() bool { return b.rest == nil || !b.sent.Load() }
 
+// long reports whether the body is worth a question before it is sent to another node.
+func (b *requestBody) long() bool { return b.rest != nil || len(b.held) >= questionedBody }
+
+// The states of a sending.
+const (
+	sendingUntouched int32 = iota // nothing of the body was taken
+	sendingBegun
+	sendingSealed // nothing was taken and nothing ever will be
+)
+
+// sending is the body on its way over one connection.
+type sending struct {
+	source io.Reader
+	body   *requestBody
+	state  atomic.Int32
+}
+
+// Read implements io.Reader.
+func (s *sending) Read(p []byte) (int, error) {
+	if !s.state.CompareAndSwap(sendingUntouched, sendingBegun) && s.state.Load() == sendingSealed {
+		return 0, io.ErrClosedPipe
+	}
+	s.body.sent.Store(true)
+	return s.source.Read(p)
+}
+
+// seal keeps the body from being sent any more. It reports whether nothing of it was.
+func (s *sending) seal() bool {
+	return s.state.CompareAndSwap(sendingUntouched, sendingSealed) || s.state.Load() == sendingSealed
+}
+
 // attach gives the body to an outgoing request in a form that http.Transport
-// cannot send twice by itself: a body that is there and has no GetBody.
-func (b *requestBody) attach(out *http.Request) {
+// cannot send twice by itself: a body that is there and has no GetBody. It returns
+// a long body on its way; nil for others.
+func (b *requestBody) attach(out *http.Request) *sending {
 	switch {
 	case b.rest != nil:
-		b.sent.Store(true)
 		out.ContentLength = b.length
 		if b.length < 0 {
 			out.TransferEncoding = chunkedEncoding
 		}
-		out.Body = io.NopCloser(io.MultiReader(bytes.NewReader(b.held), b.rest))
+		return b.send(out, io.MultiReader(bytes.NewReader(b.held), b.rest))
 	case len(b.held) > 0:
 		out.ContentLength = int64(len(b.held))
+		if b.long() {
+			return b.send(out, bytes.NewReader(b.held))
+		}
+		// The transport writes a reader of this kind together with the head.
 		out.Body = io.NopCloser(bytes.NewReader(b.held))
 	case httpleg.NeedsContentLength(out.Method):
 		out.Body = nil
@@ -136,4 +172,11 @@
 		out.Body = httpleg.EmptyBody{}
 		out.TransferEncoding = httpleg.IdentityEncoding
 	}
+	return nil
+}
+
+func (b *requestBody) send(out *http.Request, source io.Reader) *sending {
+	s := &sending{source: source, body: b}
+	out.Body = io.NopCloser(s)
+	return s
 }
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -45,6 +45,11 @@
 const (
 	// bufferedBody is the size up to which a body is held whole.
 	bufferedBody = 1 << 20
+	// questionedBody is the size from which on a body is sent to another node only
+	// when that node has said that it takes the call, and questionBound how long
+	// this is waited for.
+	questionedBody = 8 << 10
+	questionBound  = time.Second
 	// bufferedAnswer is the size up to which an answer is held whole before it
 	// is passed on, so that one that breaks off can be asked for again.
 	bufferedAnswer = 256 << 10
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -45,6 +45,12 @@
 		return nil, err
 	}
 	c.leg = leg
+	latestStart := c.began.Add(c.hop.patience)
+	// The other node sends a long body only when it is read here: one that would
+	// be refused must not fill the links of machines that are busy already.
+	if err := leg.check(ctx, c.hop.rank, latestStart); err != nil {
+		return nil, err
+	}
 	end := c.began.Add(c.hop.left)
 	c.body, err = c.plane.holdBody(w, c.request, 0, end)
 	if err != nil {
@@ -55,7 +61,7 @@
 		body:        c.body,
 		caller:      c.hop.caller,
 		rank:        c.hop.rank,
-		latestStart: c.began.Add(c.hop.patience),
+		latestStart: latestStart,
 		end:         end,
 	}
 	return leg.ask(ctx, &c.asked)
--- a/internal/forwarding/leg.go
+++ b/internal/forwarding/leg.go
@@ -22,6 +22,10 @@
 	body      *requestBody
 	conn      *httpleg.Conn // nil until the request got a connection
 	reused    bool
+	// questioned tells that the other side begins nothing before it has the body,
+	// and is asked before that is sent.
+	questioned bool
+	sending    *sending // nil unless the body is long
 }
 
 // do sends the request and returns the head of the answer. Errors are those of
@@ -37,7 +41,7 @@
 
 func (l *leg) try(ctx context.Context) (*http.Response, error) {
 	l.conn, l.reused = nil, false
-	l.body.attach(l.request)
+	l.sending = l.body.attach(l.request)
 	trace := &httptrace.ClientTrace{GotConn: l.gotConn}
 	response, err := l.transport.RoundTrip(l.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -56,7 +60,7 @@
 // classify tells what became of a request that got no answer.
 func (l *leg) classify(ctx context.Context, err error) error {
 	ended := errors.Is(context.Cause(ctx), errEnd)
-	if l.conn == nil || l.conn.Seal() {
+	if l.conn == nil || l.conn.Seal() || l.questioned && l.sending.seal() {
 		switch {
 		case ended:
 			return outcome.Wrap(outcome.DeadlineBeforeStart, err)
@@ -84,6 +88,7 @@
 		MaxIdleConnsPerHost:    connections,
 		IdleConnTimeout:        idle,
 		MaxResponseHeaderBytes: maximumHeaderBytes,
+		ExpectContinueTimeout:  questionBound,
 	}
 }
 
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -64,7 +64,10 @@
 		patience: latestStart.Sub(now),
 		left:     c.end.Sub(now),
 	}.encode()}
-	exchange := leg{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body}
+	if c.body.long() {
+		header["Expect"] = []string{"100-continue"}
+	}
+	exchange := leg{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body, questioned: c.body.long()}
 	response, err := exchange.do(ctx)
 	if err != nil {
 		c.plane.noteFailure(e.node, err)
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -75,6 +75,18 @@
 	waited, ran time.Duration
 }
 
+// check returns the failure of a request that would be refused now; nil for one
+// that would be admitted or could wait.
+func (l *workerLeg) check(ctx context.Context, rank int, latestStart time.Time) error {
+	if l.quiet() {
+		return outcome.New(outcome.NoWorker)
+	}
+	if err := l.queue.Check(slotqueue.Request{Rank: rank, LatestStart: latestStart}); err != nil {
+		return admissionFailure(ctx, err)
+	}
+	return nil
+}
+
 // ask admits a request and sends it to the worker.
 func (l *workerLeg) ask(ctx context.Context, call *workerCall) (*answer, error) {
 	if l.quiet() {
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -87,20 +87,42 @@
 	return q.conclude(w, err)
 }
 
-// enter takes a slot, or a place among the waiting.
-func (q *Queue) enter(request Request) (*waiter, error) {
+// Check returns the error that Admit would return at once; nil when the request
+// would get a slot, or a place among those that wait.
+func (q *Queue) Check(request Request) error {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
+	return q.check(request)
+}
+
+// check does what Check does. The mutex is held.
+func (q *Queue) check(request Request) error {
 	if q.closed {
-		return nil, ErrClosed.New("the worker takes no more requests")
+		return ErrClosed.New("the worker takes no more requests")
 	}
-	if q.running < q.slots && len(q.waiting) == 0 {
-		q.running++
-		return nil, nil
+	if q.free() {
+		return nil
 	}
 	wait := q.expectedWait(request.Rank)
 	if time.Now().Add(wait).After(request.LatestStart) {
-		return nil, newFull(wait)
+		return newFull(wait)
+	}
+	return nil
+}
+
+// free reports whether a request could start at once. The mutex is held.
+func (q *Queue) free() bool { return q.running < q.slots && len(q.waiting) == 0 }
+
+// enter takes a slot, or a place among the waiting.
+func (q *Queue) enter(request Request) (*waiter, error) {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if err := q.check(request); err != nil {
+		return nil, err
+	}
+	if q.free() {
+		q.running++
+		return nil, nil
 	}
 	w := &waiter{Request: request, admitted: make(chan struct{})}
 	index := q.place(request.Rank)
--- a/pkg/slotqueue/queue_test.go
+++ b/pkg/slotqueue/queue_test.go
@@ -131,3 +131,29 @@
 		}
 	})
 }
+
+func TestCheckSaysWhatAdmitWould(t *testing.T) {
+	q := New(1)
+	soon := Request{LatestStart: time.Now().Add(time.Millisecond)}
+	if err := q.Check(soon); err != nil {
+		t.Errorf("free: %v", err)
+	}
+	permit, err := q.Admit(t.Context(), soon)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := q.Check(soon); !errorx.IsOfType(err, ErrFull) || WaitOf(err) <= 0 {
+		t.Errorf("full: %v", err)
+	}
+	if err := q.Check(Request{LatestStart: time.Now().Add(time.Hour)}); err != nil {
+		t.Errorf("patient: %v", err)
+	}
+	permit.Release(false)
+	if load := q.Load(); load.Running != 0 || load.Waiting != 0 {
+		t.Errorf("a check has left %+v", load)
+	}
+	q.Close()
+	if err := q.Check(soon); !errorx.IsOfType(err, ErrClosed) {
+		t.Errorf("closed: %v", err)
+	}
+}
