Let a call that all refuse wait at the last node

The last node that a call asks is the one with the least load of all, also of those that have refused before and told their load, and the call waits there for as long as its patience lasts. Where there are fewer nodes, that is the one after all have refused.

Test: TestCallThatAllRefuseWaitsWhereItIsLeastBusy fails without it (3 of 3).

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -61,7 +61,9 @@
 	// made counts the nodes that were asked, refusals those that had no slot in
 	// time, arrivals the workers that had the call.
 	made, refusals, arrivals int
-	last                     error
+	// overloaded tells that a node had no slot in time.
+	overloaded bool
+	last       error
 	// unknown is the first failure after which the call may have run.
 	unknown error
 }
@@ -90,10 +92,21 @@
 }
 
 func (o *offers) choose() (choice, bool) {
+	if !o.lastRefusal() {
+		if chosen, ok := o.chooseExcept(o.tried); ok || !o.overloaded {
+			return chosen, ok
+		}
+		o.refusals = maximumRefusals - 1
+	}
+	// All that were asked have told their load: wait where that is least.
+	return o.chooseExcept(nil)
+}
+
+func (o *offers) chooseExcept(tried []string) (choice, bool) {
 	work, answerBytes := o.call.state.expected()
 	return o.destination.choose(wish{
 		bytes:     answerBytes + len(o.call.body.held),
-		tried:     o.tried,
+		tried:     tried,
 		work:      work,
 		target:    o.call.target(),
 		local:     o.local,
@@ -101,6 +114,9 @@
 	}, time.Now())
 }
 
+// lastRefusal reports whether no further node is asked when the next one refuses.
+func (o *offers) lastRefusal() bool { return o.refusals >= maximumRefusals-1 }
+
 // goOn reports whether a further offer may be made after a failure. Only an
 // offer that has reached a worker costs budget, and only one that may have run
 // is bound to what may be repeated.
@@ -114,6 +130,7 @@
 	}
 	if !arrived && !unknown {
 		o.refusals++
+		o.overloaded = o.overloaded || outcome.ReasonOf(err) == outcome.Overloaded
 		return o.refusals < maximumRefusals && time.Now().Before(o.latestStart)
 	}
 	limit := o.call.route.Config.Attempts
@@ -145,8 +162,11 @@
 	report.Node, report.Instance = endpoint.node, endpoint.instance
 	report.Running, report.Waiting, report.Slots = chosen.load.Running, chosen.load.Waiting, chosen.load.Slots
 	// Waiting here is worth it for as long as the next best worker is expected
-	// to be later.
-	latestStart := earlier(o.latestStart, time.Now().Add(max(chosen.lead, shallowPatience)))
+	// to be later, and at the last node for as long as the call can wait at all.
+	latestStart := o.latestStart
+	if !o.lastRefusal() {
+		latestStart = earlier(latestStart, time.Now().Add(max(chosen.lead, shallowPatience)))
+	}
 	var answered *answer
 	var arrived bool
 	var err error
--- a/internal/forwarding/calls_test.go
+++ b/internal/forwarding/calls_test.go
@@ -16,6 +16,7 @@
 
 	"github.com/levertide/levertide/internal/testwait"
 	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/slotqueue"
 )
 
 // twoNodes returns a node without a worker and one beside a worker of the ledger.
@@ -379,6 +380,59 @@
 	close(release)
 }
 
+// TestCallThatAllRefuseWaitsWhereItIsLeastBusy fills the workers of more nodes than
+// a call asks: it waits at the last one until a slot is free.
+func TestCallThatAllRefuseWaitsWhereItIsLeastBusy(t *testing.T) {
+	worker := startWorker(t)
+	nodes := []*testNode{startNode(t, "front", "desk", nil)}
+	for n := range maximumRefusals + 1 {
+		nodes = append(nodes, startNode(t, fmt.Sprint("back-", n), "ledger", worker))
+	}
+	front, backs := nodes[0], nodes[1:]
+	introduce(nodes...)
+	configure(t, ledgerRoutes, nodes...)
+	var filled []slotqueue.Permit
+	for _, back := range backs {
+		filled = append(filled, fill(t, back)...)
+	}
+	answered := make(chan int, 1)
+	go func() {
+		status, _, _ := post(t, front, "/file/1", "vat")
+		answered <- status
+	}()
+	testwait.Eventually(t, "all but the last node have refused", func() bool {
+		refused := int64(0)
+		for _, back := range backs {
+			refused += back.refusedHops.Load()
+		}
+		return refused == maximumRefusals-1
+	})
+	for _, permit := range filled {
+		permit.Release(false)
+	}
+	if status := <-answered; status != http.StatusOK {
+		t.Errorf("status %d", status)
+	}
+}
+
+// fill takes all slots of the worker beside a node.
+func fill(t *testing.T, node *testNode) []slotqueue.Permit {
+	t.Helper()
+	leg, err := node.plane.local.find("ledger", "")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var permits []slotqueue.Permit
+	for range leg.load().Slots {
+		permit, err := leg.queue.Admit(t.Context(), slotqueue.Request{LatestStart: time.Now().Add(patience)})
+		if err != nil {
+			t.Fatal(err)
+		}
+		permits = append(permits, permit)
+	}
+	return permits
+}
+
 func TestStoppingNodeAsksCallersToClose(t *testing.T) {
 	front, back, _ := twoNodes(t)
 	front.plane.Leave()
--- a/internal/forwarding/fixture_test.go
+++ b/internal/forwarding/fixture_test.go
@@ -13,6 +13,7 @@
 
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/routing"
 	"github.com/levertide/levertide/pkg/snapshot"
@@ -59,6 +60,8 @@
 	table    *fleet.Table
 	config   atomic.Pointer[Configuration]
 	reports  chan CallReport
+	// refusedHops counts the calls of other nodes that were not run here.
+	refusedHops atomic.Int64
 }
 
 func (n *testNode) CallFinished(report CallReport) {
@@ -68,7 +71,11 @@
 	}
 }
 
-func (n *testNode) HopFinished(CallReport) {}
+func (n *testNode) HopFinished(report CallReport) {
+	if report.Outcome == outcome.NotRun {
+		n.refusedHops.Add(1)
+	}
+}
 
 // startNode starts a node with a worker of the service; nil is none.
 func startNode(t *testing.T, id, service string, worker *testWorker) *testNode {
