--- a/internal/control/fabric_test.go
+++ b/internal/control/fabric_test.go
@@ -212,7 +212,7 @@
 			version = current.Version()
 		}
 		var known []string
-		for record := range run.node.Directory().All() {
+		for _, record := range run.node.Directory().Live() {
 			known = append(known, record.ID)
 		}
 		m.t.Logf("%s: version %d, ready %v (%s), %s under %q path %v children %v, knows %v, root %v, role %s",
