--- a/Makefile
+++ b/Makefile
@@ -8,7 +8,7 @@
 
 CAPACITY_DIR ?= lab-runs/capacity
 
-.PHONY: build demo capacity test lint generate check-generated clean
+.PHONY: build demo capacity test lint mutants generate check-generated clean
 
 ## build: compile the three programs into bin/
 build:
@@ -37,6 +37,10 @@
 	$(GO) vet ./...
 	$(STATICCHECK) ./...
 
+## mutants: play the soak with each broken variant; minutes, no part of CI
+mutants:
+	scripts/mutants.sh
+
 ## generate: write the code that comes from the protocol descriptions
 generate:
 	scripts/generate.sh control internal/controlpb
