--- a/internal/lab/soak/simulated_test.go
+++ b/internal/lab/soak/simulated_test.go
@@ -37,12 +37,7 @@
 				if err != nil {
 					t.Fatal(err)
 				}
-				for _, violation := range report.Violations {
-					t.Error(violation)
-				}
-				if report.Served == 0 || report.Faults == 0 {
-					t.Errorf("the run shows nothing: %+v", report)
-				}
+				checkReport(t, report)
 				t.Logf("%+v", report)
 			})
 		})
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -12,6 +12,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
+	checkReport(t, report)
+}
+
+// checkReport fails the test for each violation, and when the run shows nothing.
+func checkReport(t *testing.T, report Report) {
+	t.Helper()
 	for _, violation := range report.Violations {
 		t.Error(violation)
 	}
