Serve pipelined requests of a caller side by side

Cause: net/http's server reads the next request of a connection only when the one before it is answered.

internal/pipeline is a server of its own around http.ReadRequest: up to 16 requests of a connection are handled at the same time and answered in order. Weighed against it: net/http's server with a connection of its own, which would give each request an in-memory connection; that is two copies and two goroutines more for each request, and the same ordering to write.

A close is seen behind waiting requests and cancels all of them; an answer that closes leaves what is behind it unread; a planned stop answers what was read, the last with Connection: close. A head that cannot be used is answered once and ends the connection. Half-closed connections are taken for callers that left, as net/http does.

--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -72,6 +72,10 @@
 	readHeaderTime = 10 * time.Second
 	// maximumHeaderBytes bounds the head of a request.
 	maximumHeaderBytes = 64 << 10
+	// maximumPipelined bounds the requests of one caller's connection that are
+	// served side by side. Each may hold an answer of up to bufferedAnswer until
+	// those before it are written.
+	maximumPipelined = 16
 	// idleConnections bounds the unused connections to one node.
 	idleConnections = 32
 
--- a/internal/forwarding/fixture_test.go
+++ b/internal/forwarding/fixture_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"github.com/levertide/levertide/internal/pipeline"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/outcome"
@@ -52,10 +53,27 @@
 
 func (w *testWorker) address() string { return w.server.Listener.Addr().String() }
 
+// testServer is a server for callers on a port of its own.
+type testServer struct {
+	Listener net.Listener
+	URL      string
+}
+
+func startServer(t *testing.T, server *pipeline.Server) *testServer {
+	t.Helper()
+	listener, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	go func() { _ = server.Serve(listener) }()
+	t.Cleanup(func() { _ = server.Close() })
+	return &testServer{Listener: listener, URL: "http://" + listener.Addr().String()}
+}
+
 // testNode is a Plane with its listeners.
 type testNode struct {
 	plane    *Plane
-	caller   *httptest.Server
+	caller   *testServer
 	registry *workers.Registry
 	table    *fleet.Table
 	config   atomic.Pointer[Configuration]
@@ -97,10 +115,7 @@
 	hops := node.plane.HopServer()
 	go func() { _ = hops.Serve(listener) }()
 	t.Cleanup(func() { _ = hops.Close() })
-	node.caller = httptest.NewUnstartedServer(nil)
-	node.caller.Config = node.plane.CallerServer()
-	node.caller.Start()
-	t.Cleanup(node.caller.Close)
+	node.caller = startServer(t, node.plane.CallerServer())
 	if worker != nil {
 		node.beat(t, "w-"+id, service, worker, 1, false)
 	}
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
+	"log"
 	"net/http"
 	"sync"
 	"sync/atomic"
 	"time"
 
+	"github.com/levertide/levertide/internal/pipeline"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/slotqueue"
 )
@@ -90,14 +93,14 @@
 }
 
 // CallerServer returns a server for callers. It listens on nothing by itself.
-func (p *Plane) CallerServer() *http.Server {
-	return &http.Server{
-		Handler:                      http.HandlerFunc(p.serveCaller),
-		ReadHeaderTimeout:            readHeaderTime,
-		IdleTimeout:                  callerIdle,
-		MaxHeaderBytes:               maximumHeaderBytes,
-		DisableGeneralOptionsHandler: true,
-	}
+func (p *Plane) CallerServer() *pipeline.Server {
+	return pipeline.New(pipeline.Config{
+		Handler:           http.HandlerFunc(p.serveCaller),
+		MaxPipelined:      maximumPipelined,
+		MaxHeaderBytes:    maximumHeaderBytes,
+		ReadHeaderTimeout: readHeaderTime,
+		IdleTimeout:       callerIdle,
+	})
 }
 
 // HopServer returns a server for other nodes. What they say is trusted.
@@ -108,6 +111,7 @@
 		IdleTimeout:                  peerServerIdle,
 		MaxHeaderBytes:               2 * maximumHeaderBytes,
 		DisableGeneralOptionsHandler: true,
+		ErrorLog:                     log.New(io.Discard, "", 0),
 	}
 }
 
--- /dev/null
+++ b/internal/pipeline/conn.go
@@ -0,0 +1,312 @@
+package pipeline
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"io"
+	"net"
+	"os"
+	"sync"
+	"time"
+)
+
+const (
+	// bufferSize is the size of the buffers of one connection, each way. What is
+	// read ahead of the requests in hand stays within it.
+	bufferSize = 4 << 10
+	// lingerTime and lingerBytes bound how long a connection that was told to end
+	// is still read from: closing with unread bytes would reset it, and the caller
+	// could lose the answer on its way.
+	lingerTime  = 500 * time.Millisecond
+	lingerBytes = 1 << 20
+)
+
+// past is a deadline that ends a read that is under way.
+var past = time.Unix(1, 0)
+
+// conn is one connection of a caller. One goroutine reads the requests; each
+// request has one that handles it and writes the answer when its turn has come.
+type conn struct {
+	server *Server
+	rwc    net.Conn
+	limit  *limitedReader
+	br     *bufio.Reader
+	bw     *bufio.Writer // belongs to the exchange whose turn it is
+	ctx    context.Context
+	cancel context.CancelFunc
+	// slots bounds the requests in hand.
+	slots chan struct{}
+
+	mu sync.Mutex
+	// newest is the last request that was handed to the handler.
+	newest *exchange
+	inHand int
+	// waiting tells that the reader waits for a request to begin.
+	waiting bool
+	// stopping has the next answer end the connection; sealed tells that no
+	// further request is taken.
+	stopping, sealed bool
+}
+
+func newConn(s *Server, rwc net.Conn) *conn {
+	limit := &limitedReader{source: rwc}
+	c := &conn{
+		server: s,
+		rwc:    rwc,
+		limit:  limit,
+		br:     bufio.NewReaderSize(limit, bufferSize),
+		bw:     bufio.NewWriterSize(rwc, bufferSize),
+		slots:  make(chan struct{}, s.cfg.MaxPipelined),
+	}
+	c.ctx, c.cancel = context.WithCancel(context.Background())
+	return c
+}
+
+// serve reads requests until the connection is to end, waits until those in hand
+// are answered, and closes it.
+func (c *conn) serve() {
+	defer func() { _ = c.rwc.Close() }()
+	defer c.cancel()
+	err := c.readRequests()
+	if err == nil {
+		err = c.watch(c.lastEnded())
+	}
+	if err != nil {
+		c.cancel()
+	}
+	<-c.lastEnded()
+	if err == nil && c.ctx.Err() == nil {
+		c.linger()
+	}
+}
+
+// readRequests hands requests to the handler. It returns nil when no further one
+// is to be taken, and an error when the connection is broken or idle.
+func (c *conn) readRequests() error {
+	for {
+		if err := c.awaitRequest(); err != nil {
+			return ignoreStop(err)
+		}
+		x, err := c.readExchange()
+		if err != nil {
+			return err
+		}
+		if err := c.takeSlot(); err != nil {
+			return err
+		}
+		if !c.admit(x) {
+			return nil
+		}
+		go x.handle()
+		select {
+		case <-x.bodyEnded:
+		case <-c.ctx.Done():
+			return c.ctx.Err()
+		}
+	}
+}
+
+// errStopped ends the wait for a request on a connection that is to end.
+var errStopped = errors.New("the connection is to end")
+
+func ignoreStop(err error) error {
+	if errors.Is(err, errStopped) {
+		return nil
+	}
+	return err
+}
+
+// awaitRequest waits for the first byte of a request.
+func (c *conn) awaitRequest() error {
+	c.mu.Lock()
+	c.waiting = true
+	c.retime()
+	c.mu.Unlock()
+	_, err := c.br.Peek(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = false
+	if c.sealed || err != nil && c.stopping && isTimeout(err) {
+		return errStopped
+	}
+	return err
+}
+
+// retime sets the end of the wait for a request. The mutex is held.
+func (c *conn) retime() {
+	if !c.waiting {
+		return
+	}
+	switch {
+	case c.inHand > 0:
+		_ = c.rwc.SetReadDeadline(time.Time{})
+	case c.sealed || c.stopping:
+		_ = c.rwc.SetReadDeadline(past)
+	default:
+		_ = c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
+	}
+}
+
+// takeSlot waits until a further request may be handled.
+func (c *conn) takeSlot() error {
+	select {
+	case c.slots <- struct{}{}:
+		return nil
+	default:
+	}
+	taken := make(chan struct{})
+	go func() {
+		select {
+		case c.slots <- struct{}{}:
+			close(taken)
+		case <-c.ctx.Done():
+		}
+	}()
+	return c.watch(taken)
+}
+
+// watch reads ahead, so that a caller who leaves is noticed, until the channel is
+// closed. It returns the error of a connection that has ended.
+func (c *conn) watch(until <-chan struct{}) error {
+	watched := make(chan struct{})
+	interrupted := make(chan struct{})
+	go func() {
+		defer close(interrupted)
+		select {
+		case <-until:
+			_ = c.rwc.SetReadDeadline(past)
+		case <-watched:
+		}
+	}()
+	_ = c.rwc.SetReadDeadline(time.Time{})
+	err := c.readAhead()
+	close(watched)
+	<-interrupted
+	if err != nil && !isTimeout(err) {
+		return err
+	}
+	// The buffer is full, or the channel is closed.
+	select {
+	case <-until:
+	case <-c.ctx.Done():
+		return c.ctx.Err()
+	}
+	return c.rwc.SetReadDeadline(time.Time{})
+}
+
+// readAhead fills the buffer.
+func (c *conn) readAhead() error {
+	for c.br.Buffered() < c.br.Size() {
+		if _, err := c.br.Peek(c.br.Buffered() + 1); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// admit takes a request in hand; false when no further one is to be taken.
+func (c *conn) admit(x *exchange) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.sealed {
+		return false
+	}
+	if c.newest != nil {
+		x.turn = c.newest.ended
+	}
+	c.newest = x
+	c.inHand++
+	c.sealed = x.last
+	return true
+}
+
+// concluded tells whether the answer that begins now is the last one, and seals the
+// connection when its handler wants it to end.
+func (c *conn) concluded(x *exchange, closing bool) bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = c.sealed || closing || c.stopping
+	return c.sealed && c.newest == x
+}
+
+// seal keeps further requests from being taken.
+func (c *conn) seal() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.sealed = true
+}
+
+// release takes an answered request out of hand.
+func (c *conn) release() {
+	<-c.slots
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.inHand--
+	c.retime()
+}
+
+// lastEnded is closed when all requests in hand are answered.
+func (c *conn) lastEnded() <-chan struct{} {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.newest == nil {
+		return ended
+	}
+	return c.newest.ended
+}
+
+var ended = func() chan struct{} {
+	c := make(chan struct{})
+	close(c)
+	return c
+}()
+
+// stop has the connection end after the requests that were read are answered.
+func (c *conn) stop() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.stopping = true
+	c.retime()
+}
+
+// abort ends the connection at once.
+func (c *conn) abort() {
+	c.cancel()
+	_ = c.rwc.Close()
+}
+
+// linger ends the own side and reads on for a while.
+func (c *conn) linger() {
+	half, ok := c.rwc.(interface{ CloseWrite() error })
+	if !ok || half.CloseWrite() != nil {
+		return
+	}
+	_ = c.rwc.SetReadDeadline(time.Now().Add(lingerTime))
+	_, _ = io.CopyN(io.Discard, c.rwc, lingerBytes)
+}
+
+func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
+
+// limitedReader bounds the bytes of a head, bodies apart.
+type limitedReader struct {
+	source  io.Reader
+	limited bool
+	left    int
+}
+
+// errTooLong ends the reading of a head that is too long.
+var errTooLong = errors.New("the head of the request is too long")
+
+// Read implements io.Reader.
+func (l *limitedReader) Read(p []byte) (int, error) {
+	if !l.limited {
+		return l.source.Read(p)
+	}
+	if l.left <= 0 {
+		return 0, errTooLong
+	}
+	n, err := l.source.Read(p[:min(len(p), l.left)])
+	l.left -= n
+	return n, err
+}
--- /dev/null
+++ b/internal/pipeline/exchange.go
@@ -0,0 +1,181 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"sync"
+)
+
+// exchange is one request and its answer.
+type exchange struct {
+	conn     *conn
+	request  *http.Request
+	response response
+	// fault is the status of a request that is not handed to the handler.
+	fault int
+	// last tells that no further request follows on the connection.
+	last bool
+	// turn is closed when the answer before this one is complete; nil for the first.
+	turn <-chan struct{}
+	// bodyEnded is closed when the next request may be read.
+	bodyEnded chan struct{}
+	body      *body // nil for a request without one
+	// ended is closed when the answer is complete, or never will be.
+	ended chan struct{}
+}
+
+func newExchange(c *conn, r *http.Request) *exchange {
+	x := &exchange{
+		conn:      c,
+		request:   r,
+		last:      r.Close || !r.ProtoAtLeast(1, 1),
+		bodyEnded: ended,
+		ended:     make(chan struct{}),
+	}
+	x.response = response{exchange: x, header: http.Header{}}
+	r.RemoteAddr = c.rwc.RemoteAddr().String()
+	if r.ContentLength != 0 {
+		x.bodyEnded = make(chan struct{})
+		x.body = &body{exchange: x, source: r.Body, expected: expectsContinue(r)}
+		r.Body = x.body
+	}
+	return x
+}
+
+// newFault returns an exchange that is answered with a status and ends the connection.
+func newFault(c *conn, status int) *exchange {
+	r := &http.Request{Method: http.MethodGet, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1, Header: http.Header{}, Body: http.NoBody}
+	x := newExchange(c, r)
+	x.fault, x.last = status, true
+	return x
+}
+
+// handle has the handler answer, and gives the turn to the next answer.
+func (x *exchange) handle() {
+	ctx, cancel := context.WithCancel(x.conn.ctx)
+	defer cancel()
+	x.request = x.request.WithContext(ctx)
+	defer x.end()
+	if x.fault != 0 {
+		writeFault(&x.response, x.fault)
+		return
+	}
+	x.conn.server.cfg.Handler.ServeHTTP(&x.response, x.request)
+}
+
+func writeFault(w http.ResponseWriter, status int) {
+	text := http.StatusText(status) + "\n"
+	w.Header()["Content-Type"] = []string{"text/plain; charset=utf-8"}
+	w.Header()["Content-Length"] = []string{strconv.Itoa(len(text))}
+	w.WriteHeader(status)
+	_, _ = io.WriteString(w, text)
+}
+
+// end completes the answer, or ends the connection when that is not possible.
+func (x *exchange) end() {
+	failure := recover()
+	if failure != nil && failure != http.ErrAbortHandler {
+		panic(failure)
+	}
+	x.body.close()
+	if failure != nil || x.response.finish() != nil {
+		x.conn.abort()
+	}
+	close(x.ended)
+	x.conn.release()
+}
+
+// awaitTurn waits until the answers before this one are complete.
+func (x *exchange) awaitTurn() error {
+	if x.turn != nil {
+		select {
+		case <-x.turn:
+		case <-x.conn.ctx.Done():
+		}
+	}
+	return x.conn.ctx.Err()
+}
+
+// body is the body of a request. It tells the connection when it has ended.
+type body struct {
+	exchange *exchange
+
+	mu     sync.Mutex
+	source io.ReadCloser
+	// expected tells that the caller waits for a word before it sends the body.
+	expected bool
+	closed   bool
+	// whole tells that the end was read.
+	whole bool
+}
+
+// errBodyClosed is returned for a body that is read after the handler has ended.
+var errBodyClosed = errors.New("the request is over")
+
+// Read implements io.Reader.
+func (b *body) Read(p []byte) (int, error) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return 0, errBodyClosed
+	}
+	if b.expected {
+		b.expected = false
+		if err := b.exchange.response.proceed(); err != nil {
+			return 0, err
+		}
+	}
+	n, err := b.source.Read(p)
+	switch {
+	case err == io.EOF && !b.whole:
+		b.whole = true
+		close(b.exchange.bodyEnded)
+	case brokeOff(err):
+		b.exchange.conn.cancel()
+	}
+	return n, err
+}
+
+// brokeOff reports whether an error of a body means that the caller has gone away:
+// not one that it was too slow, nor one that what it sent cannot be read.
+func brokeOff(err error) bool {
+	var failed *net.OpError
+	return errors.Is(err, io.ErrUnexpectedEOF) || errors.As(err, &failed) && !failed.Timeout()
+}
+
+// Close implements io.Closer. The handler's end closes the body.
+func (b *body) Close() error { return nil }
+
+// consumed reports whether nothing of the body is left on the connection.
+func (b *body) consumed() bool {
+	if b == nil {
+		return true
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	return b.whole
+}
+
+// close keeps others that still hold the body from reading what follows it.
+func (b *body) close() {
+	if b == nil {
+		return
+	}
+	if b.mu.TryLock() {
+		defer b.mu.Unlock()
+	} else {
+		// Somebody is reading.
+		_ = b.exchange.conn.rwc.SetReadDeadline(past)
+		b.mu.Lock()
+		defer b.mu.Unlock()
+	}
+	b.closed = true
+	if !b.whole {
+		b.exchange.conn.seal()
+		close(b.exchange.bodyEnded)
+	}
+}
--- /dev/null
+++ b/internal/pipeline/pipeline_test.go
@@ -0,0 +1,226 @@
+package pipeline
+
+import (
+	"io"
+	"net/http"
+	"strings"
+	"testing"
+	"time"
+)
+
+func TestRequestsAreHandledSideBySideAndAnsweredInOrder(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	c.send(t, get("/hold/1")+get("/hold/2")+get("/3"))
+	s.awaitBegan(t, "/hold/1", "/hold/2", "/3")
+	s.letGo("/hold/2")
+	s.letGo("/hold/1")
+	c.expect(t, "GET /hold/1 ", "GET /hold/2 ", "GET /3 ")
+	c.send(t, get("/4"))
+	c.expect(t, "GET /4 ")
+}
+
+func TestBodiesAreReadOneAtATime(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	chunked := "POST /3 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n"
+	c.send(t, post("/hold/1", "one")+post("/2", strings.Repeat("b", 100<<10))+chunked+get("/4"))
+	s.letGo("/hold/1")
+	c.expect(t, "POST /hold/1 one", "POST /2 "+strings.Repeat("b", 100<<10), "POST /3 abcde", "GET /4 ")
+}
+
+func TestNoMoreThanTheBoundIsHandled(t *testing.T) {
+	s := startServed(t, func(cfg *Config) { cfg.MaxPipelined = 2 })
+	c := dial(t, s.address)
+	c.send(t, get("/hold/1")+get("/hold/2")+get("/hold/3"))
+	s.awaitBegan(t, "/hold/1", "/hold/2")
+	if len(s.began) > 0 {
+		t.Fatalf("%s is handled beside two others", <-s.began)
+	}
+	s.letGo("/hold/1")
+	s.awaitBegan(t, "/hold/3")
+	s.letGo("/hold/2")
+	s.letGo("/hold/3")
+	c.expect(t, "GET /hold/1 ", "GET /hold/2 ", "GET /hold/3 ")
+}
+
+func TestCallerThatLeavesCancelsAllItsRequests(t *testing.T) {
+	for _, bound := range []int{8, 2} {
+		s := startServed(t, func(cfg *Config) { cfg.MaxPipelined = bound })
+		c := dial(t, s.address)
+		c.send(t, get("/hold/1")+get("/hold/2")+get("/hold/3"))
+		s.awaitBegan(t, "/hold/1", "/hold/2")
+		_ = c.Close()
+		for range 2 {
+			receive(t, s.left)
+		}
+	}
+}
+
+func TestAnswerThatClosesLeavesWhatIsBehindUnread(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	c.send(t, get("/close/1"))
+	got, err := c.next()
+	if err != nil || !got.closing {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	s.awaitBegan(t, "/close/1")
+	_, _ = io.WriteString(c, get("/2"))
+	c.expectEnd(t)
+	if len(s.began) > 0 {
+		t.Fatalf("%s was handled", <-s.began)
+	}
+}
+
+func TestRequestsInHandAreAnsweredBeforeTheEnd(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	c.send(t, get("/hold/1")+get("/close/2")+get("/hold/3"))
+	s.awaitBegan(t, "/hold/1", "/close/2", "/hold/3")
+	s.letGo("/hold/1")
+	s.letGo("/hold/3")
+	for number, closing := range []bool{false, false, true} {
+		got, err := c.next()
+		if err != nil || got.closing != closing {
+			t.Fatalf("answer %d: %+v, %v", number, got, err)
+		}
+	}
+	c.expectEnd(t)
+}
+
+func TestAbortedAnswerEndsTheConnection(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	c.send(t, get("/hold/1")+get("/abort/2")+get("/hold/3"))
+	s.awaitBegan(t, "/hold/1", "/abort/2", "/hold/3")
+	s.letGo("/hold/1")
+	c.expect(t, "GET /hold/1 ")
+	if got, err := c.next(); err == nil {
+		t.Fatalf("an answer that is cut short looks whole: %+v", got)
+	}
+	if path := receive(t, s.left); path != "/hold/3" {
+		t.Fatalf("%s was canceled", path)
+	}
+}
+
+func TestShutdownAnswersWhatWasRead(t *testing.T) {
+	s := startServed(t, nil)
+	busy, idle := dial(t, s.address), dial(t, s.address)
+	idle.send(t, get("/1"))
+	idle.expect(t, "GET /1 ")
+	busy.send(t, get("/hold/2")+get("/hold/3"))
+	s.awaitBegan(t, "/hold/2", "/hold/3")
+	done := s.shutdown(t)
+	idle.expectEnd(t)
+	s.letGo("/hold/3")
+	s.letGo("/hold/2")
+	first, err := busy.next()
+	if err != nil || first.closing {
+		t.Fatalf("%+v, %v", first, err)
+	}
+	second, err := busy.next()
+	if err != nil || !second.closing || second.body != "GET /hold/3 " {
+		t.Fatalf("%+v, %v", second, err)
+	}
+	_ = busy.Close()
+	if err := <-done; err != nil {
+		t.Fatal(err)
+	}
+}
+
+func TestIdleConnectionEnds(t *testing.T) {
+	s := startServed(t, func(cfg *Config) { cfg.IdleTimeout = time.Millisecond })
+	c := dial(t, s.address)
+	c.expectEnd(t)
+}
+
+func TestCallerIsToldToSendItsBody(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	c.send(t, get("/hold/1")+"POST /2 HTTP/1.1\r\nHost: x\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\n")
+	s.letGo("/hold/1")
+	c.expect(t, "GET /hold/1 ", "")
+	c.send(t, "abc")
+	c.expect(t, "POST /2 abc")
+}
+
+func TestBodyThatIsNotReadEndsTheConnection(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	c.send(t, "POST /unread/1 HTTP/1.1\r\nHost: x\r\nContent-Length: 300000\r\n\r\nabc"+get("/2"))
+	got, err := c.next()
+	if err != nil || !got.closing || got.body != "unread /unread/1" {
+		t.Fatalf("%+v, %v", got, err)
+	}
+	c.expectEnd(t)
+}
+
+func TestHeadHasNoBody(t *testing.T) {
+	s := startServed(t, nil)
+	c := dial(t, s.address)
+	c.send(t, "HEAD /1 HTTP/1.1\r\nHost: x\r\n\r\n")
+	response, err := http.ReadResponse(c.reader, &http.Request{Method: http.MethodHead})
+	if err != nil || response.StatusCode != http.StatusOK {
+		t.Fatal(response, err)
+	}
+	c.send(t, get("/2"))
+	c.expect(t, "GET /2 ")
+}
+
+// TestBadRequests sends requests that cannot be used behind a good one: that is
+// answered, the bad one is told its fault, and nothing behind it runs.
+func TestBadRequests(t *testing.T) {
+	for name, item := range map[string]struct {
+		text   string
+		status int
+	}{
+		"head":          {"GET / HTTP/1.1\r\nno colon\r\n\r\n", http.StatusBadRequest},
+		"start":         {"\x16\x03\x01 nothing\r\n\r\n", http.StatusBadRequest},
+		"version":       {"PRI * HTTP/2.0\r\n\r\n", http.StatusHTTPVersionNotSupported},
+		"no host":       {"GET /bad HTTP/1.1\r\n\r\n", http.StatusBadRequest},
+		"length":        {"POST /bad HTTP/1.1\r\nHost: x\r\nContent-Length: ten\r\n\r\n", http.StatusBadRequest},
+		"negative":      {"POST /bad HTTP/1.1\r\nHost: x\r\nContent-Length: -1\r\n\r\n", http.StatusBadRequest},
+		"two lengths":   {"POST /bad HTTP/1.1\r\nHost: x\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nab", http.StatusBadRequest},
+		"both lengths":  {"POST /bad HTTP/1.1\r\nHost: x\r\nContent-Length: 3\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n", http.StatusBadRequest},
+		"long head":     {"GET /bad HTTP/1.1\r\nHost: x\r\nA: " + strings.Repeat("a", 40<<10) + "\r\n\r\n", http.StatusRequestHeaderFieldsTooLarge},
+		"expectation":   {"POST /bad HTTP/1.1\r\nHost: x\r\nExpect: much\r\nContent-Length: 3\r\n\r\nabc", http.StatusExpectationFailed},
+		"unknown codec": {"POST /bad HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: gzip\r\n\r\n", http.StatusBadRequest},
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServed(t, nil)
+			c := dial(t, s.address)
+			c.send(t, get("/hold/1")+item.text+get("/behind"))
+			s.awaitBegan(t, "/hold/1")
+			s.letGo("/hold/1")
+			c.expect(t, "GET /hold/1 ")
+			got, err := c.next()
+			if err != nil || got.status != item.status || !got.closing {
+				t.Fatalf("%+v, %v; want %d", got, err, item.status)
+			}
+			c.expectEnd(t)
+			if len(s.began) > 0 {
+				t.Fatalf("%s was handled", <-s.began)
+			}
+		})
+	}
+}
+
+func TestBodyThatBreaksOffIsNoRequest(t *testing.T) {
+	for name, text := range map[string]string{
+		"length": "POST /1 HTTP/1.1\r\nHost: x\r\nContent-Length: 10\r\n\r\nabc",
+		"chunks": "POST /1 HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n",
+	} {
+		t.Run(name, func(t *testing.T) {
+			s := startServed(t, nil)
+			c := dial(t, s.address)
+			c.send(t, text)
+			if err := c.Conn.(interface{ CloseWrite() error }).CloseWrite(); err != nil {
+				t.Fatal(err)
+			}
+			if got, err := c.next(); err == nil && got.status == http.StatusOK {
+				t.Fatalf("%+v", got)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/pipeline/request.go
@@ -0,0 +1,106 @@
+package pipeline
+
+import (
+	"bufio"
+	"bytes"
+	"errors"
+	"io"
+	"net/http"
+	"net/textproto"
+	"strings"
+	"time"
+)
+
+// headEnds are the ends of a head: lines may end without a carriage return.
+var headEnds = [][]byte{[]byte("\n\r\n"), []byte("\n\n")}
+
+// readExchange reads the head of the next request. A head that cannot be used
+// becomes an exchange that is answered with the fault and ends the connection. An
+// error means that the connection has ended, or is too slow.
+func (c *conn) readExchange() (*exchange, error) {
+	c.limit.limited, c.limit.left = true, c.server.cfg.MaxHeaderBytes+bufferSize
+	defer func() { c.limit.limited = false }()
+	if err := c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.ReadHeaderTimeout)); err != nil {
+		return nil, err
+	}
+	head, err := c.peekHead()
+	var r *http.Request
+	if err == nil {
+		r, err = http.ReadRequest(c.br)
+	}
+	switch {
+	case errors.Is(err, errTooLong):
+		return newFault(c, http.StatusRequestHeaderFieldsTooLarge), nil
+	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isTimeout(err):
+		return nil, io.ErrUnexpectedEOF
+	case err != nil:
+		return newFault(c, http.StatusBadRequest), nil
+	}
+	if err := c.rwc.SetReadDeadline(time.Time{}); err != nil {
+		return nil, err
+	}
+	if status := faultOf(r, head); status != 0 {
+		return newFault(c, status), nil
+	}
+	return newExchange(c, r), nil
+}
+
+// peekHead waits until the head is there and returns it without consuming it. One
+// that does not fit into the buffer is returned as far as it does.
+func (c *conn) peekHead() ([]byte, error) {
+	for {
+		buffered, err := c.br.Peek(c.br.Buffered())
+		if err != nil {
+			return nil, err
+		}
+		if hasHeadEnd(buffered) || len(buffered) == c.br.Size() {
+			return buffered, nil
+		}
+		if _, err := c.br.Peek(len(buffered) + 1); err != nil {
+			return nil, err
+		}
+	}
+}
+
+func hasHeadEnd(text []byte) bool {
+	for _, end := range headEnds {
+		if bytes.Contains(text, end) {
+			return true
+		}
+	}
+	return false
+}
+
+// faultOf returns the status for a request that cannot be served; zero for others.
+func faultOf(r *http.Request, head []byte) int {
+	switch {
+	case r.ProtoMajor != 1:
+		return http.StatusHTTPVersionNotSupported
+	case r.ProtoAtLeast(1, 1) && r.Host == "" && r.Method != http.MethodConnect:
+		return http.StatusBadRequest
+	case len(r.TransferEncoding) > 0 && namesLength(head):
+		// With both lengths given, others may see the end of the body elsewhere.
+		return http.StatusBadRequest
+	case r.Header.Get("Expect") != "" && !expectsContinue(r):
+		return http.StatusExpectationFailed
+	}
+	return 0
+}
+
+// namesLength reports whether a head gives a Content-Length, or was too long to be
+// looked through.
+func namesLength(head []byte) bool {
+	if !hasHeadEnd(head) {
+		return true
+	}
+	tp := textproto.NewReader(bufio.NewReader(bytes.NewReader(head)))
+	if _, err := tp.ReadLine(); err != nil {
+		return true
+	}
+	header, err := tp.ReadMIMEHeader()
+	return err != nil || len(header["Content-Length"]) > 0
+}
+
+func expectsContinue(r *http.Request) bool {
+	return strings.EqualFold(r.Header.Get("Expect"), "100-continue")
+}
--- /dev/null
+++ b/internal/pipeline/response.go
@@ -0,0 +1,175 @@
+package pipeline
+
+import (
+	"errors"
+	"io"
+	"net/http"
+	"net/http/httputil"
+	"strconv"
+	"sync"
+	"time"
+)
+
+// errShort is the failure of an answer with less body than it has announced.
+var errShort = errors.New("the answer is shorter than announced")
+
+// response is the http.ResponseWriter of one exchange. The head is written when
+// the answers before are complete.
+type response struct {
+	exchange *exchange
+	header   http.Header
+
+	// mu keeps the word for a body that is waited for out of a head that is written.
+	mu    sync.Mutex
+	begun bool
+	// empty tells that the answer has no body, whatever its head says.
+	empty bool
+	// left is how much of an announced body is missing; -1 when none was announced.
+	left   int64
+	chunks io.WriteCloser // nil unless the length is not known
+	err    error
+}
+
+// Header implements http.ResponseWriter.
+func (w *response) Header() http.Header { return w.header }
+
+// WriteHeader implements http.ResponseWriter.
+func (w *response) WriteHeader(status int) {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begun {
+		return
+	}
+	w.begun = true
+	if w.err = w.exchange.awaitTurn(); w.err == nil {
+		w.err = w.writeHead(status)
+	}
+}
+
+func (w *response) writeHead(status int) error {
+	x := w.exchange
+	closing := w.header.Get("Connection") == "close" || !x.body.consumed()
+	delete(w.header, "Connection")
+	if x.conn.concluded(x, closing) {
+		w.header["Connection"] = []string{"close"}
+	}
+	if w.header["Date"] == nil {
+		w.header["Date"] = []string{time.Now().UTC().Format(http.TimeFormat)}
+	}
+	w.frame(status)
+	bw := x.conn.bw
+	line := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n"
+	if _, err := bw.WriteString(line); err != nil {
+		return err
+	}
+	if err := w.header.Write(bw); err != nil {
+		return err
+	}
+	_, err := bw.WriteString("\r\n")
+	return err
+}
+
+// frame decides how the end of the body is told.
+func (w *response) frame(status int) {
+	w.left = -1
+	w.empty = w.exchange.request.Method == http.MethodHead || !bodyAllowed(status)
+	if length, err := strconv.ParseInt(w.header.Get("Content-Length"), 10, 64); err == nil && length >= 0 {
+		w.left = length
+		return
+	}
+	delete(w.header, "Content-Length")
+	if w.empty || !w.exchange.request.ProtoAtLeast(1, 1) {
+		return
+	}
+	w.header["Transfer-Encoding"] = []string{"chunked"}
+	w.chunks = httputil.NewChunkedWriter(w.exchange.conn.bw)
+}
+
+func bodyAllowed(status int) bool {
+	return status >= http.StatusOK && status != http.StatusNoContent && status != http.StatusNotModified
+}
+
+// Write implements http.ResponseWriter.
+func (w *response) Write(p []byte) (int, error) {
+	w.WriteHeader(http.StatusOK)
+	if w.err != nil {
+		return 0, w.err
+	}
+	if w.empty {
+		return 0, http.ErrBodyNotAllowed
+	}
+	var n int
+	switch {
+	case w.chunks != nil:
+		n, w.err = w.chunks.Write(p)
+	case w.left >= 0 && int64(len(p)) > w.left:
+		return 0, http.ErrContentLength
+	default:
+		n, w.err = w.exchange.conn.bw.Write(p)
+	}
+	if w.left >= 0 {
+		w.left -= int64(n)
+	}
+	return n, w.err
+}
+
+// FlushError sends what was written. http.ResponseController uses it.
+func (w *response) FlushError() error {
+	w.WriteHeader(http.StatusOK)
+	if w.err == nil {
+		w.err = w.exchange.conn.bw.Flush()
+	}
+	return w.err
+}
+
+// SetReadDeadline bounds the reading of the request's body.
+func (w *response) SetReadDeadline(deadline time.Time) error {
+	if w.exchange.body.consumed() {
+		// The connection is read for what follows already.
+		return nil
+	}
+	return w.exchange.conn.rwc.SetReadDeadline(deadline)
+}
+
+// EnableFullDuplex lets an answer begin before the request has been read, as is
+// always so here.
+func (w *response) EnableFullDuplex() error { return nil }
+
+// proceed tells the caller to send the body that it holds back.
+func (w *response) proceed() error {
+	w.mu.Lock()
+	defer w.mu.Unlock()
+	if w.begun {
+		return w.err
+	}
+	if err := w.exchange.awaitTurn(); err != nil {
+		return err
+	}
+	bw := w.exchange.conn.bw
+	if _, err := bw.WriteString("HTTP/1.1 100 Continue\r\n\r\n"); err != nil {
+		return err
+	}
+	return bw.Flush()
+}
+
+// finish completes the answer.
+func (w *response) finish() error {
+	if !w.begun && w.header["Content-Length"] == nil {
+		w.header["Content-Length"] = []string{"0"}
+	}
+	w.WriteHeader(http.StatusOK)
+	switch {
+	case w.err != nil:
+		return w.err
+	case w.left > 0 && !w.empty:
+		return errShort
+	case w.chunks != nil:
+		if err := w.chunks.Close(); err != nil {
+			return err
+		}
+		if _, err := w.exchange.conn.bw.WriteString("\r\n"); err != nil {
+			return err
+		}
+	}
+	return w.exchange.conn.bw.Flush()
+}
--- /dev/null
+++ b/internal/pipeline/server.go
@@ -0,0 +1,173 @@
+package pipeline
+
+import (
+	"context"
+	"errors"
+	"net"
+	"net/http"
+	"sync"
+	"time"
+)
+
+// Pauses after a connection could not be accepted, as when the process has no
+// descriptor left.
+const (
+	firstAcceptPause   = 5 * time.Millisecond
+	longestAcceptPause = time.Second
+)
+
+// Config sets up a Server. All fields must be given.
+type Config struct {
+	Handler http.Handler
+	// MaxPipelined bounds the requests of one connection that are handled at the
+	// same time. Nothing more is read from the connection meanwhile.
+	MaxPipelined int
+	// MaxHeaderBytes bounds the head of a request, ReadHeaderTimeout its arrival
+	// once it has begun.
+	MaxHeaderBytes    int
+	ReadHeaderTimeout time.Duration
+	// IdleTimeout is how long a connection without a request is kept.
+	IdleTimeout time.Duration
+}
+
+// Server accepts connections and serves the requests on them. Use New.
+type Server struct {
+	cfg Config
+
+	mu        sync.Mutex
+	closed    bool
+	listeners map[net.Listener]struct{}
+	conns     map[*conn]struct{}
+	// ended is closed and replaced whenever a connection has ended.
+	ended chan struct{}
+}
+
+// New returns a Server. It listens on nothing by itself.
+func New(cfg Config) *Server {
+	return &Server{
+		cfg:       cfg,
+		listeners: map[net.Listener]struct{}{},
+		conns:     map[*conn]struct{}{},
+		ended:     make(chan struct{}),
+	}
+}
+
+// Serve serves the connections of a listener until the server is shut down or
+// closed, when it returns http.ErrServerClosed, or the listener fails.
+func (s *Server) Serve(l net.Listener) error {
+	if !s.track(l) {
+		_ = l.Close()
+		return http.ErrServerClosed
+	}
+	defer s.untrack(l)
+	pause := firstAcceptPause
+	for {
+		rwc, err := l.Accept()
+		switch {
+		case err == nil:
+			pause = firstAcceptPause
+			s.start(rwc)
+		case s.isClosed():
+			return http.ErrServerClosed
+		case errors.Is(err, net.ErrClosed):
+			return err
+		default:
+			time.Sleep(pause)
+			pause = min(2*pause, longestAcceptPause)
+		}
+	}
+}
+
+func (s *Server) track(l net.Listener) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		return false
+	}
+	s.listeners[l] = struct{}{}
+	return true
+}
+
+func (s *Server) untrack(l net.Listener) {
+	_ = l.Close()
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.listeners, l)
+}
+
+func (s *Server) isClosed() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.closed
+}
+
+func (s *Server) start(rwc net.Conn) {
+	c := newConn(s, rwc)
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.closed {
+		_ = rwc.Close()
+		return
+	}
+	s.conns[c] = struct{}{}
+	go func() {
+		c.serve()
+		s.forget(c)
+	}()
+}
+
+func (s *Server) forget(c *conn) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	delete(s.conns, c)
+	close(s.ended)
+	s.ended = make(chan struct{})
+}
+
+// Shutdown stops accepting, has each connection end after the requests that were
+// read from it are answered, and waits for that or for the context.
+func (s *Server) Shutdown(ctx context.Context) error {
+	for _, c := range s.stop() {
+		c.stop()
+	}
+	for {
+		open, ended := s.open()
+		if open == 0 {
+			return nil
+		}
+		select {
+		case <-ended:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// Close ends the listeners and all connections at once.
+func (s *Server) Close() error {
+	for _, c := range s.stop() {
+		c.abort()
+	}
+	return nil
+}
+
+// stop closes the listeners and returns the connections.
+func (s *Server) stop() []*conn {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.closed = true
+	for l := range s.listeners {
+		_ = l.Close()
+	}
+	conns := make([]*conn, 0, len(s.conns))
+	for c := range s.conns {
+		conns = append(conns, c)
+	}
+	return conns
+}
+
+func (s *Server) open() (int, <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return len(s.conns), s.ended
+}
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -10,11 +10,26 @@
 	"sync"
 )
 
+// server is what answers on a listener.
+type server interface {
+	// Serve answers until the server is shut down or closed, when it returns
+	// http.ErrServerClosed.
+	Serve(l net.Listener) error
+	Shutdown(ctx context.Context) error
+	Close() error
+}
+
+// newServer returns a server for messages. Faults of single connections are no
+// events of the node.
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
+}
+
 // listener is one HTTP server with its address, as a suture service.
 type listener struct {
 	name    string
 	network Network
-	server  *http.Server
+	server  server
 
 	mutex sync.Mutex
 	first net.Listener
@@ -23,13 +38,11 @@
 }
 
 // listen opens an address at once, so that a fault shows before anything runs.
-func listen(network Network, name, address string, server *http.Server) (*listener, error) {
+func listen(network Network, name, address string, server server) (*listener, error) {
 	opened, err := network.Listen(address)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listener for %s", name)
 	}
-	// Faults of single connections are no events of the node.
-	server.ErrorLog = log.New(io.Discard, "", 0)
 	return &listener{name: name, network: network, server: server, first: opened, address: opened.Addr().String()}, nil
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -123,7 +123,7 @@
 		if other.address == "" {
 			continue
 		}
-		opened, err := listen(n.network, other.name, other.address, &http.Server{Handler: other.handler})
+		opened, err := listen(n.network, other.name, other.address, newServer(other.handler))
 		if err != nil && other.name == metricsName {
 			// Calls go on when a foreign program has the port of the metrics.
 			n.log.PartFailed(metricsName, err.Error())
