Ask the worker who it is when a node starts

Cause: after a kill of all processes a node learned of its own worker by the next heartbeat, up to 1.5 s later.

A node that starts now asks the worker at its health path, which names its instance and its slots, and registers it until a heartbeat comes. What was promised to a former life goes first; the request names the instance, so that no other worker can run it. Ruled out: keeping registrations in the store (a write for each worker, and a store that may be away), and taking them over from other nodes (after a kill of all nobody has them).

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -47,6 +47,8 @@
 	// Serving is told of the workers that may be given work: Update is called
 	// after each change of a registration, Open when the first may be.
 	Serving Serving
+	// Probe asks the worker beside the node who it is.
+	Probe WorkerProbe
 	// Listener takes the messages of other nodes.
 	Listener net.Listener
 	Dial     httpleg.DialFunc
@@ -102,6 +104,9 @@
 		events: config.Events, spread: agent.spreadDocument, announce: agent.spreadRecord,
 	})
 	agent.supervisor.Add(agent.documents)
+	agent.supervisor.Add(&Introduction{
+		probe: config.Probe, documents: agent.documents, workers: config.Workers, introduced: agent.introduced,
+	})
 	agent.supervisor.Add(agent.announcer)
 	agent.supervisor.Add(&Syncer{
 		peers: agent.peers, table: config.Table, contacts: config.Contacts,
@@ -171,6 +176,11 @@
 	return nil
 }
 
+// introduced takes that a worker has told who it is.
+func (a *Agent) introduced(ctx context.Context, change workers.Change) {
+	a.changed(ctx, change, "asked at the start")
+}
+
 // Leave takes a worker's sign-off, like Heartbeat.
 func (a *Agent) Leave(ctx context.Context, instance string) error {
 	change, err := a.config.Workers.Leave(instance, time.Now())
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"sync"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -32,6 +33,9 @@
 	content []byte
 	updated []workers.Worker
 	open    bool
+
+	// asked is what the worker says when it is asked; nil when it does not answer.
+	asked atomic.Pointer[workers.Heartbeat]
 }
 
 func (n *testNode) Offer(content []byte) error {
@@ -116,7 +120,7 @@
 	client := store.Client(id)
 	node.agent = hosted.New(hosted.Config{
 		Mesh: "test", FirstStart: firstStart, Table: node.table, Contacts: node.contacts, Workers: node.workers,
-		Source: client, Directory: client, Consumer: node, Serving: node,
+		Source: client, Directory: client, Consumer: node, Serving: node, Probe: node,
 		Listener: listener, Dial: dial, Events: node.events,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
@@ -129,6 +133,14 @@
 	return node
 }
 
+// Identify implements hosted.WorkerProbe with the worker that the test has set.
+func (n *testNode) Identify(context.Context) (workers.Heartbeat, error) {
+	if beat := n.asked.Load(); beat != nil {
+		return *beat, nil
+	}
+	return workers.Heartbeat{}, hosted.ErrUnanswered.New("no worker")
+}
+
 // kill ends an agent without a word to the others.
 func (n *testNode) kill() {
 	n.cancel()
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -65,6 +65,7 @@
 			return client, client
 		},
 		Translate: translate,
+		Identity:  func(http.Header) (sidecar.Identity, bool) { return sidecar.Identity{}, false },
 		Registration: func(given sidecar.Registrar) http.Handler {
 			registrar = given
 			return http.NotFoundHandler()
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -19,6 +19,13 @@
 	MaximumBody int64
 }
 
+// Identity is what a worker says of itself in its answers.
+type Identity struct {
+	Instance string
+	// Slots is how many requests the worker runs at once.
+	Slots int
+}
+
 // Registrar takes what workers say of themselves. When a method returns nil, the
 // worker may be told so.
 type Registrar interface {
@@ -34,6 +41,9 @@
 	Open func(address string, dial httpleg.DialFunc) (hosted.Source, hosted.Directory)
 	// Translate reads a document; it fails with hosted.ErrInvalidDocument.
 	Translate func(content []byte) (Translation, error)
+	// Identity reads what a worker says of itself in an answer; false when it says
+	// too little.
+	Identity func(header http.Header) (Identity, bool)
 	// Registration returns the handler of the address that workers call.
 	Registration func(registrar Registrar) http.Handler
 	// Readiness returns the handler that tells whether callers may come.
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -6,6 +6,7 @@
 
 	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/routing"
 	"github.com/levertide/levertide/pkg/snapshot"
 )
@@ -18,6 +19,29 @@
 
 	mutex   sync.Mutex
 	current atomic.Pointer[forwarding.Configuration]
+	// healthPaths are those of the services of the version in force, by name.
+	healthPaths atomic.Pointer[map[string]string]
+}
+
+// healthPath returns the path at which a worker of a service tells that it takes
+// requests; empty when there is none.
+func (c *configuration) healthPath(service string) string {
+	paths := c.healthPaths.Load()
+	if paths == nil {
+		return ""
+	}
+	return (*paths)[service]
+}
+
+// healthPathsOf lists the health paths of services by name.
+func healthPathsOf(resources []model.Resource) map[string]string {
+	paths := map[string]string{}
+	for _, resource := range resources {
+		if resource.Service != nil && resource.Service.HealthPath != "" {
+			paths[resource.Key.Name] = resource.Service.HealthPath
+		}
+	}
+	return paths
 }
 
 // Offer implements hosted.Consumer.
@@ -39,6 +63,8 @@
 	if err != nil {
 		return hosted.ErrInvalidDocument.Wrap(err, "version %d", translation.Version)
 	}
+	paths := healthPathsOf(translation.Resources)
+	c.healthPaths.Store(&paths)
 	c.current.Store(&forwarding.Configuration{Table: table, MaximumBody: translation.MaximumBody})
 	c.inForce(translation.Version, table.Len())
 	return nil
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -99,6 +99,7 @@
 	node.agent = hosted.New(hosted.Config{
 		Mesh: s.Mesh, FirstStart: s.FirstStart, Table: node.table, Contacts: contacts, Workers: node.workers,
 		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
+		Probe:    newProbe(s, config, network, adapter),
 		Listener: messages, Dial: network.Dial, Events: log,
 	})
 	return node, node.openListeners(adapter, registry)
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -50,7 +50,7 @@
 	translation := Translation{Version: document.Version}
 	for prefix, service := range document.Routes {
 		translation.Resources = append(translation.Resources,
-			model.Resource{Key: model.Key{Kind: model.KindService, Name: service}, Service: &model.Service{}},
+			model.Resource{Key: model.Key{Kind: model.KindService, Name: service}, Service: &model.Service{HealthPath: "/healthz"}},
 			model.Resource{Key: model.Key{Kind: model.KindRoute, Name: prefix}, Route: &model.Route{
 				Match: model.Match{Host: "mesh.example", PathPrefix: prefix}, Service: service,
 				Repeatable: model.RepeatNever, Timeout: 5 * time.Second, TargetLatency: time.Second,
@@ -99,19 +99,23 @@
 
 func startNode(t *testing.T, store *hostedstore.Store, id string, service string) *runningNode {
 	t.Helper()
-	return startNodeWith(t, store, id, service, "127.0.0.1:0")
+	return startNodeWith(t, store, settings.Settings{NodeID: id, Service: service, MetricsAddress: "127.0.0.1:0"})
 }
 
-func startNodeWith(t *testing.T, store *hostedstore.Store, id, service, metricsAddress string) *runningNode {
+// startNodeWith starts a node with the settings that a test cares for.
+func startNodeWith(t *testing.T, store *hostedstore.Store, chosen settings.Settings) *runningNode {
 	t.Helper()
 	running := &runningNode{ended: make(chan error, 1), log: &lockedBuffer{}}
 	adapter := Adapter{
 		Dialect: forwarding.Dialect{RequestID: "X-Id", Timeout: "X-Timeout", CallerService: "X-Caller", ExpectInstance: "X-Expect", NotRun: "X-Not-Run"},
 		Open: func(string, httpleg.DialFunc) (hosted.Source, hosted.Directory) {
-			client := store.Client(id)
+			client := store.Client(chosen.NodeID)
 			return client, client
 		},
 		Translate: translateTest,
+		Identity: func(header http.Header) (Identity, bool) {
+			return Identity{Instance: header.Get("X-Instance"), Slots: 4}, header.Get("X-Instance") != ""
+		},
 		Registration: func(registrar Registrar) http.Handler {
 			running.registrar = registrar
 			return http.NotFoundHandler()
@@ -125,11 +129,12 @@
 		},
 	}
 	lines := telemetry.NewQueue(running.log)
-	log := telemetry.NewLog(lines, id, telemetry.LevelInfo)
+	log := telemetry.NewLog(lines, chosen.NodeID, telemetry.LevelInfo)
 	node, err := New(settings.Settings{
-		NodeID: id, Region: "r", Zone: "z", Service: service, Mode: settings.ModeHosted,
+		NodeID: chosen.NodeID, Region: "r", Zone: "z", Service: chosen.Service, Mode: settings.ModeHosted,
+		WorkerAddress: chosen.WorkerAddress,
 		CallerAddress: "127.0.0.1:0", CallAddress: freeAddress(t), ControlAddress: freeAddress(t),
-		AdminAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", MetricsAddress: metricsAddress,
+		AdminAddress: "127.0.0.1:0", ReadinessAddress: "127.0.0.1:0", MetricsAddress: chosen.MetricsAddress,
 		StoreAddresses: []string{"unused"}, DrainBound: 10 * time.Second, StopNotice: 200 * time.Millisecond,
 		HeartbeatInterval: time.Minute, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
 	}, adapter, TCP{}, log, lines)
@@ -321,7 +326,38 @@
 	defer func() { _ = foreign.Close() }()
 	store := hostedstore.New()
 	store.Put(ledgerDocument.encode())
-	n := startNodeWith(t, store, "a1", "ledger", foreign.Addr().String())
+	n := startNodeWith(t, store, settings.Settings{NodeID: "a1", Service: "ledger", MetricsAddress: foreign.Addr().String()})
 	testwait.Eventually(t, "the node is ready", n.isReady)
 	testwait.Eventually(t, "the fault is told", func() bool { return strings.Contains(n.log.String(), "metrics") })
 }
+
+// TestNodeThatStartsAsksItsWorker starts a node beside a worker that has been
+// running for long: its next heartbeat is far away.
+func TestNodeThatStartsAsksItsWorker(t *testing.T) {
+	var ran atomic.Int64
+	worker := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		if r.URL.Path == "/healthz" {
+			w.Header().Set("X-Instance", "w1")
+			return
+		}
+		if r.Header.Get("X-Expect") != "w1" {
+			t.Errorf("a call for %q", r.Header.Get("X-Expect"))
+		}
+		ran.Add(1)
+		w.Header().Set("X-Id", r.Header.Get("X-Id"))
+		_, _ = io.WriteString(w, "whole")
+	}))
+	t.Cleanup(worker.Close)
+	store := hostedstore.New()
+	store.Put(testDocument{Version: 1, Routes: map[string]string{"/vat/": "ledger"}}.encode())
+	n := startNodeWith(t, store, settings.Settings{
+		NodeID: "a1", Service: "ledger", MetricsAddress: "127.0.0.1:0", WorkerAddress: worker.Listener.Addr().String(),
+	})
+	testwait.Eventually(t, "a call is answered", func() bool {
+		status, body, err := n.call(t, http.DefaultClient, "/vat/1")
+		return err == nil && status == http.StatusOK && body == "whole"
+	})
+	if ran.Load() != 1 {
+		t.Errorf("the worker ran %d calls", ran.Load())
+	}
+}
--- /dev/null
+++ b/internal/sidecar/probe.go
@@ -0,0 +1,51 @@
+package sidecar
+
+import (
+	"context"
+	"net/http"
+
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// probe asks the worker beside the node at its health path. It implements
+// hosted.WorkerProbe.
+type probe struct {
+	service, address string
+	config           *configuration
+	client           *http.Client
+	identity         func(header http.Header) (Identity, bool)
+}
+
+func newProbe(s settings.Settings, config *configuration, network Network, adapter Adapter) *probe {
+	return &probe{
+		service:  s.Service,
+		address:  s.WorkerAddress,
+		config:   config,
+		client:   &http.Client{Transport: &http.Transport{DialContext: network.Dial, DisableKeepAlives: true}},
+		identity: adapter.Identity,
+	}
+}
+
+// Identify implements hosted.WorkerProbe.
+func (p *probe) Identify(ctx context.Context) (workers.Heartbeat, error) {
+	path := p.config.healthPath(p.service)
+	if p.address == "" || path == "" {
+		return workers.Heartbeat{}, hosted.ErrUnanswered.New("the worker cannot be asked")
+	}
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+path, nil)
+	if err != nil {
+		return workers.Heartbeat{}, hosted.ErrUnanswered.Wrap(err, "the worker cannot be asked")
+	}
+	response, err := p.client.Do(r)
+	if err != nil {
+		return workers.Heartbeat{}, hosted.ErrUnanswered.Wrap(err, "the worker does not answer")
+	}
+	_ = response.Body.Close()
+	identity, ok := p.identity(response.Header)
+	if response.StatusCode != http.StatusOK || !ok {
+		return workers.Heartbeat{}, hosted.ErrUnanswered.New("the worker does not say who it is")
+	}
+	return workers.Heartbeat{Instance: identity.Instance, Service: p.service, Address: p.address, Slots: identity.Slots}, nil
+}
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -90,6 +90,29 @@
 	return Change{Worker: held.Worker, Changed: changed}, nil
 }
 
+// Introduce takes what a worker has told when it was asked. It changes nothing once
+// a worker is registered, or was promised to be left alone: heartbeats and promises
+// tell more.
+func (r *Registry) Introduce(beat Heartbeat, now time.Time) (Change, error) {
+	if err := check(beat); err != nil {
+		return Change{}, err
+	}
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	if _, known := r.workers[beat.Instance]; known {
+		return Change{}, nil
+	}
+	for _, held := range r.workers {
+		if held.State == StateReady {
+			return Change{}, nil
+		}
+	}
+	introduced := Worker{Instance: beat.Instance, Service: beat.Service, Address: beat.Address, Slots: beat.Slots, State: StateReady}
+	r.makeRoom()
+	r.workers[beat.Instance] = &registration{Worker: introduced, heard: now, first: now}
+	return Change{Worker: introduced, Changed: true}, nil
+}
+
 func check(beat Heartbeat) error {
 	for name, value := range map[string]string{"instance": beat.Instance, "service": beat.Service, "address": beat.Address} {
 		if value == "" || len(value) > maximumNameLength {
--- a/pkg/workers/registry_test.go
+++ b/pkg/workers/registry_test.go
@@ -125,3 +125,34 @@
 		}
 	})
 }
+
+func TestIntroducedWorkerGivesWayToWhatIsKnown(t *testing.T) {
+	now := time.Now()
+	r := NewRegistry(time.Minute)
+	asked := Heartbeat{Instance: "w1", Service: "ledger", Address: "10.0.0.1:80", Slots: 4}
+	change, err := r.Introduce(asked, now)
+	if err != nil || !change.Changed || change.Worker.State != StateReady {
+		t.Fatalf("%+v, %v", change, err)
+	}
+	beat := asked
+	beat.Sequence, beat.Draining = 7, true
+	if change, err = r.Heartbeat(beat, now); err != nil || !change.Changed || change.Worker.State != StateDraining {
+		t.Fatalf("%+v, %v", change, err)
+	}
+	if change, err = r.Introduce(asked, now); err != nil || change.Changed {
+		t.Fatalf("an answer undoes a promise: %+v, %v", change, err)
+	}
+	other := asked
+	other.Instance, other.Sequence = "w2", 1
+	if _, err = r.Heartbeat(other, now); err != nil {
+		t.Fatal(err)
+	}
+	late := asked
+	late.Instance = "w3"
+	if change, err = r.Introduce(late, now); err != nil || change.Changed {
+		t.Fatalf("an answer goes before a heartbeat: %+v, %v", change, err)
+	}
+	if _, err = r.Introduce(Heartbeat{Instance: "w4"}, now); err == nil {
+		t.Fatal("a worker without an address was taken")
+	}
+}
