Wait for a slot only while an answer within the target is likely

Hypothesis: a call that waits a fifth of its target and then runs on cold workers, twice as slow, comes late and has used what another could have used. Its patience now also ends 1.5 mean run times before its target.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -28,14 +28,23 @@
 	if c.nested {
 		return c.began.Add(time.Duration(nestedPatienceShare * float64(c.end.Sub(c.began))))
 	}
-	patience := time.Duration(patienceShare * float64(c.target()))
-	latest := c.began.Add(min(patience, longestPatience))
+	latest := c.began.Add(c.patience())
 	if latest.After(c.end) {
 		return c.end
 	}
 	return latest
 }
 
+// patience is how long the call may wait for a slot and still be answered within
+// its target, as far as calls of its route show.
+func (c *call) patience() time.Duration {
+	target := c.target()
+	work, _ := c.state.expected()
+	inTarget := target - time.Duration(workMargin*float64(work))
+	patience := min(time.Duration(patienceShare*float64(target)), inTarget, longestPatience)
+	return max(patience, shallowPatience)
+}
+
 // rank orders the call where calls wait for a slot. Of the same operators' rank, a
 // caller that comes back is behind one that comes for the first time: what it can
 // still earn is less, and serving it instead would only refuse the other.
