Let long bodies take turns on the link of the worker's node

Uploads ended at their deadline, as unknown although no worker had them, and those of a stopping node were cut off (LOST).

- A node takes two long bodies of others at a time; the rest wait by rank within their patience, or are refused with a time to come back.
- The wait is told with the load and counts in the choice for long bodies.
- A body of which a part is missing when the leg ends has not run: the other side begins nothing before it has all of it.
After its target a body that has not crossed is given up, so that a planned stop cuts none.

The test of sealing said that a body that was begun must not seal; it now says that of a body that was taken whole, and of a streamed one.

Ruled out: slots of workers (5 of 12 used), processor time (0.03 cores).

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -121,6 +121,7 @@
 	work, answerBytes := o.call.state.expected()
 	return o.destination.choose(wish{
 		bytes:     answerBytes + len(o.call.body.held),
+		long:      o.call.body.long(),
 		tried:     tried,
 		work:      work,
 		target:    o.call.target(),
--- a/internal/forwarding/body.go
+++ b/internal/forwarding/body.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"io"
 	"net/http"
+	"sync"
 	"sync/atomic"
 	"time"
 
@@ -119,32 +120,48 @@
 // long reports whether the body is worth a question before it is sent to another node.
 func (b *requestBody) long() bool { return b.rest != nil || len(b.held) >= questionedBody }
 
-// The states of a sending.
-const (
-	sendingUntouched int32 = iota // nothing of the body was taken
-	sendingBegun
-	sendingSealed // nothing was taken and nothing ever will be
-)
-
 // sending is the body on its way over one connection.
 type sending struct {
+	body *requestBody
+
+	mu     sync.Mutex
 	source io.Reader
-	body   *requestBody
-	state  atomic.Int32
+	// left is how much of the body was not taken yet, in bytes; -1 when the other
+	// side may begin before it has all of it.
+	left  int
+	begun bool
+	// sealed tells that nothing more of the body will be taken.
+	sealed bool
 }
 
 // Read implements io.Reader.
 func (s *sending) Read(p []byte) (int, error) {
-	if !s.state.CompareAndSwap(sendingUntouched, sendingBegun) && s.state.Load() == sendingSealed {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.sealed {
 		return 0, io.ErrClosedPipe
 	}
+	s.begun = true
 	s.body.sent.Store(true)
-	return s.source.Read(p)
+	n, err := s.source.Read(p)
+	if s.left >= 0 {
+		s.left -= n
+	}
+	return n, err
 }
 
-// seal keeps the body from being sent any more. It reports whether nothing of it was.
+// seal keeps the body from being sent any more. It reports whether the other side
+// lacks so much of it that it begins nothing: all, or, of a body that is held whole
+// there first, any part.
 func (s *sending) seal() bool {
-	return s.state.CompareAndSwap(sendingUntouched, sendingSealed) || s.state.Load() == sendingSealed
+	if !s.mu.TryLock() {
+		return false // it is being taken just now
+	}
+	defer s.mu.Unlock()
+	if !s.begun || s.left > 0 {
+		s.sealed = true
+	}
+	return s.sealed
 }
 
 // attach gives the body to an outgoing request in a form that http.Transport
@@ -157,11 +174,11 @@
 		if b.length < 0 {
 			out.TransferEncoding = chunkedEncoding
 		}
-		return b.send(out, io.MultiReader(bytes.NewReader(b.held), b.rest))
+		return b.send(out, io.MultiReader(bytes.NewReader(b.held), b.rest), -1)
 	case len(b.held) > 0:
 		out.ContentLength = int64(len(b.held))
 		if b.long() {
-			return b.send(out, bytes.NewReader(b.held))
+			return b.send(out, bytes.NewReader(b.held), len(b.held))
 		}
 		// The transport writes a reader of this kind together with the head.
 		out.Body = io.NopCloser(bytes.NewReader(b.held))
@@ -175,8 +192,8 @@
 	return nil
 }
 
-func (b *requestBody) send(out *http.Request, source io.Reader) *sending {
-	s := &sending{source: source, body: b}
+func (b *requestBody) send(out *http.Request, source io.Reader, left int) *sending {
+	s := &sending{source: source, body: b, left: left}
 	out.Body = io.NopCloser(s)
 	return s
 }
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -23,7 +23,7 @@
 	// nested tells that a worker made the call for another one.
 	nested bool
 	// back tells that the caller was refused before and comes back.
-	back bool
+	back   bool
 	report CallReport
 }
 
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -46,10 +46,17 @@
 	// bufferedBody is the size up to which a body is held whole.
 	bufferedBody = 1 << 20
 	// questionedBody is the size from which on a body is sent to another node only
-	// when that node has said that it takes the call, and questionBound how long
-	// this is waited for.
+	// when that node has said that it takes the call.
 	questionedBody = 8 << 10
-	questionBound  = time.Second
+	// questionBound is how long the word of the other node is waited for: it always
+	// comes, unless the call ends first.
+	questionBound = time.Hour
+	// parallelTransfers bounds the long bodies that cross to this node at a time.
+	// They share its link with all other calls, and so one or two are enough to
+	// fill it. A transfer that takes longer than slowTransfer is held up elsewhere,
+	// and does not count any more.
+	parallelTransfers = 2
+	slowTransfer      = 300 * time.Millisecond
 	// bufferedAnswer is the size up to which an answer is held whole before it
 	// is passed on, so that one that breaks off can be asked for again.
 	bufferedAnswer = 256 << 10
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -23,6 +23,9 @@
 	// between zones are paid for. headBytes is the size of the heads of a call.
 	otherZoneShare = 0.07
 	headBytes      = 700
+	// otherZoneMost bounds that share: a long body that waits in its own zone for
+	// longer is late there.
+	otherZoneMost = 0.3
 	// otherZoneDelay is the distance of another zone.
 	otherZoneDelay = 3 * time.Millisecond
 	// crowdPenalty is the share by which work takes longer at a full worker.
@@ -124,6 +127,8 @@
 type wish struct {
 	// bytes that will cross to the endpoint and back.
 	bytes int
+	// long tells that the body waits for its turn on the link of the endpoint.
+	long bool
 	// tried are the nodes that are not to be chosen again.
 	tried []string
 	// work is how long the request is expected to run, target the time within
@@ -183,6 +188,7 @@
 	others := float64(load.Running + load.Waiting - e.reportedOutstanding)
 	fading := 1 - float64(now.Sub(e.reportedAt))/float64(2*reportLife)
 	expected := max(others*max(fading, 0.25), 0) + float64(e.outstanding)
+	load.Transfer = time.Duration(max(1-float64(now.Sub(e.reportedAt))/float64(reportLife), 0) * float64(load.Transfer))
 	load.Running = min(int(expected+0.5), load.Slots)
 	load.Waiting = int(expected+0.5) - load.Running
 	return load, usable && w.reachable(e.node)
@@ -200,7 +206,10 @@
 	}
 	if e.zone != d.zone {
 		kibibytes := float64(w.bytes+headBytes) / 1024
-		score += float64(otherZoneDelay) + otherZoneShare*kibibytes*float64(w.target)
+		score += float64(otherZoneDelay) + min(otherZoneShare*kibibytes, otherZoneMost)*float64(w.target)
+	}
+	if w.long && e.node != d.self {
+		score += float64(load.Transfer)
 	}
 	score *= 1 + scoreNoise*rand.Float64()
 	if !usable {
--- a/internal/forwarding/hop.go
+++ b/internal/forwarding/hop.go
@@ -19,7 +19,7 @@
 	hopFailureHeader = "Levertide-Hop-Failure"
 
 	hopFields     = 6
-	loadFields    = 5
+	loadFields    = 6
 	failureFields = 2
 	hopSeparator  = ","
 )
@@ -58,7 +58,7 @@
 func formatLoad(load slotqueue.Load, ran time.Duration) string {
 	return strings.Join([]string{
 		strconv.Itoa(load.Running), strconv.Itoa(load.Waiting), strconv.Itoa(load.Slots),
-		formatMicroseconds(load.Hold), formatMicroseconds(ran),
+		formatMicroseconds(load.Hold), formatMicroseconds(ran), formatMicroseconds(load.Transfer),
 	}, hopSeparator)
 }
 
@@ -72,8 +72,10 @@
 	slots, slotsErr := strconv.Atoi(fields[2])
 	hold, holdOK := parseMicroseconds(fields[3])
 	ran, ranOK := parseMicroseconds(fields[4])
-	load = slotqueue.Load{Running: running, Waiting: waiting, Slots: slots, Hold: hold}
-	return load, ran, runningErr == nil && waitingErr == nil && slotsErr == nil && holdOK && ranOK && slots > 0
+	transfer, transferOK := parseMicroseconds(fields[5])
+	load = slotqueue.Load{Running: running, Waiting: waiting, Slots: slots, Hold: hold, Transfer: transfer}
+	ok = runningErr == nil && waitingErr == nil && slotsErr == nil && holdOK && ranOK && transferOK && slots > 0
+	return load, ran, ok
 }
 
 // formatFailure writes why a call got no answer.
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -52,8 +52,7 @@
 		return nil, err
 	}
 	end := c.began.Add(c.hop.left)
-	c.body, err = c.plane.holdBody(w, c.request, 0, end)
-	if err != nil {
+	if err := c.take(ctx, w, latestStart, end); err != nil {
 		return nil, err
 	}
 	c.asked = workerCall{
@@ -67,6 +66,25 @@
 	return leg.ask(ctx, &c.asked)
 }
 
+// take reads the body. A long one waits for its turn on the link of this node.
+func (c *hopCall) take(ctx context.Context, w http.ResponseWriter, latestStart, end time.Time) error {
+	if c.request.ContentLength >= 0 && c.request.ContentLength < questionedBody {
+		var err error
+		c.body, err = c.plane.holdBody(w, c.request, 0, end)
+		return err
+	}
+	permit, err := c.plane.transfers.Admit(ctx, slotqueue.Request{Rank: c.hop.rank, LatestStart: latestStart})
+	if err != nil {
+		return admissionFailure(ctx, err)
+	}
+	slow := time.AfterFunc(slowTransfer, func() { permit.Release(false) })
+	c.body, err = c.plane.holdBody(w, c.request, 0, end)
+	if slow.Stop() {
+		permit.Release(err == nil)
+	}
+	return err
+}
+
 // conclude answers the other node and reports.
 func (c *hopCall) conclude(w http.ResponseWriter, result *answer, err error) {
 	report := CallReport{
@@ -89,6 +107,7 @@
 	if result != nil {
 		ran = result.ran
 	}
+	load.Transfer = c.plane.transfers.Wait()
 	if load.Slots > 0 {
 		w.Header()[hopLoadHeader] = []string{formatLoad(load, ran)}
 	}
--- a/internal/forwarding/leg.go
+++ b/internal/forwarding/leg.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/http/httptrace"
 	"net/url"
+	"sync/atomic"
 	"time"
 
 	"github.com/levertide/levertide/internal/httpleg"
@@ -15,6 +16,10 @@
 // errEnd is the cause of a context that ended because the call's time was over.
 var errEnd = errors.New("the time of the call is over")
 
+// errSlowTransfer is the cause of a context that ended because a body took too long
+// to cross.
+var errSlowTransfer = errors.New("the body takes too long to cross")
+
 // leg is one request on its way over one connection.
 type leg struct {
 	transport *http.Transport
@@ -25,7 +30,8 @@
 	// questioned tells that the other side begins nothing before it has the body,
 	// and is asked before that is sent.
 	questioned bool
-	sending    *sending // nil unless the body is long
+	// sending is the body on its way; nil unless it is long.
+	sending atomic.Pointer[sending]
 }
 
 // do sends the request and returns the head of the answer. Errors are those of
@@ -41,7 +47,7 @@
 
 func (l *leg) try(ctx context.Context) (*http.Response, error) {
 	l.conn, l.reused = nil, false
-	l.sending = l.body.attach(l.request)
+	l.sending.Store(l.body.attach(l.request))
 	trace := &httptrace.ClientTrace{GotConn: l.gotConn}
 	response, err := l.transport.RoundTrip(l.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
@@ -57,11 +63,29 @@
 	}
 }
 
+// boundTransfer has the leg give up at the given time if the body has not crossed
+// by then: its answer could not be of full worth any more, and while a part of the
+// body is missing nothing has begun. The context ends with the response's body.
+func (l *leg) boundTransfer(ctx context.Context, end time.Time) (context.Context, func()) {
+	if !l.questioned {
+		return ctx, func() {}
+	}
+	ctx, cancel := context.WithCancelCause(ctx)
+	timer := time.AfterFunc(time.Until(end), func() {
+		if s := l.sending.Load(); s != nil && s.seal() {
+			cancel(errSlowTransfer)
+		}
+	})
+	return ctx, func() { timer.Stop() }
+}
+
 // classify tells what became of a request that got no answer.
 func (l *leg) classify(ctx context.Context, err error) error {
 	ended := errors.Is(context.Cause(ctx), errEnd)
-	if l.conn == nil || l.conn.Seal() || l.questioned && l.sending.seal() {
+	if l.conn == nil || l.conn.Seal() || l.questioned && l.sending.Load().seal() {
 		switch {
+		case errors.Is(context.Cause(ctx), errSlowTransfer):
+			return outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
 		case ended:
 			return outcome.Wrap(outcome.DeadlineBeforeStart, err)
 		case ctx.Err() != nil:
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -68,6 +68,8 @@
 		header["Expect"] = []string{"100-continue"}
 	}
 	exchange := leg{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body, questioned: c.body.long()}
+	ctx, stop := exchange.boundTransfer(ctx, c.began.Add(c.target()))
+	defer stop()
 	response, err := exchange.do(ctx)
 	if err != nil {
 		c.plane.noteFailure(e.node, err)
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -21,6 +21,8 @@
 	local  localWorkers
 	routes routeStates
 	memory bodyMemory
+	// transfers admits long bodies of other nodes to the link of this one.
+	transfers *slotqueue.Queue
 
 	mutex        sync.Mutex
 	destinations map[string]*destination
@@ -43,6 +45,7 @@
 	p := &Plane{
 		config:       config,
 		peers:        newTransport(config.Dial, peerIdle, idleConnections),
+		transfers:    slotqueue.New(parallelTransfers),
 		destinations: map[string]*destination{},
 	}
 	p.local = localWorkers{plane: p, legs: map[string]*workerLeg{}}
--- a/internal/forwarding/question_test.go
+++ b/internal/forwarding/question_test.go
@@ -94,9 +94,23 @@
 		t.Error("a sealed body was read")
 	}
 	begun := body.attach(&out)
+	_, _ = out.Body.Read(make([]byte, questionedBody-1))
+	if !begun.seal() {
+		t.Error("a body that is held whole before anything begins must seal while a part is missing")
+	}
+	if n, err := out.Body.Read(make([]byte, 1)); n != 0 || err == nil {
+		t.Error("the rest of a sealed body was read")
+	}
+	whole := body.attach(&out)
+	_, _ = out.Body.Read(make([]byte, questionedBody))
+	if whole.seal() {
+		t.Error("a body that was taken whole sealed")
+	}
+	streamed := &requestBody{rest: bytes.NewReader(make([]byte, questionedBody)), length: questionedBody}
+	stream := streamed.attach(&out)
 	_, _ = out.Body.Read(make([]byte, 1))
-	if begun.seal() {
-		t.Error("a body that was begun sealed")
+	if stream.seal() {
+		t.Error("a streamed body that was begun sealed")
 	}
 }
 
--- a/internal/forwarding/routes.go
+++ b/internal/forwarding/routes.go
@@ -16,7 +16,7 @@
 	mutex sync.Mutex
 	// passed is, for each service, how much of its share it has been given too
 	// little (above zero) or too much.
-	credit map[string]float64
+	credit   map[string]float64
 	timeouts commonTimeouts
 	// work and answerBytes are means of the answers seen.
 	work        time.Duration
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -49,6 +49,19 @@
 	Running, Waiting, Slots int
 	// Hold is how long requests have held their slots lately.
 	Hold time.Duration
+	// Transfer is how long a long body would wait before it could cross to the
+	// worker's machine. A queue does not know it; whoever has the link fills it in.
+	Transfer time.Duration
+}
+
+// Wait returns how long a request of the last rank would wait now.
+func (q *Queue) Wait() time.Duration {
+	q.mutex.Lock()
+	defer q.mutex.Unlock()
+	if q.free() {
+		return 0
+	}
+	return time.Duration(len(q.waiting)+1) * q.hold / time.Duration(q.slots)
 }
 
 // Load returns what the queue holds now.
