Tell refused callers to come back after one and a half to three targets

Spread over one and a half to three targets of the route it comes back when a short one is over, and callers refused together do not meet again. The causes of other refusals (a node that starts, a worker that leaves) end soon; they keep 0.1 s.

--- a/internal/forwarding/admission_test.go
+++ b/internal/forwarding/admission_test.go
@@ -9,6 +9,8 @@
 
 	"github.com/levertide/levertide/internal/testwait"
 	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/routing"
 	"github.com/levertide/levertide/pkg/slotqueue"
 )
 
@@ -194,3 +196,28 @@
 		t.Errorf("the nested call: status %d", status)
 	}
 }
+
+// TestOverloadedCallersAreSpread checks when callers are told to come back: by the
+// target of their route after an overload, soon after anything else.
+func TestOverloadedCallersAreSpread(t *testing.T) {
+	const target = 400 * time.Millisecond
+	c := &call{route: &routing.Route{Config: &model.Route{TargetLatency: target}}}
+	told := map[time.Duration]bool{}
+	for range 50 {
+		wait := c.retryAfter(outcome.WithRetryAfter(outcome.Overloaded, time.Millisecond))
+		if wait < 3*target/2 || wait > 3*target {
+			t.Fatalf("told to wait %v", wait)
+		}
+		told[wait] = true
+	}
+	if len(told) < 25 {
+		t.Errorf("only %d different times", len(told))
+	}
+	if wait := c.retryAfter(outcome.New(outcome.NotReady)); wait > defaultRetryAfter {
+		t.Errorf("told to wait %v for a node that starts", wait)
+	}
+	c.route.Config.TargetLatency = time.Hour
+	if wait := c.retryAfter(outcome.New(outcome.Overloaded)); wait > longestRetryAfter {
+		t.Errorf("told to wait %v", wait)
+	}
+}
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"net/http"
 	"strconv"
 	"time"
@@ -91,7 +92,7 @@
 	if err != nil {
 		closing = closing || c.body == nil && c.request.ContentLength != 0 || c.body != nil && c.body.rest != nil
 		c.report.Outcome, c.report.Reason, c.report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
-		c.report.Status, c.report.RetryAfter = writeFailure(w, err, closing)
+		c.report.Status, c.report.RetryAfter = writeFailure(w, err, c.retryAfter(err), closing)
 		c.finish()
 		return
 	}
@@ -105,6 +106,19 @@
 	}
 }
 
+// retryAfter returns when the caller is to come back. After an overload that is one
+// and a half to three targets: spread, so that callers who were refused together do
+// not meet again, and long enough that a short overload is over. The causes of other
+// refusals end sooner.
+func (c *call) retryAfter(err error) time.Duration {
+	if outcome.ReasonOf(err) != outcome.Overloaded || c.route == nil {
+		return retryAfter(err)
+	}
+	target := float64(c.target())
+	wait := target * (overloadWaitLeast + overloadWaitSpread*rand.Float64())
+	return max(min(time.Duration(wait), longestRetryAfter), shortestRetryAfter)
+}
+
 func (c *call) finish() {
 	now := time.Now()
 	c.report.Duration = now.Sub(c.began)
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -110,4 +110,10 @@
 	// better is known, and shortestRetryAfter the least.
 	defaultRetryAfter  = 100 * time.Millisecond
 	shortestRetryAfter = 20 * time.Millisecond
+	// overloadWaitLeast and overloadWaitSpread, in targets of the route, are from
+	// where and over how much callers are spread that were refused for overload,
+	// and longestRetryAfter bounds that on routes with a long target or none.
+	overloadWaitLeast  = 1.5
+	overloadWaitSpread = 1.5
+	longestRetryAfter  = 2 * time.Second
 )
--- a/internal/forwarding/failure.go
+++ b/internal/forwarding/failure.go
@@ -31,14 +31,14 @@
 	}
 }
 
-// writeFailure tells a caller that its call got no answer. It returns the status
-// and the time that the caller was told to wait.
-func writeFailure(w http.ResponseWriter, err error, closing bool) (int, time.Duration) {
+// writeFailure tells a caller that its call got no answer, and after which time
+// another try is worth it. It returns the status, and the time if it was told.
+func writeFailure(w http.ResponseWriter, err error, wait time.Duration, closing bool) (int, time.Duration) {
 	status := statusOf(err)
 	header := w.Header()
-	var wait time.Duration
-	if status == http.StatusServiceUnavailable {
-		wait = retryAfter(err)
+	if status != http.StatusServiceUnavailable {
+		wait = 0
+	} else {
 		header["Retry-After"] = []string{strconv.FormatFloat(wait.Seconds(), 'f', 3, 64)}
 	}
 	message := outcome.ReasonOf(err).Message() + "\n"
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -114,7 +114,7 @@
 	if err != nil {
 		w.Header()[hopFailureHeader] = []string{formatFailure(err)}
 		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
-		report.Status, report.RetryAfter = writeFailure(w, err, c.plane.stopping.Load())
+		report.Status, report.RetryAfter = writeFailure(w, err, retryAfter(err), c.plane.stopping.Load())
 		c.finish(report)
 		return
 	}
