--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -30,6 +30,7 @@
 type conn struct {
 	server *Server
 	rwc    net.Conn
+	remote string
 	limit  *limitedReader
 	br     *bufio.Reader
 	bw     *bufio.Writer // belongs to the exchange whose turn it is
@@ -44,6 +45,8 @@
 	inHand int
 	// waiting tells that the reader waits for a request to begin.
 	waiting bool
+	// timed tells that reads have an end.
+	timed bool
 	// stopping has the next answer end the connection; sealed tells that no
 	// further request is taken.
 	stopping, sealed bool
@@ -54,6 +57,7 @@
 	c := &conn{
 		server: s,
 		rwc:    rwc,
+		remote: rwc.RemoteAddr().String(),
 		limit:  limit,
 		br:     bufio.NewReaderSize(limit, bufferSize),
 		bw:     bufio.NewWriterSize(rwc, bufferSize),
@@ -119,35 +123,57 @@
 
 // awaitRequest waits for the first byte of a request.
 func (c *conn) awaitRequest() error {
-	c.mu.Lock()
-	c.waiting = true
-	c.retime()
-	c.mu.Unlock()
-	_, err := c.br.Peek(1)
+	var err error
+	if c.br.Buffered() == 0 {
+		c.setWaiting(true)
+		_, err = c.br.Peek(1)
+		c.setWaiting(false)
+	}
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	c.waiting = false
 	if c.sealed || err != nil && c.stopping && isTimeout(err) {
 		return errStopped
 	}
 	return err
 }
 
+func (c *conn) setWaiting(waiting bool) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.waiting = waiting
+	c.retime()
+}
+
 // retime sets the end of the wait for a request. The mutex is held.
 func (c *conn) retime() {
-	if !c.waiting {
-		return
-	}
 	switch {
+	case !c.waiting:
 	case c.inHand > 0:
-		_ = c.rwc.SetReadDeadline(time.Time{})
+		c.setDeadline(time.Time{})
 	case c.sealed || c.stopping:
-		_ = c.rwc.SetReadDeadline(past)
+		c.setDeadline(past)
 	default:
-		_ = c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
+		c.setDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
 	}
 }
 
+// setDeadline sets the end of reads of requests, unless it is none already. The
+// mutex is held.
+func (c *conn) setDeadline(t time.Time) {
+	if t.IsZero() && !c.timed {
+		return
+	}
+	c.timed = !t.IsZero()
+	_ = c.rwc.SetReadDeadline(t)
+}
+
+// setReadDeadline sets the end of the reads that are under way.
+func (c *conn) setReadDeadline(t time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.setDeadline(t)
+}
+
 // takeSlot waits until a further request may be handled.
 func (c *conn) takeSlot() error {
 	select {
@@ -175,11 +201,11 @@
 		defer close(interrupted)
 		select {
 		case <-until:
-			_ = c.rwc.SetReadDeadline(past)
+			c.setReadDeadline(past)
 		case <-watched:
 		}
 	}()
-	_ = c.rwc.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
 	err := c.readAhead()
 	close(watched)
 	<-interrupted
@@ -192,7 +218,8 @@
 	case <-c.ctx.Done():
 		return c.ctx.Err()
 	}
-	return c.rwc.SetReadDeadline(time.Time{})
+	c.setReadDeadline(time.Time{})
+	return nil
 }
 
 // readAhead fills the buffer.
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -1,7 +1,6 @@
 package pipeline
 
 import (
-	"context"
 	"errors"
 	"io"
 	"net"
@@ -37,7 +36,7 @@
 		ended:     make(chan struct{}),
 	}
 	x.response = response{exchange: x, header: http.Header{}}
-	r.RemoteAddr = c.rwc.RemoteAddr().String()
+	r.RemoteAddr = c.remote
 	if r.ContentLength != 0 {
 		x.bodyEnded = make(chan struct{})
 		x.body = &body{exchange: x, source: r.Body, expected: expectsContinue(r)}
@@ -56,9 +55,7 @@
 
 // handle has the handler answer, and gives the turn to the next answer.
 func (x *exchange) handle() {
-	ctx, cancel := context.WithCancel(x.conn.ctx)
-	defer cancel()
-	x.request = x.request.WithContext(ctx)
+	x.request = x.request.WithContext(x.conn.ctx)
 	defer x.end()
 	if x.fault != 0 {
 		writeFault(&x.response, x.fault)
@@ -169,7 +166,7 @@
 		defer b.mu.Unlock()
 	} else {
 		// Somebody is reading.
-		_ = b.exchange.conn.rwc.SetReadDeadline(past)
+		b.exchange.conn.setReadDeadline(past)
 		b.mu.Lock()
 		defer b.mu.Unlock()
 	}
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -20,9 +20,6 @@
 func (c *conn) readExchange() (*exchange, error) {
 	c.limit.limited, c.limit.left = true, c.server.cfg.MaxHeaderBytes+bufferSize
 	defer func() { c.limit.limited = false }()
-	if err := c.rwc.SetReadDeadline(time.Now().Add(c.server.cfg.ReadHeaderTimeout)); err != nil {
-		return nil, err
-	}
 	head, err := c.peekHead()
 	var r *http.Request
 	if err == nil {
@@ -36,9 +33,7 @@
 	case err != nil:
 		return newFault(c, http.StatusBadRequest), nil
 	}
-	if err := c.rwc.SetReadDeadline(time.Time{}); err != nil {
-		return nil, err
-	}
+	c.setReadDeadline(time.Time{})
 	if status := faultOf(r, head); status != 0 {
 		return newFault(c, status), nil
 	}
@@ -48,6 +43,7 @@
 // peekHead waits until the head is there and returns it without consuming it. One
 // that does not fit into the buffer is returned as far as it does.
 func (c *conn) peekHead() ([]byte, error) {
+	timed := false
 	for {
 		buffered, err := c.br.Peek(c.br.Buffered())
 		if err != nil {
@@ -56,6 +52,10 @@
 		if hasHeadEnd(buffered) || len(buffered) == c.br.Size() {
 			return buffered, nil
 		}
+		if !timed {
+			c.setReadDeadline(time.Now().Add(c.server.cfg.ReadHeaderTimeout))
+			timed = true
+		}
 		if _, err := c.br.Peek(len(buffered) + 1); err != nil {
 			return nil, err
 		}
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -54,12 +54,16 @@
 		w.header["Connection"] = []string{"close"}
 	}
 	if w.header["Date"] == nil {
-		w.header["Date"] = []string{time.Now().UTC().Format(http.TimeFormat)}
+		w.header["Date"] = x.conn.server.date()
 	}
 	w.frame(status)
 	bw := x.conn.bw
-	line := "HTTP/1.1 " + strconv.Itoa(status) + " " + http.StatusText(status) + "\r\n"
-	if _, err := bw.WriteString(line); err != nil {
+	line := append(bw.AvailableBuffer(), "HTTP/1.1 "...)
+	line = strconv.AppendInt(line, int64(status), 10)
+	line = append(line, ' ')
+	line = append(line, http.StatusText(status)...)
+	line = append(line, "\r\n"...)
+	if _, err := bw.Write(line); err != nil {
 		return err
 	}
 	if err := w.header.Write(bw); err != nil {
@@ -128,7 +132,8 @@
 		// The connection is read for what follows already.
 		return nil
 	}
-	return w.exchange.conn.rwc.SetReadDeadline(deadline)
+	w.exchange.conn.setReadDeadline(deadline)
+	return nil
 }
 
 // EnableFullDuplex lets an answer begin before the request has been read, as is
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -38,10 +39,29 @@
 	closed    bool
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
+	// dated is the Date header of the present second.
+	dated atomic.Pointer[dateHeader]
 	// ended is closed and replaced whenever a connection has ended.
 	ended chan struct{}
 }
 
+// dateHeader is the value of a Date header, shared by the answers of one second.
+type dateHeader struct {
+	second int64
+	value  []string
+}
+
+// date returns the Date header for an answer that begins now.
+func (s *Server) date() []string {
+	now := time.Now()
+	if held := s.dated.Load(); held != nil && held.second == now.Unix() {
+		return held.value
+	}
+	made := &dateHeader{second: now.Unix(), value: []string{now.UTC().Format(http.TimeFormat)}}
+	s.dated.Store(made)
+	return made.value
+}
+
 // New returns a Server. It listens on nothing by itself.
 func New(cfg Config) *Server {
 	return &Server{
