--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -25,7 +25,7 @@
 	headBytes      = 700
 	// otherZoneMost bounds that share: a long body that waits in its own zone for
 	// longer is late there.
-	otherZoneMost = 0.3
+	otherZoneMost = 1.0
 	// otherZoneDelay is the distance of another zone.
 	otherZoneDelay = 3 * time.Millisecond
 	// crowdPenalty is the share by which work takes longer at a full worker.
