--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -55,6 +55,7 @@
 	timeout := c.callerTimeout()
 	c.end = c.began.Add(min(timeout, route.Timeout))
 	c.back = !c.nested && c.state.comesBack(timeout)
+	c.report.CameBack = c.back
 	body, err := c.plane.holdBody(w, c.request, configuration.MaximumBody, c.end)
 	if err != nil {
 		return nil, err
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -36,6 +36,8 @@
 	// Waited is how long the call waited for a slot of the worker beside this node,
 	// Ran how long that worker had it; zero when it was not asked.
 	Waited, Ran time.Duration
+	// CameBack tells that the caller was taken for one that was refused before.
+	CameBack bool
 	// BudgetLeft is how many further attempts the budget allowed at the end.
 	BudgetLeft float64
 	// Left is the time that was left of the call.
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -87,6 +87,9 @@
 // WorkerLoad returns the load of all workers beside this node together.
 func (p *Plane) WorkerLoad() slotqueue.Load { return p.local.load() }
 
+// Transfers returns the long bodies that cross to this node, and those that wait.
+func (p *Plane) Transfers() slotqueue.Load { return p.transfers.Load() }
+
 // serviceHere is the service that the calls of this node begin at.
 func (p *Plane) serviceHere() string {
 	if service := p.config.Workers.Service(); service != "" {
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -18,6 +18,8 @@
 	reading.InFlight = int(calls + hops)
 	load := n.plane.WorkerLoad()
 	reading.Running, reading.Waiting, reading.Slots = load.Running, load.Waiting, load.Slots
+	transfers := n.plane.Transfers()
+	reading.Transfers, reading.WaitingTransfers = transfers.Running, transfers.Waiting
 	return reading
 }
 
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -116,7 +116,7 @@
 
 var callFields = []string{
 	"request", "route", "service", fieldVersion, "outcome", fieldReason, "status", "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
-	"running", "waiting", "slots", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
+	"running", "waiting", "slots", "came_back", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
 }
 
 var hopFields = []string{
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -91,7 +91,7 @@
 		Uint64(fieldVersion, report.Version)
 	o.outcome(entry, report).Str("peer", report.Node).Str("instance", report.Instance).
 		Int("offers", report.Offers)
-	o.decided(entry, report).Float64("budget", report.BudgetLeft).
+	o.decided(entry, report).Bool("came_back", report.CameBack).Float64("budget", report.BudgetLeft).
 		Int64("left_milliseconds", report.Left.Milliseconds()).Int64(fieldDuration, report.Duration.Milliseconds()).
 		Int64("retry_after_milliseconds", report.RetryAfter.Milliseconds()).Bool("truncated", report.Truncated)
 	end(entry.Str(fieldError, causeText(report.Cause)))
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -18,6 +18,9 @@
 	InFlight   int
 	// Running, Waiting and Slots are of the workers beside the node.
 	Running, Waiting, Slots int
+	// Transfers and WaitingTransfers are the long bodies of other nodes that cross
+	// to this one, and those that wait for their turn.
+	Transfers, WaitingTransfers int
 }
 
 // NewHostedRegistry returns a registry that reads the node's state at each scrape.
@@ -37,6 +40,8 @@
 		gauge("worker_running", "Calls that hold a slot of a worker beside this node.", func(r HostedReading) float64 { return float64(r.Running) }),
 		gauge("worker_waiting", "Calls that wait for a slot of a worker beside this node.", func(r HostedReading) float64 { return float64(r.Waiting) }),
 		gauge("worker_slots", "Slots of the workers beside this node that may be given work.", func(r HostedReading) float64 { return float64(r.Slots) }),
+		gauge("transfers_running", "Long bodies that cross to this node.", func(r HostedReading) float64 { return float64(r.Transfers) }),
+		gauge("transfers_waiting", "Long bodies that wait for their turn on the link of this node.", func(r HostedReading) float64 { return float64(r.WaitingTransfers) }),
 	)
 	return &Registry{registry: registry}
 }
