Name the calls whose outcome is unknown in the load run's failures

It now names the calls, how long their callers waited and what they saw, so that the next failure can be traced. The cause is still open.

--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -20,6 +20,7 @@
 type ending struct {
 	kind   endingKind
 	reason outcome.Reason // empty when none was given
+	detail string         // the error of a call without an answer
 }
 
 type endingKind uint8
@@ -84,7 +85,7 @@
 	digester := worker.NewDigester(c.id)
 	request, err := c.request(ctx, digester)
 	if err != nil {
-		return ending{endingNotRun, reasonNoConnection}
+		return ending{kind: endingNotRun, reason: reasonNoConnection}
 	}
 	response, err := transport.RoundTrip(request)
 	if err != nil {
@@ -117,21 +118,21 @@
 func endingOf(err error) ending {
 	var operation *net.OpError
 	if errors.As(err, &operation) && operation.Op == "dial" {
-		return ending{endingNotRun, reasonNoConnection}
+		return ending{kind: endingNotRun, reason: reasonNoConnection}
 	}
-	return ending{endingUnknown, reasonNoAnswer}
+	return ending{kind: endingUnknown, reason: reasonNoAnswer, detail: err.Error()}
 }
 
 // check reads the answer and sorts it out. The digest covers the body sent by then.
 func (c call) check(response *http.Response, digester *worker.Digester) ending {
 	switch kind, reason := outcome.FromResponse(response.Header); kind {
 	case outcome.NotRun:
-		return ending{endingNotRun, reason}
+		return ending{kind: endingNotRun, reason: reason}
 	case outcome.Unknown:
-		return ending{endingUnknown, reason}
+		return ending{kind: endingUnknown, reason: reason}
 	}
 	if response.StatusCode != http.StatusOK {
-		return ending{endingUnknown, reasonStatus}
+		return ending{kind: endingUnknown, reason: reasonStatus}
 	}
 	err := worker.VerifyAnswer(response.Body, digester.Sum(), worker.DefaultAnswerSize)
 	switch {
@@ -140,7 +141,7 @@
 	case errorx.IsOfType(err, worker.ErrAnswer):
 		return ending{kind: endingWrong}
 	default:
-		return ending{endingUnknown, reasonCutShort} // the caller was told so
+		return ending{kind: endingUnknown, reason: reasonCutShort} // the caller was told so
 	}
 }
 
--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -175,3 +175,17 @@
 		}
 	}
 }
+
+func TestUnknownCallsAreNamed(t *testing.T) {
+	seen := newTally()
+	for range 2 * maximumNamed {
+		seen.add("once-7", ending{kind: endingUnknown, reason: reasonNoAnswer, detail: "EOF"}, 30*time.Millisecond)
+	}
+	rolling := &Rolling{Once: seen.result(executions{})}
+	if named := len(rolling.Once.UnknownCalls); named != maximumNamed {
+		t.Errorf("%d calls are named", named)
+	}
+	if text := strings.Join(rolling.failures(), "\n"); !strings.Contains(text, "once-7 after 30 ms") || !strings.Contains(text, "EOF") {
+		t.Errorf("the failure names no call: %s", text)
+	}
+}
--- a/internal/lab/load/meter.go
+++ b/internal/lab/load/meter.go
@@ -128,11 +128,20 @@
 		t.notRun = append(t.notRun, id)
 	case endingUnknown:
 		t.counts.Unknown++
+		t.name(UnknownCall{ID: id, Reason: ended.reason, Detail: ended.detail, Milliseconds: length.Milliseconds()})
 	case endingWrong:
 		t.counts.Wrong++
 	}
 }
 
+// maximumNamed bounds the calls that a tally names.
+const maximumNamed = 10
+
+func (t *tally) name(calls ...UnknownCall) {
+	room := maximumNamed - len(t.counts.UnknownCalls)
+	t.counts.UnknownCalls = append(t.counts.UnknownCalls, calls[:min(len(calls), room)]...)
+}
+
 // merge adds the calls of another tally that has come to its end.
 func (t *tally) merge(other *tally) {
 	t.times.merge(other.times)
@@ -142,6 +151,7 @@
 	t.counts.Unknown += other.counts.Unknown
 	t.counts.Wrong += other.counts.Wrong
 	t.notRun = append(t.notRun, other.notRun...)
+	t.name(other.counts.UnknownCalls...)
 	for reason, count := range other.counts.Reasons {
 		t.addReason(reason, count)
 	}
--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -1,6 +1,7 @@
 package load
 
 import (
+	"fmt"
 	"github.com/levertide/levertide/internal/lab/results"
 	"github.com/levertide/levertide/internal/lab/worker"
 	"github.com/levertide/levertide/pkg/outcome"
@@ -53,6 +54,23 @@
 	Duplicates int `json:"duplicate_executions"`
 	// FalseNotRun are requests refused as not run that a worker has started.
 	FalseNotRun int `json:"not_run_but_started"`
+	// UnknownCalls names some of the calls that are counted in Unknown.
+	UnknownCalls []UnknownCall `json:"unknown_calls,omitempty"`
+}
+
+// UnknownCall is a call whose caller cannot tell whether it ran.
+type UnknownCall struct {
+	ID     string         `json:"id"`
+	Reason outcome.Reason `json:"reason"`
+	// Detail is the error that the caller saw, if it got no answer.
+	Detail string `json:"detail,omitempty"`
+	// Milliseconds is how long the caller had waited.
+	Milliseconds int64 `json:"milliseconds"`
+}
+
+// String names the call and what its caller saw.
+func (u UnknownCall) String() string {
+	return fmt.Sprintf("%s after %d ms: %s %s", u.ID, u.Milliseconds, u.Reason, u.Detail)
 }
 
 // Step is one rate of ModeSteady.
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -166,7 +166,7 @@
 func (r *Rolling) failures() []string {
 	var failures []string
 	if r.Once.Unknown > 0 {
-		failures = append(failures, fmt.Sprintf("rolling: %d calls failed that cannot be repeated safely", r.Once.Unknown))
+		failures = append(failures, fmt.Sprintf("rolling: %d calls failed that cannot be repeated safely: %v", r.Once.Unknown, r.Once.UnknownCalls))
 	}
 	if r.UploadsWhole < r.UploadsStarted {
 		failures = append(failures, fmt.Sprintf("rolling: %d of %d uploads were not answered", r.UploadsStarted-r.UploadsWhole, r.UploadsStarted))
