Look after lapsed entries within two seconds of the store's return

Cause: leases run out in some outages of the store. A node noticed at its next renewal, up to 40 s later, or up to 4 s later when it was trying to write; a herd of restarts in between would have found an empty directory.

When any node that did not reach the store reaches it again (records say so), each node that has an entry renews its lease within half a second, and writes the entry anew if the lease has ended. Pauses between tries end, too.

The test (simulated time, store silent or refusing for 4.5 s, leases ended) failed before; entries are back after 0.5 to 0.7 s. Cost: one renewal a node and outage, at a tenth of a call's price.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -79,12 +79,16 @@
 	// hearing is set while this node asks others because one has spoken with it.
 	hearing atomic.Bool
 
+	// withoutStore are the nodes that did not reach the store at the last look. It
+	// belongs to housekeeping.
+	withoutStore map[string]bool
+
 	backgroundContext atomic.Pointer[context.Context]
 }
 
 // New puts the parts of an agent together. Nothing runs before Serve.
 func New(config Config) *Agent {
-	agent := &Agent{config: config, started: time.Now()}
+	agent := &Agent{config: config, started: time.Now(), withoutStore: map[string]bool{}}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.peers = newPeers(config, agent.documents)
 	agent.peers.former = agent.learnFormer
@@ -303,8 +307,12 @@
 	return zones
 }
 
-// housekeeping marks workers that went silent.
+// housekeeping looks after the entry in the store when that is back, and marks
+// workers that went silent.
 func (a *Agent) housekeeping(context.Context) {
+	if a.storeReturned() {
+		a.announcer.StoreReturned()
+	}
 	expired := a.config.Workers.Expire(time.Now())
 	if len(expired) == 0 {
 		return
@@ -316,6 +324,22 @@
 	a.background(a.spreadRecord)
 }
 
+// storeReturned reports whether some node, this one or another, reaches the store
+// again that did not at the last look.
+func (a *Agent) storeReturned() bool {
+	returned := false
+	for _, node := range a.config.Table.View().Nodes() {
+		switch {
+		case !node.ReadsStore:
+			a.withoutStore[node.ID] = true
+		case a.withoutStore[node.ID]:
+			delete(a.withoutStore, node.ID)
+			returned = true
+		}
+	}
+	return returned
+}
+
 // Farewell tells the other nodes the state of a node that stops as planned.
 func (a *Agent) Farewell(ctx context.Context, state fleet.State) {
 	a.config.Table.Update(func(own *fleet.Node) { own.State = state })
--- a/internal/hosted/announcer.go
+++ b/internal/hosted/announcer.go
@@ -25,6 +25,9 @@
 	// how often it is lengthened, or looked whether there are too few.
 	entryLife     = 2 * time.Minute
 	renewInterval = 40 * time.Second
+	// returnSpread is the time over which nodes look after their entries when the
+	// store is back. Entries that lapsed are there again within two seconds.
+	returnSpread = 500 * time.Millisecond
 	// recallPause is how long nodes that were met have before the store is asked
 	// for the former lives of this one.
 	recallPause = 100 * time.Millisecond
@@ -65,8 +68,10 @@
 	// turn is held while the entry is written, so that a newer one never meets an
 	// older one on its way.
 	turn chan struct{}
-	// stale is signalled when the entry is to be written.
-	stale chan struct{}
+	// stale is signalled when the entry is to be written, returned when the store
+	// answers again after an outage.
+	stale    chan struct{}
+	returned chan struct{}
 
 	mu sync.Mutex
 	// lease is the one that the entry is under; empty while this life has none.
@@ -75,7 +80,13 @@
 }
 
 func newAnnouncer(directory Directory, table *fleet.Table) *Announcer {
-	return &Announcer{directory: directory, table: table, turn: make(chan struct{}, 1), stale: make(chan struct{}, 1)}
+	return &Announcer{
+		directory: directory,
+		table:     table,
+		turn:      make(chan struct{}, 1),
+		stale:     make(chan struct{}, 1),
+		returned:  make(chan struct{}, 1),
+	}
 }
 
 // String names the part in events.
@@ -125,6 +136,8 @@
 	select {
 	case <-t.C:
 		a.renew(ctx)
+	case <-a.returned:
+		a.confirm(ctx)
 	case <-a.stale:
 		a.until(ctx, a.write)
 	case <-ctx.Done():
@@ -138,11 +151,33 @@
 		if bounded(ctx, call) == nil {
 			return
 		}
-		sleep(ctx, jittered(pause))
+		a.pause(ctx, jittered(pause))
 		pause = min(2*pause, longestWritePause)
 	}
 }
 
+// pause waits before a call is made again, until the store answers others.
+func (a *Announcer) pause(ctx context.Context, pause time.Duration) {
+	t := time.NewTimer(pause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-a.returned:
+	case <-ctx.Done():
+	}
+}
+
+// StoreReturned tells that the store answers again after an outage, in which the
+// entry may have lapsed. The entry is looked after within returnSpread.
+func (a *Announcer) StoreReturned() {
+	time.AfterFunc(rand.N(returnSpread), func() {
+		select {
+		case a.returned <- struct{}{}:
+		default:
+		}
+	})
+}
+
 // bounded makes one call to the store.
 func bounded(ctx context.Context, call func(ctx context.Context) error) error {
 	ctx, cancel := context.WithTimeout(ctx, callBound)
@@ -348,6 +383,14 @@
 	}
 }
 
+// confirm makes sure that the entry of this node, if it has one, has outlasted an
+// outage of the store.
+func (a *Announcer) confirm(ctx context.Context) {
+	if lease, _ := a.held(); lease != "" {
+		a.renew(ctx)
+	}
+}
+
 func (a *Announcer) look(ctx context.Context) error {
 	listed, err := a.list(ctx, true)
 	if err != nil {
--- a/internal/hosted/simulated_test.go
+++ b/internal/hosted/simulated_test.go
@@ -148,3 +148,24 @@
 		}
 	})
 }
+
+// TestLapsedEntriesAreBackSoon has leases run out while the store is away, for all
+// nodes or for some of them.
+func TestLapsedEntriesAreBackSoon(t *testing.T) {
+	for name, faults := range map[string]hostedstore.Faults{"silent": {Silent: true}, "refusing": {Refuse: true}} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				const size = 12
+				m := startSimulated(t, size)
+				m.within(t, time.Minute, "all have an entry", func() bool { return m.store.Entries() == size })
+				time.Sleep(7 * time.Second)
+				m.store.SetFaults("", faults)
+				time.Sleep(4500 * time.Millisecond)
+				m.store.EndLeases()
+				m.store.SetFaults("", hostedstore.Faults{})
+				took := m.within(t, 2*time.Second, "the entries are back", func() bool { return m.store.Entries() == size })
+				t.Logf("back after %v", took)
+			})
+		})
+	}
+}
