Know the share of requests that fail at a worker, and choose it last

The node beside the worker keeps the share of requests that failed there (faults of its own, refusals although it had a slot, broken or no answers in time). It goes back with the load, fades within four seconds, and costs two targets for each failure in the choice. No health page is asked and nobody is taken out: where all fail alike, nothing changes; one that is left alone is tried again. Times of failed requests teach no speed any more.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -208,7 +208,7 @@
 	switch {
 	case err == nil:
 		seen.load, seen.hasLoad = answered.load, answered.hasLoad
-		if answered.rest == nil && answered.ran > 0 {
+		if answered.rest == nil && answered.ran > 0 && answered.status < statusServerFault {
 			seen.relative = o.call.state.observe(answered.ran, len(answered.held))
 		}
 	default:
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -43,6 +43,10 @@
 	// time when the own zone is in trouble.
 	maximumEndpoints = 24
 	nearEndpoints    = 16
+	// failingLife is how long a told share of failures counts; it fades over that
+	// time. failureCost is what a failure costs, in targets of the route.
+	failingLife = 4 * time.Second
+	failureCost = 2.0
 	// slowestFactor and fastestFactor bound what is believed of a speed.
 	slowestFactor = 20.0
 	fastestFactor = 0.2
@@ -189,6 +193,7 @@
 	fading := 1 - float64(now.Sub(e.reportedAt))/float64(2*reportLife)
 	expected := max(others*max(fading, 0.25), 0) + float64(e.outstanding)
 	load.Transfer = time.Duration(max(1-float64(now.Sub(e.reportedAt))/float64(reportLife), 0) * float64(load.Transfer))
+	load.Failing *= max(1-float64(now.Sub(e.reportedAt))/float64(failingLife), 0)
 	load.Running = min(int(expected+0.5), load.Slots)
 	load.Waiting = int(expected+0.5) - load.Running
 	return load, usable && w.reachable(e.node)
@@ -208,6 +213,7 @@
 		kibibytes := float64(w.bytes+headBytes) / 1024
 		score += float64(otherZoneDelay) + min(otherZoneShare*kibibytes, otherZoneMost)*float64(w.target)
 	}
+	score += load.Failing * failureCost * float64(w.target)
 	if w.long && e.node != d.self {
 		score += float64(load.Transfer)
 	}
--- a/internal/forwarding/hop.go
+++ b/internal/forwarding/hop.go
@@ -18,8 +18,10 @@
 	// hopFailureHeader carries the reason of a call that got no answer.
 	hopFailureHeader = "Levertide-Hop-Failure"
 
-	hopFields     = 6
-	loadFields    = 6
+	hopFields  = 6
+	loadFields = 7
+	// failingUnits is how the share of requests that fail is written: in thousandths.
+	failingUnits  = 1000
 	failureFields = 2
 	hopSeparator  = ","
 )
@@ -59,6 +61,7 @@
 	return strings.Join([]string{
 		strconv.Itoa(load.Running), strconv.Itoa(load.Waiting), strconv.Itoa(load.Slots),
 		formatMicroseconds(load.Hold), formatMicroseconds(ran), formatMicroseconds(load.Transfer),
+		strconv.Itoa(int(failingUnits * load.Failing)),
 	}, hopSeparator)
 }
 
@@ -73,8 +76,12 @@
 	hold, holdOK := parseMicroseconds(fields[3])
 	ran, ranOK := parseMicroseconds(fields[4])
 	transfer, transferOK := parseMicroseconds(fields[5])
-	load = slotqueue.Load{Running: running, Waiting: waiting, Slots: slots, Hold: hold, Transfer: transfer}
-	ok = runningErr == nil && waitingErr == nil && slotsErr == nil && holdOK && ranOK && transferOK && slots > 0
+	failing, failingErr := strconv.Atoi(fields[6])
+	load = slotqueue.Load{
+		Running: running, Waiting: waiting, Slots: slots, Hold: hold,
+		Transfer: transfer, Failing: float64(failing) / failingUnits,
+	}
+	ok = runningErr == nil && waitingErr == nil && slotsErr == nil && failingErr == nil && holdOK && ranOK && transferOK && slots > 0
 	return load, ran, ok
 }
 
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -34,7 +34,9 @@
 type workerLeg struct {
 	dialect *Dialect
 	queue   *slotqueue.Queue
-	make    func(idle time.Duration) *http.Transport
+	// failures is the share of requests that fail at the worker.
+	failures failureShare
+	make     func(idle time.Duration) *http.Transport
 
 	mutex     sync.Mutex
 	worker    workers.Worker
@@ -105,13 +107,15 @@
 	began := time.Now()
 	result, err := l.send(ctx, call)
 	call.ran = time.Since(began)
+	failed := failedAtWorker(result, err)
+	l.failures.observe(failed, time.Now())
 	if err != nil {
 		permit.Release(outcome.ReasonOf(err) == outcome.Timeout)
 		return nil, err
 	}
 	result.ran = call.ran
 	if result.rest == nil {
-		permit.Release(true)
+		permit.Release(!failed)
 	} else {
 		result.finish = func(bool) { permit.Release(false) }
 	}
@@ -206,7 +210,11 @@
 }
 
 // load returns the load of the worker as this node knows it.
-func (l *workerLeg) load() slotqueue.Load { return l.queue.Load() }
+func (l *workerLeg) load() slotqueue.Load {
+	load := l.queue.Load()
+	load.Failing = l.failures.now(time.Now())
+	return load
+}
 
 // close ends the admission. Requests that run are not touched.
 func (l *workerLeg) close() {
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -52,6 +52,9 @@
 	// Transfer is how long a long body would wait before it could cross to the
 	// worker's machine. A queue does not know it; whoever has the link fills it in.
 	Transfer time.Duration
+	// Failing is the share of requests that have failed at the worker lately, from
+	// 0 to 1. A queue does not know that either.
+	Failing float64
 }
 
 // Wait returns how long a request of the last rank would wait now.
