--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -35,14 +35,9 @@
 	return latest
 }
 
-// patience is how long the call may wait for a slot and still be answered within
-// its target, as far as calls of its route show.
+// patience is how long the call may wait for a slot.
 func (c *call) patience() time.Duration {
-	target := c.target()
-	work, _ := c.state.expected()
-	inTarget := target - time.Duration(workMargin*float64(work))
-	patience := min(time.Duration(patienceShare*float64(target)), inTarget, longestPatience)
-	return max(patience, shallowPatience)
+	return min(time.Duration(patienceShare*float64(c.target())), longestPatience)
 }
 
 // rank orders the call where calls wait for a slot. Of the same operators' rank, a
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -92,9 +92,6 @@
 	// wait for a slot, counted from its arrival. What has waited longer without
 	// being offered to a worker is refused, while the caller has time to come back.
 	patienceShare = 0.2
-	// workMargin is how many times the mean time at a worker a call is given
-	// within its target: most calls need less.
-	workMargin = 1.5
 	// nestedPatienceShare is the share of the time left that a call may wait which
 	// a worker made for another call: when it fails, the work on that other one
 	// is lost, too. For the same reason such calls go first: nestedRank.
