Give each machine of the soak a loopback address of its own

Cause: addresses were reserved by listening on port 0 of 127.0.0.1 and closing again. Until the node listened there, the kernel could give the port to another reservation (48 of 28,000 ports: about 4 in 100 runs), to another test or to an outgoing connection, all of which are on 127.0.0.1. Ruled out: a node of a former life that still listens (the first start failed).

Each machine now has an address 127.(2+n).x.y made of the process's number, on which nobody else listens or connects, and no port is given twice. The same in the tests of internal/sidecar. A test reserves 240 addresses.

--- a/internal/lab/soak/network.go
+++ b/internal/lab/soak/network.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net"
+	"os"
 
 	"github.com/levertide/levertide/internal/lab/memnet"
 	"github.com/levertide/levertide/internal/sidecar"
@@ -32,13 +33,27 @@
 	AnyPort() string
 }
 
-// Loopback is the machine's own network.
+// Loopback is the machine's own network. Each machine of a soak has a loopback
+// address of its own, which no other process uses: the ports that a restarted node
+// comes back to are never taken by a connection or a listener of somebody else.
 type Loopback struct{ sidecar.TCP }
 
 var _ Network = Loopback{}
 
 // Machine implements Network.
-func (l Loopback) Machine(int) MachineNetwork { return l }
+func (l Loopback) Machine(n int) MachineNetwork {
+	return &loopbackMachine{TCP: l.TCP, host: loopbackHost(os.Getpid(), n), reserved: map[string]bool{}}
+}
+
+// loopbackHost returns the address of a machine of a process: 127.2 and up, since
+// connections come from 127.0.0.1 and most listeners are there.
+func loopbackHost(pid, n int) string {
+	const (
+		first    = 2
+		machines = 250
+	)
+	return fmt.Sprintf("127.%d.%d.%d", first+n%machines, pid>>8&0xff, pid&0xff)
+}
 
 // Callers implements Network.
 func (l Loopback) Callers() sidecar.Network { return l.TCP }
@@ -52,17 +67,30 @@
 // Reset implements Network.
 func (Loopback) Reset(int) bool { return false }
 
+// loopbackMachine is one machine on the loopback network.
+type loopbackMachine struct {
+	sidecar.TCP
+	host     string
+	reserved map[string]bool
+}
+
 // AnyPort implements MachineNetwork.
-func (Loopback) AnyPort() string { return "127.0.0.1:0" }
+func (m *loopbackMachine) AnyPort() string { return m.host + ":0" }
 
 // Reserve implements MachineNetwork.
-func (l Loopback) Reserve() (string, error) {
-	opened, err := net.Listen("tcp", l.AnyPort())
-	if err != nil {
-		return "", ErrStart.Wrap(err, "address")
+func (m *loopbackMachine) Reserve() (string, error) {
+	for {
+		opened, err := net.Listen("tcp", m.AnyPort())
+		if err != nil {
+			return "", ErrStart.Wrap(err, "address")
+		}
+		address := opened.Addr().String()
+		_ = opened.Close()
+		if !m.reserved[address] {
+			m.reserved[address] = true
+			return address, nil
+		}
 	}
-	defer func() { _ = opened.Close() }()
-	return opened.Addr().String(), nil
 }
 
 // InMemory connects the machines of a soak inside the process, so that it can run
--- a/internal/lab/soak/soak_test.go
+++ b/internal/lab/soak/soak_test.go
@@ -1,6 +1,7 @@
 package soak
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -25,3 +26,22 @@
 		t.Errorf("the run shows nothing: %+v", report)
 	}
 }
+
+// TestReservedAddressesAreOfOneMachine reserves many addresses: none is given twice,
+// and none is where connections and other listeners are.
+func TestReservedAddressesAreOfOneMachine(t *testing.T) {
+	given := map[string]bool{}
+	for n := range 12 {
+		machine := Loopback{}.Machine(n)
+		for range 20 {
+			address, err := machine.Reserve()
+			if err != nil {
+				t.Fatal(err)
+			}
+			if given[address] || strings.HasPrefix(address, "127.0.0.1:") {
+				t.Errorf("machine %d was given %s", n, address)
+			}
+			given[address] = true
+		}
+	}
+}
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"os"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -86,15 +87,25 @@
 	return b.text.String()
 }
 
-// freeAddress returns an address that was free a moment ago.
+// taken are the addresses that freeAddress has returned.
+var taken sync.Map
+
+// freeAddress returns an address that nobody else takes: it is on a loopback address
+// that only this process uses, and is returned once.
 func freeAddress(t *testing.T) string {
 	t.Helper()
-	listener, err := net.Listen("tcp", "127.0.0.1:0")
-	if err != nil {
-		t.Fatal(err)
+	host := fmt.Sprintf("127.1.%d.%d", os.Getpid()>>8&0xff, os.Getpid()&0xff)
+	for {
+		listener, err := net.Listen("tcp", host+":0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		address := listener.Addr().String()
+		_ = listener.Close()
+		if _, given := taken.LoadOrStore(address, true); !given {
+			return address
+		}
 	}
-	defer func() { _ = listener.Close() }()
-	return listener.Addr().String()
 }
 
 func startNode(t *testing.T, store *hostedstore.Store, id string, service string) *runningNode {
