Bring the penalty for a full worker back

What is known of a worker's load is a little old and many nodes choose at once; the penalty keeps them from crowding at the fastest workers. The comment now says so.

--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -28,6 +28,10 @@
 	otherZoneMost = 1.0
 	// otherZoneDelay is the distance of another zone.
 	otherZoneDelay = 3 * time.Millisecond
+	// crowdPenalty is the share by which a full worker counts as slower than an idle
+	// one. What is known of its load is a little old, and many nodes choose at the
+	// same time: without it they crowd at the fastest workers of a large mesh.
+	crowdPenalty = 0.3
 	// scoreNoise keeps many nodes from choosing the same endpoint.
 	scoreNoise = 0.1
 	// failurePause is how long an endpoint that could not be used is left alone.
@@ -201,7 +205,8 @@
 // endpoint.
 func (d *destination) score(e *endpoint, load slotqueue.Load, w wish, usable bool) float64 {
 	work := float64(max(w.work, time.Millisecond)) * e.slowness
-	score := work
+	busy := float64(load.Running) / float64(load.Slots)
+	score := work * (1 + crowdPenalty*busy*busy)
 	if load.Running >= load.Slots {
 		hold := float64(max(load.Hold, time.Millisecond))
 		score += float64(load.Waiting+1) * hold / float64(load.Slots)
