Send records by way of one node of each zone, and compare notes with few partners

Cause: each change of a record was a message to every node: 14,196 messages for 80 changes within a second in a simulated mesh of 160 nodes, 845 for 20 in one of 40. Each sender had a tree of its own and each comparison another partner, so that nearly every pair of nodes opened a connection: 17.8 a node in 30 calm seconds of 120 nodes. Both grow with the square of the mesh.

A node now sends its record to the hub of its zone, which sends what it got within up to 200 ms (1 ms for each node of the mesh) to the hubs of the other zones and to its own. A promise goes to two further nodes directly, as before it is acknowledged. Nodes compare notes with three partners of their zone and two of others, and with any other node once in twenty. A node whose new life others report is taken to be reachable again.

Weighed: a flood over few fixed neighbours (each news crosses each edge, two to three times the messages), one tree for all senders without batches (its root gets every change), only comparisons (a second or more until known).

The tests failed before (figures above) and give 1,556 messages and 2.2 connections now; all 80 changes are known everywhere 125 ms after the last.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -92,6 +92,7 @@
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.peers = newPeers(config, agent.documents)
 	agent.peers.former = agent.learnFormer
+	agent.peers.hub = newHub(agent.peers, agent.background)
 	agent.announcer = newAnnouncer(config.Directory, config.Table)
 	agent.announcer.firstStart = config.FirstStart
 	agent.announcer.found, agent.announcer.former = agent.meet, agent.recall
@@ -209,17 +210,17 @@
 	a.config.Events.PromiseKept(change.Worker.Instance, holders, stored)
 }
 
-// promise tells all other nodes of the own record, and the store. It returns once
+// promise tells other nodes of the own record, and the store. It returns once
 // enough nodes hold it and the store has answered, or the time for that is over:
 // the nodes outlast this one, the store outlasts all nodes.
 func (a *Agent) promise(ctx context.Context) (holders int, stored bool) {
 	kept := promiseKeepers{wanted: min(promiseHolders, len(a.peers.reachablePeers()))}
-	kept.taken = make(chan struct{}, len(a.config.Table.View().Nodes())+fanOut)
+	kept.taken = make(chan struct{}, promiseHolders)
 	kept.told = make(chan struct{})
 	kept.stored = make(chan bool, 1)
+	a.background(a.spreadRecord)
 	a.background(func(ctx context.Context) {
-		what := news{nodes: a.ownRecord()}
-		a.peers.Broadcast(ctx, what, func() { kept.taken <- struct{}{} })
+		a.peers.Keep(ctx, a.ownRecord(), kept.wanted, func() { kept.taken <- struct{}{} })
 		close(kept.told)
 	})
 	a.background(func(ctx context.Context) { kept.stored <- a.announcer.Keep(ctx) == nil })
@@ -230,8 +231,8 @@
 type promiseKeepers struct {
 	// wanted is how many other nodes are enough.
 	wanted int
-	// taken gets a token for each node of the first hop that holds the promise;
-	// told is closed when no further one can come.
+	// taken gets a token for each node that holds the promise; told is closed when
+	// no further one can come.
 	taken chan struct{}
 	told  chan struct{}
 	// stored gets whether the store holds the promise.
@@ -269,8 +270,7 @@
 
 // spreadRecord tells all other nodes of the own record.
 func (a *Agent) spreadRecord(ctx context.Context) {
-	what := news{nodes: a.ownRecord()}
-	a.peers.Broadcast(ctx, what, nil)
+	a.peers.Announce(ctx, a.ownRecord())
 }
 
 // spreadDocument hands the newest document on, without waiting: to the own zone
--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -19,22 +19,6 @@
 	revision uint64
 }
 
-// Broadcast hands news to all other nodes, each by one message: to one node of
-// each other zone, which hands them on there, and to some of the own zone. Taken,
-// which may be nil, is called for each of the first hop that took them.
-func (p *Peers) Broadcast(ctx context.Context, what news, taken func()) {
-	self := p.table.View().Self()
-	var parts []fleet.Part
-	for zone, nodes := range p.byZone() {
-		if zone == self.Zone {
-			parts = append(parts, fleet.Spread(nodes, self.ID, "", "", fanOut)...)
-			continue
-		}
-		parts = append(parts, fleet.Whole(nodes, self.ID))
-	}
-	p.handOnAll(ctx, what, parts, taken)
-}
-
 // BroadcastZones hands news to one node of each of the other zones that the
 // function takes, which hands them on there if it lacks them.
 func (p *Peers) BroadcastZones(ctx context.Context, what news, wanted func(zone string) bool) {
@@ -45,13 +29,13 @@
 			parts = append(parts, fleet.Whole(nodes, self.ID))
 		}
 	}
-	p.handOnAll(ctx, what, parts, nil)
+	p.handOnAll(ctx, what, parts)
 }
 
 // BroadcastOwnZone hands news to the nodes of the own zone in a range.
 func (p *Peers) BroadcastOwnZone(ctx context.Context, what news, after, until string) {
 	self := p.table.View().Self()
-	p.handOnAll(ctx, what, fleet.Spread(p.inZone(self.Zone), self.ID, after, until, fanOut), nil)
+	p.handOnAll(ctx, what, fleet.Spread(p.inZone(self.Zone), self.ID, after, until, fanOut))
 }
 
 func (p *Peers) byZone() map[string][]*fleet.Node {
@@ -64,14 +48,10 @@
 
 func (p *Peers) inZone(zone string) []*fleet.Node { return p.byZone()[zone] }
 
-func (p *Peers) handOnAll(ctx context.Context, what news, parts []fleet.Part, taken func()) {
+func (p *Peers) handOnAll(ctx context.Context, what news, parts []fleet.Part) {
 	var waiting sync.WaitGroup
 	for _, part := range parts {
-		waiting.Go(func() {
-			if p.handOn(ctx, what, part) && taken != nil {
-				taken()
-			}
-		})
+		waiting.Go(func() { p.handOn(ctx, what, part) })
 	}
 	waiting.Wait()
 }
@@ -91,7 +71,7 @@
 
 // handOn gives a part of a broadcast to the first node of it that takes it. When
 // one does not answer, the next one gets the rest.
-func (p *Peers) handOn(ctx context.Context, what news, part fleet.Part) bool {
+func (p *Peers) handOn(ctx context.Context, what news, part fleet.Part) {
 	for _, head := range part.Candidates {
 		request := &exchangepb.BroadcastRequest{
 			Mesh:             p.mesh,
@@ -103,19 +83,17 @@
 		if len(part.Candidates) > 1 {
 			request.After, request.Until = part.After, part.Until
 		}
-		if p.send(ctx, *head, request) {
-			return true
-		}
-		if ctx.Err() != nil {
-			return false
+		if p.send(ctx, *head, request) || ctx.Err() != nil {
+			return
 		}
 	}
-	return false
 }
 
 func (p *Peers) send(ctx context.Context, node fleet.Node, request *exchangepb.BroadcastRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, messageBound)
 	defer cancel()
+	p.sent.broadcasts.Add(1)
+	p.sent.records.Add(uint64(len(request.GetNodes())))
 	if _, err := p.client(node.ControlAddress).Broadcast(ctx, request); err != nil {
 		p.noteFailure(node.ID, err)
 		return false
--- /dev/null
+++ b/internal/hosted/mesh_cost_test.go
@@ -0,0 +1,117 @@
+//go:build !race
+
+package hosted_test
+
+import (
+	"context"
+	"fmt"
+	"net"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/httpleg"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// sent sums up what the nodes of a mesh have sent to each other.
+func (m *simulated) sent() hosted.Messages {
+	var sum hosted.Messages
+	for _, n := range m.nodes {
+		one := n.agent.Messages()
+		sum.Comparisons += one.Comparisons
+		sum.Broadcasts += one.Broadcasts
+		sum.Records += one.Records
+	}
+	return sum
+}
+
+// counting counts the connections that are opened.
+func counting(dial httpleg.DialFunc, opened *atomic.Int64) httpleg.DialFunc {
+	return func(ctx context.Context, network, address string) (net.Conn, error) {
+		opened.Add(1)
+		return dial(ctx, network, address)
+	}
+}
+
+// knowsWorker reports whether all nodes know that a worker is beside a node.
+func (m *simulated) knowsWorker(id, instance string) bool {
+	for _, n := range m.nodes {
+		held, _ := n.table.View().Node(id)
+		if len(held.Workers) != 1 || held.Workers[0].Instance != instance {
+			return false
+		}
+	}
+	return true
+}
+
+// TestManyChangesGoTogether changes the records of half of a mesh within a second.
+// A node must not get a message for each of them.
+func TestManyChangesGoTogether(t *testing.T) {
+	for _, size := range []int{80, 160} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := startSimulated(t, size)
+				time.Sleep(5 * time.Second)
+				before := m.sent()
+				changing := m.nodes[:size/2]
+				for i, n := range changing {
+					mustBeat(t, n, heartbeat(fmt.Sprintf("w%d", i), 1, false))
+					time.Sleep(time.Second / time.Duration(len(changing)))
+				}
+				took := m.within(t, time.Second, "all changes are known", func() bool {
+					for i, n := range changing {
+						if !m.knowsWorker(n.table.View().Self().ID, fmt.Sprintf("w%d", i)) {
+							return false
+						}
+					}
+					return true
+				})
+				messages := m.sent().Broadcasts - before.Broadcasts
+				t.Logf("%d messages for %d changes, known everywhere %v after the last", messages, len(changing), took)
+				// At most some twenty batches in that second, of one message a node each.
+				if most := uint64(20*size + len(changing)); messages > most {
+					t.Errorf("%d messages, at most %d expected", messages, most)
+				}
+			})
+		})
+	}
+}
+
+// TestPartnersStayTheSame counts the connections that nodes open for messages while
+// nothing happens.
+func TestPartnersStayTheSame(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 120
+		m := startSimulated(t, size)
+		time.Sleep(30 * time.Second)
+		before := m.opened.Load()
+		time.Sleep(30 * time.Second)
+		perNode := float64(m.opened.Load()-before) / size
+		t.Logf("%.1f connections a node in 30 s", perNode)
+		if perNode > 6 {
+			t.Errorf("%.1f connections a node in 30 s", perNode)
+		}
+	})
+}
+
+// TestHeartbeatsWithoutNewsAreNotTold sends the same heartbeat again.
+func TestHeartbeatsWithoutNewsAreNotTold(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startSimulated(t, 8)
+		mustBeat(t, m.nodes[0], heartbeat("w1", 1, false))
+		time.Sleep(time.Second)
+		before := m.sent()
+		for range 5 {
+			if err := m.nodes[0].agent.Heartbeat(t.Context(), workers.Heartbeat{Instance: "w1", Service: "ledger", Address: "127.0.0.1:1", Slots: 6, Sequence: 1}); err != nil {
+				t.Fatal(err)
+			}
+		}
+		time.Sleep(time.Second)
+		if now := m.sent(); now.Broadcasts != before.Broadcasts {
+			t.Errorf("%d messages for heartbeats without news", now.Broadcasts-before.Broadcasts)
+		}
+	})
+}
--- /dev/null
+++ b/internal/hosted/messages.go
@@ -0,0 +1,22 @@
+package hosted
+
+import "sync/atomic"
+
+// Messages counts what a node has sent to other nodes since it started.
+type Messages struct {
+	// Comparisons are questions whether another node knows the same, Broadcasts
+	// messages with news, and Records the node records in those.
+	Comparisons, Broadcasts, Records uint64
+}
+
+// messageCounters counts the messages that a node sends.
+type messageCounters struct {
+	comparisons, broadcasts, records atomic.Uint64
+}
+
+func (c *messageCounters) read() Messages {
+	return Messages{Comparisons: c.comparisons.Load(), Broadcasts: c.broadcasts.Load(), Records: c.records.Load()}
+}
+
+// Messages returns what this node has sent to others.
+func (a *Agent) Messages() Messages { return a.peers.sent.read() }
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -39,6 +39,9 @@
 	remembered atomic.Bool
 	// relay hands on what other nodes have sent.
 	relay *relay
+	// hub collects the news of the zone while this node is its hub.
+	hub  *hub
+	sent messageCounters
 
 	mutex   sync.Mutex
 	clients map[string]exchangepb.Exchange
@@ -140,6 +143,7 @@
 func (p *Peers) sync(ctx context.Context, node fleet.Node, request *exchangepb.SyncRequest) (*exchangepb.SyncResponse, error) {
 	ctx, cancel := context.WithTimeout(ctx, messageBound)
 	defer cancel()
+	p.sent.comparisons.Add(1)
 	response, err := p.client(node.ControlAddress).Sync(ctx, request)
 	if err != nil {
 		p.noteFailure(node.ID, err)
@@ -157,6 +161,10 @@
 // merge takes records, and hands on what is told of former lives of this node.
 func (p *Peers) merge(nodes []fleet.Node, promised []*exchangepb.Worker) []fleet.Node {
 	merged := p.table.Merge(nodes)
+	for _, id := range merged.NewLives {
+		// It was lost, and others have heard from it: it need not be tried first.
+		p.noteContact(id)
+	}
 	if merged.FormerSelf != nil || len(promised) > 0 {
 		p.former(merged, promised)
 	}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -76,6 +76,10 @@
 	p.merge(nodesOf(request.GetNodes()...), nil)
 	held := p.documents.TakeMessage(request.GetDocument()) || p.documents.Revision() >= request.GetDocumentRevision()
 	what := news{nodes: request.GetNodes(), document: request.GetDocument(), revision: request.GetDocumentRevision()}
+	if reach := request.GetReach(); reach != exchangepb.Reach_REACH_RANGE {
+		p.hub.take(what, reach)
+		return &exchangepb.BroadcastResponse{}, nil
+	}
 	s.background(func(ctx context.Context) {
 		if !held && s.fetch(ctx, request.GetSender()) {
 			what.document = p.documents.News()
--- a/internal/hosted/simulated_test.go
+++ b/internal/hosted/simulated_test.go
@@ -7,6 +7,7 @@
 
 import (
 	"fmt"
+	"sync/atomic"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -23,6 +24,8 @@
 	store   *hostedstore.Store
 	network *memnet.Network
 	nodes   []*testNode
+	// opened counts the connections that nodes have opened to others.
+	opened *atomic.Int64
 }
 
 func simulatedAddress(n int) (host, address string) {
@@ -39,7 +42,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return startNodeOn(t, m.store, fmt.Sprintf("%c%d", 'a'+n%4, n), listener, host.Dial, firstStart)
+	return startNodeOn(t, m.store, fmt.Sprintf("%c%d", 'a'+n%4, n), listener, counting(host.Dial, m.opened), firstStart)
 }
 
 // startSimulated starts a mesh and waits until all nodes know each other.
@@ -47,7 +50,7 @@
 	t.Helper()
 	// Time stands still once a test has ended: what still dials must end before.
 	t.Cleanup(func() { time.Sleep(time.Minute) })
-	m := &simulated{store: newStore(), network: memnet.New(500 * time.Microsecond)}
+	m := &simulated{store: newStore(), network: memnet.New(500 * time.Microsecond), opened: new(atomic.Int64)}
 	for n := range size {
 		m.nodes = append(m.nodes, m.start(t, n, true))
 	}
--- a/internal/hosted/syncer.go
+++ b/internal/hosted/syncer.go
@@ -17,6 +17,14 @@
 	firstSyncTime     = 3 * time.Second
 	// nearShare is the share of comparisons within the own zone.
 	nearShare = 0.75
+	// nearPartners and farPartners are how many nodes of the own zone and of others a
+	// node compares notes with. Random graphs of that degree are connected, and a
+	// partner is asked again before the connection to it is idle for too long.
+	nearPartners = 3
+	farPartners  = 2
+	// strangerShare is the share of comparisons with any other node, so that nodes
+	// whose partners know as little as they do find the rest.
+	strangerShare = 0.05
 	// lostInterval is how often lost nodes are looked after.
 	lostInterval = 250 * time.Millisecond
 	// lostTries bounds how many lost nodes are tried at a time.
@@ -67,12 +75,20 @@
 	return syncInterval
 }
 
-// compare compares notes with a random node that is taken to be reachable, mostly
-// of the own zone: bytes between zones are dear.
+// compare compares notes with a node that is taken to be reachable: mostly one of
+// few partners, to which a connection is open, and mostly of the own zone, since
+// bytes between zones are dear.
 func (s *Syncer) compare(ctx context.Context) {
 	peers := s.peers.reachablePeers()
-	if near := s.peers.inZone(s.table.View().Self().Zone); len(near) > 0 && rand.Float64() < nearShare {
-		peers = near
+	self := s.table.View().Self()
+	if rand.Float64() >= strangerShare {
+		near, far := nearPartners, 0
+		if rand.Float64() >= nearShare {
+			near, far = 0, farPartners
+		}
+		if partners := fleet.Partners(peers, self.ID, self.Zone, near, far); len(partners) > 0 {
+			peers = partners
+		}
 	}
 	if len(peers) > 0 {
 		s.peers.Sync(ctx, *peers[rand.IntN(len(peers))])
--- a/pkg/fleet/contacts.go
+++ b/pkg/fleet/contacts.go
@@ -2,6 +2,7 @@
 
 import (
 	"sync"
+	"sync/atomic"
 	"time"
 )
 
@@ -10,6 +11,8 @@
 type Contacts struct {
 	mutex sync.Mutex
 	lost  map[string]lostContact
+	// count is the number of lost nodes: mostly there are none, and calls ask often.
+	count atomic.Int32
 }
 
 type lostContact struct {
@@ -33,6 +36,7 @@
 	defer c.mutex.Unlock()
 	_, was := c.lost[id]
 	delete(c.lost, id)
+	c.count.Store(int32(len(c.lost)))
 	return was
 }
 
@@ -49,11 +53,15 @@
 	pause := min(firstContactPause<<min(contact.failures-1, 8), longestContactPause)
 	contact.next = now.Add(pause/2 + time.Duration(float64(pause)*jitter))
 	c.lost[id] = contact
+	c.count.Store(int32(len(c.lost)))
 	return !known
 }
 
 // Reachable reports whether a node is taken to be reachable.
 func (c *Contacts) Reachable(id string) bool {
+	if c.count.Load() == 0 {
+		return true
+	}
 	c.mutex.Lock()
 	defer c.mutex.Unlock()
 	_, lost := c.lost[id]
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -42,6 +42,9 @@
 type Merged struct {
 	// News are the records that were taken.
 	News []Node
+	// NewLives are the nodes of which a record of a later life than the one held
+	// was taken.
+	NewLives []string
 	// FormerSelf is a record of the own node that is newer than the one held, as
 	// a former life has left it; it is not taken.
 	FormerSelf *Node
@@ -65,8 +68,9 @@
 			former := n
 			merged.FormerSelf = &former
 		default:
-			if known {
+			if known && held.Incarnation != n.Incarnation {
 				t.keepPromises(held, n)
+				merged.NewLives = append(merged.NewLives, n.ID)
 			}
 			taken[n.ID] = &n
 			merged.News = append(merged.News, n)
@@ -85,9 +89,6 @@
 // keepPromises remembers what a life of a node has promised when the next one
 // replaces its record. The mu is held.
 func (t *Table) keepPromises(former, next Node) {
-	if former.Incarnation == next.Incarnation {
-		return
-	}
 	t.outlived[next.ID] = true
 	kept := t.promises[next.ID]
 	for _, worker := range former.Workers {
