Ask another worker after a failure, and let callers that come back wait longer

An answer 5xx of a worker to a request that may be repeated is kept while another worker is asked, within the attempts of the route and the budget, and as long as there is time for the usual work. It is the answer when nobody does better. A caller that comes back has no further try. It waits for a slot up to 0.45 of its time, if twice the usual work still fits after that, behind new callers of its rank, in place of 0.2 targets.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -35,9 +35,16 @@
 	return latest
 }
 
-// patience is how long the call may wait for a slot.
+// patience is how long the call may wait for a slot. A caller that comes back may
+// have no third try, so it waits for as long as an answer can still be in time.
 func (c *call) patience() time.Duration {
-	return min(time.Duration(patienceShare*float64(c.target())), longestPatience)
+	first := min(time.Duration(patienceShare*float64(c.target())), longestPatience)
+	if !c.back {
+		return first
+	}
+	left := c.end.Sub(c.began)
+	work, _ := c.state.expected()
+	return max(first, min(time.Duration(returnPatienceShare*float64(left)), left-returnWorkReserve*work))
 }
 
 // rank orders the call where calls wait for a slot. Of the same operators' rank, a
@@ -74,6 +81,9 @@
 	// overloaded tells that a node had no slot in time.
 	overloaded bool
 	last       error
+	// failure is the first answer by which a worker told that it has failed. It is
+	// the answer unless another worker does better.
+	failure *answer
 	// unknown is the first failure after which the call may have run.
 	unknown error
 }
@@ -82,12 +92,15 @@
 	for {
 		chosen, ok := o.choose()
 		if !ok {
-			return nil, o.giveUp()
+			return o.conclude()
 		}
 		result, arrived, err := o.offer(ctx, chosen)
-		if err == nil {
+		if err == nil && !o.askAnother(ctx, result) {
 			return result, nil
 		}
+		if err == nil {
+			continue
+		}
 		o.last = err
 		if o.unknown == nil && outcome.Of(err) == outcome.Unknown {
 			o.unknown = err
@@ -96,12 +109,52 @@
 			o.arrivals++
 		}
 		if !o.goOn(ctx, err, arrived) {
-			return nil, o.giveUp()
+			return o.conclude()
 		}
 	}
 }
 
+// askAnother reports whether another worker may do better than one that has answered
+// that it failed, and keeps that answer.
+func (o *offers) askAnother(ctx context.Context, result *answer) bool {
+	c := o.call
+	if result.status < statusServerFault || result.rest != nil || o.failure != nil {
+		return false
+	}
+	o.arrivals++
+	work, _ := c.state.expected()
+	inTime := time.Until(c.end) > work
+	if ctx.Err() != nil || !inTime || !c.body.repeatable() || !c.route.MayRepeat(c.request.Method) || !o.mayArriveAgain() {
+		return false
+	}
+	o.failure = result
+	return true
+}
+
+// mayArriveAgain reports whether another worker may have the call, and counts it in
+// the budget.
+func (o *offers) mayArriveAgain() bool {
+	limit := o.call.route.Config.Attempts
+	if limit > 0 && o.arrivals >= limit {
+		return false
+	}
+	return o.destination.budget.Spend(time.Now())
+}
+
+// conclude returns what the caller is told when no further offer is made: the answer
+// of a worker that failed, if there is one.
+func (o *offers) conclude() (*answer, error) {
+	if o.failure != nil {
+		return o.failure, nil
+	}
+	return nil, o.giveUp()
+}
+
 func (o *offers) choose() (choice, bool) {
+	if o.failure != nil {
+		// A worker that has failed is not asked again: its answer stands.
+		return o.chooseExcept(o.tried)
+	}
 	if !o.lastRefusal() {
 		if chosen, ok := o.chooseExcept(o.tried); ok || !o.overloaded {
 			return chosen, ok
@@ -144,11 +197,7 @@
 		o.overloaded = o.overloaded || outcome.ReasonOf(err) == outcome.Overloaded
 		return o.refusals < maximumRefusals && time.Now().Before(o.latestStart)
 	}
-	limit := o.call.route.Config.Attempts
-	if limit > 0 && o.arrivals >= limit {
-		return false
-	}
-	return o.destination.budget.Spend(time.Now())
+	return o.mayArriveAgain()
 }
 
 // giveUp returns the failure that the caller is told. Once an offer may have run,
--- /dev/null
+++ b/internal/forwarding/bench_test.go
@@ -0,0 +1,55 @@
+package forwarding
+
+import (
+	"io"
+	"net/http"
+	"testing"
+)
+
+// BenchmarkCall compares a call to a worker without a node between, with the worker
+// beside the caller's node, and through two nodes. The ratios of one run tell what
+// a node costs.
+func BenchmarkCall(b *testing.B) {
+	worker := startWorker(b)
+	beside := startNode(b, "a", "ledger", worker)
+	distant := startNode(b, "b", "other", nil)
+	configure(b, ledgerRoutes, beside, distant)
+	introduce(beside, distant)
+	for _, way := range []struct{ name, url string }{
+		{"direct", worker.server.URL},
+		{"beside", beside.caller.URL},
+		{"two-nodes", distant.caller.URL},
+	} {
+		b.Run(way.name, func(b *testing.B) {
+			transport := &http.Transport{MaxIdleConnsPerHost: 4}
+			defer transport.CloseIdleConnections()
+			b.ReportAllocs()
+			for b.Loop() {
+				benchCall(b, transport, way.url)
+			}
+		})
+	}
+}
+
+func benchCall(b *testing.B, transport *http.Transport, url string) {
+	request, err := http.NewRequestWithContext(b.Context(), http.MethodGet, url+"/read/1", nil)
+	if err != nil {
+		b.Fatal(err)
+	}
+	request.Host = "mesh.example"
+	request.Header.Set("X-Id", "id-1")
+	request.Header.Set("X-Timeout", "4000")
+	response, err := transport.RoundTrip(request)
+	if err != nil {
+		b.Fatal(err)
+	}
+	if _, err := io.Copy(io.Discard, response.Body); err != nil {
+		b.Fatal(err)
+	}
+	if err := response.Body.Close(); err != nil {
+		b.Fatal(err)
+	}
+	if response.StatusCode != http.StatusOK {
+		b.Fatalf("status %d", response.StatusCode)
+	}
+}
--- a/internal/forwarding/returning_test.go
+++ b/internal/forwarding/returning_test.go
@@ -1,6 +1,12 @@
 package forwarding
 
-import "testing"
+import (
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/routing"
+)
 
 func TestCallersThatComeBackHaveRareTimeouts(t *testing.T) {
 	var c commonTimeouts
@@ -47,3 +53,30 @@
 		t.Error("the common timeout was forgotten")
 	}
 }
+
+// TestCallerThatComesBackWaitsWhileAnAnswerCanBeInTime compares how long a call may
+// wait for a slot at its first try and when its caller has been refused before.
+func TestCallerThatComesBackWaitsWhileAnAnswerCanBeInTime(t *testing.T) {
+	const target = 400 * time.Millisecond
+	began := time.Now()
+	for _, test := range []struct {
+		name       string
+		back       bool
+		left, work time.Duration
+		want       time.Duration
+	}{
+		{"first try", false, 1200 * time.Millisecond, 100 * time.Millisecond, 80 * time.Millisecond},
+		{"comes back", true, 800 * time.Millisecond, 100 * time.Millisecond, 360 * time.Millisecond},
+		{"with long work", true, 800 * time.Millisecond, 250 * time.Millisecond, 300 * time.Millisecond},
+		{"too late for more", true, 200 * time.Millisecond, 90 * time.Millisecond, 80 * time.Millisecond},
+	} {
+		c := &call{
+			began: began, end: began.Add(test.left), back: test.back,
+			route: &routing.Route{Config: &model.Route{TargetLatency: target}},
+			state: &routeState{work: test.work},
+		}
+		if waits := c.latestStart().Sub(began); waits != test.want {
+			t.Errorf("%s: waits for %v, not %v", test.name, waits, test.want)
+		}
+	}
+}
