--- a/internal/hosted/announcer.go
+++ b/internal/hosted/announcer.go
@@ -18,8 +18,8 @@
 	// startSpread is the time over which the nodes of a whole mesh that starts
 	// come to an empty store, so that most of them find entries there.
 	startSpread = 300 * time.Millisecond
-	// rejoinSpread is the time over which nodes renew entries that former lives
-	// of them have left.
+	// rejoinSpread is the time over which nodes look after entries that former lives
+	// of them have left. These were renewed 60 s before at most, which leaves time.
 	rejoinSpread = 20 * time.Second
 	// entryLife is the life of this node's entry in the store, and renewInterval
 	// how often it is lengthened, or looked whether there are too few.
@@ -170,12 +170,15 @@
 // StoreReturned tells that the store answers again after an outage, in which the
 // entry may have lapsed. The entry is looked after within returnSpread.
 func (a *Announcer) StoreReturned() {
-	time.AfterFunc(rand.N(returnSpread), func() {
-		select {
-		case a.returned <- struct{}{}:
-		default:
-		}
-	})
+	time.AfterFunc(rand.N(returnSpread), a.check)
+}
+
+// check has the announcer's own goroutine make sure that the entry is there.
+func (a *Announcer) check() {
+	select {
+	case a.returned <- struct{}{}:
+	default:
+	}
 }
 
 // bounded makes one call to the store.
@@ -196,14 +199,13 @@
 	if err != nil {
 		return err
 	}
-	if len(listed.nodes) >= directorySize && !listed.own {
+	if len(listed.nodes) >= directorySize && listed.own == nil {
 		a.meet(ctx, listed)
 		return nil
 	}
-	if listed.own {
-		// The entry of a former life lasts for a while: others find this node by it.
+	if listed.own != nil {
 		a.meet(ctx, listed)
-		time.AfterFunc(rand.N(rejoinSpread), a.soon)
+		a.adopt(*listed.own)
 		return nil
 	}
 	// Of two nodes that come at the same time, at least one must see the other:
@@ -218,6 +220,21 @@
 	return nil
 }
 
+// adopt takes over the entry that a former life has left: others find this node by
+// it, and it is enough to keep its lease alive. One that cannot be kept, or names
+// another address, is written anew.
+func (a *Announcer) adopt(e Entry) {
+	a.mu.Lock()
+	a.lease, a.revision = e.Lease, e.Revision
+	a.mu.Unlock()
+	former, _ := decodeEntry(e.Content)
+	again := a.soon
+	if self := a.table.View().Self(); e.Lease != "" && former.ControlAddress == self.ControlAddress && former.CallAddress == self.CallAddress {
+		again = a.check
+	}
+	time.AfterFunc(rand.N(rejoinSpread), again)
+}
+
 // meet hands the nodes on, and does not wait until they have answered: that is
 // bounded by itself.
 func (a *Announcer) meet(ctx context.Context, listed listing) {
@@ -342,8 +359,8 @@
 // listing is what the store names.
 type listing struct {
 	nodes []fleet.Node
-	// own tells that there is an entry of this node.
-	own bool
+	// own is the entry of this node; nil when there is none.
+	own *Entry
 }
 
 // others counts the other nodes.
@@ -360,7 +377,7 @@
 		n, ok := decodeEntry(entry.Content)
 		switch {
 		case entry.ID == own:
-			listed.own = true
+			listed.own = &entry
 		case ok:
 			listed.nodes = append(listed.nodes, n)
 		}
--- a/internal/hosted/simulated_test.go
+++ b/internal/hosted/simulated_test.go
@@ -6,6 +6,7 @@
 package hosted_test
 
 import (
+	"bytes"
 	"fmt"
 	"sync/atomic"
 	"testing"
@@ -172,3 +173,22 @@
 		})
 	}
 }
+
+// TestRestartedNodeKeepsTheEntryOfItsFormerLife restarts a node without a word, and
+// lets the leases end later.
+func TestRestartedNodeKeepsTheEntryOfItsFormerLife(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 8
+		m := startSimulated(t, size)
+		m.within(t, time.Minute, "all have an entry", func() bool { return m.store.Entries() == size })
+		before, unchanged := m.store.Written(), m.store.Entry("c6")
+		m.nodes[6].kill()
+		m.nodes[6] = m.start(t, 6, false)
+		time.Sleep(25 * time.Second)
+		if written := m.store.Written() - before; written != 0 || !bytes.Equal(m.store.Entry("c6"), unchanged) {
+			t.Errorf("%d writes to the store, the entry is %q", written, m.store.Entry("c6"))
+		}
+		m.store.EndLeases()
+		m.within(t, 90*time.Second, "the entries are back", func() bool { return m.store.Entries() == size })
+	})
+}
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -42,6 +42,8 @@
 	Content []byte
 	// Revision is that of its last change; zero when there is no entry.
 	Revision uint64
+	// Lease is what the entry is under; empty when the store does not tell.
+	Lease Lease
 }
 
 // Directory is where nodes leave their addresses for those that start, and the
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -32,6 +32,8 @@
 	changed chan struct{}
 	faults  map[string]Faults
 	calls   int
+	// written counts the calls that grant a lease or write an entry.
+	written int
 	leases  uint64
 	granted map[hosted.Lease]bool
 }
@@ -95,6 +97,13 @@
 	return s.calls
 }
 
+// Written returns how many calls were made that grant a lease or write an entry.
+func (s *Store) Written() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.written
+}
+
 // Entries returns how many nodes have an entry.
 func (s *Store) Entries() int {
 	s.mutex.Lock()
@@ -203,6 +212,7 @@
 	}
 	c.store.mutex.Lock()
 	c.store.leases++
+	c.store.written++
 	lease := hosted.Lease(strconv.FormatUint(c.store.leases, 10))
 	c.store.granted[lease] = true
 	c.store.mutex.Unlock()
@@ -225,6 +235,7 @@
 func (s *Store) replace(e hosted.Entry, lease hosted.Lease) (hosted.Entry, bool, error) {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	s.written++
 	if !s.granted[lease] {
 		return hosted.Entry{}, false, hosted.ErrLeaseEnded.New("ended")
 	}
@@ -288,7 +299,9 @@
 	defer c.store.mutex.Unlock()
 	listed := make([]hosted.Entry, 0, len(c.store.entries))
 	for _, held := range c.store.entries {
-		listed = append(listed, held.Entry)
+		e := held.Entry
+		e.Lease = held.lease
+		listed = append(listed, e)
 	}
 	return listed, nil
 }
