--- a/internal/hosted/reader.go
+++ b/internal/hosted/reader.go
@@ -29,9 +29,11 @@
 	// meets before it reads the store itself: they answer within some milliseconds,
 	// and those that start, too, say at once that they have no document.
 	othersBound = 300 * time.Millisecond
-	// firstReadSpread is the time over which the nodes of a mesh that starts for the
-	// first time come to read: whoever comes first hands the document to all others.
-	firstReadSpread = time.Second
+	// firstReadPerNode, times the nodes known, is the time over which the nodes of a
+	// mesh that starts for the first time come to read, up to longestFirstRead: one
+	// of them reads every few milliseconds and hands the document to all others.
+	firstReadPerNode = 25 * time.Millisecond
+	longestFirstRead = 5 * time.Second
 	// herdReadPerNode, times the nodes known, is the time over which nodes that start
 	// at the same moment come to read, up to longestHerdRead: a few milliseconds after
 	// the first has read, it has told the others.
@@ -93,7 +95,7 @@
 	r.awaitDocument(ctx, r.asked, othersBound)
 	spread := min(time.Duration(len(r.table.View().Nodes()))*herdReadPerNode, longestHerdRead)
 	if r.firstStart {
-		spread = firstReadSpread
+		spread = min(time.Duration(len(r.table.View().Nodes()))*firstReadPerNode, longestFirstRead)
 	}
 	r.awaitDocument(ctx, nil, rand.N(spread))
 }
@@ -160,7 +162,8 @@
 	document, next, err := r.source.Read(bounded)
 	switch {
 	case errorx.IsOfType(err, ErrNoDocument):
-		sleep(ctx, jittered(roleInterval))
+		// Whoever finds the first document tells the others.
+		r.awaitDocument(ctx, nil, jittered(r.shared(roleInterval)))
 		return true
 	case err != nil:
 		r.lost(ctx, err)
@@ -201,9 +204,14 @@
 }
 
 func (r *Reader) pause() time.Duration {
+	return jittered(min(r.shared(retryPause), longestRetryPause))
+}
+
+// shared returns a pause that all nodes make in place of the given one, which suits a
+// mesh of up to pauseNodes: all together then call no more often than those.
+func (r *Reader) shared(pause time.Duration) time.Duration {
 	nodes := len(r.table.View().Nodes())
-	mean := retryPause * time.Duration(max(nodes, pauseNodes)) / pauseNodes
-	return jittered(min(mean, longestRetryPause))
+	return pause * time.Duration(max(nodes, pauseNodes)) / pauseNodes
 }
 
 // jittered returns a duration from half to one and a half of the mean.
--- a/internal/hosted/simulated_test.go
+++ b/internal/hosted/simulated_test.go
@@ -192,3 +192,23 @@
 		m.within(t, 90*time.Second, "the entries are back", func() bool { return m.store.Entries() == size })
 	})
 }
+
+// TestMeshWaitsForItsFirstDocument starts a mesh before there is a document.
+func TestMeshWaitsForItsFirstDocument(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 60
+		t.Cleanup(func() { time.Sleep(time.Minute) })
+		m := &simulated{store: hostedstore.New(), network: memnet.New(500 * time.Microsecond), opened: new(atomic.Int64)}
+		for n := range size {
+			m.nodes = append(m.nodes, m.start(t, n, true))
+		}
+		time.Sleep(5 * time.Second)
+		calls := m.store.Calls()
+		if calls > 8*size {
+			t.Errorf("%d calls to a store without a document", calls)
+		}
+		m.store.Put(testDocument(0))
+		took := m.within(t, time.Second, "the document is everywhere", allHold(m.nodes, testDocument(0)))
+		t.Logf("%d calls in 5 s without a document, everywhere after %v with %d more", calls, took, m.store.Calls()-calls)
+	})
+}
