Ask the hub of the own zone first, so that a mesh that restarts finds itself sooner

Cause: after a power cut of all machines each node knew the 24 of the directory and found the others by comparing with random ones. All nodes of a zone see the same directory, so they now ask the same node of it first, which then knows all.

--- a/internal/hosted/former.go
+++ b/internal/hosted/former.go
@@ -35,10 +35,26 @@
 		named[i] = &nodes[i]
 	}
 	a.background(a.spreadRecord)
-	a.ask(ctx, named)
+	a.ask(ctx, a.firstAsked(named))
 	a.askedOnce.Do(func() { close(a.asked) })
 }
 
+// firstAsked returns the nodes that are asked first: some of those that the store
+// names, and the hub of the own zone among them. All nodes of the zone ask that one
+// when a whole mesh starts, so that it knows them first, and they each other by it.
+func (a *Agent) firstAsked(named []*fleet.Node) []*fleet.Node {
+	asked := pickRandom(named, firstSyncs)
+	zone := a.config.Table.View().Self().Zone
+	near := slices.DeleteFunc(slices.Clone(named), func(n *fleet.Node) bool { return n.Zone != zone })
+	if len(near) == 0 {
+		return asked
+	}
+	if hub := fleet.Hubs(near)[0]; !slices.Contains(asked, hub) {
+		asked = append(asked, hub)
+	}
+	return asked
+}
+
 // heard takes that another node has spoken with this one. A node that has just
 // started, and cannot ask the store, learns from it, and of it who else to ask.
 func (a *Agent) heard(id string) {
@@ -52,21 +68,21 @@
 			return
 		}
 		others := slices.DeleteFunc(a.peers.reachablePeers(), func(other *fleet.Node) bool { return other.ID == id })
-		a.ask(ctx, others)
+		a.ask(ctx, pickRandom(others, firstSyncs))
 		if time.Since(a.started) > recallBound {
 			a.inform()
 		}
 	})
 }
 
-// ask asks some nodes what they know of this one, and waits for all of them: one
+// ask asks nodes what they know of this one, and waits for all of them: one
 // alone may have been restarted just now and lack a promise that others hold.
 // Those that do not answer in time are lost, or have started just now, too.
 func (a *Agent) ask(ctx context.Context, nodes []*fleet.Node) {
 	bounded, cancel := context.WithTimeout(ctx, formerBound)
 	defer cancel()
 	var answers sync.WaitGroup
-	for _, node := range pickRandom(nodes, firstSyncs) {
+	for _, node := range nodes {
 		answers.Go(func() { a.peers.Sync(bounded, *node) })
 	}
 	answers.Wait()
