Let the last offer of a call go where there is room, also in another zone

Cause: a call asks up to four nodes for a slot. At the last offer, after which the call is refused, the price does not count any more.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -172,6 +172,7 @@
 	return o.destination.choose(wish{
 		bytes:     answerBytes + len(o.call.body.held),
 		long:      o.call.body.long(),
+		last:      o.lastRefusal(),
 		tried:     tried,
 		work:      work,
 		target:    o.call.target(),
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -135,6 +135,9 @@
 	bytes int
 	// long tells that the body waits for its turn on the link of the endpoint.
 	long bool
+	// last tells that the call is refused if the endpoint refuses it: where there is
+	// room counts then, and not what the way there costs.
+	last bool
 	// tried are the nodes that are not to be chosen again.
 	tried []string
 	// work is how long the request is expected to run, target the time within
@@ -212,8 +215,7 @@
 		score += float64(load.Waiting+1) * hold / float64(load.Slots)
 	}
 	if e.zone != d.zone {
-		kibibytes := float64(w.bytes+headBytes) / 1024
-		score += float64(otherZoneDelay) + min(otherZoneShare*kibibytes, otherZoneMost)*float64(w.target)
+		score += float64(otherZoneDelay) + otherZonePrice(w)
 	}
 	score += load.Failing * failureCost * float64(w.target)
 	if w.long && e.node != d.self {
@@ -226,6 +228,16 @@
 	return score
 }
 
+// otherZonePrice is the delay, in nanoseconds, that a request may rather have in its own
+// zone than cross to another one.
+func otherZonePrice(w wish) float64 {
+	if w.last {
+		return 0
+	}
+	kibibytes := float64(w.bytes+headBytes) / 1024
+	return min(otherZoneShare*kibibytes, otherZoneMost) * float64(w.target)
+}
+
 // result is what was seen of a request to an endpoint.
 type result struct {
 	load    slotqueue.Load
