Have each node begin at another place when requests are shared among services

Cause: every node gave the first request of a divided route to the heaviest part. With 400 nodes and weights of 90 and 10 the lighter part gets nothing of the first 3,600 requests; a bound of 0.1 over any 300 requests does not hold then.

--- a/internal/forwarding/routes.go
+++ b/internal/forwarding/routes.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"math/rand/v2"
 	"sync"
 	"time"
 
@@ -8,8 +9,13 @@
 	"github.com/levertide/levertide/pkg/routing"
 )
 
-// routeWeight is the weight of one more observation of a route.
-const routeWeight = 0.05
+const (
+	// routeWeight is the weight of one more observation of a route.
+	routeWeight = 0.05
+	// startPlaces is how many places there are at which a node may begin to share
+	// the requests of a route: operators give weights in parts of a hundred.
+	startPlaces = 100
+)
 
 // routeState is what a node keeps of a route from version to version.
 type routeState struct {
@@ -49,7 +55,31 @@
 	}
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
+	if s.lacksCredit(backends) {
+		s.credit = make(map[string]float64, len(backends))
+		// Nodes begin at different places of the sequence: if each gave its first
+		// request to the heaviest part, the others would get none of them.
+		for range rand.IntN(startPlaces) {
+			s.pick(backends)
+		}
+	}
 	s.forgetOthers(backends)
+	return s.pick(backends)
+}
+
+// lacksCredit reports whether there is a part that was given nothing so far. The
+// mutex is held.
+func (s *routeState) lacksCredit(backends []model.Backend) bool {
+	for _, backend := range backends {
+		if _, known := s.credit[backend.Service]; !known {
+			return true
+		}
+	}
+	return false
+}
+
+// pick gives the next request to the part that is furthest behind. The mutex is held.
+func (s *routeState) pick(backends []model.Backend) string {
 	total := 0
 	best := -1
 	for index, backend := range backends {
