--- a/internal/forwarding/weights_test.go
+++ b/internal/forwarding/weights_test.go
@@ -10,7 +10,7 @@
 // TestManyNodesKeepTheWeightsFromTheFirstRequestOn has each of many nodes give a few
 // requests of a route that was just divided to its parts.
 func TestManyNodesKeepTheWeightsFromTheFirstRequestOn(t *testing.T) {
-	const nodes = 400
+	const nodes = 1600
 	for _, weights := range [][]int{{60, 40}, {90, 10}, {1, 1, 1}} {
 		var backends []model.Backend
 		total := 0
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -21,6 +21,8 @@
 	// Transfers and WaitingTransfers are the long bodies of other nodes that cross
 	// to this one, and those that wait for their turn.
 	Transfers, WaitingTransfers int
+	// Messages is what the node has sent to others.
+	Messages hosted.Messages
 }
 
 // NewHostedRegistry returns a registry that reads the node's state at each scrape.
@@ -30,6 +32,10 @@
 		options := prometheus.GaugeOpts{Namespace: metricsNamespace, Name: name, Help: help}
 		return prometheus.NewGaugeFunc(options, func() float64 { return value(read()) })
 	}
+	counter := func(name, help string, value func(hosted.Messages) uint64) prometheus.Collector {
+		options := prometheus.CounterOpts{Namespace: metricsNamespace, Name: name, Help: help}
+		return prometheus.NewCounterFunc(options, func() float64 { return float64(value(read().Messages)) })
+	}
 	registry.MustRegister(
 		collectors.NewGoCollector(),
 		gauge("ready", "1 while callers may come.", func(r HostedReading) float64 { return truth(r.Ready) }),
@@ -42,6 +48,9 @@
 		gauge("worker_slots", "Slots of the workers beside this node that may be given work.", func(r HostedReading) float64 { return float64(r.Slots) }),
 		gauge("transfers_running", "Long bodies that cross to this node.", func(r HostedReading) float64 { return float64(r.Transfers) }),
 		gauge("transfers_waiting", "Long bodies that wait for their turn on the link of this node.", func(r HostedReading) float64 { return float64(r.WaitingTransfers) }),
+		counter("comparisons_total", "Questions to other nodes whether they know the same.", func(m hosted.Messages) uint64 { return m.Comparisons }),
+		counter("broadcasts_total", "Messages with news to other nodes.", func(m hosted.Messages) uint64 { return m.Broadcasts }),
+		counter("broadcast_records_total", "Records of nodes in messages with news.", func(m hosted.Messages) uint64 { return m.Records }),
 	)
 	return &Registry{registry: registry}
 }
