Offer a call once more in another zone when its own zone refuses it at once

Now four nodes are asked as before, with the price of the bytes, and only a call that all of these have refused at once is offered once more, in another zone; not one with a long body.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -172,7 +172,7 @@
 	return o.destination.choose(wish{
 		bytes:     answerBytes + len(o.call.body.held),
 		long:      o.call.body.long(),
-		last:      o.lastRefusal(),
+		elsewhere: o.refusals >= maximumRefusals,
 		tried:     tried,
 		work:      work,
 		target:    o.call.target(),
@@ -184,6 +184,16 @@
 // lastRefusal reports whether no further node is asked when the next one refuses.
 func (o *offers) lastRefusal() bool { return o.refusals >= maximumRefusals-1 }
 
+// mostRefusals is how many nodes are asked for a slot. A call that all have refused at
+// once may ask one of another zone, unless its body is long: bytes between zones are
+// paid for, but not served at all is worse.
+func (o *offers) mostRefusals() int {
+	if o.call.body.long() {
+		return maximumRefusals
+	}
+	return maximumRefusals + 1
+}
+
 // goOn reports whether a further offer may be made after a failure. Only an
 // offer that has reached a worker costs budget, and only one that may have run
 // is bound to what may be repeated.
@@ -198,7 +208,7 @@
 	if !arrived && !unknown {
 		o.refusals++
 		o.overloaded = o.overloaded || outcome.ReasonOf(err) == outcome.Overloaded
-		return o.refusals < maximumRefusals && time.Now().Before(o.latestStart)
+		return o.refusals < o.mostRefusals() && time.Now().Before(o.latestStart)
 	}
 	return o.mayArriveAgain()
 }
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -86,7 +86,8 @@
 	// idleConnections bounds the unused connections to one node.
 	idleConnections = 32
 
-	// maximumRefusals bounds how many nodes are asked for a slot.
+	// maximumRefusals bounds how many nodes are asked for a slot, one of another zone
+	// after that apart.
 	maximumRefusals = 4
 	// patienceShare is the share of a route's target latency that a call may
 	// wait for a slot, counted from its arrival. What has waited longer without
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -135,9 +135,9 @@
 	bytes int
 	// long tells that the body waits for its turn on the link of the endpoint.
 	long bool
-	// last tells that the call is refused if the endpoint refuses it: where there is
-	// room counts then, and not what the way there costs.
-	last bool
+	// elsewhere tells that the own zone has no room: only others are chosen from, and
+	// what the bytes to them cost does not count.
+	elsewhere bool
 	// tried are the nodes that are not to be chosen again.
 	tried []string
 	// work is how long the request is expected to run, target the time within
@@ -157,7 +157,7 @@
 	var best choice
 	bestScore, nextScore := math.Inf(1), math.Inf(1)
 	for _, e := range d.ordered {
-		if contains(w.tried, e.node) {
+		if contains(w.tried, e.node) || w.elsewhere && e.zone == d.zone {
 			continue
 		}
 		load, usable := d.loadOf(e, w, now)
@@ -231,7 +231,7 @@
 // otherZonePrice is the delay, in nanoseconds, that a request may rather have in its own
 // zone than cross to another one.
 func otherZonePrice(w wish) float64 {
-	if w.last {
+	if w.elsewhere {
 		return 0
 	}
 	kibibytes := float64(w.bytes+headBytes) / 1024
--- a/internal/forwarding/zones_test.go
+++ b/internal/forwarding/zones_test.go
@@ -1,58 +1,48 @@
 package forwarding
 
 import (
+	"bytes"
 	"fmt"
+	"net/http"
 	"testing"
 	"time"
 
+	"github.com/levertide/levertide/internal/testwait"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/slotqueue"
-	"github.com/levertide/levertide/pkg/workers"
 )
 
-// twoZones returns what a node of zone a knows of a service with workers in two zones.
-func twoZones(t *testing.T, perZone int) *destination {
-	t.Helper()
-	table := fleet.NewTable(fleet.Node{ID: "front", Incarnation: 1, Zone: "a", State: fleet.StateLive})
-	for _, zone := range []string{"a", "b"} {
-		for n := range perZone {
-			id := fmt.Sprint(zone, n)
-			table.Merge([]fleet.Node{{
-				ID: id, Incarnation: 1, Zone: zone, State: fleet.StateLive, CallAddress: id,
-				Workers: []workers.Worker{{Instance: "w" + id, Service: "ledger", Slots: 4, State: workers.StateReady}},
-			}})
-		}
-	}
-	d := &destination{service: "ledger", self: "front", zone: "a"}
-	d.refresh(table.View())
-	return d
-}
-
-// zoneWish is a short request that is worth most within 400 ms.
-func zoneWish() wish {
-	return wish{
-		bytes: 1500, work: 50 * time.Millisecond, target: 400 * time.Millisecond,
-		local:     func() (slotqueue.Load, bool) { return slotqueue.Load{}, false },
-		reachable: func(string) bool { return true },
+// TestCallThatItsZoneRefusesIsTakenElsewhere fills the workers of the caller's zone.
+func TestCallThatItsZoneRefusesIsTakenElsewhere(t *testing.T) {
+	near, far := startWorker(t), startWorker(t)
+	front := startNode(t, "front", "desk", nil)
+	nodes := []*testNode{front}
+	for n := range maximumRefusals {
+		nodes = append(nodes, startNode(t, fmt.Sprint("near-", n), "ledger", near))
 	}
-}
-
-// TestLastOfferGoesWhereThereIsRoom fills the own zone as far as the node knows.
-func TestLastOfferGoesWhereThereIsRoom(t *testing.T) {
-	d := twoZones(t, 3)
-	now := time.Now()
-	for _, e := range d.ordered {
-		e.report, e.reportedAt = slotqueue.Load{Slots: 4, Hold: 40 * time.Millisecond}, now
-		if e.zone == "a" {
-			e.report.Running, e.report.Waiting = 4, 2
+	other := startNode(t, "far", "ledger", far)
+	other.table.Update(func(own *fleet.Node) { own.Zone = "elsewhere" })
+	nodes = append(nodes, other)
+	introduce(nodes...)
+	configure(t, ledgerRoutes, nodes...)
+	for _, node := range nodes[1 : 1+maximumRefusals] {
+		leg, err := node.plane.local.find("ledger", "")
+		if err != nil {
+			t.Fatal(err)
+		}
+		fill(t, node)
+		// As many wait as hold the slots for long, so that a call is refused at once.
+		for range 4 {
+			go func() { _, _ = leg.queue.Admit(t.Context(), slotqueue.Request{LatestStart: time.Now().Add(patience)}) }()
 		}
+		testwait.Eventually(t, "others wait", func() bool { return leg.load().Waiting == 4 })
 	}
-	w := zoneWish()
-	if chosen, _ := d.choose(w, now); chosen.endpoint.zone != "a" {
-		t.Error("the bytes to another zone were spent for a short wait")
+	short := callerRequest(t, front, http.MethodGet, "/short/1", nil)
+	if status, _, _ := ask(t, short); status != http.StatusOK || far.calls.Load() != 1 {
+		t.Errorf("a short call: status %d, %d calls in the other zone", status, far.calls.Load())
 	}
-	w.last = true
-	if chosen, _ := d.choose(w, now); chosen.endpoint.zone != "b" {
-		t.Error("the last offer went to a full zone")
+	long := callerRequest(t, front, http.MethodPost, "/short/1", bytes.NewReader(make([]byte, 2*questionedBody)))
+	if status, _, _ := ask(t, long); status != http.StatusServiceUnavailable || far.calls.Load() != 1 {
+		t.Errorf("a long one: status %d, %d calls in the other zone", status, far.calls.Load())
 	}
 }
