Carry each long body to a worker over a connection of its own

A nested lookup is written to its worker at 25.959 s and given up at 26.059 when its caller leaves; the worker, with one of six slots taken, reads it at 26.762. That worker answers uploads before it has read them (garble early) and reads on later: the lookup was sent on the connection of such an upload, whose body lay unread before it.

Telling the worker so (Connection: close) was tried first and lost answers: TestEarlyAnswerToALongBody failed, since a worker that is told drops the connection with its answer on the way. TestCallsDoNotWaitBehindABodyThatIsNotRead failed before (504).

--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -85,6 +85,8 @@
 	maximumPipelined = 16
 	// idleConnections bounds the unused connections to one node.
 	idleConnections = 32
+	// noIdleConnections has a transport use each connection once.
+	noIdleConnections = -1
 
 	// maximumRefusals bounds how many nodes are asked for a slot, one of another zone
 	// after that apart.
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -37,6 +37,11 @@
 	// failures is the share of requests that fail at the worker.
 	failures failureShare
 	make     func(idle time.Duration) *http.Transport
+	// unshared carries long bodies, each over a connection that is not used again: a
+	// worker may answer before it has read the body and read on much later, and a
+	// request that followed on the connection would wait behind it. The worker is not
+	// told, since one that is may drop the connection with its answer on the way.
+	unshared *http.Transport
 
 	mutex     sync.Mutex
 	worker    workers.Worker
@@ -60,6 +65,7 @@
 		},
 	}
 	leg.transport = leg.make(workerIdle)
+	leg.unshared = newTransport(p.config.Dial, workerIdle, noIdleConnections)
 	return leg
 }
 
@@ -138,6 +144,9 @@
 // send hands an admitted request to the worker and sorts out answers that are none.
 func (l *workerLeg) send(ctx context.Context, call *workerCall) (*answer, error) {
 	transport := l.current()
+	if call.body.long() {
+		transport = l.unshared
+	}
 	exchange := leg{transport: transport, request: l.request(call), body: call.body}
 	response, err := exchange.do(ctx)
 	if err != nil {
