Let hubs use the relay that ranges use, and one way to the first node that takes news

Cause: batch.go collected news while others are on their way, as relay.go does; the request of a broadcast was built in two places, and three loops tried one node after the other until one takes it. The relay now serves both (a hub's send returns after the interval, a range's when the message has arrived), message and toFirst are used by all. Announce returned a bool that nobody read. Peers.Keep is Replicate, since Announcer.Keep writes to the store.

Ruled out: a change of what is sent. No test changed.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -225,7 +225,7 @@
 	kept.stored = make(chan bool, 1)
 	a.background(a.spreadRecord)
 	a.background(func(ctx context.Context) {
-		a.peers.Keep(ctx, a.ownRecord(), kept.wanted, func() { kept.taken <- struct{}{} })
+		a.peers.Replicate(ctx, a.ownRecord(), kept.wanted, func() { kept.taken <- struct{}{} })
 		close(kept.told)
 	})
 	a.background(func(ctx context.Context) { kept.stored <- a.announcer.Keep(ctx) == nil })
--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -72,21 +72,37 @@
 // handOn gives a part of a broadcast to the first node of it that takes it. When
 // one does not answer, the next one gets the rest.
 func (p *Peers) handOn(ctx context.Context, what news, part fleet.Part) {
-	for _, head := range part.Candidates {
-		request := &exchangepb.BroadcastRequest{
-			Mesh:             p.mesh,
-			Sender:           p.table.View().Self().ID,
-			Nodes:            what.nodes,
-			Document:         what.document,
-			DocumentRevision: what.revision,
-		}
-		if len(part.Candidates) > 1 {
-			request.After, request.Until = part.After, part.Until
+	message := p.message(what, exchangepb.Reach_REACH_RANGE)
+	if len(part.Candidates) > 1 {
+		message.After, message.Until = part.After, part.Until
+	}
+	p.toFirst(ctx, part.Candidates, message)
+}
+
+// message returns the message that brings news, which reach as far as given.
+func (p *Peers) message(what news, reach exchangepb.Reach) *exchangepb.BroadcastRequest {
+	return &exchangepb.BroadcastRequest{
+		Mesh:             p.mesh,
+		Sender:           p.table.View().Self().ID,
+		Nodes:            what.nodes,
+		Document:         what.document,
+		DocumentRevision: what.revision,
+		Reach:            reach,
+	}
+}
+
+// toFirst sends a message to the first of the nodes that takes it. It reports whether
+// there was one.
+func (p *Peers) toFirst(ctx context.Context, candidates []*fleet.Node, message *exchangepb.BroadcastRequest) bool {
+	for _, candidate := range candidates {
+		if p.send(ctx, *candidate, message) {
+			return true
 		}
-		if p.send(ctx, *head, request) || ctx.Err() != nil {
-			return
+		if ctx.Err() != nil {
+			return false
 		}
 	}
+	return false
 }
 
 func (p *Peers) send(ctx context.Context, node fleet.Node, request *exchangepb.BroadcastRequest) bool {
--- a/internal/hosted/hub.go
+++ b/internal/hosted/hub.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 	"time"
 
@@ -28,26 +29,32 @@
 // hub hands on what the nodes of the own zone and the hubs of the others send to
 // this node, while they take it to be their hub.
 type hub struct {
-	// mesh collects for the hubs of the other zones, zone for the own zone.
-	mesh, zone batch
+	background func(work func(ctx context.Context))
+	// mesh hands on to the hubs of the other zones, zone to the own zone.
+	mesh, zone *relay
 }
 
 func newHub(p *Peers, background func(work func(ctx context.Context))) *hub {
-	return &hub{
-		mesh: batch{send: p.toOtherZones, interval: p.batchInterval, background: background},
-		zone: batch{
-			send:       func(ctx context.Context, what news) { p.BroadcastOwnZone(ctx, what, "", "") },
-			interval:   p.batchInterval,
-			background: background,
-		},
-	}
+	h := &hub{background: background}
+	h.mesh = h.batches(p.toOtherZones, p.batchInterval)
+	h.zone = h.batches(func(ctx context.Context, what news) { p.BroadcastOwnZone(ctx, what, "", "") }, p.batchInterval)
+	return h
+}
+
+// batches returns a relay that sends at intervals. It does not wait for a message to
+// arrive: a node that does not answer must not hold up what the others are to know.
+func (h *hub) batches(send func(ctx context.Context, what news), interval func() time.Duration) *relay {
+	return newRelay(func(ctx context.Context, what news, _ partKey) {
+		h.background(func(ctx context.Context) { send(ctx, what) })
+		sleep(ctx, interval())
+	})
 }
 
 // take takes news that reach the own zone or the whole mesh.
 func (h *hub) take(what news, reach exchangepb.Reach) {
-	h.zone.add(what)
+	h.background(func(ctx context.Context) { h.zone.handOn(ctx, what, partKey{}) })
 	if reach == exchangepb.Reach_REACH_MESH {
-		h.mesh.add(what)
+		h.background(func(ctx context.Context) { h.mesh.handOn(ctx, what, partKey{}) })
 	}
 }
 
@@ -57,29 +64,20 @@
 	return min(time.Duration(nodes)*batchPerNode, longestBatch)
 }
 
-// Announce tells all other nodes of records, by way of the hub of the own zone. It
-// reports whether another node has taken them.
-func (p *Peers) Announce(ctx context.Context, records []*exchangepb.Node) bool {
+// Announce tells all other nodes of records, by way of the hub of the own zone.
+func (p *Peers) Announce(ctx context.Context, records []*exchangepb.Node) {
 	what := news{nodes: records}
 	self := p.table.View().Self()
-	for _, candidate := range fleet.Hubs(append(p.inZone(self.Zone), &self)) {
-		if candidate.ID == self.ID {
-			break
-		}
-		if p.sendNews(ctx, *candidate, what, exchangepb.Reach_REACH_MESH) {
-			return true
-		}
-		if ctx.Err() != nil {
-			return false
-		}
-	}
-	if self.State != fleet.StateLive {
+	candidates := fleet.Hubs(append(p.inZone(self.Zone), &self))
+	own := slices.IndexFunc(candidates, func(n *fleet.Node) bool { return n.ID == self.ID })
+	switch {
+	case p.toFirst(ctx, candidates[:own], p.message(what, exchangepb.Reach_REACH_MESH)):
+	case self.State != fleet.StateLive:
 		// This node may end before the next batch.
 		p.toOtherZones(ctx, what)
-		return false
+	default:
+		p.hub.take(what, exchangepb.Reach_REACH_MESH)
 	}
-	p.hub.take(what, exchangepb.Reach_REACH_MESH)
-	return false
 }
 
 // toOtherZones sends news to the hub of each other zone.
@@ -87,56 +85,35 @@
 	self := p.table.View().Self()
 	var zones sync.WaitGroup
 	for zone, nodes := range p.byZone() {
-		if zone == self.Zone {
-			continue
+		if zone != self.Zone {
+			zones.Go(func() { p.toFirst(ctx, fleet.Hubs(nodes), p.message(what, exchangepb.Reach_REACH_ZONE)) })
 		}
-		zones.Go(func() { p.toFirst(ctx, fleet.Hubs(nodes), what) })
 	}
 	zones.Wait()
 }
 
-// toFirst sends news to the first of the candidates that takes them for its zone.
-func (p *Peers) toFirst(ctx context.Context, candidates []*fleet.Node, what news) {
-	for _, candidate := range candidates {
-		if p.sendNews(ctx, *candidate, what, exchangepb.Reach_REACH_ZONE) || ctx.Err() != nil {
-			return
-		}
+// Replicate gives records to as many other nodes as wanted, which keep them. Taken is
+// called for each that does.
+func (p *Peers) Replicate(ctx context.Context, records []*exchangepb.Node, wanted int, taken func()) {
+	message := p.message(news{nodes: records}, exchangepb.Reach_REACH_RANGE)
+	candidates := p.reachablePeers()
+	candidates = pickRandom(candidates, len(candidates))
+	var replicas sync.WaitGroup
+	for n := range wanted {
+		replicas.Go(func() {
+			if p.toFirst(ctx, everyNth(candidates, n, wanted), message) {
+				taken()
+			}
+		})
 	}
+	replicas.Wait()
 }
 
-// sendNews sends news to one node, which hands them on as far as they reach.
-func (p *Peers) sendNews(ctx context.Context, node fleet.Node, what news, reach exchangepb.Reach) bool {
-	return p.send(ctx, node, &exchangepb.BroadcastRequest{
-		Mesh:             p.mesh,
-		Sender:           p.table.View().Self().ID,
-		Nodes:            what.nodes,
-		Document:         what.document,
-		DocumentRevision: what.revision,
-		Reach:            reach,
-	})
-}
-
-// Keep gives the own record to as many other nodes as wanted, beside the hub. Taken
-// is called for each that holds it.
-func (p *Peers) Keep(ctx context.Context, records []*exchangepb.Node, wanted int, taken func()) {
-	candidates := make(chan *fleet.Node, len(p.table.View().Nodes()))
-	for _, node := range pickRandom(p.reachablePeers(), cap(candidates)) {
-		candidates <- node
-	}
-	close(candidates)
-	var keepers sync.WaitGroup
-	for range wanted {
-		keepers.Go(func() {
-			for node := range candidates {
-				if p.sendNews(ctx, *node, news{nodes: records}, exchangepb.Reach_REACH_RANGE) {
-					taken()
-					return
-				}
-				if ctx.Err() != nil {
-					return
-				}
-			}
-		})
+// everyNth returns each n-th of the nodes, from the given place on.
+func everyNth(nodes []*fleet.Node, first, n int) []*fleet.Node {
+	var chosen []*fleet.Node
+	for i := first; i < len(nodes); i += n {
+		chosen = append(chosen, nodes[i])
 	}
-	keepers.Wait()
+	return chosen
 }
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -10,10 +10,12 @@
 // partKey names the part of the own zone that news are handed on to.
 type partKey struct{ after, until string }
 
-// relay hands news on to parts of the own zone. While news are on their way to a
-// part, further ones for it are collected and go together: when many nodes have
-// news at the same time, as after a loss of power, messages stay few.
+// relay hands news on, to parts of the own zone or, at a hub, to all its receivers.
+// While news are on their way to a part, further ones for it are collected and go
+// together: when many nodes have news at the same time, as after a loss of power,
+// messages stay few.
 type relay struct {
+	// send returns when the next news for the part may follow.
 	send func(ctx context.Context, what news, part partKey)
 
 	mu sync.Mutex
