--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -84,7 +84,7 @@
 	overloaded bool
 	last       error
 	// failure is the first answer by which a worker told that it has failed. It is
-	// the answer unless another worker does better.
+	// the answer if no other worker answers.
 	failure *answer
 	// unknown is the first failure after which the call may have run.
 	unknown error
--- a/internal/forwarding/failed_answer_test.go
+++ b/internal/forwarding/failed_answer_test.go
@@ -28,17 +28,20 @@
 func TestRepeatableCallIsAskedOfAnotherWorkerAfterAFailure(t *testing.T) {
 	front, first, second := frontOfTwo(t, ledgerRoutes)
 	failing(first, "first")
+	// The other worker is the last resort, so that each call begins at the one that fails.
+	other := front.plane.destination("ledger").endpoints["two"]
+	other.pausedUntil = time.Now().Add(time.Hour)
 	for call := range 20 {
 		if status, _, body := get(t, front, "/read/1"); status != http.StatusOK {
 			t.Fatalf("call %d: %d %q", call, status, body)
 		}
 	}
-	if first.calls.Load() == 0 || second.calls.Load() != 20 {
+	if first.calls.Load() != 20 || second.calls.Load() != 20 {
 		t.Errorf("%d and %d calls arrived", first.calls.Load(), second.calls.Load())
 	}
 }
 
-func TestFirstFailureStandsWhenAllFail(t *testing.T) {
+func TestFailureOfAWorkerStandsWhenAllFail(t *testing.T) {
 	front, first, second := frontOfTwo(t, ledgerRoutes)
 	failing(first, "first")
 	failing(second, "second")
