--- a/internal/hosted/reader.go
+++ b/internal/hosted/reader.go
@@ -14,8 +14,10 @@
 	// readerCount is how many nodes watch the store.
 	readerCount = 3
 	// watchWait is how long one watch is held. It bounds how long a store that
-	// went silent, and came back, goes unnoticed.
-	watchWait = 2500 * time.Millisecond
+	// went silent, and came back, goes unnoticed: when all readers are cut off at
+	// once, a document is everywhere 1.3 to 1.8 s later (simulated time, 60 nodes),
+	// and not within 2.5 s when watches are held for as long as that.
+	watchWait = time.Second
 	// answerBound is how long the store may take beyond that.
 	answerBound = time.Second
 	// roleInterval is how often a node looks whether it is its turn to read.
--- a/internal/hosted/simulated_test.go
+++ b/internal/hosted/simulated_test.go
@@ -138,6 +138,34 @@
 	})
 }
 
+// TestDocumentIsEverywhereSoonAlthoughAllReadersAreCutOff cuts all nodes that read the
+// store off it, in silence, while they wait for the next document: at different moments
+// of that wait.
+func TestDocumentIsEverywhereSoonAlthoughAllReadersAreCutOff(t *testing.T) {
+	const (
+		readers = 3
+		phases  = 6
+		step    = 400 * time.Millisecond
+		bound   = 2500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		m := startSimulated(t, 60)
+		for phase := range phases {
+			time.Sleep(10*time.Second + time.Duration(phase)*step)
+			cut := fleet.Readers(m.nodes[0].table.View(), func(string) bool { return true }, readers)
+			for _, id := range cut {
+				m.store.SetFaults(id, hostedstore.Faults{Silent: true})
+			}
+			m.store.Put(testDocument(phase+1))
+			took := m.within(t, bound, "the document is everywhere", allHold(m.nodes, testDocument(phase+1)))
+			t.Logf("phase %d: everywhere after %v", phase, took)
+			for _, id := range cut {
+				m.store.SetFaults(id, hostedstore.Faults{})
+			}
+		}
+	})
+}
+
 // TestDirectoryStaysSmall counts the entries of a mesh that is larger than the
 // directory needs.
 func TestDirectoryStaysSmall(t *testing.T) {
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -136,11 +136,8 @@
 func (c *Client) begin(ctx context.Context) (Faults, error) {
 	c.store.mutex.Lock()
 	c.store.calls++
-	faults, own := c.store.faults[c.node]
-	if !own {
-		faults = c.store.faults[everybody]
-	}
 	c.store.mutex.Unlock()
+	faults := c.struck()
 	if faults.Silent {
 		<-ctx.Done()
 		return faults, hosted.ErrUnanswered.New("silent")
@@ -156,6 +153,16 @@
 	return faults, nil
 }
 
+// struck returns the faults that strike the client now.
+func (c *Client) struck() Faults {
+	c.store.mutex.Lock()
+	defer c.store.mutex.Unlock()
+	if faults, own := c.store.faults[c.node]; own {
+		return faults
+	}
+	return c.store.faults[everybody]
+}
+
 func (f Faults) lost(ctx context.Context) error {
 	if !f.LoseAnswers {
 		return nil
@@ -185,6 +192,11 @@
 	bound := time.NewTimer(wait)
 	defer bound.Stop()
 	for {
+		if c.struck().Silent {
+			// The answer to a watch that began before does not come through either.
+			<-ctx.Done()
+			return hosted.Watched{}, hosted.ErrUnanswered.New("silent")
+		}
 		c.store.mutex.Lock()
 		document, revision, history, changed := c.store.document, c.store.revision, c.store.history, c.store.changed
 		c.store.mutex.Unlock()
