Have one ready worker at an address: the one heard from last

Cause: a worker that crashed and came back as another instance left both ready for up to 6 s. Other nodes take the first by name, the node itself the one that came last, and refuses the other: with an unlucky name no call reached the worker. A heartbeat of a former life that arrives late is put right by the next one of the living. The test failed before (both ready).

--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -86,10 +86,26 @@
 	if before.State == StateGone {
 		held.State = StateGone
 	}
+	if held.State == StateReady {
+		r.silenceOthers(held)
+	}
 	changed := before.State != held.State || before.Service != held.Service || before.Slots != held.Slots || before.Address != held.Address
 	return Change{Worker: held.Worker, Changed: changed}, nil
 }
 
+// silenceOthers marks the other ready workers at the address of one that was just heard
+// from as silent: an address has one process, and the others are former lives that have
+// crashed. Other nodes would go on sending them work until they are silent by themselves.
+// A late heartbeat of a former life is put right by the next one of the living. The mutex
+// is held.
+func (r *Registry) silenceOthers(heard *registration) {
+	for _, other := range r.workers {
+		if other != heard && other.State == StateReady && other.Address == heard.Address {
+			other.State = StateSilent
+		}
+	}
+}
+
 // Introduce takes what a worker has told when it was asked. It changes nothing once
 // a worker is registered, or was promised to be left alone: heartbeats and promises
 // tell more.
--- a/pkg/workers/registry_test.go
+++ b/pkg/workers/registry_test.go
@@ -156,3 +156,34 @@
 		t.Fatal("a worker without an address was taken")
 	}
 }
+
+// TestOneWorkerIsReadyAtAnAddress lets a worker crash and come back as another instance
+// at its address, and a late heartbeat of the former one arrive.
+func TestOneWorkerIsReadyAtAnAddress(t *testing.T) {
+	r := NewRegistry(time.Minute)
+	expect := func(instance string, at time.Time) {
+		t.Helper()
+		var ready []string
+		for _, worker := range r.Workers() {
+			if worker.State == StateReady {
+				ready = append(ready, worker.Instance)
+			}
+		}
+		if len(ready) != 1 || ready[0] != instance {
+			t.Fatalf("after %v ready: %v, want %s", at.Sub(start), ready, instance)
+		}
+	}
+	mustBeat(t, r, beat("a-former", 3, false), start)
+	if change := mustBeat(t, r, beat("b-next", 1, false), start.Add(time.Second)); !change.Changed {
+		t.Error("others are not told of the next instance")
+	}
+	expect("b-next", start.Add(time.Second))
+	if change := mustBeat(t, r, beat("a-former", 4, false), start.Add(2*time.Second)); !change.Changed {
+		t.Error("others are not told of a change")
+	}
+	expect("a-former", start.Add(2*time.Second))
+	if change := mustBeat(t, r, beat("b-next", 2, false), start.Add(3*time.Second)); !change.Changed {
+		t.Error("others are not told that the living instance is back")
+	}
+	expect("b-next", start.Add(3*time.Second))
+}
