Count those that overtake in the expected wait of a slot

The queue now keeps the share of each rank in what it has started lately and lengthens the estimate by it, so that such a request is refused at once. Test: a worker that serves rank 1 only; a request of rank 2 is refused, one of rank 1 waits.

--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -12,6 +12,11 @@
 	firstHold = 20 * time.Millisecond
 	// holdWeight is the weight of one more observation in the mean.
 	holdWeight = 0.05
+	// startWeight is the weight of one more start in the shares of the ranks, and
+	// largestOvertaking bounds what they are believed to take from lower ones: the
+	// mean over some 50 starts, half a second of a busy worker.
+	startWeight       = 0.02
+	largestOvertaking = 0.9
 )
 
 // Request is what one request asks of a Queue.
@@ -30,6 +35,8 @@
 	waiting []*waiter
 	hold    time.Duration
 	closed  bool
+	// starts is the share of each rank in the requests that have started lately.
+	starts map[int]float64
 }
 
 type waiter struct {
@@ -41,7 +48,7 @@
 
 // New returns a queue for a worker with the given number of slots.
 func New(slots int) *Queue {
-	return &Queue{slots: max(slots, 1), hold: firstHold}
+	return &Queue{slots: max(slots, 1), hold: firstHold, starts: map[int]float64{}}
 }
 
 // Load is what a queue holds at one moment.
@@ -137,7 +144,7 @@
 		return nil, err
 	}
 	if q.free() {
-		q.running++
+		q.start(request.Rank)
 		return nil, nil
 	}
 	w := &waiter{Request: request, admitted: make(chan struct{})}
@@ -156,10 +163,34 @@
 	return len(q.waiting)
 }
 
-// expectedWait returns how long a request of the rank would wait. The mutex is held.
+// expectedWait returns how long a request of the rank would wait: those ahead, and
+// those of lower ranks that come meanwhile and go first, have to start before it. The
+// mutex is held.
 func (q *Queue) expectedWait(rank int) time.Duration {
 	ahead := q.place(rank) + 1
-	return time.Duration(ahead) * q.hold / time.Duration(q.slots)
+	wait := float64(ahead) * float64(q.hold) / float64(q.slots)
+	return time.Duration(wait / (1 - q.overtaking(rank)))
+}
+
+// overtaking returns the share of lately started requests that go before the rank. The
+// mutex is held.
+func (q *Queue) overtaking(rank int) float64 {
+	var sum float64
+	for other, share := range q.starts {
+		if other < rank {
+			sum += share
+		}
+	}
+	return min(sum, largestOvertaking)
+}
+
+// start gives a slot to a request of the rank. The mutex is held.
+func (q *Queue) start(rank int) {
+	q.running++
+	for other := range q.starts {
+		q.starts[other] *= 1 - startWeight
+	}
+	q.starts[rank] += startWeight
 }
 
 // conclude sorts out who was first: the slot or the end of the wait.
@@ -194,7 +225,7 @@
 	for q.running < q.slots && len(q.waiting) > 0 {
 		next := q.waiting[0]
 		q.waiting = slices.Delete(q.waiting, 0, 1)
-		q.running++
+		q.start(next.Rank)
 		close(next.admitted)
 	}
 }
--- a/pkg/slotqueue/queue_test.go
+++ b/pkg/slotqueue/queue_test.go
@@ -157,3 +157,29 @@
 		t.Errorf("closed: %v", err)
 	}
 }
+
+// TestExpectedWaitCountsThoseThatOvertake fills a worker that mostly serves requests of
+// a lower rank: one of a higher rank waits several times as long as those ahead of it
+// take, and one of the lower rank does not.
+func TestExpectedWaitCountsThoseThatOvertake(t *testing.T) {
+	q := New(1)
+	for range 100 {
+		permit, err := q.Admit(t.Context(), Request{Rank: 1, LatestStart: time.Now()})
+		if err != nil {
+			t.Fatal(err)
+		}
+		permit.Release(false)
+	}
+	permit, err := q.Admit(t.Context(), Request{Rank: 1, LatestStart: time.Now()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer permit.Release(false)
+	soon := time.Now().Add(3 * firstHold)
+	if err := q.Check(Request{Rank: 1, LatestStart: soon}); err != nil {
+		t.Errorf("a request that nothing overtakes is refused: %v", err)
+	}
+	if err := q.Check(Request{Rank: 2, LatestStart: soon}); !errorx.IsOfType(err, ErrFull) {
+		t.Errorf("a request that most others overtake: %v", err)
+	}
+}
