Send long bodies to other nodes at half of the speed of the link

Bodies of 8 kB and more now leave in parts of 4 kB at half of the link's speed, which is a new setting, link-speed, filled from the machine's sheet; without it nothing is paced.

--- a/internal/forwarding/body.go
+++ b/internal/forwarding/body.go
@@ -8,10 +8,22 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/levertide/levertide/internal/httpleg"
 	"github.com/levertide/levertide/pkg/outcome"
 )
 
+// linkPace returns the pace at which this node sends long bodies to other nodes; nil
+// when it does not know its link.
+func linkPace(bitsPerSecond float64) *rate.Limiter {
+	if bitsPerSecond <= 0 {
+		return nil
+	}
+	const bitsPerByte = 8
+	return rate.NewLimiter(rate.Limit(pacedShare*bitsPerSecond/bitsPerByte), pacedPart)
+}
+
 // chunkedEncoding keeps the transport from probing a body of unknown length.
 var chunkedEncoding = []string{"chunked"}
 
@@ -132,10 +144,16 @@
 	begun bool
 	// sealed tells that nothing more of the body will be taken.
 	sealed bool
+	// pace bounds how fast the body is taken; nil sets no bound.
+	pace *rate.Limiter
 }
 
 // Read implements io.Reader.
 func (s *sending) Read(p []byte) (int, error) {
+	if s.pace != nil {
+		p = p[:min(len(p), pacedPart)]
+		time.Sleep(s.pace.ReserveN(time.Now(), len(p)).Delay())
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.sealed {
@@ -166,19 +184,19 @@
 
 // attach gives the body to an outgoing request in a form that http.Transport
 // cannot send twice by itself: a body that is there and has no GetBody. It returns
-// a long body on its way; nil for others.
-func (b *requestBody) attach(out *http.Request) *sending {
+// a long body on its way, at the given pace; nil for others.
+func (b *requestBody) attach(out *http.Request, pace *rate.Limiter) *sending {
 	switch {
 	case b.rest != nil:
 		out.ContentLength = b.length
 		if b.length < 0 {
 			out.TransferEncoding = chunkedEncoding
 		}
-		return b.send(out, io.MultiReader(bytes.NewReader(b.held), b.rest), -1)
+		return b.send(out, io.MultiReader(bytes.NewReader(b.held), b.rest), -1, pace)
 	case len(b.held) > 0:
 		out.ContentLength = int64(len(b.held))
 		if b.long() {
-			return b.send(out, bytes.NewReader(b.held), len(b.held))
+			return b.send(out, bytes.NewReader(b.held), len(b.held), pace)
 		}
 		// The transport writes a reader of this kind together with the head.
 		out.Body = io.NopCloser(bytes.NewReader(b.held))
@@ -192,8 +210,8 @@
 	return nil
 }
 
-func (b *requestBody) send(out *http.Request, source io.Reader, left int) *sending {
-	s := &sending{source: source, body: b, left: left}
+func (b *requestBody) send(out *http.Request, source io.Reader, left int, pace *rate.Limiter) *sending {
+	s := &sending{source: source, body: b, left: left, pace: pace}
 	out.Body = io.NopCloser(s)
 	return s
 }
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -17,7 +17,7 @@
 	MaximumBody int64
 }
 
-// Config sets up a Plane. All fields but Observer must be given.
+// Config sets up a Plane. All fields but Observer and LinkSpeed must be given.
 type Config struct {
 	// Node is the identifier of this node, Zone where it is.
 	Node, Zone string
@@ -37,6 +37,9 @@
 	// Retries bounds the attempts beyond the first to one service over all
 	// nodes; Slack is shared among them.
 	Retries retry.WindowOptions
+	// LinkSpeed is how much the link of this machine carries each way, in bits a
+	// second; zero when it is not known.
+	LinkSpeed float64
 	// Observer is told how calls ended; nil means that nobody is.
 	Observer Observer
 }
@@ -57,6 +60,11 @@
 	// and does not count any more.
 	parallelTransfers = 2
 	slowTransfer      = 300 * time.Millisecond
+	// pacedShare is the share of its link that a node fills with long bodies, and
+	// pacedPart how much of them it sends at a time, in bytes: what else crosses the
+	// link then waits behind one part, and not behind a whole body.
+	pacedShare = 0.5
+	pacedPart  = 4 << 10
 	// bufferedAnswer is the size up to which an answer is held whole before it
 	// is passed on, so that one that breaks off can be asked for again.
 	bufferedAnswer = 256 << 10
--- a/internal/forwarding/leg.go
+++ b/internal/forwarding/leg.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/levertide/levertide/internal/httpleg"
 	"github.com/levertide/levertide/pkg/outcome"
 )
@@ -27,6 +29,8 @@
 	body      *requestBody
 	conn      *httpleg.Conn // nil until the request got a connection
 	reused    bool
+	// pace bounds how fast a long body is sent; nil sets no bound.
+	pace *rate.Limiter
 	// questioned tells that the other side begins nothing before it has the body,
 	// and is asked before that is sent.
 	questioned bool
@@ -47,7 +51,7 @@
 
 func (l *leg) try(ctx context.Context) (*http.Response, error) {
 	l.conn, l.reused = nil, false
-	l.sending.Store(l.body.attach(l.request))
+	l.sending.Store(l.body.attach(l.request, l.pace))
 	trace := &httptrace.ClientTrace{GotConn: l.gotConn}
 	response, err := l.transport.RoundTrip(l.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -68,7 +68,7 @@
 	if c.body.long() {
 		header["Expect"] = []string{"100-continue"}
 	}
-	exchange := leg{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body, questioned: c.body.long()}
+	exchange := leg{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body, questioned: c.body.long(), pace: c.plane.pace}
 	ctx, stop := exchange.boundTransfer(ctx, c.began.Add(c.target()))
 	defer stop()
 	response, err := exchange.do(ctx)
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -9,6 +9,8 @@
 	"sync/atomic"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"github.com/levertide/levertide/internal/pipeline"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/slotqueue"
@@ -23,6 +25,8 @@
 	memory bodyMemory
 	// transfers admits long bodies of other nodes to the link of this one.
 	transfers *slotqueue.Queue
+	// pace bounds how fast long bodies go to other nodes; nil sets no bound.
+	pace *rate.Limiter
 
 	mutex        sync.Mutex
 	destinations map[string]*destination
@@ -46,6 +50,7 @@
 		config:       config,
 		peers:        newTransport(config.Dial, peerIdle, idleConnections),
 		transfers:    slotqueue.New(parallelTransfers),
+		pace:         linkPace(config.LinkSpeed),
 		destinations: map[string]*destination{},
 	}
 	p.local = localWorkers{plane: p, legs: map[string]*workerLeg{}}
--- a/internal/forwarding/question_test.go
+++ b/internal/forwarding/question_test.go
@@ -84,7 +84,7 @@
 func TestSealedBodyIsNeverSent(t *testing.T) {
 	body := &requestBody{held: make([]byte, questionedBody)}
 	var out http.Request
-	untouched := body.attach(&out)
+	untouched := body.attach(&out, nil)
 	for range 2 {
 		if !untouched.seal() {
 			t.Error("a body of which nothing was taken must seal, and stay sealed")
@@ -93,7 +93,7 @@
 	if n, err := out.Body.Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Error("a sealed body was read")
 	}
-	begun := body.attach(&out)
+	begun := body.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, questionedBody-1))
 	if !begun.seal() {
 		t.Error("a body that is held whole before anything begins must seal while a part is missing")
@@ -101,13 +101,13 @@
 	if n, err := out.Body.Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Error("the rest of a sealed body was read")
 	}
-	whole := body.attach(&out)
+	whole := body.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, questionedBody))
 	if whole.seal() {
 		t.Error("a body that was taken whole sealed")
 	}
 	streamed := &requestBody{rest: bytes.NewReader(make([]byte, questionedBody)), length: questionedBody}
-	stream := streamed.attach(&out)
+	stream := streamed.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, 1))
 	if stream.seal() {
 		t.Error("a streamed body that was begun sealed")
--- a/internal/hosted/simulated_test.go
+++ b/internal/hosted/simulated_test.go
@@ -156,7 +156,7 @@
 			for _, id := range cut {
 				m.store.SetFaults(id, hostedstore.Faults{Silent: true})
 			}
-			m.store.Put(testDocument(phase+1))
+			m.store.Put(testDocument(phase + 1))
 			took := m.within(t, bound, "the document is everywhere", allHold(m.nodes, testDocument(phase+1)))
 			t.Logf("phase %d: everywhere after %v", phase, took)
 			for _, id := range cut {
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -68,6 +68,7 @@
 		{"heartbeat-interval", "how often a worker tells of itself; hosted mode", allowedBound, "1500ms", func(s *Settings) flag.Value { return (*durationValue)(&s.HeartbeatInterval) }},
 		{"stop-notice", "how long a node that stops still takes calls; hosted mode", "duration from 0s to 10m", "2300ms", func(s *Settings) flag.Value { return (*durationValue)(&s.StopNotice) }},
 		{"first-start", "the whole mesh starts for the first time, so that no node has had a former life; hosted mode", "true or false", "false", func(s *Settings) flag.Value { return (*switchValue)(&s.FirstStart) }},
+		{"link-speed", "how much the link of this machine carries each way, in Mbit/s, so that long bodies leave room for other calls; 0 when it is not known; hosted mode", "number from 0 to 1000000000", "0", func(s *Settings) flag.Value { return (*fractionValue)(&s.LinkSpeed) }},
 		{"capacity", "how much this machine can carry, compared with others, as by the speed of its link; the larger ones read the store for all; 0 when it is not known; hosted mode", "number from 0 to 1000000000", "0", func(s *Settings) flag.Value { return (*fractionValue)(&s.Capacity) }},
 		{"retry-ratio", "retries to a service, over all nodes, as a share of its requests; hosted mode", allowedShare, "0.2", func(s *Settings) flag.Value { return (*fractionValue)(&s.RetryRatio) }},
 		{"retry-slack", "retries to a service allowed beside that in each window, over all nodes; hosted mode", "number from 0 to 1000000", "64", func(s *Settings) flag.Value { return (*fractionValue)(&s.RetrySlack) }},
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -85,6 +85,9 @@
 	// FirstStart tells that the whole mesh starts for the first time: no node has
 	// had a former life.
 	FirstStart bool `key:"first-start"`
+	// LinkSpeed is how much the link of this machine carries each way, in Mbit/s; zero
+	// when it is not known.
+	LinkSpeed float64 `key:"link-speed" validate:"min=0,max=1000000000"`
 	// Capacity tells how much the machine can carry, compared with others; zero
 	// when it is not known.
 	Capacity float64 `key:"capacity" validate:"min=0,max=1000000000"`
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -38,6 +38,8 @@
 	supervisorTimeout = 200 * time.Millisecond
 	// stopMargin is what a planned stop leaves of its bound for ending the process.
 	stopMargin = 800 * time.Millisecond
+	// bitsPerMegabit is the unit of the setting of the link.
+	bitsPerMegabit = 1e6
 	// farewellTime is how long other nodes are given to turn elsewhere before a
 	// node that stops refuses their calls.
 	farewellTime = 100 * time.Millisecond
@@ -89,7 +91,8 @@
 			Ratio:  s.RetryRatio * budgetShare,
 			Slack:  s.RetrySlack * budgetShare,
 		},
-		Observer: telemetry.NewForwardingObserver(registry.Registerer(), log, lines.Drop),
+		LinkSpeed: s.LinkSpeed * bitsPerMegabit,
+		Observer:  telemetry.NewForwardingObserver(registry.Registerer(), log, lines.Drop),
 	})
 	messages, err := network.Listen(s.ControlAddress)
 	if err != nil {
