Bound further offers by what they bring, and let lookups and long bodies wait

Cause: a call that one node refuses was offered to up to four others. Lookups were probed with 2 ms of patience at each, though they go first wherever they wait.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -82,7 +82,10 @@
 	made, refusals, arrivals int
 	// overloaded tells that a node had no slot in time.
 	overloaded bool
-	last       error
+	// crossing is how long the last offer was on its way, there and back, without the
+	// time for which the other node had it.
+	crossing time.Duration
+	last     error
 	// failure is the first answer by which a worker told that it has failed. It is
 	// the answer if no other worker answers.
 	failure *answer
@@ -181,8 +184,12 @@
 	}, time.Now())
 }
 
-// lastRefusal reports whether no further node is asked when the next one refuses.
-func (o *offers) lastRefusal() bool { return o.refusals >= maximumRefusals-1 }
+// lastRefusal reports whether the call waits at the next node for as long as it can, in
+// place of asking a further one. A call of a worker goes first wherever it waits, and a
+// long body waits for its turn on a link, which no other node has free sooner.
+func (o *offers) lastRefusal() bool {
+	return o.refusals >= maximumRefusals-1 || o.call.nested || o.call.body.long() || !o.destination.further.any()
+}
 
 // mostRefusals is how many nodes are asked for a slot. A call that all have refused at
 // once may ask one of another zone, unless its body is long: bytes between zones are
@@ -207,12 +214,22 @@
 	}
 	if !arrived && !unknown {
 		o.refusals++
-		o.overloaded = o.overloaded || outcome.ReasonOf(err) == outcome.Overloaded
-		return o.refusals < o.mostRefusals() && time.Now().Before(o.latestStart)
+		full := outcome.ReasonOf(err) == outcome.Overloaded
+		o.overloaded = o.overloaded || full
+		if o.refusals >= o.mostRefusals() || !time.Now().Before(o.latestStart) {
+			return false
+		}
+		return !full || o.crossedQuickly() || o.destination.further.spend()
 	}
 	return o.mayArriveAgain()
 }
 
+// crossedQuickly reports whether the last offer took so little time on its way that a
+// further one costs next to nothing: the links between the nodes are not filled.
+func (o *offers) crossedQuickly() bool {
+	return float64(o.crossing) < quickCrossing*float64(o.call.patience())
+}
+
 // giveUp returns the failure that the caller is told. Once an offer may have run,
 // no later refusal can make the call one that has not.
 func (o *offers) giveUp() error {
@@ -264,6 +281,7 @@
 	seen := result{}
 	switch {
 	case err == nil:
+		o.destination.further.earn(o.refusals)
 		seen.load, seen.hasLoad = answered.load, answered.hasLoad
 		if answered.rest == nil && answered.ran > 0 && answered.status < statusServerFault {
 			seen.relative = o.call.state.observe(answered.ran, len(answered.held))
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -77,6 +77,7 @@
 	self    string
 	zone    string
 	budget  *retry.WindowBudget
+	further *furtherOffers
 	view    atomic.Pointer[fleet.View]
 
 	mutex     sync.Mutex
--- /dev/null
+++ b/internal/forwarding/further.go
@@ -0,0 +1,60 @@
+package forwarding
+
+import "sync"
+
+const (
+	// furtherShare is how many further offers one answered call pays for, and
+	// furtherMost how many may be saved up: in calm times a call that is refused is
+	// always offered again, and under overload, when nearly all are refused, offers
+	// grow by no more than this share of what is served.
+	furtherShare = 0.1
+	furtherMost  = 10
+	// furtherReward is how many a further offer pays for that was answered: they go on
+	// for as long as one of three finds a free slot.
+	furtherReward = 3
+	// quickCrossing is the share of its patience within which an offer may go there and
+	// back for a further one to be free: 5 ms of a call with a target of 200 ms. Messages
+	// between zones take 1 to 7 ms there and back where links are not filled, and
+	// 40 to 200 where they are.
+	quickCrossing = 1.0 / 16
+)
+
+// furtherOffers bounds how often calls that one node has refused for want of a slot are
+// offered to another one. Under lasting overload each further offer finds the next full
+// node, and the messages fill narrow links that the calls which are served need: where it crossed
+// quickly, a further offer is free. Use newFurtherOffers.
+type furtherOffers struct {
+	mu   sync.Mutex
+	left float64
+}
+
+func newFurtherOffers() *furtherOffers { return &furtherOffers{left: furtherMost} }
+
+// earn counts a call that was answered, after the given number of further offers.
+func (f *furtherOffers) earn(made int) {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.left += furtherShare
+	if made > 0 {
+		f.left += furtherReward
+	}
+	f.left = min(f.left, furtherMost)
+}
+
+// any reports whether a further offer may be made now.
+func (f *furtherOffers) any() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.left >= 1
+}
+
+// spend reports whether a further offer may be made, and counts it.
+func (f *furtherOffers) spend() bool {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	if f.left < 1 {
+		return false
+	}
+	f.left--
+	return true
+}
--- /dev/null
+++ b/internal/forwarding/further_test.go
@@ -0,0 +1,26 @@
+package forwarding
+
+import "testing"
+
+// TestFurtherOffersEndUnderOverload lets all further offers be refused: they come down
+// to a share of what is answered, and go on freely where they are answered.
+func TestFurtherOffersEndUnderOverload(t *testing.T) {
+	const calls = 1000
+	refused, answered := newFurtherOffers(), newFurtherOffers()
+	made := 0
+	for range calls {
+		if refused.spend() {
+			made++
+		}
+		refused.earn(0)
+	}
+	if most := furtherMost + int(furtherShare*calls) + 1; made > most {
+		t.Errorf("%d further offers for %d answers, at most %d", made, calls, most)
+	}
+	for i := range calls {
+		if !answered.spend() {
+			t.Fatalf("the further offer of call %d was not allowed, though all were answered", i)
+		}
+		answered.earn(1)
+	}
+}
--- a/internal/forwarding/hop.go
+++ b/internal/forwarding/hop.go
@@ -21,9 +21,12 @@
 	hopFields  = 6
 	loadFields = 7
 	// failingUnits is how the share of requests that fail is written: in thousandths.
-	failingUnits  = 1000
-	failureFields = 2
-	hopSeparator  = ","
+	failingUnits = 1000
+	// failureFields are the reason and the wait. Newer nodes add how long they had the
+	// call.
+	failureFields     = 2
+	failureFieldsHeld = 3
+	hopSeparator      = ","
 )
 
 // hop is what the node where a call began tells the worker's node.
@@ -85,22 +88,35 @@
 	return load, ran, ok
 }
 
-// formatFailure writes why a call got no answer.
-func formatFailure(err error) string {
-	return string(outcome.ReasonOf(err)) + hopSeparator + formatMicroseconds(outcome.RetryAfterOf(err))
+// formatFailure writes why a call got no answer, and how long this node had it.
+func formatFailure(err error, held time.Duration) string {
+	return strings.Join([]string{
+		string(outcome.ReasonOf(err)), formatMicroseconds(outcome.RetryAfterOf(err)), formatMicroseconds(held),
+	}, hopSeparator)
 }
 
 // parseFailure returns the failure that another node told. One that cannot be
 // read is unknown, which is always safe.
 func parseFailure(text string) error {
 	fields := strings.Split(text, hopSeparator)
-	if len(fields) != failureFields || !outcome.Reason(fields[0]).Known() {
+	if len(fields) != failureFields && len(fields) != failureFieldsHeld || !outcome.Reason(fields[0]).Known() {
 		return outcome.New(outcome.NotSpecified)
 	}
 	wait, _ := parseMicroseconds(fields[1])
 	return outcome.WithRetryAfter(outcome.Reason(fields[0]), wait)
 }
 
+// heldOf returns how long another node had a call that it has refused; zero when it does
+// not say.
+func heldOf(failure string) time.Duration {
+	fields := strings.Split(failure, hopSeparator)
+	if len(fields) != failureFieldsHeld {
+		return 0
+	}
+	held, _ := parseMicroseconds(fields[failureFieldsHeld-1])
+	return max(held, 0)
+}
+
 func formatMicroseconds(duration time.Duration) string {
 	return strconv.FormatInt(duration.Microseconds(), 10)
 }
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -112,7 +112,7 @@
 		w.Header()[hopLoadHeader] = []string{formatLoad(load, ran)}
 	}
 	if err != nil {
-		w.Header()[hopFailureHeader] = []string{formatFailure(err)}
+		w.Header()[hopFailureHeader] = []string{formatFailure(err, time.Since(c.began))}
 		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
 		report.Status, report.RetryAfter = writeFailure(w, err, retryAfter(err), c.plane.stopping.Load())
 		c.finish(report)
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -35,6 +35,7 @@
 
 // askLocal asks the worker beside this node.
 func (o *offers) askLocal(ctx context.Context, e *endpoint, latestStart time.Time) (*answer, bool, error) {
+	o.crossing = 0
 	leg, err := o.call.plane.local.find(o.destination.service, e.instance)
 	if err != nil {
 		return nil, false, err
@@ -72,11 +73,13 @@
 	ctx, stop := exchange.boundTransfer(ctx, c.began.Add(c.target()))
 	defer stop()
 	response, err := exchange.do(ctx)
+	o.crossing = time.Since(now)
 	if err != nil {
 		c.plane.noteFailure(e.node, err)
 		return nil, outcome.Of(err) != outcome.NotRun, err
 	}
 	c.plane.config.Contacts.Reached(e.node)
+	o.crossing -= heldOf(response.Header.Get(hopFailureHeader))
 	return readHopAnswer(ctx, response)
 }
 
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -68,6 +68,7 @@
 			self:    p.config.Node,
 			zone:    p.config.Zone,
 			budget:  retry.NewWindowBudget(p.config.Retries),
+			further: newFurtherOffers(),
 		}
 		p.destinations[service] = d
 	}
