Let a call wait for as long as its answer can be in time

Cause: patience was a fifth of the target on all routes, however long the work is, and did not look at what is left: a call with 80 ms left and 90 ms of work waited for 80 ms in vain. It is now what leaves twice the usual work until the target, from 0.2 to 0.4 of it, and never so long that no time is left for the work. Tests: TestLastTryWaitsWhileAnAnswerCanBeInTime asks for the new bounds and has a case more; in TestCallThatItsZoneRefusesIsTakenElsewhere six wait in place of four, since a call now waits twice as long before it is refused at once; its assertions are as they were.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -35,20 +35,31 @@
 	return latest
 }
 
-// patience is how long the call may wait for a slot. A caller that comes back with so
+// patience is how long the call may wait for a slot: never so long that no time would be
+// left for the work. A caller that comes back with so
 // little time that no further try could be served in time waits for as long as an
 // answer to this one can be. With more time it is refused sooner: what waits long
 // holds up others, and a later try may find a slot at once.
 func (c *call) patience() time.Duration {
-	first := min(time.Duration(patienceShare*float64(c.target())), longestPatience)
+	work, _ := c.state.expected()
 	left := c.end.Sub(c.began)
+	first := min(c.usefulWait(work), longestPatience, max(left-work, 0))
 	if !c.back || float64(left) > lastTryTargets*float64(c.target()) {
 		return first
 	}
-	work, _ := c.state.expected()
 	return max(first, min(time.Duration(lastPatienceShare*float64(left)), left-lastWorkReserve*work))
 }
 
+// usefulWait is how long a call may wait for its answer to come within the target, if it
+// takes no more than twice the usual work; a share of the target at least, since most
+// take less, and another at most, since what waits longer holds up others.
+func (c *call) usefulWait(work time.Duration) time.Duration {
+	target := c.target()
+	least := time.Duration(leastPatienceShare * float64(target))
+	most := time.Duration(mostPatienceShare * float64(target))
+	return min(max(target-lastWorkReserve*work, least), most)
+}
+
 // rank orders the call where calls wait for a slot. Of the same operators' rank, a
 // caller that comes back is behind one that comes for the first time: what it can
 // still earn is less, and serving it instead would only refuse the other.
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -99,10 +99,13 @@
 	// maximumRefusals bounds how many nodes are asked for a slot, one of another zone
 	// after that apart.
 	maximumRefusals = 4
-	// patienceShare is the share of a route's target latency that a call may
-	// wait for a slot, counted from its arrival. What has waited longer without
-	// being offered to a worker is refused, while the caller has time to come back.
-	patienceShare = 0.2
+	// leastPatienceShare and mostPatienceShare are the shares of a route's target latency
+	// that bound how long a call may wait for a slot, counted from its arrival. What has
+	// waited longer without being offered to a worker is refused, while the caller has
+	// time to come back. With 0.4 for all, a deployment at its capacity gained 0.018 of a
+	// day and one whose calls wait for calls of their own lost 0.04, against 0.2.
+	leastPatienceShare = 0.2
+	mostPatienceShare  = 0.4
 	// lastTryTargets is the time left, in targets of the route, within which a caller
 	// that comes back is taken to have its last try: it obeys a time to come back for
 	// a third of what is left, and a try after that would have little over one target.
--- a/internal/forwarding/returning_test.go
+++ b/internal/forwarding/returning_test.go
@@ -65,11 +65,12 @@
 		left, work time.Duration
 		want       time.Duration
 	}{
-		{"first try", false, 1200 * time.Millisecond, 100 * time.Millisecond, 80 * time.Millisecond},
+		{"first try", false, 1200 * time.Millisecond, 100 * time.Millisecond, 160 * time.Millisecond},
 		{"comes back", true, 800 * time.Millisecond, 100 * time.Millisecond, 360 * time.Millisecond},
 		{"with long work", true, 800 * time.Millisecond, 250 * time.Millisecond, 300 * time.Millisecond},
-		{"comes back with time for another try", true, 1000 * time.Millisecond, 100 * time.Millisecond, 80 * time.Millisecond},
-		{"too late for more", true, 200 * time.Millisecond, 90 * time.Millisecond, 80 * time.Millisecond},
+		{"comes back with time for another try", true, 1000 * time.Millisecond, 100 * time.Millisecond, 160 * time.Millisecond},
+		{"too late for more", true, 200 * time.Millisecond, 90 * time.Millisecond, 110 * time.Millisecond},
+		{"too late for an answer", false, 80 * time.Millisecond, 90 * time.Millisecond, 0},
 	} {
 		c := &call{
 			began: began, end: began.Add(test.left), back: test.back,
--- a/internal/forwarding/zones_test.go
+++ b/internal/forwarding/zones_test.go
@@ -14,6 +14,7 @@
 
 // TestCallThatItsZoneRefusesIsTakenElsewhere fills the workers of the caller's zone.
 func TestCallThatItsZoneRefusesIsTakenElsewhere(t *testing.T) {
+	const waiters = 6
 	near, far := startWorker(t), startWorker(t)
 	front := startNode(t, "front", "desk", nil)
 	nodes := []*testNode{front}
@@ -31,11 +32,11 @@
 			t.Fatal(err)
 		}
 		fill(t, node)
-		// As many wait as hold the slots for long, so that a call is refused at once.
-		for range 4 {
+		// So many wait that a call is refused at once.
+		for range waiters {
 			go func() { _, _ = leg.queue.Admit(t.Context(), slotqueue.Request{LatestStart: time.Now().Add(patience)}) }()
 		}
-		testwait.Eventually(t, "others wait", func() bool { return leg.load().Waiting == 4 })
+		testwait.Eventually(t, "others wait", func() bool { return leg.load().Waiting == waiters })
 	}
 	short := callerRequest(t, front, http.MethodGet, "/short/1", nil)
 	if status, _, _ := ask(t, short); status != http.StatusOK || far.calls.Load() != 1 {
