--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -25,6 +25,7 @@
 	dropped   func()
 	calls     *prometheus.CounterVec
 	hops      *prometheus.CounterVec
+	returns   *prometheus.CounterVec
 	offers    prometheus.Counter
 	arrivals  prometheus.Counter
 	durations prometheus.Histogram
@@ -44,13 +45,14 @@
 		dropped:   dropped,
 		calls:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "calls_total", Help: "Calls that began at this node, by service, outcome and reason."}, labels),
 		hops:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hops_total", Help: "Calls of other nodes for the worker beside this one, by service, outcome and reason."}, labels),
+		returns:   prometheus.NewCounterVec(prometheus.CounterOpts{Name: "returned_calls_total", Help: "Calls of callers that were refused before and came back, by service and outcome."}, []string{"service", labelOutcome}),
 		offers:    prometheus.NewCounter(prometheus.CounterOpts{Name: "call_offers_total", Help: "Nodes asked on behalf of callers."}),
 		arrivals:  prometheus.NewCounter(prometheus.CounterOpts{Name: "call_arrivals_total", Help: "Workers that may have had a call that failed there."}),
 		durations: newLatencies("call_duration_seconds", "Time from the head of a caller's request to the end of its answer."),
 		waits:     newLatencies("worker_wait_seconds", "Time that calls waited for a slot of the worker beside this node, also when they got none."),
 		runs:      newLatencies("worker_run_seconds", "Time that the worker beside this node had a call."),
 	}
-	registerer.MustRegister(o.calls, o.hops, o.offers, o.arrivals, o.durations, o.waits, o.runs)
+	registerer.MustRegister(o.calls, o.hops, o.returns, o.offers, o.arrivals, o.durations, o.waits, o.runs)
 	return o
 }
 
@@ -73,6 +75,9 @@
 // CallFinished counts a call, and records one that was not served at once.
 func (o *ForwardingObserver) CallFinished(report forwarding.CallReport) {
 	o.calls.WithLabelValues(report.Service, string(report.Outcome), string(report.Reason)).Inc()
+	if report.CameBack {
+		o.returns.WithLabelValues(report.Service, string(report.Outcome)).Inc()
+	}
 	o.offers.Add(float64(report.Offers))
 	o.arrivals.Add(float64(report.Arrivals))
 	o.durations.Observe(report.Duration.Seconds())
