--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -191,6 +191,7 @@
 		tried:     tried,
 		work:      work,
 		target:    o.call.target(),
+		patience:  o.call.patience(),
 		local:     o.local,
 		reachable: o.call.plane.config.Contacts.Reachable,
 	}, time.Now())
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -49,6 +49,13 @@
 	// time. failureCost is what a failure costs, in targets of the route.
 	failingLife = 4 * time.Second
 	failureCost = 2.0
+	// overdueFactor times what a request is expected to take, and overdueMargin, is how
+	// long an endpoint that holds requests of this node may answer none before others
+	// are preferred: a machine that froze, or connections that fell silent without a
+	// reset, would otherwise get work until their callers' time is over. One request in
+	// a hundred takes three to five times the usual.
+	overdueFactor = 5
+	overdueMargin = 200 * time.Millisecond
 	// slowestFactor and fastestFactor bound what is believed of a speed.
 	slowestFactor = 20.0
 	fastestFactor = 0.2
@@ -69,6 +76,20 @@
 	slowness float64
 	// pausedUntil is until when the endpoint is chosen only as the last resort.
 	pausedUntil time.Time
+	// overdueAt is when the endpoint is taken to be silent, unless it answers before: it
+	// holds requests of this node. Zero when it holds none.
+	overdueAt time.Time
+}
+
+// await sets when the endpoint is overdue: a request that it holds is expected to take the
+// given time.
+func (e *endpoint) await(expected time.Duration, now time.Time) {
+	e.overdueAt = now.Add(overdueFactor*expected + overdueMargin)
+}
+
+// silent reports whether the endpoint holds requests and has answered none for long.
+func (e *endpoint) silent(now time.Time) bool {
+	return !e.overdueAt.IsZero() && now.After(e.overdueAt)
 }
 
 // destination is what is known of the workers of one service.
@@ -128,6 +149,8 @@
 	// lead is by how much the next best endpoint is expected to be later; the
 	// longest time when there is none.
 	lead time.Duration
+	// expected is how long the request is expected to take there.
+	expected time.Duration
 }
 
 // wish is what one request asks of the choice.
@@ -144,6 +167,8 @@
 	// work is how long the request is expected to run, target the time within
 	// which its answer is worth most.
 	work, target time.Duration
+	// patience is how long the request may wait for a slot.
+	patience time.Duration
 	// local returns the load of this node's own worker.
 	local func() (slotqueue.Load, bool)
 	// reachable tells which nodes this one reaches.
@@ -177,14 +202,19 @@
 	if lead := nextScore - bestScore; lead < float64(longestLead) {
 		best.lead = time.Duration(lead)
 	}
-	best.endpoint.outstanding++
+	e := best.endpoint
+	e.outstanding++
+	best.expected = min(d.wait(best.load), w.patience) + time.Duration(float64(w.work)*e.slowness)
+	if e.overdueAt.IsZero() {
+		e.await(best.expected, now)
+	}
 	return best, true
 }
 
 // loadOf returns the load that an endpoint is taken to have, and whether the
 // endpoint is usable as far as this node knows.
 func (d *destination) loadOf(e *endpoint, w wish, now time.Time) (slotqueue.Load, bool) {
-	usable := now.After(e.pausedUntil)
+	usable := now.After(e.pausedUntil) && !e.silent(now)
 	if e.node == d.self {
 		if load, ok := w.local(); ok {
 			return load, usable
@@ -211,10 +241,7 @@
 	work := float64(max(w.work, time.Millisecond)) * e.slowness
 	busy := float64(load.Running) / float64(load.Slots)
 	score := work * (1 + crowdPenalty*busy*busy)
-	if load.Running >= load.Slots {
-		hold := float64(max(load.Hold, time.Millisecond))
-		score += float64(load.Waiting+1) * hold / float64(load.Slots)
-	}
+	score += float64(d.wait(load))
 	if e.zone != d.zone {
 		score += float64(otherZoneDelay) + otherZonePrice(w)
 	}
@@ -229,6 +256,14 @@
 	return score
 }
 
+// wait is how long a request would wait for a slot of an endpoint.
+func (d *destination) wait(load slotqueue.Load) time.Duration {
+	if load.Running < load.Slots {
+		return 0
+	}
+	return time.Duration(load.Waiting+1) * max(load.Hold, time.Millisecond) / time.Duration(load.Slots)
+}
+
 // otherZonePrice is the delay, in nanoseconds, that a request may rather have in its own
 // zone than cross to another one.
 func otherZonePrice(w wish) float64 {
@@ -256,6 +291,12 @@
 	defer d.mutex.Unlock()
 	e := c.endpoint
 	e.outstanding--
+	switch {
+	case e.outstanding == 0:
+		e.overdueAt = time.Time{}
+	case r.hasLoad:
+		e.await(c.expected, now)
+	}
 	if r.hasLoad {
 		e.report, e.reportedAt, e.reportedOutstanding = r.load, now, e.outstanding
 	}
