--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -240,7 +240,7 @@
 // crossedQuickly reports whether the last offer took so little time on its way that a
 // further one costs next to nothing: the links between the nodes are not filled.
 func (o *offers) crossedQuickly() bool {
-	return float64(o.crossing) < quickCrossing*float64(o.call.patience())
+	return o.crossing < quickCrossing
 }
 
 // giveUp returns the failure that the caller is told. Once an offer may have run,
--- a/internal/forwarding/further.go
+++ b/internal/forwarding/further.go
@@ -1,6 +1,9 @@
 package forwarding
 
-import "sync"
+import (
+	"sync"
+	"time"
+)
 
 const (
 	// furtherShare is how many further offers one answered call pays for, and
@@ -12,11 +15,11 @@
 	// furtherReward is how many a further offer pays for that was answered: they go on
 	// for as long as one of three finds a free slot.
 	furtherReward = 3
-	// quickCrossing is the share of its patience within which an offer may go there and
-	// back for a further one to be free: 5 ms of a call with a target of 200 ms. Messages
-	// between zones take 1 to 7 ms there and back where links are not filled, and
-	// 40 to 200 where they are.
-	quickCrossing = 1.0 / 16
+	// quickCrossing is within which time an offer must have gone there and back for a
+	// further one to be free. Messages between zones take 1 to 3 ms where links are not
+	// filled, and 40 to 200 where they are. With a sixteenth of the call's patience, 10 to
+	// 30 ms on such links, offers filled them again (0.02 of a day).
+	quickCrossing = 3 * time.Millisecond
 )
 
 // furtherOffers bounds how often calls that one node has refused for want of a slot are
