--- /dev/null
+++ b/pkg/canary/judge.go
@@ -0,0 +1,126 @@
+package canary
+
+import "math"
+
+// Figures of the test. It is a cumulative sum (E. S. Page, Continuous inspection
+// schemes, Biometrika 1954): evidence against the new version adds up, evidence for it
+// never counts for more than none, so that a fault that begins late is found as fast as
+// one that is there from the start.
+const (
+	// alarm is the sum at which a version is bad: one of exp(alarm) good versions, about
+	// 3,000, reaches it within a run of requests of the length that a bad one needs.
+	alarm = 8.0
+	// leastFailing is the share of failures that is taken for usual even if the former
+	// version has none, and moreFailing how much more makes a version bad.
+	leastFailing = 0.01
+	moreFailing  = 0.05
+	// slowerBy is the natural logarithm of how many times slower a version must be to
+	// be bad: 2.5, since workers of one version differ by up to 2.3 times. logSpread is
+	// how widely the logarithms of run times of one route are spread.
+	slowerBy  = 0.92
+	logSpread = 0.8
+	// memory is the share of what the former version did that still counts at the next
+	// observation: trouble that strikes both versions alike soon is usual.
+	memory = 0.8
+	// smallestFormer is how many runs of the former version a comparison of times needs.
+	smallestFormer = 20
+)
+
+// Tally sums up finished requests. The zero value is none.
+type Tally struct {
+	// Runs is how many requests have ended, Failed how many of them in failure.
+	Runs, Failed float64
+	// LogTime is the sum of the natural logarithms of the run times, in seconds, of
+	// those that did not fail.
+	LogTime float64
+}
+
+// Plus returns the sum of two tallies.
+func (t Tally) Plus(other Tally) Tally {
+	return Tally{Runs: t.Runs + other.Runs, Failed: t.Failed + other.Failed, LogTime: t.LogTime + other.LogTime}
+}
+
+// Minus returns what was added to a former tally.
+func (t Tally) Minus(former Tally) Tally {
+	return Tally{Runs: t.Runs - former.Runs, Failed: t.Failed - former.Failed, LogTime: t.LogTime - former.LogTime}
+}
+
+// scaled returns a share of the tally.
+func (t Tally) scaled(share float64) Tally {
+	return Tally{Runs: share * t.Runs, Failed: share * t.Failed, LogTime: share * t.LogTime}
+}
+
+// succeeded is how many requests did not fail.
+func (t Tally) succeeded() float64 { return t.Runs - t.Failed }
+
+// failing is the share of requests that failed.
+func (t Tally) failing() float64 {
+	if t.Runs == 0 {
+		return 0
+	}
+	return t.Failed / t.Runs
+}
+
+// meanLogTime is the mean of the logarithms of the run times.
+func (t Tally) meanLogTime() float64 { return t.LogTime / max(t.succeeded(), 1) }
+
+// Judge compares a new version with the former one, route by route. Use NewJudge.
+type Judge struct {
+	routes map[string]*comparison
+}
+
+// comparison is what is known of one route.
+type comparison struct {
+	// former is what the former version did lately; its figures are what is usual.
+	former Tally
+	// failures and slowness are the cumulative sums.
+	failures, slowness float64
+}
+
+// NewJudge returns a judge that has seen nothing.
+func NewJudge() *Judge { return &Judge{routes: map[string]*comparison{}} }
+
+// Observe takes what both versions did on a route since the last call.
+func (j *Judge) Observe(route string, former, next Tally) {
+	c, known := j.routes[route]
+	if !known {
+		c = &comparison{}
+		j.routes[route] = c
+	}
+	c.former = c.former.scaled(memory).Plus(former)
+	c.observeFailures(next)
+	c.observeTimes(next)
+}
+
+// Bad returns the route on which the new version is bad, and why; false when it is not
+// known to be.
+func (j *Judge) Bad() (route, reason string, bad bool) {
+	for name, c := range j.routes {
+		switch {
+		case c.failures >= alarm:
+			return name, "failures", true
+		case c.slowness >= alarm:
+			return name, "slow", true
+		}
+	}
+	return "", "", false
+}
+
+func (c *comparison) observeFailures(next Tally) {
+	usual := max(c.former.failing(), leastFailing)
+	bad := min(usual+moreFailing, 1)
+	if usual >= 1 {
+		return
+	}
+	gain := next.Failed*math.Log(bad/usual) + next.succeeded()*math.Log(max((1-bad)/(1-usual), math.SmallestNonzeroFloat64))
+	c.failures = max(c.failures+gain, 0)
+}
+
+func (c *comparison) observeTimes(next Tally) {
+	if c.former.succeeded() < smallestFormer || next.succeeded() <= 0 {
+		return
+	}
+	slower := next.meanLogTime() - c.former.meanLogTime()
+	gain := next.succeeded() * (slower - slowerBy) / (logSpread * logSpread)
+	c.slowness = max(c.slowness+gain, 0)
+}
