Move a service to another version as its operators order, and back if that is bad

Orders in the store were read by nobody: new workers got work at once, whatever they did, and no status was written. Now the nodes that read the store take the orders; decisions and what workers did travel in the nodes' records by way of the hubs; the node that reads first is the coordinator (pkg/canary decides), and what is final is so by compare-and-swap on the status in the store: completed after every node has stopped giving the former version work and the longest call is over, rolled back as soon as a route fails or is slow. Ways weighed: steering at the worker's node by refusals (an offer lost for each) · every node decides for itself (a verdict that differs from node to node) · one coordinator, steering where calls begin: kept. A version that never comes is given up. Not there: a brake of each node's own, real processes in the lab, roll-outs in the soak.

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -15,7 +15,10 @@
 	c.report.Route, c.report.Service = c.route.Name, service
 	destination := c.plane.destination(service)
 	destination.budget.First(c.began)
-	offers := offers{call: c, destination: destination, latestStart: c.latestStart()}
+	offers := offers{
+		call: c, destination: destination, latestStart: c.latestStart(),
+		version: c.plane.steering.Load().chooseVersion(service),
+	}
 	result, err := offers.run(ctx)
 	c.report.Offers, c.report.Arrivals = offers.made, offers.arrivals
 	if err != nil {
@@ -88,7 +91,9 @@
 	call        *call
 	destination *destination
 	latestStart time.Time
-	tried       []string
+	// version is the version of the service that takes the call.
+	version versionChoice
+	tried   []string
 	// made counts the nodes that were asked, refusals those that had no slot in
 	// time, arrivals the workers that had the call.
 	made, refusals, arrivals int
@@ -183,8 +188,20 @@
 }
 
 func (o *offers) chooseExcept(tried []string) (choice, bool) {
+	if chosen, ok := o.chooseOf(o.version, tried); ok {
+		return chosen, true
+	}
+	if other, allowed := o.version.other(); allowed {
+		return o.chooseOf(other, tried)
+	}
+	return choice{}, false
+}
+
+// chooseOf chooses a worker of one version.
+func (o *offers) chooseOf(version versionChoice, tried []string) (choice, bool) {
 	work, answerBytes := o.call.state.expected()
 	return o.destination.choose(wish{
+		version:   version,
 		bytes:     answerBytes + len(o.call.body.held),
 		long:      o.call.body.long(),
 		elsewhere: o.refusals >= maximumRefusals,
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -64,7 +64,9 @@
 // endpoint is one worker as the node where calls begin sees it.
 type endpoint struct {
 	node, zone, address, instance string
-	slots                         int
+	// version is that of the worker's software; empty when it has not said.
+	version string
+	slots   int
 	// outstanding are the requests that this node has there now.
 	outstanding int
 	// report is what the worker's node told last, at reportedAt, when this node
@@ -100,30 +102,34 @@
 	budget  *retry.WindowBudget
 	further *furtherOffers
 	view    atomic.Pointer[fleet.View]
+	// steering decided which of the endpoints were taken.
+	steering atomic.Pointer[steeringTable]
 
 	mutex     sync.Mutex
 	endpoints map[string]*endpoint
 	ordered   []*endpoint
 }
 
-// refresh brings the endpoints in line with the nodes.
-func (d *destination) refresh(view *fleet.View) {
-	if view == d.view.Load() {
+// refresh brings the endpoints in line with the nodes, and with the decisions on moves to
+// other versions.
+func (d *destination) refresh(view *fleet.View, steering *steeringTable) {
+	if view == d.view.Load() && steering == d.steering.Load() {
 		return
 	}
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
 	d.view.Store(view)
+	d.steering.Store(steering)
 	known := d.endpoints
 	d.endpoints = make(map[string]*endpoint, len(known))
 	d.ordered = d.ordered[:0]
-	for _, node := range d.serving(view) {
+	for _, node := range d.serving(view, steering) {
 		worker, _ := node.Serves(d.service)
 		found, same := known[node.ID]
 		if !same || found.instance != worker.Instance || found.address != node.CallAddress {
 			found = &endpoint{node: node.ID, zone: node.Zone, address: node.CallAddress, instance: worker.Instance, slowness: 1}
 		}
-		found.slots = worker.Slots
+		found.slots, found.version = worker.Slots, worker.Version
 		d.endpoints[node.ID] = found
 		d.ordered = append(d.ordered, found)
 	}
@@ -132,14 +138,22 @@
 // serving returns the nodes whose workers take this node's calls. In a large mesh
 // they are a part of all: connections, and what is known of each worker, then stay
 // the same however many there are.
-func (d *destination) serving(view *fleet.View) []*fleet.Node {
+func (d *destination) serving(view *fleet.View, steering *steeringTable) []*fleet.Node {
 	var serving []*fleet.Node
 	for _, node := range view.Nodes() {
 		if _, ok := node.Serves(d.service); ok {
 			serving = append(serving, node)
 		}
 	}
-	return fleet.Subset(serving, d.self, d.zone, nearEndpoints, maximumEndpoints)
+	decision, moves := steering.decision(d.service)
+	if !moves {
+		return fleet.Subset(serving, d.self, d.zone, nearEndpoints, maximumEndpoints)
+	}
+	former, target := byVersion(serving, decision)
+	return append(
+		fleet.Subset(former, d.self, d.zone, nearEndpoints, maximumEndpoints),
+		fleet.Subset(target, d.self, d.zone, nearEndpoints, maximumEndpoints)...,
+	)
 }
 
 // choice is an endpoint that was chosen, with what decided.
@@ -167,6 +181,8 @@
 	// work is how long the request is expected to run, target the time within
 	// which its answer is worth most.
 	work, target time.Duration
+	// version is the version of the service that takes the request.
+	version versionChoice
 	// patience is how long the request may wait for a slot.
 	patience time.Duration
 	// local returns the load of this node's own worker.
@@ -183,7 +199,7 @@
 	var best choice
 	bestScore, nextScore := math.Inf(1), math.Inf(1)
 	for _, e := range d.ordered {
-		if contains(w.tried, e.node) || w.elsewhere && e.zone == d.zone {
+		if contains(w.tried, e.node) || w.elsewhere && e.zone == d.zone || !w.version.takes(e.version) {
 			continue
 		}
 		load, usable := d.loadOf(e, w, now)
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -63,7 +63,9 @@
 		latestStart: latestStart,
 		end:         end,
 	}
-	return leg.ask(ctx, &c.asked)
+	result, err := leg.ask(ctx, &c.asked)
+	c.plane.countRun(c.hop.service, leg.worker, c.request, &c.asked, result, err)
+	return result, err
 }
 
 // take reads the body. A long one waits for its turn on the link of this node.
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -49,6 +49,7 @@
 		end:         o.call.end,
 	}
 	answered, err := leg.ask(ctx, &request)
+	o.call.plane.countRun(o.destination.service, leg.worker, o.call.request, &request, answered, err)
 	o.call.report.Waited, o.call.report.Ran = request.waited, request.ran
 	return answered, request.arrived, err
 }
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -28,6 +28,9 @@
 	// pace bounds how fast long bodies go to other nodes; nil sets no bound.
 	pace *rate.Limiter
 
+	// steering are the decisions on moves of services to other versions.
+	steering atomic.Pointer[steeringTable]
+
 	mutex        sync.Mutex
 	destinations map[string]*destination
 
@@ -73,9 +76,9 @@
 		p.destinations[service] = d
 	}
 	p.mutex.Unlock()
-	view := p.config.View()
-	if view != d.view.Load() {
-		d.refresh(view)
+	view, steering := p.config.View(), p.steering.Load()
+	if view != d.view.Load() || steering != d.steering.Load() {
+		d.refresh(view, steering)
 		d.budget.SetSlack(p.config.Retries.Slack / float64(max(len(view.Nodes()), 1)))
 	}
 	return d
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -32,7 +32,7 @@
 	farewellBound = 300 * time.Millisecond
 )
 
-// Config sets up an Agent. All fields must be given.
+// Config sets up an Agent. All fields but Rollouts and Steering must be given.
 type Config struct {
 	// Mesh names the system; nodes of another one are not listened to.
 	Mesh string
@@ -44,6 +44,10 @@
 	Source     Source
 	Directory  Directory
 	Consumer   Consumer
+	// Rollouts and Steering move services to other versions; nil where nobody orders
+	// that.
+	Rollouts RolloutStore
+	Steering Steering
 	// Serving is told of the workers that may be given work: Update is called
 	// after each change of a registration, Open when the first may be.
 	Serving Serving
@@ -108,11 +112,18 @@
 		ErrorLog:    log.New(io.Discard, "", 0),
 	}
 	agent.supervisor = suture.New("hosted", suture.Spec{PassThroughPanics: true, Timeout: endBound})
-	agent.supervisor.Add(&Reader{
+	reader := &Reader{
 		source: config.Source, documents: agent.documents, table: config.Table, contacts: config.Contacts,
 		events: config.Events, spread: agent.spreadDocument, announce: agent.spreadRecord,
 		asked: agent.asked, firstStart: config.FirstStart,
-	})
+	}
+	if config.Rollouts != nil {
+		rollouts := newRollouts(config, func(context.Context) { agent.background(agent.spreadRecord) })
+		reader.orders, reader.rollouts = config.Rollouts.Orders, rollouts
+		agent.peers.rolloutNews = rollouts.Signal
+		agent.supervisor.Add(rollouts)
+	}
+	agent.supervisor.Add(reader)
 	agent.supervisor.Add(agent.documents)
 	agent.supervisor.Add(&Introduction{
 		probe: config.Probe, documents: agent.documents, workers: config.Workers, introduced: agent.introduced,
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -1,9 +1,13 @@
 package hosted
 
 import (
+	"math"
+	"time"
+
 	"google.golang.org/protobuf/proto"
 
 	"github.com/levertide/levertide/internal/exchangepb"
+	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -21,6 +25,7 @@
 		ReadsStore:     node.ReadsStore,
 		Workers:        workerMessages(node.Workers),
 		Capacity:       uint32(node.Capacity),
+		Rollouts:       rolloutMessages(node.Rollouts),
 	}
 }
 
@@ -37,6 +42,7 @@
 		ReadsStore:     message.GetReadsStore(),
 		Workers:        workersOf(message.GetWorkers()),
 		Capacity:       int(message.GetCapacity()),
+		Rollouts:       rolloutsOf(message.GetRollouts()),
 	}
 }
 
@@ -68,6 +74,7 @@
 			Sequence: worker.Sequence,
 			State:    exchangepb.WorkerState(worker.State),
 			Address:  worker.Address,
+			Version:  worker.Version,
 		})
 	}
 	return messages
@@ -83,11 +90,62 @@
 			Sequence: message.GetSequence(),
 			State:    workers.State(message.GetState()),
 			Address:  message.GetAddress(),
+			Version:  message.GetVersion(),
 		})
 	}
 	return list
 }
 
+// shareUnits is how a share is written: in thousandths.
+const shareUnits = 1000
+
+func rolloutMessages(list []fleet.Rollout) []*exchangepb.Rollout {
+	var messages []*exchangepb.Rollout
+	for _, r := range list {
+		message := &exchangepb.Rollout{
+			Service:          r.Service,
+			Target:           r.Target,
+			Revision:         r.Revision,
+			OrderedUnixMs:    r.Ordered.UnixMilli(),
+			DeadlineUnixMs:   r.Deadline.UnixMilli(),
+			Step:             r.Step,
+			ShareThousandths: uint32(math.Round(shareUnits * r.Share)),
+			State:            exchangepb.RolloutState(r.State),
+		}
+		for _, runs := range r.Runs {
+			message.Runs = append(message.Runs, &exchangepb.RouteRuns{
+				Route: runs.Route, Runs: uint64(runs.Runs), Failed: uint64(runs.Failed), LogTime: runs.LogTime,
+			})
+		}
+		messages = append(messages, message)
+	}
+	return messages
+}
+
+func rolloutsOf(messages []*exchangepb.Rollout) []fleet.Rollout {
+	var list []fleet.Rollout
+	for _, message := range messages {
+		r := fleet.Rollout{
+			Service:  message.GetService(),
+			Target:   message.GetTarget(),
+			Revision: message.GetRevision(),
+			Ordered:  time.UnixMilli(message.GetOrderedUnixMs()),
+			Deadline: time.UnixMilli(message.GetDeadlineUnixMs()),
+			Step:     message.GetStep(),
+			Share:    float64(message.GetShareThousandths()) / shareUnits,
+			State:    canary.State(message.GetState()),
+		}
+		for _, runs := range message.GetRuns() {
+			r.Runs = append(r.Runs, fleet.RouteRuns{
+				Route: runs.GetRoute(),
+				Tally: canary.Tally{Runs: float64(runs.GetRuns()), Failed: float64(runs.GetFailed()), LogTime: runs.GetLogTime()},
+			})
+		}
+		list = append(list, r)
+	}
+	return list
+}
+
 // encodeEntry returns a node's record as its entry in the store. The workers are
 // part of it: the same incarnation and sequence must never name two records.
 func encodeEntry(node fleet.Node) []byte {
--- a/internal/hosted/documents_test.go
+++ b/internal/hosted/documents_test.go
@@ -5,7 +5,9 @@
 	"fmt"
 	"strings"
 	"testing"
+	"time"
 
+	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -20,15 +22,18 @@
 // quietEvents is told everything and does nothing.
 type quietEvents struct{}
 
-func (quietEvents) DocumentRejected(uint64, error)       {}
-func (quietEvents) ReaderRoleChanged(bool)               {}
-func (quietEvents) StoreReachable()                      {}
-func (quietEvents) StoreUnreachable(error)               {}
-func (quietEvents) NodeLost(string, error)               {}
-func (quietEvents) NodeFound(string)                     {}
-func (quietEvents) WorkerChanged(workers.Worker, string) {}
-func (quietEvents) PromiseKept(string, int, bool)        {}
-func (quietEvents) FormerLife(uint64, int)               {}
+func (quietEvents) DocumentRejected(uint64, error)               {}
+func (quietEvents) ReaderRoleChanged(bool)                       {}
+func (quietEvents) StoreReachable()                              {}
+func (quietEvents) StoreUnreachable(error)                       {}
+func (quietEvents) NodeLost(string, error)                       {}
+func (quietEvents) NodeFound(string)                             {}
+func (quietEvents) WorkerChanged(workers.Worker, string)         {}
+func (quietEvents) PromiseKept(string, int, bool)                {}
+func (quietEvents) FormerLife(uint64, int)                       {}
+func (quietEvents) RolloutOrdered(string, string, time.Duration) {}
+func (quietEvents) RolloutDecided(string, string, canary.State, float64, string, float64, float64) {
+}
 
 // offerNews does what Serve does when there are news.
 func offerNews(d *Documents) {
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -1,6 +1,11 @@
 package hosted
 
-import "github.com/levertide/levertide/pkg/workers"
+import (
+	"time"
+
+	"github.com/levertide/levertide/pkg/canary"
+	"github.com/levertide/levertide/pkg/workers"
+)
 
 // Events is told what the agent learns and believes.
 type Events interface {
@@ -22,4 +27,9 @@
 	PromiseKept(instance string, holders int, stored bool)
 	// FormerLife tells that a record of a former life was found.
 	FormerLife(incarnation uint64, promised int)
+	// RolloutOrdered tells of an order of the operators that the store has told.
+	RolloutOrdered(service, target string, duration time.Duration)
+	// RolloutDecided tells a decision of this node as coordinator: the share of the
+	// target from now on, why it was rolled back, and what the target has run.
+	RolloutDecided(service, target string, state canary.State, share float64, reason string, ran, failed float64)
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -14,6 +14,7 @@
 	"github.com/levertide/levertide/internal/httpleg"
 	"github.com/levertide/levertide/internal/lab/hostedstore"
 	"github.com/levertide/levertide/internal/testwait"
+	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -25,6 +26,7 @@
 	contacts *fleet.Contacts
 	workers  *workers.Registry
 	events   *recorder
+	steering steering
 	cancel   context.CancelFunc
 	ended    chan struct{}
 	address  string
@@ -69,14 +71,17 @@
 	promises map[string]int
 }
 
-func (r *recorder) DocumentRejected(uint64, error)       {}
-func (r *recorder) ReaderRoleChanged(bool)               {}
-func (r *recorder) StoreReachable()                      {}
-func (r *recorder) StoreUnreachable(error)               {}
-func (r *recorder) NodeLost(string, error)               {}
-func (r *recorder) NodeFound(string)                     {}
-func (r *recorder) WorkerChanged(workers.Worker, string) {}
-func (r *recorder) FormerLife(uint64, int)               {}
+func (r *recorder) DocumentRejected(uint64, error)               {}
+func (r *recorder) ReaderRoleChanged(bool)                       {}
+func (r *recorder) StoreReachable()                              {}
+func (r *recorder) StoreUnreachable(error)                       {}
+func (r *recorder) NodeLost(string, error)                       {}
+func (r *recorder) NodeFound(string)                             {}
+func (r *recorder) WorkerChanged(workers.Worker, string)         {}
+func (r *recorder) FormerLife(uint64, int)                       {}
+func (r *recorder) RolloutOrdered(string, string, time.Duration) {}
+func (r *recorder) RolloutDecided(string, string, canary.State, float64, string, float64, float64) {
+}
 func (r *recorder) PromiseKept(instance string, holders int, _ bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
@@ -120,7 +125,7 @@
 	client := store.Client(id)
 	node.agent = hosted.New(hosted.Config{
 		Mesh: "test", FirstStart: firstStart, Table: node.table, Contacts: node.contacts, Workers: node.workers,
-		Source: client, Directory: client, Consumer: node, Serving: node, Probe: node,
+		Source: client, Directory: client, Consumer: node, Serving: node, Probe: node, Rollouts: client, Steering: &node.steering,
 		Listener: listener, Dial: dial, Events: node.events,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -42,6 +43,9 @@
 	// hub collects the news of the zone while this node is its hub.
 	hub  *hub
 	sent messageCounters
+	// rolloutNews is called when a record was taken that tells of a roll-out; nil where
+	// nobody orders any.
+	rolloutNews func()
 
 	mutex   sync.Mutex
 	clients map[string]exchangepb.Exchange
@@ -165,6 +169,9 @@
 		// It was lost, and others have heard from it: it need not be tried first.
 		p.noteContact(id)
 	}
+	if p.rolloutNews != nil && slices.ContainsFunc(merged.News, func(n fleet.Node) bool { return len(n.Rollouts) > 0 }) {
+		p.rolloutNews()
+	}
 	if merged.FormerSelf != nil || len(promised) > 0 {
 		p.former(merged, promised)
 	}
--- a/internal/hosted/reader.go
+++ b/internal/hosted/reader.go
@@ -59,6 +59,11 @@
 	// spread hands a new document to all nodes, and announce this node's record.
 	spread, announce func(ctx context.Context)
 
+	// orders reads the orders on roll-outs, which rollouts takes; nil where nobody
+	// orders any.
+	orders   func(ctx context.Context) ([]Order, error)
+	rollouts *Rollouts
+
 	// after is the revision to watch from; zero reads whole.
 	after uint64
 	reads bool
@@ -146,6 +151,9 @@
 		r.lost(ctx, err)
 	default:
 		r.after = watched.Next
+		if r.rollouts != nil {
+			r.rollouts.TakeOrders(watched.Orders)
+		}
 		if watched.Superseded > 0 {
 			// Documents come faster than the link carries them: a watch from here
 			// would bring each of them, a read brings only the newest.
@@ -173,6 +181,23 @@
 	}
 	r.after = next
 	r.take(ctx, document)
+	return r.readOrders(ctx)
+}
+
+// readOrders reads the orders that a watch from here would not bring. It reports whether
+// the store answered.
+func (r *Reader) readOrders(ctx context.Context) bool {
+	if r.orders == nil {
+		return true
+	}
+	bounded, cancel := context.WithTimeout(ctx, answerBound)
+	defer cancel()
+	orders, err := r.orders(bounded)
+	if err != nil {
+		r.lost(ctx, err)
+		return false
+	}
+	r.rollouts.TakeOrders(orders)
 	return true
 }
 
--- /dev/null
+++ b/internal/hosted/rollouts.go
@@ -0,0 +1,231 @@
+package hosted
+
+import (
+	"context"
+	"slices"
+	"strings"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/pkg/fleet"
+)
+
+const (
+	// rolloutTick is how often a node looks at the roll-outs that run: a bad version is
+	// to be left within seconds. While none runs a node only waits for news.
+	rolloutTick = 200 * time.Millisecond
+	// runsInterval is how often a node tells what its worker did.
+	runsInterval = time.Second
+	// forgetRollout is how long after its deadline a roll-out is remembered: the workers
+	// that it leaves have ended by then.
+	forgetRollout = time.Minute
+)
+
+// Steering is the part of the node that shares requests among versions.
+type Steering interface {
+	// Steer has the node share the requests of services by the given decisions, and of
+	// no others.
+	Steer(decisions []fleet.Rollout)
+	// Runs returns what the worker beside the node did for a service since Steer named
+	// it first, by route.
+	Runs(service string) []fleet.RouteRuns
+	// LongestCall returns how long a call to the service may last.
+	LongestCall(service string) time.Duration
+}
+
+// Rollouts has a node know, apply and tell the decisions on moves of services to other
+// versions, and decide them while it is the coordinator: the node that reads the store
+// first. Decisions and what workers did travel in the nodes' records. It is a suture
+// service.
+type Rollouts struct {
+	store    RolloutStore
+	steering Steering
+	table    *fleet.Table
+	contacts *fleet.Contacts
+	events   Events
+	// announce tells the other nodes the own record.
+	announce func(ctx context.Context)
+	// news is signalled when there is something to look at.
+	news chan struct{}
+
+	mu     sync.Mutex
+	orders []Order
+
+	// What follows belongs to the goroutine of Serve.
+
+	known map[string]fleet.Rollout
+	leads map[string]*lead
+	// toldRuns is when the own record last told what the worker did.
+	toldRuns time.Time
+}
+
+func newRollouts(config Config, announce func(ctx context.Context)) *Rollouts {
+	return &Rollouts{
+		store: config.Rollouts, steering: config.Steering, table: config.Table, contacts: config.Contacts,
+		events: config.Events, announce: announce, news: make(chan struct{}, 1),
+		known: map[string]fleet.Rollout{}, leads: map[string]*lead{},
+	}
+}
+
+// String names the part in events.
+func (r *Rollouts) String() string { return "rollouts" }
+
+// Serve looks after roll-outs until the context ends.
+func (r *Rollouts) Serve(ctx context.Context) error {
+	for {
+		r.look(ctx, time.Now())
+		if len(r.known) > 0 {
+			sleep(ctx, rolloutTick)
+		} else {
+			select {
+			case <-r.news:
+			case <-ctx.Done():
+			}
+		}
+		if ctx.Err() != nil {
+			return ctx.Err()
+		}
+	}
+}
+
+// Signal has the node look at once.
+func (r *Rollouts) Signal() {
+	select {
+	case r.news <- struct{}{}:
+	default:
+	}
+}
+
+// TakeOrders takes orders that the store has told.
+func (r *Rollouts) TakeOrders(orders []Order) {
+	if len(orders) == 0 {
+		return
+	}
+	r.mu.Lock()
+	r.orders = append(r.orders, orders...)
+	r.mu.Unlock()
+	r.Signal()
+}
+
+// look brings this node up to date, and decides what is its to decide.
+func (r *Rollouts) look(ctx context.Context, now time.Time) {
+	changed := r.adoptOrders(now)
+	view := r.table.View()
+	for _, n := range view.Nodes() {
+		for _, told := range n.Rollouts {
+			changed = r.adopt(told, now) || changed
+		}
+	}
+	changed = r.forget(now) || changed
+	for service := range r.known {
+		changed = r.lead(ctx, view, service, now) || changed
+	}
+	if changed {
+		r.steering.Steer(r.decisions())
+	}
+	if changed || len(r.known) > 0 && now.Sub(r.toldRuns) >= runsInterval {
+		r.tell(ctx, changed, now)
+	}
+}
+
+func (r *Rollouts) adoptOrders(now time.Time) bool {
+	r.mu.Lock()
+	orders := r.orders
+	r.orders = nil
+	r.mu.Unlock()
+	changed := false
+	for _, o := range orders {
+		adopted := r.adopt(fleet.Rollout{
+			Service: o.Service, Target: o.Target, Revision: o.Revision, Ordered: now, Deadline: now.Add(o.Duration),
+		}, now)
+		if adopted {
+			r.events.RolloutOrdered(o.Service, o.Target, o.Duration)
+		}
+		changed = changed || adopted
+	}
+	return changed
+}
+
+// adopt takes a decision that is newer than the one known. It reports whether it was.
+func (r *Rollouts) adopt(told fleet.Rollout, now time.Time) bool {
+	held, known := r.known[told.Service]
+	if known && !told.Supersedes(held) || now.After(told.Deadline.Add(forgetRollout)) {
+		return false
+	}
+	told.Runs = nil
+	r.known[told.Service] = told
+	return true
+}
+
+// forget drops what is long over. It reports whether there was any.
+func (r *Rollouts) forget(now time.Time) bool {
+	before := len(r.known)
+	for service, held := range r.known {
+		if now.After(held.Deadline.Add(forgetRollout)) {
+			delete(r.known, service)
+			delete(r.leads, service)
+		}
+	}
+	return len(r.known) < before
+}
+
+// lead decides on a roll-out if this node is the coordinator. It reports whether the
+// decision has changed.
+func (r *Rollouts) lead(ctx context.Context, view *fleet.View, service string, now time.Time) bool {
+	held := r.known[service]
+	l, leading := r.leads[service]
+	if leading && l.order != held.Revision {
+		leading = false
+	}
+	if !r.coordinates(view) {
+		delete(r.leads, service)
+		return false
+	}
+	if !leading {
+		l = newLead(r.store, held)
+		r.leads[service] = l
+	}
+	decided := l.decide(ctx, view, held, r.steering.LongestCall(service), now)
+	if decided.SameDecision(held) {
+		return false
+	}
+	r.known[service] = decided
+	r.events.RolloutDecided(service, decided.Target, decided.State, decided.Share, l.reason, l.ran, l.failed)
+	return true
+}
+
+// coordinates reports whether this node decides. Two nodes with different views may both
+// do so for a while: what is final is decided by the store.
+func (r *Rollouts) coordinates(view *fleet.View) bool {
+	first := fleet.Readers(view, r.contacts.Reachable, 1)
+	return len(first) == 1 && first[0] == view.Self().ID
+}
+
+// decisions returns what is known, by service.
+func (r *Rollouts) decisions() []fleet.Rollout {
+	list := make([]fleet.Rollout, 0, len(r.known))
+	for _, held := range r.known {
+		list = append(list, held)
+	}
+	slices.SortFunc(list, func(a, b fleet.Rollout) int { return strings.Compare(a.Service, b.Service) })
+	return list
+}
+
+// tell writes the own record, and announces it when it says something new.
+func (r *Rollouts) tell(ctx context.Context, decided bool, now time.Time) {
+	r.toldRuns = now
+	list := r.decisions()
+	for i := range list {
+		list[i].Runs = r.steering.Runs(list[i].Service)
+	}
+	former := r.table.View().Self().Rollouts
+	if !decided && slices.EqualFunc(former, list, sameTelling) {
+		return
+	}
+	r.table.Update(func(own *fleet.Node) { own.Rollouts = list })
+	r.announce(ctx)
+}
+
+func sameTelling(a, b fleet.Rollout) bool {
+	return a.Service == b.Service && a.SameDecision(b) && slices.Equal(a.Runs, b.Runs)
+}
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -28,6 +28,8 @@
 	Document *Document
 	// Superseded is how many older ones came with it.
 	Superseded int
+	// Orders are orders on roll-outs that came.
+	Orders []Order
 	// Next is the revision to go on from.
 	Next uint64
 }
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -35,7 +35,10 @@
 	// written counts the calls that grant a lease or write an entry.
 	written int
 	leases  uint64
-	granted map[hosted.Lease]bool
+	// orders and statuses are those of roll-outs, by service.
+	orders   map[string]hosted.Order
+	statuses map[string]hosted.RolloutStatus
+	granted  map[hosted.Lease]bool
 }
 
 type entry struct {
@@ -53,6 +56,9 @@
 		granted: map[hosted.Lease]bool{},
 		changed: make(chan struct{}),
 		faults:  map[string]Faults{},
+
+		orders:   map[string]hosted.Order{},
+		statuses: map[string]hosted.RolloutStatus{},
 	}
 }
 
@@ -203,8 +209,12 @@
 		if after < history {
 			return hosted.Watched{}, hosted.ErrHistoryGone.New("forgotten")
 		}
-		if document != nil && document.Revision > after {
-			return hosted.Watched{Document: document, Next: revision}, nil
+		orders := c.store.ordersAfter(after)
+		if document != nil && document.Revision <= after {
+			document = nil
+		}
+		if document != nil || len(orders) > 0 {
+			return hosted.Watched{Document: document, Orders: orders, Next: revision}, nil
 		}
 		select {
 		case <-changed:
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -60,9 +60,9 @@
 	var registrar sidecar.Registrar
 	adapter := sidecar.Adapter{
 		Dialect: dialect,
-		Open: func(string, httpleg.DialFunc) (hosted.Source, hosted.Directory) {
+		Open: func(string, httpleg.DialFunc) (hosted.Source, hosted.Directory, hosted.RolloutStore) {
 			client := m.store.Client(m.id)
-			return client, client
+			return client, client, client
 		},
 		Translate: translate,
 		Identity:  func(http.Header) (sidecar.Identity, bool) { return sidecar.Identity{}, false },
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -37,8 +37,9 @@
 // and keeps nothing beyond connections and what makes the next translation cheaper.
 type Adapter struct {
 	Dialect forwarding.Dialect
-	// Open connects to the platform's store.
-	Open func(address string, dial httpleg.DialFunc) (hosted.Source, hosted.Directory)
+	// Open connects to the platform's store. The last result is nil where operators
+	// order no roll-outs.
+	Open func(address string, dial httpleg.DialFunc) (hosted.Source, hosted.Directory, hosted.RolloutStore)
 	// Translate reads a document; it fails with hosted.ErrInvalidDocument. Resources
 	// that are the same pointers as those of the former document have not changed.
 	Translate func(content []byte) (Translation, error)
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -100,11 +100,12 @@
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "listener for messages")
 	}
-	source, directory := adapter.Open(s.StoreAddresses[0], network.Dial)
+	source, directory, rollouts := adapter.Open(s.StoreAddresses[0], network.Dial)
 	source, directory = hosted.Observe(source, directory, telemetry.NewStoreObserver(registry.Registerer()))
 	node.agent = hosted.New(hosted.Config{
 		Mesh: s.Mesh, FirstStart: s.FirstStart, Table: node.table, Contacts: contacts, Workers: node.workers,
 		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
+		Rollouts: rollouts, Steering: node.plane,
 		Probe:    newProbe(s, config, network, adapter),
 		Listener: messages, Dial: network.Dial, Events: log,
 	})
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -119,9 +119,9 @@
 	running := &runningNode{ended: make(chan error, 1), log: &lockedBuffer{}}
 	adapter := Adapter{
 		Dialect: forwarding.Dialect{RequestID: "X-Id", Timeout: "X-Timeout", CallerService: "X-Caller", ExpectInstance: "X-Expect", NotRun: "X-Not-Run"},
-		Open: func(string, httpleg.DialFunc) (hosted.Source, hosted.Directory) {
+		Open: func(string, httpleg.DialFunc) (hosted.Source, hosted.Directory, hosted.RolloutStore) {
 			client := store.Client(chosen.NodeID)
-			return client, client
+			return client, client, client
 		},
 		Translate: translateTest,
 		Identity: func(header http.Header) (Identity, bool) {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -35,6 +35,7 @@
 	fieldVersion       = "version"
 	fieldDigest        = "digest"
 	fieldReason        = "reason"
+	fieldTarget        = "target"
 	fieldError         = "error"
 	fieldDuration      = "duration_milliseconds"
 	fieldCallsInFlight = "calls_in_flight"
@@ -105,6 +106,8 @@
 	eventPromiseKept      = Event{607, "promise kept", LevelInfo, []string{"instance", "holders", "stored"}, "A worker's leave is about to be acknowledged; holders counts the other nodes that know of it, stored tells whether the platform's store does."}
 	eventFormerLife       = Event{608, "former life", LevelInfo, []string{"incarnation", "promised"}, "Another node or the platform's store told a record of a former life of this node, with what was promised."}
 	eventSettingsReloaded = Event{609, "settings reloaded", LevelInfo, []string{fieldError}, "The settings were read again; with an error, those before stay."}
+	eventRolloutOrdered   = Event{611, "rollout ordered", LevelInfo, []string{"service", fieldTarget, fieldDuration}, "The store has told this node an order to move a service to another version."}
+	eventRolloutDecided   = Event{612, "rollout decided", LevelInfo, []string{"service", fieldTarget, "state", "share", fieldReason, "ran", "failed"}, "This node, as coordinator, decided what share of the requests the version gets from now on, or that the move has ended; the reason says why it was rolled back, ran and failed count the version's requests."}
 	eventLinesDropped     = Event{610, "lines dropped", LevelWarning, []string{"lines"}, "Lines of this log that were not written, because their reader was slow or there were too many."}
 )
 
@@ -135,7 +138,7 @@
 		eventStoreReachable, eventStoreUnreachable, eventStoreRegressed, eventAlarm, eventLeaseAcquired, eventLeaseLost,
 		eventCertificatesLoaded, eventCertificatesFailed,
 		eventDocumentRejected, eventDocumentInForce, eventReaderRole, eventNodeLost, eventNodeFound, eventWorkerChanged,
-		eventPromiseKept, eventFormerLife, eventSettingsReloaded, eventLinesDropped, eventCallFailed, eventHopFailed,
+		eventPromiseKept, eventFormerLife, eventSettingsReloaded, eventRolloutOrdered, eventRolloutDecided, eventLinesDropped, eventCallFailed, eventHopFailed,
 	}
 	slices.SortFunc(events, func(a, b Event) int { return a.Number - b.Number })
 	return events
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -46,6 +47,17 @@
 	end(l.begin(eventFormerLife).Uint64("incarnation", incarnation).Int("promised", promised))
 }
 
+// RolloutOrdered records an order of the operators on a version.
+func (l *Log) RolloutOrdered(service, target string, duration time.Duration) {
+	end(l.begin(eventRolloutOrdered).Str("service", service).Str(fieldTarget, target).Int64(fieldDuration, duration.Milliseconds()))
+}
+
+// RolloutDecided records a decision on a roll-out, with what the new version has run.
+func (l *Log) RolloutDecided(service, target string, state canary.State, share float64, reason string, ran, failed float64) {
+	end(l.begin(eventRolloutDecided).Str("service", service).Str(fieldTarget, target).Str("state", state.String()).
+		Float64("share", share).Str(fieldReason, reason).Float64("ran", ran).Float64("failed", failed))
+}
+
 // SettingsReloaded records that the settings were read again.
 func (l *Log) SettingsReloaded(err error) {
 	text := ""
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -16,6 +16,7 @@
 	"github.com/levertide/levertide/internal/control"
 	"github.com/levertide/levertide/internal/dataplane"
 	"github.com/levertide/levertide/internal/forwarding"
+	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/workers"
@@ -65,6 +66,8 @@
 	l.WorkerChanged(workers.Worker{Instance: "i"}, "heartbeat")
 	l.PromiseKept("i", 2, true)
 	l.FormerLife(1, 2)
+	l.RolloutOrdered("ledger", "v2", time.Minute)
+	l.RolloutDecided("ledger", "v2", canary.RolledBack, 0, "failures on read", 40, 9)
 	l.SettingsReloaded(nil)
 	l.LinesDropped(3)
 	hosted := NewForwardingObserver(prometheus.NewRegistry(), l, func() {})
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -37,6 +37,9 @@
 	// Workers are those that the node vouches for, with those that it has
 	// promised to leave alone.
 	Workers []workers.Worker
+	// Rollouts are what the node knows of moves of services to other versions, and
+	// steers by.
+	Rollouts []Rollout
 }
 
 // NewerThan reports whether the record replaces the other one of the same node.
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -3,6 +3,7 @@
 import (
 	"slices"
 	"strings"
+	"time"
 
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/snapshot"
@@ -57,6 +58,22 @@
 	return route, ok
 }
 
+// LongestTimeout returns the longest time that a route to the service gives a call; zero
+// when there is no route.
+func (t *Table) LongestTimeout(service string) time.Duration {
+	var longest time.Duration
+	for _, route := range t.routes {
+		leads := route.ServiceName == service
+		for _, backend := range route.Config.Backends {
+			leads = leads || backend.Service == service
+		}
+		if leads {
+			longest = max(longest, route.Timeout)
+		}
+	}
+	return longest
+}
+
 func (t *Table) add(route *Route) error {
 	paths, err := t.pathsOf(route)
 	if err != nil {
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -21,9 +21,11 @@
 // Heartbeat is what a worker says of itself.
 type Heartbeat struct {
 	Instance, Service, Address string
-	Slots                      int
-	Draining                   bool
-	Sequence                   uint64
+	// Version is that of the worker's software; empty when it does not say.
+	Version  string
+	Slots    int
+	Draining bool
+	Sequence uint64
 	// ColdRemaining is how much longer the worker is slow from its start.
 	ColdRemaining time.Duration
 }
@@ -74,7 +76,7 @@
 	before := held.Worker
 	held.heard = now
 	held.Worker = Worker{
-		Instance: beat.Instance, Service: beat.Service, Address: beat.Address,
+		Instance: beat.Instance, Service: beat.Service, Address: beat.Address, Version: beat.Version,
 		Slots: beat.Slots, State: StateReady, Sequence: beat.Sequence,
 	}
 	if beat.ColdRemaining > 0 {
@@ -89,7 +91,7 @@
 	if held.State == StateReady {
 		r.silenceOthers(held)
 	}
-	changed := before.State != held.State || before.Service != held.Service || before.Slots != held.Slots || before.Address != held.Address
+	changed := before.State != held.State || before.Service != held.Service || before.Slots != held.Slots || before.Address != held.Address || before.Version != held.Version
 	return Change{Worker: held.Worker, Changed: changed}, nil
 }
 
@@ -135,6 +137,9 @@
 			return ErrInvalid.New("%s must have 1 to %d bytes", name, maximumNameLength)
 		}
 	}
+	if len(beat.Version) > maximumNameLength {
+		return ErrInvalid.New("version must have at most %d bytes", maximumNameLength)
+	}
 	if beat.Slots < 1 || beat.Slots > maximumSlots {
 		return ErrInvalid.New("slots must be from 1 to %d", maximumSlots)
 	}
--- a/pkg/workers/worker.go
+++ b/pkg/workers/worker.go
@@ -41,6 +41,8 @@
 	Instance string
 	Service  string
 	Address  string
+	// Version is that of the worker's software; empty when it does not say.
+	Version string
 	// Slots is how many requests the worker runs at once.
 	Slots int
 	State State
