Count no runs on a node without a configuration

Cause, found by reading: a node that has just started serves other nodes before its first document is in force; while its service moved to another version, counting the run read the route from a configuration that there was not. The test panics without the mend (recovered by the server: the call is lost).

--- a/internal/forwarding/steering.go
+++ b/internal/forwarding/steering.go
@@ -103,7 +103,11 @@
 	if err != nil && (!failed || outcome.ReasonOf(err) == outcome.RefusedByOwnWorker) {
 		return
 	}
-	route, matched := p.config.Current().Table.Match(r.Host, r.URL.Path, r.Method)
+	configuration := p.config.Current()
+	if configuration == nil {
+		return // the node has just started, and its worker is asked by others already
+	}
+	route, matched := configuration.Table.Match(r.Host, r.URL.Path, r.Method)
 	if matched != routing.Matched {
 		return
 	}
--- a/internal/forwarding/steering_test.go
+++ b/internal/forwarding/steering_test.go
@@ -141,3 +141,16 @@
 		t.Error("runs are kept without an order")
 	}
 }
+
+// TestRunsBeforeTheFirstConfiguration has a node that has none yet serve others.
+func TestRunsBeforeTheFirstConfiguration(t *testing.T) {
+	worker := startWorker(t)
+	front, back := startNode(t, "front", "desk", nil), startNode(t, "back", "ledger", worker)
+	introduce(front, back)
+	configure(t, ledgerRoutes, front)
+	back.plane.Steer(order(canary.Running, 1))
+	front.callOften(t, 3)
+	if runs := back.plane.Runs("ledger"); len(runs) != 0 || worker.calls.Load() != 3 {
+		t.Errorf("%d calls, counted %v", worker.calls.Load(), runs)
+	}
+}
