Serve a service that has workers of the ordered version only

Cause, found by reading: an order for the version that all workers have already, as when it is repeated, left 94 of 100 calls to a former version that is not there: they were refused. Where no worker of another version is known, the target takes everything, on all of its workers. A version that was rolled back still gets nothing. Test: without the mend the calls are refused.

--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -7,6 +7,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/slotqueue"
@@ -108,6 +109,9 @@
 	mutex     sync.Mutex
 	endpoints map[string]*endpoint
 	ordered   []*endpoint
+	// oneVersion tells that a service which moves has workers of the target only, as
+	// after an order that is repeated: these take everything.
+	oneVersion bool
 }
 
 // refresh brings the endpoints in line with the nodes, and with the decisions on moves to
@@ -146,10 +150,12 @@
 		}
 	}
 	decision, moves := steering.decision(d.service)
+	d.oneVersion = false
 	if !moves {
 		return fleet.Subset(serving, d.self, d.zone, nearEndpoints, maximumEndpoints)
 	}
 	former, target := byVersion(serving, decision)
+	d.oneVersion = len(former) == 0 && decision.State == canary.Running
 	return append(
 		fleet.Subset(former, d.self, d.zone, nearEndpoints, maximumEndpoints),
 		fleet.Subset(target, d.self, d.zone, nearEndpoints, maximumEndpoints)...,
@@ -196,10 +202,14 @@
 func (d *destination) choose(w wish, now time.Time) (choice, bool) {
 	d.mutex.Lock()
 	defer d.mutex.Unlock()
+	version := w.version
+	if d.oneVersion {
+		version = versionChoice{}
+	}
 	var best choice
 	bestScore, nextScore := math.Inf(1), math.Inf(1)
 	for _, e := range d.ordered {
-		if contains(w.tried, e.node) || w.elsewhere && e.zone == d.zone || !w.version.takes(e.version) {
+		if contains(w.tried, e.node) || w.elsewhere && e.zone == d.zone || !version.takes(e.version) {
 			continue
 		}
 		load, usable := d.loadOf(e, w, now)
--- a/internal/forwarding/steering.go
+++ b/internal/forwarding/steering.go
@@ -172,7 +172,7 @@
 			former = append(former, n)
 		}
 	}
-	if d.Share < mostCanaryShare {
+	if d.Share < mostCanaryShare && len(former) > 0 {
 		few := max(int(math.Ceil(d.Share*float64(len(target)))), 1)
 		target = fleet.Subset(target, d.Service, "", 0, few)
 	}
--- a/internal/forwarding/steering_test.go
+++ b/internal/forwarding/steering_test.go
@@ -154,3 +154,21 @@
 		t.Errorf("%d calls, counted %v", worker.calls.Load(), runs)
 	}
 }
+
+// TestRepeatedOrderHarmsNobody orders the version that all workers have already.
+func TestRepeatedOrderHarmsNobody(t *testing.T) {
+	const calls = 100
+	front, former, next := twoVersions(t, 2)
+	again := order(canary.Running, 0.06)
+	again[0].Target = "v1"
+	front.plane.Steer(again)
+	for _, n := range front.table.View().Nodes() {
+		if worker, ok := n.Serves("ledger"); ok && worker.Version == "v2" {
+			front.table.Remove(n.ID)
+		}
+	}
+	front.callOften(t, calls)
+	if former.calls.Load() != calls || next.calls.Load() != 0 {
+		t.Errorf("%d and %d calls", former.calls.Load(), next.calls.Load())
+	}
+}
