Wait for an address that a starting process still holds

Shown by a program of its own: 3,904 of 127,643 listeners on such an address failed while four loops started processes. Ruled out: ports of outgoing connections (32768 and up), two test processes (each claims its range), two hosts (numbers are given once). A door now tries again for up to 5 s; its test fails without that.

--- a/tests/integration/harness/door.go
+++ b/tests/integration/harness/door.go
@@ -3,12 +3,16 @@
 import (
 	"context"
 	"encoding/json"
+	"errors"
 	"net"
 	"os"
 	"strconv"
 	"strings"
+	"syscall"
+	"time"
 
 	toxiproxy "github.com/Shopify/toxiproxy/v2"
+	"github.com/joomcode/errorx"
 	"github.com/prometheus/client_golang/prometheus"
 	"github.com/rs/zerolog"
 
@@ -76,6 +80,33 @@
 	return true
 }
 
+// forkBound is far above the time for which a process that is being started holds what
+// this one had open.
+const forkBound = 5 * time.Second
+
+// onceFree calls listen until its address is free. The ports of a host are looked at by
+// opening and closing them; a process of another test that is started at that moment
+// holds a copy of the closed listener until its program runs, some milliseconds on a
+// busy machine (3,904 of 127,643 listeners on such an address while processes started).
+func onceFree(listen func() error) error {
+	end := time.Now().Add(forkBound)
+	for {
+		err := listen()
+		if !addressInUse(err) || time.Now().After(end) {
+			return err
+		}
+		time.Sleep(time.Millisecond)
+	}
+}
+
+// addressInUse looks behind errorx's wrapping, which errors.Is does not.
+func addressInUse(err error) bool {
+	if wrapped := errorx.Cast(err); wrapped != nil {
+		err = wrapped.Cause()
+	}
+	return errors.Is(err, syscall.EADDRINUSE)
+}
+
 // newDoor makes a way to the listener with the given number on an address that
 // no other node of this process has.
 func newDoor(proxies *toxiproxy.ApiServer, links *fabric.Links, zone fabric.ZoneNumber, host uint8, number int) (*Door, error) {
@@ -83,7 +114,7 @@
 	address := fabric.HostPort(zone, host, first)
 	target := fabric.HostPort(zone, host, first+1)
 	proxy := toxiproxy.NewProxy(proxies, address, fabric.HostPort(zone, host, first+2), target)
-	if err := proxy.Start(); err != nil {
+	if err := onceFree(proxy.Start); err != nil {
 		return nil, err
 	}
 	relay := fabric.NewRelay(fabric.RelayOptions{Links: links, Zone: zone, Listen: address, Target: proxy.Listen})
@@ -106,7 +137,7 @@
 // Shut refuses connections and breaks the open ones.
 func (d *Door) Shut() { d.relay.Close() }
 
-func (d *Door) open() error { return d.relay.Open() }
+func (d *Door) open() error { return onceFree(d.relay.Open) }
 
 func (d *Door) close() {
 	d.relay.Close()
