--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -40,9 +40,8 @@
 }
 
 // patience is how long the call may wait for a slot: never so long that no time would be
-// left for the work. A caller that comes back with so
-// little time that no further try could be served in time waits for as long as an
-// answer to this one can be. With more time it is refused sooner: what waits long
+// left for the work. A caller that comes back with so little time that no further try
+// could be served in time waits for as long as an answer to this one can be. With more time it is refused sooner: what waits long
 // holds up others, and a later try may find a slot at once.
 func (c *call) patience() time.Duration {
 	work, _ := c.state.expected()
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -50,9 +50,9 @@
 	// time. failureCost is what a failure costs, in targets of the route.
 	failingLife = 4 * time.Second
 	failureCost = 2.0
-	// overdueFactor times what a request is expected to take, and overdueMargin, is how
-	// long an endpoint that holds requests of this node may answer none before others
-	// are preferred: a machine that froze, or connections that fell silent without a
+	// overdueFactor is how many times what a request is expected to take, and
+	// overdueMargin how much more, an endpoint that holds requests of this node may answer
+	// none before others are preferred: a machine that froze, or connections that fell silent without a
 	// reset, would otherwise get work until their callers' time is over. One request in
 	// a hundred takes three to five times the usual.
 	overdueFactor = 5
@@ -230,7 +230,7 @@
 	}
 	e := best.endpoint
 	e.outstanding++
-	best.expected = min(d.wait(best.load), w.patience) + time.Duration(float64(w.work)*e.slowness)
+	best.expected = min(expectedWait(best.load), w.patience) + time.Duration(float64(w.work)*e.slowness)
 	if e.overdueAt.IsZero() {
 		e.await(best.expected, now)
 	}
@@ -267,7 +267,7 @@
 	work := float64(max(w.work, time.Millisecond)) * e.slowness
 	busy := float64(load.Running) / float64(load.Slots)
 	score := work * (1 + crowdPenalty*busy*busy)
-	score += float64(d.wait(load))
+	score += float64(expectedWait(load))
 	if e.zone != d.zone {
 		score += float64(otherZoneDelay) + otherZonePrice(w)
 	}
@@ -282,8 +282,8 @@
 	return score
 }
 
-// wait is how long a request would wait for a slot of an endpoint.
-func (d *destination) wait(load slotqueue.Load) time.Duration {
+// expectedWait is how long a request would wait for a slot of an endpoint with the load.
+func expectedWait(load slotqueue.Load) time.Duration {
 	if load.Running < load.Slots {
 		return 0
 	}
--- a/internal/forwarding/further.go
+++ b/internal/forwarding/further.go
@@ -24,8 +24,9 @@
 
 // furtherOffers bounds how often calls that one node has refused for want of a slot are
 // offered to another one. Under lasting overload each further offer finds the next full
-// node, and the messages fill narrow links that the calls which are served need: where it crossed
-// quickly, a further offer is free. Use newFurtherOffers.
+// node, and the messages fill narrow links that the calls which are served need: the worth
+// of a day beyond capacity was 0.07 with up to four offers a call, and 0.36 with one.
+// Where the last one crossed quickly, a further offer is free. Use newFurtherOffers.
 type furtherOffers struct {
 	mu   sync.Mutex
 	left float64
