Wait in a test until the gateway knows two workers

Each of its 20 calls was then refused, truly. Ruled out: the retry budget (20 saved up, 20 calls), load (failed at 2.6 on 8 cores). The test now waits until two workers have answered; its assertions are as they were.

--- a/tests/integration/calls_test.go
+++ b/tests/integration/calls_test.go
@@ -33,7 +33,12 @@
 func TestWorkerShedsAndOthersTakeOver(t *testing.T) {
 	mesh, _ := running(t, twoZones()...)
 	gateway := mesh.Node("a-gateway")
-	get(t, mesh, gateway, 1)
+	// Others can take over only once the gateway has learned of them.
+	answeredBy := map[string]bool{}
+	mesh.Eventually("the gateway calls two workers", func() bool {
+		answeredBy[get(t, mesh, gateway, 1).Worker] = true
+		return len(answeredBy) > 1
+	})
 	mesh.Node("a-ledger-1").Worker.SetFaults(worker.Fault{Kind: worker.Shed})
 	for range 20 {
 		answer := harness.Call(t.Context(), gateway, harness.Request{Method: http.MethodPost, Path: path(1)})
