Remember the former version's last runs, however often the judge is told

Cause, found by reading: the memory of what is usual fell by a fifth with each observation, and these come five times a second with little in each: after a second a third was left, and a quiet service never had the 20 runs that a comparison of times needs. It now holds the last 300 runs.

--- a/pkg/canary/judge.go
+++ b/pkg/canary/judge.go
@@ -19,9 +19,9 @@
 	// how widely the logarithms of run times of one route are spread.
 	slowerBy  = 0.92
 	logSpread = 0.8
-	// memory is the share of what the former version did that still counts at the next
-	// observation: trouble that strikes both versions alike soon is usual.
-	memory = 0.8
+	// formerRuns is how many of the latest runs of the former version tell what is usual:
+	// trouble that strikes both versions alike is so soon, however often the judge is told.
+	formerRuns = 300
 	// smallestFormer is how many runs of the former version a comparison of times needs.
 	smallestFormer = 20
 )
@@ -87,7 +87,8 @@
 		c = &comparison{}
 		j.routes[route] = c
 	}
-	c.former = c.former.scaled(memory).Plus(former)
+	c.former = c.former.Plus(former)
+	c.former = c.former.scaled(min(formerRuns/max(c.former.Runs, 1), 1))
 	c.observeFailures(next)
 	c.observeTimes(next)
 }
