--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -217,7 +217,7 @@
 // place of asking a further one. A call of a worker goes first wherever it waits, and a
 // long body waits for its turn on a link, which no other node has free sooner.
 func (o *offers) lastRefusal() bool {
-	return o.refusals >= maximumRefusals-1 || o.call.nested || o.call.body.long() || !o.destination.further.any()
+	return o.refusals >= maximumRefusals-1 || o.call.nested || o.call.body.long() || o.destination.further.Tokens(time.Now()) < 1
 }
 
 // mostRefusals is how many nodes are asked for a slot. A call that all have refused at
@@ -248,7 +248,7 @@
 		if o.refusals >= o.mostRefusals() || !time.Now().Before(o.latestStart) {
 			return false
 		}
-		return !full || o.crossedQuickly() || o.destination.further.spend()
+		return !full || o.crossedQuickly() || o.destination.further.Spend(time.Now())
 	}
 	return o.mayArriveAgain()
 }
@@ -310,7 +310,10 @@
 	seen := result{}
 	switch {
 	case err == nil:
-		o.destination.further.earn(o.refusals)
+		o.destination.further.Earn()
+		if o.refusals > 0 {
+			o.destination.further.Succeed()
+		}
 		seen.load, seen.hasLoad = answered.load, answered.hasLoad
 		if answered.rest == nil && answered.ran > 0 && answered.status < http.StatusInternalServerError {
 			seen.relative = o.call.state.observe(answered.ran, len(answered.held))
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -101,7 +101,7 @@
 	self    string
 	zone    string
 	budget  *retry.WindowBudget
-	further *furtherOffers
+	further *retry.Budget
 	view    atomic.Pointer[fleet.View]
 	// steering decided which of the endpoints were taken.
 	steering atomic.Pointer[steeringTable]
@@ -230,7 +230,7 @@
 	}
 	e := best.endpoint
 	e.outstanding++
-	best.expected = min(expectedWait(best.load), w.patience) + time.Duration(float64(w.work)*e.slowness)
+	best.expected = min(best.load.Wait(), w.patience) + time.Duration(float64(w.work)*e.slowness)
 	if e.overdueAt.IsZero() {
 		e.await(best.expected, now)
 	}
@@ -267,7 +267,7 @@
 	work := float64(max(w.work, time.Millisecond)) * e.slowness
 	busy := float64(load.Running) / float64(load.Slots)
 	score := work * (1 + crowdPenalty*busy*busy)
-	score += float64(expectedWait(load))
+	score += float64(load.Wait())
 	if e.zone != d.zone {
 		score += float64(otherZoneDelay) + otherZonePrice(w)
 	}
@@ -282,14 +282,6 @@
 	return score
 }
 
-// expectedWait is how long a request would wait for a slot of an endpoint with the load.
-func expectedWait(load slotqueue.Load) time.Duration {
-	if load.Running < load.Slots {
-		return 0
-	}
-	return time.Duration(load.Waiting+1) * max(load.Hold, time.Millisecond) / time.Duration(load.Slots)
-}
-
 // otherZonePrice is the delay, in nanoseconds, that a request may rather have in its own
 // zone than cross to another one.
 func otherZonePrice(w wish) float64 {
--- a/internal/forwarding/further.go
+++ b/internal/forwarding/further.go
@@ -1,8 +1,9 @@
 package forwarding
 
 import (
-	"sync"
 	"time"
+
+	"github.com/levertide/levertide/pkg/retry"
 )
 
 const (
@@ -15,6 +16,8 @@
 	// furtherReward is how many a further offer pays for that was answered: they go on
 	// for as long as one of three finds a free slot.
 	furtherReward = 3
+	// furtherPerSecond is how many a second are allowed whatever is served: next to none.
+	furtherPerSecond = 0.01
 	// quickCrossing is within which time an offer must have gone there and back for a
 	// further one to be free. Messages between zones take 1 to 3 ms where links are not
 	// filled, and 40 to 200 where they are. With a sixteenth of the call's patience, 10 to
@@ -22,43 +25,14 @@
 	quickCrossing = 3 * time.Millisecond
 )
 
-// furtherOffers bounds how often calls that one node has refused for want of a slot are
-// offered to another one. Under lasting overload each further offer finds the next full
-// node, and the messages fill narrow links that the calls which are served need: the worth
-// of a day beyond capacity was 0.07 with up to four offers a call, and 0.36 with one.
-// Where the last one crossed quickly, a further offer is free. Use newFurtherOffers.
-type furtherOffers struct {
-	mu   sync.Mutex
-	left float64
-}
-
-func newFurtherOffers() *furtherOffers { return &furtherOffers{left: furtherMost} }
-
-// earn counts a call that was answered, after the given number of further offers.
-func (f *furtherOffers) earn(made int) {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	f.left += furtherShare
-	if made > 0 {
-		f.left += furtherReward
-	}
-	f.left = min(f.left, furtherMost)
-}
-
-// any reports whether a further offer may be made now.
-func (f *furtherOffers) any() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.left >= 1
-}
-
-// spend reports whether a further offer may be made, and counts it.
-func (f *furtherOffers) spend() bool {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	if f.left < 1 {
-		return false
-	}
-	f.left--
-	return true
+// newFurtherOffers returns the budget of further offers to one service: how often calls
+// that one node has refused for want of a slot are offered to another one. Under lasting
+// overload each further offer finds the next full node, and the messages fill narrow
+// links that the calls which are served need: the worth of a day beyond capacity was 0.07
+// with up to four offers a call, and 0.36 with one. Where the last offer crossed quickly,
+// a further one is free.
+func newFurtherOffers() *retry.Budget {
+	return retry.NewBudget(retry.BudgetOptions{
+		Ratio: furtherShare, MinimumPerSecond: furtherPerSecond, Burst: furtherMost, Reward: furtherReward,
+	})
 }
--- a/internal/forwarding/further_test.go
+++ b/internal/forwarding/further_test.go
@@ -1,26 +1,31 @@
 package forwarding
 
-import "testing"
+import (
+	"testing"
+	"time"
+)
 
 // TestFurtherOffersEndUnderOverload lets all further offers be refused: they come down
 // to a share of what is answered, and go on freely where they are answered.
 func TestFurtherOffersEndUnderOverload(t *testing.T) {
 	const calls = 1000
+	now := time.Now()
 	refused, answered := newFurtherOffers(), newFurtherOffers()
 	made := 0
 	for range calls {
-		if refused.spend() {
+		if refused.Spend(now) {
 			made++
 		}
-		refused.earn(0)
+		refused.Earn()
 	}
 	if most := furtherMost + int(furtherShare*calls) + 1; made > most {
 		t.Errorf("%d further offers for %d answers, at most %d", made, calls, most)
 	}
 	for i := range calls {
-		if !answered.spend() {
+		if !answered.Spend(now) {
 			t.Fatalf("the further offer of call %d was not allowed, though all were answered", i)
 		}
-		answered.earn(1)
+		answered.Earn()
+		answered.Succeed()
 	}
 }
--- a/internal/hosted/reader.go
+++ b/internal/hosted/reader.go
@@ -16,7 +16,7 @@
 	// watchWait is how long one watch is held. It bounds how long a store that
 	// went silent, and came back, goes unnoticed: when all readers are cut off at
 	// once, a document is everywhere 2.25 s later at most (simulated time, 60 nodes,
-	// 100 cuts), and not within 2.5 s when watches are held for as long as that.
+	// 120 cuts), and not within 2.5 s when watches are held for as long as that.
 	watchWait = time.Second
 	// answerBound is how long the store may take beyond that.
 	answerBound = time.Second
--- a/pkg/retry/budget.go
+++ b/pkg/retry/budget.go
@@ -14,6 +14,8 @@
 	MinimumPerSecond float64
 	// Burst bounds how many retries can be saved up. Default 20.
 	Burst float64
+	// Reward is how many retries are earned by a retry that was worth it. Default 0.
+	Reward float64
 }
 
 // The defaults of BudgetOptions.
@@ -26,7 +28,7 @@
 // Budget bounds the retries to one service: first attempts and the passing of
 // time earn tokens, and each retry spends one. It is safe for concurrent use.
 type Budget struct {
-	ratio, perSecond, burst float64
+	ratio, perSecond, burst, reward float64
 
 	mutex   sync.Mutex
 	tokens  float64
@@ -40,6 +42,7 @@
 		perSecond: orDefault(options.MinimumPerSecond, DefaultMinimumPerSecond),
 		burst:     orDefault(options.Burst, DefaultBurst),
 		tokens:    orDefault(options.Burst, DefaultBurst),
+		reward:    options.Reward,
 	}
 }
 
@@ -57,6 +60,13 @@
 	b.mutex.Unlock()
 }
 
+// Succeed counts a retry that was worth it.
+func (b *Budget) Succeed() {
+	b.mutex.Lock()
+	b.tokens = min(b.tokens+b.reward, b.burst)
+	b.mutex.Unlock()
+}
+
 // Spend takes the token of one retry. It reports false, and takes nothing, when
 // there is none.
 func (b *Budget) Spend(now time.Time) bool {
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -64,16 +64,22 @@
 	Failing float64
 }
 
-// Wait returns how long a request of the last rank would wait now.
-func (q *Queue) Wait() time.Duration {
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	if q.free() {
+// Wait returns how long a request of the last rank would wait for a slot.
+func (l Load) Wait() time.Duration {
+	if l.Running < l.Slots && l.Waiting == 0 {
 		return 0
 	}
-	return time.Duration(len(q.waiting)+1) * q.hold / time.Duration(q.slots)
+	return turns(l.Waiting+1, l.Hold, l.Slots)
 }
 
+// turns is how long it takes until a request starts that is the given one in turn.
+func turns(place int, hold time.Duration, slots int) time.Duration {
+	return time.Duration(place) * hold / time.Duration(slots)
+}
+
+// Wait returns how long a request of the last rank would wait now.
+func (q *Queue) Wait() time.Duration { return q.Load().Wait() }
+
 // Load returns what the queue holds now.
 func (q *Queue) Load() Load {
 	q.mutex.Lock()
@@ -167,9 +173,8 @@
 // those of lower ranks that come meanwhile and go first, have to start before it. The
 // mutex is held.
 func (q *Queue) expectedWait(rank int) time.Duration {
-	ahead := q.place(rank) + 1
-	wait := float64(ahead) * float64(q.hold) / float64(q.slots)
-	return time.Duration(wait / (1 - q.overtaking(rank)))
+	wait := turns(q.place(rank)+1, q.hold, q.slots)
+	return time.Duration(float64(wait) / (1 - q.overtaking(rank)))
 }
 
 // overtaking returns the share of lately started requests that go before the rank. The
