Tell in the log which calls are the same request

Lines of calls that may have run carry a fingerprint of method, host, target, credentials and body. No decision is changed.

--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -93,6 +93,9 @@
 	if err != nil {
 		closing = closing || c.body == nil && c.request.ContentLength != 0 || c.body != nil && c.body.rest != nil
 		c.report.Outcome, c.report.Reason, c.report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
+		if c.body != nil && outcome.Of(err) == outcome.Unknown {
+			c.report.Fingerprint = fingerprint(c.request, c.body, &c.plane.config.Dialect)
+		}
 		c.report.Status, c.report.RetryAfter = writeFailure(w, err, c.retryAfter(err), closing)
 		c.finish()
 		return
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -116,6 +116,9 @@
 	if err != nil {
 		w.Header()[hopFailureHeader] = []string{formatFailure(err, time.Since(c.began))}
 		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
+		if c.body != nil && outcome.Of(err) == outcome.Unknown {
+			report.Fingerprint = fingerprint(c.request, c.body, &c.plane.config.Dialect)
+		}
 		report.Status, report.RetryAfter = writeFailure(w, err, retryAfter(err), c.plane.stopping.Load())
 		c.finish(report)
 		return
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/quarantine"
 )
 
 // Observer is told what happens. Its methods are called from many goroutines, on
@@ -19,6 +20,9 @@
 type CallReport struct {
 	// RequestID is the caller's id.
 	RequestID string
+	// Fingerprint is the same for the same request under another id. It is given for
+	// calls that may have run without an answer.
+	Fingerprint quarantine.Fingerprint
 	// Route and Service are empty when no route was found.
 	Route, Service string
 	// Version is the version of the configuration that decided.
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -36,6 +36,7 @@
 	fieldDigest        = "digest"
 	fieldReason        = "reason"
 	fieldTarget        = "target"
+	fieldFingerprint   = "fingerprint"
 	fieldError         = "error"
 	fieldDuration      = "duration_milliseconds"
 	fieldCallsInFlight = "calls_in_flight"
@@ -118,12 +119,12 @@
 )
 
 var callFields = []string{
-	"request", "route", "service", fieldVersion, "outcome", fieldReason, "status", "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
+	"request", "route", "service", fieldVersion, "outcome", fieldReason, "status", fieldFingerprint, "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "came_back", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
 }
 
 var hopFields = []string{
-	"request", "service", "instance", "outcome", fieldReason, "status", "arrivals", "waited_milliseconds", "ran_milliseconds",
+	"request", "service", "instance", "outcome", fieldReason, "status", fieldFingerprint, "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "left_milliseconds", fieldDuration, "truncated", fieldError,
 }
 
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -9,6 +9,7 @@
 
 	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/quarantine"
 )
 
 const (
@@ -127,7 +128,8 @@
 }
 
 func (o *ForwardingObserver) outcome(entry *log.Entry, report forwarding.CallReport) *log.Entry {
-	return entry.Str("outcome", string(report.Outcome)).Str(fieldReason, string(report.Reason)).Int("status", report.Status)
+	return entry.Str("outcome", string(report.Outcome)).Str(fieldReason, string(report.Reason)).Int("status", report.Status).
+		Str(fieldFingerprint, fingerprintText(report.Fingerprint))
 }
 
 func (o *ForwardingObserver) decided(entry *log.Entry, report forwarding.CallReport) *log.Entry {
@@ -136,6 +138,14 @@
 		Int("running", report.Running).Int("waiting", report.Waiting).Int("slots", report.Slots)
 }
 
+// fingerprintText returns a fingerprint for people; empty when there is none.
+func fingerprintText(f quarantine.Fingerprint) string {
+	if f == (quarantine.Fingerprint{}) {
+		return ""
+	}
+	return f.String()
+}
+
 func causeText(err error) string {
 	if err == nil {
 		return ""
