Bring the incident about in a test: a request crashes one worker after the other

Twelve nodes on simulated time, one read that ends each worker 20 ms after it begins there and comes again every 50 to 400 ms at any node.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -16,6 +16,8 @@
 const (
 	statusServed  = http.StatusOK
 	statusRefused = http.StatusServiceUnavailable
+	// statusQuarantined is what the caller of a request is told that crashes its workers.
+	statusQuarantined = http.StatusBadRequest
 	// callerPause is how long a caller waits when a node cannot be reached.
 	callerPause = 20 * time.Millisecond
 )
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -24,6 +24,10 @@
 	store    *hostedstore.Store
 	ledger   *ledger
 	version  uint64
+	// requests counts the requests that crash their workers.
+	requests int
+	// downtimes decides how long workers that have crashed are away, under the mutex.
+	downtimes *rand.Rand
 	// busy are machines with a fault of their own under way.
 	mutex   sync.Mutex
 	busy    map[*machine]bool
@@ -137,12 +141,13 @@
 	}
 }
 
-// onMachine runs a fault of a machine, unless one is under way there.
-func (f *faults) onMachine(m *machine, what string, fault func()) {
+// onMachine runs a fault of a machine, unless one is under way there. It reports
+// whether it does.
+func (f *faults) onMachine(m *machine, what string, fault func()) bool {
 	f.mutex.Lock()
 	defer f.mutex.Unlock()
 	if f.busy[m] {
-		return
+		return false
 	}
 	f.busy[m] = true
 	f.options.Log("%s: %s", m.id, what)
@@ -152,6 +157,7 @@
 		delete(f.busy, m)
 		f.mutex.Unlock()
 	})
+	return true
 }
 
 func (f *faults) restart(ctx context.Context, m *machine, planned bool, down time.Duration) {
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -23,13 +23,15 @@
 	repeatable map[string]bool
 	// promised is when a worker's leave was acknowledged.
 	promised map[string]time.Time
+	// crashing are the requests that crash their workers, by path.
+	crashing map[string]*crashing
 }
 
 func newLedger(seed uint64) *ledger {
 	return &ledger{
 		report: Report{Seed: seed, Violations: []string{}},
 		runs:   map[string]int{}, refused: map[string]bool{}, repeatable: map[string]bool{},
-		promised: map[string]time.Time{},
+		promised: map[string]time.Time{}, crashing: map[string]*crashing{},
 	}
 }
 
@@ -98,6 +100,8 @@
 		if l.runs[id] > 0 {
 			l.violate("request %s was told not to have run, and has run", id)
 		}
+	case statusQuarantined:
+		l.violate("request %s was taken for one that crashes its workers", id)
 	default:
 		l.report.Unknown++
 	}
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -5,6 +5,7 @@
 	"io"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/levertide/levertide/internal/forwarding"
@@ -40,6 +41,8 @@
 	worker    *worker
 	lives     int
 	lowest    uint64 // version seen in force in this life
+	// workerCrashed is called when the worker has crashed by itself.
+	workerCrashed atomic.Pointer[func()]
 }
 
 // newMachine reserves the addresses of a machine, which outlast its processes.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -23,17 +23,12 @@
 // Run starts a deployment, lets faults strike while callers call, and checks what
 // must hold at each moment and in the end.
 func Run(ctx context.Context, options Options) (Report, error) {
-	options = options.withDefaults()
-	run := &soak{options: options, ledger: newLedger(options.Seed), store: hostedstore.New(), probe: newClient(options.Network.Callers(), callBound)}
+	run := newSoak(options)
 	defer run.end()
-	run.store.Put(document{Version: 1}.encode())
 	if err := run.start(); err != nil {
 		return Report{}, err
 	}
-	striking := &faults{
-		options: options, random: rand.New(rand.NewPCG(options.Seed, options.Seed)), machines: run.machines,
-		store: run.store, ledger: run.ledger, version: 1, busy: map[*machine]bool{},
-	}
+	striking := run.faults()
 	run.play(ctx, striking)
 	if striking.broken != nil {
 		return Report{}, striking.broken
@@ -51,6 +46,27 @@
 	probe    *http.Client
 }
 
+func newSoak(options Options) *soak {
+	options = options.withDefaults()
+	s := &soak{options: options, ledger: newLedger(options.Seed), store: hostedstore.New(), probe: newClient(options.Network.Callers(), callBound)}
+	s.store.Put(document{Version: 1}.encode())
+	return s
+}
+
+// faults returns what strikes the machines. It must be called once, after start.
+func (s *soak) faults() *faults {
+	f := &faults{
+		options: s.options, random: rand.New(rand.NewPCG(s.options.Seed, s.options.Seed)),
+		downtimes: rand.New(rand.NewPCG(s.options.Seed, 0)), machines: s.machines,
+		store: s.store, ledger: s.ledger, version: 1, busy: map[*machine]bool{},
+	}
+	for _, m := range s.machines {
+		crashed := func() { f.bringBack(m) }
+		m.workerCrashed.Store(&crashed)
+	}
+	return f
+}
+
 func (s *soak) start() error {
 	for number := range s.options.Machines {
 		m, err := newMachine(fmt.Sprintf("node-%d", number), fmt.Sprintf("zone-%d", number%zones), s.options.Network.Machine(number), s.store, s.ledger)
@@ -73,18 +89,24 @@
 
 // play lets callers call and faults strike for the length of the run.
 func (s *soak) play(ctx context.Context, striking *faults) {
+	s.callWhile(ctx, func() {
+		bounded, cancel := context.WithTimeout(ctx, s.options.Duration)
+		defer cancel()
+		striking.run(bounded)
+	})
+}
+
+// callWhile lets callers call until the work is done.
+func (s *soak) callWhile(ctx context.Context, work func()) {
 	calling, stopCalling := context.WithCancel(ctx)
+	defer stopCalling()
 	var callers sync.WaitGroup
 	for caller := range s.options.Callers {
 		callers.Go(func() { callOn(calling, s.options.Network.Callers(), s.machines, s.ledger, caller) })
 	}
-	watching, stopWatching := context.WithCancel(ctx)
-	callers.Go(func() { s.watchVersions(watching) })
-	bounded, cancel := context.WithTimeout(ctx, s.options.Duration)
-	striking.run(bounded)
-	cancel()
+	callers.Go(func() { s.watchVersions(calling) })
+	work()
 	stopCalling()
-	stopWatching()
 	callers.Wait()
 }
 
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -38,6 +38,9 @@
 	draining atomic.Bool
 	// mute holds back heartbeats.
 	mute atomic.Bool
+	// crashed is set when the worker has crashed by itself, and tellCrash is called then.
+	crashed   atomic.Bool
+	tellCrash func()
 	// breaking is the share of answers that are lost after the run.
 	breaking atomic.Uint32
 	end      context.CancelFunc
@@ -53,6 +56,11 @@
 	}
 	ctx, end := context.WithCancel(context.Background())
 	w := &worker{instance: instance, ledger: l, address: opened.Addr().String(), end: end}
+	w.tellCrash = func() {
+		if crashed := m.workerCrashed.Load(); crashed != nil {
+			(*crashed)()
+		}
+	}
 	w.server = &http.Server{Handler: w}
 	w.ended.Go(func() { _ = w.server.Serve(opened) })
 	w.ended.Go(func() { w.beat(ctx, m) })
@@ -68,6 +76,9 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.ledger.ran(id, w.instance, time.Now())
+	if crashes(r.URL.Path) {
+		w.runCrashing(r.URL.Path)
+	}
 	time.Sleep(runTime)
 	out.Header().Set(dialect.RequestID, id)
 	if rand.Uint32N(100) < w.breaking.Load() {
@@ -76,6 +87,17 @@
 	_, _ = io.WriteString(out, answerTo(id))
 }
 
+// runCrashing ends the worker under a request, after a time.
+func (w *worker) runCrashing(path string) {
+	w.ledger.beganCrashing(path, time.Now())
+	time.Sleep(crashDelay)
+	if w.crash() {
+		w.ledger.crashed(path, time.Now())
+		w.tellCrash()
+	}
+	panic(http.ErrAbortHandler)
+}
+
 // beat sends heartbeats to the node beside the worker, and now and then an old
 // one again.
 func (w *worker) beat(ctx context.Context, m *machine) {
