Quarantine requests that crash the workers which run them, at all nodes

Cause: attempts and retries were counted within one try of a caller, by the node that took it; what a request had done to workers was remembered by nobody, so that it crashed one worker for each time it came, and two with the second offer.

The node beside a worker tells the end of the worker from one lost connection (all that it has in hand is lost, and it takes no connection) and reports what it had in hand, by fingerprint. Evidence travels with the news of the zone's hub; a decision stands in the records of the nodes that saw it and in their entries in the store, so that it outlasts restarts. A crash speaks weakly against a request, and only runs that began when the crashes before were known add up; a whole answer clears it; a suspect runs alone among suspects at a worker.

Ruled out: bounding offers within a try (still a worker a try); counting lost connections (answers that are cut short look the same).

--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -111,6 +111,10 @@
 
 func (o *offers) run(ctx context.Context) (*answer, error) {
 	for {
+		if o.call.quarantined() {
+			o.last = outcome.New(outcome.Quarantined)
+			return o.conclude()
+		}
 		chosen, ok := o.choose()
 		if !ok {
 			return o.conclude()
@@ -237,6 +241,9 @@
 	if ctx.Err() != nil || !o.call.body.repeatable() {
 		return false
 	}
+	if outcome.ReasonOf(err) == outcome.Quarantined {
+		return false
+	}
 	unknown := outcome.Of(err) == outcome.Unknown
 	if unknown && !o.call.route.MayRepeat(o.call.request.Method) {
 		return false
@@ -330,7 +337,7 @@
 // pausesEndpoint reports whether a failure speaks against the endpoint.
 func pausesEndpoint(reason outcome.Reason) bool {
 	switch reason {
-	case outcome.Unreachable, outcome.NoWorker, outcome.Draining, outcome.ConnectionLost, outcome.Misdirected, outcome.NotReady:
+	case outcome.Unreachable, outcome.NoWorker, outcome.Draining, outcome.ConnectionLost, outcome.WorkerCrashed, outcome.Misdirected, outcome.NotReady:
 		return true
 	}
 	return false
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -26,6 +26,8 @@
 	// back tells that the caller was refused before and comes back.
 	back   bool
 	report CallReport
+	// identified is the fingerprint of the request, once it was needed.
+	identified identity
 }
 
 func (p *Plane) serveCaller(w http.ResponseWriter, r *http.Request) {
@@ -93,8 +95,8 @@
 	if err != nil {
 		closing = closing || c.body == nil && c.request.ContentLength != 0 || c.body != nil && c.body.rest != nil
 		c.report.Outcome, c.report.Reason, c.report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
-		if c.body != nil && outcome.Of(err) == outcome.Unknown {
-			c.report.Fingerprint = fingerprint(c.request, c.body, &c.plane.config.Dialect)
+		if c.body != nil && (outcome.Of(err) == outcome.Unknown || c.report.Reason == outcome.Quarantined) {
+			c.report.Fingerprint = c.fingerprint()
 		}
 		c.report.Status, c.report.RetryAfter = writeFailure(w, err, c.retryAfter(err), closing)
 		c.finish()
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -5,6 +5,7 @@
 
 	"github.com/levertide/levertide/internal/httpleg"
 	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/routing"
 	"github.com/levertide/levertide/pkg/workers"
@@ -17,7 +18,8 @@
 	MaximumBody int64
 }
 
-// Config sets up a Plane. All fields but Observer and LinkSpeed must be given.
+// Config sets up a Plane. All fields but Quarantine, Evidence, Observer and LinkSpeed must
+// be given.
 type Config struct {
 	// Node is the identifier of this node, Zone where it is.
 	Node, Zone string
@@ -40,6 +42,12 @@
 	// LinkSpeed is how much the link of this machine carries each way, in bits a
 	// second; zero when it is not known.
 	LinkSpeed float64
+	// Quarantine is what this node knows of requests that crash workers; nil has it keep
+	// a table that no other node tells anything.
+	Quarantine *quarantine.Table
+	// Evidence is given what this node has found out of such requests, for the other
+	// nodes; nil means that nobody is told. It must not block.
+	Evidence func(reports []quarantine.Report)
 	// Observer is told how calls ended; nil means that nobody is.
 	Observer Observer
 }
--- a/internal/forwarding/failure.go
+++ b/internal/forwarding/failure.go
@@ -18,7 +18,8 @@
 		return http.StatusRequestEntityTooLarge
 	case reason == outcome.NoRoute:
 		return http.StatusNotFound
-	case reason == outcome.Malformed:
+	case reason == outcome.Malformed, reason == outcome.Quarantined:
+		// Callers do not come back after this status, and no other one tells them so.
 		return http.StatusBadRequest
 	case reason == outcome.BodyNotReceived:
 		return http.StatusRequestTimeout
--- a/internal/forwarding/failures.go
+++ b/internal/forwarding/failures.go
@@ -61,7 +61,7 @@
 		return result.status >= http.StatusInternalServerError
 	}
 	switch outcome.ReasonOf(err) {
-	case outcome.Timeout, outcome.ConnectionLost, outcome.InvalidAnswer, outcome.RefusedByOwnWorker, outcome.Unreachable:
+	case outcome.Timeout, outcome.ConnectionLost, outcome.WorkerCrashed, outcome.InvalidAnswer, outcome.RefusedByOwnWorker, outcome.Unreachable:
 		return true
 	}
 	return false
--- a/internal/forwarding/fingerprint.go
+++ b/internal/forwarding/fingerprint.go
@@ -6,9 +6,19 @@
 	"github.com/levertide/levertide/pkg/quarantine"
 )
 
-// fingerprint returns the fingerprint of a request of which the body was read. Of a body
-// that is not held whole, the beginning and the length count.
-func fingerprint(r *http.Request, body *requestBody, dialect *Dialect) quarantine.Fingerprint {
+// identity is the fingerprint of one request, taken when it is first needed: while
+// nothing is known of requests that crash workers, none is.
+type identity struct {
+	taken       bool
+	fingerprint quarantine.Fingerprint
+}
+
+// of returns the fingerprint of a request of which the body was read. Of a body that is
+// not held whole, the beginning and the length count.
+func (i *identity) of(r *http.Request, body *requestBody, dialect *Dialect) quarantine.Fingerprint {
+	if i.taken {
+		return i.fingerprint
+	}
 	request := quarantine.Request{
 		Method:     r.Method,
 		Host:       r.Host,
@@ -19,5 +29,14 @@
 	for _, name := range dialect.Credentials {
 		request.Credentials = append(request.Credentials, r.Header.Get(name))
 	}
-	return request.Fingerprint()
+	i.taken, i.fingerprint = true, request.Fingerprint()
+	return i.fingerprint
+}
+
+func (c *call) fingerprint() quarantine.Fingerprint {
+	return c.identified.of(c.request, c.body, &c.plane.config.Dialect)
+}
+
+func (c *workerCall) fingerprint(dialect *Dialect) quarantine.Fingerprint {
+	return c.identified.of(c.inbound, c.body, dialect)
 }
--- a/internal/forwarding/hop.go
+++ b/internal/forwarding/hop.go
@@ -18,8 +18,10 @@
 	// hopFailureHeader carries the reason of a call that got no answer.
 	hopFailureHeader = "Levertide-Hop-Failure"
 
-	hopFields  = 6
-	loadFields = 7
+	// hopFields are the fields of a hop. Newer nodes add what is known of crashes.
+	hopFields      = 6
+	hopFieldsLevel = 7
+	loadFields     = 7
 	// failingUnits is how the share of requests that fail is written: in thousandths.
 	failingUnits = 1000
 	// failureFields are the reason and the wait. Newer nodes add how long they had the
@@ -38,24 +40,32 @@
 	rank   int
 	// patience is how long the call may wait for a slot, left until its end.
 	patience, left time.Duration
+	// level is how many crashes of workers the node where the call began knows the
+	// request to have caused.
+	level int
 }
 
 func (h hop) encode() string {
 	return strings.Join([]string{
 		h.service, h.instance, h.caller, strconv.Itoa(h.rank), formatMicroseconds(h.patience), formatMicroseconds(h.left),
+		strconv.Itoa(h.level),
 	}, hopSeparator)
 }
 
 func parseHop(text string) (hop, bool) {
 	fields := strings.Split(text, hopSeparator)
-	if len(fields) != hopFields {
+	if len(fields) != hopFields && len(fields) != hopFieldsLevel {
 		return hop{}, false
 	}
 	rank, rankErr := strconv.Atoi(fields[3])
 	patience, patienceOK := parseMicroseconds(fields[4])
 	left, leftOK := parseMicroseconds(fields[5])
 	parsed := hop{service: fields[0], instance: fields[1], caller: fields[2], rank: rank, patience: patience, left: left}
-	return parsed, rankErr == nil && patienceOK && leftOK
+	var levelErr error
+	if len(fields) == hopFieldsLevel {
+		parsed.level, levelErr = strconv.Atoi(fields[hopFieldsLevel-1])
+	}
+	return parsed, rankErr == nil && patienceOK && leftOK && levelErr == nil
 }
 
 // formatLoad writes the load of a worker's node, and how long the worker had the
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -63,6 +63,10 @@
 		latestStart: latestStart,
 		end:         end,
 	}
+	quarantined := false
+	if c.asked.level, quarantined = c.plane.suspicion(&c.asked, c.hop.level); quarantined {
+		return nil, outcome.New(outcome.Quarantined)
+	}
 	result, err := leg.ask(ctx, &c.asked)
 	c.plane.countRun(c.hop.service, leg.worker, c.request, &c.asked, result, err)
 	return result, err
@@ -116,8 +120,8 @@
 	if err != nil {
 		w.Header()[hopFailureHeader] = []string{formatFailure(err, time.Since(c.began))}
 		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
-		if c.body != nil && outcome.Of(err) == outcome.Unknown {
-			report.Fingerprint = fingerprint(c.request, c.body, &c.plane.config.Dialect)
+		if c.body != nil && (outcome.Of(err) == outcome.Unknown || report.Reason == outcome.Quarantined) {
+			report.Fingerprint = c.asked.fingerprint(&c.plane.config.Dialect)
 		}
 		report.Status, report.RetryAfter = writeFailure(w, err, retryAfter(err), c.plane.stopping.Load())
 		c.finish(report)
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -47,7 +47,9 @@
 		rank:        o.call.rank(),
 		latestStart: latestStart,
 		end:         o.call.end,
+		identified:  o.call.identified,
 	}
+	request.level, _ = o.call.plane.suspicion(&request, 0)
 	answered, err := leg.ask(ctx, &request)
 	o.call.plane.countRun(o.destination.service, leg.worker, o.call.request, &request, answered, err)
 	o.call.report.Waited, o.call.report.Ran = request.waited, request.ran
@@ -59,6 +61,7 @@
 	c := o.call
 	header := forwardedHeader(c.request, &c.plane.config.Dialect)
 	now := time.Now()
+	level := c.level()
 	header[hopHeader] = []string{hop{
 		service:  o.destination.service,
 		instance: e.instance,
@@ -66,6 +69,7 @@
 		rank:     c.rank(),
 		patience: latestStart.Sub(now),
 		left:     c.end.Sub(now),
+		level:    level,
 	}.encode()}
 	if c.body.long() {
 		header["Expect"] = []string{"100-continue"}
@@ -81,7 +85,11 @@
 	}
 	c.plane.config.Contacts.Reached(e.node)
 	o.crossing -= heldOf(response.Header.Get(hopFailureHeader))
-	return readHopAnswer(ctx, response)
+	answered, arrived, err := readHopAnswer(ctx, response)
+	if outcome.ReasonOf(err) == outcome.WorkerCrashed {
+		c.crashedElsewhere(e.instance, level)
+	}
+	return answered, arrived, err
 }
 
 // noteFailure keeps that a node could not be reached.
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -12,6 +12,7 @@
 	"golang.org/x/time/rate"
 
 	"github.com/levertide/levertide/internal/pipeline"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/slotqueue"
 )
@@ -49,6 +50,12 @@
 	if config.Observer == nil {
 		config.Observer = noObserver{}
 	}
+	if config.Quarantine == nil {
+		config.Quarantine = quarantine.New(quarantine.Options{})
+	}
+	if config.Evidence == nil {
+		config.Evidence = func([]quarantine.Report) {}
+	}
 	p := &Plane{
 		config:       config,
 		peers:        newTransport(config.Dial, peerIdle, idleConnections),
--- /dev/null
+++ b/internal/forwarding/suspects.go
@@ -0,0 +1,85 @@
+package forwarding
+
+import (
+	"context"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/quarantine"
+	"github.com/levertide/levertide/pkg/slotqueue"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// A request that crashes each worker which runs it must not be offered to one after the
+// other, by any node. The node beside a worker sees it end, and tells the others of all
+// requests that the worker had in hand (package quarantine says how these are weighed).
+
+// quarantined reports whether the request of a call is known to crash workers.
+func (c *call) quarantined() bool {
+	if c.plane.config.Quarantine.Quiet() {
+		return false
+	}
+	_, found := c.plane.config.Quarantine.Level(c.fingerprint(), time.Now())
+	return found
+}
+
+// level returns how many crashes of workers the request of a call is known to have caused.
+func (c *call) level() int {
+	if c.plane.config.Quarantine.Quiet() {
+		return 0
+	}
+	level, _ := c.plane.config.Quarantine.Level(c.fingerprint(), time.Now())
+	return level
+}
+
+// crashedElsewhere takes that the worker beside another node has ended with the call, which
+// was offered with the given level: the next offer must tell, and the other node may not
+// live to.
+func (c *call) crashedElsewhere(instance string, level int) {
+	c.plane.config.Quarantine.Crashed(c.fingerprint(), instance, level, time.Now())
+}
+
+// suspicion returns how many crashes speak against a request for a worker, by what is
+// known here and at the node where it began, and whether it is quarantined.
+func (p *Plane) suspicion(call *workerCall, told int) (level int, quarantined bool) {
+	if p.config.Quarantine.Quiet() {
+		return told, false
+	}
+	level, quarantined = p.config.Quarantine.Level(call.fingerprint(&p.config.Dialect), time.Now())
+	return max(level, told), quarantined
+}
+
+// crashed takes that a worker has ended with a request in hand.
+func (p *Plane) crashed(worker workers.Worker, call *workerCall) {
+	report, _ := p.config.Quarantine.Crashed(call.fingerprint(&p.config.Dialect), worker.Instance, call.level, time.Now())
+	p.config.Evidence([]quarantine.Report{report})
+}
+
+// answeredWhole takes that a worker has answered a request: it is none that crashes
+// workers.
+func (p *Plane) answeredWhole(call *workerCall) {
+	if p.config.Quarantine.Quiet() {
+		return
+	}
+	if report, news := p.config.Quarantine.Answered(call.fingerprint(&p.config.Dialect), time.Now()); news {
+		p.config.Evidence([]quarantine.Report{report})
+	}
+}
+
+// isolate waits until the worker has no other suspect in hand: when it ends, only one
+// request that has been there before can be the cause. Without it, innocent requests that
+// are offered again together with the one that crashes workers would go its way.
+func (l *workerLeg) isolate(ctx context.Context, latestStart time.Time) error {
+	timer := time.NewTimer(time.Until(latestStart))
+	defer timer.Stop()
+	select {
+	case l.isolation <- struct{}{}:
+		return nil
+	case <-timer.C:
+		return outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
+	case <-ctx.Done():
+		return admissionFailure(ctx, slotqueue.ErrAbandoned.New("the call ended while another suspect ran"))
+	}
+}
+
+func (l *workerLeg) endIsolation() { <-l.isolation }
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -52,6 +52,12 @@
 	quietUntil atomic.Int64
 	// replaced is set when another worker answered at the address.
 	replaced atomic.Bool
+
+	// crashes tells the end of the worker from the loss of one connection.
+	crashes crashWatch
+	// isolation is held by the one suspect that the worker may have in hand.
+	isolation chan struct{}
+	plane     *Plane
 }
 
 func (p *Plane) newWorkerLeg(worker workers.Worker) *workerLeg {
@@ -60,12 +66,14 @@
 		queue:   slotqueue.New(worker.Slots),
 		worker:  worker,
 		idle:    workerIdle,
+		plane:   p,
 		make: func(idle time.Duration) *http.Transport {
 			return newTransport(p.config.Dial, idle, worker.Slots*2)
 		},
 	}
 	leg.transport = leg.make(workerIdle)
 	leg.unshared = newTransport(p.config.Dial, workerIdle, noIdleConnections)
+	leg.isolation = make(chan struct{}, 1)
 	return leg
 }
 
@@ -77,6 +85,10 @@
 	rank    int
 	// latestStart is until when a start is useful, end when the call's time is over.
 	latestStart, end time.Time
+	// level is how many crashes of workers the request is known to have caused.
+	level int
+	// identified is the fingerprint of the request, once it was needed.
+	identified identity
 	// arrived is set once the request may have reached the worker.
 	arrived bool
 	// waited is how long it waited for a slot, ran how long the worker had it.
@@ -101,6 +113,13 @@
 		return nil, outcome.New(outcome.NoWorker)
 	}
 	came := time.Now()
+	if call.level > 0 {
+		if err := l.isolate(ctx, call.latestStart); err != nil {
+			call.waited = time.Since(came)
+			return nil, err
+		}
+		defer l.endIsolation()
+	}
 	permit, err := l.queue.Admit(ctx, slotqueue.Request{Rank: call.rank, LatestStart: call.latestStart})
 	call.waited = time.Since(came)
 	if err != nil {
@@ -111,8 +130,14 @@
 		return nil, outcome.New(outcome.DeadlineBeforeStart)
 	}
 	began := time.Now()
+	l.crashes.begin()
 	result, err := l.send(ctx, call)
+	l.crashes.end()
 	call.ran = time.Since(began)
+	if outcome.ReasonOf(err) == outcome.ConnectionLost && l.ended(ctx) {
+		err = outcome.Wrap(outcome.WorkerCrashed, err)
+		l.plane.crashed(l.worker, call)
+	}
 	failed := failedAtWorker(result, err)
 	l.failures.observe(failed, time.Now())
 	if err != nil {
@@ -121,9 +146,15 @@
 	}
 	result.ran = call.ran
 	if result.rest == nil {
+		l.plane.answeredWhole(call)
 		permit.Release(!failed)
 	} else {
-		result.finish = func(bool) { permit.Release(false) }
+		result.finish = func(whole bool) {
+			if whole {
+				l.plane.answeredWhole(call)
+			}
+			permit.Release(false)
+		}
 	}
 	return result, nil
 }
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -15,6 +15,7 @@
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/internal/httpleg"
 	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -48,6 +49,8 @@
 	// that.
 	Rollouts RolloutStore
 	Steering Steering
+	// Quarantine is what this node knows of requests that crash workers.
+	Quarantine *quarantine.Table
 	// Serving is told of the workers that may be given work: Update is called
 	// after each change of a registration, Open when the first may be.
 	Serving Serving
@@ -73,6 +76,7 @@
 	documents  *Documents
 	peers      *Peers
 	announcer  *Announcer
+	evidence   *evidence
 	supervisor *suture.Supervisor
 	web        *http.Server
 
@@ -99,6 +103,8 @@
 	agent := &Agent{config: config, started: time.Now(), asked: make(chan struct{}), withoutStore: map[string]bool{}}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.peers = newPeers(config, agent.documents)
+	agent.evidence = newEvidence(agent, config.Quarantine)
+	agent.peers.evidence = agent.evidence
 	agent.peers.former = agent.learnFormer
 	agent.peers.hub = newHub(agent.peers, agent.background)
 	agent.announcer = newAnnouncer(config.Directory, config.Table)
@@ -323,12 +329,13 @@
 	return zones
 }
 
-// housekeeping looks after the entry in the store when that is back, and marks
-// workers that went silent.
+// housekeeping looks after the entry in the store when that is back, marks workers that
+// went silent, and forgets evidence that is too old.
 func (a *Agent) housekeeping(context.Context) {
 	if a.storeReturned() {
 		a.announcer.StoreReturned()
 	}
+	a.evidence.expire()
 	expired := a.config.Workers.Expire(time.Now())
 	if len(expired) == 0 {
 		return
--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -14,6 +14,7 @@
 // news is what a broadcast carries.
 type news struct {
 	nodes    []*exchangepb.Node
+	evidence []*exchangepb.Evidence
 	document *exchangepb.Document
 	// revision is the newest document's, for those who lack it.
 	revision uint64
@@ -85,6 +86,7 @@
 		Mesh:             p.mesh,
 		Sender:           p.table.View().Self().ID,
 		Nodes:            what.nodes,
+		Evidence:         what.evidence,
 		Document:         what.document,
 		DocumentRevision: what.revision,
 		Reach:            reach,
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -26,6 +26,7 @@
 		Workers:        workerMessages(node.Workers),
 		Capacity:       uint32(node.Capacity),
 		Rollouts:       rolloutMessages(node.Rollouts),
+		Quarantined:    quarantineMessages(node.Quarantined),
 	}
 }
 
@@ -43,6 +44,7 @@
 		Workers:        workersOf(message.GetWorkers()),
 		Capacity:       int(message.GetCapacity()),
 		Rollouts:       rolloutsOf(message.GetRollouts()),
+		Quarantined:    verdictsOf(message.GetQuarantined()),
 	}
 }
 
--- a/internal/hosted/documents_test.go
+++ b/internal/hosted/documents_test.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"github.com/levertide/levertide/pkg/canary"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -22,16 +23,18 @@
 // quietEvents is told everything and does nothing.
 type quietEvents struct{}
 
-func (quietEvents) DocumentRejected(uint64, error)               {}
-func (quietEvents) ReaderRoleChanged(bool)                       {}
-func (quietEvents) StoreReachable()                              {}
-func (quietEvents) StoreUnreachable(error)                       {}
-func (quietEvents) NodeLost(string, error)                       {}
-func (quietEvents) NodeFound(string)                             {}
-func (quietEvents) WorkerChanged(workers.Worker, string)         {}
-func (quietEvents) PromiseKept(string, int, bool)                {}
-func (quietEvents) FormerLife(uint64, int)                       {}
-func (quietEvents) RolloutOrdered(string, string, time.Duration) {}
+func (quietEvents) DocumentRejected(uint64, error)                 {}
+func (quietEvents) ReaderRoleChanged(bool)                         {}
+func (quietEvents) StoreReachable()                                {}
+func (quietEvents) StoreUnreachable(error)                         {}
+func (quietEvents) NodeLost(string, error)                         {}
+func (quietEvents) NodeFound(string)                               {}
+func (quietEvents) WorkerChanged(workers.Worker, string)           {}
+func (quietEvents) PromiseKept(string, int, bool)                  {}
+func (quietEvents) FormerLife(uint64, int)                         {}
+func (quietEvents) RequestQuarantined(quarantine.Verdict, string)  {}
+func (quietEvents) QuarantineEnded(quarantine.Fingerprint, string) {}
+func (quietEvents) RolloutOrdered(string, string, time.Duration)   {}
 func (quietEvents) RolloutDecided(string, string, canary.State, float64, string, float64, float64) {
 }
 
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -156,11 +156,12 @@
 	}
 }
 
-// withdraw takes the entry away, at a planned stop. One that holds promises stays
-// for the next life, until its lease ends.
+// withdraw takes the entry away, at a planned stop. One that holds promises, or tells of
+// requests that must not be run, stays for the next life, until its lease ends.
 func (a *Announcer) withdraw(ctx context.Context) {
 	lease, _ := a.held()
-	if lease == "" || len(promisedOnly(a.table.View().Self().Workers)) > 0 {
+	own := a.table.View().Self()
+	if lease == "" || len(promisedOnly(own.Workers)) > 0 || len(own.Quarantined) > 0 {
 		return
 	}
 	_ = bounded(ctx, func(ctx context.Context) error { return a.directory.Withdraw(ctx, lease) })
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/levertide/levertide/pkg/canary"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -27,6 +28,11 @@
 	PromiseKept(instance string, holders int, stored bool)
 	// FormerLife tells that a record of a former life was found.
 	FormerLife(incarnation uint64, promised int)
+	// RequestQuarantined tells that a request is taken for one that crashes workers, and
+	// on whose word.
+	RequestQuarantined(verdict quarantine.Verdict, source string)
+	// QuarantineEnded tells that a request may be run again, and why.
+	QuarantineEnded(request quarantine.Fingerprint, reason string)
 	// RolloutOrdered tells of an order of the operators that the store has told.
 	RolloutOrdered(service, target string, duration time.Duration)
 	// RolloutDecided tells a decision of this node as coordinator: the share of the
--- /dev/null
+++ b/internal/hosted/evidence.go
@@ -0,0 +1,229 @@
+package hosted
+
+import (
+	"context"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/exchangepb"
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/quarantine"
+)
+
+// What nodes find out of requests that crash workers travels in two ways. Evidence goes
+// with the news of the zone's hub, once: each worker that ends is one message at each
+// node. What is decided, that a request is quarantined, stands in the records of the nodes
+// that have seen it crash a worker, and in their entries in the store, as what they
+// promise does: comparisons bring it to nodes that were cut off or restarted, and the store
+// brings it over the loss of all of them.
+
+// evidenceBatch is how long a node collects what it finds out before it tells the
+// others: all that a worker had in hand then goes in one message.
+const evidenceBatch = 5 * time.Millisecond
+
+// Sources of what a node knows of a request.
+const (
+	sourceOwnWorker  = "own worker"
+	sourceEvidence   = "evidence of other nodes"
+	sourceRecord     = "record of another node"
+	sourceFormerLife = "former life"
+	sourceOperator   = "operator"
+	sourceAnswer     = "whole answer"
+	sourceExpired    = "time is over"
+)
+
+// evidence brings what this node knows of requests that crash workers to the others, and
+// takes what they tell.
+type evidence struct {
+	agent *Agent
+	table *quarantine.Table
+
+	mu      sync.Mutex
+	waiting []quarantine.Report
+	// logged are the requests that are quarantined as the log has it.
+	logged map[quarantine.Fingerprint]bool
+}
+
+func newEvidence(agent *Agent, table *quarantine.Table) *evidence {
+	return &evidence{agent: agent, table: table, logged: map[quarantine.Fingerprint]bool{}}
+}
+
+// Tell brings what this node has found out of requests to the others. It does not block.
+func (a *Agent) Tell(reports []quarantine.Report) { a.evidence.tell(reports) }
+
+func (e *evidence) tell(reports []quarantine.Report) {
+	e.mu.Lock()
+	first := len(e.waiting) == 0
+	e.waiting = append(e.waiting, reports...)
+	e.mu.Unlock()
+	if first {
+		e.agent.background(e.send)
+	}
+}
+
+// send tells the others what was collected.
+func (e *evidence) send(ctx context.Context) {
+	sleep(ctx, evidenceBatch)
+	e.mu.Lock()
+	reports := e.waiting
+	e.waiting = nil
+	e.mu.Unlock()
+	e.review(sourceOwnWorker)
+	e.agent.peers.announce(ctx, news{evidence: evidenceMessages(reports)})
+}
+
+// take takes what another node tells.
+func (e *evidence) take(messages []*exchangepb.Evidence) {
+	if len(messages) == 0 {
+		return
+	}
+	e.table.Merge(reportsOf(messages), time.Now())
+	e.review(sourceEvidence)
+}
+
+// takeRecords takes the decisions that stand in the records of other nodes.
+func (e *evidence) takeRecords(nodes []fleet.Node) {
+	found := false
+	for _, n := range nodes {
+		found = found || len(e.table.Restore(n.Quarantined, false, time.Now())) > 0
+	}
+	if found {
+		e.review(sourceRecord)
+	}
+}
+
+// takeFormer takes the decisions that a former life of this node has left.
+func (e *evidence) takeFormer(former fleet.Node) {
+	if len(former.Quarantined) == 0 {
+		return
+	}
+	e.table.Restore(former.Quarantined, true, time.Now())
+	e.review(sourceFormerLife)
+}
+
+// lift has requests run again, as operators order, at all nodes.
+func (e *evidence) lift(requests []quarantine.Fingerprint) {
+	var reports []quarantine.Report
+	for _, f := range requests {
+		if report, found := e.table.Answered(f, time.Now()); found {
+			reports = append(reports, report)
+		}
+	}
+	if len(reports) == 0 {
+		return
+	}
+	e.review(sourceOperator)
+	e.tell(reports)
+}
+
+// expire forgets what is too old.
+func (e *evidence) expire() {
+	if e.table.Quiet() && !e.logsAny() {
+		return
+	}
+	e.table.Expire(time.Now())
+	e.review(sourceExpired)
+}
+
+// review brings the log and the own record in line with the table after it was changed
+// by the given source.
+func (e *evidence) review(source string) {
+	now := time.Now()
+	e.log(e.table.Verdicts(now), source)
+	vouched := e.table.Vouched(now)
+	own := e.agent.config.Table.View().Self()
+	if slices.EqualFunc(own.Quarantined, vouched, sameVerdict) {
+		return
+	}
+	e.agent.config.Table.Update(func(own *fleet.Node) { own.Quarantined = vouched })
+	e.agent.background(e.agent.spreadRecord)
+	e.agent.background(func(ctx context.Context) {
+		// Without the store the others know: it is tried again later.
+		_ = e.agent.announcer.Keep(ctx)
+	})
+}
+
+func (e *evidence) logsAny() bool {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	return len(e.logged) > 0
+}
+
+func sameVerdict(a, b quarantine.Verdict) bool {
+	return a.Fingerprint == b.Fingerprint && a.Until.Equal(b.Until)
+}
+
+// log records what has changed since the last time.
+func (e *evidence) log(verdicts []quarantine.Verdict, source string) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	held := map[quarantine.Fingerprint]bool{}
+	for _, v := range verdicts {
+		held[v.Fingerprint] = true
+		if !e.logged[v.Fingerprint] {
+			e.agent.config.Events.RequestQuarantined(v, source)
+		}
+	}
+	for f := range e.logged {
+		if held[f] {
+			continue
+		}
+		if source == sourceOwnWorker || source == sourceEvidence {
+			source = sourceAnswer
+		}
+		e.agent.config.Events.QuarantineEnded(f, source)
+	}
+	e.logged = held
+}
+
+func evidenceMessages(reports []quarantine.Report) []*exchangepb.Evidence {
+	messages := make([]*exchangepb.Evidence, 0, len(reports))
+	for _, r := range reports {
+		messages = append(messages, &exchangepb.Evidence{
+			Fingerprint: r.Fingerprint[:], Instance: r.Instance, Level: uint32(r.Level),
+			Answered: r.Answered, AgeMs: r.Age.Milliseconds(),
+		})
+	}
+	return messages
+}
+
+func reportsOf(messages []*exchangepb.Evidence) []quarantine.Report {
+	reports := make([]quarantine.Report, 0, len(messages))
+	for _, message := range messages {
+		f, ok := quarantine.ParseFingerprint(message.GetFingerprint())
+		if !ok {
+			continue // of a newer program
+		}
+		reports = append(reports, quarantine.Report{
+			Fingerprint: f, Instance: message.GetInstance(), Level: int(message.GetLevel()),
+			Answered: message.GetAnswered(), Age: time.Duration(message.GetAgeMs()) * time.Millisecond,
+		})
+	}
+	return reports
+}
+
+func quarantineMessages(list []quarantine.Verdict) []*exchangepb.Quarantine {
+	var messages []*exchangepb.Quarantine
+	for _, v := range list {
+		messages = append(messages, &exchangepb.Quarantine{
+			Fingerprint: v.Fingerprint[:], SinceUnixMs: v.Since.UnixMilli(), UntilUnixMs: v.Until.UnixMilli(), Instances: v.Instances,
+		})
+	}
+	return messages
+}
+
+func verdictsOf(messages []*exchangepb.Quarantine) []quarantine.Verdict {
+	var list []quarantine.Verdict
+	for _, message := range messages {
+		f, ok := quarantine.ParseFingerprint(message.GetFingerprint())
+		if !ok {
+			continue // of a newer program
+		}
+		list = append(list, quarantine.Verdict{
+			Fingerprint: f, Since: time.UnixMilli(message.GetSinceUnixMs()), Until: time.UnixMilli(message.GetUntilUnixMs()),
+			Instances: message.GetInstances(),
+		})
+	}
+	return list
+}
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -16,6 +16,7 @@
 	"github.com/levertide/levertide/internal/testwait"
 	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -27,9 +28,11 @@
 	workers  *workers.Registry
 	events   *recorder
 	steering steering
-	cancel   context.CancelFunc
-	ended    chan struct{}
-	address  string
+	// quarantine is what the node knows of requests that crash workers.
+	quarantine *quarantine.Table
+	cancel     context.CancelFunc
+	ended      chan struct{}
+	address    string
 
 	mutex   sync.Mutex
 	content []byte
@@ -71,15 +74,17 @@
 	promises map[string]int
 }
 
-func (r *recorder) DocumentRejected(uint64, error)               {}
-func (r *recorder) ReaderRoleChanged(bool)                       {}
-func (r *recorder) StoreReachable()                              {}
-func (r *recorder) StoreUnreachable(error)                       {}
-func (r *recorder) NodeLost(string, error)                       {}
-func (r *recorder) NodeFound(string)                             {}
-func (r *recorder) WorkerChanged(workers.Worker, string)         {}
-func (r *recorder) FormerLife(uint64, int)                       {}
-func (r *recorder) RolloutOrdered(string, string, time.Duration) {}
+func (r *recorder) RequestQuarantined(quarantine.Verdict, string)  {}
+func (r *recorder) QuarantineEnded(quarantine.Fingerprint, string) {}
+func (r *recorder) DocumentRejected(uint64, error)                 {}
+func (r *recorder) ReaderRoleChanged(bool)                         {}
+func (r *recorder) StoreReachable()                                {}
+func (r *recorder) StoreUnreachable(error)                         {}
+func (r *recorder) NodeLost(string, error)                         {}
+func (r *recorder) NodeFound(string)                               {}
+func (r *recorder) WorkerChanged(workers.Worker, string)           {}
+func (r *recorder) FormerLife(uint64, int)                         {}
+func (r *recorder) RolloutOrdered(string, string, time.Duration)   {}
 func (r *recorder) RolloutDecided(string, string, canary.State, float64, string, float64, float64) {
 }
 func (r *recorder) PromiseKept(instance string, holders int, _ bool) {
@@ -115,18 +120,19 @@
 		ControlAddress: listener.Addr().String(), State: fleet.StateLive, ReadsStore: true,
 	}
 	node := &testNode{
-		table:    fleet.NewTable(record),
-		contacts: fleet.NewContacts(),
-		workers:  workers.NewRegistry(time.Minute),
-		events:   &recorder{promises: map[string]int{}},
-		address:  listener.Addr().String(),
-		ended:    make(chan struct{}),
+		table:      fleet.NewTable(record),
+		contacts:   fleet.NewContacts(),
+		workers:    workers.NewRegistry(time.Minute),
+		quarantine: quarantine.New(quarantine.Options{}),
+		events:     &recorder{promises: map[string]int{}},
+		address:    listener.Addr().String(),
+		ended:      make(chan struct{}),
 	}
 	client := store.Client(id)
 	node.agent = hosted.New(hosted.Config{
 		Mesh: "test", FirstStart: firstStart, Table: node.table, Contacts: node.contacts, Workers: node.workers,
 		Source: client, Directory: client, Consumer: node, Serving: node, Probe: node, Rollouts: client, Steering: &node.steering,
-		Listener: listener, Dial: dial, Events: node.events,
+		Listener: listener, Dial: dial, Events: node.events, Quarantine: node.quarantine,
 	})
 	ctx, cancel := context.WithCancel(context.Background())
 	node.cancel = cancel
--- a/internal/hosted/former.go
+++ b/internal/hosted/former.go
@@ -30,6 +30,7 @@
 // meet takes nodes that the store names and asks some of them.
 func (a *Agent) meet(ctx context.Context, nodes []fleet.Node) {
 	a.config.Table.Merge(nodes)
+	a.evidence.takeRecords(nodes)
 	named := make([]*fleet.Node, len(nodes))
 	for i := range nodes {
 		named[i] = &nodes[i]
@@ -97,6 +98,7 @@
 	if merged.FormerSelf != nil {
 		a.config.Table.Outlive(*merged.FormerSelf)
 		former = append(former, merged.FormerSelf.Workers...)
+		a.evidence.takeFormer(*merged.FormerSelf)
 		a.config.Events.FormerLife(merged.FormerSelf.Incarnation, len(promised))
 	}
 	changed := a.config.Workers.Learn(former, time.Now())
--- a/internal/hosted/hub.go
+++ b/internal/hosted/hub.go
@@ -66,7 +66,10 @@
 
 // Announce tells all other nodes of records, by way of the hub of the own zone.
 func (p *Peers) Announce(ctx context.Context, records []*exchangepb.Node) {
-	what := news{nodes: records}
+	p.announce(ctx, news{nodes: records})
+}
+
+func (p *Peers) announce(ctx context.Context, what news) {
 	self := p.table.View().Self()
 	candidates := fleet.Hubs(append(p.inZone(self.Zone), &self))
 	own := slices.IndexFunc(candidates, func(n *fleet.Node) bool { return n.ID == self.ID })
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -43,6 +43,8 @@
 	// hub collects the news of the zone while this node is its hub.
 	hub  *hub
 	sent messageCounters
+	// evidence takes what others know of requests that crash workers.
+	evidence *evidence
 	// rolloutNews is called when a record was taken that tells of a roll-out; nil where
 	// nobody orders any.
 	rolloutNews func()
@@ -172,6 +174,7 @@
 	if p.rolloutNews != nil && slices.ContainsFunc(merged.News, func(n fleet.Node) bool { return len(n.Rollouts) > 0 }) {
 		p.rolloutNews()
 	}
+	p.evidence.takeRecords(merged.News)
 	if merged.FormerSelf != nil || len(promised) > 0 {
 		p.former(merged, promised)
 	}
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 	"sync"
 
 	"github.com/levertide/levertide/internal/exchangepb"
@@ -81,6 +82,8 @@
 		}
 	}
 	n.nodes = nodes
+	// Messages on their way share what they carry: nothing is appended in place.
+	n.evidence = slices.Concat(n.evidence, later.evidence)
 	if later.document.GetRevision() > n.document.GetRevision() {
 		n.document = later.document
 	}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -74,8 +74,9 @@
 	p := s.peers
 	p.noteContact(request.GetSender())
 	p.merge(nodesOf(request.GetNodes()...), nil)
+	p.evidence.take(request.GetEvidence())
 	held := p.documents.TakeMessage(request.GetDocument()) || p.documents.Revision() >= request.GetDocumentRevision()
-	what := news{nodes: request.GetNodes(), document: request.GetDocument(), revision: request.GetDocumentRevision()}
+	what := news{nodes: request.GetNodes(), evidence: request.GetEvidence(), document: request.GetDocument(), revision: request.GetDocumentRevision()}
 	if reach := request.GetReach(); reach != exchangepb.Reach_REACH_RANGE {
 		p.hub.take(what, reach)
 		return &exchangepb.BroadcastResponse{}, nil
--- a/internal/lab/soak/crashing.go
+++ b/internal/lab/soak/crashing.go
@@ -18,9 +18,10 @@
 	shortestDown = 500 * time.Millisecond
 	longestDown  = 2 * time.Second
 	// shortestReturn and longestReturn bound the time after which such a request comes
-	// again.
+	// again, and crashingTime is for how long it does.
 	shortestReturn = 50 * time.Millisecond
 	longestReturn  = 400 * time.Millisecond
+	crashingTime   = 8 * time.Second
 	// toleratedCrashes is how many workers such a request may crash before it is known,
 	// and crashContact how long after the last of them it may still reach workers
 	// without a bound: until all nodes have heard. Later it may reach no more than
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -49,7 +49,7 @@
 	duration := time.Duration(f.random.Int64N(int64(longestFault)))
 	target := f.machines[f.random.IntN(len(f.machines))]
 	f.ledger.fault()
-	switch f.random.IntN(13) {
+	switch f.random.IntN(14) {
 	case 0, 1, 2:
 		f.change()
 	case 3:
@@ -72,6 +72,8 @@
 		f.cutOff(ctx, target, duration)
 	case 12:
 		f.options.Network.Reset(f.number(target))
+	case 13:
+		f.sendCrashing(ctx, crashingTime)
 	}
 }
 
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -15,6 +15,7 @@
 	"github.com/levertide/levertide/internal/settings"
 	"github.com/levertide/levertide/internal/telemetry"
 	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/snapshot"
 	"github.com/levertide/levertide/pkg/workers"
@@ -54,15 +55,17 @@
 	log      *telemetry.Log
 	lines    *telemetry.Queue
 
-	table    *fleet.Table
-	workers  *workers.Registry
-	config   *configuration
-	plane    *forwarding.Plane
-	agent    *hosted.Agent
-	callers  *listener
-	calls    *listener
-	others   []*listener
-	stopping atomic.Bool
+	table   *fleet.Table
+	workers *workers.Registry
+	config  *configuration
+	plane   *forwarding.Plane
+	agent   *hosted.Agent
+	// quarantine is what the node knows of requests that crash workers.
+	quarantine *quarantine.Table
+	callers    *listener
+	calls      *listener
+	others     []*listener
+	stopping   atomic.Bool
 	// aborted is closed when the node is to end at once.
 	aborted   chan struct{}
 	abortOnce sync.Once
@@ -76,6 +79,7 @@
 	contacts := fleet.NewContacts()
 	config := &configuration{translate: adapter.Translate, inForce: log.DocumentInForce, former: snapshot.Empty()}
 	node.config = config
+	node.quarantine = quarantine.New(quarantine.Options{})
 	registry := telemetry.NewHostedRegistry(node.reading)
 	node.table = fleet.NewTable(node.record())
 	node.plane = forwarding.New(forwarding.Config{
@@ -93,8 +97,11 @@
 			Ratio:  s.RetryRatio * budgetShare,
 			Slack:  s.RetrySlack * budgetShare,
 		},
-		LinkSpeed: s.LinkSpeed * bitsPerMegabit,
-		Observer:  telemetry.NewForwardingObserver(registry.Registerer(), log, lines.Drop),
+		LinkSpeed:  s.LinkSpeed * bitsPerMegabit,
+		Quarantine: node.quarantine,
+		// The agent is there before the first call comes.
+		Evidence: func(reports []quarantine.Report) { node.agent.Tell(reports) },
+		Observer: telemetry.NewForwardingObserver(registry.Registerer(), log, lines.Drop),
 	})
 	messages, err := network.Listen(s.ControlAddress)
 	if err != nil {
@@ -106,8 +113,9 @@
 		Mesh: s.Mesh, FirstStart: s.FirstStart, Table: node.table, Contacts: contacts, Workers: node.workers,
 		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
 		Rollouts: rollouts, Steering: node.plane,
-		Probe:    newProbe(s, config, network, adapter),
-		Listener: messages, Dial: network.Dial, Events: log,
+		Quarantine: node.quarantine,
+		Probe:      newProbe(s, config, network, adapter),
+		Listener:   messages, Dial: network.Dial, Events: log,
 	})
 	return node, node.openListeners(adapter, registry)
 }
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -109,6 +109,8 @@
 	eventSettingsReloaded = Event{609, "settings reloaded", LevelInfo, []string{fieldError}, "The settings were read again; with an error, those before stay."}
 	eventRolloutOrdered   = Event{611, "rollout ordered", LevelInfo, []string{"service", fieldTarget, fieldDuration}, "The store has told this node an order to move a service to another version."}
 	eventRolloutDecided   = Event{612, "rollout decided", LevelInfo, []string{"service", fieldTarget, "state", "share", fieldReason, "ran", "failed"}, "This node, as coordinator, decided what share of the requests the version gets from now on, or that the move has ended; the reason says why it was rolled back, ran and failed count the version's requests."}
+	eventQuarantined      = Event{613, "request quarantined", LevelError, []string{fieldFingerprint, "instances", "since_unix_milliseconds", "until_unix_milliseconds", "source"}, "The request has crashed these workers, one after the other, and is given to none any more until the given time; the source tells on whose word this node believes it."}
+	eventQuarantineEnded  = Event{614, "quarantine ended", LevelInfo, []string{fieldFingerprint, fieldReason}, "The request may be run again: a worker has answered it whole, an operator has lifted the quarantine, or its time is over."}
 	eventLinesDropped     = Event{610, "lines dropped", LevelWarning, []string{"lines"}, "Lines of this log that were not written, because their reader was slow or there were too many."}
 )
 
@@ -139,7 +141,7 @@
 		eventStoreReachable, eventStoreUnreachable, eventStoreRegressed, eventAlarm, eventLeaseAcquired, eventLeaseLost,
 		eventCertificatesLoaded, eventCertificatesFailed,
 		eventDocumentRejected, eventDocumentInForce, eventReaderRole, eventNodeLost, eventNodeFound, eventWorkerChanged,
-		eventPromiseKept, eventFormerLife, eventSettingsReloaded, eventRolloutOrdered, eventRolloutDecided, eventLinesDropped, eventCallFailed, eventHopFailed,
+		eventPromiseKept, eventFormerLife, eventSettingsReloaded, eventRolloutOrdered, eventRolloutDecided, eventQuarantined, eventQuarantineEnded, eventLinesDropped, eventCallFailed, eventHopFailed,
 	}
 	slices.SortFunc(events, func(a, b Event) int { return a.Number - b.Number })
 	return events
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -5,6 +5,7 @@
 
 	"github.com/levertide/levertide/internal/hosted"
 	"github.com/levertide/levertide/pkg/canary"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -58,6 +59,17 @@
 		Float64("share", share).Str(fieldReason, reason).Float64("ran", ran).Float64("failed", failed))
 }
 
+// RequestQuarantined records that a request is taken for one that crashes workers.
+func (l *Log) RequestQuarantined(v quarantine.Verdict, source string) {
+	end(l.begin(eventQuarantined).Str(fieldFingerprint, v.Fingerprint.String()).Strs("instances", v.Instances).
+		Int64("since_unix_milliseconds", v.Since.UnixMilli()).Int64("until_unix_milliseconds", v.Until.UnixMilli()).Str("source", source))
+}
+
+// QuarantineEnded records that a request may be run again.
+func (l *Log) QuarantineEnded(request quarantine.Fingerprint, reason string) {
+	end(l.begin(eventQuarantineEnded).Str(fieldFingerprint, request.String()).Str(fieldReason, reason))
+}
+
 // SettingsReloaded records that the settings were read again.
 func (l *Log) SettingsReloaded(err error) {
 	text := ""
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -19,6 +19,7 @@
 	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -68,6 +69,8 @@
 	l.FormerLife(1, 2)
 	l.RolloutOrdered("ledger", "v2", time.Minute)
 	l.RolloutDecided("ledger", "v2", canary.RolledBack, 0, "failures on read", 40, 9)
+	l.RequestQuarantined(quarantine.Verdict{Instances: []string{"i"}}, "own worker")
+	l.QuarantineEnded(quarantine.Fingerprint{}, "whole answer")
 	l.SettingsReloaded(nil)
 	l.LinesDropped(3)
 	hosted := NewForwardingObserver(prometheus.NewRegistry(), l, func() {})
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -3,6 +3,7 @@
 import (
 	"math/bits"
 
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -40,6 +41,9 @@
 	// Rollouts are what the node knows of moves of services to other versions, and
 	// steers by.
 	Rollouts []Rollout
+	// Quarantined are the requests that the node has seen crash workers and that are
+	// run nowhere any more.
+	Quarantined []quarantine.Verdict
 }
 
 // NewerThan reports whether the record replaces the other one of the same node.
--- a/pkg/outcome/reason.go
+++ b/pkg/outcome/reason.go
@@ -41,6 +41,9 @@
 	// BodyNotReceived: the caller's body broke off or came too slowly before
 	// anything was sent to a worker.
 	BodyNotReceived Reason = "body-not-received"
+	// Quarantined: the request has crashed the workers that ran it before, and is given
+	// to none any more.
+	Quarantined Reason = "quarantined"
 	// TooLarge: the body is larger than the configuration allows.
 	TooLarge Reason = "too-large"
 )
@@ -50,6 +53,8 @@
 	// ConnectionLost: the connection broke after something was written on it
 	// and before the head of an answer came.
 	ConnectionLost Reason = "connection-lost"
+	// WorkerCrashed: the worker ended while it had the request.
+	WorkerCrashed Reason = "worker-crashed"
 	// Timeout: the deadline passed while the worker had the request.
 	Timeout Reason = "timeout"
 	// Canceled: the caller gave up while the worker had the request.
@@ -86,6 +91,8 @@
 	CanceledBeforeStart: {NotRun, http.StatusServiceUnavailable, "the request was canceled before it was started"},
 	BodyNotReceived:     {NotRun, http.StatusRequestTimeout, "the body of the request did not arrive"},
 	TooLarge:            {NotRun, http.StatusRequestEntityTooLarge, "the body of the request is too large"},
+	Quarantined:         {NotRun, http.StatusBadRequest, "the request has crashed the workers that ran it, and is not run any more"},
+	WorkerCrashed:       {Unknown, http.StatusBadGateway, "the worker ended before an answer came"},
 	ConnectionLost:      {Unknown, http.StatusBadGateway, "the connection was lost before an answer came"},
 	Timeout:             {Unknown, http.StatusGatewayTimeout, "the deadline passed before an answer came"},
 	Canceled:            {Unknown, http.StatusBadGateway, "the request was canceled before an answer came"},
