--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -20,30 +20,38 @@
 	statusQuarantined = http.StatusBadRequest
 	// callerPause is how long a caller waits when a node cannot be reached.
 	callerPause = 20 * time.Millisecond
+	// callerTries is how often a read that is not served is sent, at most.
+	callerTries = 4
 	// popularShare is the share of the reads that others send, too, in the same words;
 	// popularPaths is how many of these there are.
 	popularShare = 0.5
 	popularPaths = 20
 )
 
-// call sends one request to a machine and enters what came of it.
-func call(ctx context.Context, client *http.Client, m *machine, l *ledger, id string) {
+// call sends one request to a machine and enters what came of it. A read that was not
+// served comes again, at other machines.
+func call(ctx context.Context, client *http.Client, machines []*machine, l *ledger, id string) {
+	method, path := http.MethodPost, oncePrefix+id
 	repeatable := rand.Float64() < 0.5
-	method, path := http.MethodPost, oncePrefix
 	if repeatable {
-		method, path = http.MethodGet, safePrefix
+		method, path = http.MethodGet, safePrefix+id
 	}
-	l.began(id, repeatable)
-	path += id
 	if repeatable && rand.Float64() < popularShare {
 		path = fmt.Sprintf("%spopular-%d", safePrefix, rand.IntN(popularPaths))
 	}
-	status, body, err := send(ctx, client, m, method, path, id)
-	if err != nil {
-		status = 0
-		time.Sleep(callerPause)
+	for try := range callerTries {
+		tryID := fmt.Sprintf("%s-%d", id, try)
+		l.began(tryID, repeatable)
+		status, body, err := send(ctx, client, machines[rand.IntN(len(machines))], method, path, tryID)
+		if err != nil {
+			status = 0
+			time.Sleep(callerPause)
+		}
+		l.told(tryID, status, body)
+		if status == statusServed || !repeatable {
+			return
+		}
 	}
-	l.told(id, status, body)
 }
 
 func send(ctx context.Context, client *http.Client, m *machine, method, path, id string) (int, string, error) {
@@ -83,7 +91,6 @@
 	client := newClient(network, 2*callBound)
 	defer client.CloseIdleConnections()
 	for number := 0; ctx.Err() == nil; number++ {
-		m := machines[rand.IntN(len(machines))]
-		call(context.WithoutCancel(ctx), client, m, l, fmt.Sprintf("request-%d-%d", caller, number))
+		call(context.WithoutCancel(ctx), client, machines, l, fmt.Sprintf("request-%d-%d", caller, number))
 	}
 }
--- a/internal/lab/soak/innocent_test.go
+++ b/internal/lab/soak/innocent_test.go
@@ -14,16 +14,19 @@
 	"github.com/levertide/levertide/internal/lab/memnet"
 )
 
-// TestInnocentRequestsAreNotQuarantined has workers and nodes end for reasons of their own
-// while 10,000 calls and more are made, half of the reads in the same words. None may be
-// taken for a request that crashes workers: the ledger tells of each that was refused for
-// good.
+// TestInnocentRequestsAreNotQuarantined has workers and nodes end for reasons of their own,
+// or under other requests, while 10,000 calls and more are made by as many callers as there
+// are slots. Half of the reads are in the same words, and all come again when they are not
+// served. None may be taken for a request that crashes workers: the ledger tells of each
+// that was refused for good.
 func TestInnocentRequestsAreNotQuarantined(t *testing.T) {
 	const (
 		machines = 12
-		length   = 15 * time.Second
+		length   = 20 * time.Second
 		pause    = 250 * time.Millisecond
 		calls    = 10_000
+		callers  = 48 // as many as the slots of all workers
+		runTime  = 40 * time.Millisecond
 	)
 	for name, strike := range map[string]func(ctx context.Context, f *faults, m *machine){
 		"workers crash": func(ctx context.Context, f *faults, m *machine) { f.crashWorker(ctx, m) },
@@ -47,14 +50,19 @@
 			f.onMachine(m, "node", func() { f.restart(ctx, m, false, time.Second) })
 		},
 		"machines are cut off": func(ctx context.Context, f *faults, m *machine) { f.cutOff(ctx, m, time.Second) },
-		"answers are lost":     func(ctx context.Context, f *faults, m *machine) { f.loseAnswers(ctx, m, time.Second) },
+		"another request crashes workers": func(ctx context.Context, f *faults, _ *machine) {
+			if f.requests < 40 {
+				f.sendCrashing(ctx, 4*time.Second)
+			}
+		},
+		"answers are lost": func(ctx context.Context, f *faults, m *machine) { f.loseAnswers(ctx, m, time.Second) },
 	} {
 		t.Run(name, func(t *testing.T) {
 			t.Parallel()
 			synctest.Test(t, func(t *testing.T) {
 				// Time stands still once the test has ended: what still dials must end before.
 				defer time.Sleep(time.Minute)
-				run := newSoak(Options{Seed: 7, Machines: machines, Network: NewInMemory(memnet.New(500 * time.Microsecond))})
+				run := newSoak(Options{Seed: 7, Machines: machines, Callers: callers, RunTime: runTime, Network: NewInMemory(memnet.New(500 * time.Microsecond))})
 				defer run.end()
 				if err := run.start(); err != nil {
 					t.Fatal(err)
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -27,6 +27,7 @@
 // machine is a node with the worker beside it.
 type machine struct {
 	id, zone        string
+	runTime         time.Duration // of a request at the worker
 	network         MachineNetwork
 	store           *hostedstore.Store
 	ledger          *ledger
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -24,6 +24,8 @@
 	Machines int
 	// Callers is how many callers send requests, one at a time each.
 	Callers int
+	// RunTime is how long a worker runs a request.
+	RunTime time.Duration
 	// Network connects the machines; nil takes Loopback.
 	Network Network
 	// Log is told of faults; nil means that nobody is.
@@ -35,6 +37,7 @@
 	DefaultDuration = 20 * time.Second
 	DefaultMachines = 6
 	DefaultCallers  = 12
+	DefaultRunTime  = 10 * time.Millisecond
 )
 
 func (o Options) withDefaults() Options {
@@ -47,6 +50,9 @@
 	if o.Callers <= 0 {
 		o.Callers = DefaultCallers
 	}
+	if o.RunTime <= 0 {
+		o.RunTime = DefaultRunTime
+	}
 	if o.Network == nil {
 		o.Network = Loopback{}
 	}
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -73,6 +73,7 @@
 		if err != nil {
 			return err
 		}
+		m.runTime = s.options.RunTime
 		if err := m.startNode(); err != nil {
 			return err
 		}
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -17,7 +17,6 @@
 	serviceName       = "ledger"
 	workerSlots       = 4
 	heartbeatInterval = 100 * time.Millisecond
-	runTime           = 10 * time.Millisecond
 	// lateHeartbeats is how many heartbeats of a worker that leaves are sent after
 	// the time in which requests may still arrive.
 	lateHeartbeats = 10
@@ -31,6 +30,7 @@
 // worker is one life of a worker.
 type worker struct {
 	instance string
+	runTime  time.Duration
 	ledger   *ledger
 	server   *http.Server
 	address  string
@@ -55,7 +55,7 @@
 		return nil, ErrStart.Wrap(err, "worker")
 	}
 	ctx, end := context.WithCancel(context.Background())
-	w := &worker{instance: instance, ledger: l, address: opened.Addr().String(), end: end}
+	w := &worker{instance: instance, runTime: m.runTime, ledger: l, address: opened.Addr().String(), end: end}
 	w.tellCrash = func() {
 		if crashed := m.workerCrashed.Load(); crashed != nil {
 			(*crashed)()
@@ -79,7 +79,7 @@
 	if crashes(r.URL.Path) {
 		w.runCrashing(r.URL.Path)
 	}
-	time.Sleep(runTime)
+	time.Sleep(w.runTime)
 	out.Header().Set(dialect.RequestID, id)
 	if rand.Uint32N(100) < w.breaking.Load() {
 		panic(http.ErrAbortHandler)
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -79,12 +79,12 @@
 	// RetryRatio, RetrySlack and RetryWindow bound the retries to one service
 	// over all nodes, in hosted mode: in each window no more than the ratio of
 	// the requests and the slack.
-	RetryRatio  float64       `key:"retry-ratio" validate:"min=0,max=1"`
-	RetrySlack  float64       `key:"retry-slack" validate:"min=0,max=1000000"`
+	RetryRatio float64 `key:"retry-ratio" validate:"min=0,max=1"`
+	RetrySlack float64 `key:"retry-slack" validate:"min=0,max=1000000"`
 	// LiftQuarantine are fingerprints of requests, in hexadecimal digits, that are run
 	// again although they were found to crash workers.
-	LiftQuarantine []string `key:"lift-quarantine" validate:"dive,hexadecimal,len=32"`
-	RetryWindow time.Duration `key:"retry-window" validate:"min=100ms,max=10m"`
+	LiftQuarantine []string      `key:"lift-quarantine" validate:"dive,hexadecimal,len=32"`
+	RetryWindow    time.Duration `key:"retry-window" validate:"min=100ms,max=10m"`
 	// FirstStart tells that the whole mesh starts for the first time: no node has
 	// had a former life.
 	FirstStart bool `key:"first-start"`
