--- /dev/null
+++ b/internal/hosted/evidence_test.go
@@ -0,0 +1,216 @@
+//go:build !race
+
+// With the race detector, Go 1.26.8 crashes in a bubble when a timer is already due
+// as its channel is selected; scripts/go-test.sh plays these tests without it.
+
+package hosted_test
+
+import (
+	"fmt"
+	"math"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/quarantine"
+)
+
+// contact is the time after which all nodes that reach each other must know of a request
+// that crashes workers.
+const contact = 3 * time.Second
+
+// slots is how many requests a worker has in hand when it ends.
+const slots = 13
+
+func fingerprintOf(target string) quarantine.Fingerprint {
+	return quarantine.Request{Target: target}.Fingerprint()
+}
+
+// crash has the worker beside a node end with a request and others in hand.
+func (n *testNode) crash(guilty quarantine.Fingerprint, life int) {
+	instance := fmt.Sprintf("%s-%d", n.table.View().Self().ID, life)
+	var reports []quarantine.Report
+	for other := range slots {
+		f := guilty
+		if other > 0 {
+			f = fingerprintOf(fmt.Sprintf("/innocent-%s-%d", instance, other))
+		}
+		level, _ := n.quarantine.Level(f, time.Now())
+		report, _ := n.quarantine.Crashed(f, instance, level, time.Now())
+		reports = append(reports, report)
+	}
+	n.agent.Tell(reports)
+}
+
+func (n *testNode) quarantines(f quarantine.Fingerprint) bool {
+	_, found := n.quarantine.Level(f, time.Now())
+	return found
+}
+
+func (m *simulated) allQuarantine(f quarantine.Fingerprint) bool {
+	for _, n := range m.nodes {
+		if !n.quarantines(f) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *simulated) messages() (sum, most uint64) {
+	for _, n := range m.nodes {
+		sent := n.agent.Messages().Broadcasts
+		sum += sent
+		most = max(most, sent)
+	}
+	return sum, most
+}
+
+// TestAllNodesHearOfACrashingRequest has three workers end one after the other in meshes of
+// several sizes. It counts the messages and the time until all nodes agree.
+func TestAllNodesHearOfACrashingRequest(t *testing.T) {
+	for _, size := range []int{12, 83, 295} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			t.Parallel()
+			synctest.Test(t, func(t *testing.T) {
+				m := startSimulated(t, size)
+				time.Sleep(10 * time.Second)
+				guilty := fingerprintOf("/guilty")
+				before, _ := m.messages()
+				for life := range 3 {
+					m.nodes[life*size/3].crash(guilty, life)
+					time.Sleep(time.Second)
+				}
+				took := m.within(t, contact-time.Second, "all nodes know", func() bool { return m.allQuarantine(guilty) })
+				time.Sleep(contact)
+				sum, _ := m.messages()
+				perNode := float64(sum-before) / float64(size)
+				// Three crashes, and a few records and entries of the nodes that saw them.
+				if most := 6 * math.Log2(float64(size)); perNode > most {
+					t.Errorf("%.1f messages a node, over %.1f", perNode, most)
+				}
+				t.Logf("%d nodes: %d messages, %.2f a node, for three crashes with %d requests in hand each; all know %v after a second", size, sum-before, perNode, slots, took)
+			})
+		})
+	}
+}
+
+// TestDecisionOutlastsAllNodes quarantines a request, kills all nodes at the same moment,
+// and starts them again: what the nodes that saw the crashes have left in the store is
+// known to all.
+func TestDecisionOutlastsAllNodes(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 12
+		m := startSimulated(t, size)
+		time.Sleep(30 * time.Second)
+		guilty := fingerprintOf("/guilty")
+		for life := range 3 {
+			m.nodes[4*life].crash(guilty, life)
+			time.Sleep(500 * time.Millisecond)
+		}
+		for _, n := range m.nodes {
+			n.kill()
+		}
+		for n := range m.nodes {
+			m.nodes[n] = m.start(t, n, false)
+		}
+		took := m.within(t, contact, "all nodes know after the loss of all", func() bool { return m.allQuarantine(guilty) })
+		t.Logf("all know after %v", took)
+	})
+}
+
+// TestDecisionReachesNodesThatWereAway lets the node that saw the last crash be cut off, and
+// die cut off, and starts a node that was never there: both find out by comparison.
+func TestDecisionReachesNodesThatWereAway(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		const size = 12
+		m := startSimulated(t, size)
+		time.Sleep(time.Second)
+		guilty := fingerprintOf("/guilty")
+		m.nodes[0].crash(guilty, 0)
+		m.nodes[1].crash(guilty, 0)
+		time.Sleep(time.Second)
+		away, _ := simulatedAddress(2)
+		for n := range size {
+			if other, _ := simulatedAddress(n); n != 2 {
+				m.network.Cut(away, other)
+			}
+		}
+		m.nodes[2].crash(guilty, 0)
+		time.Sleep(time.Second)
+		if m.nodes[3].quarantines(guilty) {
+			t.Fatal("a node knows what only one that is cut off has seen")
+		}
+		m.nodes[3].crash(guilty, 0)
+		m.network.Heal()
+		m.within(t, contact, "all nodes know", func() bool { return m.allQuarantine(guilty) })
+		m.nodes[0].kill()
+		m.nodes[0] = m.start(t, 0, false)
+		m.nodes = append(m.nodes, m.start(t, size, false))
+		m.within(t, contact, "nodes that have just started know", func() bool { return m.allQuarantine(guilty) })
+	})
+}
+
+// TestAnswerEndsAQuarantineEverywhere has a worker answer a request that was running when it
+// was quarantined.
+func TestAnswerEndsAQuarantineEverywhere(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startSimulated(t, 12)
+		request := fingerprintOf("/slow")
+		for life := range 3 {
+			m.nodes[life].crash(request, life)
+			time.Sleep(500 * time.Millisecond)
+		}
+		m.within(t, contact, "all nodes know", func() bool { return m.allQuarantine(request) })
+		report, news := m.nodes[7].quarantine.Answered(request, time.Now())
+		if !news {
+			t.Fatal("the answer is no news")
+		}
+		m.nodes[7].agent.Tell([]quarantine.Report{report})
+		m.within(t, contact, "no node holds to it", func() bool { return m.noneQuarantines(request) })
+		time.Sleep(time.Minute)
+		if !m.noneQuarantines(request) {
+			t.Error("a node has taken the quarantine up again")
+		}
+	})
+}
+
+// TestOperatorLiftsAQuarantine lifts a quarantine at one node.
+func TestOperatorLiftsAQuarantine(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		m := startSimulated(t, 12)
+		request := fingerprintOf("/mended")
+		for life := range 3 {
+			m.nodes[life].crash(request, life)
+			time.Sleep(500 * time.Millisecond)
+		}
+		m.within(t, contact, "all nodes know", func() bool { return m.allQuarantine(request) })
+		m.nodes[9].agent.Lift([]quarantine.Fingerprint{request, fingerprintOf("/unknown")})
+		m.within(t, contact, "no node holds to it", func() bool { return m.noneQuarantines(request) })
+		time.Sleep(time.Minute)
+		if !m.noneQuarantines(request) {
+			t.Error("a node has taken the quarantine up again")
+		}
+		m.within(t, time.Second, "no record tells of it", func() bool { return m.noneTells() })
+	})
+}
+
+func (m *simulated) noneQuarantines(f quarantine.Fingerprint) bool {
+	for _, n := range m.nodes {
+		if n.quarantines(f) {
+			return false
+		}
+	}
+	return true
+}
+
+func (m *simulated) noneTells() bool {
+	for _, n := range m.nodes {
+		for _, record := range n.table.View().Nodes() {
+			if record.State == fleet.StateLive && len(record.Quarantined) > 0 {
+				return false
+			}
+		}
+	}
+	return true
+}
