Give workers no time that a suspended machine has lost

A machine that is suspended stops the steady clock, by which all deadlines are kept; its callers go on. With a suspension of 2.5 s the worker was given 4.0 s where 1.5 s were left.

The soak draws suspensions of nodes, rolling stops among changes, and checks the time that workers are given. explain tells why a request was quarantined.

--- a/internal/command/explain/story.go
+++ b/internal/command/explain/story.go
@@ -11,6 +11,9 @@
 	// eventCall and eventHop are the events of single calls.
 	eventCall = 701
 	eventHop  = 702
+	// eventQuarantined and eventQuarantineEnded tell of a request by its fingerprint.
+	eventQuarantined     = 613
+	eventQuarantineEnded = 614
 	// beliefWindow is how long before a call's event a change of belief is taken
 	// to bear on it.
 	beliefWindow = 3 * time.Second
@@ -36,6 +39,8 @@
 	outcome.BodyNotReceived:     "the caller's body broke off or came too slowly; nothing was sent on",
 	outcome.TooLarge:            "the body is larger than the operators allow",
 	outcome.ConnectionLost:      "the connection broke after the call was sent: the worker or its node ended, or its answer broke off; the call may have run",
+	outcome.WorkerCrashed:       "the worker ended while it had the call, and everything else that it had in hand; the call may have run",
+	outcome.Quarantined:         "the request was taken for one that crashes the workers that run it: see since when, under which workers, and on whose word (613), and docs/OPERATIONS.md for how to lift it",
 	outcome.Timeout:             "the worker had the call when its time was over: compare the time with the route's, and with other calls to the instance",
 	outcome.Canceled:            "the caller left while a worker had the call",
 	outcome.InvalidAnswer:       "the worker answered with what belongs to another request; the call may have run",
@@ -53,13 +58,16 @@
 // tell puts the story of a request together; false when no line names it.
 func tell(lines []Line, request string) (Story, bool) {
 	var story Story
-	involved := map[string]bool{}
+	involved, fingerprints := map[string]bool{}, map[string]bool{}
 	for _, line := range lines {
 		if line.text("request") != request {
 			continue
 		}
 		story.Calls = append(story.Calls, line)
 		involved[line.Node] = true
+		if fingerprint := line.text("fingerprint"); fingerprint != "" {
+			fingerprints[fingerprint] = true
+		}
 		if peer := line.text("peer"); peer != "" {
 			involved[peer] = true
 		}
@@ -71,7 +79,8 @@
 	last := story.Calls[len(story.Calls)-1].Time
 	for _, line := range lines {
 		near := !line.Time.Before(first) && !line.Time.After(last)
-		if beliefs[line.Event] && near && (involved[line.Node] || involved[line.text("peer")]) {
+		bears := beliefs[line.Event] && near && (involved[line.Node] || involved[line.text("peer")])
+		if bears || tellsOf(line, fingerprints) && !line.Time.After(last) {
 			story.Beliefs = append(story.Beliefs, line)
 		}
 	}
@@ -79,6 +88,12 @@
 	return story, true
 }
 
+// tellsOf reports whether a line tells that one of the requests is quarantined, or is no
+// more. That may be long before the call, and at any node.
+func tellsOf(line Line, fingerprints map[string]bool) bool {
+	return (line.Event == eventQuarantined || line.Event == eventQuarantineEnded) && fingerprints[line.text("fingerprint")]
+}
+
 // causeOf says why a request ended as it did. The node beside the worker knows
 // more than the one where the call began.
 func causeOf(calls []Line) string {
--- a/internal/forwarding/attempts.go
+++ b/internal/forwarding/attempts.go
@@ -115,6 +115,10 @@
 			o.last = outcome.New(outcome.Quarantined)
 			return o.conclude()
 		}
+		if o.call.plane.left(o.call.began, o.call.end) < shortestTime {
+			o.last = outcome.New(outcome.DeadlineBeforeStart)
+			return o.conclude()
+		}
 		chosen, ok := o.choose()
 		if !ok {
 			return o.conclude()
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -18,8 +18,8 @@
 	MaximumBody int64
 }
 
-// Config sets up a Plane. All fields but Quarantine, Evidence, Observer and LinkSpeed must
-// be given.
+// Config sets up a Plane. All fields but Quarantine, Evidence, Suspended, Observer and
+// LinkSpeed must be given.
 type Config struct {
 	// Node is the identifier of this node, Zone where it is.
 	Node, Zone string
@@ -48,6 +48,9 @@
 	// Evidence is given what this node has found out of such requests, for the other
 	// nodes; nil means that nobody is told. It must not block.
 	Evidence func(reports []quarantine.Report)
+	// Suspended returns for how long the machine was suspended since a moment: no clock of
+	// the process counts that time, and callers do. Nil means never.
+	Suspended func(since time.Time) time.Duration
 	// Observer is told how calls ended; nil means that nobody is.
 	Observer Observer
 }
--- a/internal/forwarding/fixture_test.go
+++ b/internal/forwarding/fixture_test.go
@@ -82,6 +82,8 @@
 	refusedHops atomic.Int64
 	// dials counts the connections that the node has opened.
 	dials atomic.Int64
+	// suspended is for how long the machine was suspended since each moment there is.
+	suspended atomic.Int64
 }
 
 // dial opens a connection and counts it.
@@ -115,9 +117,10 @@
 	node.plane = New(Config{
 		Node: id, Zone: "z", Service: service, Dialect: testDialect,
 		Current: node.config.Load, View: node.table.View, Contacts: fleet.NewContacts(), Workers: node.registry,
-		Dial:     node.dial,
-		Retries:  retry.WindowOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
-		Observer: node,
+		Dial:      node.dial,
+		Retries:   retry.WindowOptions{Window: 10 * time.Second, Ratio: 0.2, Slack: 100},
+		Observer:  node,
+		Suspended: func(time.Time) time.Duration { return time.Duration(node.suspended.Load()) },
 	})
 	node.plane.Open()
 	hops := node.plane.HopServer()
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -60,6 +60,7 @@
 		body:        c.body,
 		caller:      c.hop.caller,
 		rank:        c.hop.rank,
+		began:       c.began,
 		latestStart: latestStart,
 		end:         end,
 	}
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -45,6 +45,7 @@
 		body:        o.call.body,
 		caller:      o.call.plane.serviceHere(),
 		rank:        o.call.rank(),
+		began:       o.call.began,
 		latestStart: latestStart,
 		end:         o.call.end,
 		identified:  o.call.identified,
@@ -68,7 +69,7 @@
 		caller:   c.plane.serviceHere(),
 		rank:     c.rank(),
 		patience: latestStart.Sub(now),
-		left:     c.end.Sub(now),
+		left:     c.plane.left(c.began, c.end),
 		level:    level,
 	}.encode()}
 	if c.body.long() {
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -53,6 +53,9 @@
 	if config.Quarantine == nil {
 		config.Quarantine = quarantine.New(quarantine.Options{})
 	}
+	if config.Suspended == nil {
+		config.Suspended = func(time.Time) time.Duration { return 0 }
+	}
 	if config.Evidence == nil {
 		config.Evidence = func([]quarantine.Report) {}
 	}
@@ -114,6 +117,13 @@
 	return p.config.Service
 }
 
+// left returns the time that is left until an end, of what began at this node at the given
+// time. A machine may have been suspended meanwhile: without that, workers would be given
+// time that the caller has not.
+func (p *Plane) left(began, end time.Time) time.Duration {
+	return time.Until(end) - p.config.Suspended(began)
+}
+
 // CallerServer returns a server for callers. It listens on nothing by itself.
 func (p *Plane) CallerServer() *pipeline.Server {
 	return pipeline.New(pipeline.Config{
--- /dev/null
+++ b/internal/forwarding/suspects_test.go
@@ -0,0 +1,182 @@
+package forwarding
+
+import (
+	"net/http"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/quarantine"
+)
+
+// end ends the worker, from within one of its requests: it listens no more, and all its
+// connections break.
+func (w *testWorker) end() {
+	_ = w.server.Listener.Close()
+	w.server.CloseClientConnections()
+}
+
+// crashing has a worker end when it runs a request whose path has the mark.
+func crashing(worker *testWorker, mark string) {
+	worker.answer(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, mark) {
+			worker.end()
+			panic(http.ErrAbortHandler)
+		}
+		_, _ = w.Write([]byte("answer"))
+	})
+}
+
+// meshOf starts a node without a worker and some with one each.
+func meshOf(t *testing.T, count int) (front *testNode, nodes []*testNode, all []*testWorker) {
+	t.Helper()
+	front = startNode(t, "front", "other", nil)
+	for n := range count {
+		worker := startWorker(t)
+		all = append(all, worker)
+		nodes = append(nodes, startNode(t, string(rune('a'+n)), "ledger", worker))
+	}
+	mesh := append([]*testNode{front}, nodes...)
+	configure(t, ledgerRoutes, mesh...)
+	introduce(mesh...)
+	return front, nodes, all
+}
+
+// TestCrashesAddUpAlongTheOffersOfACall sends a call that ends each worker, where nobody
+// but the nodes on its way tells anybody: the levels go along with the offers.
+func TestCrashesAddUpAlongTheOffersOfACall(t *testing.T) {
+	front, _, all := meshOf(t, 5)
+	for _, worker := range all {
+		crashing(worker, "guilty")
+	}
+	status, header, _ := get(t, front, "/read/guilty")
+	if status != http.StatusBadGateway || header.Get("Retry-After") != "" {
+		t.Errorf("the call that ended its workers: %d, Retry-After %q", status, header.Get("Retry-After"))
+	}
+	status, header, body := get(t, front, "/read/guilty")
+	if status != http.StatusBadRequest || header.Get("Retry-After") != "" || !strings.Contains(body, "crashed") {
+		t.Errorf("the same call again: %d, Retry-After %q, %q", status, header.Get("Retry-After"), body)
+	}
+	var runs int64
+	for _, worker := range all {
+		runs += worker.calls.Load()
+	}
+	if runs != quarantine.DefaultLimit {
+		t.Errorf("%d workers had the call, want %d", runs, quarantine.DefaultLimit)
+	}
+	reasons := []outcome.Reason{(<-front.reports).Reason, (<-front.reports).Reason}
+	if reasons[0] != outcome.WorkerCrashed || reasons[1] != outcome.Quarantined {
+		t.Errorf("the reasons are %v", reasons)
+	}
+	if status, _, _ := get(t, front, "/read/innocent"); status != http.StatusOK {
+		t.Errorf("another call is told %d", status)
+	}
+}
+
+// TestNodeBesideTheWorkerRefusesWhatItKnows has the node where a call begins know nothing.
+func TestNodeBesideTheWorkerRefusesWhatItKnows(t *testing.T) {
+	front, nodes, all := meshOf(t, 1)
+	guilty := quarantine.Request{Method: http.MethodPost, Host: "mesh.example", Target: "/file/1", Body: []byte("body"), BodyLength: 4}.Fingerprint()
+	for n := range quarantine.DefaultLimit {
+		nodes[0].plane.config.Quarantine.Crashed(guilty, string(rune('x'+n)), n, time.Now())
+	}
+	if status, _, _ := post(t, front, "/file/1", "body"); status != http.StatusBadRequest {
+		t.Errorf("the call is told %d", status)
+	}
+	if status, _, _ := post(t, front, "/file/1", "another body"); status != http.StatusOK {
+		t.Errorf("a call with another body is told %d", status)
+	}
+	if runs := all[0].calls.Load(); runs != 1 {
+		t.Errorf("%d calls reached the worker", runs)
+	}
+}
+
+// TestLostAnswersSpeakAgainstNoRequest has a worker break off answers and run on.
+func TestLostAnswersSpeakAgainstNoRequest(t *testing.T) {
+	front, nodes, all := meshOf(t, 1)
+	all[0].answer(func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for range 5 {
+		if status, _, _ := post(t, front, "/file/1", "body"); status != http.StatusBadGateway {
+			t.Errorf("told %d", status)
+		}
+	}
+	for _, node := range []*testNode{front, nodes[0]} {
+		if !node.plane.config.Quarantine.Quiet() {
+			t.Error("a lost answer is taken for the end of the worker")
+		}
+	}
+}
+
+// TestWholeAnswerClearsASuspect has a request be in hand where a worker ends, and be
+// answered afterwards.
+func TestWholeAnswerClearsASuspect(t *testing.T) {
+	_, nodes, _ := meshOf(t, 1)
+	suspect := quarantine.Request{Method: http.MethodGet, Host: "mesh.example", Target: "/read/1"}.Fingerprint()
+	table := nodes[0].plane.config.Quarantine
+	for n := range 2 {
+		table.Crashed(suspect, string(rune('x'+n)), n, time.Now())
+	}
+	if status, _, _ := get(t, nodes[0], "/read/1"); status != http.StatusOK {
+		t.Fatalf("told %d", status)
+	}
+	if level, _ := table.Level(suspect, time.Now()); level != 0 {
+		t.Errorf("level %d after a whole answer", level)
+	}
+}
+
+// TestSuspectsRunOneAtATime sends several suspects to one worker, and others beside them.
+func TestSuspectsRunOneAtATime(t *testing.T) {
+	front, nodes, all := meshOf(t, 1)
+	var suspects, most atomic.Int64
+	all[0].answer(func(w http.ResponseWriter, r *http.Request) {
+		if strings.Contains(r.URL.Path, "suspect") {
+			now := suspects.Add(1)
+			defer suspects.Add(-1)
+			for held := most.Load(); now > held && !most.CompareAndSwap(held, now); held = most.Load() {
+			}
+			time.Sleep(20 * time.Millisecond)
+		}
+		_, _ = w.Write([]byte("answer"))
+	})
+	var calls sync.WaitGroup
+	for n := range 4 {
+		path := "/read/suspect-" + string(rune('0'+n))
+		f := quarantine.Request{Method: http.MethodGet, Host: "mesh.example", Target: path}.Fingerprint()
+		nodes[0].plane.config.Quarantine.Crashed(f, "another", 0, time.Now())
+		calls.Go(func() {
+			if status, _, _ := get(t, front, path); status != http.StatusOK {
+				t.Errorf("a suspect is told %d", status)
+			}
+		})
+		calls.Go(func() {
+			if status, _, _ := get(t, front, "/read/other"); status != http.StatusOK {
+				t.Errorf("another call is told %d", status)
+			}
+		})
+	}
+	calls.Wait()
+	if most.Load() != 1 {
+		t.Errorf("%d suspects ran side by side", most.Load())
+	}
+}
+
+// TestHopOfAnOlderNodeIsRead reads a hop that tells nothing of crashes.
+func TestHopOfAnOlderNodeIsRead(t *testing.T) {
+	told := hop{service: "s", instance: "i", caller: "c", rank: 2, patience: time.Second, left: 2 * time.Second, level: 1}
+	read, ok := parseHop(told.encode())
+	if !ok || read != told {
+		t.Errorf("read %+v, %v", read, ok)
+	}
+	encoded := told.encode()
+	older, ok := parseHop(encoded[:strings.LastIndex(encoded, hopSeparator)])
+	told.level = 0
+	if !ok || older != told {
+		t.Errorf("of an older node: %+v, %v", older, ok)
+	}
+	if _, ok := parseHop(encoded + hopSeparator + "1"); ok {
+		t.Error("a hop with too many fields is taken")
+	}
+}
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -83,8 +83,9 @@
 	body    *requestBody
 	caller  string
 	rank    int
-	// latestStart is until when a start is useful, end when the call's time is over.
-	latestStart, end time.Time
+	// began is when the request came to this node, latestStart until when a start is
+	// useful, end when the call's time is over.
+	began, latestStart, end time.Time
 	// level is how many crashes of workers the request is known to have caused.
 	level int
 	// identified is the fingerprint of the request, once it was needed.
@@ -125,7 +126,7 @@
 	if err != nil {
 		return nil, admissionFailure(ctx, err)
 	}
-	if time.Until(call.end) < shortestTime {
+	if l.plane.left(call.began, call.end) < shortestTime {
 		permit.Release(false)
 		return nil, outcome.New(outcome.DeadlineBeforeStart)
 	}
@@ -206,7 +207,7 @@
 
 func (l *workerLeg) request(call *workerCall) *http.Request {
 	header := forwardedHeader(call.inbound, l.dialect)
-	left := max(time.Until(call.end).Milliseconds(), 1)
+	left := max(l.plane.left(call.began, call.end).Milliseconds(), 1)
 	header[l.dialect.Timeout] = []string{strconv.FormatInt(left, 10)}
 	header[l.dialect.CallerService] = []string{call.caller}
 	header[l.dialect.ExpectInstance] = []string{l.worker.Instance}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -52,7 +52,7 @@
 }
 
 // faultKinds is how many kinds of faults there are.
-const faultKinds = 14
+const faultKinds = 16
 
 // strikeWith has a fault of the given kind strike.
 func (f *faults) strikeWith(ctx context.Context, kind int, target *machine, duration time.Duration) {
@@ -82,6 +82,10 @@
 		f.options.Network.Reset(f.number(target))
 	case 13:
 		f.sendCrashing(ctx, crashingTime)
+	case 14:
+		f.suspend(ctx, target, duration)
+	case 15:
+		f.rollingStop(ctx)
 	}
 }
 
@@ -143,6 +147,37 @@
 	})
 }
 
+// suspend cuts a machine off from everything, as one is that stands still, and tells it that
+// its steady clock has not counted that time.
+func (f *faults) suspend(ctx context.Context, m *machine, duration time.Duration) {
+	f.onMachine(m, "suspension of the node", func() {
+		for n, other := range f.machines {
+			if other != m {
+				f.options.Network.Cut(f.number(m), n)
+			}
+		}
+		f.store.SetFaults(m.id, hostedstore.Faults{Silent: true})
+		wait(ctx, duration)
+		f.ledger.suspends(time.Now())
+		m.suspended.Store(&suspension{until: time.Now(), lasted: duration})
+		f.options.Network.Heal()
+		f.store.SetFaults(m.id, hostedstore.Faults{})
+	})
+}
+
+// rollingStop stops and starts all nodes as planned, one after the other, while documents
+// come.
+func (f *faults) rollingStop(ctx context.Context) {
+	f.options.Log("rolling stop of all nodes, with changes")
+	machines := slices.Clone(f.machines)
+	f.random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
+	for _, m := range machines[:len(machines)/2] {
+		f.change()
+		f.onMachine(m, "planned stop of the node, in a series", func() { f.restart(ctx, m, true, 0) })
+		wait(ctx, shortestFaultPause)
+	}
+}
+
 // number returns the place of a machine.
 func (f *faults) number(m *machine) int { return slices.Index(f.machines, m) }
 
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"sync"
 	"time"
 )
@@ -12,6 +13,9 @@
 	// promiseSlack is how long after an acknowledged leave a request that was on
 	// its way may still arrive.
 	promiseSlack = 2 * time.Second
+	// timeSlack is by how much a further worker may be given time for longer than the
+	// first.
+	timeSlack = 500 * time.Millisecond
 )
 
 // ledger is what callers were told and what workers ran.
@@ -21,6 +25,10 @@
 	runs       map[string]int
 	refused    map[string]bool
 	repeatable map[string]bool
+	// suspended is when a machine was suspended last.
+	suspended time.Time
+	// ends is until when the first worker was given a request.
+	ends map[string]time.Time
 	// promised is when a worker's leave was acknowledged.
 	promised map[string]time.Time
 	// crashing are the requests that crash their workers, by path.
@@ -31,6 +39,7 @@
 	return &ledger{
 		report: Report{Seed: seed, Violations: []string{}},
 		runs:   map[string]int{}, refused: map[string]bool{}, repeatable: map[string]bool{},
+		ends:     map[string]time.Time{},
 		promised: map[string]time.Time{}, crashing: map[string]*crashing{},
 	}
 }
@@ -50,6 +59,30 @@
 	l.repeatable[id] = repeatable
 }
 
+// suspends records that a machine was suspended until now.
+func (l *ledger) suspends(now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	l.suspended = now
+}
+
+// given records the time that a worker was given for a request, in milliseconds. A node
+// counts from when it has read the request, which the first worker's time shows.
+func (l *ledger) given(id, milliseconds string, now time.Time) {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	count, err := strconv.ParseInt(milliseconds, 10, 64)
+	end := now.Add(time.Duration(count) * time.Millisecond)
+	first, again := l.ends[id]
+	if !again && now.Sub(l.suspended) > callBound {
+		// A machine that takes itself to have been suspended gives less.
+		l.ends[id] = end
+	}
+	if err != nil || count > callBound.Milliseconds() || again && end.After(first.Add(timeSlack)) {
+		l.violate("a worker was given %q ms for request %s, the first one until %v before", milliseconds, id, end.Sub(first))
+	}
+}
+
 // ran records that a worker has begun a request.
 func (l *ledger) ran(id, instance string, now time.Time) {
 	l.mutex.Lock()
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -42,10 +42,27 @@
 	worker    *worker
 	lives     int
 	lowest    uint64 // version seen in force in this life
+	// suspended is the last time for which the machine was; nil when it never was.
+	suspended atomic.Pointer[suspension]
 	// workerCrashed is called when the worker has crashed by itself.
 	workerCrashed atomic.Pointer[func()]
 }
 
+// suspension is a time for which a machine stood still.
+type suspension struct {
+	until  time.Time
+	lasted time.Duration
+}
+
+// suspendedSince returns for how long the machine was suspended since a moment.
+func (m *machine) suspendedSince(since time.Time) time.Duration {
+	last := m.suspended.Load()
+	if last == nil || since.After(last.until) {
+		return 0
+	}
+	return last.lasted
+}
+
 // newMachine reserves the addresses of a machine, which outlast its processes.
 func newMachine(id, zone string, network MachineNetwork, store *hostedstore.Store, l *ledger) (*machine, error) {
 	m := &machine{id: id, zone: zone, network: network, store: store, ledger: l}
@@ -69,6 +86,7 @@
 			return client, client, client
 		},
 		Translate: translate,
+		Suspended: m.suspendedSince,
 		Identity:  func(http.Header) (sidecar.Identity, bool) { return sidecar.Identity{}, false },
 		Registration: func(given sidecar.Registrar) http.Handler {
 			registrar = given
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -76,6 +76,7 @@
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
 	w.ledger.ran(id, w.instance, time.Now())
+	w.ledger.given(id, r.Header.Get(dialect.Timeout), time.Now())
 	if crashes(r.URL.Path) {
 		w.runCrashing(r.URL.Path)
 	}
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/internal/hosted"
@@ -46,6 +47,9 @@
 	// Identity reads what a worker says of itself in an answer; false when it says
 	// too little.
 	Identity func(header http.Header) (Identity, bool)
+	// Suspended returns for how long the machine was suspended since a moment; nil has the
+	// clocks of the machine tell.
+	Suspended func(since time.Time) time.Duration
 	// Registration returns the handler of the address that workers call.
 	Registration func(registrar Registrar) http.Handler
 	// Readiness returns the handler that tells whether callers may come.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/internal/hosted"
 	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/suspend"
 	"github.com/levertide/levertide/internal/telemetry"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/quarantine"
@@ -79,6 +80,9 @@
 	contacts := fleet.NewContacts()
 	config := &configuration{translate: adapter.Translate, inForce: log.DocumentInForce, former: snapshot.Empty()}
 	node.config = config
+	if adapter.Suspended == nil {
+		adapter.Suspended = suspend.Since
+	}
 	node.quarantine = quarantine.New(quarantine.Options{})
 	registry := telemetry.NewHostedRegistry(node.reading)
 	node.table = fleet.NewTable(node.record())
@@ -98,6 +102,7 @@
 			Slack:  s.RetrySlack * budgetShare,
 		},
 		LinkSpeed:  s.LinkSpeed * bitsPerMegabit,
+		Suspended:  adapter.Suspended,
 		Quarantine: node.quarantine,
 		// The agent is there before the first call comes.
 		Evidence: func(reports []quarantine.Report) { node.agent.Tell(reports) },
--- /dev/null
+++ b/internal/suspend/suspend_test.go
@@ -0,0 +1,43 @@
+package suspend
+
+import (
+	"testing"
+	"time"
+)
+
+func TestBetweenTellsSuspensionFromASetClock(t *testing.T) {
+	for _, c := range []struct {
+		what                    string
+		day, steady, sinceStart time.Duration
+		want                    time.Duration
+	}{
+		{"nothing", time.Second, time.Second, 0, 0},
+		{"clocks drift a little", time.Second + time.Millisecond, time.Second, time.Minute, 0},
+		{"suspended for 3 s", 4 * time.Second, time.Second, 3 * time.Second, 3 * time.Second},
+		{"time of day set ahead", 3 * time.Second, time.Second, 0, 0},
+		{"set ahead more than suspended", 11 * time.Second, time.Second, 3 * time.Second, 3 * time.Second},
+		{"time of day set back", -time.Second, time.Second, time.Minute, 0},
+		{"clocks that contradict each other", 3 * time.Second, time.Second, -time.Second, 0},
+	} {
+		got := between(c.day, c.steady, func() time.Duration { return c.sinceStart })
+		if got != c.want {
+			t.Errorf("%s: %v, want %v", c.what, got, c.want)
+		}
+	}
+}
+
+func TestMachineIsNotSuspendedDuringATest(t *testing.T) {
+	if slept := Since(time.Now()); slept != 0 {
+		t.Errorf("suspended for %v", slept)
+	}
+	if total() < 0 {
+		t.Errorf("the clock that counts suspensions is %v behind the one that does not", -total())
+	}
+}
+
+func BenchmarkSince(b *testing.B) {
+	began := time.Now()
+	for b.Loop() {
+		Since(began)
+	}
+}
--- /dev/null
+++ b/internal/suspend/total_linux.go
@@ -0,0 +1,18 @@
+package suspend
+
+import (
+	"time"
+
+	"golang.org/x/sys/unix"
+)
+
+// total returns for how long the machine has been suspended since it was started: the
+// clock that counts this time, less the one that does not. It is zero where the clocks
+// cannot be read.
+func total() time.Duration {
+	var steady, counting unix.Timespec
+	if unix.ClockGettime(unix.CLOCK_MONOTONIC, &steady) != nil || unix.ClockGettime(unix.CLOCK_BOOTTIME, &counting) != nil {
+		return 0
+	}
+	return time.Duration(counting.Nano() - steady.Nano())
+}
