Stop crashing requests in the standalone mode, too

The node beside a worker finds its end as in the hosted mode (internal/crashwatch, moved out of forwarding) and tells the node where the call began with its failure; that one tells the nodes of its next calls, once a second each. Bodies that are streamed are not told apart and are sent once. Time left of a call allows for a suspension there, as well.

--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -20,6 +20,10 @@
 func (c *callerCall) run() {
 	var tried [retry.MaximumAttempts]string
 	for {
+		if err := c.quarantined(); err != nil {
+			c.refuse(err)
+			return
+		}
 		c.plane.refreshMembers(c.destination)
 		pick, err := c.pick(tried[:c.attempts.Made()])
 		if err != nil {
@@ -77,11 +81,15 @@
 	if err != nil && !c.callerGone() {
 		seen.Outcome = balance.Failed
 	}
+	own := result.transport == nil
 	result.close()
 	pick.Done(seen)
 	if err != nil {
 		panic(http.ErrAbortHandler)
 	}
+	if own {
+		c.answeredWhole()
+	}
 }
 
 // callerGone reports whether the call ended because its caller left.
@@ -99,6 +107,17 @@
 	c.fail(failure)
 }
 
+// refuse answers that the request is run no more, or, when an attempt may have run, with
+// that attempt's failure.
+func (c *callerCall) refuse(err error) {
+	if failure := c.attempts.Failure(); failure != nil && outcome.Of(failure) == outcome.Unknown {
+		c.giveUp()
+		return
+	}
+	c.relay.close()
+	c.fail(err)
+}
+
 // attempt sends the request to one node, or straight to the worker of this one.
 func (c *callerCall) attempt(endpoint balance.Endpoint) (*answer, balance.Result, error) {
 	if endpoint.ID == c.plane.config.Node && c.plane.worker != nil {
@@ -109,7 +128,9 @@
 
 func (c *callerCall) attemptHere() (*answer, balance.Result, error) {
 	worker := c.plane.worker
+	level, _ := c.suspicion()
 	result, err := worker.ask(workerCall{
+		level:     level,
 		inbound:   c.request,
 		route:     c.route,
 		body:      c.body,
@@ -123,6 +144,9 @@
 		LoadKnown: true,
 		Draining:  c.plane.draining.Load(),
 	}
+	if outcome.ReasonOf(err) == outcome.WorkerCrashed {
+		c.crashed(level)
+	}
 	if err != nil {
 		seen.Outcome = blame(err)
 		return nil, seen, err
@@ -145,6 +169,7 @@
 		transport.used()
 		return nil, balance.Result{Outcome: blame(err)}, err
 	}
+	c.plane.hear(response.Header)
 	seen := readMarks(response.Header)
 	if seen.Draining {
 		c.plane.peers.retire(endpoint.Address)
@@ -167,6 +192,7 @@
 	if left, ok := c.life.left(); ok {
 		header[retry.DeadlineHeader] = []string{retry.FormatDeadline(left)}
 	}
+	c.plane.tellPeer(header, address)
 	if c.body.streamed {
 		// A long body is held back until the other node has admitted the request.
 		header["Expect"] = []string{expectContinue}
@@ -227,7 +253,7 @@
 	case outcome.Overloaded, outcome.Draining, outcome.RefusedByOwnWorker,
 		outcome.Malformed, outcome.DeadlineBeforeStart:
 		return balance.Shed
-	case outcome.Canceled, outcome.CanceledBeforeStart, outcome.UploadFailed, outcome.BodyNotReceived:
+	case outcome.Canceled, outcome.CanceledBeforeStart, outcome.UploadFailed, outcome.BodyNotReceived, outcome.Quarantined:
 		return balance.Canceled
 	default:
 		return balance.Failed
--- a/internal/dataplane/config.go
+++ b/internal/dataplane/config.go
@@ -8,6 +8,7 @@
 
 	"github.com/levertide/levertide/pkg/balance"
 	"github.com/levertide/levertide/pkg/membership"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/snapshot"
 )
@@ -29,6 +30,12 @@
 	// PeerTLS is the client side of the connections between nodes; nil means
 	// that they are not encrypted.
 	PeerTLS *tls.Config
+	// Quarantine is what this node knows of requests that crash workers; nil has it keep
+	// a table of its own.
+	Quarantine *quarantine.Table
+	// Suspended returns for how long the machine was suspended since a moment; nil has
+	// its clocks tell.
+	Suspended func(since time.Time) time.Duration
 	// Observer is told what happens; nil means that nobody is.
 	Observer Observer
 	// Limits bound sizes and times. Zero fields take their defaults.
--- a/internal/dataplane/inbound.go
+++ b/internal/dataplane/inbound.go
@@ -51,6 +51,7 @@
 
 func (c *inboundCall) startLifetime(options lifetimeOptions) {
 	options.Interrupt = c.body.interrupt
+	options.Suspended = c.plane.config.Suspended
 	c.life = newLifetime(c.request.Context(), options)
 	c.body.moved = c.life.uploadMoved
 }
--- a/internal/dataplane/lifetime.go
+++ b/internal/dataplane/lifetime.go
@@ -14,6 +14,8 @@
 	End time.Time
 	// Step bounds each step of a streamed upload and the wait for the answer after it.
 	Step time.Duration
+	// Suspended returns for how long the machine was suspended since a moment.
+	Suspended func(since time.Time) time.Duration
 	// Interrupt frees whoever waits for the caller's body.
 	Interrupt func()
 }
@@ -25,11 +27,12 @@
 	cancel  context.CancelCauseFunc
 	timer   *time.Timer
 	options lifetimeOptions
+	began   time.Time
 }
 
 func newLifetime(parent context.Context, options lifetimeOptions) *lifetime {
 	ctx, cancel := context.WithCancelCause(parent)
-	l := &lifetime{ctx: ctx, cancel: cancel, options: options}
+	l := &lifetime{ctx: ctx, cancel: cancel, options: options, began: time.Now()}
 	l.timer = time.AfterFunc(shorter(options.Step, options.Deadline), l.expire)
 	return l
 }
@@ -60,12 +63,13 @@
 }
 
 // left returns the time that is left until the answer must begin; false when
-// there is no such deadline.
+// there is no such deadline. The steady clock does not count the time for which the
+// machine was suspended, and the caller does.
 func (l *lifetime) left() (time.Duration, bool) {
 	if l.options.Deadline.IsZero() {
 		return 0, false
 	}
-	return time.Until(l.options.Deadline), true
+	return time.Until(l.options.Deadline) - l.options.Suspended(l.began), true
 }
 
 // end frees what the lifetime holds and cancels what still runs for the call.
--- a/internal/dataplane/peer.go
+++ b/internal/dataplane/peer.go
@@ -5,6 +5,7 @@
 	"strconv"
 	"time"
 
+	"github.com/levertide/levertide/internal/evidencewire"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/routing"
@@ -26,6 +27,9 @@
 	c.relay.close()
 	c.setMarks()
 	if err != nil {
+		if known := evidencewire.Header(c.plane.config.Quarantine, time.Now()); known != "" {
+			c.writer.Header()[evidenceHeader] = []string{known}
+		}
 		c.fail(err)
 		return
 	}
@@ -33,6 +37,7 @@
 	if c.deliver(result) != nil {
 		panic(http.ErrAbortHandler)
 	}
+	c.answeredWhole()
 }
 
 // ask has the worker answer, unless the node drains.
@@ -52,15 +57,25 @@
 	if err := c.body.prepare(); err != nil {
 		return nil, outcome.Wrap(outcome.BodyNotReceived, err)
 	}
-	return c.plane.worker.ask(workerCall{
+	c.plane.hear(c.request.Header)
+	level, quarantined := c.suspicion()
+	if quarantined {
+		return nil, outcome.New(outcome.Quarantined)
+	}
+	result, err := c.plane.worker.ask(workerCall{
 		inbound:   c.request,
 		route:     route,
 		body:      c.body,
 		life:      c.life,
 		relay:     &c.relay,
 		allowance: allowance,
+		level:     level,
 		expect:    c.request.Header.Get(expectHeader) == expectForward,
 	})
+	if outcome.ReasonOf(err) == outcome.WorkerCrashed {
+		c.crashed(level)
+	}
+	return result, err
 }
 
 // route returns the route that the other node chose, as this node knows it.
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -5,7 +5,9 @@
 	"sync"
 	"sync/atomic"
 
+	"github.com/levertide/levertide/internal/suspend"
 	"github.com/levertide/levertide/pkg/admission"
+	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/snapshot"
 )
@@ -24,6 +26,7 @@
 	destinations destinations
 
 	peers  *peerPool
+	told   told
 	worker *workerLeg
 
 	callerCalls inFlight
@@ -76,6 +79,12 @@
 	if config.Observer == nil {
 		config.Observer = noObserver{}
 	}
+	if config.Suspended == nil {
+		config.Suspended = suspend.Since
+	}
+	if config.Quarantine == nil {
+		config.Quarantine = quarantine.New(quarantine.Options{})
+	}
 	if config.Dial == nil {
 		config.Dial = (&net.Dialer{}).DialContext
 	}
--- /dev/null
+++ b/internal/dataplane/suspects.go
@@ -0,0 +1,122 @@
+package dataplane
+
+import (
+	"net/http"
+	"sync"
+	"time"
+
+	"github.com/levertide/levertide/internal/evidencewire"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/quarantine"
+)
+
+// A request that crashes each worker which runs it must not be offered to one after the
+// other (package quarantine). What a node knows travels with calls: with a failure to the
+// node where the call began, and from there with its next calls to the nodes beside other
+// workers, through which each run of the request must go.
+
+const (
+	// evidenceHeader carries what a node knows of such requests.
+	evidenceHeader = "Levertide-Evidence"
+	// evidencePause is how long what another node was told is not told it again. It may
+	// have been restarted since, and its workers must hear within seconds.
+	evidencePause = time.Second
+)
+
+// told is when other nodes were told what this one knows, by address. The zero value is
+// ready.
+type told struct {
+	mu   sync.Mutex
+	last map[string]time.Time
+}
+
+// due reports whether an address is to be told again, and counts it as told.
+func (t *told) due(address string, now time.Time) bool {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	if t.last == nil {
+		t.last = map[string]time.Time{}
+	}
+	if now.Sub(t.last[address]) < evidencePause {
+		return false
+	}
+	t.last[address] = now
+	return true
+}
+
+// fingerprint returns the fingerprint of a request; false for one whose body is streamed,
+// of which nothing is held that would tell it from others. Such a request is sent once.
+func (c *inboundCall) fingerprint() (quarantine.Fingerprint, bool) {
+	if c.body.streamed {
+		return quarantine.Fingerprint{}, false
+	}
+	request := quarantine.Request{
+		Method:     c.request.Method,
+		Host:       c.request.Host,
+		Target:     c.request.URL.RequestURI(),
+		Body:       c.body.buffered,
+		BodyLength: int64(len(c.body.buffered)),
+	}
+	for _, name := range credentialHeaders {
+		request.Credentials = append(request.Credentials, c.request.Header.Get(name))
+	}
+	return request.Fingerprint(), true
+}
+
+// credentialHeaders are the headers by which callers say who they are.
+var credentialHeaders = []string{"Authorization", "Cookie"}
+
+// suspicion returns how many crashes speak against the request of a call, and whether it is
+// quarantined.
+func (c *inboundCall) suspicion() (level int, quarantined bool) {
+	table := c.plane.config.Quarantine
+	if table.Quiet() {
+		return 0, false
+	}
+	f, ok := c.fingerprint()
+	if !ok {
+		return 0, false
+	}
+	return table.Level(f, time.Now())
+}
+
+// quarantined returns the failure of a request that is run no more; nil for any other.
+func (c *inboundCall) quarantined() error {
+	if _, found := c.suspicion(); found {
+		return outcome.New(outcome.Quarantined)
+	}
+	return nil
+}
+
+// crashed takes that a worker has ended with the call in hand. The life of the worker is
+// told from others by the time: a node does not know more of it.
+func (c *inboundCall) crashed(level int) {
+	if f, ok := c.fingerprint(); ok {
+		c.plane.config.Quarantine.Crashed(f, c.plane.config.Node+" "+time.Now().UTC().Format(time.RFC3339), level, time.Now())
+	}
+}
+
+// answeredWhole takes that the worker has answered the call.
+func (c *inboundCall) answeredWhole() {
+	if c.plane.config.Quarantine.Quiet() {
+		return
+	}
+	if f, ok := c.fingerprint(); ok {
+		// The others hear with the next calls.
+		_, _ = c.plane.config.Quarantine.Answered(f, time.Now())
+	}
+}
+
+// tellPeer puts what this node knows into the header of a call to another node.
+func (p *Plane) tellPeer(header http.Header, address string) {
+	now := time.Now()
+	if p.config.Quarantine.Quiet() || !p.told.due(address, now) {
+		return
+	}
+	header[evidenceHeader] = []string{evidencewire.Header(p.config.Quarantine, now)}
+}
+
+// hear takes what another node tells in the header of a call or of an answer.
+func (p *Plane) hear(header http.Header) {
+	evidencewire.TakeHeader(p.config.Quarantine, header.Get(evidenceHeader), time.Now())
+}
--- /dev/null
+++ b/internal/dataplane/suspects_test.go
@@ -0,0 +1,132 @@
+package dataplane
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/quarantine"
+)
+
+// crashingWorker ends when it runs a request whose path has "guilty".
+type crashingWorker struct {
+	beside *testNode
+	ended  atomic.Bool
+}
+
+// crashingWorkers starts workers with a node beside each, and counts the runs that end one.
+func crashingWorkers(t *testing.T, m *mesh, ids ...string) (all []*crashingWorker, runs *atomic.Int64) {
+	t.Helper()
+	runs = new(atomic.Int64)
+	for _, id := range ids {
+		worker := &crashingWorker{}
+		var server *httptest.Server
+		server = httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+			if strings.Contains(r.URL.Path, "guilty") {
+				runs.Add(1)
+				worker.ended.Store(true)
+				_ = server.Listener.Close()
+				server.CloseClientConnections()
+				panic(http.ErrAbortHandler)
+			}
+			_, _ = io.WriteString(w, "answer")
+		}))
+		t.Cleanup(server.Close)
+		worker.beside = m.addWorker(id, server.Listener.Addr().String())
+		all = append(all, worker)
+	}
+	return all, runs
+}
+
+// TestCrashingRequestIsStoppedAtAllNodes sends a request that ends each worker, by way of
+// one node and then of another, which hears of it with calls only.
+func TestCrashingRequestIsStoppedAtAllNodes(t *testing.T) {
+	m := newMesh(t)
+	all, runs := crashingWorkers(t, m, "a", "b", "c", "d", "e", "f")
+	other := m.start("other", "")
+	stopped := false
+	for range 8 {
+		answered := m.call(http.MethodGet, "/always/guilty", "")
+		if stopped = answered.status == http.StatusBadRequest; stopped {
+			answered.expect(t, http.StatusBadRequest, "not-run", outcome.Quarantined)
+			break
+		}
+	}
+	if !stopped || runs.Load() != quarantine.DefaultLimit {
+		t.Fatalf("stopped: %v, after %d workers", stopped, runs.Load())
+	}
+	// The nodes beside the workers that are left hear with the next calls, some of which
+	// meet the ones that have ended.
+	guilty := quarantine.Request{Method: http.MethodGet, Host: testHost, Target: "/always/guilty", Credentials: []string{"", ""}}.Fingerprint()
+	eventually(t, "all nodes beside workers that are left know", func() bool {
+		m.call(http.MethodGet, "/always/innocent", "")
+		for _, worker := range all {
+			if _, known := worker.beside.plane.config.Quarantine.Level(guilty, time.Now()); !known && !worker.ended.Load() {
+				return false
+			}
+		}
+		return true
+	})
+	m.entry = other
+	for range 4 {
+		if answered := m.call(http.MethodGet, "/always/guilty", ""); answered.status == http.StatusOK {
+			t.Errorf("answered with %d", answered.status)
+		}
+	}
+	if runs.Load() != quarantine.DefaultLimit {
+		t.Errorf("%d workers ended in all", runs.Load())
+	}
+	eventually(t, "another request is answered", func() bool {
+		return m.call(http.MethodGet, "/always/innocent", "").status == http.StatusOK
+	})
+}
+
+// TestLostAnswerIsNoCrash has a worker break off answers and run on.
+func TestLostAnswerIsNoCrash(t *testing.T) {
+	m := newMesh(t)
+	node := m.addHandler("a", func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) })
+	for range 4 {
+		m.call(http.MethodPost, "/never/one", "body").expect(t, http.StatusBadGateway, "unknown", outcome.ConnectionLost)
+	}
+	if !node.plane.config.Quarantine.Quiet() || !m.entry.plane.config.Quarantine.Quiet() {
+		t.Error("a lost answer is taken for the end of the worker")
+	}
+}
+
+// TestAnswerClearsASuspectOfTheMesh has a worker answer a request that was in hand where
+// two others ended.
+func TestAnswerClearsASuspectOfTheMesh(t *testing.T) {
+	m := newMesh(t)
+	node := m.addHandler("a", func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, "answer") })
+	f := quarantine.Request{Method: http.MethodGet, Host: testHost, Target: "/always/one", Credentials: []string{"", ""}}.Fingerprint()
+	for n := range 2 {
+		node.plane.config.Quarantine.Crashed(f, string(rune('x'+n)), n, time.Now())
+	}
+	m.call(http.MethodGet, "/always/one", "").expectBody(t, "answer")
+	eventually(t, "the suspect is cleared", func() bool {
+		level, _ := node.plane.config.Quarantine.Level(f, time.Now())
+		return level == 0
+	})
+}
+
+// TestSuspendedNodeGivesNoTimeThatCallersLack suspends the machine of the node where a call
+// begins.
+func TestSuspendedNodeGivesNoTimeThatCallersLack(t *testing.T) {
+	const suspension = 3 * time.Second
+	var given atomic.Value
+	m := newMesh(t, func(config *Config) {
+		config.Suspended = func(time.Time) time.Duration { return suspension }
+	})
+	m.addHandler("a", func(w http.ResponseWriter, r *http.Request) { given.Store(r.Header.Get("Levertide-Deadline-Ms")) })
+	m.call(http.MethodGet, "/always/one", "").expect(t, http.StatusOK, "")
+	text, _ := given.Load().(string)
+	left, err := time.ParseDuration(text + "ms")
+	if err != nil || left > 10*time.Second-suspension {
+		t.Errorf("the worker was given %q ms of 10 s, of which 3 s were suspended: %v", text, err)
+	}
+}
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/levertide/levertide/internal/crashwatch"
 	"github.com/levertide/levertide/pkg/admission"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/outcome"
@@ -17,11 +18,17 @@
 // refused a request.
 const refusedRetryAfter = time.Second
 
+// longestIsolation bounds how long a suspect waits for another one at the worker: longer
+// than most runs last, and short enough to turn elsewhere.
+const longestIsolation = 500 * time.Millisecond
+
 // workerLeg is the way from this node to its worker.
 type workerLeg struct {
 	address   string
 	transport *http.Transport
 	gate      *admission.Gate
+	// crashes tells the end of the worker from the loss of one connection.
+	crashes *crashwatch.Watch
 
 	mutex      sync.Mutex
 	started    bool // the worker was reported as just started
@@ -33,6 +40,7 @@
 		address:   config.WorkerAddress,
 		transport: newWorkerTransport(config),
 		gate:      admission.New(admission.Options{}),
+		crashes:   crashwatch.New(config.Dial),
 	}
 }
 
@@ -65,6 +73,8 @@
 	life      *lifetime
 	relay     *informationalRelay
 	allowance retry.Allowance
+	// level is how many crashes of workers speak against the request.
+	level int
 	// expect tells that the caller itself asked for 100-continue.
 	expect bool
 }
@@ -88,8 +98,15 @@
 	a.permit.Release(admission.Result{Latency: a.measured})
 }
 
-// ask admits a request and sends it to the worker.
+// ask admits a request and sends it to the worker. A suspect waits until the worker has no
+// other one in hand.
 func (l *workerLeg) ask(call workerCall) (*answer, error) {
+	if call.level > 0 {
+		if !l.crashes.Isolate(call.life.ctx, time.Now().Add(longestIsolation)) {
+			return nil, outcome.WithRetryAfter(outcome.Overloaded, refusedRetryAfter)
+		}
+		defer l.crashes.EndIsolation()
+	}
 	permit, err := l.gate.Admit(call.life.admission(), priorityOf(call.route))
 	if err != nil {
 		return nil, shedError(err)
@@ -101,9 +118,14 @@
 		body:      call.body,
 		relay:     call.relay,
 	}
+	l.crashes.Begin()
 	response, err := sending.do(call.life.ctx)
+	l.crashes.End()
 	if err != nil {
 		permit.Release(admission.Result{})
+		if outcome.ReasonOf(err) == outcome.ConnectionLost && l.crashes.Ended(call.life.ctx, l.address) {
+			return nil, outcome.Wrap(outcome.WorkerCrashed, err)
+		}
 		return nil, err
 	}
 	return l.accept(call, response, permit, time.Since(began))
--- a/internal/forwarding/suspects.go
+++ b/internal/forwarding/suspects.go
@@ -66,20 +66,23 @@
 	}
 }
 
-// isolate waits until the worker has no other suspect in hand: when it ends, only one
-// request that has been there before can be the cause. Without it, innocent requests that
-// are offered again together with the one that crashes workers would go its way.
+// isolate waits until the worker has no other suspect in hand.
 func (l *workerLeg) isolate(ctx context.Context, latestStart time.Time) error {
-	timer := time.NewTimer(time.Until(latestStart))
-	defer timer.Stop()
-	select {
-	case l.isolation <- struct{}{}:
+	switch {
+	case l.crashes.Isolate(ctx, latestStart):
 		return nil
-	case <-timer.C:
-		return outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
-	case <-ctx.Done():
+	case ctx.Err() != nil:
 		return admissionFailure(ctx, slotqueue.ErrAbandoned.New("the call ended while another suspect ran"))
+	default:
+		return outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
 	}
 }
 
-func (l *workerLeg) endIsolation() { <-l.isolation }
+// ended reports whether the worker, of which a connection was lost, has ended.
+func (l *workerLeg) ended(ctx context.Context) bool {
+	ended := l.crashes.Ended(ctx, l.worker.Address)
+	if ended {
+		l.quietUntil.Store(time.Now().Add(unreachablePause).UnixNano())
+	}
+	return ended
+}
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/levertide/levertide/internal/crashwatch"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/slotqueue"
 	"github.com/levertide/levertide/pkg/workers"
@@ -54,10 +55,8 @@
 	replaced atomic.Bool
 
 	// crashes tells the end of the worker from the loss of one connection.
-	crashes crashWatch
-	// isolation is held by the one suspect that the worker may have in hand.
-	isolation chan struct{}
-	plane     *Plane
+	crashes *crashwatch.Watch
+	plane   *Plane
 }
 
 func (p *Plane) newWorkerLeg(worker workers.Worker) *workerLeg {
@@ -67,13 +66,13 @@
 		worker:  worker,
 		idle:    workerIdle,
 		plane:   p,
+		crashes: crashwatch.New(p.config.Dial),
 		make: func(idle time.Duration) *http.Transport {
 			return newTransport(p.config.Dial, idle, worker.Slots*2)
 		},
 	}
 	leg.transport = leg.make(workerIdle)
 	leg.unshared = newTransport(p.config.Dial, workerIdle, noIdleConnections)
-	leg.isolation = make(chan struct{}, 1)
 	return leg
 }
 
@@ -119,7 +118,7 @@
 			call.waited = time.Since(came)
 			return nil, err
 		}
-		defer l.endIsolation()
+		defer l.crashes.EndIsolation()
 	}
 	permit, err := l.queue.Admit(ctx, slotqueue.Request{Rank: call.rank, LatestStart: call.latestStart})
 	call.waited = time.Since(came)
@@ -131,9 +130,9 @@
 		return nil, outcome.New(outcome.DeadlineBeforeStart)
 	}
 	began := time.Now()
-	l.crashes.begin()
+	l.crashes.Begin()
 	result, err := l.send(ctx, call)
-	l.crashes.end()
+	l.crashes.End()
 	call.ran = time.Since(began)
 	if outcome.ReasonOf(err) == outcome.ConnectionLost && l.ended(ctx) {
 		err = outcome.Wrap(outcome.WorkerCrashed, err)
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -6,6 +6,7 @@
 
 	"google.golang.org/protobuf/proto"
 
+	"github.com/levertide/levertide/internal/evidencewire"
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/fleet"
@@ -26,7 +27,7 @@
 		Workers:        workerMessages(node.Workers),
 		Capacity:       uint32(node.Capacity),
 		Rollouts:       rolloutMessages(node.Rollouts),
-		Quarantined:    quarantineMessages(node.Quarantined),
+		Quarantined:    evidencewire.Verdicts(node.Quarantined),
 	}
 }
 
@@ -44,7 +45,7 @@
 		Workers:        workersOf(message.GetWorkers()),
 		Capacity:       int(message.GetCapacity()),
 		Rollouts:       rolloutsOf(message.GetRollouts()),
-		Quarantined:    verdictsOf(message.GetQuarantined()),
+		Quarantined:    evidencewire.VerdictsOf(message.GetQuarantined()),
 	}
 }
 
--- a/internal/hosted/evidence.go
+++ b/internal/hosted/evidence.go
@@ -6,6 +6,7 @@
 	"sync"
 	"time"
 
+	"github.com/levertide/levertide/internal/evidencewire"
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/quarantine"
@@ -75,7 +76,7 @@
 	e.waiting = nil
 	e.mu.Unlock()
 	e.review(sourceOwnWorker)
-	e.agent.peers.announce(ctx, news{evidence: evidenceMessages(reports)})
+	e.agent.peers.announce(ctx, news{evidence: evidencewire.Reports(reports)})
 }
 
 // take takes what another node tells.
@@ -83,7 +84,7 @@
 	if len(messages) == 0 {
 		return
 	}
-	e.table.Merge(reportsOf(messages), time.Now())
+	e.table.Merge(evidencewire.ReportsOf(messages), time.Now())
 	e.review(sourceEvidence)
 }
 
@@ -93,12 +94,12 @@
 // held returns evidence and all decisions, for another node.
 func (e *evidence) held() ([]*exchangepb.Evidence, []*exchangepb.Quarantine) {
 	now := time.Now()
-	return evidenceMessages(e.table.Reports(comparedEvidence, now)), quarantineMessages(e.table.Verdicts(now))
+	return evidencewire.Reports(e.table.Reports(comparedEvidence, now)), evidencewire.Verdicts(e.table.Verdicts(now))
 }
 
 // takeDecisions takes what another node holds to be decided.
 func (e *evidence) takeDecisions(messages []*exchangepb.Quarantine) {
-	if len(e.table.Restore(verdictsOf(messages), false, time.Now())) > 0 {
+	if len(e.table.Restore(evidencewire.VerdictsOf(messages), false, time.Now())) > 0 {
 		e.review(sourceComparison)
 	}
 }
@@ -199,54 +200,3 @@
 	}
 	e.logged = held
 }
-
-func evidenceMessages(reports []quarantine.Report) []*exchangepb.Evidence {
-	messages := make([]*exchangepb.Evidence, 0, len(reports))
-	for _, r := range reports {
-		messages = append(messages, &exchangepb.Evidence{
-			Fingerprint: r.Fingerprint[:], Instance: r.Instance, Level: uint32(r.Level),
-			Answered: r.Answered, Lifted: r.Lifted, AgeMs: r.Age.Milliseconds(),
-		})
-	}
-	return messages
-}
-
-func reportsOf(messages []*exchangepb.Evidence) []quarantine.Report {
-	reports := make([]quarantine.Report, 0, len(messages))
-	for _, message := range messages {
-		f, ok := quarantine.ParseFingerprint(message.GetFingerprint())
-		if !ok {
-			continue // of a newer program
-		}
-		reports = append(reports, quarantine.Report{
-			Fingerprint: f, Instance: message.GetInstance(), Level: int(message.GetLevel()),
-			Answered: message.GetAnswered(), Lifted: message.GetLifted(), Age: time.Duration(message.GetAgeMs()) * time.Millisecond,
-		})
-	}
-	return reports
-}
-
-func quarantineMessages(list []quarantine.Verdict) []*exchangepb.Quarantine {
-	var messages []*exchangepb.Quarantine
-	for _, v := range list {
-		messages = append(messages, &exchangepb.Quarantine{
-			Fingerprint: v.Fingerprint[:], SinceUnixMs: v.Since.UnixMilli(), UntilUnixMs: v.Until.UnixMilli(), Instances: v.Instances,
-		})
-	}
-	return messages
-}
-
-func verdictsOf(messages []*exchangepb.Quarantine) []quarantine.Verdict {
-	var list []quarantine.Verdict
-	for _, message := range messages {
-		f, ok := quarantine.ParseFingerprint(message.GetFingerprint())
-		if !ok {
-			continue // of a newer program
-		}
-		list = append(list, quarantine.Verdict{
-			Fingerprint: f, Since: time.UnixMilli(message.GetSinceUnixMs()), Until: time.UnixMilli(message.GetUntilUnixMs()),
-			Instances: message.GetInstances(),
-		})
-	}
-	return list
-}
--- a/pkg/retry/attempts.go
+++ b/pkg/retry/attempts.go
@@ -116,7 +116,7 @@
 func endsCall(reason outcome.Reason) bool {
 	switch reason {
 	case outcome.Malformed, outcome.DeadlineBeforeStart, outcome.CanceledBeforeStart, outcome.BodyNotReceived,
-		outcome.Canceled, outcome.UploadFailed:
+		outcome.Canceled, outcome.UploadFailed, outcome.Quarantined:
 		return true
 	default:
 		return false
