--- a/pkg/quarantine/report.go
+++ b/pkg/quarantine/report.go
@@ -1,6 +1,14 @@
 package quarantine
 
-import "time"
+import (
+	"cmp"
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+)
 
 // Report is one piece of evidence. A report that was handed out is never changed.
 type Report struct {
@@ -18,12 +26,59 @@
 	Age time.Duration
 }
 
-// Verdict tells that a request is quarantined.
-type Verdict struct {
-	Fingerprint Fingerprint
-	// Since and Until are times of day: a verdict outlasts all processes, and no other
-	// clock does.
-	Since, Until time.Time
-	// Instances are the workers that have ended, as far as they are known.
-	Instances []string
+// Reports returns evidence on requests that are not quarantined, at most as many pieces as
+// given: what weighs most, and of the rest a random choice, so that nodes which tell
+// each other again and again come to hold the same.
+func (t *Table) Reports(most int, now time.Time) []Report {
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var reports []Report
+	for f, s := range t.suspects {
+		if !s.answered.IsZero() {
+			reports = append(reports, Report{Fingerprint: f, Answered: true, Age: now.Sub(s.answered)})
+		}
+		if !s.lifted.IsZero() {
+			reports = append(reports, Report{Fingerprint: f, Lifted: true, Age: now.Sub(s.lifted)})
+		}
+		for _, c := range s.crashes {
+			reports = append(reports, Report{Fingerprint: f, Instance: c.instance, Level: c.level, Age: now.Sub(c.at)})
+		}
+	}
+	rand.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
+	slices.SortStableFunc(reports, func(a, b Report) int { return cmp.Compare(b.weight(), a.weight()) })
+	return reports[:min(len(reports), most)]
+}
+
+// weight orders reports: single crashes are many, and nearly all of innocent requests.
+func (r Report) weight() int {
+	if r.Lifted {
+		return DefaultLimit
+	}
+	return max(r.Level, 1)
+}
+
+// Digest returns a digest of that evidence and of the verdicts: two nodes with the same
+// digest hold the same.
+func (t *Table) Digest() uint64 {
+	if t.Quiet() {
+		return 0
+	}
+	t.mu.Lock()
+	defer t.mu.Unlock()
+	var sum uint64
+	for f := range t.verdicts {
+		sum ^= xxhash.Sum64(fmt.Appendf(f[:], " quarantined"))
+	}
+	for f, s := range t.suspects {
+		if !s.answered.IsZero() {
+			sum ^= xxhash.Sum64(fmt.Appendf(f[:], " answered"))
+		}
+		if !s.lifted.IsZero() {
+			sum ^= xxhash.Sum64(fmt.Appendf(f[:], " lifted"))
+		}
+		for _, c := range s.crashes {
+			sum ^= xxhash.Sum64(fmt.Appendf(f[:], " %s %d", c.instance, c.level))
+		}
+	}
+	return sum
 }
--- a/pkg/quarantine/table.go
+++ b/pkg/quarantine/table.go
@@ -1,15 +1,9 @@
 package quarantine
 
 import (
-	"cmp"
-	"fmt"
-	"math/rand/v2"
-	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
-
-	"github.com/cespare/xxhash/v2"
 )
 
 // The defaults of Options.
@@ -40,18 +34,6 @@
 	answerPause = answerMemory / 2
 	// maximumCrashes bounds the crashes that are remembered of one request.
 	maximumCrashes = 8
-	// recentEnds is how long the end of a worker tells that workers end for other reasons,
-	// too, and maximumEnds bounds how many are remembered.
-	recentEnds  = 10 * time.Second
-	maximumEnds = 64
-	// fewEnds and manyEnds are how many workers have ended lately without a request from
-	// where on one and two crashes more are asked for. While one worker in four seconds
-	// ends for a reason of its own, three in a row are lost by 0.66 of 10,000 innocent
-	// tries, and five by none of 160,000 (TestWaysToTellGuiltyFromInnocent).
-	fewEnds  = 1
-	manyEnds = 4
-	// mostExtra is how many crashes more are asked for at most.
-	mostExtra = 2
 )
 
 // Options set up a Table. Zero fields take the defaults.
@@ -101,24 +83,6 @@
 	known atomic.Int64
 }
 
-// suspect is the evidence on one request that is not quarantined.
-type suspect struct {
-	crashes []crash
-	// answered is when a worker has answered it whole; zero when none has.
-	answered time.Time
-	// lifted is when an operator has lifted what was known; zero when none has.
-	lifted time.Time
-	// touched is when evidence came last.
-	touched time.Time
-}
-
-// crash is one worker that ended with the request in hand.
-type crash struct {
-	instance string
-	level    int
-	at       time.Time
-}
-
 // New returns an empty table.
 func New(options Options) *Table {
 	return &Table{
@@ -239,169 +203,6 @@
 	return true
 }
 
-// guilty reports whether the evidence is enough to quarantine a request. The mutex is held.
-func (t *Table) guilty(s *suspect, now time.Time) bool {
-	level, crashes := t.weigh(s, now)
-	limit := t.options.Limit + t.extra(s, now)
-	// A request that comes several times at once would crash a worker for each copy of
-	// each round: the last round may be left out when there are many.
-	copies := level >= limit-1 && crashes > limit || level >= t.options.Limit-1 && crashes >= 2*t.options.Limit
-	return level >= limit || copies
-}
-
-// extra returns how many crashes more than usual are asked for, since workers end without
-// the request, too. The mutex is held.
-func (t *Table) extra(s *suspect, now time.Time) int {
-	others := 0
-	for instance, at := range t.ends {
-		if now.Sub(at) <= recentEnds && !s.has(instance) && !t.explained(instance) {
-			others++
-		}
-	}
-	switch {
-	case others >= manyEnds:
-		return mostExtra
-	case others >= fewEnds:
-		return 1
-	default:
-		return 0
-	}
-}
-
-func (s *suspect) has(instance string) bool {
-	return slices.ContainsFunc(s.crashes, func(c crash) bool { return c.instance == instance })
-}
-
-// enterEnd remembers that a worker has ended. The mutex is held.
-func (t *Table) enterEnd(instance string, at time.Time) {
-	t.ends[instance] = later(t.ends[instance], at)
-	if len(t.ends) <= maximumEnds {
-		return
-	}
-	oldest := instance
-	for other, ended := range t.ends {
-		if ended.Before(t.ends[oldest]) {
-			oldest = other
-		}
-	}
-	delete(t.ends, oldest)
-}
-
-// enter adds a crash. A worker that ended counts once, at the highest level that was told.
-func (s *suspect) enter(c crash) {
-	for i := range s.crashes {
-		if s.crashes[i].instance == c.instance {
-			s.crashes[i].level = max(s.crashes[i].level, c.level)
-			return
-		}
-	}
-	if len(s.crashes) == maximumCrashes {
-		s.crashes = s.crashes[1:]
-	}
-	s.crashes = append(s.crashes, c)
-}
-
-// outweighs reports whether something speaks for the request that counts more than a crash
-// at the given time.
-func (s *suspect) outweighs(crash time.Time) bool {
-	answered := !s.answered.IsZero() && crash.Sub(s.answered) < answerMemory
-	return answered || !crash.After(s.lifted)
-}
-
-// weigh returns how many crashes one after the other speak against a request, and how
-// many in all. The mutex is held.
-func (t *Table) weigh(s *suspect, now time.Time) (level, crashes int) {
-	for _, c := range s.crashes {
-		if s.outweighs(c.at) || now.Sub(c.at) > t.options.Memory || t.explained(c.instance) {
-			continue
-		}
-		level = max(level, c.level)
-		crashes++
-	}
-	return min(level, crashes), crashes
-}
-
-// explained reports whether a worker has ended under a request that is quarantined: its
-// end then speaks against no other one. The mutex is held.
-func (t *Table) explained(instance string) bool {
-	for _, v := range t.verdicts {
-		if slices.Contains(v.Instances, instance) {
-			return true
-		}
-	}
-	return false
-}
-
-// sentence quarantines a request. The mutex is held.
-func (t *Table) sentence(f Fingerprint, s *suspect, now time.Time) {
-	v := Verdict{Fingerprint: f, Since: now, Until: now.Add(t.options.Duration)}
-	for _, c := range s.crashes {
-		v.Instances = append(v.Instances, c.instance)
-	}
-	delete(t.suspects, f)
-	t.keep(v)
-}
-
-// keep adds a verdict; the one that ends first gives way when there are too many. The
-// mutex is held.
-func (t *Table) keep(v Verdict) {
-	if _, found := t.verdicts[v.Fingerprint]; !found && len(t.verdicts) >= t.options.Verdicts {
-		var first Verdict
-		for _, held := range t.verdicts {
-			if first.Until.IsZero() || held.Until.Before(first.Until) {
-				first = held
-			}
-		}
-		t.drop(first.Fingerprint)
-	}
-	t.verdicts[v.Fingerprint] = v
-	t.count()
-}
-
-// drop removes a verdict. The mutex is held.
-func (t *Table) drop(f Fingerprint) {
-	delete(t.verdicts, f)
-	delete(t.vouched, f)
-	t.count()
-}
-
-// verdict returns the verdict on a request that is in force. One that has ended leaves
-// the request suspected, so that one more crash is enough. The mutex is held.
-func (t *Table) verdict(f Fingerprint, now time.Time) (Verdict, bool) {
-	v, found := t.verdicts[f]
-	if !found || now.Before(v.Until) {
-		return v, found
-	}
-	delete(t.verdicts, f)
-	t.makeRoom()
-	s := &suspect{touched: now}
-	for n, instance := range v.Instances {
-		s.enter(crash{instance: instance, level: min(n+1, t.options.Limit-1), at: now})
-	}
-	s.crashes = s.crashes[:min(len(s.crashes), t.options.Limit-1)]
-	t.suspects[f] = s
-	t.count()
-	return Verdict{}, false
-}
-
-// makeRoom forgets a request when there are too many: the one with the fewest crashes,
-// and of these the one of which nothing was heard for longest. The mutex is held.
-func (t *Table) makeRoom() {
-	if len(t.suspects) < t.options.Suspects {
-		return
-	}
-	var chosen Fingerprint
-	var weakest *suspect
-	for f, s := range t.suspects {
-		if weakest == nil || len(s.crashes) < len(weakest.crashes) ||
-			len(s.crashes) == len(weakest.crashes) && s.touched.Before(weakest.touched) {
-			chosen, weakest = f, s
-		}
-	}
-	delete(t.suspects, chosen)
-	delete(t.vouched, chosen)
-}
-
 // Expire forgets what is too old to count.
 func (t *Table) Expire(now time.Time) {
 	if t.Quiet() {
@@ -423,123 +224,6 @@
 
 func (t *Table) count() { t.known.Store(int64(len(t.suspects) + len(t.verdicts))) }
 
-// Verdicts returns the requests that are quarantined, in the order of their
-// fingerprints.
-func (t *Table) Verdicts(now time.Time) []Verdict {
-	return t.list(now, func(Fingerprint) bool { return true })
-}
-
-// Vouched returns those of the verdicts that this node has seen a crash for, or has
-// taken over from a former life: it keeps these for others.
-func (t *Table) Vouched(now time.Time) []Verdict {
-	return t.list(now, func(f Fingerprint) bool { return t.vouched[f] })
-}
-
-func (t *Table) list(now time.Time, wanted func(Fingerprint) bool) []Verdict {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var list []Verdict
-	for f := range t.verdicts {
-		if v, found := t.verdict(f, now); found && wanted(f) {
-			list = append(list, v)
-		}
-	}
-	slices.SortFunc(list, func(a, b Verdict) int { return slices.Compare(a.Fingerprint[:], b.Fingerprint[:]) })
-	return list
-}
-
-// Restore takes verdicts of another node, or with vouch of a former life of this one.
-// It returns those that are new. A verdict that a whole answer has outweighed since is
-// left out.
-func (t *Table) Restore(verdicts []Verdict, vouch bool, now time.Time) []Verdict {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var taken []Verdict
-	for _, v := range verdicts {
-		if _, found := t.verdicts[v.Fingerprint]; found {
-			t.vouched[v.Fingerprint] = t.vouched[v.Fingerprint] || vouch
-			continue
-		}
-		// No verdict lasts longer than one that is given now, whatever clock it came from.
-		v.Until = earlier(v.Until, now.Add(t.options.Duration))
-		s := t.suspects[v.Fingerprint]
-		if !now.Before(v.Until) || s != nil && s.outweighs(v.Since) {
-			continue
-		}
-		delete(t.suspects, v.Fingerprint)
-		t.keep(v)
-		if vouch {
-			t.vouched[v.Fingerprint] = true
-		}
-		taken = append(taken, v)
-	}
-	return taken
-}
-
-// Reports returns evidence on requests that are not quarantined, at most as many pieces as
-// given: what weighs most, and of the rest a random choice, so that nodes which tell
-// each other again and again come to hold the same.
-func (t *Table) Reports(most int, now time.Time) []Report {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var reports []Report
-	for f, s := range t.suspects {
-		if !s.answered.IsZero() {
-			reports = append(reports, Report{Fingerprint: f, Answered: true, Age: now.Sub(s.answered)})
-		}
-		if !s.lifted.IsZero() {
-			reports = append(reports, Report{Fingerprint: f, Lifted: true, Age: now.Sub(s.lifted)})
-		}
-		for _, c := range s.crashes {
-			reports = append(reports, Report{Fingerprint: f, Instance: c.instance, Level: c.level, Age: now.Sub(c.at)})
-		}
-	}
-	rand.Shuffle(len(reports), func(i, j int) { reports[i], reports[j] = reports[j], reports[i] })
-	slices.SortStableFunc(reports, func(a, b Report) int { return cmp.Compare(b.weight(), a.weight()) })
-	return reports[:min(len(reports), most)]
-}
-
-// weight orders reports: single crashes are many, and nearly all of innocent requests.
-func (r Report) weight() int {
-	if r.Lifted {
-		return DefaultLimit
-	}
-	return max(r.Level, 1)
-}
-
-// Digest returns a digest of that evidence and of the verdicts: two nodes with the same
-// digest hold the same.
-func (t *Table) Digest() uint64 {
-	if t.Quiet() {
-		return 0
-	}
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	var sum uint64
-	for f := range t.verdicts {
-		sum ^= xxhash.Sum64(fmt.Appendf(f[:], " quarantined"))
-	}
-	for f, s := range t.suspects {
-		if !s.answered.IsZero() {
-			sum ^= xxhash.Sum64(fmt.Appendf(f[:], " answered"))
-		}
-		if !s.lifted.IsZero() {
-			sum ^= xxhash.Sum64(fmt.Appendf(f[:], " lifted"))
-		}
-		for _, c := range s.crashes {
-			sum ^= xxhash.Sum64(fmt.Appendf(f[:], " %s %d", c.instance, c.level))
-		}
-	}
-	return sum
-}
-
-// Suspects returns how many requests are suspected and not quarantined.
-func (t *Table) Suspects() int {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return len(t.suspects)
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
