--- a/internal/hosted/evidence.go
+++ b/internal/hosted/evidence.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"cmp"
 	"context"
 	"slices"
 	"sync"
@@ -30,6 +31,7 @@
 // Sources of what a node knows of a request.
 const (
 	sourceOwnWorker  = "own worker"
+	sourceOwnCall    = "own call"
 	sourceEvidence   = "evidence of other nodes"
 	sourceRecord     = "record of another node"
 	sourceComparison = "comparison with another node"
@@ -37,6 +39,9 @@
 	sourceOperator   = "operator"
 	sourceAnswer     = "whole answer"
 	sourceExpired    = "time is over"
+	// sourceHousekeeping stands for what was found when nobody told: a call that began
+	// here was lost with its worker, or the time of a quarantine is over.
+	sourceHousekeeping = ""
 )
 
 // evidence brings what this node knows of requests that crash workers to the others, and
@@ -147,7 +152,7 @@
 		return
 	}
 	e.table.Expire(time.Now())
-	e.review(sourceExpired)
+	e.review(sourceHousekeeping)
 }
 
 // review brings the log and the own record in line with the table after it was changed
@@ -186,17 +191,25 @@
 	for _, v := range verdicts {
 		held[v.Fingerprint] = true
 		if !e.logged[v.Fingerprint] {
-			e.agent.config.Events.RequestQuarantined(v, source)
+			e.agent.config.Events.RequestQuarantined(v, cmp.Or(source, sourceOwnCall))
 		}
 	}
 	for f := range e.logged {
-		if held[f] {
-			continue
+		if !held[f] {
+			e.agent.config.Events.QuarantineEnded(f, endReason(source))
 		}
-		if source == sourceOwnWorker || source == sourceEvidence {
-			source = sourceAnswer
-		}
-		e.agent.config.Events.QuarantineEnded(f, source)
 	}
 	e.logged = held
 }
+
+// endReason says why a quarantine has ended, by what the change came from.
+func endReason(source string) string {
+	switch source {
+	case sourceOperator:
+		return source
+	case sourceHousekeeping:
+		return sourceExpired
+	default:
+		return sourceAnswer
+	}
+}
