Ask a worker at once whether it is there when a connection is lost

A node that is short of its share of the processor sees the losses of one end one by one, over 100 ms and more: each waited 10 ms for the others, and only the last one was taken for the end of the worker. It is asked before, and once more after. Shown by a test of its own; found in reading.

--- a/internal/crashwatch/watch.go
+++ b/internal/crashwatch/watch.go
@@ -17,7 +17,8 @@
 
 const (
 	// lossGrace is how long after a lost connection the others of the worker are waited
-	// for: when it has ended, all are lost at the same moment.
+	// for: when it ends, all are lost at the same moment. A process that is short of its
+	// share of the processor may see them later, and so the worker is asked before, too.
 	lossGrace = 10 * time.Millisecond
 	// questionBound bounds the connection that asks whether a worker is there: it is on
 	// the same machine.
@@ -66,12 +67,15 @@
 }
 
 // Ended reports whether the worker at an address, of which a connection was lost, has
-// ended: all its connections are lost, and it takes no new one. A lost connection alone
-// says little: it may be one answer that was cut short.
+// ended: it takes no new one. A lost connection alone says little: it may be one answer that
+// was cut short. A worker that still takes connections may be about to end: it is asked once
+// more when all that it has in hand is lost, too.
 func (w *Watch) Ended(ctx context.Context, address string) bool {
-	if !w.allEnd(lossGrace) {
-		return false
-	}
+	return w.refuses(ctx, address) || w.allEnd(lossGrace) && w.refuses(ctx, address)
+}
+
+// refuses asks once for all that are lost together.
+func (w *Watch) refuses(ctx context.Context, address string) bool {
 	refused, _, _ := w.asking.Do(address, func() (any, error) {
 		return w.refusesConnections(context.WithoutCancel(ctx), address), nil
 	})
