--- a/internal/hosted/evidence_test.go
+++ b/internal/hosted/evidence_test.go
@@ -57,6 +57,16 @@
 	return true
 }
 
+// quarantine has three workers end under a request, and waits until all nodes know.
+func (m *simulated) quarantine(t *testing.T, request quarantine.Fingerprint) {
+	t.Helper()
+	for life := range 3 {
+		m.nodes[life].crash(request, life)
+		time.Sleep(500 * time.Millisecond)
+	}
+	m.within(t, contact, "all nodes know", func() bool { return m.allQuarantine(request) })
+}
+
 func (m *simulated) messages() (sum, most uint64) {
 	for _, n := range m.nodes {
 		sent := n.agent.Messages().Broadcasts
@@ -157,11 +167,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := startSimulated(t, 12)
 		request := fingerprintOf("/slow")
-		for life := range 3 {
-			m.nodes[life].crash(request, life)
-			time.Sleep(500 * time.Millisecond)
-		}
-		m.within(t, contact, "all nodes know", func() bool { return m.allQuarantine(request) })
+		m.quarantine(t, request)
 		report, news := m.nodes[7].quarantine.Answered(request, time.Now())
 		if !news {
 			t.Fatal("the answer is no news")
@@ -180,11 +186,7 @@
 	synctest.Test(t, func(t *testing.T) {
 		m := startSimulated(t, 12)
 		request := fingerprintOf("/mended")
-		for life := range 3 {
-			m.nodes[life].crash(request, life)
-			time.Sleep(500 * time.Millisecond)
-		}
-		m.within(t, contact, "all nodes know", func() bool { return m.allQuarantine(request) })
+		m.quarantine(t, request)
 		m.nodes[9].agent.Lift([]quarantine.Fingerprint{request, fingerprintOf("/unknown")})
 		m.within(t, contact, "no node holds to it", func() bool { return m.noneQuarantines(request) })
 		time.Sleep(time.Minute)
