--- a/internal/forwarding/suspended_test.go
+++ b/internal/forwarding/suspended_test.go
@@ -12,7 +12,7 @@
 
 // TestWorkersGetNoTimeThatCallersLack suspends the machine of the worker while a call waits
 // there for a slot: the steady clock stands still, the caller's time does not. Without it
-// the worker was given the whole time of the call, 2.4 s more than its caller had.
+// the worker was given the whole time of the call, 2.5 s more than its caller had.
 func TestWorkersGetNoTimeThatCallersLack(t *testing.T) {
 	const suspension = 2500 * time.Millisecond
 	for name, suspended := range map[string]func(front, beside *testNode) *testNode{
