--- a/internal/command/root/explain_test.go
+++ b/internal/command/root/explain_test.go
@@ -17,6 +17,27 @@
 {"event":"of somebody else"}
 `
 
+const quarantineLog = `{"time":"2026-12-02T09:00:00.000000Z","level":"error","node":"n7","event":613,"name":"request quarantined","fingerprint":"00ff","instances":["w1","w2","w3"],"since_unix_milliseconds":1,"until_unix_milliseconds":2,"source":"own worker"}
+{"time":"2026-12-02T09:00:00.000000Z","level":"error","node":"n7","event":613,"name":"request quarantined","fingerprint":"11aa","instances":["w4"],"source":"own worker"}
+{"time":"2026-12-02T10:00:02.000000Z","level":"warn","node":"n1","event":701,"name":"call not served","request":"id-1","route":"r","service":"ledger","outcome":"not-run","reason":"quarantined","status":400,"fingerprint":"00ff"}
+`
+
+// TestExplainTellsOnWhoseWordARequestIsQuarantined asks for a request that is refused an hour
+// after it was quarantined, at another node.
+func TestExplainTellsOnWhoseWordARequestIsQuarantined(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(quarantineLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(t, "explain", "--request", "id-1", path).want(t, exit.Accepted,
+		"09:00:00.000", "613 request quarantined", "own worker", "w1 w2 w3", "cause: quarantined (not-run), decided by n1", "crashes the workers")
+	var report explain.Report
+	run(t, "explain", "--request", "id-1", "-o", "json", path).want(t, exit.Accepted).decode(t, &report)
+	if len(report.Beliefs) != 1 {
+		t.Errorf("%d lines tell of quarantines, want that of this request", len(report.Beliefs))
+	}
+}
+
 func TestExplainTellsTheStoryOfARequest(t *testing.T) {
 	path := filepath.Join(t.TempDir(), "log")
 	if err := os.WriteFile(path, []byte(exampleLog), 0o600); err != nil {
