Report the connections that workers closed while nodes were replaced

The failure of TestRollingReplacesEverything names the lost calls and not where they were lost, so that two readings could not be told apart: a node that stops cuts them, or the worker does.

--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -169,6 +169,9 @@
 	UploadsWhole   int `json:"uploads_whole"`
 	// Killed counts nodes that did not end by themselves.
 	Killed int `json:"killed"`
+	// ClosedConnections counts connections that workers closed for want of room. A call on
+	// one of them ends with an unknown outcome, whatever the nodes do.
+	ClosedConnections int `json:"closed_connections"`
 }
 
 // Crash is what callers saw while machines crashed.
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -76,17 +76,29 @@
 	if err != nil {
 		return nil, err
 	}
+	closed := closedConnections(r.mesh.workers())
 	r.seen.take(r.mesh.workers()...)
 	uploads := r.uploads.result(r.seen)
 	result := &Rolling{
 		Replaced: replaced, Seconds: time.Since(began).Seconds(),
 		Once: r.once.result(r.seen), Any: r.any.result(r.seen),
 		UploadsStarted: uploads.Calls, UploadsWhole: uploads.Answered, Killed: r.killed,
+		ClosedConnections: closed,
 	}
 	fmt.Fprintf(r.options.Progress, "rolling: %+v\n", *result)
 	return result, nil
 }
 
+// closedConnections adds up what workers closed for want of room.
+func closedConnections(workers []*worker.Worker) int {
+	sum := 0
+	for _, w := range workers {
+		_, totals := w.Records()
+		sum += totals.ClosedConnections
+	}
+	return sum
+}
+
 // callOn makes calls until calling ends; calls under way end by themselves.
 func (r *rollingRun) callOn(ctx, calling context.Context) {
 	endless := pacing{rate: 2 * rollingRate, duration: time.Hour, seed: r.options.Seed}
@@ -166,7 +178,8 @@
 func (r *Rolling) failures() []string {
 	var failures []string
 	if r.Once.Unknown > 0 {
-		failures = append(failures, fmt.Sprintf("rolling: %d calls failed that cannot be repeated safely: %v", r.Once.Unknown, r.Once.UnknownCalls))
+		failures = append(failures, fmt.Sprintf("rolling: %d calls failed that cannot be repeated safely, workers closed %d connections for want of room: %v",
+			r.Once.Unknown, r.ClosedConnections, r.Once.UnknownCalls))
 	}
 	if r.UploadsWhole < r.UploadsStarted {
 		failures = append(failures, fmt.Sprintf("rolling: %d of %d uploads were not answered", r.UploadsStarted-r.UploadsWhole, r.UploadsStarted))
