Open no more connections to a worker than it accepts (standalone mode)

What callers saw: unrepeatable calls that end "connection-lost" in a busy second, although the worker had room for the requests that it was given.

Cause: the number of connections that a worker accepts bounded the requests at it, "and thereby the connections", as the comment had it. It does not: the transport begins to open a connection for each request that finds none unused, serves the request by whichever comes first, an older one that became free or the new one, and keeps the other. Where opening takes longer than answering, connections pile up far beyond the requests. The worker closes those beyond its bound as they come; a request that was written on one by then is lost.

Now the transport itself has the bound (MaxConnsPerHost), less one for the probes. A request that finds no connection waits for one within its time and has not run if that passes. A change of the bound by the operators gives further requests a new transport.

--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -146,6 +146,6 @@
 func (p *Plane) Close() {
 	p.peers.close()
 	if p.worker != nil {
-		p.worker.transport.CloseIdleConnections()
+		p.worker.current().CloseIdleConnections()
 	}
 }
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -24,24 +24,29 @@
 
 // workerLeg is the way from this node to its worker.
 type workerLeg struct {
-	address   string
-	transport *http.Transport
-	gate      *admission.Gate
+	address string
+	// connect returns a transport for a worker that accepts the given number of connections.
+	connect func(accepted int) *http.Transport
+	gate    *admission.Gate
 	// crashes tells the end of the worker from the loss of one connection.
 	crashes *crashwatch.Watch
 
 	mutex      sync.Mutex
 	started    bool // the worker was reported as just started
 	configured bool // the gate has the options of a service
+	transport  *http.Transport
+	accepted   int // connections, as the transport knows them
 }
 
 func newWorkerLeg(config *Config) *workerLeg {
-	return &workerLeg{
-		address:   config.WorkerAddress,
-		transport: newWorkerTransport(config),
-		gate:      admission.New(admission.Options{}),
-		crashes:   crashwatch.New(config.Dial),
+	l := &workerLeg{
+		address: config.WorkerAddress,
+		connect: func(accepted int) *http.Transport { return newWorkerTransport(config, accepted) },
+		gate:    admission.New(admission.Options{}),
+		crashes: crashwatch.New(config.Dial),
 	}
+	l.limitConnections(admission.DefaultConnections)
+	return l
 }
 
 // applyLimits gives the gate the limits of a service. A start that was reported
@@ -50,13 +55,39 @@
 func (l *workerLeg) applyLimits(service *model.Service) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.gate.Reconfigure(gateOptions(service))
+	options := gateOptions(service)
+	l.gate.Reconfigure(options)
+	l.limitConnections(options.Connections)
 	if l.started && !l.configured {
 		l.gate.WorkerStarted()
 	}
 	l.configured = true
 }
 
+// limitConnections has further requests use a transport that keeps to the number of
+// connections that the worker accepts; zero is the default. Requests under way keep theirs.
+// The mutex is held, or nobody else has the leg yet.
+func (l *workerLeg) limitConnections(accepted int) {
+	if accepted <= 0 {
+		accepted = admission.DefaultConnections
+	}
+	if accepted == l.accepted {
+		return
+	}
+	former := l.transport
+	l.transport, l.accepted = l.connect(accepted), accepted
+	if former != nil {
+		former.CloseIdleConnections()
+	}
+}
+
+// current returns the transport for further requests.
+func (l *workerLeg) current() *http.Transport {
+	l.mutex.Lock()
+	defer l.mutex.Unlock()
+	return l.transport
+}
+
 // workerStarted begins slow start.
 func (l *workerLeg) workerStarted() {
 	l.mutex.Lock()
@@ -115,7 +146,7 @@
 	}
 	began := time.Now()
 	sending := sending{
-		transport: l.transport,
+		transport: l.current(),
 		request:   l.request(call),
 		body:      call.body,
 		relay:     call.relay,
