Have the workers of load runs accept the connections of their manifest

What was seen: TestRollingReplacesEverything, unrepeatable calls that end connection-lost in a busy second, many at one moment.

Cause: the manifest of these runs says 130 connections and one for each slot, 630 with the 500 slots of the test; the stand-ins accepted 130. On a machine that gives the process too little time for a second or two, more than 130 calls are in flight at the one worker, all within slots and connections of the manifest, and the stand-in closes the connections beyond its own bound, with requests written on them. It was read as a fault of planned stops since it came while nodes were replaced: calls gather most when only one worker is left.

--- a/internal/lab/load/mesh.go
+++ b/internal/lab/load/mesh.go
@@ -29,6 +29,7 @@
 // mesh is a gateway node and some workers, each with its node.
 type mesh struct {
 	fleet   fleet
+	shape   serviceShape
 	gateway node
 	members []member
 }
@@ -39,9 +40,13 @@
 	slowStart    time.Duration
 }
 
+// connections is how many connections each worker accepts, as its manifest says: a worker that
+// closes connections within that number loses requests that nodes have written on them.
+func (s serviceShape) connections() int { return worker.DefaultConnections + s.slots }
+
 // startMesh starts a gateway and the workers, and puts the routes in force.
 func startMesh(ctx context.Context, f fleet, options Options, config worker.Config, shape serviceShape) (*mesh, error) {
-	m := &mesh{fleet: f}
+	m := &mesh{fleet: f, shape: shape}
 	var err error
 	if m.gateway, err = f.start(ctx, nodeSpec{id: gatewayID, zone: zoneName(0), gateway: true}); err != nil {
 		return m, err
@@ -57,6 +62,7 @@
 // addMember starts a worker and the node beside it.
 func (m *mesh) addMember(ctx context.Context, index, zones int, config worker.Config, suffix string) error {
 	config.ID = fmt.Sprintf("worker-%d%s", index, suffix)
+	config.Connections = m.shape.connections()
 	w, err := worker.Start(config)
 	if err != nil {
 		return err
@@ -80,7 +86,7 @@
 		{
 			Key: model.Key{Kind: model.KindService, Name: serviceName},
 			Service: &model.Service{
-				Slots: shape.slots, Connections: worker.DefaultConnections + shape.slots, Queue: shape.queue,
+				Slots: shape.slots, Connections: shape.connections(), Queue: shape.queue,
 				SlowStart: shape.slowStart, Timeout: callTimeout,
 			},
 		},
