--- a/internal/lab/load/report.go
+++ b/internal/lab/load/report.go
@@ -167,6 +167,8 @@
 	// UploadsStarted and UploadsWhole count long uploads that were in flight.
 	UploadsStarted int `json:"uploads_started"`
 	UploadsWhole   int `json:"uploads_whole"`
+	// UploadReasons are the reasons of uploads that were not answered.
+	UploadReasons map[outcome.Reason]int `json:"upload_reasons,omitempty"`
 	// Killed counts nodes that did not end by themselves.
 	Killed int `json:"killed"`
 	// ClosedConnections counts connections that workers closed for want of room. A call on
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -82,7 +82,7 @@
 	result := &Rolling{
 		Replaced: replaced, Seconds: time.Since(began).Seconds(),
 		Once: r.once.result(r.seen), Any: r.any.result(r.seen),
-		UploadsStarted: uploads.Calls, UploadsWhole: uploads.Answered, Killed: r.killed,
+		UploadsStarted: uploads.Calls, UploadsWhole: uploads.Answered, UploadReasons: uploads.Reasons, Killed: r.killed,
 		ClosedConnections: closed,
 	}
 	fmt.Fprintf(r.options.Progress, "rolling: %+v\n", *result)
@@ -182,7 +182,8 @@
 			r.Once.Unknown, r.ClosedConnections, r.Once.UnknownCalls))
 	}
 	if r.UploadsWhole < r.UploadsStarted {
-		failures = append(failures, fmt.Sprintf("rolling: %d of %d uploads were not answered", r.UploadsStarted-r.UploadsWhole, r.UploadsStarted))
+		failures = append(failures, fmt.Sprintf("rolling: %d of %d uploads were not answered: %v",
+			r.UploadsStarted-r.UploadsWhole, r.UploadsStarted, r.UploadReasons))
 	}
 	if r.Killed > 0 {
 		failures = append(failures, fmt.Sprintf("rolling: %d nodes did not end by themselves", r.Killed))
