Have uploads of rolling runs come again after a refusal for overload

What was seen: rolling runs on a machine with too little time fail with "1 of 19 uploads were not answered: map[overloaded:1]": 1 of 12 runs beside 16 busy loops (three copies), 4 of 8 beside 64 (four copies, traced).

Cause: these uploads were refused by the worker's node, whose 500 slots were all taken by calls that wait for the machine, told not-run with Retry-After, and truly not run (the run counts executions). The lab's caller gave them up; a caller of an upload comes again, as docs/CALLS.md says it may.

The check is as it was: each upload that was started must be answered whole.

--- a/internal/lab/load/caller.go
+++ b/internal/lab/load/caller.go
@@ -21,6 +21,8 @@
 	kind   endingKind
 	reason outcome.Reason // empty when none was given
 	detail string         // the error of a call without an answer
+	// retryAfter is when the caller was told to come again; zero when it was not.
+	retryAfter time.Duration
 }
 
 type endingKind uint8
@@ -95,6 +97,27 @@
 	return c.check(response, digester)
 }
 
+// retryAfterOf returns the time of a Retry-After header in seconds; zero without one.
+func retryAfterOf(header http.Header) time.Duration {
+	seconds, err := strconv.ParseUint(header.Get("Retry-After"), 10, 16)
+	if err != nil {
+		return 0
+	}
+	return time.Duration(seconds) * time.Second
+}
+
+// doThroughOverload sends the call again when it is told that it has not run for want of
+// room, after the time that it is told. Any other ending stands.
+func (c call) doThroughOverload(ctx context.Context, transport http.RoundTripper) ending {
+	for {
+		ended := c.do(ctx, transport)
+		refused := ended.kind == endingNotRun && ended.reason == outcome.Overloaded && ended.retryAfter > 0
+		if !refused || !sleepUntil(ctx, time.Now().Add(ended.retryAfter)) {
+			return ended
+		}
+	}
+}
+
 func (c call) request(ctx context.Context, digester *worker.Digester) (*http.Request, error) {
 	var body io.Reader
 	if c.size > 0 {
@@ -127,7 +150,7 @@
 func (c call) check(response *http.Response, digester *worker.Digester) ending {
 	switch kind, reason := outcome.FromResponse(response.Header); kind {
 	case outcome.NotRun:
-		return ending{kind: endingNotRun, reason: reason}
+		return ending{kind: endingNotRun, reason: reason, retryAfter: retryAfterOf(response.Header)}
 	case outcome.Unknown:
 		return ending{kind: endingUnknown, reason: reason}
 	}
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -118,7 +118,9 @@
 	})
 }
 
-// uploadOn keeps some slow uploads under way until calling ends.
+// uploadOn keeps some slow uploads under way until calling ends. One that is refused for
+// overload comes again, as the callers of such uploads do: what is measured is whether a
+// replacement cuts uploads off.
 func (r *rollingRun) uploadOn(ctx, calling context.Context) {
 	var uploads sync.WaitGroup
 	for lane := range rollingAtOnce {
@@ -131,7 +133,7 @@
 					target: *r.target.Load(), size: rollingUpload,
 					pace: min(rollingUploadTime, r.options.Duration),
 				}
-				r.uploads.add(c.id, c.do(ctx, r.transport), time.Since(began))
+				r.uploads.add(c.id, c.doThroughOverload(ctx, r.transport), time.Since(began))
 			}
 		})
 	}
