Bound the connections to a worker in the hosted mode, too

The same fault as in the standalone mode, found by looking for it: nothing bounded the connections to the worker beside a node, and a worker resets those beyond what it accepts, with the requests on them.

Two for each slot, the number of unused ones that were kept before: one is in use, the other lets a request that ends and one that begins overlap. Changed slots give further requests a new transport. Not looked at: long bodies, each of which has a connection of its own that is not kept; they are bounded by the slots.

--- a/internal/forwarding/leg.go
+++ b/internal/forwarding/leg.go
@@ -120,6 +120,14 @@
 	}
 }
 
+// newWorkerTransport returns a transport to a worker with the given number of slots.
+func newWorkerTransport(dial httpleg.DialFunc, idle time.Duration, slots int) *http.Transport {
+	connections := connectionsPerSlot * slots
+	transport := newTransport(dial, idle, connections)
+	transport.MaxConnsPerHost = max(connections, 1)
+	return transport
+}
+
 // newRequest returns the request for the next leg, without its body. Target and
 // host are passed on as they came.
 func newRequest(from *http.Request, address string, header http.Header) *http.Request {
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -29,6 +29,11 @@
 	unreachablePause = 250 * time.Millisecond
 	// shortestTime is the least time worth giving to a worker.
 	shortestTime = 2 * time.Millisecond
+	// connectionsPerSlot bounds the connections to a worker, unused ones and those that are
+	// being opened included: a worker resets those beyond what it accepts, with the
+	// requests on them. One for each slot is in use, the others let a request that ends
+	// and one that begins overlap.
+	connectionsPerSlot = 2
 )
 
 // workerLeg is the way from this node to one life of a worker beside it.
@@ -37,7 +42,8 @@
 	queue   *slotqueue.Queue
 	// failures is the share of requests that fail at the worker.
 	failures failureShare
-	make     func(idle time.Duration) *http.Transport
+	// make returns a transport to the worker.
+	make func(idle time.Duration, slots int) *http.Transport
 	// unshared carries long bodies, each over a connection that is not used again: a
 	// worker may answer before it has read the body and read on much later, and a
 	// request that followed on the connection would wait behind it. The worker is not
@@ -79,12 +85,12 @@
 		idle:    workerIdle,
 		plane:   p,
 		crashes: crashwatch.New(p.config.Dial),
-		make: func(idle time.Duration) *http.Transport {
-			return newTransport(p.config.Dial, idle, worker.Slots*2)
+		make: func(idle time.Duration, slots int) *http.Transport {
+			return newWorkerTransport(p.config.Dial, idle, slots)
 		},
 	}
 	leg.born.Store(worker.Born)
-	leg.transport = leg.make(workerIdle)
+	leg.transport = leg.make(workerIdle, worker.Slots)
 	leg.unshared = newTransport(p.config.Dial, workerIdle, noIdleConnections)
 	return leg
 }
@@ -287,10 +293,21 @@
 func (l *workerLeg) setSlots(slots int) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
-	l.slots = slots
+	if slots != l.slots {
+		l.renew(l.idle, slots)
+	}
 	l.queue.SetSlots(slots - l.foreign)
 }
 
+// renew has further requests use a new transport. Requests under way keep theirs. The mutex
+// is held.
+func (l *workerLeg) renew(idle time.Duration, slots int) {
+	former := l.transport
+	l.idle, l.slots = idle, slots
+	l.transport = l.make(idle, slots)
+	former.CloseIdleConnections()
+}
+
 // slowness returns how long work takes at the worker at present; zero when it does not
 // tell.
 func (l *workerLeg) slowness() float64 {
@@ -310,10 +327,7 @@
 	if idle == l.idle {
 		return
 	}
-	l.idle = idle
-	former := l.transport
-	l.transport = l.make(idle)
-	former.CloseIdleConnections()
+	l.renew(idle, l.slots)
 }
 
 func keepAliveOf(header http.Header) (time.Duration, bool) {
