Read a connection ahead only until there is room again

What callers saw: with more requests on one connection than are handled side by side, in a rare moment the next one is not handled, and neither are those behind it, until the caller sends more or gives up. A caller that waits for its answers first waits until its time is over.

Cause: while all places of a connection are taken, it is read ahead, and the place that becomes free ends that by a read deadline in the past. The wait took the deadline off only after it had begun to listen for the place. When the place became free in between, its deadline was taken off again, and the read went on.

It was no stall of the machine.

The deadline is taken off before anything can set it, so that no order of the two loses the interruption.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -197,6 +197,9 @@
 func (c *conn) watch(until <-chan struct{}) error {
 	watched := make(chan struct{})
 	interrupted := make(chan struct{})
+	// Set later, it would undo the interruption by a channel that is closed already, and the
+	// connection would be read on until the caller sends more.
+	c.setReadDeadline(time.Time{})
 	go func() {
 		defer close(interrupted)
 		select {
@@ -205,7 +208,6 @@
 		case <-watched:
 		}
 	}()
-	c.setReadDeadline(time.Time{})
 	err := c.readAhead()
 	close(watched)
 	<-interrupted
--- a/internal/pipeline/pipeline_test.go
+++ b/internal/pipeline/pipeline_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"testing"
@@ -224,3 +225,30 @@
 		})
 	}
 }
+
+// TestWatchEndsWithWhatItWaitsFor guards against requests that are never handled: a slot that
+// became free just as the connection began to be read ahead went unnoticed until the caller sent
+// more, which it does not before it has its answers.
+func TestWatchEndsWithWhatItWaitsFor(t *testing.T) {
+	const times = 100_000
+	near, far := net.Pipe()
+	t.Cleanup(func() { _ = far.Close() })
+	c := newConn(New(Config{MaxPipelined: 1}), near)
+	t.Cleanup(c.abort)
+	watched := make(chan error, 1)
+	go func() {
+		var err error
+		for n := 0; n < times && err == nil; n++ {
+			err = c.watch(ended)
+		}
+		watched <- err
+	}()
+	select {
+	case err := <-watched:
+		if err != nil {
+			t.Fatal(err)
+		}
+	case <-time.After(patience):
+		t.Fatal("the connection is read on although nothing is waited for any more")
+	}
+}
