Hand a document on although the machines asked first are silent

Cause: a broadcast gives each part of the nodes to the first of it that takes it, and waited 0.7 s for each that says nothing, one after the other, on each of its three levels. Until nodes have learned which others are gone, most of a part may be silent.

Now the next node of a part gets a document beside one that is silent for 0.1 s. Documents only: records stay as they were, since they are many.

--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -3,13 +3,21 @@
 import (
 	"context"
 	"sync"
+	"time"
 
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/fleet"
 )
 
-// fanOut is how many nodes of its zone a node hands news to.
-const fanOut = 4
+const (
+	// fanOut is how many nodes of its zone a node hands news to.
+	fanOut = 4
+	// silentPause is how long a node that is handed a document may be silent before the next one
+	// of its part gets the document, too. Nodes answer within some milliseconds. After a loss of
+	// power of many machines most nodes of a part may be silent, on each level of a broadcast,
+	// and waiting for each in turn would take seconds.
+	silentPause = 100 * time.Millisecond
+)
 
 // news is what a broadcast carries.
 type news struct {
@@ -77,7 +85,11 @@
 	if len(part.Candidates) > 1 {
 		message.After, message.Until = part.After, part.Until
 	}
-	p.toFirst(ctx, part.Candidates, message)
+	if what.version == 0 {
+		p.toFirst(ctx, part.Candidates, message)
+		return
+	}
+	p.toFirstSoon(ctx, part.Candidates, message)
 }
 
 // message returns the message that brings news, which reach as far as given.
@@ -107,6 +119,44 @@
 	return false
 }
 
+// toFirstSoon is toFirst that does not wait for one that is silent: the next gets the message
+// beside it. More than one may take it.
+func (p *Peers) toFirstSoon(ctx context.Context, candidates []*fleet.Node, message *exchangepb.BroadcastRequest) {
+	answers := make(chan bool, len(candidates))
+	asked, silent := 0, 0
+	for {
+		if asked < len(candidates) {
+			candidate := *candidates[asked]
+			go func() { answers <- p.send(ctx, candidate, message) }()
+			asked++
+			silent++
+		}
+		if silent == 0 {
+			return
+		}
+		taken, answered := awaitAnswer(ctx, answers)
+		switch {
+		case taken || ctx.Err() != nil:
+			return
+		case answered:
+			silent--
+		}
+	}
+}
+
+// awaitAnswer waits for an answer for as long as a node may be silent.
+func awaitAnswer(ctx context.Context, answers <-chan bool) (taken, answered bool) {
+	t := time.NewTimer(silentPause)
+	defer t.Stop()
+	select {
+	case taken = <-answers:
+		return taken, true
+	case <-t.C:
+	case <-ctx.Done():
+	}
+	return false, false
+}
+
 func (p *Peers) send(ctx context.Context, node fleet.Node, request *exchangepb.BroadcastRequest) bool {
 	ctx, cancel := context.WithTimeout(ctx, messageBound)
 	defer cancel()
