Have nodes that are next to read the store look after those that do

Cause: three nodes read the store for all. A node takes the place of one only when it has found it to be lost itself, by a message that failed; and except for the nodes that happen to be partners of just these three nobody has a reason to speak with them. When all three are gone at once (55 % of the machines: one time in six), nobody reads the store until somebody meets them by chance.

Now the five next in the order ask the three every 0.6 s on average whether they are there, all at a time: some 25 small messages a second whatever the size of the mesh. Metric levertide_reader_questions_total.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -147,6 +147,7 @@
 		agent.supervisor.Add(rollouts)
 	}
 	agent.supervisor.Add(reader)
+	agent.supervisor.Add(&Standby{peers: agent.peers, table: config.Table, contacts: config.Contacts})
 	agent.supervisor.Add(agent.documents)
 	agent.supervisor.Add(&Introduction{
 		probe: config.Probe, documents: agent.documents, workers: config.Workers, introduced: agent.introduced,
--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -162,6 +162,20 @@
 	defer cancel()
 	p.sent.broadcasts.Add(1)
 	p.sent.records.Add(uint64(len(request.GetNodes())))
+	return p.deliver(ctx, node, request)
+}
+
+// ask asks a node whether it is there.
+func (p *Peers) ask(ctx context.Context, node fleet.Node) {
+	ctx, cancel := context.WithTimeout(ctx, messageBound)
+	defer cancel()
+	p.sent.questions.Add(1)
+	// A message that brings no news is answered, and changes nothing.
+	p.deliver(ctx, node, p.message(news{}, exchangepb.Reach_REACH_RANGE))
+}
+
+// deliver sends a message and notes whether the node is there.
+func (p *Peers) deliver(ctx context.Context, node fleet.Node, request *exchangepb.BroadcastRequest) bool {
 	if _, err := p.client(node.ControlAddress).Broadcast(ctx, request); err != nil {
 		p.noteFailure(node.ID, err)
 		return false
--- a/internal/hosted/messages.go
+++ b/internal/hosted/messages.go
@@ -6,18 +6,20 @@
 type Messages struct {
 	// Comparisons are questions whether another node knows the same, Broadcasts
 	// messages with news, and Records the node records in those. Borrowings are messages on
-	// the limits of tenants.
-	Comparisons, Broadcasts, Records, Borrowings uint64
+	// the limits of tenants, Questions those that ask nodes that read the store whether they
+	// are there.
+	Comparisons, Broadcasts, Records, Borrowings, Questions uint64
 }
 
 // messageCounters counts the messages that a node sends.
 type messageCounters struct {
-	comparisons, broadcasts, records, borrowings atomic.Uint64
+	comparisons, broadcasts, records, borrowings, questions atomic.Uint64
 }
 
 func (c *messageCounters) read() Messages {
 	return Messages{
 		Comparisons: c.comparisons.Load(), Broadcasts: c.broadcasts.Load(), Records: c.records.Load(), Borrowings: c.borrowings.Load(),
+		Questions: c.questions.Load(),
 	}
 }
 
--- a/internal/hosted/power_test.go
+++ b/internal/hosted/power_test.go
@@ -4,17 +4,20 @@
 
 import (
 	"math/rand/v2"
+	"slices"
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+	"github.com/levertide/levertide/pkg/fleet"
 )
 
-// silence cuts a share of the nodes off from all others, as a loss of power does, and returns the
-// rest.
-func (m *simulated) silence(r *rand.Rand, share float64) []*testNode {
+// silence cuts nodes off from all others, as a loss of power does, and returns the rest.
+func (m *simulated) silence(chosen func(id string) bool) []*testNode {
 	var rest []*testNode
 	for n, node := range m.nodes {
-		if r.Float64() >= share {
+		if !chosen(node.table.View().Self().ID) {
 			rest = append(rest, node)
 			continue
 		}
@@ -44,7 +47,7 @@
 		var worst time.Duration
 		for round := range rounds {
 			time.Sleep(15 * time.Second)
-			rest := m.silence(r, share)
+			rest := m.silence(func(string) bool { return r.Float64() < share })
 			time.Sleep(latest * time.Duration(round) / rounds)
 			m.store.Put(testDocument(round + 1))
 			took := m.within(t, bound, "all that run have the document", allHold(rest, testDocument(round+1)))
@@ -55,3 +58,34 @@
 		t.Logf("everywhere after %v at most", worst)
 	})
 }
+
+// TestReadersThatAreGoneTogetherAreReplaced guards against changes that stay out of force while all
+// nodes that read the store are gone: the others did not notice.
+func TestReadersThatAreGoneTogetherAreReplaced(t *testing.T) {
+	const (
+		size   = 85
+		rounds = 6
+		bound  = 2500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		m := startSimulated(t, size)
+		var worst time.Duration
+		for round := range rounds {
+			time.Sleep(15 * time.Second)
+			readers := fleet.Readers(m.nodes[0].table.View(), func(string) bool { return true }, 3)
+			rest := m.silence(func(id string) bool { return slices.Contains(readers, id) })
+			for _, id := range readers {
+				m.store.SetFaults(id, hostedstore.Faults{Silent: true})
+			}
+			m.store.Put(testDocument(round + 1))
+			took := m.within(t, bound, "all others have the document", allHold(rest, testDocument(round+1)))
+			worst = max(worst, took)
+			time.Sleep(2 * time.Second)
+			m.network.Heal()
+			for _, id := range readers {
+				m.store.SetFaults(id, hostedstore.Faults{})
+			}
+		}
+		t.Logf("everywhere after %v at most", worst)
+	})
+}
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -70,6 +70,7 @@
 		counter("rejected_writes_total", "Calls for workers, and entries in the store, that could not be used.", func(r HostedReading) uint64 { return r.Returns.Rejected }),
 		counter("comparisons_total", "Questions to other nodes whether they know the same.", func(r HostedReading) uint64 { return r.Messages.Comparisons }),
 		counter("broadcasts_total", "Messages with news to other nodes.", func(r HostedReading) uint64 { return r.Messages.Broadcasts }),
+		counter("reader_questions_total", "Messages that ask nodes which read the store whether they are there.", func(r HostedReading) uint64 { return r.Messages.Questions }),
 		newQuotaCollector(func() hosted.QuotaReading { return read().Quotas }),
 		counter("borrowings_total", "Messages to other nodes on the limits of tenants.", func(r HostedReading) uint64 { return r.Messages.Borrowings }),
 		counter("broadcast_records_total", "Records of nodes in messages with news.", func(r HostedReading) uint64 { return r.Messages.Records }),
