--- a/internal/lab/load/load_test.go
+++ b/internal/lab/load/load_test.go
@@ -118,6 +118,8 @@
 	}
 }
 
+// TestRollingReplacesEverything guards against calls and uploads that are lost while every node and
+// worker is replaced.
 func TestRollingReplacesEverything(t *testing.T) {
 	t.Parallel()
 	options := short(ModeRolling)
