Start the meshes of load runs in one place

Seven measurements made a fleet, started a mesh on it and closed it in the same twelve lines; startMesh does that now, and a failed start closes what it has started itself. The connections of a worker come from the manifest for all of them, so that the overload run need not set them.

--- a/internal/lab/load/crash.go
+++ b/internal/lab/load/crash.go
@@ -17,17 +17,13 @@
 // nodes find out as the calls and the control messages show it. All machines are
 // in one zone, so that all of them take calls.
 func measureCrash(ctx context.Context, options Options) (*Crash, error) {
-	f, err := newFleet(options)
-	if err != nil {
-		return nil, err
-	}
 	options.Zones = 1
 	config := worker.Config{Slots: options.Slots, Service: options.Service}
-	m, err := startMesh(ctx, f, options, config, serviceShape{slots: options.Slots, queue: 2 * options.Slots})
-	defer m.close()
+	m, err := startMesh(ctx, options, config, serviceShape{slots: options.Slots, queue: 2 * options.Slots})
 	if err != nil {
 		return nil, err
 	}
+	defer m.close()
 	run := newRollingRun(options, m)
 	defer run.transport.CloseIdleConnections()
 	calling, stop := context.WithCancel(ctx)
--- a/internal/lab/load/faults.go
+++ b/internal/lab/load/faults.go
@@ -23,16 +23,12 @@
 
 // measureFaults makes calls while a part of the requests at every worker fails.
 func measureFaults(ctx context.Context, options Options) ([]FaultPoint, error) {
-	f, err := newFleet(options)
-	if err != nil {
-		return nil, err
-	}
 	config := worker.Config{Slots: options.Slots, Service: options.Service}
-	m, err := startMesh(ctx, f, options, config, serviceShape{slots: options.Slots, queue: 2 * options.Slots})
-	defer m.close()
+	m, err := startMesh(ctx, options, config, serviceShape{slots: options.Slots, queue: 2 * options.Slots})
 	if err != nil {
 		return nil, err
 	}
+	defer m.close()
 	transport := newTransport()
 	defer transport.CloseIdleConnections()
 	var points []FaultPoint
--- a/internal/lab/load/mesh.go
+++ b/internal/lab/load/mesh.go
@@ -44,19 +44,32 @@
 // closes connections within that number loses requests that nodes have written on them.
 func (s serviceShape) connections() int { return worker.DefaultConnections + s.slots }
 
-// startMesh starts a gateway and the workers, and puts the routes in force.
-func startMesh(ctx context.Context, f fleet, options Options, config worker.Config, shape serviceShape) (*mesh, error) {
+// startMesh starts a gateway and the workers, and puts the routes in force. Close it, unless an
+// error is returned.
+func startMesh(ctx context.Context, options Options, config worker.Config, shape serviceShape) (*mesh, error) {
+	f, err := newFleet(options)
+	if err != nil {
+		return nil, err
+	}
 	m := &mesh{fleet: f, shape: shape}
+	if err := m.start(ctx, options, config); err != nil {
+		m.close()
+		return nil, err
+	}
+	return m, nil
+}
+
+func (m *mesh) start(ctx context.Context, options Options, config worker.Config) error {
 	var err error
-	if m.gateway, err = f.start(ctx, nodeSpec{id: gatewayID, zone: zoneName(0), gateway: true}); err != nil {
-		return m, err
+	if m.gateway, err = m.fleet.start(ctx, nodeSpec{id: gatewayID, zone: zoneName(0), gateway: true}); err != nil {
+		return err
 	}
 	for i := range options.Workers {
 		if err := m.addMember(ctx, i, options.Zones, config, ""); err != nil {
-			return m, err
+			return err
 		}
 	}
-	return m, f.apply(ctx, resourcesOf(shape))
+	return m.fleet.apply(ctx, resourcesOf(m.shape))
 }
 
 // addMember starts a worker and the node beside it.
--- a/internal/lab/load/mesh_test.go
+++ b/internal/lab/load/mesh_test.go
@@ -15,11 +15,11 @@
 	t.Parallel()
 	shape := serviceShape{slots: 70, queue: 1}
 	options := Options{Workers: 1, Zones: 1}.withDefaults()
-	m, err := startMesh(context.Background(), newInsideFleet(false), options, worker.Config{Slots: shape.slots}, shape)
-	defer m.close()
+	m, err := startMesh(context.Background(), options, worker.Config{Slots: shape.slots}, shape)
 	if err != nil {
 		t.Fatal(err)
 	}
+	defer m.close()
 	service := resourcesOf(shape)[0].Service
 	for index := range service.Connections {
 		if !answersOnNewConnection(t, m.members[0].worker.Address()) {
--- a/internal/lab/load/overload.go
+++ b/internal/lab/load/overload.go
@@ -43,7 +43,7 @@
 	if result.Admission, err = overloadPoints(ctx, options, config, shape, result.CapacityPerSecond); err != nil {
 		return nil, err
 	}
-	config.Queue, config.Connections = unbounded, unbounded
+	config.Queue = unbounded
 	shape = serviceShape{slots: unbounded, queue: unbounded}
 	if result.NoAdmission, err = overloadPoints(ctx, options, config, shape, result.CapacityPerSecond); err != nil {
 		return nil, err
@@ -54,15 +54,11 @@
 }
 
 func overloadPoints(ctx context.Context, options Options, config worker.Config, shape serviceShape, capacity float64) ([]OverloadPoint, error) {
-	f, err := newFleet(options)
+	m, err := startMesh(ctx, options, config, shape)
 	if err != nil {
 		return nil, err
 	}
-	m, err := startMesh(ctx, f, options, config, shape)
 	defer m.close()
-	if err != nil {
-		return nil, err
-	}
 	transport := newTransport()
 	defer transport.CloseIdleConnections()
 	var points []OverloadPoint
--- a/internal/lab/load/rolling.go
+++ b/internal/lab/load/rolling.go
@@ -36,18 +36,14 @@
 }
 
 func measureRolling(ctx context.Context, options Options) (*Rolling, error) {
-	f, err := newFleet(options)
-	if err != nil {
-		return nil, err
-	}
 	config := worker.Config{Slots: options.Slots, Service: options.Service, ColdStart: rollingCold}
-	m, err := startMesh(ctx, f, options, config, serviceShape{
+	m, err := startMesh(ctx, options, config, serviceShape{
 		slots: options.Slots, queue: 2 * options.Slots, slowStart: rollingCold,
 	})
-	defer m.close()
 	if err != nil {
 		return nil, err
 	}
+	defer m.close()
 	run := newRollingRun(options, m)
 	defer run.transport.CloseIdleConnections()
 	return run.measure(ctx, config)
--- a/internal/lab/load/steady.go
+++ b/internal/lab/load/steady.go
@@ -26,16 +26,12 @@
 }
 
 func measureSteady(ctx context.Context, options Options) ([]Step, error) {
-	f, err := newFleet(options)
-	if err != nil {
-		return nil, err
-	}
 	config := worker.Config{Slots: options.Slots, Service: options.Service}
-	m, err := startMesh(ctx, f, options, config, serviceShape{slots: options.Slots, queue: 2 * options.Slots})
-	defer m.close()
+	m, err := startMesh(ctx, options, config, serviceShape{slots: options.Slots, queue: 2 * options.Slots})
 	if err != nil {
 		return nil, err
 	}
+	defer m.close()
 	run := &steadyRun{options: options, mesh: m, transport: newTransport()}
 	defer run.transport.CloseIdleConnections()
 	for range options.Workers {
--- a/internal/lab/load/upload.go
+++ b/internal/lab/load/upload.go
@@ -15,17 +15,13 @@
 // measureUpload sends one body after another, each larger than the one before,
 // through a gateway to the node of a worker.
 func measureUpload(ctx context.Context, options Options) (*Upload, error) {
-	f, err := newFleet(options)
-	if err != nil {
-		return nil, err
-	}
 	options.Workers = 1
 	config := worker.Config{Slots: options.Slots}
-	m, err := startMesh(ctx, f, options, config, serviceShape{slots: options.Slots, queue: options.Slots})
-	defer m.close()
+	m, err := startMesh(ctx, options, config, serviceShape{slots: options.Slots, queue: options.Slots})
 	if err != nil {
 		return nil, err
 	}
+	defer m.close()
 	transport := newTransport()
 	defer transport.CloseIdleConnections()
 	result := &Upload{}
