--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -165,13 +165,13 @@
 	return p.deliver(ctx, node, request)
 }
 
-// ask asks a node whether it is there.
-func (p *Peers) ask(ctx context.Context, node fleet.Node) {
+// ask reports whether a node is there.
+func (p *Peers) ask(ctx context.Context, node fleet.Node) bool {
 	ctx, cancel := context.WithTimeout(ctx, messageBound)
 	defer cancel()
 	p.sent.questions.Add(1)
 	// A message that brings no news is answered, and changes nothing.
-	p.deliver(ctx, node, p.message(news{}, exchangepb.Reach_REACH_RANGE))
+	return p.deliver(ctx, node, p.message(news{}, exchangepb.Reach_REACH_RANGE))
 }
 
 // deliver sends a message and notes whether the node is there.
--- a/internal/hosted/power_test.go
+++ b/internal/hosted/power_test.go
@@ -89,3 +89,39 @@
 		t.Logf("everywhere after %v at most", worst)
 	})
 }
+
+// TestReadersAndThoseNextAreReplaced guards against changes that stay out of force while the nodes
+// that read the store and those that look after them are killed together.
+func TestReadersAndThoseNextAreReplaced(t *testing.T) {
+	const (
+		size   = 85
+		killed = 9
+		rounds = 4
+		bound  = 2500 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		m := startSimulated(t, size)
+		var worst time.Duration
+		for round := range rounds {
+			time.Sleep(10 * time.Second)
+			first := fleet.Readers(m.nodes[0].table.View(), func(string) bool { return true }, killed)
+			var rest []*testNode
+			for _, node := range m.nodes {
+				if slices.Contains(first, node.table.View().Self().ID) {
+					node.kill()
+				} else {
+					rest = append(rest, node)
+				}
+			}
+			m.store.Put(testDocument(round + 1))
+			took := m.within(t, bound, "all others have the document", allHold(rest, testDocument(round+1)))
+			worst = max(worst, took)
+			for n, node := range m.nodes {
+				if !slices.Contains(rest, node) {
+					m.nodes[n] = m.start(t, n, false)
+				}
+			}
+		}
+		t.Logf("everywhere after %v at most", worst)
+	})
+}
--- a/internal/hosted/standby.go
+++ b/internal/hosted/standby.go
@@ -2,27 +2,31 @@
 
 import (
 	"context"
+	"math/rand/v2"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"github.com/levertide/levertide/pkg/fleet"
 )
 
 const (
-	// standbyCount is how many nodes look after those that read the store. A loss of power takes
-	// readers and some of these together.
-	standbyCount = 5
+	// standbyCount is how many nodes look after those before them in the order of readers, and
+	// nearStandbys how many of these, the first ones, ask all readers each time. The others ask
+	// one node: they are there for a loss of power that takes all of the former.
+	standbyCount = 12
+	nearStandbys = 5
 	// standbyInterval is the mean time between two looks of one node. With the bound of a message
 	// it keeps a change that comes while all readers are gone within the seconds that operators
 	// expect.
 	standbyInterval = 600 * time.Millisecond
 )
 
-// Standby has the nodes that are next to read the store ask those that do whether they are there.
-// A node takes a reader's place only when it has found the reader to be lost itself, and most
-// nodes have no other reason to speak with just these: when all readers are gone at once, nobody
-// would read the store. It is a suture service.
+// Standby has the nodes that are next to read the store ask those before them whether they are
+// there. A node takes a reader's place only when it has found the reader to be lost itself, and
+// most nodes have no other reason to speak with just these: when all readers are gone at once,
+// nobody would read the store. It is a suture service.
 type Standby struct {
 	peers    *Peers
 	table    *fleet.Table
@@ -41,18 +45,50 @@
 	return ctx.Err()
 }
 
-// look asks all readers at a time, if this node is one of those next to read.
+// look asks some of the nodes before this one in the order of readers. When none of them is there
+// it asks all others before it at once.
 func (s *Standby) look(ctx context.Context) {
+	before := s.before()
+	if len(before) < readerCount || s.anyIsThere(ctx, someOf(before)) {
+		return
+	}
+	s.anyIsThere(ctx, s.before())
+}
+
+// before returns the nodes before this one in the order of readers, as far as it takes them to be
+// there; none when it is not among the first.
+func (s *Standby) before() []string {
 	view := s.table.View()
 	order := fleet.Readers(view, s.contacts.Reachable, readerCount+standbyCount)
-	if slices.Index(order, view.Self().ID) < readerCount {
-		return
+	return order[:max(slices.Index(order, view.Self().ID), 0)]
+}
+
+// someOf returns whom a node asks that has the given ones before it, the readers at least.
+func someOf(before []string) []string {
+	const near = readerCount + nearStandbys
+	if len(before) < near {
+		return before[:readerCount]
 	}
+	n := rand.IntN(near)
+	return before[n : n+1]
+}
+
+// anyIsThere asks nodes at a time, and reports whether one of them has answered.
+func (s *Standby) anyIsThere(ctx context.Context, ids []string) bool {
+	view := s.table.View()
+	var there atomic.Bool
 	var questions sync.WaitGroup
-	for _, id := range order[:readerCount] {
-		if reader, known := view.Node(id); known {
-			questions.Go(func() { s.peers.ask(ctx, reader) })
+	for _, id := range ids {
+		node, known := view.Node(id)
+		if !known {
+			continue
 		}
+		questions.Go(func() {
+			if s.peers.ask(ctx, node) {
+				there.Store(true)
+			}
+		})
 	}
 	questions.Wait()
+	return there.Load()
 }
