--- a/internal/dataplane/connections_test.go
+++ b/internal/dataplane/connections_test.go
@@ -50,3 +50,34 @@
 		t.Errorf("%d connections were open at a worker that accepts %d", peak, accepted)
 	}
 }
+
+// TestAllSlotsAreUsedWhereEachNeedsAConnection guards against a bound on connections that takes
+// room from requests.
+func TestAllSlotsAreUsedWhereEachNeedsAConnection(t *testing.T) {
+	const slots = 3
+	m := newMesh(t)
+	m.current.Store(m.snapshot(2, []model.Resource{
+		{
+			Key:     model.Key{Kind: model.KindService, Name: testService},
+			Service: &model.Service{Slots: slots, Connections: slots, Queue: 8},
+		},
+		routeNamed("never", testRoute("/", model.RepeatNever)),
+	}))
+	running, release := make(chan struct{}), make(chan struct{})
+	m.addHandler("a", func(http.ResponseWriter, *http.Request) {
+		running <- struct{}{}
+		<-release
+	})
+	replies := make(chan reply, slots)
+	for range slots {
+		request := m.request(http.MethodPost, "/", nil)
+		go func() { replies <- m.do(request) }()
+	}
+	for range slots {
+		<-running
+	}
+	close(release)
+	for range slots {
+		(<-replies).expect(t, http.StatusOK, "")
+	}
+}
--- a/internal/dataplane/transport.go
+++ b/internal/dataplane/transport.go
@@ -30,15 +30,12 @@
 	return transport
 }
 
-// probeConnections is how many of a worker's connections are left for probes.
-const probeConnections = 1
-
-// newWorkerTransport returns a transport that opens no more connections than the worker
-// accepts. The bound on requests alone does not see to that: a connection that was opened
-// for one request stays when an older one became free first.
-func newWorkerTransport(config *Config, accepted int) *http.Transport {
+// newWorkerTransport returns a transport that opens the given number of connections at most. The
+// bound on requests alone does not see to that: a connection that was opened for one request stays
+// when an older one became free first.
+func newWorkerTransport(config *Config, connections int) *http.Transport {
 	transport := newTransport(config)
-	transport.MaxConnsPerHost = max(accepted-probeConnections, 1)
+	transport.MaxConnsPerHost = connections
 	transport.MaxIdleConnsPerHost = config.Limits.PeerIdleConnections
 	transport.IdleConnTimeout = config.Limits.WorkerIdle
 	return transport
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -25,8 +25,8 @@
 // workerLeg is the way from this node to its worker.
 type workerLeg struct {
 	address string
-	// connect returns a transport for a worker that accepts the given number of connections.
-	connect func(accepted int) *http.Transport
+	// connect returns a transport that opens the given number of connections at most.
+	connect func(connections int) *http.Transport
 	gate    *admission.Gate
 	// crashes tells the end of the worker from the loss of one connection.
 	crashes *crashwatch.Watch
@@ -35,17 +35,18 @@
 	started    bool // the worker was reported as just started
 	configured bool // the gate has the options of a service
 	transport  *http.Transport
-	accepted   int // connections, as the transport knows them
+	// connections is how many the transport opens at most.
+	connections int
 }
 
 func newWorkerLeg(config *Config) *workerLeg {
 	l := &workerLeg{
 		address: config.WorkerAddress,
-		connect: func(accepted int) *http.Transport { return newWorkerTransport(config, accepted) },
+		connect: func(connections int) *http.Transport { return newWorkerTransport(config, connections) },
 		gate:    admission.New(admission.Options{}),
 		crashes: crashwatch.New(config.Dial),
 	}
-	l.limitConnections(admission.DefaultConnections)
+	l.limitConnections(admission.Options{})
 	return l
 }
 
@@ -57,25 +58,42 @@
 	defer l.mutex.Unlock()
 	options := gateOptions(service)
 	l.gate.Reconfigure(options)
-	l.limitConnections(options.Connections)
+	l.limitConnections(options)
 	if l.started && !l.configured {
 		l.gate.WorkerStarted()
 	}
 	l.configured = true
 }
 
-// limitConnections has further requests use a transport that keeps to the number of
-// connections that the worker accepts; zero is the default. Requests under way keep theirs.
-// The mutex is held, or nobody else has the leg yet.
-func (l *workerLeg) limitConnections(accepted int) {
+// probeConnections is how many connections are left for probes of a worker that accepts more
+// than it has slots.
+const probeConnections = 1
+
+// connectionsFor returns how many connections requests may have at a worker.
+func connectionsFor(options admission.Options) int {
+	slots, accepted := options.Slots, options.Connections
+	if slots <= 0 {
+		slots = admission.DefaultSlots
+	}
 	if accepted <= 0 {
 		accepted = admission.DefaultConnections
 	}
-	if accepted == l.accepted {
+	if accepted > slots {
+		return accepted - probeConnections
+	}
+	return accepted
+}
+
+// limitConnections has further requests use a transport that keeps to the connections that the
+// worker accepts. Requests under way keep theirs. The mutex is held, or nobody else has the leg
+// yet.
+func (l *workerLeg) limitConnections(options admission.Options) {
+	connections := connectionsFor(options)
+	if connections == l.connections {
 		return
 	}
 	former := l.transport
-	l.transport, l.accepted = l.connect(accepted), accepted
+	l.transport, l.connections = l.connect(connections), connections
 	if former != nil {
 		former.CloseIdleConnections()
 	}
