--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -20,7 +20,7 @@
 	MaximumBody int64
 }
 
-// Config sets up a Plane. All fields but Quarantine, Evidence, Suspended, Observer and
+// Config sets up a Plane. All fields but Quarantine, Evidence, Leaving, Suspended, Observer and
 // LinkSpeed must be given.
 type Config struct {
 	// Node is the identifier of this node, Zone the zone it is in.
@@ -50,6 +50,9 @@
 	// Evidence is called with what this node has found out about crashing requests, for the other
 	// nodes; nil means that nothing is reported. It must not block.
 	Evidence func(reports []quarantine.Report)
+	// Leaving is called when a worker beside this node states in an answer that it leaves; nil
+	// means that nobody is told. It must not block.
+	Leaving func(incarnation workers.Incarnation)
 	// Suspended returns for how long the machine has been suspended since the given time: no
 	// clock of the process counts that time, but those of callers do. Nil means never.
 	Suspended func(since time.Time) time.Duration
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -230,6 +230,8 @@
 	local func() (slotqueue.Load, bool)
 	// reachable reports whether this node can reach another one.
 	reachable func(string) bool
+	// leaving reports whether a worker has stated that it leaves.
+	leaving func(workers.Incarnation, time.Time) bool
 }
 
 // choose returns the endpoint with the least expected delay; false when there is none. The
@@ -248,6 +250,9 @@
 		if contains(w.tried, e.node) || w.otherZones && e.zone == d.zone || !version.takes(e.version) {
 			continue
 		}
+		if w.leaving != nil && w.leaving(e.incarnation(), now) {
+			continue
+		}
 		load, usable := d.loadOf(e, w, now)
 		score := d.score(e, load, w, usable)
 		if score >= bestScore {
--- a/internal/forwarding/offers.go
+++ b/internal/forwarding/offers.go
@@ -146,6 +146,7 @@
 		draw:       rand.Float64(),
 		local:      o.local,
 		reachable:  o.call.plane.config.Contacts.Reachable,
+		leaving:    o.call.plane.terms.Leaving,
 	}, time.Now())
 }
 
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -74,6 +74,9 @@
 	if config.Suspended == nil {
 		config.Suspended = func(time.Time) time.Duration { return 0 }
 	}
+	if config.Leaving == nil {
+		config.Leaving = func(workers.Incarnation) {}
+	}
 	if config.Evidence == nil {
 		config.Evidence = func([]quarantine.Report) {}
 	}
@@ -117,7 +120,7 @@
 // localLoad returns the load of this node's worker of a service.
 func (p *Plane) localLoad(service string) (slotqueue.Load, bool) {
 	client, err := p.local.find(service, workers.Incarnation{})
-	if err != nil || client.paused() {
+	if err != nil || client.paused() || client.leaves() {
 		return slotqueue.Load{}, false
 	}
 	return client.load(), true
--- a/internal/forwarding/terms.go
+++ b/internal/forwarding/terms.go
@@ -76,9 +76,13 @@
 	}
 	report := TermsReport{Service: w.worker.Service, Instance: w.worker.Instance, Terms: known, Source: source, Age: age}
 	w.plane.config.Observer.TermsChanged(report)
+	if known.Leaving && !before.Leaving {
+		w.plane.config.Leaving(w.incarnation())
+	}
 }
 
-// followTerms makes the queue follow changed terms. The mutex must be held.
+// followTerms makes the queue follow changed terms. A worker that leaves gets nothing that has not
+// started yet: other workers can still take that. The mutex must be held.
 func (w *workerClient) followTerms(before, known workers.Terms) {
 	switch {
 	case known.Limit == before.Limit:
@@ -87,6 +91,9 @@
 	default:
 		w.queue.RemoveLimit()
 	}
+	if known.Leaving {
+		w.queue.Close()
+	}
 	w.hasTerms.Store(known != workers.Terms{})
 }
 
@@ -110,6 +117,16 @@
 	return w.terms.Terms().Limit.Set
 }
 
+// leaves reports whether the worker has stated that it leaves.
+func (w *workerClient) leaves() bool {
+	if !w.hasTerms.Load() {
+		return false
+	}
+	w.mutex.Lock()
+	defer w.mutex.Unlock()
+	return w.terms.Terms().Leaving
+}
+
 // paced returns the failure of a request that found no room in time. Where the worker's limit may
 // be the reason, the retry time is the next turn that nobody else was given.
 func (w *workerClient) paced(err error) error {
--- a/internal/forwarding/terms_test.go
+++ b/internal/forwarding/terms_test.go
@@ -235,6 +235,23 @@
 	}
 }
 
+// TestNobodyWaitsForWorkersThatAllLeave has all copies of a service leave by their answers.
+func TestNobodyWaitsForWorkersThatAllLeave(t *testing.T) {
+	worker := startWorker(t)
+	worker.stateTerms("", true)
+	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
+	exchangeRecords(front, beside)
+	configure(t, ledgerRoutes, front, beside)
+	send(t, 1, front)
+	<-front.reports
+	if status, header, _ := get(t, front, "/read/1"); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
+		t.Errorf("status %d, %v", status, header)
+	}
+	if report := <-front.reports; report.Arrivals != 0 || report.Reason != outcome.NoWorker {
+		t.Errorf("%+v", report)
+	}
+}
+
 // TestWaitForALimitPasses looks at a limited endpoint some time after its report.
 func TestWaitForALimitPasses(t *testing.T) {
 	now := time.Now()
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -104,6 +104,9 @@
 	// rejections limits the log lines on invalid calls.
 	rejections *rate.Limiter
 
+	// commitments are the drain commitments that are being replicated.
+	commitments pendingCommitments
+
 	backgroundContext atomic.Pointer[context.Context]
 }
 
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -29,11 +29,33 @@
 		// A worker of an unknown service would take the address of the worker beside this node.
 		return workers.ErrInvalid.New("there is no service %q", heartbeat.Service)
 	}
-	change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
+	if !heartbeat.Draining {
+		change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
+		if err != nil {
+			return err
+		}
+		a.workerChanged(ctx, change, "heartbeat")
+		return nil
+	}
+	return a.commit(ctx, heartbeat.Instance, "heartbeat", func(now time.Time) (workers.Change, error) {
+		return a.config.Workers.Heartbeat(heartbeat, now)
+	})
+}
+
+// commit makes a drain commitment, which record enters in the registrations. When it returns nil
+// the commitment is kept, also when another call has made it.
+func (a *Agent) commit(ctx context.Context, instance, cause string, record func(now time.Time) (workers.Change, error)) error {
+	wait, end := a.commitments.begin(instance)
+	defer end()
+	change, err := record(time.Now())
 	if err != nil {
 		return err
 	}
-	a.workerChanged(ctx, change, "heartbeat")
+	if !change.Changed {
+		wait(ctx)
+		return nil
+	}
+	a.workerChanged(ctx, change, cause)
 	return nil
 }
 
@@ -61,12 +83,20 @@
 
 // Leave processes a worker's sign-off, like Heartbeat.
 func (a *Agent) Leave(ctx context.Context, incarnation workers.Incarnation) error {
-	change, err := a.config.Workers.Leave(incarnation, time.Now())
-	if err != nil {
-		return err
-	}
-	a.workerChanged(ctx, change, "sign-off")
-	return nil
+	return a.commit(ctx, incarnation.Instance, "sign-off", func(now time.Time) (workers.Change, error) {
+		return a.config.Workers.Leave(incarnation, now)
+	})
+}
+
+// WorkerLeaving processes that a worker states in its answers that it leaves. It returns at once:
+// the commitment is spread as if the worker had asked for it.
+func (a *Agent) WorkerLeaving(incarnation workers.Incarnation) {
+	a.background(func(ctx context.Context) {
+		// Without an error: the drain of a known worker is never rejected.
+		_ = a.commit(ctx, incarnation.Instance, "its answers", func(now time.Time) (workers.Change, error) {
+			return a.config.Workers.Drain(incarnation, now), nil
+		})
+	})
 }
 
 func (a *Agent) workerChanged(ctx context.Context, change workers.Change, cause string) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -123,6 +123,7 @@
 		Quota:      node.quotas,
 		// The agent is set below, before the first call can arrive.
 		Evidence: func(reports []quarantine.Report) { node.agent.ReportEvidence(reports) },
+		Leaving:  func(incarnation workers.Incarnation) { node.agent.WorkerLeaving(incarnation) },
 		Observer: telemetry.NewForwardingObserver(registry.Registerer(), log, logQueue.Drop),
 	})
 	controlListener, err := network.Listen(s.ControlAddress)
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -198,6 +198,18 @@
 	return r.commitToDrain(Worker{Instance: incarnation.Instance, StartedAt: incarnation.StartedAt, State: StateGone}, now), nil
 }
 
+// Drain records that a worker leaves, which its answers may state before its heartbeats do. A worker
+// that is not registered is left alone: nothing is sent to it.
+func (r *Registry) Drain(incarnation Incarnation, now time.Time) Change {
+	r.mutex.Lock()
+	defer r.mutex.Unlock()
+	held, known := r.workers[incarnation.Instance]
+	if !known || !held.Incarnation().Same(incarnation) {
+		return Change{}
+	}
+	return r.commitToDrain(Worker{Instance: incarnation.Instance, StartedAt: held.StartedAt, State: StateDraining}, now)
+}
+
 // Learn applies the drain commitments that a previous incarnation of the node has made.
 // It returns the registrations that changed.
 func (r *Registry) Learn(previous []Worker, now time.Time) []Worker {
--- a/pkg/workers/registry_test.go
+++ b/pkg/workers/registry_test.go
@@ -23,6 +23,37 @@
 	return change
 }
 
+func TestWorkerThatLeavesByItsAnswersIsNotReadyAgain(t *testing.T) {
+	registry, now := NewRegistry(time.Minute), time.Now()
+	heartbeat := Heartbeat{Instance: "i1", StartedAt: 7, Service: "s", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}
+	if change := registry.Drain(Incarnation{Instance: "i1"}, now); change.Changed {
+		t.Errorf("an unknown worker drains: %+v", change)
+	}
+	if _, err := registry.Heartbeat(heartbeat, now); err != nil {
+		t.Fatal(err)
+	}
+	if change := registry.Drain(Incarnation{Instance: "i1", StartedAt: 3}, now); change.Changed {
+		t.Errorf("another incarnation drains: %+v", change)
+	}
+	if change := registry.Drain(Incarnation{Instance: "i1", StartedAt: 7}, now); !change.Changed || change.Worker.State != StateDraining {
+		t.Errorf("%+v", change)
+	}
+	heartbeat.Sequence++
+	if _, err := registry.Heartbeat(heartbeat, now); err != nil {
+		t.Fatal(err)
+	}
+	if _, ready := registry.Ready("s"); ready {
+		t.Error("a later heartbeat undoes the drain")
+	}
+	heartbeat.StartedAt, heartbeat.Sequence = 9, 1
+	if _, err := registry.Heartbeat(heartbeat, now); err != nil {
+		t.Fatal(err)
+	}
+	if _, ready := registry.Ready("s"); !ready {
+		t.Error("the next incarnation is taken for one that leaves")
+	}
+}
+
 func TestLateHeartbeatNeverUndoesADrain(t *testing.T) {
 	r := NewRegistry(time.Minute)
 	mustHeartbeat(t, r, heartbeatOf("i1", 3, false), start)
