Keep the terms of a worker in one place for both call paths

The standalone mode needs the same order of answers, the same fast path for workers that state nothing, and the same alarm for the next start: TermsKeeper, TermsChange and pace.Alarm take the place of what the hosted mode had by itself.

--- a/internal/forwarding/fixture_test.go
+++ b/internal/forwarding/fixture_test.go
@@ -105,8 +105,8 @@
 	}
 }
 
-func (n *testNode) TermsChanged(TermsReport)      {}
-func (n *testNode) LimitUnreadable(string, error) {}
+func (n *testNode) TermsChanged(workers.TermsChange) {}
+func (n *testNode) LimitUnreadable(string, error)    {}
 
 // startNode starts a node beside a worker of the service; the worker may be nil.
 func startNode(t testing.TB, id, service string, worker *testWorker) *testNode {
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -174,7 +174,8 @@
 	if load.Interval > 0 && outcome.ReasonOf(err) == outcome.Overloaded {
 		load.NextStart = max(load.NextStart, outcome.RetryAfterOf(err))
 	}
-	if news, known := c.client.termsNews(load); known {
+	if news, known := c.client.terms.News(); known {
+		news.NextStart = load.NextStart
 		header[termsHeader] = []string{news.Encode()}
 	}
 }
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -16,21 +16,11 @@
 	// HopFinished reports how a call from another node ended here.
 	HopFinished(report CallReport)
 	// TermsChanged reports that what is known of the requests that a worker takes has changed.
-	TermsChanged(report TermsReport)
+	TermsChanged(change workers.TermsChange)
 	// LimitUnreadable reports that a worker beside this node names a limit that cannot be read.
 	LimitUnreadable(instance string, err error)
 }
 
-// TermsReport describes the known terms of a worker after they have changed.
-type TermsReport struct {
-	Service, Instance string
-	Terms             workers.Terms
-	// Source is the node that has told the terms; this node when the worker itself has.
-	Source string
-	// Age is how long ago the worker stated them to the source.
-	Age time.Duration
-}
-
 // CallReport describes how one call ended on one node.
 type CallReport struct {
 	// RequestID is the request id that the caller sent.
@@ -86,5 +76,5 @@
 func (noObserver) CallFinished(CallReport) {}
 func (noObserver) HopFinished(CallReport)  {}
 
-func (noObserver) TermsChanged(TermsReport)      {}
-func (noObserver) LimitUnreadable(string, error) {}
+func (noObserver) TermsChanged(workers.TermsChange) {}
+func (noObserver) LimitUnreadable(string, error)    {}
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -120,7 +120,7 @@
 // localLoad returns the load of this node's worker of a service.
 func (p *Plane) localLoad(service string) (slotqueue.Load, bool) {
 	client, err := p.local.find(service, workers.Incarnation{})
-	if err != nil || client.paused() || client.leaves() {
+	if err != nil || client.paused() || client.terms.Terms().Leaving {
 		return slotqueue.Load{}, false
 	}
 	return client.load(), true
--- a/internal/forwarding/terms.go
+++ b/internal/forwarding/terms.go
@@ -43,46 +43,31 @@
 	if err != nil {
 		w.plane.config.Observer.LimitUnreadable(w.worker.Instance, err)
 	}
-	usual := stated == workers.Terms{}
-	if usual && w.heardUsual.Load() && !w.hasTerms.Load() {
-		return
-	}
-	w.heardUsual.Store(usual)
-	w.updateTerms(w.plane.config.Node, 0, func(tracker *workers.TermsTracker) bool {
-		return tracker.Observe(stated, sentAt, time.Now())
-	})
+	before, known := w.terms.Observe(stated, sentAt)
+	w.reportTerms(before, known, w.plane.config.Node, 0)
 }
 
 // adoptTerms records what the node at an address tells of the worker.
 func (w *workerClient) adoptTerms(news workers.TermsNews, address string) {
-	w.updateTerms(address, news.Age, func(tracker *workers.TermsTracker) bool {
-		return tracker.Adopt(news.Terms, time.Now().Add(-news.Age))
-	})
+	before, known := w.terms.Adopt(news)
+	w.reportTerms(before, known, address, news.Age)
 }
 
-// updateTerms makes the queue follow the terms where update has changed them, and reports the
-// change.
-func (w *workerClient) updateTerms(source string, age time.Duration, update func(*workers.TermsTracker) bool) {
-	w.mutex.Lock()
-	before := w.terms.Terms()
-	changed := update(&w.terms)
-	known := w.terms.Terms()
-	if changed {
-		w.followTerms(before, known)
-	}
-	w.mutex.Unlock()
-	if !changed {
+// reportTerms reports terms that have changed.
+func (w *workerClient) reportTerms(before, known workers.Terms, source string, age time.Duration) {
+	if before == known {
 		return
 	}
-	report := TermsReport{Service: w.worker.Service, Instance: w.worker.Instance, Terms: known, Source: source, Age: age}
-	w.plane.config.Observer.TermsChanged(report)
+	w.plane.config.Observer.TermsChanged(workers.TermsChange{
+		Service: w.worker.Service, Instance: w.worker.Instance, Terms: known, Source: source, Age: age,
+	})
 	if known.Leaving && !before.Leaving {
 		w.plane.config.Leaving(w.incarnation())
 	}
 }
 
 // followTerms makes the queue follow changed terms. A worker that leaves gets nothing that has not
-// started yet: other workers can still take that. The mutex must be held.
+// started yet: other workers can still take that.
 func (w *workerClient) followTerms(before, known workers.Terms) {
 	switch {
 	case known.Limit == before.Limit:
@@ -94,43 +79,12 @@
 	if known.Leaving {
 		w.queue.Close()
 	}
-	w.hasTerms.Store(known != workers.Terms{})
-}
-
-// termsNews returns what other nodes are told of the worker; false when there is nothing to tell.
-func (w *workerClient) termsNews(load slotqueue.Load) (workers.TermsNews, bool) {
-	if !w.hasTerms.Load() {
-		return workers.TermsNews{}, false
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return workers.TermsNews{Terms: w.terms.Terms(), Age: time.Since(w.terms.StatedAt()), NextStart: load.NextStart}, true
-}
-
-// limited reports whether the worker names a limit.
-func (w *workerClient) limited() bool {
-	if !w.hasTerms.Load() {
-		return false
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.terms.Terms().Limit.Set
-}
-
-// leaves reports whether the worker has stated that it leaves.
-func (w *workerClient) leaves() bool {
-	if !w.hasTerms.Load() {
-		return false
-	}
-	w.mutex.Lock()
-	defer w.mutex.Unlock()
-	return w.terms.Terms().Leaving
 }
 
 // paced returns the failure of a request that found no room in time. Where the worker's limit may
 // be the reason, the retry time is the next turn that nobody else was given.
 func (w *workerClient) paced(err error) error {
-	if outcome.ReasonOf(err) != outcome.Overloaded || !w.limited() {
+	if outcome.ReasonOf(err) != outcome.Overloaded || !w.terms.Terms().Limit.Set {
 		return err
 	}
 	w.plane.limitRefusals.Add(1)
@@ -144,7 +98,7 @@
 	defer p.local.mutex.Unlock()
 	var count int
 	for _, client := range p.local.clients {
-		if client.limited() {
+		if client.terms.Terms().Limit.Set {
 			count++
 		}
 	}
@@ -171,7 +125,7 @@
 	p := o.call.plane
 	known, changed := p.terms.Observe(e.incarnation(), news.Terms, sentAt, time.Now())
 	if changed {
-		p.config.Observer.TermsChanged(TermsReport{
+		p.config.Observer.TermsChanged(workers.TermsChange{
 			Service: o.destination.service, Instance: e.instance, Terms: known, Source: e.node, Age: news.Age,
 		})
 	}
--- a/internal/forwarding/terms_test.go
+++ b/internal/forwarding/terms_test.go
@@ -166,7 +166,7 @@
 	}
 	worker.stateTerms("", false)
 	client.observeTerms(http.Header{}, time.Now())
-	if client.limited() {
+	if client.terms.Terms().Limit.Set {
 		t.Fatal("the limit has not ended")
 	}
 	if served, _ := send(t, 20, front); served != 20 {
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -58,8 +58,6 @@
 	idle      time.Duration
 	// reportedSlowness is the slowness that the worker reports in its answers.
 	reportedSlowness decayingMean
-	// terms are what the worker states about the requests that it takes.
-	terms workers.TermsTracker
 	// inheritedRequests is how many requests the worker is known to run for a previous
 	// incarnation of the node. They occupy slots: some workers that are given more than they can
 	// hold stop answering.
@@ -73,10 +71,8 @@
 	startedAt atomic.Int64
 	// replaced is set when another worker has answered at the address.
 	replaced atomic.Bool
-	// hasTerms is set while the worker names a limit or leaves: calls look no further otherwise.
-	hasTerms atomic.Bool
-	// heardUsual is set while the last answer has stated nothing.
-	heardUsual atomic.Bool
+	// terms are what the worker states about the requests that it takes.
+	terms *workers.TermsKeeper
 
 	// crashes distinguishes the end of the worker from the loss of one connection.
 	crashes *crashwatch.Watch
@@ -98,6 +94,7 @@
 		},
 	}
 	client.startedAt.Store(worker.StartedAt)
+	client.terms = workers.NewTermsKeeper(client.followTerms)
 	client.startWithLimit(worker.Limit)
 	client.transport = client.makeTransport(workerIdle, worker.Slots)
 	client.unshared = newTransport(p.config.Dial, workerIdle, noIdleConnections)
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -26,10 +26,10 @@
 // ForwardingObserver turns the reports of the call path of the hosted mode into
 // metrics and events.
 type ForwardingObserver struct {
-	log           *Log
-	limiter       *rate.Limiter
-	dropped       func()
-	terms         *termsLog
+	log     *Log
+	limiter *rate.Limiter
+	dropped func()
+	*termsLog
 	calls         *prometheus.CounterVec
 	hops          *prometheus.CounterVec
 	clientRetries *prometheus.CounterVec
@@ -52,7 +52,7 @@
 		log:           log,
 		limiter:       rate.NewLimiter(callLinesPerSecond, callLinesBurst),
 		dropped:       dropped,
-		terms:         newTermsLog(log),
+		termsLog:      newTermsLog(log),
 		calls:         prometheus.NewCounterVec(prometheus.CounterOpts{Name: "calls_total", Help: "Calls that began at this node, by service, outcome and reason."}, labels),
 		hops:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "hops_total", Help: "Calls of other nodes for the worker beside this one, by service, outcome and reason."}, labels),
 		clientRetries: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "returned_calls_total", Help: "Calls of callers that were refused before and came back, by service and outcome."}, []string{"service", labelOutcome}),
@@ -148,16 +148,6 @@
 	end(entry.Str(fieldError, causeText(report.Cause)))
 }
 
-// TermsChanged logs what has changed in the known terms of a worker.
-func (o *ForwardingObserver) TermsChanged(report forwarding.TermsReport) {
-	o.terms.changed(report.Service, report.Instance, report.Terms, report.Source, report.Age)
-}
-
-// LimitUnreadable logs that a worker names a limit that cannot be read.
-func (o *ForwardingObserver) LimitUnreadable(instance string, err error) {
-	o.terms.unreadable(instance, err)
-}
-
 func (o *ForwardingObserver) allowLine() bool {
 	if o.limiter.AllowN(time.Now(), 1) {
 		return true
--- a/internal/telemetry/terms.go
+++ b/internal/telemetry/terms.go
@@ -2,7 +2,6 @@
 
 import (
 	"sync"
-	"time"
 
 	"golang.org/x/time/rate"
 
@@ -20,14 +19,14 @@
 )
 
 // WorkerLimitChanged records a limit that a worker names, or that it names none any more.
-func (l *Log) WorkerLimitChanged(service, instance string, limit workers.Limit, source string, age time.Duration) {
-	end(l.begin(eventWorkerLimit).Str("instance", instance).Str("service", service).Str("limit", limit.String()).
-		Str("source", source).Int64("age_milliseconds", age.Milliseconds()))
+func (l *Log) WorkerLimitChanged(change workers.TermsChange) {
+	end(l.begin(eventWorkerLimit).Str("instance", change.Instance).Str("service", change.Service).Str("limit", change.Terms.Limit.String()).
+		Str("source", change.Source).Int64("age_milliseconds", change.Age.Milliseconds()))
 }
 
 // WorkerLeaving records that a worker states that it leaves.
-func (l *Log) WorkerLeaving(service, instance, source string) {
-	end(l.begin(eventWorkerLeaving).Str("instance", instance).Str("service", service).Str("source", source))
+func (l *Log) WorkerLeaving(change workers.TermsChange) {
+	end(l.begin(eventWorkerLeaving).Str("instance", change.Instance).Str("service", change.Service).Str("source", change.Source))
 }
 
 // WorkerLimitUnreadable records that a worker names a limit that cannot be read.
@@ -55,26 +54,26 @@
 	}
 }
 
-// changed logs what differs from the terms of the worker that were logged last.
-func (t *termsLog) changed(service, instance string, terms workers.Terms, source string, age time.Duration) {
+// TermsChanged logs what differs from the terms of the worker that were logged last.
+func (t *termsLog) TermsChanged(change workers.TermsChange) {
 	t.mu.Lock()
-	before := t.known[instance]
-	if terms == (workers.Terms{}) {
-		delete(t.known, instance)
+	before := t.known[change.Instance]
+	if change.Terms == (workers.Terms{}) {
+		delete(t.known, change.Instance)
 	} else {
-		t.known[instance] = terms
+		t.known[change.Instance] = change.Terms
 	}
 	t.mu.Unlock()
-	if before.Limit != terms.Limit && t.changeLines.Allow() {
-		t.log.WorkerLimitChanged(service, instance, terms.Limit, source, age)
+	if before.Limit != change.Terms.Limit && t.changeLines.Allow() {
+		t.log.WorkerLimitChanged(change)
 	}
-	if !before.Leaving && terms.Leaving && t.changeLines.Allow() {
-		t.log.WorkerLeaving(service, instance, source)
+	if !before.Leaving && change.Terms.Leaving && t.changeLines.Allow() {
+		t.log.WorkerLeaving(change)
 	}
 }
 
-// unreadable logs a limit that cannot be read.
-func (t *termsLog) unreadable(instance string, err error) {
+// LimitUnreadable logs a limit that cannot be read.
+func (t *termsLog) LimitUnreadable(instance string, err error) {
 	if t.unreadableLines.Allow() {
 		t.log.WorkerLimitUnreadable(instance, err)
 	}
--- a/pkg/slotqueue/limit.go
+++ b/pkg/slotqueue/limit.go
@@ -18,7 +18,7 @@
 	} else {
 		q.pacer.SetRate(perSecond, now)
 	}
-	q.stopPaceTimer()
+	q.paceAlarm.Stop()
 	q.refuseBeyondLimit(now)
 	q.startWaiting(now)
 }
@@ -27,7 +27,7 @@
 func (q *Queue) RemoveLimit() {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.stopPaceTimer()
+	q.paceAlarm.Stop()
 	q.pacer = nil
 	q.startWaiting(time.Now())
 }
@@ -67,26 +67,10 @@
 	return time.Duration(float64(wait) / (1 - q.overtakingShare(rank)))
 }
 
-// stopPaceTimer stops the timer of startAtNextPace. The mutex is held.
-func (q *Queue) stopPaceTimer() {
-	if q.paceTimer != nil {
-		q.paceTimer.Stop()
-		q.paceTimer = nil
-	}
-}
-
-// startAtNextPace starts waiting requests again when the limit allows the next start. The mutex is
-// held.
-func (q *Queue) startAtNextPace(now time.Time) {
-	if q.paceTimer != nil {
-		return
-	}
-	q.paceTimer = time.AfterFunc(max(q.pacer.Wait(0, now), time.Microsecond), q.continueAtPace)
-}
-
+// continueAtPace starts waiting requests once the limit allows the next start.
 func (q *Queue) continueAtPace() {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	q.paceTimer = nil
+	q.paceAlarm.Rung()
 	q.startWaiting(time.Now())
 }
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -61,10 +61,10 @@
 	// recheckTimer is the timer after which the queue checks again whether to withhold a
 	// slot.
 	recheckTimer *time.Timer
-	// pacer spaces the starts where the worker limits them; nil where it does not. paceTimer is
-	// the timer after which waiting requests are started that the limit has held up.
+	// pacer spaces the starts where the worker limits them; nil where it does not. paceAlarm is
+	// set while it holds waiting requests up.
 	pacer     *pace.Pacer
-	paceTimer *time.Timer
+	paceAlarm pace.Alarm
 	// remainingScratch is the memory that expectedWait reuses for remaining times.
 	remainingScratch []time.Duration
 }
@@ -310,7 +310,7 @@
 	defer q.refuseOverdue(now)
 	for len(q.running) < q.slots && q.waiting.count > 0 {
 		if !q.pacer.Ready(now) {
-			q.startAtNextPace(now)
+			q.paceAlarm.Set(q.pacer.Wait(0, now), q.continueAtPace)
 			return
 		}
 		if q.holdBack(now) {
@@ -348,7 +348,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.closed = true
-	q.stopPaceTimer()
+	q.paceAlarm.Stop()
 	for q.waiting.count > 0 {
 		w := q.waiting.next(time.Now())
 		w.refusal = ErrClosed.New("the worker takes no more requests")
--- a/pkg/workers/terms.go
+++ b/pkg/workers/terms.go
@@ -104,14 +104,17 @@
 // count more: once one was observed, nothing is adopted. It reports whether the known terms have
 // changed.
 func (t *TermsTracker) Adopt(told Terms, learnedAt time.Time) (changed bool) {
-	if t.heard || !told.Limit.Set || told.Limit == t.terms.Limit {
+	if t.heard {
 		return false
 	}
-	if t.terms.Limit.Set && !learnedAt.After(t.statedAt) {
-		return false
+	before := t.terms
+	if told.Limit.Set && (!t.terms.Limit.Set || learnedAt.After(t.statedAt)) {
+		t.terms.Limit, t.statedAt = told.Limit, learnedAt
 	}
-	t.terms.Limit, t.statedAt = told.Limit, learnedAt
-	return true
+	if told.Leaving {
+		t.terms.Leaving, t.leftAt = true, learnedAt
+	}
+	return t.terms != before
 }
 
 // Terms returns the known terms.
--- a/pkg/workers/termsnews.go
+++ b/pkg/workers/termsnews.go
@@ -27,6 +27,16 @@
 	NextStart time.Duration
 }
 
+// TermsChange describes the known terms of a worker after they have changed.
+type TermsChange struct {
+	Service, Instance string
+	Terms             Terms
+	// Source is the node that has told the terms; this node when the worker itself has.
+	Source string
+	// Age is how long ago the worker stated them to the source.
+	Age time.Duration
+}
+
 // Encode returns the news as the value of a header.
 func (n TermsNews) Encode() string {
 	leaving := ""
