Keep limits and leaving of workers in the standalone mode, too

A worker states Levertide-Worker-Limit and Levertide-Worker-Leaving; the node beside it paces the gate with the same pace.Pacer, tells other nodes with each answer, and is told by them after a start. Health probes, one a second, are not counted: they stay within the five requests by which any limit may be exceeded; their answers are read, so that a worker that gets nothing, or starts again at its address, is not taken for limited or leaving for ever.

--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -103,7 +103,7 @@
 		supervisor.Add(d.certificates)
 	}
 	if d.settings.WorkerAddress != "" {
-		supervisor.Add(newWorkerProbe(d.settings.WorkerAddress, d.plane.WorkerStarted, d.log))
+		supervisor.Add(newWorkerProbe(d.settings.WorkerAddress, d.plane.ObserveWorker, d.plane.WorkerStarted, d.log))
 	}
 	return supervisor
 }
--- a/internal/daemon/network_test.go
+++ b/internal/daemon/network_test.go
@@ -8,6 +8,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"testing"
+	"time"
 
 	"github.com/levertide/levertide/internal/telemetry"
 )
@@ -102,7 +103,7 @@
 }
 
 func TestWorkerProbeReportsRestart(t *testing.T) {
-	healthy, starts := true, 0
+	healthy, starts, answers := true, 0, 0
 	worker := httptest.NewServer(http.HandlerFunc(func(writer http.ResponseWriter, _ *http.Request) {
 		if !healthy {
 			writer.WriteHeader(http.StatusServiceUnavailable)
@@ -110,11 +111,14 @@
 	}))
 	defer worker.Close()
 	log := telemetry.NewLog(io.Discard, "n", telemetry.LevelInfo)
-	probe := newWorkerProbe(worker.Listener.Addr().String(), func() { starts++ }, log)
+	probe := newWorkerProbe(worker.Listener.Addr().String(), func(http.Header, time.Time) { answers++ }, func() { starts++ }, log)
 	for _, healthy = range []bool{true, false, false, true, true} {
 		probe.update(probe.probe(t.Context()))
 	}
 	if starts != 1 {
 		t.Errorf("%d restarts were reported, want 1", starts)
 	}
+	if answers != 5 {
+		t.Errorf("%d answers were reported, want those of 5 probes", answers)
+	}
 }
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -19,9 +19,12 @@
 
 // workerProbe polls the worker's health endpoint. The result is only a hint: changes
 // are written to the event log, and a worker that is healthy again begins its slow
-// start. It is a suture service.
+// start. Its answers also state which requests the worker takes, while it gets none: one probe
+// a second stays within what any limit may be exceeded by. It is a suture service.
 type workerProbe struct {
 	url string
+	// onAnswer is called with the header of each answer, and when the probe was sent.
+	onAnswer func(header http.Header, sentAt time.Time)
 	// onRestart is called when the worker is healthy again.
 	onRestart func()
 	log       *telemetry.Log
@@ -31,9 +34,10 @@
 	healthy bool
 }
 
-func newWorkerProbe(address string, started func(), log *telemetry.Log) *workerProbe {
+func newWorkerProbe(address string, answered func(header http.Header, sentAt time.Time), started func(), log *telemetry.Log) *workerProbe {
 	return &workerProbe{
 		url:       "http://" + address + probePath,
+		onAnswer:  answered,
 		onRestart: started,
 		log:       log,
 		client:    &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
@@ -59,11 +63,13 @@
 	if err != nil {
 		return false, err.Error()
 	}
+	sentAt := time.Now()
 	response, err := p.client.Do(request)
 	if err != nil {
 		return false, err.Error()
 	}
 	defer response.Body.Close()
+	p.onAnswer(response.Header, sentAt)
 	_, _ = io.CopyN(io.Discard, response.Body, probeBodyBytes)
 	return response.StatusCode == http.StatusOK, fmt.Sprintf("status %d", response.StatusCode)
 }
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -161,7 +161,7 @@
 	transport := c.plane.peers.get(endpoint.ID, endpoint.Address)
 	trip := roundTrip{
 		transport: transport.Transport,
-		request:   c.peerRequest(endpoint.Address),
+		request:   c.peerRequest(endpoint),
 		body:      c.body,
 		relay:     &c.relay,
 	}
@@ -177,7 +177,9 @@
 		c.plane.peers.retire(endpoint.Address)
 	}
 	observed.Latency = time.Since(began)
-	if err := failureOf(response, observed.LoadKnown); err != nil {
+	err = failureOf(response, observed.LoadKnown)
+	observed.Draining = c.observeTerms(endpoint, response.Header, err == nil, began) || observed.Draining
+	if err != nil {
 		discard(response)
 		transport.callEnded()
 		observed.Outcome = balancerOutcome(err)
@@ -187,7 +189,7 @@
 }
 
 // peerRequest returns the request to another node, without its body.
-func (c *callerCall) peerRequest(address string) *http.Request {
+func (c *callerCall) peerRequest(endpoint balance.Endpoint) *http.Request {
 	header := outgoingHeader(c.request)
 	header[routeHeader] = []string{c.route.Name}
 	header[retry.AttemptsLeftHeader] = []string{c.attemptAllowance.String()}
@@ -195,7 +197,8 @@
 		header[retry.DeadlineHeader] = []string{retry.FormatDeadline(left)}
 	}
 	setTenant(header, c.tenant)
-	c.plane.addEvidence(header, address)
+	c.setTerms(header, endpoint)
+	c.plane.addEvidence(header, endpoint.Address)
 	if c.body.streamed {
 		// A long body is held back until the other node has admitted the request.
 		header["Expect"] = []string{expectContinue}
@@ -207,7 +210,7 @@
 	if c.plane.config.PeerTLS != nil {
 		scheme = schemeEncrypted
 	}
-	return outgoingRequest(c.request, scheme, address, header)
+	return outgoingRequest(c.request, scheme, endpoint.Address, header)
 }
 
 // readStatusHeaders reads the load and the draining state that another node reports.
--- a/internal/dataplane/observer.go
+++ b/internal/dataplane/observer.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // Observer is notified of what happens to calls. Its methods are called from many
@@ -22,6 +23,11 @@
 	DrainStarted(inFlight int)
 	// DrainFinished reports how the drain ended.
 	DrainFinished(report DrainReport)
+	// TermsChanged reports that what is known of the requests that a worker takes has changed. The
+	// instance is the node beside the worker.
+	TermsChanged(change workers.TermsChange)
+	// LimitUnreadable reports that the worker of a node names a limit that cannot be read.
+	LimitUnreadable(node string, err error)
 }
 
 // CallReport describes how one call ended.
@@ -53,3 +59,6 @@
 func (noObserver) RuntimeRejected(uint64, error) {}
 func (noObserver) DrainStarted(int)              {}
 func (noObserver) DrainFinished(DrainReport)     {}
+
+func (noObserver) TermsChanged(workers.TermsChange) {}
+func (noObserver) LimitUnreadable(string, error)    {}
--- a/internal/dataplane/peer.go
+++ b/internal/dataplane/peer.go
@@ -59,6 +59,7 @@
 	}
 	c.tenant = c.request.Header.Get(tenantHeader)
 	c.plane.receiveEvidence(c.request.Header)
+	c.plane.worker.adoptTerms(c.request.Header, c.request.RemoteAddr)
 	level, quarantined := c.quarantineLevel()
 	if quarantined {
 		return nil, outcome.New(outcome.Quarantined)
@@ -118,6 +119,9 @@
 	if c.plane.draining.Load() {
 		header[drainingHeader] = []string{drainingMark}
 	}
+	if c.plane.worker != nil {
+		c.plane.worker.setTerms(header)
+	}
 }
 
 // load returns the worker's load in thousandths.
--- a/internal/dataplane/plane.go
+++ b/internal/dataplane/plane.go
@@ -10,6 +10,7 @@
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/snapshot"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // Plane forwards the calls of one node. Use New.
@@ -28,6 +29,8 @@
 	peers        *peerPool
 	evidenceSent evidenceSendTimes
 	worker       *workerClient
+	// terms are those of workers beside other nodes.
+	terms workers.TermsTable
 
 	callerCalls inFlight
 	peerCalls   inFlight
--- a/internal/dataplane/terms_test.go
+++ b/internal/dataplane/terms_test.go
@@ -6,6 +6,8 @@
 	"sync/atomic"
 	"testing"
 	"time"
+
+	"github.com/levertide/levertide/pkg/membership"
 )
 
 // sendMany sends requests, many at a time, and returns how long that took.
@@ -66,3 +68,42 @@
 		t.Errorf("a worker that leaves got %d requests", got.Load())
 	}
 }
+
+// TestLimitOutlivesTheNodeBesideTheWorker starts the node beside a limited worker again: the node
+// that knows the limit tells it.
+func TestLimitOutlivesTheNodeBesideTheWorker(t *testing.T) {
+	const perSecond = 5
+	var got atomic.Int64
+	worker := listen(t, func(w http.ResponseWriter, _ *http.Request) {
+		got.Add(1)
+		w.Header().Set("Levertide-Worker-Limit", "5")
+	})
+	m := newMesh(t)
+	m.addWorker("a", worker)
+	m.call(http.MethodGet, "/read", "").expect(t, http.StatusOK, "")
+	after := m.start("a", worker)
+	m.table.Merge(membership.Record{
+		ID: "a", Incarnation: 2, Region: "region", Zone: "zone", Service: testService, CallAddress: after.peers.Listener.Addr().String(),
+	})
+	m.directory.Store(m.table.View())
+	got.Store(0)
+	took := m.sendMany(200)
+	if most := int64(1.5*perSecond*took.Seconds() + 5); got.Load() > most {
+		t.Errorf("the worker got %d requests in %v after its node had started again, allowed %d", got.Load(), took, most)
+	}
+	if after.watch.peerReports() == 0 {
+		t.Error("the run shows nothing: the new node got no call")
+	}
+}
+
+// TestWorkerThatStartsAgainIsNotLeaving lets a health probe tell that the worker takes requests again.
+func TestWorkerThatStartsAgainIsNotLeaving(t *testing.T) {
+	m := newMesh(t)
+	node := m.addHandler("a", func(http.ResponseWriter, *http.Request) {})
+	node.plane.ObserveWorker(http.Header{"Levertide-Worker-Leaving": {"1"}, "Levertide-Worker-Limit": {"nonsense"}}, time.Now())
+	m.call(http.MethodGet, "/read", "").expect(t, http.StatusServiceUnavailable, "not-run")
+	node.plane.ObserveWorker(http.Header{}, time.Now())
+	second := newMesh(t)
+	second.join("a", node.peers.Listener.Addr().String())
+	second.call(http.MethodGet, "/read", "").expect(t, http.StatusOK, "")
+}
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -12,6 +12,7 @@
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/routing"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // refusedRetryAfter is the Retry-After of the answer after the worker itself
@@ -25,9 +26,14 @@
 // workerClient sends requests from this node to its worker.
 type workerClient struct {
 	address string
+	// node and service are those of the node beside the worker.
+	node, service string
+	observer      Observer
 	// makeTransport returns a transport that opens at most the given number of connections.
 	makeTransport func(connections int) *http.Transport
 	gate          *admission.Gate
+	// terms are what the worker states about the requests that it takes.
+	terms *workers.TermsKeeper
 	// crashes distinguishes the end of the worker from the loss of one connection.
 	crashes *crashwatch.Watch
 
@@ -42,10 +48,14 @@
 func newWorkerClient(config *Config) *workerClient {
 	w := &workerClient{
 		address:       config.WorkerAddress,
+		node:          config.Node,
+		service:       config.Service,
+		observer:      config.Observer,
 		makeTransport: func(connections int) *http.Transport { return newWorkerTransport(config, connections) },
 		gate:          admission.New(admission.Options{}),
 		crashes:       crashwatch.New(config.Dial),
 	}
+	w.terms = workers.NewTermsKeeper(w.followTerms)
 	w.limitConnections(admission.Options{})
 	return w
 }
@@ -179,6 +189,7 @@
 		}
 		return nil, err
 	}
+	w.observeTerms(response.Header, began)
 	return w.acceptResponse(call, response, permit, time.Since(began))
 }
 
--- a/internal/telemetry/calls.go
+++ b/internal/telemetry/calls.go
@@ -15,7 +15,8 @@
 // CallObserver turns the reports of the data plane into metrics and events. Single
 // calls are counted, never logged.
 type CallObserver struct {
-	log       *Log
+	log *Log
+	*termsLog
 	calls     *prometheus.CounterVec
 	peerCalls *prometheus.CounterVec
 	attempts  prometheus.Counter
@@ -30,6 +31,7 @@
 	labels := []string{labelOutcome, labelReason}
 	observer := &CallObserver{
 		log:       log,
+		termsLog:  newTermsLog(log),
 		calls:     prometheus.NewCounterVec(prometheus.CounterOpts{Name: "calls_total", Help: "Calls from callers, by outcome and reason."}, labels),
 		peerCalls: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "peer_calls_total", Help: "Calls from other nodes for the worker of this one, by outcome and reason."}, labels),
 		attempts:  prometheus.NewCounter(prometheus.CounterOpts{Name: "call_attempts_total", Help: "Nodes asked on behalf of callers."}),
--- a/pkg/admission/errors.go
+++ b/pkg/admission/errors.go
@@ -26,7 +26,10 @@
 	ReasonDeadline Reason = "deadline"
 	// ReasonCanceled: the caller canceled the request while it waited.
 	ReasonCanceled Reason = "canceled"
-	// ReasonDraining: the worker or its node is draining.
+	// ReasonLimited: the worker takes only so many requests per second, and the request's turn
+	// would come too late.
+	ReasonLimited Reason = "limited"
+	// ReasonDraining: the worker or its node is draining, or the worker leaves.
 	ReasonDraining Reason = "draining"
 )
 
--- a/pkg/admission/gate.go
+++ b/pkg/admission/gate.go
@@ -5,6 +5,8 @@
 	"errors"
 	"sync"
 	"time"
+
+	"github.com/levertide/levertide/pkg/pace"
 )
 
 const (
@@ -35,6 +37,9 @@
 	warmUntil   time.Time // zero when the worker is warm
 	serviceTime float64   // seconds, moving average
 	draining    bool
+	leaving     bool          // the worker itself refuses new requests
+	pacer       *pace.Pacer   // nil where the worker takes any number per second
+	paceAlarm   pace.Alarm    // set while pacer holds waiters up
 	idle        chan struct{} // closed when draining and no request is left; nil unless waited for
 	counts      Counts
 }
@@ -73,14 +78,14 @@
 		return Permit{}, g.shed(contextReason(err))
 	}
 	g.mutex.Lock()
-	if g.draining {
+	if g.draining || g.leaving {
 		return Permit{}, g.unlockAndShed(ReasonDraining)
 	}
 	if !g.warmUntil.IsZero() {
 		g.refreshLimit()
 		g.dispatch()
 	}
-	if g.inFlight < g.limit {
+	if g.ready() {
 		permit := g.take()
 		g.mutex.Unlock()
 		return permit, nil
@@ -92,7 +97,12 @@
 // useless or the queue is full. It is called with the mutex held and returns with it
 // released.
 func (g *Gate) enqueue(ctx context.Context, priority Priority) (Permit, error) {
-	g.adaptive.markReached()
+	if g.beyondLimit(ctx, priority) {
+		return Permit{}, g.unlockAndShed(ReasonLimited)
+	}
+	if g.inFlight >= g.limit {
+		g.adaptive.markReached()
+	}
 	wait, reason := g.waitBound(ctx, priority)
 	if wait <= 0 {
 		return Permit{}, g.unlockAndShed(reason)
@@ -102,6 +112,9 @@
 	}
 	w := g.waiters.get(priority, wait)
 	g.queue.push(w)
+	if g.pacer != nil {
+		g.dispatch()
+	}
 	g.mutex.Unlock()
 	return g.await(ctx, w, reason)
 }
@@ -128,7 +141,7 @@
 func (g *Gate) expectedWait(priority Priority) time.Duration {
 	ahead := float64(g.queue.ahead(priority))
 	seconds := ahead * g.serviceTime / float64(g.limit)
-	return time.Duration(seconds * float64(time.Second))
+	return max(time.Duration(seconds*float64(time.Second)), g.pacedWait(priority))
 }
 
 // displace frees a place in a full queue by refusing a waiter of lower priority.
@@ -170,10 +183,13 @@
 // the waiter back into the pool. It is called with the mutex held and returns with it
 // released.
 func (g *Gate) settle(w *waiter) (Permit, error) {
-	permit, displaced := w.permit, w.verdict == verdictDisplaced
+	permit, decided := w.permit, w.verdict
 	g.waiters.put(w)
-	if displaced {
+	switch decided {
+	case verdictDisplaced:
 		return Permit{}, g.unlockAndShed(ReasonDisplaced)
+	case verdictLeaving:
+		return Permit{}, g.unlockAndShed(ReasonDraining)
 	}
 	g.mutex.Unlock()
 	return permit, nil
@@ -183,6 +199,9 @@
 // slot free.
 func (g *Gate) take() Permit {
 	g.inFlight++
+	if g.pacer != nil {
+		g.pacer.Take(g.now())
+	}
 	g.counts.Admitted++
 	return g.permits.take(g)
 }
@@ -212,10 +231,14 @@
 // dispatch gives free slots to waiters, the highest priority first.
 func (g *Gate) dispatch() {
 	for g.inFlight < g.limit {
-		w := g.queue.popFirst()
-		if w == nil {
+		if g.queue.length == 0 {
+			return
+		}
+		if g.pacer != nil && !g.pacer.Ready(g.now()) {
+			g.paceAlarm.Set(g.pacer.Wait(0, g.now()), g.continueAtPace)
 			return
 		}
+		w := g.queue.popFirst()
 		w.permit = g.take()
 		w.decide(verdictGranted)
 	}
@@ -223,14 +246,18 @@
 
 // Load returns how busy the gate is, from 0 to 1. Up to SlotsFullLoad it grows with
 // the share of slots taken, above that with the share of the queue taken. A
-// draining gate returns 1.
+// draining gate returns 1, and so does one whose worker refuses. One that its limit holds up has no
+// slot to give.
 func (g *Gate) Load() float64 {
 	g.mutex.Lock()
 	defer g.mutex.Unlock()
-	if g.draining {
+	if g.draining || g.leaving {
 		return 1
 	}
 	load := SlotsFullLoad * min(float64(g.inFlight)/float64(g.limit), 1)
+	if g.pacer != nil && !g.pacer.Ready(g.now()) {
+		load = SlotsFullLoad
+	}
 	if g.options.Queue > 0 {
 		load += (1 - SlotsFullLoad) * float64(g.queue.length) / float64(g.options.Queue)
 	}
@@ -257,17 +284,21 @@
 
 func (g *Gate) unlockAndShed(reason Reason) error {
 	g.counts.Shed++
-	after := g.retryAfter()
+	after := g.retryAfter(reason)
 	g.mutex.Unlock()
 	return newShed(reason, after)
 }
 
-// retryAfter estimates when the present queue will have been served.
-func (g *Gate) retryAfter() time.Duration {
-	if g.draining {
+// retryAfter estimates when the present queue will have been served. Where the worker has a limit,
+// each of those that are refused gets a turn of its own.
+func (g *Gate) retryAfter(reason Reason) time.Duration {
+	if g.draining || g.leaving {
 		return maximumRetryAfter
 	}
 	expected := g.expectedWait(PriorityLow)
+	if g.pacer != nil && reason != ReasonCanceled {
+		expected = max(expected, g.pacer.Turn(g.now()))
+	}
 	return min(max(expected, minimumRetryAfter), maximumRetryAfter)
 }
 
--- a/pkg/admission/queue.go
+++ b/pkg/admission/queue.go
@@ -9,6 +9,7 @@
 	verdictNone verdict = iota
 	verdictGranted
 	verdictDisplaced
+	verdictLeaving
 )
 
 // waiter is one request in the queue. Its fields are guarded by the gate's mutex;
