Draw limits and leaves by answers in the soak

Two new faults: a worker names one to three limits, one after the other, and a worker leaves by its answers while its heartbeats say that it serves, both together with all others.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -85,10 +85,12 @@
 	if key != "" {
 		request.Header.Set(dialect.Key.Header, dialect.Key.Scheme+" "+key)
 	}
+	m.ledger.terms.recordSent(id, m.id, time.Now())
 	response, err := client.Do(request)
 	if err != nil {
 		return 0, "", err
 	}
+	m.ledger.terms.recordAnswer(m.id, response.Header, time.Now())
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
 	return response.StatusCode, string(body), err
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -56,7 +56,7 @@
 }
 
 // faultKinds is how many kinds of faults there are.
-const faultKinds = 20
+const faultKinds = 22
 
 // injectKind injects a fault of the given kind.
 func (f *faults) injectKind(ctx context.Context, kind int, target *machine, duration time.Duration) {
@@ -98,6 +98,10 @@
 		f.foreignEntries()
 	case 19:
 		f.onMachine(target, "leave of the worker, restore of the store from a copy, and crash of all nodes", func() { f.loseDrainCommitment(ctx, target) })
+	case 20:
+		f.limitWorker(ctx, target)
+	case 21:
+		f.onMachine(target, "leave of the worker by its answers", func() { f.leaveByAnswers(ctx, target) })
 	}
 }
 
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -36,6 +36,8 @@
 	drainCommitted map[string]time.Time
 	// crashing holds the crashing requests, by path.
 	crashing map[string]*crashingRequest
+	// terms checks the limits that workers name, and that they leave by their answers.
+	terms *termsLedger
 }
 
 func newLedger(seed uint64) *ledger {
@@ -43,7 +45,7 @@
 		report: Report{Seed: seed, Violations: []string{}},
 		runs:   map[string]int{}, refused: map[string]bool{}, repeatable: map[string]bool{},
 		firstDeadlines: map[string]time.Time{},
-		drainCommitted: map[string]time.Time{}, crashing: map[string]*crashingRequest{},
+		drainCommitted: map[string]time.Time{}, crashing: map[string]*crashingRequest{}, terms: newTermsLedger(),
 	}
 }
 
@@ -91,8 +93,12 @@
 
 // recordRun records that a worker has begun a request.
 func (l *ledger) recordRun(id, instance string, now time.Time) {
+	violation := l.terms.recordRun(id, instance, now)
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if violation != "" {
+		l.violate("%s", violation)
+	}
 	l.report.Runs++
 	l.runs[id]++
 	repeatable, known := l.repeatable[id]
--- a/internal/lab/soak/ledger_test.go
+++ b/internal/lab/soak/ledger_test.go
@@ -1,6 +1,8 @@
 package soak
 
 import (
+	"fmt"
+	"net/http"
 	"strings"
 	"testing"
 	"time"
@@ -37,6 +39,23 @@
 			l.recordDrainCommitment("w", now)
 			l.recordRun("a", "w", now.Add(drainSlack+time.Millisecond))
 		}, "after its leave was acknowledged"},
+		"more than a limit": {func(l *ledger) {
+			l.terms.beginLimit("w", 2, now)
+			told := now.Add(100 * time.Millisecond)
+			l.terms.recordAnswer("m", http.Header{instanceHeader: {"w"}, limitHeader: {"2"}}, told)
+			for n := range allowedIn(2) + 1 {
+				id := fmt.Sprint("limited-", n)
+				l.recordCall(id, true)
+				l.terms.recordSent(id, "m", told)
+				l.recordRun(id, "w", told.Add(limitGrace))
+			}
+		}, "with a limit of 2 a second, got 18 requests"},
+		"work for a worker that leaves by its answers": {func(l *ledger) {
+			l.recordCall("a", true)
+			l.terms.recordAnswer("m", http.Header{instanceHeader: {"w"}, leavingHeader: {"1"}}, now)
+			l.terms.recordSent("a", "m", now.Add(drainSlack+time.Millisecond))
+			l.recordRun("a", "w", now.Add(drainSlack+2*time.Millisecond))
+		}, "passed on that the worker leaves"},
 	} {
 		t.Run(name, func(t *testing.T) {
 			l := newLedger(1)
@@ -62,6 +81,19 @@
 	l.recordDrainCommitment("w", now)
 	l.recordCall("on its way", false)
 	l.recordRun("on its way", "w", now.Add(drainSlack/2))
+	l.terms.beginLimit("limited", 2, now)
+	for n := range 100 {
+		// The machine has not been told, and then has started again.
+		id := fmt.Sprint("untold-", n)
+		l.recordCall(id, true)
+		l.terms.recordSent(id, "m", now)
+		l.recordRun(id, "limited", now.Add(2*limitGrace))
+	}
+	l.terms.recordAnswer("m", http.Header{instanceHeader: {"limited"}, limitHeader: {"2"}, leavingHeader: {"1"}}, now)
+	l.terms.forget("m")
+	l.recordCall("told before", true)
+	l.terms.recordSent("told before", "m", now.Add(2*drainSlack))
+	l.recordRun("told before", "limited", now.Add(2*drainSlack))
 	if violations := l.result().Violations; len(violations) != 0 {
 		t.Errorf("violations %q", violations)
 	}
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -22,7 +22,7 @@
 // dialect names the headers that callers and workers of the soak use.
 var dialect = forwarding.Dialect{
 	RequestID: "X-Request", Timeout: "X-Timeout", CallerService: "X-Caller", ExpectInstance: "X-Expect", NotRun: "X-Not-Run",
-	Key: httpconn.KeyScheme{Header: "Authorization", Scheme: "Token"}, Tenant: "X-Tenant", Parent: parentOf, WorkerLoad: workerLoad,
+	Key: httpconn.KeyScheme{Header: "Authorization", Scheme: "Token"}, Tenant: "X-Tenant", Parent: parentOf, WorkerLoad: workerLoad, WorkerTerms: workerTerms,
 }
 
 // parentOf returns the id of the request for which a worker has made another one.
@@ -146,6 +146,7 @@
 		node.Abort()
 	}
 	<-ended
+	m.ledger.terms.forget(m.id)
 	m.mutex.Lock()
 	m.registrar = nil
 	m.mutex.Unlock()
@@ -170,10 +171,19 @@
 	if err != nil {
 		return nil, err
 	}
+	m.mutex.Lock()
 	m.worker = next
+	m.mutex.Unlock()
 	return before, nil
 }
 
+// currentWorker returns the worker of the machine; a fault may be replacing it.
+func (m *machine) currentWorker() *worker {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return m.worker
+}
+
 // ready reports whether the node's readiness probe reports that it accepts callers.
 func (m *machine) ready(client *http.Client) bool {
 	response, err := client.Get("http://" + m.probes)
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -75,6 +75,8 @@
 	Faults           int `json:"faults"`
 	Documents        int `json:"documents"`
 	DrainCommitments int `json:"promises"`
+	// Limits counts the limits that workers have named.
+	Limits int `json:"limits"`
 	// Crashes counts the workers that crashed under a crashing request, Quarantined the
 	// attempts of such requests that were refused as quarantined.
 	Crashes     int `json:"crashes"`
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -50,6 +50,10 @@
 	client  *http.Client
 	// runs counts the requests that the worker has begun to run.
 	runs atomic.Uint64
+	// limit is the limit that the worker names in its answers; nil when it names none.
+	limit atomic.Pointer[workers.Limit]
+	// leavingByAnswers has the worker state in its answers that it leaves.
+	leavingByAnswers atomic.Bool
 	// lostAnswerPercent is the percentage of answers that are lost after the run.
 	lostAnswerPercent atomic.Uint32
 	end               context.CancelFunc
@@ -97,6 +101,7 @@
 	time.Sleep(time.Duration(float64(w.runTime) * w.slowness.at(time.Now())))
 	out.Header().Set(dialect.RequestID, id)
 	w.slowness.report(out.Header(), time.Now())
+	w.stateTerms(out.Header())
 	if rand.Uint32N(100) < w.lostAnswerPercent.Load() {
 		panic(http.ErrAbortHandler)
 	}
