--- a/internal/lab/hostedstore/client.go
+++ b/internal/lab/hostedstore/client.go
@@ -111,8 +111,9 @@
 	}
 	bound := time.NewTimer(wait)
 	defer bound.Stop()
+	silenced := c.store.silencedWatches()
 	for {
-		if c.faultsInForce().Silent {
+		if c.faultsInForce().Silent || c.store.silencedWatches() != silenced {
 			// A watch that began before the fault gets no answer either.
 			<-ctx.Done()
 			return hosted.Watched{}, hosted.ErrUnanswered.New("the store is unresponsive")
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -71,6 +71,8 @@
 	granted  map[hosted.Lease]bool
 	// era counts the restores from a copy, starting at one.
 	era uint64
+	// silenced counts the calls of SilenceWatches.
+	silenced int
 	// latest is the operator's newest document; it survives a restore.
 	latest hosted.Document
 }
@@ -129,6 +131,22 @@
 	s.history = s.revision
 }
 
+// SilenceWatches makes the watches in progress hear nothing any more, and get no answer either, as
+// on connections that are lost without a reset.
+func (s *Store) SilenceWatches() {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	s.silenced++
+	s.wake()
+}
+
+// silencedWatches returns how often watches were silenced.
+func (s *Store) silencedWatches() int {
+	s.mutex.Lock()
+	defer s.mutex.Unlock()
+	return s.silenced
+}
+
 // EndLeases ends all leases and removes their entries.
 func (s *Store) EndLeases() {
 	s.mutex.Lock()
