End the long watches of readers when another node becomes the first

Cause: only the first of three readers asks the store each 0.8 s; the other two rely on watches of 5 s, and when those had gone silent and the first was cut off together with its successors, nobody asked. Now a watch ends when the order's first node changes, and the next one shows at once what the store holds. A try that ended the watch only at the node which itself became the first took up to 3.16 s: a successor takes that place first, and needs a second to find that it is cut off, too. Price: two watches more each time that the first reader changes.

--- a/internal/hosted/reader.go
+++ b/internal/hosted/reader.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -60,6 +61,9 @@
 	longestRetryPause = 20 * time.Second
 )
 
+// errOtherFirst is the cause of the end of a watch when another node has become the first reader.
+var errOtherFirst = errors.New("another node has become the first reader")
+
 // Reader watches the store while this node is one of its readers. It is a suture service.
 type Reader struct {
 	source    Source
@@ -153,11 +157,14 @@
 	}
 }
 
+// readers returns the nodes that read on behalf of all, the first one first.
+func (r *Reader) readers() []string {
+	return fleet.Readers(r.table.View(), r.contacts.Reachable, readerCount)
+}
+
 // isReader reports whether this node is one of those that read on behalf of all.
 func (r *Reader) isReader() bool {
-	view := r.table.View()
-	own := view.Self().ID
-	place := slices.Index(fleet.Readers(view, r.contacts.Reachable, readerCount), own)
+	place := slices.Index(r.readers(), r.table.View().Self().ID)
 	reads := place >= 0
 	r.first = place == 0
 	if reads != r.reads {
@@ -184,10 +191,7 @@
 	if r.ordersDue && !r.readOrders(ctx) {
 		return
 	}
-	wait := r.watchWait()
-	bounded, cancel := context.WithTimeout(ctx, wait+answerBound)
-	defer cancel()
-	watched, err := r.source.Watch(bounded, r.after, wait)
+	watched, err := r.watch(ctx)
 	switch {
 	case errorx.IsOfType(err, ErrHistoryGone):
 		r.after = Position{}
@@ -209,6 +213,45 @@
 	}
 }
 
+// watch makes one watch. That of a reader which is not the first ends, as if nothing had changed,
+// when another node becomes the first: the former one may have been cut off from the store, and
+// nobody would notice for as long as this watch lasts that its connection has gone silent.
+func (r *Reader) watch(ctx context.Context) (Watched, error) {
+	wait := r.watchWait()
+	bounded, cancel := context.WithTimeout(ctx, wait+answerBound)
+	defer cancel()
+	if r.first {
+		return r.source.Watch(bounded, r.after, wait)
+	}
+	watching, end := context.WithCancelCause(bounded)
+	defer end(nil)
+	go r.awaitOtherFirst(watching, end)
+	watched, err := r.source.Watch(watching, r.after, wait)
+	if err != nil && errors.Is(context.Cause(watching), errOtherFirst) {
+		return Watched{Next: r.after}, nil
+	}
+	return watched, err
+}
+
+// awaitOtherFirst ends a watch once another node has become the first reader, and returns at the
+// end of the context.
+func (r *Reader) awaitOtherFirst(watching context.Context, end context.CancelCauseFunc) {
+	first := firstOf(r.readers())
+	for watching.Err() == nil {
+		sleep(watching, roleInterval)
+		if firstOf(r.readers()) != first {
+			end(errOtherFirst)
+		}
+	}
+}
+
+func firstOf(readers []string) string {
+	if len(readers) == 0 {
+		return ""
+	}
+	return readers[0]
+}
+
 // read reads the full document. It reports whether the store answered.
 func (r *Reader) read(ctx context.Context) bool {
 	bounded, cancel := context.WithTimeout(ctx, answerBound)
