Give the nested calls of the soak ids of their own

Cause: the soak itself. A nested call was named after its parent and the count of runs at its worker; a parent that runs at two workers, as the fourth run of each, gives two calls one id, and the refusal of the second is held against the run of the first. Workers that crash begin to count anew, so it needs just this subtest. The id now names the worker, too, and the ledger reports two calls with one id.

--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -61,6 +61,9 @@
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
 	l.report.Calls++
+	if _, before := l.repeatable[id]; before {
+		l.violate("two calls have the id %s", id)
+	}
 	l.repeatable[id] = repeatable
 }
 
--- a/internal/lab/soak/ledger_test.go
+++ b/internal/lab/soak/ledger_test.go
@@ -6,6 +6,8 @@
 	"strings"
 	"testing"
 	"time"
+
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // TestLedgerDetectsEachViolation records, one at a time, the events that must never
@@ -16,8 +18,9 @@
 		enter func(l *ledger)
 		want  string
 	}{
-		"run twice":   {func(l *ledger) { l.recordCall("a", false); l.recordRun("a", "w", now); l.recordRun("a", "w", now) }, "ran 2 times"},
-		"run unasked": {func(l *ledger) { l.recordRun("a", "w", now) }, "no caller sent"},
+		"run twice":            {func(l *ledger) { l.recordCall("a", false); l.recordRun("a", "w", now); l.recordRun("a", "w", now) }, "ran 2 times"},
+		"one id for two calls": {func(l *ledger) { l.recordCall("a", true); l.recordCall("a", true) }, "two calls have the id"},
+		"run unasked":          {func(l *ledger) { l.recordRun("a", "w", now) }, "no caller sent"},
 		"run after refusal": {func(l *ledger) {
 			l.recordCall("a", true)
 			l.recordOutcome("a", statusRefused, "")
@@ -67,6 +70,19 @@
 	}
 }
 
+// TestNestedCallsOfOneParentHaveDifferentIDs makes the calls of two runs of a parent, each the fourth
+// one at its worker: with one id for both, a refusal of the second is taken for one of the first.
+func TestNestedCallsOfOneParentHaveDifferentIDs(t *testing.T) {
+	first := nestedID("request-20-161-3", workers.Incarnation{Instance: "node-1-0", StartedAt: 1}, 4)
+	second := nestedID("request-20-161-3", workers.Incarnation{Instance: "node-2-0", StartedAt: 1}, 4)
+	if first == second {
+		t.Errorf("both calls have the id %s", first)
+	}
+	if parent, nested := parentOf(first); !nested || parent != "request-20-161-3" {
+		t.Errorf("%s is a call of %q", first, parent)
+	}
+}
+
 func TestLedgerAcceptsWhatMayHappen(t *testing.T) {
 	l, now := newLedger(1), time.Unix(1000, 0)
 	l.recordCall("repeatable", true)
--- a/internal/lab/soak/tenants.go
+++ b/internal/lab/soak/tenants.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/levertide/levertide/pkg/model"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 const (
@@ -84,11 +85,17 @@
 	}
 }
 
+// nestedID returns the id of a call that a worker makes in a run for the given parent. It names the
+// worker: a parent may run at two workers, as the same one in the count of each.
+func nestedID(parent string, incarnation workers.Incarnation, run uint64) string {
+	return fmt.Sprintf("%s/%s-%d", parent, incarnation, run)
+}
+
 // callNested has the worker call another one for the request that it runs, through the node
 // beside it. The call needs no key of its own while its parent request runs.
 func (w *worker) callNested(ctx context.Context, m *machine, r *http.Request) {
 	began := time.Now()
-	id := fmt.Sprintf("%s/%d", r.Header.Get(dialect.RequestID), w.runs.Load())
+	id := nestedID(r.Header.Get(dialect.RequestID), w.incarnation, w.runs.Load())
 	w.ledger.recordCall(id, true)
 	status, body, err := send(ctx, w.client, m, http.MethodGet, r.URL.Path+nestedSuffix, id)
 	if err != nil {
