--- a/internal/dataplane/terms.go
+++ b/internal/dataplane/terms.go
@@ -61,13 +61,7 @@
 
 // followTerms makes the gate follow changed terms.
 func (w *workerClient) followTerms(before, known workers.Terms) {
-	switch {
-	case known.Limit == before.Limit:
-	case known.Limit.Set:
-		w.gate.SetLimit(known.Limit.PerSecond)
-	default:
-		w.gate.RemoveLimit()
-	}
+	workers.FollowLimit(w.gate, before.Limit, known.Limit)
 	w.gate.SetLeaving(known.Leaving)
 }
 
--- a/internal/forwarding/terms.go
+++ b/internal/forwarding/terms.go
@@ -69,13 +69,7 @@
 // followTerms makes the queue follow changed terms. A worker that leaves gets nothing that has not
 // started yet: other workers can still take that.
 func (w *workerClient) followTerms(before, known workers.Terms) {
-	switch {
-	case known.Limit == before.Limit:
-	case known.Limit.Set:
-		w.queue.SetLimit(known.Limit.PerSecond)
-	default:
-		w.queue.RemoveLimit()
-	}
+	workers.FollowLimit(w.queue, before.Limit, known.Limit)
 	if known.Leaving {
 		w.queue.Close()
 	}
--- a/internal/forwarding/terms_test.go
+++ b/internal/forwarding/terms_test.go
@@ -46,6 +46,17 @@
 	return node
 }
 
+// startPair starts a worker that states terms, the node beside it, and another one.
+func startPair(t *testing.T, limit string, leaving bool) (worker *testWorker, front, beside *testNode) {
+	t.Helper()
+	worker = startWorker(t)
+	worker.stateTerms(limit, leaving)
+	front, beside = startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
+	exchangeRecords(front, beside)
+	configure(t, ledgerRoutes, front, beside)
+	return worker, front, beside
+}
+
 // send sends requests to nodes in turn, many at a time, and returns how many were answered by a
 // worker, and how long it took.
 func send(t *testing.T, requests int, nodes ...*testNode) (served int, took time.Duration) {
@@ -114,11 +125,7 @@
 // TestWorkerThatLeavesByItsAnswersGetsNothingNew sends requests from two nodes after the worker has
 // stated that it leaves; its heartbeats say that it serves.
 func TestWorkerThatLeavesByItsAnswersGetsNothingNew(t *testing.T) {
-	worker := startWorker(t)
-	worker.stateTerms("", true)
-	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
-	exchangeRecords(front, beside)
-	configure(t, ledgerRoutes, front, beside)
+	worker, front, beside := startPair(t, "", true)
 	send(t, 2, front, beside)
 	worker.calls.Store(0)
 	beside.heartbeat(t, "w-beside", "ledger", worker, 2, false)
@@ -156,11 +163,7 @@
 // TestNodeThatHeardTheWorkerAdoptsNoOlderLimit ends a limit at the node beside the worker, while
 // another node still holds it.
 func TestNodeThatHeardTheWorkerAdoptsNoOlderLimit(t *testing.T) {
-	worker := startWorker(t)
-	worker.stateTerms("0.2", false)
-	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
-	exchangeRecords(front, beside)
-	configure(t, ledgerRoutes, front, beside)
+	worker, front, beside := startPair(t, "0.2", false)
 	send(t, 1, front)
 	client, err := beside.plane.local.find("ledger", workers.Incarnation{})
 	if err != nil {
@@ -218,11 +221,7 @@
 
 // TestLimitRefusesAtOnceWithTheTimeWhenRoomComes has all copies of a service limited.
 func TestLimitRefusesAtOnceWithTheTimeWhenRoomComes(t *testing.T) {
-	worker := startWorker(t)
-	worker.stateTerms("0.5", false)
-	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
-	exchangeRecords(front, beside)
-	configure(t, ledgerRoutes, front, beside)
+	_, front, _ := startPair(t, "0.5", false)
 	send(t, 1, front)
 	<-front.reports
 	request := callerRequest(t, front, http.MethodGet, "/short/1", nil)
@@ -239,11 +238,7 @@
 
 // TestNobodyWaitsForWorkersThatAllLeave has all copies of a service leave by their answers.
 func TestNobodyWaitsForWorkersThatAllLeave(t *testing.T) {
-	worker := startWorker(t)
-	worker.stateTerms("", true)
-	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
-	exchangeRecords(front, beside)
-	configure(t, ledgerRoutes, front, beside)
+	_, front, _ := startPair(t, "", true)
 	send(t, 1, front)
 	<-front.reports
 	if status, header, _ := get(t, front, "/read/1"); status != http.StatusServiceUnavailable || header.Get("Retry-After") == "" {
@@ -279,11 +274,7 @@
 // TestRefusalOfANodeThatKnowsNothingEndsNoLimit has the node beside a limited worker refuse a call
 // before it looks at the worker.
 func TestRefusalOfANodeThatKnowsNothingEndsNoLimit(t *testing.T) {
-	worker := startWorker(t)
-	worker.stateTerms("5", false)
-	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
-	exchangeRecords(front, beside)
-	configure(t, ledgerRoutes, front, beside)
+	_, front, beside := startPair(t, "5", false)
 	send(t, 1, front)
 	beside.plane.Stop()
 	if served, _ := send(t, 1, front); served != 0 {
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -74,35 +74,6 @@
 	return &Queue{slots: max(slots, 1), hold: initialHold, pace: 1, starts: map[int]float64{}}
 }
 
-// Load is the state of a queue at one moment.
-type Load struct {
-	Running, Waiting, Slots int
-	// Hold is the moving average of how long requests hold their slots.
-	Hold time.Duration
-	// Interval is the mean time between two starts that the worker's limit allows, and NextStart
-	// how long another request would wait for the limit; both zero where there is none.
-	Interval, NextStart time.Duration
-	// Transfer is how long a long body would wait before it could be sent over the link to
-	// the worker's machine. A queue does not know it; the owner of the link fills it in.
-	Transfer time.Duration
-	// Failing is the recent share of requests that failed at the worker, from 0 to 1. A
-	// queue does not know it either.
-	Failing float64
-	// Slowness is how long work takes at the worker at present, relative to the usual, as
-	// the worker itself reports; zero when it does not report it. A queue does not know it
-	// either.
-	Slowness float64
-}
-
-// Wait returns how long a request of the last rank would wait for a slot, and for the limit where
-// there is one.
-func (l Load) Wait() time.Duration {
-	if l.Running < l.Slots && (l.Waiting == 0 || l.Interval > 0) {
-		return l.NextStart
-	}
-	return max(time.Duration(l.Waiting+1)*l.Hold/time.Duration(l.Slots), l.NextStart)
-}
-
 // Wait returns how long a request of the last rank would wait now.
 func (q *Queue) Wait() time.Duration { return q.Load().Wait() }
 
@@ -355,36 +326,3 @@
 		close(w.concluded)
 	}
 }
-
-// Permit is the right to run one request. The zero value stands for none.
-type Permit struct {
-	queue *Queue
-	entry *entry
-}
-
-// Release frees the slot. observed states that the time for which it was held is
-// representative of the worker's speed.
-func (p Permit) Release(observed bool) {
-	if p.queue == nil {
-		return
-	}
-	now := time.Now()
-	q := p.queue
-	q.mutex.Lock()
-	defer q.mutex.Unlock()
-	if observed {
-		q.observe(p.entry, now.Sub(p.entry.startedAt))
-	}
-	q.releaseSlot(p.entry)
-}
-
-// observe updates hold and pace with the time for which a request has held its slot. The
-// mutex is held.
-func (q *Queue) observe(r *entry, held time.Duration) {
-	q.hold += time.Duration(holdWeight * float64(held-q.hold))
-	if r.Work == 0 {
-		return
-	}
-	pace := float64(held) / float64(r.Work)
-	q.pace += holdWeight * (min(max(pace, fastestPace), slowestPace) - q.pace)
-}
--- a/pkg/workers/termskeeper.go
+++ b/pkg/workers/termskeeper.go
@@ -19,6 +19,23 @@
 	tracker TermsTracker
 }
 
+// Paced is an admission that bounds how many requests it admits per second.
+type Paced interface {
+	SetLimit(perSecond float64)
+	RemoveLimit()
+}
+
+// FollowLimit makes an admission follow a limit that may have changed.
+func FollowLimit(admission Paced, before, known Limit) {
+	switch {
+	case known == before:
+	case known.Set:
+		admission.SetLimit(known.PerSecond)
+	default:
+		admission.RemoveLimit()
+	}
+}
+
 // NewTermsKeeper returns a keeper that knows of no terms. Follow must not call it.
 func NewTermsKeeper(follow func(before, known Terms)) *TermsKeeper {
 	return &TermsKeeper{follow: follow}
