Have a former reader ask on until the store answers

What operators saw: a node whose last word on the store is 402, for good, although the store answers. Now it does, with pauses of up to 5 s, until the store answers; nodes that never read still do not, so that a mesh which starts during an outage does not ask as one.

--- a/internal/control/reader.go
+++ b/internal/control/reader.go
@@ -42,8 +42,10 @@
 
 // readerState holds whether the node is to read the store, and the slot of its lease.
 type readerState struct {
-	wanted  bool
-	slot    int
+	wanted bool
+	slot   int
+	// hasRead is set once the node has read the store.
+	hasRead bool
 	changed broadcast
 }
 
@@ -76,6 +78,12 @@
 	for ctx.Err() == nil {
 		changed := n.reader.changed.wait()
 		if !n.readerWanted() {
+			if n.readUntilStoreFailed() {
+				n.askStore(ctx)
+				waitFor(ctx, changed, leaseBackoffBase/2+pauses.next())
+				continue
+			}
+			pauses.reset()
 			waitFor(ctx, changed, headWait)
 			continue
 		}
@@ -93,6 +101,23 @@
 	}
 }
 
+// readUntilStoreFailed reports whether the node was a reader and the store did not answer it last.
+// Such a node asks on until the store answers: nobody else would correct what it tells operators.
+// Nodes that have never read, of which there may be very many, do not ask.
+func (n *Node) readUntilStoreFailed() bool {
+	n.mutex.Lock()
+	defer n.mutex.Unlock()
+	return n.reader.hasRead && n.storeState.contacted && !n.storeState.reachable
+}
+
+// askStore reads the head once, to see whether the store answers.
+func (n *Node) askStore(ctx context.Context) {
+	_, _, err := n.readHead(ctx, 0)
+	if ctx.Err() == nil {
+		n.recordStoreResult(err)
+	}
+}
+
 // waitFor returns when the channel is closed, the limit has passed, or the
 // context has ended.
 func waitFor(ctx context.Context, changed <-chan struct{}, limit time.Duration) {
@@ -160,7 +185,7 @@
 func (n *Node) beginReading(slot int) {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
-	n.reader.slot = slot
+	n.reader.slot, n.reader.hasRead = slot, true
 	n.setReader(true)
 	n.events.ReaderLeaseAcquired(slot)
 }
