Offer calls that a limit refuses to the other workers, and refuse at once what waits in vain

And a request whose turn came just at its latest start was admitted to the queue, waited for all that time and was refused at its end, since timers fire late: such a one is refused at once now, in both call paths (TestTurnAtTheLatestStartIsRefusedAtOnce).

--- a/internal/forwarding/offers.go
+++ b/internal/forwarding/offers.go
@@ -189,7 +189,7 @@
 		if o.refusals >= o.mostRefusals() || !time.Now().Before(o.latestStart) {
 			return false
 		}
-		return !full || o.hadShortRoundTrip() || o.destination.additionalOffers.Spend(time.Now())
+		return !full || limitRefused(err) || o.hadShortRoundTrip() || o.destination.additionalOffers.Spend(time.Now())
 	}
 	return o.mayArriveAgain()
 }
--- a/internal/forwarding/terms.go
+++ b/internal/forwarding/terms.go
@@ -125,6 +125,13 @@
 	}
 }
 
+// limitRefused reports whether a node had no room because its worker names a limit. That says nothing
+// of the other workers of the service, as a refusal for want of a slot does under overload.
+func limitRefused(err error) bool {
+	load, _ := loadOfRefusal(err)
+	return load.Interval > 0
+}
+
 // limitText formats the limit that a load shows, for logs; empty when there is none.
 func limitText(load slotqueue.Load) string {
 	if load.Interval <= 0 {
--- a/pkg/admission/limit.go
+++ b/pkg/admission/limit.go
@@ -65,7 +65,7 @@
 	if deadline, ok := ctx.Deadline(); ok {
 		wait = min(wait, deadline.Sub(g.now()))
 	}
-	return g.pacedWait(priority) > wait
+	return g.pacer != nil && g.pacedWait(priority)+pace.TimerDelay > wait
 }
 
 // continueAtPace gives slots to waiters once the limit of SetLimit allows it.
--- a/pkg/pace/pace.go
+++ b/pkg/pace/pace.go
@@ -21,6 +21,10 @@
 	longestTurn = 2 * time.Second
 )
 
+// TimerDelay is by how much the timer for a start may fire late on a busy machine. A request whose
+// turn comes that close to its latest start would wait in vain.
+const TimerDelay = 10 * time.Millisecond
+
 // Pacer admits starts at a bounded rate. A nil Pacer admits all. It is not safe for concurrent use.
 type Pacer struct {
 	limiter *rate.Limiter
--- a/pkg/slotqueue/limit.go
+++ b/pkg/slotqueue/limit.go
@@ -47,7 +47,7 @@
 	for q.waiting.count > 0 {
 		w := q.waiting.next(now)
 		wait := q.pacer.Wait(len(kept), now)
-		if now.Add(wait).After(w.LatestStart) {
+		if now.Add(wait + q.lateStart()).After(w.LatestStart) {
 			w.refusal = newFull(wait)
 			close(w.concluded)
 			continue
@@ -60,6 +60,16 @@
 	}
 }
 
+// lateStart returns how much later than expected a start may come. Without it, a request whose turn
+// under the limit comes just at its latest start waits all the time and is refused then. The mutex is
+// held.
+func (q *Queue) lateStart() time.Duration {
+	if q.pacer == nil {
+		return 0
+	}
+	return pace.TimerDelay
+}
+
 // pacedWait returns how long a request would wait for the limit: the requests that go before it
 // start before it, and so do those of lower ranks that arrive meanwhile. The mutex is held.
 func (q *Queue) pacedWait(rank int, now time.Time) time.Duration {
--- a/pkg/slotqueue/limit_test.go
+++ b/pkg/slotqueue/limit_test.go
@@ -7,6 +7,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/pace"
 )
 
 // TestStartsFollowTheLimit has many requests wait for a worker with free slots that takes four of
@@ -59,6 +61,22 @@
 	})
 }
 
+// TestTurnAtTheLatestStartIsRefusedAtOnce has a request come whose turn is just at its latest start.
+func TestTurnAtTheLatestStartIsRefusedAtOnce(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		queue := New(10)
+		queue.SetLimit(2)
+		began := time.Now()
+		_, err := queue.Admit(t.Context(), Request{LatestStart: in(500 * time.Millisecond)})
+		if !errorx.IsOfType(err, ErrFull) || time.Since(began) != 0 {
+			t.Errorf("%v after %v", err, time.Since(began))
+		}
+		if _, err := queue.Admit(t.Context(), Request{LatestStart: in(500*time.Millisecond + pace.TimerDelay)}); err != nil || time.Since(began) != 500*time.Millisecond {
+			t.Errorf("a little more time: %v after %v", err, time.Since(began))
+		}
+	})
+}
+
 // TestLimitThatBeginsRefusesThoseThatWaitInVain limits a worker while four requests wait for its
 // only slot.
 func TestLimitThatBeginsRefusesThoseThatWaitInVain(t *testing.T) {
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -144,7 +144,7 @@
 		return nil
 	}
 	wait := q.expectedWait(w, now)
-	if now.Add(wait).After(w.LatestStart) {
+	if now.Add(wait + q.lateStart()).After(w.LatestStart) {
 		return newFull(wait)
 	}
 	return nil
