--- a/internal/forwarding/dialect.go
+++ b/internal/forwarding/dialect.go
@@ -5,6 +5,7 @@
 
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/slotqueue"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // Dialect says in which headers callers and workers exchange information. Names are canonical. It
@@ -32,6 +33,10 @@
 	// Its Slowness is zero where the worker does not report that. Nil means that workers report
 	// nothing.
 	WorkerLoad func(header http.Header) (slotqueue.Load, bool)
+	// WorkerTerms reads what a worker states in an answer about the requests that it takes. An
+	// error says why its limit cannot be read; the rest is valid. Nil means that workers state
+	// nothing.
+	WorkerTerms func(header http.Header) (workers.Terms, error)
 }
 
 // parent returns the id of the parent of a nested call.
@@ -50,6 +55,14 @@
 	return d.WorkerLoad(header)
 }
 
+// workerTerms returns what a worker states in an answer about the requests that it takes.
+func (d *Dialect) workerTerms(header http.Header) (workers.Terms, error) {
+	if d.WorkerTerms == nil {
+		return workers.Terms{}, nil
+	}
+	return d.WorkerTerms(header)
+}
+
 // own reports whether a header of a caller is removed because the node sets it itself.
 func (d *Dialect) own(name string) bool {
 	switch name {
--- a/internal/forwarding/fixture_test.go
+++ b/internal/forwarding/fixture_test.go
@@ -105,6 +105,9 @@
 	}
 }
 
+func (n *testNode) TermsChanged(TermsReport)      {}
+func (n *testNode) LimitUnreadable(string, error) {}
+
 // startNode starts a node beside a worker of the service; the worker may be nil.
 func startNode(t testing.TB, id, service string, worker *testWorker) *testNode {
 	t.Helper()
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -5,6 +5,7 @@
 
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/quarantine"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // Observer is notified of calls that ended. Its methods are called from many goroutines, on the
@@ -14,6 +15,20 @@
 	CallFinished(report CallReport)
 	// HopFinished reports how a call from another node ended here.
 	HopFinished(report CallReport)
+	// TermsChanged reports that what is known of the requests that a worker takes has changed.
+	TermsChanged(report TermsReport)
+	// LimitUnreadable reports that a worker beside this node names a limit that cannot be read.
+	LimitUnreadable(instance string, err error)
+}
+
+// TermsReport describes the known terms of a worker after they have changed.
+type TermsReport struct {
+	Service, Instance string
+	Terms             workers.Terms
+	// Source is the node that has told the terms; this node when the worker itself has.
+	Source string
+	// Age is how long ago the worker stated them to the source.
+	Age time.Duration
 }
 
 // CallReport describes how one call ended on one node.
@@ -67,3 +82,6 @@
 
 func (noObserver) CallFinished(CallReport) {}
 func (noObserver) HopFinished(CallReport)  {}
+
+func (noObserver) TermsChanged(TermsReport)      {}
+func (noObserver) LimitUnreadable(string, error) {}
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -58,6 +58,8 @@
 	idle      time.Duration
 	// reportedSlowness is the slowness that the worker reports in its answers.
 	reportedSlowness decayingMean
+	// terms are what the worker states about the requests that it takes.
+	terms workers.TermsTracker
 	// inheritedRequests is how many requests the worker is known to run for a previous
 	// incarnation of the node. They occupy slots: some workers that are given more than they can
 	// hold stop answering.
@@ -230,6 +232,7 @@
 		transport = w.unshared
 	}
 	exchange := httpExchange{transport: transport, request: w.request(call), body: call.body}
+	sentAt := time.Now()
 	response, err := exchange.do(ctx)
 	if err != nil {
 		call.arrived = outcome.Of(err) != outcome.NotRun
@@ -246,6 +249,9 @@
 		return nil, outcome.New(outcome.InvalidAnswer)
 	}
 	w.observeLoad(response.Header)
+	if response.StatusCode != http.StatusMisdirectedRequest {
+		w.observeTerms(response.Header, sentAt)
+	}
 	if w.dialect.refused(response) {
 		_ = response.Body.Close()
 		if response.StatusCode == http.StatusMisdirectedRequest {
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -123,6 +123,9 @@
 	eventTenantOmitted       = Event{630, "tenant omitted", LevelError, []string{fieldVersion, fieldError}, "A tenant of the platform's document cannot be used: its callers are refused (401). All else of the version is in force."}
 	eventTenantLimited       = Event{640, "tenant limited", LevelInfo, []string{fieldTenant, "rate", "burst"}, "Requests of the tenant begin to be refused at this node (429), since all nodes together have admitted what its limit allows. Single refusals have no line."}
 	eventTenantLimitEnded    = Event{641, "tenant limit ended", LevelInfo, []string{fieldTenant, "admitted", "refused", fieldDuration}, "No request of the tenant was refused for its limit at this node for five seconds; how many were admitted and refused, from the first to the last refusal."}
+	eventWorkerLimit         = Event{650, "worker limit changed", LevelInfo, []string{"instance", "service", "limit", "source", "age_milliseconds"}, "A worker names how many requests a second it takes from all nodes together; an empty limit means that it names none any more. The source is the node that has told it, this one when the worker's own answer has, and the age how long ago the worker stated it there."}
+	eventWorkerLeaving       = Event{651, "worker leaves", LevelInfo, []string{"instance", "service", "source"}, "A worker states in its answers that it leaves; the source is the node that has told it."}
+	eventLimitUnreadable     = Event{652, "worker limit unreadable", LevelWarning, []string{"instance", fieldError}, "A worker names a limit that is no decimal number; it neither sets nor ends one. At most one such line in five seconds."}
 	eventLinesDropped        = Event{610, "lines dropped", LevelWarning, []string{"lines"}, "Lines of this log that were not written, because their reader was slow or there were too many."}
 )
 
@@ -153,7 +156,7 @@
 		eventStoreReachable, eventStoreUnreachable, eventStoreRegressed, eventAlarm, eventLeaseAcquired, eventLeaseLost,
 		eventCertificatesLoaded, eventCertificatesFailed,
 		eventDocumentRejected, eventDocumentInForce, eventReaderRole, eventNodeLost, eventNodeFound, eventWorkerChanged,
-		eventDrainCommitmentHeld, eventPreviousIncarnation, eventSettingsReloaded, eventRolloutOrdered, eventRolloutDecided, eventQuarantined, eventQuarantineEnded, eventRecallFailed, eventDocumentPassedOver, eventStoreRestored, eventHeartbeatRejected, eventEntryRejected, eventEntryRestored, eventTenantOmitted, eventTenantLimited, eventTenantLimitEnded, eventLinesDropped, eventCallFailed, eventHopFailed,
+		eventDrainCommitmentHeld, eventPreviousIncarnation, eventSettingsReloaded, eventRolloutOrdered, eventRolloutDecided, eventQuarantined, eventQuarantineEnded, eventRecallFailed, eventDocumentPassedOver, eventStoreRestored, eventHeartbeatRejected, eventEntryRejected, eventEntryRestored, eventTenantOmitted, eventTenantLimited, eventTenantLimitEnded, eventWorkerLimit, eventWorkerLeaving, eventLimitUnreadable, eventLinesDropped, eventCallFailed, eventHopFailed,
 	}
 	slices.SortFunc(events, func(a, b Event) int { return a.Number - b.Number })
 	return events
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -22,6 +22,8 @@
 	// Slowness is how long work takes at the worker beside the node, relative to the usual
 	// time, as reported by the worker; zero when it does not report it.
 	Slowness float64
+	// LimitedWorkers is how many workers beside the node name a limit.
+	LimitedWorkers int
 	// Transfers and WaitingTransfers are the long bodies that other nodes are sending
 	// to this one, and those that wait for their turn.
 	Transfers, WaitingTransfers int
@@ -60,6 +62,7 @@
 		gauge("worker_waiting", "Calls that wait for a slot of a worker beside this node.", func(r HostedReading) float64 { return float64(r.Waiting) }),
 		gauge("worker_slots", "Slots of the workers beside this node that may be given work.", func(r HostedReading) float64 { return float64(r.Slots) }),
 		gauge("worker_slowness", "How long work takes at the worker beside this node at present, relative to the usual, as it tells itself and the node believes; 0 when it does not tell.", func(r HostedReading) float64 { return r.Slowness }),
+		gauge("limited_workers", "Workers beside this node that name how many requests a second they take.", func(r HostedReading) float64 { return float64(r.LimitedWorkers) }),
 		gauge("transfers_running", "Long bodies that cross to this node.", func(r HostedReading) float64 { return float64(r.Transfers) }),
 		gauge("transfers_waiting", "Long bodies that wait for their turn on the link of this node.", func(r HostedReading) float64 { return float64(r.WaitingTransfers) }),
 		counter("transfers_refused_total", "Long bodies that got no turn on the link of this node.", func(r HostedReading) uint64 { return r.RefusedTransfers }),
