--- a/internal/command/explain/explanation.go
+++ b/internal/command/explain/explanation.go
@@ -14,6 +14,9 @@
 	// eventQuarantined and eventQuarantineEnded name a request by its fingerprint.
 	eventQuarantined     = 613
 	eventQuarantineEnded = 614
+	// eventWorkerLimit and eventWorkerLeaving name a worker by its instance.
+	eventWorkerLimit   = 650
+	eventWorkerLeaving = 651
 	// stateChangeWindow is how long before a call's event a change in what a node
 	// assumes about the system is considered relevant to the call.
 	stateChangeWindow = 3 * time.Second
@@ -69,7 +72,7 @@
 // explain collects the lines about a request; false when no line names it.
 func explain(lines []Line, request string) (Explanation, bool) {
 	var explanation Explanation
-	involved, fingerprints := map[string]bool{}, map[string]bool{}
+	involved, fingerprints, instances := map[string]bool{}, map[string]bool{}, map[string]bool{}
 	for _, line := range lines {
 		if line.text("request") != request {
 			continue
@@ -82,17 +85,21 @@
 		if peer := line.text("peer"); peer != "" {
 			involved[peer] = true
 		}
+		if instance := line.text("instance"); instance != "" {
+			instances[instance] = true
+		}
 	}
 	if len(explanation.Calls) == 0 {
 		return Explanation{}, false
 	}
 	first := explanation.Calls[0].Time.Add(-stateChangeWindow)
 	last := explanation.Calls[len(explanation.Calls)-1].Time
-	for _, line := range lines {
+	terms := lastTerms(lines, instances, last)
+	for index, line := range lines {
 		near := !line.Time.Before(first) && !line.Time.After(last)
 		relevant := stateChangeEvents[line.Event] && near && (involved[line.Node] || involved[line.text("peer")])
 		restored := storeRestoreEvents[line.Event] && involved[line.Node] && line.Time.After(first.Add(stateChangeWindow-storeRestoreWindow))
-		if relevant || (restored || isQuarantineOf(line, fingerprints)) && !line.Time.After(last) {
+		if relevant || terms[index] || (restored || isQuarantineOf(line, fingerprints)) && !line.Time.After(last) {
 			explanation.StateChanges = append(explanation.StateChanges, line)
 		}
 	}
@@ -100,6 +107,27 @@
 	return explanation, true
 }
 
+// lastTerms returns the indices of the lines that tell which requests the given workers took at a
+// moment: the last of each kind on each node, however old. A limit holds until the worker ends it.
+func lastTerms(lines []Line, instances map[string]bool, until time.Time) map[int]bool {
+	type key struct {
+		node, instance string
+		event          int
+	}
+	newest := map[key]int{}
+	for index, line := range lines {
+		stated := line.Event == eventWorkerLimit || line.Event == eventWorkerLeaving
+		if stated && instances[line.text("instance")] && !line.Time.After(until) {
+			newest[key{line.Node, line.text("instance"), line.Event}] = index
+		}
+	}
+	indices := make(map[int]bool, len(newest))
+	for _, index := range newest {
+		indices[index] = true
+	}
+	return indices
+}
+
 // isQuarantineOf reports whether a line is the start or the end of the quarantine of one of
 // the requests. It may have been written long before the call, and by any node.
 func isQuarantineOf(line Line, fingerprints map[string]bool) bool {
@@ -133,5 +161,8 @@
 	if !known {
 		explanation = "see the lines"
 	}
+	if limit := deciding.text("limit"); limit != "" && reason == outcome.Overloaded {
+		explanation = fmt.Sprintf("the worker asked last takes %s requests a second from all nodes together, as it states itself, and no room was expected in time there or elsewhere (650); the caller was told when to come back", limit)
+	}
 	return fmt.Sprintf("%s (%s), decided by %s: %s", reason, deciding.text("outcome"), deciding.Node, explanation)
 }
--- a/internal/command/root/explain_test.go
+++ b/internal/command/root/explain_test.go
@@ -53,6 +53,27 @@
 	run(t, "explain", "--request", "id-2", path).want(t, exit.Accepted, "acme", "cause: overloaded")
 }
 
+const limitLog = `{"time":"2026-12-02T09:59:00.000000Z","level":"info","node":"n2","event":650,"name":"worker limit changed","instance":"w1","service":"ledger","limit":"9","source":"n2","age_milliseconds":0}
+{"time":"2026-12-02T09:59:30.000000Z","level":"info","node":"n2","event":650,"name":"worker limit changed","instance":"w1","service":"ledger","limit":"4.9","source":"n2","age_milliseconds":0}
+{"time":"2026-12-02T09:59:40.000000Z","level":"info","node":"n2","event":650,"name":"worker limit changed","instance":"w2","service":"ledger","limit":"3","source":"n2","age_milliseconds":0}
+{"time":"2026-12-02T10:00:02.000000Z","level":"warn","node":"n1","event":701,"name":"call not served","request":"id-1","route":"r","service":"ledger","version":7,"outcome":"not-run","reason":"overloaded","status":503,"peer":"n2","instance":"w1","limit":"4.9"}
+`
+
+// TestExplainNamesTheLimitOfAWorker explains a request that found no room at a worker which has
+// named its limit half a minute before.
+func TestExplainNamesTheLimitOfAWorker(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(limitLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(t, "explain", "--request", "id-1", path).want(t, exit.Accepted, "650 worker limit changed", "cause: overloaded", "4.9 requests a second")
+	var report explain.Report
+	run(t, "explain", "--request", "id-1", "-o", "json", path).want(t, exit.Accepted).decode(t, &report)
+	if len(report.StateChanges) != 1 {
+		t.Errorf("%d lines on limits, want the last one of this worker", len(report.StateChanges))
+	}
+}
+
 const restoredLog = `{"time":"2026-12-02T10:00:00.000000Z","level":"warn","node":"n1","event":617,"name":"store restored","era":2,"former_revision":20,"revision":14}
 {"time":"2026-12-02T10:00:00.200000Z","level":"warn","node":"n1","event":616,"name":"document passed over","version":6,"held_version":9,"revision":13}
 {"time":"2026-12-02T10:00:00.300000Z","level":"info","node":"n1","event":620,"name":"entry restored","era":2,"promised":1}
--- a/internal/forwarding/answer.go
+++ b/internal/forwarding/answer.go
@@ -101,7 +101,7 @@
 func (a *answer) write(w http.ResponseWriter, closing bool) error {
 	target := w.Header()
 	for name, values := range a.header {
-		if !httpconn.IsHopByHop(name) && name != hopLoadHeader && name != hopFailureHeader {
+		if !httpconn.IsHopByHop(name) && name != hopLoadHeader && name != hopFailureHeader && name != termsHeader {
 			target[name] = values
 		}
 	}
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -159,6 +159,11 @@
 	case outcome.ReasonOf(err) != outcome.Overloaded || c.route == nil:
 		return retryAfter(err)
 	}
+	if wait := outcome.RetryAfterOf(err); c.report.Limit != "" && wait > 0 {
+		// Room comes at the rate of the limit, whatever the target of the route.
+		spread := time.Duration(rand.Float64() * float64(wait))
+		return max(min(wait+spread, longestLimitedRetryAfter), shortestRetryAfter)
+	}
 	target := float64(c.target())
 	wait := target * (overloadWaitLeast + overloadWaitSpread*rand.Float64())
 	return max(min(time.Duration(wait), longestRetryAfter), shortestRetryAfter)
--- a/internal/forwarding/dialect.go
+++ b/internal/forwarding/dialect.go
@@ -66,7 +66,7 @@
 // own reports whether a header of a caller is removed because the node sets it itself.
 func (d *Dialect) own(name string) bool {
 	switch name {
-	case d.Timeout, d.CallerService, d.ExpectInstance, hopHeader, hopLoadHeader, hopFailureHeader, workHeader, repeatHeader, principalHeader:
+	case d.Timeout, d.CallerService, d.ExpectInstance, hopHeader, hopLoadHeader, hopFailureHeader, workHeader, repeatHeader, principalHeader, termsHeader:
 		return true
 	}
 	return false
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -294,6 +294,7 @@
 		load.Slowness = e.reportedSlowness.at(now)
 	}
 	expected := max(others*max(fading, 0.25), 0) + float64(e.outstanding)
+	load.NextStart = e.nextStart(now)
 	load.Transfer = d.links.expected(e.zone, load.Transfer, e.reportedAt, now)
 	load.Failing *= max(1-float64(now.Sub(e.reportedAt))/float64(failingDecay), 0)
 	load.Running = min(int(expected+0.5), load.Slots)
@@ -301,6 +302,16 @@
 	return load, usable && w.reachable(e.node)
 }
 
+// nextStart returns how long a request is expected to wait for the worker's limit: what was reported
+// last, less the time since, and more for each request that was sent meanwhile.
+func (e *endpoint) nextStart(now time.Time) time.Duration {
+	if e.report.Interval == 0 {
+		return 0
+	}
+	sent := max(e.outstanding-e.reportedOutstanding, 0)
+	return max(e.report.NextStart-now.Sub(e.reportedAt)+time.Duration(sent)*e.report.Interval, 0)
+}
+
 // score returns the expected delay in nanoseconds, with further costs of choosing an endpoint
 // added.
 func (d *destination) score(e *endpoint, load slotqueue.Load, w criteria, usable bool) float64 {
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -7,6 +7,7 @@
 
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/slotqueue"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 // hopCall is one request from another node for the worker of this one.
@@ -46,6 +47,9 @@
 		return nil, err
 	}
 	c.client = client
+	if news, stated := workers.ParseTermsNews(c.request.Header[termsHeader]); stated {
+		client.adoptTerms(news, c.request.RemoteAddr)
+	}
 	if declines(client.slowness(), c.hop.slowest) {
 		return nil, outcome.New(outcome.Declined)
 	}
@@ -126,6 +130,7 @@
 	var load slotqueue.Load
 	if c.client != nil {
 		load = c.client.load()
+		report.Limit = limitText(load)
 		report.Running, report.Waiting, report.Slots = load.Running, load.Waiting, load.Slots
 	}
 	report.Waited, report.Ran = c.sent.waited, c.sent.ran
@@ -140,6 +145,9 @@
 	if load.Slots > 0 {
 		w.Header()[hopLoadHeader] = []string{formatLoad(load, ran)}
 	}
+	if c.client != nil {
+		c.setTerms(w.Header(), load, err)
+	}
 	if err != nil {
 		w.Header()[hopFailureHeader] = []string{formatFailure(err, time.Since(c.began))}
 		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
@@ -160,6 +168,17 @@
 	}
 }
 
+// setTerms tells the other node the terms of the worker. One that is refused is told the turn that
+// it was given as the time of the next start.
+func (c *hopCall) setTerms(header http.Header, load slotqueue.Load, err error) {
+	if load.Interval > 0 && outcome.ReasonOf(err) == outcome.Overloaded {
+		load.NextStart = max(load.NextStart, outcome.RetryAfterOf(err))
+	}
+	if news, known := c.client.termsNews(load); known {
+		header[termsHeader] = []string{news.Encode()}
+	}
+}
+
 func (c *hopCall) finish(report CallReport) {
 	report.Duration = time.Since(c.began)
 	c.plane.config.Observer.HopFinished(report)
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -54,6 +54,9 @@
 	Offers, Arrivals int
 	// Running, Waiting and Slots are the load that the last choice was based on.
 	Running, Waiting, Slots int
+	// Limit is the limit of the worker that the call was offered to last, in requests per second;
+	// empty where there is none.
+	Limit string
 	// Waited is how long the call waited for a slot of the worker beside this node, Ran how long
 	// that worker had it; zero when it was not sent there.
 	Waited, Ran time.Duration
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -10,6 +10,7 @@
 
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/slotqueue"
+	"github.com/levertide/levertide/pkg/workers"
 )
 
 var propertyLoad = errorx.RegisterProperty("load")
@@ -76,6 +77,7 @@
 	now := time.Now()
 	level := c.level()
 	o.setHop(header, chosen, latestStart, now, level)
+	o.setTerms(header, e, now)
 	exchange := httpExchange{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body, expectContinue: c.body.long(), pace: c.plane.pace}
 	ctx, stop := exchange.boundTransfer(ctx, c.began.Add(c.target()))
 	defer stop()
@@ -86,6 +88,7 @@
 		return nil, outcome.Of(err) != outcome.NotRun, err
 	}
 	c.plane.config.Contacts.Reached(e.node)
+	o.observeTerms(e, response.Header, now)
 	o.roundTrip -= heldOf(response.Header.Get(hopFailureHeader))
 	answered, arrived, err := readHopAnswer(ctx, response)
 	if outcome.ReasonOf(err) == outcome.WorkerCrashed {
@@ -142,6 +145,9 @@
 // none.
 func readHopAnswer(ctx context.Context, response *http.Response) (*answer, bool, error) {
 	load, ran, hasLoad := parseLoad(response.Header.Get(hopLoadHeader))
+	if news, stated := workers.ParseTermsNews(response.Header[termsHeader]); stated {
+		load = addNews(load, news)
+	}
 	if failure := response.Header.Get(hopFailureHeader); failure != "" {
 		discardRefusal(response)
 		err := parseFailure(failure)
--- a/internal/forwarding/offers.go
+++ b/internal/forwarding/offers.go
@@ -231,6 +231,7 @@
 	report := &o.call.report
 	report.Node, report.Instance = endpoint.node, endpoint.incarnation().String()
 	report.Running, report.Waiting, report.Slots = chosen.load.Running, chosen.load.Waiting, chosen.load.Slots
+	report.Limit = limitText(chosen.load)
 	// Waiting here is worthwhile as long as the next best worker is expected to be later, and at
 	// the last node as long as the call can wait at all.
 	latestStart := o.latestStart
@@ -279,6 +280,9 @@
 		}
 		observed.failed = pausesEndpoint(outcome.ReasonOf(err))
 	}
+	if observed.hasLoad {
+		o.call.report.Limit = limitText(observed.load)
+	}
 	o.destination.done(chosen, observed, time.Now())
 }
 
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -39,6 +39,10 @@
 	running runningCalls
 	// tenantsSince records since when callers are authenticated.
 	tenantsSince tenantsSince
+	// terms are those of workers beside other nodes.
+	terms workers.TermsTable
+	// limitRefusals counts the requests that found no room in time at a worker that names a limit.
+	limitRefusals atomic.Uint64
 	// refusals remembers callers that were refused with a time to retry after.
 	refusals refusals
 
--- a/internal/forwarding/slowness.go
+++ b/internal/forwarding/slowness.go
@@ -93,7 +93,7 @@
 // next best is expected to answer sooner.
 func (c choice) worthwhileWait() time.Duration {
 	wait := max(c.lead, shallowWait)
-	if c.load.Slowness > 0 {
+	if c.load.Slowness > 0 || c.load.Interval > 0 {
 		wait += c.load.Wait()
 	}
 	return wait
--- a/internal/forwarding/terms_test.go
+++ b/internal/forwarding/terms_test.go
@@ -9,6 +9,9 @@
 	"testing"
 	"time"
 
+	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/outcome"
+	"github.com/levertide/levertide/pkg/slotqueue"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -124,3 +127,132 @@
 		t.Errorf("a worker that leaves got %d requests", got)
 	}
 }
+
+// TestLimitOutlivesTheNodeBesideTheWorker starts the node beside a limited worker again: the node
+// that knows the limit tells it.
+func TestLimitOutlivesTheNodeBesideTheWorker(t *testing.T) {
+	worker := startWorker(t)
+	worker.stateTerms("5", false)
+	front, before := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
+	exchangeRecords(front, before)
+	configure(t, ledgerRoutes, front, before)
+	send(t, 1, front)
+	after := startTermsNode(t, "beside", "ledger", worker)
+	after.table.Update(func(own *fleet.Node) { own.Incarnation = 2 })
+	exchangeRecords(front, after)
+	configure(t, ledgerRoutes, after)
+	worker.calls.Store(0)
+	served, took := send(t, 200, front)
+	if got, most := worker.calls.Load(), mostAllowed(5, took); got > most {
+		t.Errorf("the worker got %d requests in %v after its node had started again, allowed %d", got, took, most)
+	}
+	if after.refusedHops.Load() == 0 {
+		t.Errorf("%d served, none refused: the run shows nothing", served)
+	}
+}
+
+// TestNodeThatHeardTheWorkerAdoptsNoOlderLimit ends a limit at the node beside the worker, while
+// another node still holds it.
+func TestNodeThatHeardTheWorkerAdoptsNoOlderLimit(t *testing.T) {
+	worker := startWorker(t)
+	worker.stateTerms("0.2", false)
+	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
+	exchangeRecords(front, beside)
+	configure(t, ledgerRoutes, front, beside)
+	send(t, 1, front)
+	client, err := beside.plane.local.find("ledger", workers.Incarnation{})
+	if err != nil {
+		t.Fatal(err)
+	}
+	worker.stateTerms("", false)
+	client.observeTerms(http.Header{}, time.Now())
+	if client.limited() {
+		t.Fatal("the limit has not ended")
+	}
+	if served, _ := send(t, 20, front); served != 20 {
+		t.Errorf("%d of 20 requests are served after the limit has ended", served)
+	}
+	if _, known := front.plane.terms.Of(workers.Incarnation{Instance: "w-beside"}, time.Now()); known {
+		t.Error("the other node still holds the limit")
+	}
+}
+
+// TestCallersCannotNameALimit sends the header between nodes as a caller, and as a worker.
+func TestCallersCannotNameALimit(t *testing.T) {
+	worker := startWorker(t)
+	worker.answer(func(out http.ResponseWriter, _ *http.Request) { out.Header().Set(termsHeader, "0.1,1,0,0") })
+	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
+	exchangeRecords(front, beside)
+	configure(t, ledgerRoutes, front, beside)
+	for range 10 {
+		request := callerRequest(t, front, http.MethodGet, "/read/1", nil)
+		request.Header.Set(termsHeader, "0.1,1,0,0")
+		status, header, _ := ask(t, request)
+		if status != http.StatusOK || len(header[termsHeader]) > 0 {
+			t.Fatalf("status %d, %v", status, header[termsHeader])
+		}
+	}
+}
+
+// TestOtherWorkersTakeWhatALimitedOneDoesNot sends more than a limited worker takes while another
+// one is free.
+func TestOtherWorkersTakeWhatALimitedOneDoesNot(t *testing.T) {
+	limited, free := startWorker(t), startWorker(t)
+	limited.stateTerms("2", false)
+	front := startTermsNode(t, "front", "desk", nil)
+	first, second := startTermsNode(t, "first", "ledger", limited), startTermsNode(t, "second", "ledger", free)
+	exchangeRecords(front, first, second)
+	configure(t, ledgerRoutes, front, first, second)
+	const requests = 300
+	served, took := send(t, requests, front)
+	if served != requests {
+		t.Errorf("%d of %d requests are served", served, requests)
+	}
+	// The first requests at a time come before the limit is known.
+	if got, most := limited.calls.Load(), mostAllowed(2, took)+20; got > most {
+		t.Errorf("the limited worker got %d, allowed %d", got, most)
+	}
+}
+
+// TestLimitRefusesAtOnceWithTheTimeWhenRoomComes has all copies of a service limited.
+func TestLimitRefusesAtOnceWithTheTimeWhenRoomComes(t *testing.T) {
+	worker := startWorker(t)
+	worker.stateTerms("0.5", false)
+	front, beside := startTermsNode(t, "front", "desk", nil), startTermsNode(t, "beside", "ledger", worker)
+	exchangeRecords(front, beside)
+	configure(t, ledgerRoutes, front, beside)
+	send(t, 1, front)
+	<-front.reports
+	request := callerRequest(t, front, http.MethodGet, "/short/1", nil)
+	status, header, _ := ask(t, request)
+	report := <-front.reports
+	if status != http.StatusServiceUnavailable || report.Reason != outcome.Overloaded || report.Limit != "0.5" {
+		t.Fatalf("status %d, %+v", status, report)
+	}
+	seconds, err := strconv.ParseFloat(header.Get("Retry-After"), 64)
+	if err != nil || seconds < 1 || seconds > 4 {
+		t.Errorf("Retry-After %q where a start comes every two seconds", header.Get("Retry-After"))
+	}
+}
+
+// TestWaitForALimitPasses looks at a limited endpoint some time after its report.
+func TestWaitForALimitPasses(t *testing.T) {
+	now := time.Now()
+	e := &endpoint{
+		report:     slotqueue.Load{Slots: 4, Interval: 200 * time.Millisecond, NextStart: 300 * time.Millisecond},
+		reportedAt: now, reportedOutstanding: 1, outstanding: 1,
+	}
+	if wait := e.nextStart(now); wait != 300*time.Millisecond {
+		t.Errorf("%v at once", wait)
+	}
+	if wait := e.nextStart(now.Add(100 * time.Millisecond)); wait != 200*time.Millisecond {
+		t.Errorf("%v after a while", wait)
+	}
+	e.outstanding = 3
+	if wait := e.nextStart(now.Add(100 * time.Millisecond)); wait != 600*time.Millisecond {
+		t.Errorf("%v after two more requests", wait)
+	}
+	if wait := e.nextStart(now.Add(time.Second)); wait != 0 {
+		t.Errorf("%v after a second", wait)
+	}
+}
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -73,6 +73,10 @@
 	startedAt atomic.Int64
 	// replaced is set when another worker has answered at the address.
 	replaced atomic.Bool
+	// hasTerms is set while the worker names a limit or leaves: calls look no further otherwise.
+	hasTerms atomic.Bool
+	// heardUsual is set while the last answer has stated nothing.
+	heardUsual atomic.Bool
 
 	// crashes distinguishes the end of the worker from the loss of one connection.
 	crashes *crashwatch.Watch
@@ -94,6 +98,7 @@
 		},
 	}
 	client.startedAt.Store(worker.StartedAt)
+	client.startWithLimit(worker.Limit)
 	client.transport = client.makeTransport(workerIdle, worker.Slots)
 	client.unshared = newTransport(p.config.Dial, workerIdle, noIdleConnections)
 	return client
@@ -145,7 +150,7 @@
 		return outcome.New(outcome.NoWorker)
 	}
 	if err := w.queue.Check(wanted.request()); err != nil {
-		return admissionFailure(ctx, err)
+		return w.paced(admissionFailure(ctx, err))
 	}
 	return nil
 }
@@ -166,7 +171,7 @@
 	permit, err := w.queue.Admit(ctx, call.claim.request())
 	call.waited = time.Since(arrivedAt)
 	if err != nil {
-		return nil, admissionFailure(ctx, err)
+		return nil, w.paced(admissionFailure(ctx, err))
 	}
 	if w.plane.left(call.began, call.end) < shortestTime {
 		permit.Release(false)
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -30,6 +30,8 @@
 	Slots int
 	// Busy is how many requests the worker runs or has waiting.
 	Busy int
+	// Limit is how many requests per second the worker takes.
+	Limit workers.Limit
 }
 
 // Registrar receives what workers report about themselves. When a method returns nil, success
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -47,5 +47,5 @@
 	if response.StatusCode != http.StatusOK || !ok {
 		return workers.Heartbeat{}, hosted.ErrUnanswered.New("the worker's answer to the probe has a status other than 200, or does not identify it")
 	}
-	return workers.Heartbeat{Instance: identity.Instance, Service: p.service, Address: p.address, Slots: identity.Slots, Busy: identity.Busy}, nil
+	return workers.Heartbeat{Instance: identity.Instance, Service: p.service, Address: p.address, Slots: identity.Slots, Busy: identity.Busy, Limit: identity.Limit}, nil
 }
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -23,7 +23,7 @@
 	load := n.plane.WorkerLoad()
 	reading.Running, reading.Waiting, reading.Slots = load.Running, load.Waiting, load.Slots
 	reading.Slowness = load.Slowness
-	reading.LimitedWorkers = n.plane.LimitedWorkers()
+	reading.LimitedWorkers, reading.LimitRefusals = n.plane.LimitedWorkers(), n.plane.LimitRefusals()
 	transfers := n.plane.Transfers()
 	reading.Transfers, reading.WaitingTransfers = transfers.Running, transfers.Waiting
 	reading.RefusedTransfers = n.plane.RefusedTransfers()
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -124,7 +124,7 @@
 	eventTenantLimited       = Event{640, "tenant limited", LevelInfo, []string{fieldTenant, "rate", "burst"}, "Requests of the tenant begin to be refused at this node (429), since all nodes together have admitted what its limit allows. Single refusals have no line."}
 	eventTenantLimitEnded    = Event{641, "tenant limit ended", LevelInfo, []string{fieldTenant, "admitted", "refused", fieldDuration}, "No request of the tenant was refused for its limit at this node for five seconds; how many were admitted and refused, from the first to the last refusal."}
 	eventWorkerLimit         = Event{650, "worker limit changed", LevelInfo, []string{"instance", "service", "limit", "source", "age_milliseconds"}, "A worker names how many requests a second it takes from all nodes together; an empty limit means that it names none any more. The source is the node that has told it, this one when the worker's own answer has, and the age how long ago the worker stated it there."}
-	eventWorkerLeaving       = Event{651, "worker leaves", LevelInfo, []string{"instance", "service", "source"}, "A worker states in its answers that it leaves; the source is the node that has told it."}
+	eventWorkerLeaving       = Event{651, "worker leaves", LevelInfo, []string{"instance", "service", "source"}, "A worker states in its answers that it leaves; this node gives it nothing new, whatever its heartbeats say. The source is the node that has told it."}
 	eventLimitUnreadable     = Event{652, "worker limit unreadable", LevelWarning, []string{"instance", fieldError}, "A worker names a limit that is no decimal number; it neither sets nor ends one. At most one such line in five seconds."}
 	eventLinesDropped        = Event{610, "lines dropped", LevelWarning, []string{"lines"}, "Lines of this log that were not written, because their reader was slow or there were too many."}
 )
@@ -137,12 +137,12 @@
 
 var callFields = []string{
 	"request", "route", "service", fieldTenant, fieldVersion, "outcome", fieldReason, "status", fieldFingerprint, "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
-	"running", "waiting", "slots", "came_back", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
+	"running", "waiting", "slots", "limit", "came_back", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
 }
 
 var hopFields = []string{
 	"request", "service", fieldTenant, "instance", "outcome", fieldReason, "status", fieldFingerprint, "arrivals", "waited_milliseconds", "ran_milliseconds",
-	"running", "waiting", "slots", "left_milliseconds", fieldDuration, "truncated", fieldError,
+	"running", "waiting", "slots", "limit", "left_milliseconds", fieldDuration, "truncated", fieldError,
 }
 
 // Catalogue returns every event, ordered by number.
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -180,7 +180,7 @@
 func (o *ForwardingObserver) addDecision(entry *log.Entry, report forwarding.CallReport) *log.Entry {
 	return entry.Int("arrivals", report.Arrivals).
 		Int64("waited_milliseconds", report.Waited.Milliseconds()).Int64("ran_milliseconds", report.Ran.Milliseconds()).
-		Int("running", report.Running).Int("waiting", report.Waiting).Int("slots", report.Slots)
+		Int("running", report.Running).Int("waiting", report.Waiting).Int("slots", report.Slots).Str("limit", report.Limit)
 }
 
 // fingerprintText formats a fingerprint for the log; empty when there is none.
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -24,6 +24,8 @@
 	Slowness float64
 	// LimitedWorkers is how many workers beside the node name a limit.
 	LimitedWorkers int
+	// LimitRefusals counts the requests that found no room in time at such a worker.
+	LimitRefusals uint64
 	// Transfers and WaitingTransfers are the long bodies that other nodes are sending
 	// to this one, and those that wait for their turn.
 	Transfers, WaitingTransfers int
@@ -63,6 +65,7 @@
 		gauge("worker_slots", "Slots of the workers beside this node that may be given work.", func(r HostedReading) float64 { return float64(r.Slots) }),
 		gauge("worker_slowness", "How long work takes at the worker beside this node at present, relative to the usual, as it tells itself and the node believes; 0 when it does not tell.", func(r HostedReading) float64 { return r.Slowness }),
 		gauge("limited_workers", "Workers beside this node that name how many requests a second they take.", func(r HostedReading) float64 { return float64(r.LimitedWorkers) }),
+		counter("limit_refusals_total", "Requests that found no room in time at a worker beside this node that names how many it takes.", func(r HostedReading) uint64 { return r.LimitRefusals }),
 		gauge("transfers_running", "Long bodies that cross to this node.", func(r HostedReading) float64 { return float64(r.Transfers) }),
 		gauge("transfers_waiting", "Long bodies that wait for their turn on the link of this node.", func(r HostedReading) float64 { return float64(r.WaitingTransfers) }),
 		counter("transfers_refused_total", "Long bodies that got no turn on the link of this node.", func(r HostedReading) uint64 { return r.RefusedTransfers }),
--- a/pkg/slotqueue/queue.go
+++ b/pkg/slotqueue/queue.go
@@ -4,6 +4,8 @@
 	"context"
 	"sync"
 	"time"
+
+	"github.com/levertide/levertide/pkg/pace"
 )
 
 const (
@@ -59,6 +61,10 @@
 	// recheckTimer is the timer after which the queue checks again whether to withhold a
 	// slot.
 	recheckTimer *time.Timer
+	// pacer spaces the starts where the worker limits them; nil where it does not. paceTimer is
+	// the timer after which waiting requests are started that the limit has held up.
+	pacer     *pace.Pacer
+	paceTimer *time.Timer
 	// remainingScratch is the memory that expectedWait reuses for remaining times.
 	remainingScratch []time.Duration
 }
@@ -73,6 +79,9 @@
 	Running, Waiting, Slots int
 	// Hold is the moving average of how long requests hold their slots.
 	Hold time.Duration
+	// Interval is the mean time between two starts that the worker's limit allows, and NextStart
+	// how long another request would wait for the limit; both zero where there is none.
+	Interval, NextStart time.Duration
 	// Transfer is how long a long body would wait before it could be sent over the link to
 	// the worker's machine. A queue does not know it; the owner of the link fills it in.
 	Transfer time.Duration
@@ -85,12 +94,13 @@
 	Slowness float64
 }
 
-// Wait returns how long a request of the last rank would wait for a slot.
+// Wait returns how long a request of the last rank would wait for a slot, and for the limit where
+// there is one.
 func (l Load) Wait() time.Duration {
-	if l.Running < l.Slots && l.Waiting == 0 {
-		return 0
+	if l.Running < l.Slots && (l.Waiting == 0 || l.Interval > 0) {
+		return l.NextStart
 	}
-	return time.Duration(l.Waiting+1) * l.Hold / time.Duration(l.Slots)
+	return max(time.Duration(l.Waiting+1)*l.Hold/time.Duration(l.Slots), l.NextStart)
 }
 
 // Wait returns how long a request of the last rank would wait now.
@@ -100,7 +110,11 @@
 func (q *Queue) Load() Load {
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
-	return Load{Running: len(q.running), Waiting: q.waiting.count, Slots: q.slots, Hold: q.hold}
+	load := Load{Running: len(q.running), Waiting: q.waiting.count, Slots: q.slots, Hold: q.hold}
+	if q.pacer != nil {
+		load.Interval, load.NextStart = q.pacer.Interval(), q.pacer.Wait(q.waiting.count, time.Now())
+	}
+	return load
 }
 
 // SetSlots changes the number of slots. Running requests keep theirs.
@@ -167,7 +181,7 @@
 
 // canStart reports whether a request could start at once. The mutex is held.
 func (q *Queue) canStart(w *entry, now time.Time) bool {
-	if len(q.running) >= q.slots {
+	if len(q.running) >= q.slots || !q.pacer.Ready(now) {
 		return false
 	}
 	if rank, waits := q.waiting.lowestRank(); waits && rank <= w.Rank {
@@ -200,10 +214,23 @@
 	return w, nil
 }
 
-// expectedWait returns how long a request would wait: the requests ahead of it, and those
+// expectedWait returns how long a request would wait for a slot, and for the limit where there is
+// one. The mutex is held.
+func (q *Queue) expectedWait(w *entry, now time.Time) time.Duration {
+	if q.pacer == nil {
+		return q.slotWait(w, now)
+	}
+	wait := q.pacedWait(w.Rank, now)
+	if len(q.running)+q.waiting.countUpTo(w.Rank) < q.slots {
+		return wait
+	}
+	return max(wait, q.slotWait(w, now))
+}
+
+// slotWait returns how long a request would wait for a slot: the requests ahead of it, and those
 // of lower ranks that arrive meanwhile and go first, have to start before it. The mutex is
 // held.
-func (q *Queue) expectedWait(w *entry, now time.Time) time.Duration {
+func (q *Queue) slotWait(w *entry, now time.Time) time.Duration {
 	if w.Work == 0 {
 		return q.meanWait(w.Rank)
 	}
@@ -221,14 +248,20 @@
 // time. It is the best estimate for a request of unknown work. The mutex is held.
 func (q *Queue) meanWait(rank int) time.Duration {
 	turn := time.Duration(q.waiting.countUpTo(rank) + 1)
+	wait := turn * q.hold / time.Duration(q.slots)
+	return time.Duration(float64(wait) / (1 - q.overtakingShare(rank)))
+}
+
+// overtakingShare returns the share of the starts that requests of lower ranks, which go first,
+// have taken recently. The mutex is held.
+func (q *Queue) overtakingShare(rank int) float64 {
 	var overtaking float64
 	for started, share := range q.starts {
 		if started < rank {
 			overtaking += share
 		}
 	}
-	wait := turn * q.hold / time.Duration(q.slots)
-	return time.Duration(float64(wait) / (1 - min(overtaking, maxOvertakingShare)))
+	return min(overtaking, maxOvertakingShare)
 }
 
 // start gives a slot to a request. The mutex is held.
@@ -237,6 +270,7 @@
 		q.starts[rank] *= 1 - startWeight
 	}
 	q.starts[w.Rank] += startWeight
+	q.pacer.Take(now)
 	w.startedAt, w.index = now, len(q.running)
 	q.running = append(q.running, w)
 }
@@ -275,6 +309,10 @@
 func (q *Queue) startWaiting(now time.Time) {
 	defer q.refuseOverdue(now)
 	for len(q.running) < q.slots && q.waiting.count > 0 {
+		if !q.pacer.Ready(now) {
+			q.startAtNextPace(now)
+			return
+		}
 		if q.holdBack(now) {
 			return
 		}
@@ -310,6 +348,7 @@
 	q.mutex.Lock()
 	defer q.mutex.Unlock()
 	q.closed = true
+	q.stopPaceTimer()
 	for q.waiting.count > 0 {
 		w := q.waiting.next(time.Now())
 		w.refusal = ErrClosed.New("the worker takes no more requests")
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -30,8 +30,9 @@
 	Sequence uint64
 	// ColdRemaining is the time left of the worker's slow start.
 	ColdRemaining time.Duration
-	// Busy is as in Worker.
-	Busy int
+	// Busy and Limit are as in Worker.
+	Busy  int
+	Limit Limit
 }
 
 // Change describes the effect of a call on a registration.
@@ -117,7 +118,7 @@
 	held.lastHeard = now
 	held.Worker = Worker{
 		Instance: heartbeat.Instance, StartedAt: heartbeat.StartedAt, Service: heartbeat.Service, Address: heartbeat.Address, Version: heartbeat.Version,
-		Slots: heartbeat.Slots, State: StateReady, Sequence: heartbeat.Sequence, Busy: before.Busy,
+		Slots: heartbeat.Slots, State: StateReady, Sequence: heartbeat.Sequence, Busy: before.Busy, Limit: before.Limit,
 	}
 	if heartbeat.ColdRemaining > 0 {
 		held.WarmUntil = now.Add(heartbeat.ColdRemaining)
@@ -165,7 +166,7 @@
 			return Change{}, nil
 		}
 	}
-	registered := Worker{Instance: probed.Instance, Service: probed.Service, Address: probed.Address, Slots: probed.Slots, State: StateReady, Busy: probed.Busy}
+	registered := Worker{Instance: probed.Instance, Service: probed.Service, Address: probed.Address, Slots: probed.Slots, State: StateReady, Busy: probed.Busy, Limit: probed.Limit}
 	r.evictOldest()
 	r.workers[probed.Instance] = &registration{Worker: registered, lastHeard: now, registeredAt: now}
 	return Change{Worker: registered, Changed: true}, nil
--- a/pkg/workers/terms.go
+++ b/pkg/workers/terms.go
@@ -72,8 +72,8 @@
 // is not safe for concurrent use.
 type TermsTracker struct {
 	terms Terms
-	// statedAt is when the limit was last stated.
-	statedAt time.Time
+	// statedAt is when the limit was last stated, leftAt when the worker last stated that it leaves.
+	statedAt, leftAt time.Time
 	// heard is set once an answer of the worker was observed.
 	heard bool
 }
@@ -81,17 +81,22 @@
 // Observe records the terms of an answer that arrived now, to a request that was sent at sentAt. It
 // reports whether the known terms have changed.
 //
-// A stricter limit counts at once. A higher one, or none, counts only from an answer to a request
-// that was sent after the known limit was stated: other answers may have set out before it was. A
-// worker that leaves does not come back in the same incarnation.
+// Stricter terms count at once. A higher limit, or none, counts only from an answer to a request
+// that was sent after the known limit was stated: other answers may have set out before it was. The
+// same holds for a worker that states no more that it leaves.
 func (t *TermsTracker) Observe(stated Terms, sentAt, now time.Time) (changed bool) {
 	before := t.terms
 	t.heard = true
-	t.terms.Leaving = t.terms.Leaving || stated.Leaving
 	stale := t.terms.Limit.Below(stated.Limit) && !sentAt.After(t.statedAt)
 	if !stated.LimitUnreadable && !stale {
 		t.terms.Limit, t.statedAt = stated.Limit, now
 	}
+	switch {
+	case stated.Leaving:
+		t.terms.Leaving, t.leftAt = true, now
+	case sentAt.After(t.leftAt):
+		t.terms.Leaving = false
+	}
 	return t.terms != before
 }
 
--- a/pkg/workers/worker.go
+++ b/pkg/workers/worker.go
@@ -56,6 +56,8 @@
 	// Busy is how many requests the worker was running when this node queried its
 	// identity, before the node sent it any.
 	Busy int
+	// Limit is the limit that the worker named then.
+	Limit Limit
 }
 
 // Incarnation returns the identity of the worker's incarnation.
