--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -14,8 +14,9 @@
 
 // cases are the cases by name. Each returns how often the rule was broken.
 var cases = map[string]func(*lab) (int, error){
-	"route":  routeCase,
-	"caller": callerCase,
+	"route":   routeCase,
+	"caller":  callerCase,
+	"readers": readersCase,
 }
 
 func main() {
