Drop nodes whose addresses others have, and have messages name their receiver

No node read the store any more.

Cause: messages between nodes go to an address, and whoever answers there counted as the node that was meant. Once a node had crashed and another one had come up at its address, the dead node was "found" again by each message, was never forgotten, and kept its place in every order that is a function of the table: reader, coordinator of roll-outs, hub, owner of a share of a limit.

Mend: (1) a node that learns of a record with its own control address names that node, with its incarnation, in its own record; a table drops the nodes that a record names, so that all orders and counts are right after one broadcast. The claim is certain, since the claiming node listens there; it needs no clock. A later incarnation of the dropped node is taken in again, and its drain commitments are kept. (2) Broadcast, Borrow and Recall name their receiver; another node refuses, so that updates of one zone are not forwarded in another, and one node is not counted twice as a holder of a commitment. The answer to an exchange has always named the answering node: it is compared now. The answer of an older node to a broadcast does not tell who it is: it is no contact any more.

Bound: two seconds after its start a node is taken for itself by all.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -121,6 +121,7 @@
 	agent.evidence = newEvidence(agent, config.Quarantine)
 	agent.peers.evidence = agent.evidence
 	agent.peers.onPrevious = agent.learnPrevious
+	agent.peers.onSelfChanged = func() { agent.background(agent.spreadRecord) }
 	agent.peers.hub = newHub(agent.peers, agent.background)
 	agent.announcer = newAnnouncer(config.Directory, config.Table, config.Source.Era)
 	agent.announcer.firstStart = config.FirstStart
@@ -156,7 +157,7 @@
 	agent.supervisor.Add(agent.announcer)
 	agent.supervisor.Add(&Syncer{
 		peers: agent.peers, table: config.Table, contacts: config.Contacts,
-		housekeeping: agent.housekeeping, leftSince: map[string]time.Time{},
+		housekeeping: agent.housekeeping,
 	})
 	if config.Quotas != nil {
 		config.Quotas.peers, config.Quotas.known = agent.peers, agent.knowsMesh
--- a/internal/hosted/broadcast.go
+++ b/internal/hosted/broadcast.go
@@ -174,12 +174,16 @@
 	return p.deliver(ctx, node, p.message(update{}, exchangepb.Reach_REACH_RANGE))
 }
 
-// deliver sends a message and records whether the node answered.
+// deliver sends a message and records whether the node answered. The answer of an older node does
+// not tell which one it is: the message is delivered, and whether the node is there remains open.
 func (p *Peers) deliver(ctx context.Context, node fleet.Node, request *exchangepb.BroadcastRequest) bool {
-	if _, err := p.client(node.ControlAddress).Broadcast(ctx, request); err != nil {
+	response, err := p.client(node.ControlAddress).Broadcast(ctx, broadcastTo(node.ID, request))
+	if err != nil {
 		p.noteFailure(node.ID, err)
 		return false
 	}
-	p.noteContact(node.ID)
+	if response.GetAddressed() {
+		p.noteContact(node.ID)
+	}
 	return true
 }
--- a/internal/hosted/documents_test.go
+++ b/internal/hosted/documents_test.go
@@ -34,6 +34,7 @@
 func (discardEvents) EntryRestored(uint64, int)                      {}
 func (discardEvents) NodeLost(string, error)                         {}
 func (discardEvents) NodeFound(string)                               {}
+func (discardEvents) NodeReplaced(string, string)                    {}
 func (discardEvents) RecallFailed(string, error)                     {}
 func (discardEvents) WorkerChanged(workers.Worker, string)           {}
 func (discardEvents) DrainCommitmentHeld(string, int, bool)          {}
--- a/internal/hosted/errors.go
+++ b/internal/hosted/errors.go
@@ -21,6 +21,9 @@
 	ErrInvalidDocument = newType("invalid_document")
 )
 
+// ErrOtherNode: another node than the one that was asked has answered at its address.
+var ErrOtherNode = newType("other_node")
+
 func newType(name string) *errorx.Type {
 	return namespace.NewType(name).ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -47,6 +47,8 @@
 	probed atomic.Pointer[workers.Heartbeat]
 }
 
+func (n *testNode) id() string { return n.table.View().Self().ID }
+
 func (n *testNode) Offer(content []byte) error {
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
@@ -105,6 +107,7 @@
 func (r *recorder) EntryRestored(uint64, int)                      {}
 func (r *recorder) NodeLost(string, error)                         {}
 func (r *recorder) NodeFound(string)                               {}
+func (r *recorder) NodeReplaced(string, string)                    {}
 func (r *recorder) RecallFailed(string, error)                     {}
 func (r *recorder) WorkerChanged(workers.Worker, string)           {}
 func (r *recorder) PreviousIncarnationFound(uint64, int)           {}
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -54,6 +54,8 @@
 	// onRolloutRecord is called when a record with a roll-out was merged; nil where roll-outs are
 	// not used.
 	onRolloutRecord func()
+	// onSelfChanged is called when a merge has changed the record of this node.
+	onSelfChanged func()
 
 	mutex   sync.Mutex
 	clients map[string]exchangepb.Exchange
@@ -174,7 +176,7 @@
 		p.noteFailure(node.ID, err)
 		return nil, err
 	}
-	p.noteContact(node.ID)
+	p.noteContact(response.GetReceiver().GetId())
 	p.merge(append(nodesOf(response.GetNodes()...), nodesOf(response.GetReceiver())...), response.GetPromised())
 	p.documents.TakeMessage(response.GetDocument())
 	p.evidence.take(response.GetEvidence())
@@ -182,17 +184,16 @@
 	if response.GetKnowsFormer() {
 		p.previousKnown.Store(true)
 	}
+	if err := checkAnswering(node, response.GetReceiver().GetId()); err != nil {
+		p.noteFailure(node.ID, err)
+		return nil, err
+	}
 	return response, nil
 }
 
 // merge merges records, and relays what was reported of previous incarnations of this node.
 func (p *Peers) merge(nodes []fleet.Node, drainCommitted []*exchangepb.Worker) []fleet.Node {
-	merged := p.table.Merge(nodes)
-	for _, id := range merged.NewIncarnations {
-		// The node was lost, and others have had contact with its new incarnation: it need not be
-		// probed first.
-		p.noteContact(id)
-	}
+	merged := p.mergeRecords(nodes)
 	if p.onRolloutRecord != nil && slices.ContainsFunc(merged.Updates, func(n fleet.Node) bool { return len(n.Rollouts) > 0 }) {
 		p.onRolloutRecord()
 	}
@@ -203,6 +204,24 @@
 	return merged.Updates
 }
 
+// mergeRecords merges records, and acts on nodes that were restarted or replaced.
+func (p *Peers) mergeRecords(nodes []fleet.Node) fleet.Merged {
+	merged := p.table.Merge(nodes)
+	for _, id := range merged.NewIncarnations {
+		// The node was lost, and others have had contact with its new incarnation: it need not be
+		// probed first.
+		p.noteContact(id)
+	}
+	for _, r := range merged.Replaced {
+		p.contacts.Reached(r.ID)
+		p.events.NodeReplaced(r.ID, r.By)
+	}
+	if merged.SelfChanged {
+		p.onSelfChanged()
+	}
+	return merged
+}
+
 func (p *Peers) noteFailure(id string, err error) {
 	if p.contacts.Failed(id, time.Now(), rand.Float64()) {
 		p.events.NodeLost(id, err)
--- a/internal/hosted/previous.go
+++ b/internal/hosted/previous.go
@@ -35,7 +35,7 @@
 // set when the store lists this node, too.
 func (a *Agent) contactListed(ctx context.Context, nodes []fleet.Node, named bool) {
 	a.listed.Store(true)
-	a.config.Table.Merge(nodes)
+	a.peers.mergeRecords(nodes)
 	a.evidence.takeRecords(nodes)
 	others := make([]*fleet.Node, len(nodes))
 	for i := range nodes {
--- a/internal/hosted/quota.go
+++ b/internal/hosted/quota.go
@@ -203,7 +203,7 @@
 	self := view.Self()
 	nodes := 0
 	if q.known() {
-		nodes = q.owners.count(view.Nodes(), q.lookedAt)
+		nodes = q.owners.count(view.Nodes(), view.Replaced(), q.lookedAt)
 	}
 	reached := q.peers.inZone(self.Zone)
 	recent := recentHubs(reached)
@@ -348,26 +348,32 @@
 	ctx, cancel := context.WithTimeout(ctx, bound)
 	defer cancel()
 	p.sent.quotaRequests.Add(1)
-	response, err := p.client(node.ControlAddress).Borrow(ctx, request)
+	response, err := p.client(node.ControlAddress).Borrow(ctx, borrowTo(node.ID, request))
 	if err != nil {
 		return nil, err
 	}
-	p.noteContact(node.ID)
+	if response.GetAddressed() {
+		p.noteContact(node.ID)
+	}
 	return response, nil
 }
 
-// refused reports whether an error says that the connection was refused: the process there has
-// ended, or a link is cut in such a way.
-func refused(err error) bool { return errors.Is(err, syscall.ECONNREFUSED) }
+// refused reports whether an error says that the node is not there: the connection was refused,
+// since the process has ended or a link is cut in such a way, or another node answers.
+func refused(err error) bool {
+	return errors.Is(err, syscall.ECONNREFUSED) || isOtherNode(err)
+}
 
 // Borrow implements exchangepb.Exchange.
 func (s *Server) Borrow(ctx context.Context, request *exchangepb.BorrowRequest) (*exchangepb.BorrowResponse, error) {
-	if err := s.check(request.GetMesh(), request.GetSender()); err != nil {
+	if err := s.checkAddressed(request.GetMesh(), request.GetSender(), request.GetReceiver()); err != nil {
 		return nil, err
 	}
 	if s.quotas == nil {
 		return nil, errNoQuotas
 	}
 	s.peers.noteContact(request.GetSender())
-	return s.quotas.serve(ctx, request), nil
+	response := s.quotas.serve(ctx, request)
+	response.Addressed = request.GetReceiver() != ""
+	return response, nil
 }
--- a/internal/hosted/recall.go
+++ b/internal/hosted/recall.go
@@ -109,7 +109,7 @@
 
 // Recall implements exchangepb.Exchange.
 func (s *Server) Recall(ctx context.Context, request *exchangepb.RecallRequest) (*exchangepb.RecallResponse, error) {
-	if err := s.check(request.GetMesh(), request.GetSender()); err != nil {
+	if err := s.checkAddressed(request.GetMesh(), request.GetSender(), request.GetReceiver()); err != nil {
 		return nil, err
 	}
 	e, err := s.peers.directory.entry(ctx, request.GetSender())
@@ -132,7 +132,7 @@
 		e, err := p.directory.entry(ctx, self.ID)
 		return e, err == nil
 	}
-	response, err := p.client(hub.ControlAddress).Recall(ctx, &exchangepb.RecallRequest{Mesh: p.mesh, Sender: self.ID})
+	response, err := p.client(hub.ControlAddress).Recall(ctx, &exchangepb.RecallRequest{Mesh: p.mesh, Sender: self.ID, Receiver: hub.ID})
 	if err != nil {
 		// The store may not have answered the hub: that does not mean that the hub is lost.
 		p.events.RecallFailed(hub.ID, err)
--- a/internal/hosted/rollouts_test.go
+++ b/internal/hosted/rollouts_test.go
@@ -42,18 +42,24 @@
 	t.Helper()
 	tr := &traffic{simulated: startSimulated(t, size), random: rand.New(rand.NewPCG(seed, 9)), dead: map[int]bool{}}
 	for i, n := range tr.nodes {
-		version := previousVersion
-		if i%2 == 1 {
-			version = nextVersion
-		}
-		mustHeartbeat(t, n, workers.Heartbeat{
-			Instance: fmt.Sprintf("i%d", i), Service: "ledger", Address: "127.0.0.1:1", Version: version, Slots: 6, Sequence: 1,
-		})
+		mustHeartbeat(t, n, rolloutWorker(i, 0))
 	}
 	time.Sleep(2 * time.Second)
 	return tr
 }
 
+// rolloutWorker returns a heartbeat of the n-th worker at a place: every second place has the next
+// version.
+func rolloutWorker(place, n int) workers.Heartbeat {
+	version := previousVersion
+	if place%2 == 1 {
+		version = nextVersion
+	}
+	return workers.Heartbeat{
+		Instance: fmt.Sprintf("i%d-%d", place, n), Service: "ledger", Address: "127.0.0.1:1", Version: version, Slots: 6, Sequence: 1,
+	}
+}
+
 // step has each living node send some requests to versions as its own decision divides them.
 func (tr *traffic) step() {
 	const each = 3
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -41,7 +41,7 @@
 	sender := request.GetSender().GetId()
 	drainCommitted := p.table.DrainCommitted(sender)
 	knowsPrevious := p.table.KnowsPrevious(sender, request.GetSender().GetIncarnation())
-	held, known := p.table.View().Node(sender)
+	held, known := p.table.Newest(sender)
 	p.noteContact(sender)
 	p.merge(append(nodesOf(request.GetNodes()...), nodesOf(request.GetSender())...), nil)
 	p.documents.TakeMessage(request.GetDocument())
@@ -76,7 +76,7 @@
 // Broadcast implements exchangepb.Exchange. Updates are forwarded after the answer, while they are
 // being put in force.
 func (s *Server) Broadcast(_ context.Context, request *exchangepb.BroadcastRequest) (*exchangepb.BroadcastResponse, error) {
-	if err := s.check(request.GetMesh(), request.GetSender()); err != nil {
+	if err := s.checkAddressed(request.GetMesh(), request.GetSender(), request.GetReceiver()); err != nil {
 		return nil, err
 	}
 	p := s.peers
@@ -87,7 +87,7 @@
 	u := update{nodes: request.GetNodes(), evidence: request.GetEvidence(), document: request.GetDocument(), version: request.GetDocumentVersion()}
 	if reach := request.GetReach(); reach != exchangepb.Reach_REACH_RANGE {
 		p.hub.accept(u, reach)
-		return &exchangepb.BroadcastResponse{}, nil
+		return &exchangepb.BroadcastResponse{Addressed: request.GetReceiver() != ""}, nil
 	}
 	s.background(func(ctx context.Context) {
 		if !held && s.fetch(ctx, request.GetSender()) {
@@ -100,7 +100,7 @@
 			p.relay.forward(ctx, u, partKey{after: request.GetAfter(), until: request.GetUntil()})
 		}
 	})
-	return &exchangepb.BroadcastResponse{}, nil
+	return &exchangepb.BroadcastResponse{Addressed: request.GetReceiver() != ""}, nil
 }
 
 // fetch asks the sender of an update for a document that this node could not decode from it. It
@@ -111,6 +111,14 @@
 	return known && s.peers.Sync(ctx, node) && s.peers.documents.Version() > before
 }
 
+// checkAddressed is check for messages that name their receiver.
+func (s *Server) checkAddressed(mesh, sender, receiver string) error {
+	if err := s.check(mesh, sender); err != nil {
+		return err
+	}
+	return s.checkReceiver(receiver)
+}
+
 // check refuses messages from other meshes and those without a sender.
 func (s *Server) check(mesh, sender string) error {
 	switch {
--- a/internal/hosted/simulated_test.go
+++ b/internal/hosted/simulated_test.go
@@ -49,8 +49,17 @@
 	return host, host + ":70"
 }
 
+// simulatedID returns the identifier of node n, whose first letter names its zone.
+func simulatedID(n int) string { return fmt.Sprintf("%c%d", 'a'+n%zoneCount, n) }
+
 // start starts node n of the mesh, or its next incarnation.
 func (m *simulated) start(t *testing.T, n int, firstStart bool) *testNode {
+	t.Helper()
+	return m.startAs(t, n, simulatedID(n), firstStart)
+}
+
+// startAs starts a node with the given identifier at the address of node n.
+func (m *simulated) startAs(t *testing.T, n int, id string, firstStart bool) *testNode {
 	t.Helper()
 	name, address := simulatedAddress(n)
 	host := m.network.Host(name)
@@ -58,7 +67,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	return startNodeOn(t, m.store, fmt.Sprintf("%c%d", 'a'+n%zoneCount, n), listener, counting(m.crossing(n, host.Dial), m.opened), firstStart)
+	return startNodeOn(t, m.store, id, listener, counting(m.crossing(n, host.Dial), m.opened), firstStart)
 }
 
 // crossing counts the bytes on connections of node n to other zones.
--- a/internal/hosted/syncer.go
+++ b/internal/hosted/syncer.go
@@ -33,6 +33,9 @@
 	// remembered.
 	forgetLost = 5 * time.Minute
 	forgetLeft = 30 * time.Second
+	// forgetReplaced is how long a node is remembered whose address another one has: longer than
+	// its entry in the store lasts.
+	forgetReplaced = 5 * time.Minute
 )
 
 // Syncer runs anti-entropy exchanges with random other nodes, and retries those that are taken to
@@ -43,7 +46,8 @@
 	contacts *fleet.Contacts
 	// housekeeping is called in each round.
 	housekeeping func(ctx context.Context)
-	leftSince    map[string]time.Time
+	// goneSince are the nodes that have left or were replaced, with when this node learned of it.
+	goneSince map[string]time.Time
 	// started is when Serve began.
 	started time.Time
 }
@@ -125,26 +129,36 @@
 	}
 }
 
-// forget removes nodes that have left or have been lost for long.
+// forget removes nodes that have left, were replaced or have been lost for long.
 func (s *Syncer) forget(now time.Time) {
-	for _, node := range s.table.View().Nodes() {
+	view := s.table.View()
+	gone := map[string]time.Time{}
+	for _, node := range view.Nodes() {
 		since, lost := s.contacts.LostSince(node.ID)
 		switch {
-		case node.State == fleet.StateLeft && s.leftFor(node.ID, now) > forgetLeft:
-			delete(s.leftSince, node.ID)
-			s.table.Remove(node.ID)
+		case node.State == fleet.StateLeft:
+			s.forgetAfter(node.ID, forgetLeft, gone, now)
 		case lost && now.Sub(since) > forgetLost:
 			s.table.Remove(node.ID)
 			s.contacts.Reached(node.ID)
 		}
 	}
+	for _, id := range view.Replaced() {
+		s.forgetAfter(id, forgetReplaced, gone, now)
+	}
+	s.goneSince = gone
 }
 
-func (s *Syncer) leftFor(id string, now time.Time) time.Duration {
-	since, known := s.leftSince[id]
+// forgetAfter removes a node that is gone once it was known to be for the given time, and notes in
+// gone since when until then.
+func (s *Syncer) forgetAfter(id string, term time.Duration, gone map[string]time.Time, now time.Time) {
+	since, known := s.goneSince[id]
 	if !known {
-		s.leftSince[id] = now
-		return 0
+		since = now
+	}
+	if now.Sub(since) > term {
+		s.table.Remove(id)
+		return
 	}
-	return now.Sub(since)
+	gone[id] = since
 }
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -120,6 +120,7 @@
 	eventHeartbeatRejected   = Event{618, "heartbeat rejected", LevelWarning, []string{"instance", fieldError}, "A call to the address for workers cannot be used: fields are missing or of another type, or it names a state or service that there is not. It changes nothing; at most one such line in five seconds."}
 	eventEntryRejected       = Event{619, "entry rejected", LevelWarning, []string{"entry"}, "An entry in the store is not of the node that its key names, or cannot be read: another program may write there. It names no node; at most one such line in five seconds, with those of event 618."}
 	eventEntryRestored       = Event{620, "entry restored", LevelInfo, []string{fieldEra, "promised"}, "After the store came back from a copy this node has written its entry again, with so many promises of workers that leave."}
+	eventNodeReplaced        = Event{621, "node replaced", LevelInfo, []string{"peer", "by"}, "A node has ended and another one has its address, as that one tells in its record; the ended node is dropped. A node that is only lost has event 604."}
 	eventTenantOmitted       = Event{630, "tenant omitted", LevelError, []string{fieldVersion, fieldError}, "A tenant of the platform's document cannot be used: its callers are refused (401). All else of the version is in force."}
 	eventTenantLimited       = Event{640, "tenant limited", LevelInfo, []string{fieldTenant, "rate", "burst"}, "Requests of the tenant begin to be refused at this node (429), since all nodes together have admitted what its limit allows. Single refusals have no line."}
 	eventTenantLimitEnded    = Event{641, "tenant limit ended", LevelInfo, []string{fieldTenant, "admitted", "refused", fieldDuration}, "No request of the tenant was refused for its limit at this node for five seconds; how many were admitted and refused, from the first to the last refusal."}
@@ -156,7 +157,7 @@
 		eventStoreReachable, eventStoreUnreachable, eventStoreRegressed, eventAlarm, eventLeaseAcquired, eventLeaseLost,
 		eventCertificatesLoaded, eventCertificatesFailed,
 		eventDocumentRejected, eventDocumentInForce, eventReaderRole, eventNodeLost, eventNodeFound, eventWorkerChanged,
-		eventDrainCommitmentHeld, eventPreviousIncarnation, eventSettingsReloaded, eventRolloutOrdered, eventRolloutDecided, eventQuarantined, eventQuarantineEnded, eventRecallFailed, eventDocumentPassedOver, eventStoreRestored, eventHeartbeatRejected, eventEntryRejected, eventEntryRestored, eventTenantOmitted, eventTenantLimited, eventTenantLimitEnded, eventWorkerLimit, eventWorkerLeaving, eventLimitUnreadable, eventLinesDropped, eventCallFailed, eventHopFailed,
+		eventDrainCommitmentHeld, eventPreviousIncarnation, eventSettingsReloaded, eventRolloutOrdered, eventRolloutDecided, eventQuarantined, eventQuarantineEnded, eventRecallFailed, eventDocumentPassedOver, eventStoreRestored, eventHeartbeatRejected, eventEntryRejected, eventEntryRestored, eventNodeReplaced, eventTenantOmitted, eventTenantLimited, eventTenantLimitEnded, eventWorkerLimit, eventWorkerLeaving, eventLimitUnreadable, eventLinesDropped, eventCallFailed, eventHopFailed,
 	}
 	slices.SortFunc(events, func(a, b Event) int { return a.Number - b.Number })
 	return events
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -57,6 +57,11 @@
 // NodeFound records that a lost node answers again.
 func (l *Log) NodeFound(id string) { end(l.begin(eventNodeFound).Str("peer", id)) }
 
+// NodeReplaced records that a node has ended and another one has its address.
+func (l *Log) NodeReplaced(id, by string) {
+	end(l.begin(eventNodeReplaced).Str("peer", id).Str("by", by))
+}
+
 // RecallFailed records that the hub of the zone did not report the previous incarnations of
 // this node.
 func (l *Log) RecallFailed(id string, err error) {
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -68,6 +68,7 @@
 	l.StoreRestored(2, hosted.Era{Number: 2, PreviousHighest: 20, First: 14})
 	l.NodeLost("n", errors.New("fault"))
 	l.NodeFound("n")
+	l.NodeReplaced("n", "m")
 	l.RecallFailed("n", errors.New("fault"))
 	l.WorkerChanged(workers.Worker{Instance: "i"}, "heartbeat")
 	l.HeartbeatRejected("i", errors.New("fault"))
