Count a refused call as contact only with the node beside the worker

Cause: any response to a call between nodes counted as contact with the node that was meant. At a reused address another node refuses the call, since it has no such worker, and the dead node counted as reached.

Mend: the node that finds the worker beside it tells that worker's load in its response; only such a response is contact.

TestRefusalAtAReusedAddressIsNoContact failed before: "the node that has ended counts as reached". TestAnswerOfTheWorkersNodeIsContact holds before and after.

--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -87,7 +87,9 @@
 		c.plane.recordFailure(e.node, err)
 		return nil, outcome.Of(err) != outcome.NotRun, err
 	}
-	c.plane.config.Contacts.Reached(e.node)
+	if besideWorker(response.Header) {
+		c.plane.config.Contacts.Reached(e.node)
+	}
 	o.observeTerms(e, response.Header, now)
 	o.roundTrip -= heldOf(response.Header.Get(hopFailureHeader))
 	answered, arrived, err := readHopAnswer(ctx, response)
@@ -133,6 +135,11 @@
 	}
 }
 
+// besideWorker reports whether the node that has responded has the worker that the call was for
+// beside it: it then tells the worker's load. Another node may have come up at the address, and
+// finds no such worker.
+func besideWorker(header http.Header) bool { return len(header[hopLoadHeader]) > 0 }
+
 // recordFailure records that a node could not be reached.
 func (p *Plane) recordFailure(node string, err error) {
 	switch outcome.ReasonOf(err) {
