Have the routes of a platform begin the path as the client sent it

Mend: model.Match has a third form, PathStart, beside Path and PathPrefix: the beginning of a path up to and including a slash. One matcher finds all three; PathStart stands at the same node of its trie, and takes only what goes on with a slash. Hosted mode looks up the path as the client sent it, where a call begins, where the node beside a worker counts runs for a roll-out, and where a caller that comes back is told by its request. Manifests are as they were.

Related places: conflicts between routes (routing, validation), overlaps (model, used for what is out of scope), differences between versions (command/changes). Quotas, retries and roll-outs go by the name of the route.

--- a/internal/command/changes/fields.go
+++ b/internal/command/changes/fields.go
@@ -54,6 +54,7 @@
 		{"spec.match.host", route.Match.Host},
 		{"spec.match.path", route.Match.Path},
 		{"spec.match.pathPrefix", route.Match.PathPrefix},
+		{"spec.match.pathStart", route.Match.PathStart},
 		{"spec.match.methods", strings.Join(route.Match.Methods, ", ")},
 		{"spec.service", route.Service},
 		{"spec.repeatable", string(route.Repeatable)},
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -7,6 +7,7 @@
 	"strconv"
 	"time"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/routing"
 )
@@ -93,7 +94,7 @@
 // tenant. Errors are those of package outcome.
 func (c *call) accept(table *routing.Table, timeout time.Duration) error {
 	c.report.Version = table.Version()
-	route, matched := table.Match(c.request.Host, c.request.URL.Path, c.request.Method)
+	route, matched := table.Match(c.request.Host, httpconn.PathAsSent(c.request), c.request.Method)
 	if matched != routing.Matched {
 		return outcome.New(outcome.NoRoute)
 	}
--- a/internal/forwarding/refusals.go
+++ b/internal/forwarding/refusals.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+
+	"github.com/levertide/levertide/internal/httpconn"
 )
 
 const (
@@ -31,11 +33,12 @@
 	next  int
 }
 
-// keyOf returns a key that is the same for requests with the same method, host, path and query.
+// keyOf returns a key that is the same for requests with the same method, host, path and query, as
+// they were sent.
 func keyOf(r *http.Request) uint64 {
 	var d xxhash.Digest
 	d.Reset()
-	for _, part := range []string{r.Method, r.Host, r.URL.Path, r.URL.RawQuery} {
+	for _, part := range []string{r.Method, r.Host, httpconn.PathAsSent(r), r.URL.RawQuery} {
 		_, _ = d.WriteString(part)
 		_, _ = d.WriteString("\x00")
 	}
--- a/internal/forwarding/steering.go
+++ b/internal/forwarding/steering.go
@@ -9,6 +9,7 @@
 	"sync"
 	"time"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/outcome"
@@ -107,7 +108,7 @@
 	if configuration == nil {
 		return // the node has just started, and other nodes already offer calls to its worker
 	}
-	route, matched := configuration.Table.Match(r.Host, r.URL.Path, r.Method)
+	route, matched := configuration.Table.Match(r.Host, httpconn.PathAsSent(r), r.Method)
 	if matched != routing.Matched {
 		return
 	}
--- a/pkg/model/match.go
+++ b/pkg/model/match.go
@@ -43,21 +43,35 @@
 	}
 }
 
+// pathsOverlap reports whether some path satisfies both matches. All paths of a match begin with
+// its shortest one, so that one of the two shortest paths satisfies both if any does.
 func (m Match) pathsOverlap(other Match) bool {
+	return m.takesPath(other.shortestPath()) || other.takesPath(m.shortestPath())
+}
+
+// takesPath reports whether a path satisfies the match.
+func (m Match) takesPath(path string) bool {
 	switch {
-	case m.Path != "" && other.Path != "":
-		return m.Path == other.Path
 	case m.Path != "":
-		return prefixCovers(other.CanonicalPrefix(), m.Path)
-	case other.Path != "":
-		return prefixCovers(m.CanonicalPrefix(), other.Path)
+		return path == m.Path
+	case m.PathStart != "":
+		return strings.HasPrefix(path, m.PathStart)
 	default:
-		one, two := m.CanonicalPrefix(), other.CanonicalPrefix()
-		return prefixCovers(one, two) || prefixCovers(two, one)
+		prefix := m.CanonicalPrefix()
+		return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
 	}
 }
 
-// prefixCovers reports whether a canonical prefix matches a path or a longer prefix.
-func prefixCovers(prefix, path string) bool {
-	return strings.HasPrefix(path, prefix) && (len(path) == len(prefix) || path[len(prefix)] == '/')
+// shortestPath returns the shortest path that satisfies the match.
+func (m Match) shortestPath() string {
+	switch {
+	case m.Path != "":
+		return m.Path
+	case m.PathStart != "":
+		return m.PathStart
+	case m.CanonicalPrefix() == "":
+		return "/"
+	default:
+		return m.CanonicalPrefix()
+	}
 }
--- a/pkg/model/match_test.go
+++ b/pkg/model/match_test.go
@@ -8,6 +8,7 @@
 
 func TestOverlaps(t *testing.T) {
 	prefix := func(host, prefix string) model.Match { return model.Match{Host: host, PathPrefix: prefix} }
+	start := func(path string) model.Match { return model.Match{Host: "*", PathStart: path} }
 	exact := func(host, path string) model.Match { return model.Match{Host: host, Path: path} }
 	for _, test := range []struct {
 		one, two model.Match
@@ -25,6 +26,15 @@
 		{prefix("*", "/a/b"), exact("*", "/a"), false},
 		{exact("*", "/a"), exact("*", "/a"), true},
 		{exact("*", "/a"), exact("*", "/a/"), false},
+		{start("/a/"), exact("*", "/a"), false},
+		{start("/a/"), exact("*", "/a/"), true},
+		{start("/a/"), start("/a/b/"), true},
+		{start("/a/"), start("/ab/"), false},
+		{start("/a/"), prefix("*", "/a"), true},
+		{start("/a/"), prefix("*", "/a/b"), true},
+		{start("/a/b/"), prefix("*", "/a"), true},
+		{start("/a/"), prefix("*", "/ab"), false},
+		{start("/"), prefix("*", "/"), true},
 	} {
 		if got, back := test.one.Overlaps(test.two), test.two.Overlaps(test.one); got != test.want || back != test.want {
 			t.Errorf("%v and %v: %v, %v the other way round, want %v", test.one, test.two, got, back, test.want)
--- a/pkg/model/resource.go
+++ b/pkg/model/resource.go
@@ -145,10 +145,14 @@
 type Match struct {
 	// Host is an exact host name, "*.suffix" for any sub-domain, or "*" for any host.
 	Host string `json:"host"`
-	// Path is an exact path. Exactly one of Path and PathPrefix is set.
+	// Path is an exact path. Exactly one of Path, PathPrefix and PathStart is set.
 	Path string `json:"path,omitempty"`
-	// PathPrefix is a prefix that ends at a segment boundary.
+	// PathPrefix is a prefix that ends at a segment boundary: it takes the path itself and
+	// all paths below it.
 	PathPrefix string `json:"pathPrefix,omitempty"`
+	// PathStart is the beginning of a path, up to and including a slash: it takes the paths
+	// below, and not the one without that slash.
+	PathStart string `json:"pathStart,omitempty"`
 	// Methods lists the matching methods; empty means every method.
 	Methods []string `json:"methods,omitempty"`
 }
--- a/pkg/routing/match.go
+++ b/pkg/routing/match.go
@@ -27,8 +27,8 @@
 )
 
 // Match returns the most specific route for a request. Host is the Host
-// header, with or without a port; path is the decoded path. The route is nil
-// unless the result is Matched.
+// header, with or without a port; path is the path in the form in which the paths of
+// the routes are given, decoded or as sent. The route is nil unless the result is Matched.
 func (t *Table) Match(host, path, method string) (*Route, MatchResult) {
 	lookup := search{path: path, method: method}
 	route := t.find(&lookup, host)
@@ -129,7 +129,7 @@
 	if s.path == "" || s.path[0] != '/' {
 		return nil
 	}
-	best := s.matchMethod(&node.methods)
+	best := s.matchNode(node, true)
 	rest := s.path[1:]
 	for node.children != nil {
 		segment, after, more := strings.Cut(rest, "/")
@@ -137,7 +137,7 @@
 		if node == nil {
 			return best
 		}
-		if route := s.matchMethod(&node.methods); route != nil {
+		if route := s.matchNode(node, more); route != nil {
 			best = route
 		}
 		if !more {
@@ -148,6 +148,17 @@
 	return best
 }
 
+// matchNode returns the route of a node that takes the path. Slash tells whether the path goes on
+// after the node with a slash.
+func (s *search) matchNode(node *prefixNode, slash bool) *Route {
+	if slash {
+		if route := s.matchMethod(&node.below); route != nil {
+			return route
+		}
+	}
+	return s.matchMethod(&node.methods)
+}
+
 // matchMethod returns the route of one host and path that accepts the method, or nil.
 func (s *search) matchMethod(methods *methodTable) *Route {
 	if methods == nil || methods.empty() {
--- a/pkg/routing/match_test.go
+++ b/pkg/routing/match_test.go
@@ -110,6 +110,9 @@
 	pairs := [][2]model.Match{
 		{{Host: "a.example", PathPrefix: "/x"}, {Host: "A.example", PathPrefix: "/x/"}},
 		{{Host: "*", Path: "/x"}, {Host: "*", Path: "/x"}},
+		{{Host: "*", PathStart: "/x/"}, {Host: "*", PathStart: "/x/"}},
+		{{Host: "*", PathStart: "/x"}, {Host: "*", Path: "/y"}},
+		{{Host: "*", PathStart: "/x/", PathPrefix: "/x"}, {Host: "*", Path: "/y"}},
 		{{Host: "*", Path: "/x", Methods: []string{"GET", "PUT"}}, {Host: "*", Path: "/x", Methods: []string{"PUT"}}},
 	}
 	for _, pair := range pairs {
@@ -119,6 +122,48 @@
 	}
 }
 
+// TestPathStartBeginsThePath guards against requests that go to the service of a longer prefix,
+// though their path lacks the last slash of it.
+func TestPathStartBeginsThePath(t *testing.T) {
+	table := compile(t, map[string]model.Match{
+		"books":       {Host: "a.example", PathStart: "/books/"},
+		"year":        {Host: "a.example", PathStart: "/books/year/"},
+		"year-itself": {Host: "a.example", PathPrefix: "/books/year", Methods: []string{"PUT"}},
+		"empty":       {Host: "a.example", PathStart: "/books//"},
+		"root":        {Host: "b.example", PathStart: "/"},
+	})
+	cases := []struct{ host, path, method, want string }{
+		{"a.example", "/books", "GET", ""},
+		{"a.example", "/books/", "GET", "books"},
+		{"a.example", "/books/1", "GET", "books"},
+		{"a.example", "/books/year", "GET", "books"},
+		{"a.example", "/books/year", "PUT", "year-itself"},
+		{"a.example", "/books/year/", "GET", "year"},
+		{"a.example", "/books/year/", "PUT", "year"},
+		{"a.example", "/books/yearly/", "GET", "books"},
+		{"a.example", "/books/year/../1", "GET", "year"},
+		{"a.example", "/books//", "GET", "empty"},
+		{"a.example", "/books//year/1", "GET", "empty"},
+		{"a.example", "/books%2Fyear/", "GET", ""},
+		{"a.example", "/books/%79ear/", "GET", "books"},
+		{"a.example", "//books/1", "GET", ""},
+		{"a.example", "/", "GET", ""},
+		{"b.example", "/", "GET", "root"},
+		{"b.example", "//x", "GET", "root"},
+		{"b.example", "", "GET", ""},
+		{"b.example", "*", "OPTIONS", ""},
+	}
+	for _, c := range cases {
+		got := ""
+		if route, result := table.Match(c.host, c.path, c.method); result == Matched {
+			got = route.Name
+		}
+		if got != c.want {
+			t.Errorf("%s %s %s: got %q, want %q", c.method, c.host, c.path, got, c.want)
+		}
+	}
+}
+
 // specificity reports whether a route matches a request, and ranks it in the
 // order that the package comment states.
 func specificity(match model.Match, host, path, method string) ([3]int, bool) {
@@ -139,6 +184,8 @@
 		rank[1] = 1000
 	case match.PathPrefix != "" && (path == prefix || strings.HasPrefix(path, prefix+"/")):
 		rank[1] = len(prefix)
+	case match.PathStart != "" && strings.HasPrefix(path, match.PathStart):
+		rank[1] = len(match.PathStart)
 	default:
 		return rank, false
 	}
@@ -150,7 +197,7 @@
 }
 
 // drawnPaths are the paths of drawn routes and of requests to them.
-var drawnPaths = []string{"/", "/x", "/x/y", "/x/y/z", "/xy", "/x/"}
+var drawnPaths = []string{"/", "/x", "/x/y", "/x/y/z", "/xy", "/x/", "/x//", "/x/y/", "//x"}
 
 // drawMatches draws matches that often overlap and are never ambiguous.
 func drawMatches(t testing.TB, rt *rapid.T, hosts ...string) map[string]model.Match {
@@ -160,10 +207,14 @@
 			Host:    rapid.SampledFrom(hosts).Draw(rt, "host"),
 			Methods: rapid.SampledFrom([][]string{nil, {"GET"}, {"POST"}, {"GET", "POST"}}).Draw(rt, "methods"),
 		}
-		if path := rapid.SampledFrom(drawnPaths).Draw(rt, "path"); rapid.Bool().Draw(rt, "exact") {
+		path := rapid.SampledFrom(drawnPaths).Draw(rt, "path")
+		switch rapid.SampledFrom([]string{"exact", "prefix", "start"}).Draw(rt, "form") {
+		case "exact":
 			match.Path = path
-		} else {
+		case "prefix":
 			match.PathPrefix = path
+		default:
+			match.PathStart = strings.TrimSuffix(path, "/") + "/"
 		}
 		name := fmt.Sprintf("route-%d", i)
 		matches[name] = match
--- a/pkg/routing/table.go
+++ b/pkg/routing/table.go
@@ -133,7 +133,8 @@
 // prefixNode is a node in the trie of a host's path prefixes, keyed by path segment.
 type prefixNode struct {
 	children map[string]*prefixNode
-	methods  methodTable
+	// methods takes the path of the node and those below it, below only the latter.
+	methods, below methodTable
 }
 
 func newPathTable() *pathTable {
@@ -143,15 +144,21 @@
 func (p *pathTable) methodTableOf(route *Route) (*methodTable, error) {
 	match := route.Config.Match
 	switch {
-	case match.Path != "" && match.PathPrefix == "" && match.Path[0] == '/':
+	case match.Path != "" && match.PathPrefix == "" && match.PathStart == "" && match.Path[0] == '/':
 		return p.exactEntry(match.Path), nil
-	case match.PathPrefix != "" && match.Path == "" && match.PathPrefix[0] == '/':
-		return p.prefixEntry(match.CanonicalPrefix()), nil
+	case match.PathPrefix != "" && match.Path == "" && match.PathStart == "" && match.PathPrefix[0] == '/':
+		return &p.prefixNode(match.CanonicalPrefix()).methods, nil
+	case validStart(match.PathStart) && match.Path == "" && match.PathPrefix == "":
+		return &p.prefixNode(strings.TrimSuffix(match.PathStart, "/")).below, nil
 	default:
-		return nil, ErrInvalidRoute.New("route %q must have either a path or a path prefix, and it must begin with a slash", route.Name)
+		return nil, ErrInvalidRoute.New("route %q must have one of a path, a path prefix and a path start; each must begin with a slash, and a start end with one", route.Name)
 	}
 }
 
+func validStart(start string) bool {
+	return strings.HasPrefix(start, "/") && strings.HasSuffix(start, "/")
+}
+
 func (p *pathTable) exactEntry(path string) *methodTable {
 	entry, ok := p.exact[path]
 	if !ok {
@@ -161,16 +168,16 @@
 	return entry
 }
 
-// prefixEntry returns the entry of a canonical prefix.
-func (p *pathTable) prefixEntry(prefix string) *methodTable {
+// prefixNode returns the node of a prefix without a slash at its end.
+func (p *pathTable) prefixNode(prefix string) *prefixNode {
 	node := &p.prefix
 	if prefix == "" {
-		return &node.methods
+		return node
 	}
 	for segment := range strings.SplitSeq(prefix[1:], "/") {
 		node = node.child(segment)
 	}
-	return &node.methods
+	return node
 }
 
 func (n *prefixNode) child(segment string) *prefixNode {
--- a/pkg/validation/route.go
+++ b/pkg/validation/route.go
@@ -38,6 +38,11 @@
 	switch {
 	case match.Path != "" && match.PathPrefix != "":
 		s.report("spec.match.pathPrefix", "path and pathPrefix are both given", "keep one of them")
+	case match.PathStart != "" && (match.Path != "" || match.PathPrefix != ""):
+		s.report("spec.match.pathStart", "path or pathPrefix is given, too", "keep one of them")
+	case match.PathStart != "":
+		s.checkPath("spec.match.pathStart", match.PathStart)
+		s.checkStartEnd(match.PathStart)
 	case match.Path != "":
 		s.checkPath("spec.match.path", match.Path)
 	case match.PathPrefix != "":
--- a/pkg/validation/shadow.go
+++ b/pkg/validation/shadow.go
@@ -8,7 +8,7 @@
 
 // precedence is the position of a route in the order of precedence. Routes with
 // different values never tie.
-type precedence struct{ host, path, prefix string }
+type precedence struct{ host, path, prefix, start string }
 
 // claim is one method at one precedence; the empty method stands for a route that
 // lists none.
@@ -32,7 +32,7 @@
 // each other route.
 func (c *checker) claimAll(first map[claim]model.Key, resource model.Resource) {
 	match := resource.Route.Match
-	target := precedence{host: match.Host, path: match.Path, prefix: match.PathPrefix}
+	target := precedence{host: match.Host, path: match.Path, prefix: match.PathPrefix, start: match.PathStart}
 	methods := match.Methods
 	if len(methods) == 0 {
 		methods = []string{""}
--- a/pkg/validation/syntax.go
+++ b/pkg/validation/syntax.go
@@ -118,6 +118,12 @@
 	}
 }
 
+func (s subject) checkStartEnd(start string) {
+	if !strings.HasSuffix(start, "/") {
+		s.report("spec.match.pathStart", `a start ends with "/"`, "write "+start+"/")
+	}
+}
+
 func (s subject) checkMethod(field, method string) {
 	switch {
 	case method == "CONNECT":
