Forward a path with what a URI may not have as it was sent

Cause: both call paths forward by the parsed URL, and package url escapes what a path may not have when it writes the target.

Mend: httpconn.ForwardedURL, one for both call paths, hands such a path over as it is. Package url would read one that begins with two slashes as a host: with such bytes it cannot be kept, and is refused (400) in hosted mode; the standalone mode refuses empty segments anyway.

Tests, before: TestRouteBeginsThePathAsSent: "GET /ledger/{1}|é: the worker had /ledger/%7B1%7D%7C%C3%A9"; TestTargetThatCannotBeKeptIsMalformed: status 200, "books //%7B1%7D".

--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -2,11 +2,11 @@
 
 import (
 	"net/http"
-	"net/url"
 	"sync"
 	"time"
 
 	"github.com/levertide/levertide/internal/crashwatch"
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/admission"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/outcome"
@@ -238,15 +238,8 @@
 // host are forwarded unchanged.
 func outgoingRequest(r *http.Request, scheme, address string, header http.Header) *http.Request {
 	return &http.Request{
-		Method: r.Method,
-		URL: &url.URL{
-			Scheme:     scheme,
-			Host:       address,
-			Path:       r.URL.Path,
-			RawPath:    r.URL.RawPath,
-			RawQuery:   r.URL.RawQuery,
-			ForceQuery: r.URL.ForceQuery,
-		},
+		Method:     r.Method,
+		URL:        httpconn.ForwardedURL(r, scheme, address),
 		Host:       r.Host,
 		Header:     header,
 		ProtoMajor: 1,
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -94,6 +94,9 @@
 // tenant. Errors are those of package outcome.
 func (c *call) accept(table *routing.Table, timeout time.Duration) error {
 	c.report.Version = table.Version()
+	if !httpconn.Forwardable(c.request) {
+		return outcome.New(outcome.Malformed)
+	}
 	route, matched := table.Match(c.request.Host, httpconn.PathAsSent(c.request), c.request.Method)
 	if matched != routing.Matched {
 		return outcome.New(outcome.NoRoute)
--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -5,7 +5,6 @@
 	"errors"
 	"net/http"
 	"net/http/httptrace"
-	"net/url"
 	"sync/atomic"
 	"time"
 
@@ -132,15 +131,8 @@
 // received.
 func newRequest(from *http.Request, address string, header http.Header) *http.Request {
 	return &http.Request{
-		Method: from.Method,
-		URL: &url.URL{
-			Scheme:     "http",
-			Host:       address,
-			Path:       from.URL.Path,
-			RawPath:    from.URL.RawPath,
-			RawQuery:   from.URL.RawQuery,
-			ForceQuery: from.URL.ForceQuery,
-		},
+		Method:     from.Method,
+		URL:        httpconn.ForwardedURL(from, "http", address),
 		Host:       from.Host,
 		Header:     header,
 		ProtoMajor: 1,
--- a/internal/forwarding/pathassent_test.go
+++ b/internal/forwarding/pathassent_test.go
@@ -94,6 +94,8 @@
 		{"/ledger/year//", "filing"},
 		{"/ledger/./year/1", "books"},
 		{"/ledger/year/../1", "filing"},
+		{"/ledger/{1}|é", "books"},
+		{"/ledger/year/{1}|é?q={2}", "filing"},
 		{"/x%2Fy/1", "filing"},
 		{"/x/y/1", ""},
 		{"/unknown/", ""},
@@ -109,3 +111,16 @@
 		}
 	}
 }
+
+// TestTargetThatCannotBeKeptIsMalformed expects a refusal of the one form of path that would reach
+// the worker changed.
+func TestTargetThatCannotBeKeptIsMalformed(t *testing.T) {
+	node := startNode(t, "a", "books", echoing(t, "books"))
+	startRoutes(t, map[string]string{"/": "books"}, node)
+	if status, body := sendTarget(t, node, http.MethodGet, "//{1}"); status != http.StatusBadRequest {
+		t.Errorf("status %d, %q", status, body)
+	}
+	if status, body := sendTarget(t, node, http.MethodGet, "//1"); status != http.StatusOK || body != "books //1" {
+		t.Errorf("status %d, %q", status, body)
+	}
+}
