Have a node whose address another one has end by its own last record

Cause: only the record of the node at the address named those before it, the latest four of them. A node that learns of an earlier one from an entry of the store, which lasts for two minutes, had nobody to tell it: the others passed the record over, since they knew that it had ended.

Mend: the node at the address writes the last record of the one before: state left, with the highest sequence. It spreads and outranks all other records of that incarnation as any record does, so that any partner of an exchange corrects a node that holds an older one. A node never answers its own last record of the running incarnation, so that two processes that believe to have one address do not answer each other for ever; addresses without a host or a port end nobody.

The share of the retry budget is divided by the nodes without those replaced.

--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -112,7 +112,7 @@
 	view, steering := p.config.View(), p.steering.Load()
 	if view != d.view.Load() || steering != d.steering.Load() {
 		d.refresh(view, steering)
-		d.budget.SetSlack(p.config.Retries.Slack / float64(max(len(view.Nodes()), 1)))
+		d.budget.SetSlack(p.config.Retries.Slack / float64(max(view.Count(), 1)))
 	}
 	return d
 }
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -121,7 +121,7 @@
 	agent.evidence = newEvidence(agent, config.Quarantine)
 	agent.peers.evidence = agent.evidence
 	agent.peers.onPrevious = agent.learnPrevious
-	agent.peers.onSelfChanged = func() { agent.background(agent.spreadRecord) }
+	agent.peers.onReplaced = agent.spreadReplaced
 	agent.peers.hub = newHub(agent.peers, agent.background)
 	agent.announcer = newAnnouncer(config.Directory, config.Table, config.Source.Era)
 	agent.announcer.firstStart = config.FirstStart
@@ -231,6 +231,15 @@
 	a.peers.Announce(ctx, a.ownRecord())
 }
 
+// spreadReplaced sends the last records of nodes whose address this one has to all other nodes.
+func (a *Agent) spreadReplaced(records []fleet.Node) {
+	messages := make([]*exchangepb.Node, 0, len(records))
+	for _, n := range records {
+		messages = append(messages, nodeMessage(n))
+	}
+	a.background(func(ctx context.Context) { a.peers.Announce(ctx, messages) })
+}
+
 // spreadDocument sends the newest document, without waiting, to the own zone and to zones without
 // another reader. The readers of the other zones get it from the store and forward it there; these
 // zones are sent its version a little later, in case they have not.
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -31,7 +31,6 @@
 		Rollouts:       rolloutMessages(node.Rollouts),
 		Quarantined:    evidencewire.EncodeVerdicts(node.Quarantined),
 		StoreEra:       node.StoreEra,
-		Replaced:       replacementMessages(node.Replaced),
 	}
 }
 
@@ -51,7 +50,6 @@
 		Rollouts:       rolloutsOf(message.GetRollouts()),
 		Quarantined:    evidencewire.DecodeVerdicts(message.GetQuarantined()),
 		StoreEra:       message.GetStoreEra(),
-		Replaced:       replacementsOf(message.GetReplaced()),
 	}
 }
 
@@ -73,22 +71,6 @@
 	return nodes
 }
 
-func replacementMessages(list []fleet.Replacement) []*exchangepb.Replacement {
-	var messages []*exchangepb.Replacement
-	for _, r := range list {
-		messages = append(messages, &exchangepb.Replacement{Id: r.ID, Incarnation: r.Incarnation})
-	}
-	return messages
-}
-
-func replacementsOf(messages []*exchangepb.Replacement) []fleet.Replacement {
-	var list []fleet.Replacement
-	for _, message := range messages {
-		list = append(list, fleet.Replacement{ID: message.GetId(), Incarnation: message.GetIncarnation()})
-	}
-	return list
-}
-
 func workerMessages(list []workers.Worker) []*exchangepb.Worker {
 	messages := make([]*exchangepb.Worker, 0, len(list))
 	for _, worker := range list {
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -31,7 +31,7 @@
 	NodeLost(id string, err error)
 	NodeFound(id string)
 	// NodeReplaced reports that a node has ended and another one has its address.
-	NodeReplaced(id, by string)
+	NodeReplaced(id, address string)
 	// RecallFailed reports that the hub of the zone did not return the store's entry of this node,
 	// which names its previous incarnations' commitments.
 	RecallFailed(id string, err error)
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -54,8 +54,8 @@
 	// onRolloutRecord is called when a record with a roll-out was merged; nil where roll-outs are
 	// not used.
 	onRolloutRecord func()
-	// onSelfChanged is called when a merge has changed the record of this node.
-	onSelfChanged func()
+	// onReplaced is called with the last records of nodes whose address this one has.
+	onReplaced func(records []fleet.Node)
 
 	mutex   sync.Mutex
 	clients map[string]exchangepb.Exchange
@@ -212,12 +212,13 @@
 		// probed first.
 		p.noteContact(id)
 	}
-	for _, r := range merged.Replaced {
-		p.contacts.Reached(r.ID)
-		p.events.NodeReplaced(r.ID, r.By)
+	for _, n := range merged.Updates {
+		if n.Replaced() {
+			p.events.NodeReplaced(n.ID, n.ControlAddress)
+		}
 	}
-	if merged.SelfChanged {
-		p.onSelfChanged()
+	if len(merged.Replaced) > 0 {
+		p.onReplaced(merged.Replaced)
 	}
 	return merged
 }
--- a/internal/hosted/quota.go
+++ b/internal/hosted/quota.go
@@ -203,7 +203,7 @@
 	self := view.Self()
 	nodes := 0
 	if q.known() {
-		nodes = q.owners.count(view.Nodes(), view.Replaced(), q.lookedAt)
+		nodes = q.owners.count(view.Nodes(), q.lookedAt)
 	}
 	reached := q.peers.inZone(self.Zone)
 	recent := recentHubs(reached)
--- a/internal/hosted/quota_owners.go
+++ b/internal/hosted/quota_owners.go
@@ -1,7 +1,6 @@
 package hosted
 
 import (
-	"slices"
 	"time"
 
 	"github.com/levertide/levertide/pkg/fleet"
@@ -10,34 +9,30 @@
 
 // owners counts how many nodes own a share of the limits. Nodes that are lost count, also those
 // that refuse connections: they may be cut off and spend their share. Nodes that have left as
-// planned, or whose addresses others have, do not, once the lease of their share has ended.
+// planned do not, once the lease of their share has ended.
 type owners struct {
-	// gone are the nodes that have left or were replaced, with when this node learned of it.
-	gone map[string]time.Time
+	// left are the nodes that have left, with when this node learned of it.
+	left map[string]time.Time
 }
 
-// count returns how many of the nodes, and of those that were replaced, own a share.
-func (o *owners) count(nodes []*fleet.Node, replaced []string, now time.Time) int {
-	ids := slices.Clone(replaced)
+// count returns how many of the nodes own a share.
+func (o *owners) count(nodes []*fleet.Node, now time.Time) int {
+	left := make(map[string]time.Time)
 	owning := 0
 	for _, n := range nodes {
-		if n.State == fleet.StateLeft {
-			ids = append(ids, n.ID)
-		} else {
+		if n.State != fleet.StateLeft {
 			owning++
+			continue
 		}
-	}
-	gone := make(map[string]time.Time, len(ids))
-	for _, id := range ids {
-		since, known := o.gone[id]
+		since, known := o.left[n.ID]
 		if !known {
 			since = now
 		}
-		gone[id] = since
+		left[n.ID] = since
 		if now.Sub(since) <= quota.LeaseTerm {
 			owning++
 		}
 	}
-	o.gone = gone
+	o.left = left
 	return owning
 }
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -41,7 +41,7 @@
 	sender := request.GetSender().GetId()
 	drainCommitted := p.table.DrainCommitted(sender)
 	knowsPrevious := p.table.KnowsPrevious(sender, request.GetSender().GetIncarnation())
-	held, known := p.table.Newest(sender)
+	held, known := p.table.View().Node(sender)
 	p.noteContact(sender)
 	p.merge(append(nodesOf(request.GetNodes()...), nodesOf(request.GetSender())...), nil)
 	p.documents.TakeMessage(request.GetDocument())
--- a/internal/hosted/syncer.go
+++ b/internal/hosted/syncer.go
@@ -46,8 +46,8 @@
 	contacts *fleet.Contacts
 	// housekeeping is called in each round.
 	housekeeping func(ctx context.Context)
-	// goneSince are the nodes that have left or were replaced, with when this node learned of it.
-	goneSince map[string]time.Time
+	// leftSince are the nodes that have left, with when this node learned of it.
+	leftSince map[string]time.Time
 	// started is when Serve began.
 	started time.Time
 }
@@ -129,36 +129,35 @@
 	}
 }
 
-// forget removes nodes that have left, were replaced or have been lost for long.
+// forget removes nodes that have left or have been lost for long.
 func (s *Syncer) forget(now time.Time) {
-	view := s.table.View()
-	gone := map[string]time.Time{}
-	for _, node := range view.Nodes() {
+	left := map[string]time.Time{}
+	for _, node := range s.table.View().Nodes() {
 		since, lost := s.contacts.LostSince(node.ID)
 		switch {
 		case node.State == fleet.StateLeft:
-			s.forgetAfter(node.ID, forgetLeft, gone, now)
+			s.forgetGone(node, left, now)
 		case lost && now.Sub(since) > forgetLost:
 			s.table.Remove(node.ID)
 			s.contacts.Reached(node.ID)
 		}
 	}
-	for _, id := range view.Replaced() {
-		s.forgetAfter(id, forgetReplaced, gone, now)
-	}
-	s.goneSince = gone
+	s.leftSince = left
 }
 
-// forgetAfter removes a node that is gone once it was known to be for the given time, and notes in
-// gone since when until then.
-func (s *Syncer) forgetAfter(id string, term time.Duration, gone map[string]time.Time, now time.Time) {
-	since, known := s.goneSince[id]
+// forgetGone removes a node that has left for long enough, and notes in left since when until then.
+func (s *Syncer) forgetGone(node *fleet.Node, left map[string]time.Time, now time.Time) {
+	term := forgetLeft
+	if node.Replaced() {
+		term = forgetReplaced
+	}
+	since, known := s.leftSince[node.ID]
 	if !known {
 		since = now
 	}
 	if now.Sub(since) > term {
-		s.table.Remove(id)
+		s.table.Remove(node.ID)
 		return
 	}
-	gone[id] = since
+	left[node.ID] = since
 }
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -58,8 +58,8 @@
 func (l *Log) NodeFound(id string) { end(l.begin(eventNodeFound).Str("peer", id)) }
 
 // NodeReplaced records that a node has ended and another one has its address.
-func (l *Log) NodeReplaced(id, by string) {
-	end(l.begin(eventNodeReplaced).Str("peer", id).Str("by", by))
+func (l *Log) NodeReplaced(id, address string) {
+	end(l.begin(eventNodeReplaced).Str("peer", id).Str("address", address))
 }
 
 // RecallFailed records that the hub of the zone did not report the previous incarnations of
--- a/pkg/fleet/doc.go
+++ b/pkg/fleet/doc.go
@@ -5,9 +5,8 @@
 // by incarnation and sequence, so that tables merge in any order and two nodes
 // that have exchanged all their records have equal tables. No node writes the record
 // of another node: that a node cannot be reached is local knowledge of the node that
-// tried; it is held in Contacts and never sent. That a node has ended can be known for
-// certain in one case: another node has its address. That one names it in its own
-// record, and all tables drop it.
+// tried; it is held in Contacts and never sent. There is one exception, where it is certain
+// that a node has ended: the node that has its address writes its last record.
 //
 // Spread divides the nodes for a broadcast, and Readers chooses the few that read
 // the store. Both are plain functions of a view; there are no clocks, sockets
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -47,9 +47,6 @@
 	// StoreEra is the highest era of the store whose beginning the node has observed; zero
 	// when it has observed none.
 	StoreEra uint64
-	// Replaced are the nodes that were at ControlAddress before this one. They have ended:
-	// this node listens there.
-	Replaced []Replacement
 }
 
 // NewerThan reports whether the record replaces another one of the same node.
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -23,9 +23,7 @@
 	commitments map[string][]workers.Worker
 	// restarted are nodes of which a record of a previous incarnation was held.
 	restarted map[string]bool
-	// ended are nodes that others have replaced, by identifier, until they are removed.
-	ended map[string]endedNode
-	view  atomic.Pointer[View]
+	view      atomic.Pointer[View]
 }
 
 // NewTable returns a table that holds the record of the node that owns it.
@@ -34,7 +32,6 @@
 		self:        self.ID,
 		commitments: map[string][]workers.Worker{},
 		restarted:   map[string]bool{},
-		ended:       map[string]endedNode{},
 	}
 	table.put([]*Node{&self})
 	table.publish()
@@ -51,10 +48,9 @@
 	// PreviousSelf is a record of the own node, written by a previous incarnation, that
 	// is newer than the one held; it is not accepted.
 	PreviousSelf *Node
-	// Replaced are the nodes that were dropped since others have their addresses.
-	Replaced []Replaced
-	// SelfChanged is set when the own record has changed, so that other nodes must get it.
-	SelfChanged bool
+	// Replaced are the last records of nodes whose address this one has. It has written
+	// them, and other nodes must get them.
+	Replaced []Node
 }
 
 // Merge accepts the records that are newer than those held. The own record is
@@ -65,36 +61,51 @@
 	var merged Merged
 	accepted := map[string]*Node{}
 	for _, n := range nodes {
-		held, known := t.newest(n.ID)
+		held, known := t.held(n.ID)
 		if earlier, again := accepted[n.ID]; again {
 			held, known = *earlier, true
 		}
 		switch {
 		case n.ID == "" || known && !n.NewerThan(held):
+		case n.ID == t.self && n.Incarnation == t.ownIncarnation():
+			// Another node has the address of this one. What it says stands.
 		case n.ID == t.self:
 			previous := n
 			merged.PreviousSelf = &previous
-		case t.hasEnded(n):
-			t.keepEnded(n)
 		default:
 			if known && held.Incarnation != n.Incarnation {
 				t.keepCommitments(held, n)
 				merged.NewIncarnations = append(merged.NewIncarnations, n.ID)
 			}
-			delete(t.ended, n.ID)
-			accepted[n.ID] = &n
-			merged.Updates = append(merged.Updates, n)
+			accepted[n.ID] = t.lastIfReplaced(n, &merged)
+			merged.Updates = append(merged.Updates, *accepted[n.ID])
 		}
 	}
 	if len(accepted) > 0 {
-		ordered := slices.SortedFunc(maps.Values(accepted), byID)
-		t.put(ordered)
-		t.applyReplacements(ordered, &merged)
+		t.put(slices.SortedFunc(maps.Values(accepted), byID))
 		t.publish()
 	}
 	return merged
 }
 
+// lastIfReplaced returns a record to accept: the last one of the node if this one has its address.
+// The caller holds mu.
+func (t *Table) lastIfReplaced(n Node, merged *Merged) *Node {
+	own, _ := t.held(t.self)
+	if n.State == StateLeft || !own.hasAddressOf(n) {
+		return &n
+	}
+	last := n.asReplaced()
+	merged.Replaced = append(merged.Replaced, *last)
+	return last
+}
+
+// ownIncarnation returns the incarnation of the own record. The caller holds mu.
+func (t *Table) ownIncarnation() uint64 {
+	own, _ := t.held(t.self)
+	return own.Incarnation
+}
+
 // maximumCommitments bounds the commitments kept of the previous incarnations of one node.
 const maximumCommitments = 32
 
@@ -122,7 +133,7 @@
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	committed := slices.Clone(t.commitments[id])
-	held, _ := t.newest(id)
+	held, _ := t.held(id)
 	for _, worker := range held.Workers {
 		if worker.State.DrainCommitted() {
 			committed = append(committed, worker)
@@ -136,7 +147,7 @@
 func (t *Table) KnowsPrevious(id string, incarnation uint64) bool {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	held, known := t.newest(id)
+	held, known := t.held(id)
 	return t.restarted[id] || known && held.Incarnation != incarnation
 }
 
@@ -144,18 +155,12 @@
 func (t *Table) Update(change func(*Node)) Node {
 	t.mu.Lock()
 	defer t.mu.Unlock()
-	own := t.updateSelf(change)
-	t.publish()
-	return own
-}
-
-// updateSelf writes the own record with the next sequence and returns it. The caller holds mu.
-func (t *Table) updateSelf(change func(*Node)) Node {
 	own, _ := t.held(t.self)
 	own.Workers = slices.Clone(own.Workers)
 	change(&own)
 	own.Sequence++
 	t.put([]*Node{&own})
+	t.publish()
 	return own
 }
 
@@ -168,7 +173,7 @@
 	})
 }
 
-// Remove deletes a node until a record of it arrives again, and forgets whether it was replaced.
+// Remove deletes a node until a record of it arrives again.
 func (t *Table) Remove(id string) {
 	t.mu.Lock()
 	defer t.mu.Unlock()
@@ -176,21 +181,14 @@
 		return
 	}
 	if i, known := t.find(id); known {
-		t.drop(i)
+		t.toggleDigest(t.nodes[i])
+		t.nodes = slices.Delete(slices.Clone(t.nodes), i, i+1)
 	}
 	delete(t.commitments, id)
 	delete(t.restarted, id)
-	delete(t.ended, id)
 	t.publish()
 }
 
-// Newest returns the newest record held of a node, also of one that another node has replaced.
-func (t *Table) Newest(id string) (Node, bool) {
-	t.mu.Lock()
-	defer t.mu.Unlock()
-	return t.newest(id)
-}
-
 // View returns the current records.
 func (t *Table) View() *View { return t.view.Load() }
 
@@ -206,24 +204,6 @@
 	return *t.nodes[i], true
 }
 
-// newest returns the newest record of a node, also of one that another node has replaced. The
-// caller holds the mutex.
-func (t *Table) newest(id string) (Node, bool) {
-	if held, known := t.held(id); known {
-		return held, true
-	}
-	if ended := t.ended[id]; ended.record != nil {
-		return *ended.record, true
-	}
-	return Node{}, false
-}
-
-// drop removes the record at an index. The caller holds the mutex.
-func (t *Table) drop(i int) {
-	t.toggleDigest(t.nodes[i])
-	t.nodes = slices.Delete(slices.Clone(t.nodes), i, i+1)
-}
-
 // put inserts or replaces records, given in the order of their identifiers. The caller
 // holds the mutex, or the table is new; views keep the previous slice.
 func (t *Table) put(updates []*Node) {
@@ -247,5 +227,5 @@
 
 // publish makes the records visible in View. The caller holds the mutex, or the table is new.
 func (t *Table) publish() {
-	t.view.Store(&View{self: t.self, nodes: t.nodes, digests: t.digests, replaced: t.endedIDs()})
+	t.view.Store(&View{self: t.self, nodes: t.nodes, digests: t.digests})
 }
--- a/pkg/fleet/view.go
+++ b/pkg/fleet/view.go
@@ -17,16 +17,21 @@
 	self    string
 	nodes   []*Node
 	digests [Buckets]uint64
-	// replaced are the identifiers of the nodes that others have replaced, ordered.
-	replaced []string
 }
 
 // Nodes returns all records, the own one among them. The caller must not change them.
 func (v *View) Nodes() []*Node { return v.nodes }
 
-// Replaced returns the identifiers of the nodes that have ended and whose addresses others have.
-// Nodes does not return them. The caller must not change them.
-func (v *View) Replaced() []string { return v.replaced }
+// Count returns the number of nodes, without those that others have replaced.
+func (v *View) Count() int {
+	count := 0
+	for _, n := range v.nodes {
+		if !n.Replaced() {
+			count++
+		}
+	}
+	return count
+}
 
 // Digest is equal for equal sets of records.
 func (v *View) Digest() uint64 {
