Draw machines at used addresses and paths without the last slash in the soak

Now three in ten of the restarts of a node bring up another machine at its addresses, with a node of another identifier and another worker; at the end each node must take exactly those to be there that are. Two in a hundred of the requests lack the last slash of a prefix: no worker may run one, and no other request may be told that there is no route. The soak's routes begin the path, as those of a platform do. sidecar.Node tells the nodes that it takes to be live.

--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -27,6 +27,12 @@
 	// paths.
 	popularShare = 0.5
 	popularPaths = 20
+	// statusNoRoute is the status of a request that no route takes.
+	statusNoRoute = http.StatusNotFound
+	// shortPathShare is the share of the requests whose path lacks the last slash of the prefix of a
+	// route, so that no route takes it. Their ids begin with shortPathPrefix.
+	shortPathShare  = 0.02
+	shortPathPrefix = "short-"
 )
 
 // call sends one request to a random machine and records the outcome in the ledger. A
@@ -40,8 +46,15 @@
 	if repeatable && rand.Float64() < popularShare {
 		path = fmt.Sprintf("%spopular-%d", safePrefix, rand.IntN(popularPaths))
 	}
-	if rand.Float64() < unknownCallerShare {
+	switch drawn := rand.Float64(); {
+	case drawn < unknownCallerShare:
 		id = unknownCallerPrefix + id
+	case drawn < unknownCallerShare+shortPathShare:
+		id = shortPathPrefix + id
+		path = strings.TrimSuffix(safePrefix, "/")
+		if !repeatable {
+			path = strings.TrimSuffix(oncePrefix, "/")
+		}
 	}
 	for attempt := range callerAttempts {
 		attemptID := fmt.Sprintf("%s-%d", id, attempt)
@@ -52,7 +65,7 @@
 			time.Sleep(callerPause)
 		}
 		l.recordOutcome(attemptID, status, body)
-		if status == statusServed || status == statusUnauthenticated || !repeatable {
+		if status == statusServed || status == statusUnauthenticated || status == statusNoRoute || !repeatable {
 			return
 		}
 	}
--- a/internal/lab/soak/document.go
+++ b/internal/lab/soak/document.go
@@ -51,7 +51,7 @@
 
 func route(prefix string, repeatable model.Repeatable) model.Resource {
 	return model.Resource{Key: model.Key{Kind: model.KindRoute, Name: prefix}, Route: &model.Route{
-		Match: model.Match{Host: hostName, PathPrefix: prefix}, Service: serviceName,
+		Match: model.Match{Host: hostName, PathStart: prefix}, Service: serviceName,
 		Repeatable: repeatable, Timeout: callBound, Attempts: 3, TargetLatency: callBound / 4,
 	}}
 }
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -14,6 +14,9 @@
 	shortestFaultPause = 50 * time.Millisecond
 	longestFaultPause  = 400 * time.Millisecond
 	longestFault       = 1500 * time.Millisecond
+	// replacementShare is the share of the restarts of nodes after which another machine has the
+	// addresses.
+	replacementShare = 0.3
 )
 
 // faults injects faults into machines, the store and the network, as the seed decides.
@@ -30,8 +33,9 @@
 	restoredAt time.Time
 	// requests counts the different crashing requests so far.
 	requests int
-	// downtimes decides how long crashed workers stay down; guarded by mutex.
-	downtimes *rand.Rand
+	// downtimes decides how long crashed workers stay down, and replacements which machines come
+	// back as others; both are guarded by mutex.
+	downtimes, replacements *rand.Rand
 	// busy holds the machines with a fault of their own in progress; guarded by mutex.
 	mutex   sync.Mutex
 	busy    map[*machine]bool
@@ -65,9 +69,9 @@
 	case 0, 1, 2:
 		f.change()
 	case 3:
-		f.onMachine(target, "crash of the node", func() { f.restart(ctx, target, false, duration) })
+		f.onMachine(target, "crash of the node", func() { f.restartOrReplace(ctx, target, false, duration) })
 	case 4:
-		f.onMachine(target, "planned stop of the node", func() { f.restart(ctx, target, true, 0) })
+		f.onMachine(target, "planned stop of the node", func() { f.restartOrReplace(ctx, target, true, 0) })
 	case 5:
 		f.onMachine(target, "leave of the worker", func() { f.replaceWorker(ctx, target, false) })
 	case 6:
@@ -139,7 +143,7 @@
 	f.forgetIfRestored()
 	for _, m := range f.machines {
 		if f.random.IntN(4) > 0 {
-			f.onMachine(m, "crash of the node, together with others", func() { f.restart(ctx, m, false, down) })
+			f.onMachine(m, "crash of the node, together with others", func() { f.restartOrReplace(ctx, m, false, down) })
 		}
 	}
 }
@@ -197,7 +201,7 @@
 	f.random.Shuffle(len(machines), func(i, j int) { machines[i], machines[j] = machines[j], machines[i] })
 	for _, m := range machines[:len(machines)/2] {
 		f.change()
-		f.onMachine(m, "planned stop of the node, in a series", func() { f.restart(ctx, m, true, 0) })
+		f.onMachine(m, "planned stop of the node, in a series", func() { f.restartOrReplace(ctx, m, true, 0) })
 		wait(ctx, shortestFaultPause)
 	}
 }
@@ -244,6 +248,24 @@
 	f.recordError(m.startNode())
 }
 
+// restartOrReplace is restart, but sometimes another machine comes up at the addresses.
+func (f *faults) restartOrReplace(ctx context.Context, m *machine, planned bool, down time.Duration) {
+	if !f.drawReplacement() {
+		f.restart(ctx, m, planned, down)
+		return
+	}
+	m.endNode(planned)
+	wait(ctx, down)
+	f.options.Log("%s: another machine comes up at the addresses", m.id)
+	f.recordError(m.replace())
+}
+
+func (f *faults) drawReplacement() bool {
+	f.mutex.Lock()
+	defer f.mutex.Unlock()
+	return f.replacements.Float64() < replacementShare
+}
+
 func (f *faults) replaceWorker(ctx context.Context, m *machine, crash bool) {
 	if crash {
 		m.worker.kill()
--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -108,6 +108,8 @@
 	switch {
 	case !known:
 		l.violate("worker %s ran request %s that no caller sent", instance, id)
+	case strings.HasPrefix(id, shortPathPrefix):
+		l.violate("worker %s ran request %s, whose path no route begins", instance, id)
 	case !repeatable && l.runs[id] > 1:
 		l.violate("unrepeatable request %s ran %d times", id, l.runs[id])
 	}
@@ -165,6 +167,11 @@
 		if !strings.HasPrefix(id, unknownCallerPrefix) || l.runs[id] > 0 {
 			l.violate("request %s was refused for its key, after %d runs", id, l.runs[id])
 		}
+	case statusNoRoute:
+		l.report.NoRoute++
+		if !strings.HasPrefix(id, shortPathPrefix) {
+			l.violate("request %s was refused, as if no route took it", id)
+		}
 	case statusQuarantined:
 		l.report.QuarantinedWrongly++
 		l.violate("request %s was taken for one that crashes its workers", id)
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net/http"
 	"strings"
@@ -33,7 +34,8 @@
 
 const stopBound = 3 * time.Second
 
-// machine is a node with the worker beside it.
+// machine is a node with the worker beside it. Other machines may take its place, with a node of
+// another identifier at the same addresses.
 type machine struct {
 	id, zone        string
 	runTime         time.Duration // of a request at the worker
@@ -50,6 +52,7 @@
 	registrar    sidecar.Registrar
 	worker       *worker
 	incarnations int
+	replacements int    // how many other machines have taken the place
 	lowest       uint64 // lowest version that may be in force, in this incarnation of the node
 	// suspended is the last suspension of the machine; nil if there was none.
 	suspended atomic.Pointer[suspension]
@@ -86,6 +89,34 @@
 	return m, nil
 }
 
+// nodeID returns the identifier of the machine's node.
+func (m *machine) nodeID() string {
+	m.mutex.Lock()
+	defer m.mutex.Unlock()
+	return fmt.Sprintf("%s-%d", m.id, m.replacements)
+}
+
+// believed returns the identifiers of the nodes that the machine's node takes to be there, ordered.
+func (m *machine) believed() []string {
+	m.mutex.Lock()
+	node := m.node
+	m.mutex.Unlock()
+	return node.LiveNodes()
+}
+
+// replace puts another machine in the place of one whose node has ended: its worker ends, too.
+func (m *machine) replace() error {
+	m.worker.kill()
+	m.mutex.Lock()
+	m.replacements++
+	m.mutex.Unlock()
+	if err := m.startNode(); err != nil {
+		return err
+	}
+	_, err := m.startNextWorker()
+	return err
+}
+
 // startNode starts the node of the machine.
 func (m *machine) startNode() error {
 	var registrar sidecar.Registrar
@@ -112,7 +143,7 @@
 	}
 	logQueue := telemetry.NewQueue(io.Discard)
 	node, err := sidecar.New(settings.Settings{
-		NodeID: m.id, Region: "region", Zone: m.zone, Service: serviceName, Mode: settings.ModeHosted,
+		NodeID: m.nodeID(), Region: "region", Zone: m.zone, Service: serviceName, Mode: settings.ModeHosted,
 		CallerAddress: m.callers, CallAddress: m.call, ControlAddress: m.control, ReadinessAddress: m.probes, AdminAddress: m.network.AnyPort(),
 		StoreAddresses: []string{"in memory"}, DrainBound: stopBound, StopNotice: 200 * time.Millisecond,
 		HeartbeatInterval: heartbeatInterval, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -70,7 +70,9 @@
 	Refused int    `json:"refused"`
 	Unknown int    `json:"unknown"`
 	// Unauthenticated counts the attempts that were refused because of their key.
-	Unauthenticated  int `json:"unauthenticated"`
+	Unauthenticated int `json:"unauthenticated"`
+	// NoRoute counts the attempts that were refused since no route takes their path.
+	NoRoute          int `json:"no_route"`
 	Runs             int `json:"runs"`
 	Faults           int `json:"faults"`
 	Documents        int `json:"documents"`
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net/http"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -61,7 +62,7 @@
 func (s *soak) faults() *faults {
 	f := &faults{
 		options: s.options, random: rand.New(rand.NewPCG(s.options.Seed, s.options.Seed)),
-		downtimes: rand.New(rand.NewPCG(s.options.Seed, 0)), machines: s.machines,
+		downtimes: rand.New(rand.NewPCG(s.options.Seed, 0)), replacements: rand.New(rand.NewPCG(s.options.Seed, 1)), machines: s.machines,
 		store: s.store, saved: s.store.Copy(), ledger: s.ledger, version: 1, busy: map[*machine]bool{},
 	}
 	for _, m := range s.machines {
@@ -155,6 +156,11 @@
 			s.ledger.fail("%s does not take the keys of version %d alone after the last fault", m.id, version)
 		}
 	}
+	for _, m := range s.machines {
+		if !s.within(func() bool { return slices.Equal(m.believed(), s.nodeIDs()) }) {
+			s.ledger.fail("node %s takes %v to be there after the last fault, there are %v", m.nodeID(), m.believed(), s.nodeIDs())
+		}
+	}
 	for _, m := range s.machines {
 		before := m.worker.runs.Load()
 		if !s.within(func() bool { s.saturate(m, version); return m.worker.runs.Load() > before }) {
@@ -163,6 +169,16 @@
 	}
 }
 
+// nodeIDs returns the identifiers of the nodes that run now, ordered.
+func (s *soak) nodeIDs() []string {
+	var ids []string
+	for _, m := range s.machines {
+		ids = append(ids, m.nodeID())
+	}
+	slices.Sort(ids)
+	return ids
+}
+
 // saturate sends one machine more requests at a time than all workers but its own have slots, so
 // that this worker must get some. If they came one at a time, the node might pick another
 // worker, as a faster one, each time.
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -13,11 +13,7 @@
 func (n *Node) reading() telemetry.HostedReading {
 	view := n.table.View()
 	reading := telemetry.HostedReading{Ready: n.ready(), ReadsStore: view.Self().ReadsStore, Version: n.Version(), Messages: n.agent.Messages(), StoreRestores: n.agent.StoreRestores()}
-	for _, node := range view.Nodes() {
-		if node.State == fleet.StateLive {
-			reading.LiveNodes++
-		}
-	}
+	reading.LiveNodes = len(n.LiveNodes())
 	calls, hops := n.plane.InFlight()
 	reading.InFlight = int(calls + hops)
 	load := n.plane.WorkerLoad()
@@ -32,6 +28,18 @@
 	return reading
 }
 
+// LiveNodes returns the identifiers of the nodes that this node takes to be live, itself among
+// them, ordered.
+func (n *Node) LiveNodes() []string {
+	var ids []string
+	for _, node := range n.table.View().Nodes() {
+		if node.State == fleet.StateLive {
+			ids = append(ids, node.ID)
+		}
+	}
+	return ids
+}
+
 // Reload applies settings that were read again, or logs the error with which that failed.
 // A running node can change only the requests whose quarantine is lifted; all else stays
 // as it is.
