Have a node's own settings name the service that its calls begin at

Seen with it in the test: the running worker got nothing until its next heartbeat ("the service has no worker", 503).

Cause: the service of the registration that was made last went before the one in the node's settings, also of a worker that is dead or leaves.

Mend: the settings go first. A heartbeat of another service is refused (618, as other heartbeats that cannot be): the worker beside the node stays ready. Where settings name no service, that of the worker that is ready, and then of the one heard last, stands for it.

--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -137,12 +137,13 @@
 // this node was not free in time.
 func (p *Plane) RefusedTransfers() uint64 { return p.refusedTransfers.Load() }
 
-// serviceHere returns the service under which calls of this node begin.
+// serviceHere returns the service under which calls of this node begin: the one that the node's
+// settings name. What workers report may be late, and of a worker that had the address before.
 func (p *Plane) serviceHere() string {
-	if service := p.config.Workers.Service(); service != "" {
-		return service
+	if p.config.Service != "" {
+		return p.config.Service
 	}
-	return p.config.Service
+	return p.config.Workers.Service()
 }
 
 // left returns the time that is left until end, for a call that began at this node at the given
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -29,7 +29,7 @@
 	announceStopBound = 300 * time.Millisecond
 )
 
-// Config configures an Agent. All fields except KnowsService, Rollouts, Steering and Quotas must be
+// Config configures an Agent. All fields except MayBeBeside, Rollouts, Steering and Quotas must be
 // given.
 type Config struct {
 	// Mesh names the mesh; messages from nodes of another one are refused.
@@ -39,11 +39,12 @@
 	Table      *fleet.Table
 	Contacts   *fleet.Contacts
 	Workers    *workers.Registry
-	// KnowsService reports whether there is a service of the name; nil accepts every name.
-	KnowsService func(name string) bool
-	Source       Source
-	Directory    Directory
-	Consumer     Consumer
+	// MayBeBeside reports whether a worker of the service may be beside this node; nil accepts
+	// every service.
+	MayBeBeside func(service string) bool
+	Source      Source
+	Directory   Directory
+	Consumer    Consumer
 	// Rollouts and Steering move services to other versions; nil where roll-outs are not used.
 	Rollouts RolloutStore
 	Steering Steering
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -25,9 +25,9 @@
 // Heartbeat processes a worker's heartbeat. When it returns nil the heartbeat may be acknowledged:
 // a drain commitment in it is kept from now on, whichever nodes fail.
 func (a *Agent) Heartbeat(ctx context.Context, heartbeat workers.Heartbeat) error {
-	if a.config.KnowsService != nil && !a.config.KnowsService(heartbeat.Service) {
-		// A worker of an unknown service would take the address of the worker beside this node.
-		return workers.ErrInvalid.New("there is no service %q", heartbeat.Service)
+	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
+		// A worker of another service would take the address of the worker beside this node.
+		return workers.ErrInvalid.New("no worker of a service %q is beside this node", heartbeat.Service)
 	}
 	if !heartbeat.Draining {
 		change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -134,8 +134,11 @@
 	source, directory = hosted.Observe(source, directory, telemetry.NewStoreObserver(registry.Registerer()))
 	node.agent = hosted.New(hosted.Config{
 		Mesh: s.Mesh, FirstStart: s.FirstStart, Table: node.table, Contacts: contacts, Workers: node.workers,
-		KnowsService: func(name string) bool { return name == s.Service || config.knowsService(name) },
-		Source:       source, Directory: directory, Consumer: config, Serving: node.plane,
+		MayBeBeside: func(service string) bool {
+			// A late heartbeat may be of a worker that had the address before, of another service.
+			return service == s.Service || s.Service == "" && config.knowsService(service)
+		},
+		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
 		Rollouts: rollouts, Steering: node.plane,
 		Quarantine: node.quarantine, Quotas: node.quotas,
 		Probe:    newProbe(s, config, network, adapter),
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -321,19 +321,27 @@
 	return best.Worker, true
 }
 
-// Service returns the service of the worker that registered last, also when it
-// is leaving; empty when none did.
+// Service returns the service of the worker that runs: of a ready one rather than of one
+// that leaves or is unresponsive, and then of the one heard last; empty when none is known.
 func (r *Registry) Service() string {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	var last *registration
+	var running *registration
 	for _, held := range r.workers {
-		if held.Service != "" && (last == nil || held.registeredAt.After(last.registeredAt)) {
-			last = held
+		if held.Service != "" && (running == nil || held.likelierRunningThan(running)) {
+			running = held
 		}
 	}
-	if last == nil {
+	if running == nil {
 		return ""
 	}
-	return last.Service
+	return running.Service
+}
+
+// likelierRunningThan reports whether a worker is the likelier of two to be the one that runs.
+func (r *registration) likelierRunningThan(other *registration) bool {
+	if ready := r.State == StateReady; ready != (other.State == StateReady) {
+		return ready
+	}
+	return r.lastHeard.After(other.lastHeard)
 }
--- a/pkg/workers/registry_test.go
+++ b/pkg/workers/registry_test.go
@@ -339,3 +339,22 @@
 	}
 	expect("b-next", start.Add(3*time.Second))
 }
+
+// TestServiceIsThatOfTheRunningWorker guards against a service that a late heartbeat decides for as
+// long as its worker is remembered.
+func TestServiceIsThatOfTheRunningWorker(t *testing.T) {
+	r := NewRegistry(6 * time.Second)
+	running := Heartbeat{Instance: "running", Service: "intake", Address: "127.0.0.1:1", Slots: 6, Sequence: 1}
+	late := Heartbeat{Instance: "former", Service: "books", Address: "127.0.0.1:1", Slots: 6, Sequence: 40}
+	mustHeartbeat(t, r, running, start)
+	mustHeartbeat(t, r, late, start.Add(time.Second))
+	running.Sequence++
+	mustHeartbeat(t, r, running, start.Add(2*time.Second))
+	if service := r.Service(); service != "intake" {
+		t.Errorf("service %q after the next heartbeat", service)
+	}
+	r.Expire(start.Add(20 * time.Second))
+	if service := r.Service(); service != "intake" {
+		t.Errorf("service %q while no worker is heard", service)
+	}
+}
