Show who watches the store, and messages that another node has answered

A dead node at a used address and one that is back looked alike: "node found".

TestMetricsTellWhoReadsTheStore.

--- a/internal/command/explain/explanation.go
+++ b/internal/command/explain/explanation.go
@@ -27,7 +27,7 @@
 
 // stateChangeEvents are the events that change what a node assumes about the system.
 var stateChangeEvents = map[int]bool{
-	104: true, 105: true, 401: true, 402: true, 601: true, 602: true, 603: true, 604: true, 605: true, 606: true, 607: true, 610: true,
+	104: true, 105: true, 401: true, 402: true, 601: true, 602: true, 603: true, 604: true, 605: true, 606: true, 607: true, 610: true, 621: true,
 }
 
 // storeRestoreEvents are the events of a restore of the store from a copy: the restore itself,
@@ -37,7 +37,7 @@
 // causes explains each reason and says where to look further.
 var causes = map[outcome.Reason]string{
 	outcome.NotReady:            "the node had no configuration yet: see when it started, and whether it reaches the store or another node (402, 604)",
-	outcome.NoRoute:             "no route of the version in force takes the host and path: compare the version with the operators' document (602)",
+	outcome.NoRoute:             "no route of the version in force takes the host and path: compare the version with the operators' document (602); if it is old everywhere, see which nodes read the store (603)",
 	outcome.NoWorker:            "no worker of the service could be given the call: see what the nodes said of their workers (606) and which nodes were lost (604)",
 	outcome.Unreachable:         "the connection to the node or the worker was not made, and nothing was sent: see whether it was lost or restarted (604, 101)",
 	outcome.Overloaded:          "no slot was expected to be free in time on any node asked: see running, waiting and slots; the caller was told when to come back",
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -77,6 +77,7 @@
 	peers      *Peers
 	announcer  *Announcer
 	evidence   *evidence
+	reader     *Reader
 	supervisor *suture.Supervisor
 	web        *http.Server
 
@@ -149,6 +150,7 @@
 		agent.peers.onRolloutRecord = rollouts.Signal
 		agent.supervisor.Add(rollouts)
 	}
+	agent.reader = reader
 	agent.supervisor.Add(reader)
 	agent.supervisor.Add(&Standby{peers: agent.peers, table: config.Table, contacts: config.Contacts})
 	agent.supervisor.Add(agent.documents)
@@ -203,6 +205,9 @@
 // previous incarnations.
 func (a *Agent) Ready() bool { return a.commitmentsKnown.Load() && a.documents.InForce() }
 
+// ReadsForAll reports whether this node watches the store on behalf of all nodes.
+func (a *Agent) ReadsForAll() bool { return a.reader.reads.Load() }
+
 // knowsMesh reports whether this node can know how many nodes there are: it has been in contact
 // with another one, or it is alone.
 func (a *Agent) knowsMesh() bool {
--- a/internal/hosted/messages.go
+++ b/internal/hosted/messages.go
@@ -6,19 +6,20 @@
 type Messages struct {
 	// Exchanges are the requests of anti-entropy exchanges, Broadcasts the messages with updates,
 	// and Records the node records in those. QuotaRequests are messages about the limits of
-	// tenants, Probes those that check whether the nodes that read the store answer.
-	Exchanges, Broadcasts, Records, QuotaRequests, Probes uint64
+	// tenants, Probes those that check whether the nodes that read the store answer. Misdirected are
+	// those of any kind that another node than the one addressed has answered.
+	Exchanges, Broadcasts, Records, QuotaRequests, Probes, Misdirected uint64
 }
 
 // messageCounters counts the messages that a node sends.
 type messageCounters struct {
-	exchanges, broadcasts, records, quotaRequests, probes atomic.Uint64
+	exchanges, broadcasts, records, quotaRequests, probes, misdirected atomic.Uint64
 }
 
 func (c *messageCounters) read() Messages {
 	return Messages{
 		Exchanges: c.exchanges.Load(), Broadcasts: c.broadcasts.Load(), Records: c.records.Load(), QuotaRequests: c.quotaRequests.Load(),
-		Probes: c.probes.Load(),
+		Probes: c.probes.Load(), Misdirected: c.misdirected.Load(),
 	}
 }
 
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -224,6 +224,9 @@
 }
 
 func (p *Peers) noteFailure(id string, err error) {
+	if isOtherNode(err) {
+		p.sent.misdirected.Add(1)
+	}
 	if p.contacts.Failed(id, time.Now(), rand.Float64()) {
 		p.events.NodeLost(id, err)
 	}
--- a/internal/hosted/reader.go
+++ b/internal/hosted/reader.go
@@ -5,6 +5,7 @@
 	"errors"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/joomcode/errorx"
@@ -65,7 +66,8 @@
 	// ordersDue is set when the orders are to be read before that watch.
 	after     Position
 	ordersDue bool
-	reads     bool
+	// reads is set while this node is one of the readers, as it was last looked up.
+	reads atomic.Bool
 	// first is set when this node is the first of the readers.
 	first bool
 	// waited is set once the node has waited for others before its first watch.
@@ -107,8 +109,7 @@
 	place := slices.Index(r.readers(), r.table.View().Self().ID)
 	reads := place >= 0
 	r.first = place == 0
-	if reads != r.reads {
-		r.reads = reads
+	if r.reads.Swap(reads) != reads {
 		r.events.ReaderRoleChanged(reads)
 	}
 	return reads
--- a/internal/hosted/receiver.go
+++ b/internal/hosted/receiver.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 
+	"github.com/joomcode/errorx"
 	"github.com/twitchtv/twirp"
 
 	"github.com/levertide/levertide/internal/exchangepb"
@@ -23,10 +24,11 @@
 	return twirp.FailedPrecondition.Errorf("message is for another node than %s", self)
 }
 
-// isOtherNode reports whether a node has refused a message since it is for another one.
+// isOtherNode reports whether another node has answered, or has refused a message since it is for
+// another one.
 func isOtherNode(err error) bool {
 	var refusal twirp.Error
-	return errors.As(err, &refusal) && refusal.Code() == twirp.FailedPrecondition
+	return errorx.IsOfType(err, ErrOtherNode) || errors.As(err, &refusal) && refusal.Code() == twirp.FailedPrecondition
 }
 
 // checkAnswering returns an error if another node than the one that was asked has answered.
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -336,6 +336,23 @@
 	}
 }
 
+// TestMetricsTellWhoReadsTheStore guards against a store that nobody watches without a figure that
+// shows it.
+func TestMetricsTellWhoReadsTheStore(t *testing.T) {
+	store := hostedstore.New()
+	store.Put(ledgerDocument.encode())
+	node := startNode(t, store, "one", "ledger")
+	testwait.Eventually(t, "the node watches the store", func() bool {
+		response, err := http.Get("http://" + node.node.auxiliaryListeners[2].address)
+		if err != nil {
+			return false
+		}
+		defer func() { _ = response.Body.Close() }()
+		text, err := io.ReadAll(response.Body)
+		return err == nil && strings.Contains(string(text), "levertide_reads_for_all 1\n")
+	})
+}
+
 // TestNodeServesWithoutItsMetricsPort has another program occupy that port.
 func TestNodeServesWithoutItsMetricsPort(t *testing.T) {
 	occupied, err := net.Listen("tcp", "127.0.0.1:0")
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -11,11 +11,13 @@
 
 // HostedReading is the state of one node in hosted mode at the moment of a scrape.
 type HostedReading struct {
-	Ready      bool
-	ReadsStore bool
-	Version    uint64
-	LiveNodes  int
-	InFlight   int
+	Ready bool
+	// ReadsStore is set while the node reaches the store, ReadsForAll while it watches the store on
+	// behalf of all nodes.
+	ReadsStore, ReadsForAll bool
+	Version                 uint64
+	LiveNodes               int
+	InFlight                int
 	// Running, Waiting and Slots are the calls that run and wait at the workers beside the
 	// node, and the slots of these workers.
 	Running, Waiting, Slots int
@@ -57,6 +59,7 @@
 		collectors.NewGoCollector(),
 		gauge("ready", "1 while callers may come.", func(r HostedReading) float64 { return boolValue(r.Ready) }),
 		gauge("reads_store", "1 while the node reaches the platform's store, as far as it knows.", func(r HostedReading) float64 { return boolValue(r.ReadsStore) }),
+		gauge("reads_for_all", "1 while the node watches the platform's store for all nodes; the sum over all nodes is 3, or the number of nodes if there are fewer.", func(r HostedReading) float64 { return boolValue(r.ReadsForAll) }),
 		gauge("version_in_force", "Number of the configuration version in force; 0 for none.", func(r HostedReading) float64 { return float64(r.Version) }),
 		gauge("live_nodes", "Nodes that this node knows to be live, itself among them.", func(r HostedReading) float64 { return float64(r.LiveNodes) }),
 		gauge("calls_in_flight", "Calls of callers and of other nodes in flight.", func(r HostedReading) float64 { return float64(r.InFlight) }),
@@ -79,6 +82,7 @@
 		counter("broadcasts_total", "Messages with news to other nodes.", func(r HostedReading) uint64 { return r.Messages.Broadcasts }),
 		counter("reader_questions_total", "Messages that ask nodes which read the store whether they are there.", func(r HostedReading) uint64 { return r.Messages.Probes }),
 		newQuotaCollector(func() hosted.QuotaReading { return read().Quotas }),
+		counter("misdirected_messages_total", "Messages that another node has answered than the one they were for, since it has its address.", func(r HostedReading) uint64 { return r.Messages.Misdirected }),
 		counter("borrowings_total", "Messages to other nodes on the limits of tenants.", func(r HostedReading) uint64 { return r.Messages.QuotaRequests }),
 		counter("broadcast_records_total", "Records of nodes in messages with news.", func(r HostedReading) uint64 { return r.Messages.Records }),
 	)
