--- a/internal/hosted/replaced_test.go
+++ b/internal/hosted/replaced_test.go
@@ -110,6 +110,37 @@
 	return true
 }
 
+// costOfStart ends a node, starts one with the given identifier at its address, and returns the
+// messages with updates and the bytes between zones in the seconds after that.
+func (m *simulated) costOfStart(t *testing.T, place int, id string) (messages uint64, crossed int64) {
+	t.Helper()
+	const calm = 10 * time.Second
+	time.Sleep(calm)
+	m.nodes[place].kill()
+	ended := m.nodes[place].agent.Messages().Broadcasts
+	time.Sleep(addressReuse)
+	before, bytes := m.sent().Broadcasts-ended, m.crossed.Load()
+	m.nodes[place] = m.startAs(t, place, id, false)
+	time.Sleep(calm)
+	return m.sent().Broadcasts - before, m.crossed.Load() - bytes
+}
+
+// TestReplacementCostsOneUpdate compares the start of another node at an address with a restart: the
+// last record of the node before goes to each node once.
+func TestReplacementCostsOneUpdate(t *testing.T) {
+	const size, place = 160, 5
+	synctest.Test(t, func(t *testing.T) {
+		m := startSimulated(t, size)
+		restart, restartBytes := m.costOfStart(t, place, simulatedID(place))
+		replacement, replacementBytes := m.costOfStart(t, place, replacementID(place, 1))
+		t.Logf("%d messages and %d bytes between zones in 10 s after a restart, %d and %d after a replacement", restart, restartBytes, replacement, replacementBytes)
+		// Two batches of the hubs, of one message a node each.
+		if most := restart + 2*size; replacement > most {
+			t.Errorf("%d messages after a replacement, at most %d expected", replacement, most)
+		}
+	})
+}
+
 // TestReplacedNodesTakeNoShareOfALimit guards against limits of tenants that shrink with each
 // replaced node, since those that have ended own a share.
 func TestReplacedNodesTakeNoShareOfALimit(t *testing.T) {
