--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -38,11 +38,12 @@
 // call sends one request to a random machine and records the outcome in the ledger. A
 // read that was not served is sent again, to a random machine each time.
 func call(ctx context.Context, client *http.Client, machines []*machine, l *ledger, id string) {
-	method, path := http.MethodPost, oncePrefix+id
+	method, prefix := http.MethodPost, oncePrefix
 	repeatable := rand.Float64() < 0.5
 	if repeatable {
-		method, path = http.MethodGet, safePrefix+id
+		method, prefix = http.MethodGet, safePrefix
 	}
+	path := prefix + id
 	if repeatable && rand.Float64() < popularShare {
 		path = fmt.Sprintf("%spopular-%d", safePrefix, rand.IntN(popularPaths))
 	}
@@ -51,10 +52,7 @@
 		id = unknownCallerPrefix + id
 	case drawn < unknownCallerShare+shortPathShare:
 		id = shortPathPrefix + id
-		path = strings.TrimSuffix(safePrefix, "/")
-		if !repeatable {
-			path = strings.TrimSuffix(oncePrefix, "/")
-		}
+		path = strings.TrimSuffix(prefix, "/")
 	}
 	for attempt := range callerAttempts {
 		attemptID := fmt.Sprintf("%s-%d", id, attempt)
