Guard the fields of messages that name their receiver

Cause: broadcastTo and borrowTo copy messages field by field, since several nodes are sent the same one at a time and a deep copy would copy documents. A field that is added later would be lost there unnoticed.

TestAddressedMessagesKeepAllFields sets all fields of both, fails for one that it does not set, and compares; it fails with any line of the copies left out (tried with Evidence).

--- a/internal/hosted/receiver_test.go
+++ b/internal/hosted/receiver_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/joomcode/errorx"
 	"github.com/twitchtv/twirp"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/fleet"
@@ -105,3 +106,29 @@
 		t.Errorf("recall: %v", err)
 	}
 }
+
+// TestAddressedMessagesKeepAllFields guards against a field that is added to a message and lost where
+// its receiver is named.
+func TestAddressedMessagesKeepAllFields(t *testing.T) {
+	broadcast := &exchangepb.BroadcastRequest{
+		Mesh: "m", Sender: "s", Nodes: []*exchangepb.Node{{Id: "n"}}, Document: &exchangepb.Document{Version: 1}, After: "a", Until: "u",
+		DocumentVersion: 1, Reach: exchangepb.Reach_REACH_MESH, Evidence: []*exchangepb.Evidence{{Level: 1}}, Receiver: "r",
+	}
+	borrow := &exchangepb.BorrowRequest{
+		Mesh: "m", Sender: "s", Life: 1, Number: 1, Stamp: &exchangepb.Stamp{Life: 1}, Share: 1, Wants: []*exchangepb.TokenWant{{Tenant: "t"}},
+		Move: true, Pooled: true, Receiver: "r",
+	}
+	for _, c := range []struct{ message, addressed proto.Message }{
+		{broadcast, broadcastTo("r", broadcast)}, {borrow, borrowTo("r", borrow)},
+	} {
+		fields := c.message.ProtoReflect().Descriptor().Fields()
+		for i := range fields.Len() {
+			if !c.message.ProtoReflect().Has(fields.Get(i)) {
+				t.Errorf("%s is not set in this test", fields.Get(i).FullName())
+			}
+		}
+		if !proto.Equal(c.message, c.addressed) {
+			t.Errorf("%v, want %v", c.addressed, c.message)
+		}
+	}
+}
