Tell in each refusal's line who decided it, and by what evidence

Now: fields refused_by and evidence in 701 and 702, a line for an answer that looks like a refusal without the mark, and levertide_unmarked_refusals_total. No logic is changed: classify is split so that it can name its evidence.

--- a/internal/forwarding/dialect.go
+++ b/internal/forwarding/dialect.go
@@ -72,6 +72,14 @@
 	return false
 }
 
+// evidence returns the evidence of an answer by which a worker refuses a call.
+func (d *Dialect) evidence(response *http.Response) Evidence {
+	if len(response.Header[d.NotRun]) > 0 {
+		return WorkerMarked
+	}
+	return WorkerMisdirected
+}
+
 // refused reports whether an answer states that the worker did not run the call.
 func (d *Dialect) refused(response *http.Response) bool {
 	return response.StatusCode == http.StatusMisdirectedRequest || len(response.Header[d.NotRun]) > 0
--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -84,21 +84,12 @@
 
 // classify returns the failure of a request that got no answer.
 func (e *httpExchange) classify(ctx context.Context, err error) error {
-	ended := errors.Is(context.Cause(ctx), errEnd)
-	if e.conn == nil || e.conn.Seal() || e.expectContinue && e.sending.Load().seal() {
-		switch {
-		case errors.Is(context.Cause(ctx), errSlowTransfer):
-			return outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
-		case ended:
-			return outcome.Wrap(outcome.DeadlineBeforeStart, err)
-		case ctx.Err() != nil:
-			return outcome.Wrap(outcome.CanceledBeforeStart, err)
-		default:
-			return outcome.Wrap(outcome.Unreachable, err)
-		}
-	}
 	switch {
-	case ended:
+	case e.conn == nil || e.conn.Seal():
+		return withDecision(failureBeforeStart(ctx, err), decision{evidence: NothingSent})
+	case e.expectContinue && e.sending.Load().seal():
+		return withDecision(failureBeforeStart(ctx, err), decision{evidence: BodyWithheld})
+	case errors.Is(context.Cause(ctx), errEnd):
 		return outcome.Wrap(outcome.Timeout, err)
 	case ctx.Err() != nil:
 		return outcome.Wrap(outcome.Canceled, err)
@@ -107,6 +98,20 @@
 	}
 }
 
+// failureBeforeStart returns the failure of a request that has not run.
+func failureBeforeStart(ctx context.Context, err error) error {
+	switch {
+	case errors.Is(context.Cause(ctx), errSlowTransfer):
+		return outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
+	case errors.Is(context.Cause(ctx), errEnd):
+		return outcome.Wrap(outcome.DeadlineBeforeStart, err)
+	case ctx.Err() != nil:
+		return outcome.Wrap(outcome.CanceledBeforeStart, err)
+	default:
+		return outcome.Wrap(outcome.Unreachable, err)
+	}
+}
+
 // newTransport returns a transport whose connections record whether anything was written.
 func newTransport(dial httpconn.DialFunc, idle time.Duration, connections int) *http.Transport {
 	return &http.Transport{
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -38,6 +38,10 @@
 	Outcome outcome.Outcome
 	Reason  outcome.Reason
 	Status  int
+	// RefusedBy and Evidence say who decided that the call is not run, a node or a worker's
+	// incarnation, and by what; empty unless the outcome is not-run.
+	RefusedBy string
+	Evidence  Evidence
 	// Node and Instance identify the worker that the call was offered to last.
 	Node, Instance string
 	// Offers is how many offers to nodes were made, Arrivals how many workers received the call.
@@ -71,6 +75,17 @@
 	Cause error
 }
 
+// refuse records who decided that the call is not run.
+func (r *CallReport) refuse(decided decision) {
+	r.RefusedBy, r.Evidence = decided.by, decided.evidence
+}
+
+// LooksRefused reports whether the answer of a worker has a status that callers take for the
+// promise that the call has not run, without the evidence for it.
+func (r *CallReport) LooksRefused() bool {
+	return r.Outcome == outcome.Answered && PromisesNotRun(r.Status)
+}
+
 type noObserver struct{}
 
 func (noObserver) CallFinished(CallReport) {}
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -93,6 +93,7 @@
 	o.observeTerms(e, response.Header, now)
 	o.roundTrip -= heldOf(response.Header.Get(hopFailureHeader))
 	answered, arrived, err := readHopAnswer(ctx, response)
+	err = reportedBy(e, err)
 	if outcome.ReasonOf(err) == outcome.WorkerCrashed {
 		c.crashedElsewhere(e.incarnation(), level)
 	}
@@ -135,6 +136,19 @@
 	}
 }
 
+// reportedBy attaches to the failure that the node beside an endpoint's worker has reported who
+// decided it: the worker, or that node.
+func reportedBy(e *endpoint, err error) error {
+	if err == nil {
+		return nil
+	}
+	decided := decision{by: e.node, evidence: NodeReported}
+	if outcome.ReasonOf(err) == outcome.RefusedByOwnWorker {
+		decided.by = e.incarnation().String()
+	}
+	return withDecision(err, decided)
+}
+
 // besideWorker reports whether the node that has responded has the worker that the call was for
 // beside it: it then tells the worker's load. Another node may have come up at the address, and
 // finds no such worker.
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -259,7 +259,7 @@
 		if response.StatusCode == http.StatusMisdirectedRequest {
 			w.replaced.Store(true)
 		}
-		return nil, outcome.New(outcome.RefusedByOwnWorker)
+		return nil, withDecision(outcome.New(outcome.RefusedByOwnWorker), decision{by: w.incarnation().String(), evidence: w.dialect.evidence(response)})
 	}
 	return readAnswer(ctx, response)
 }
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -37,6 +37,8 @@
 	fieldReason        = "reason"
 	fieldTarget        = "target"
 	fieldFingerprint   = "fingerprint"
+	fieldRefusedBy     = "refused_by"
+	fieldEvidence      = "evidence"
 	fieldError         = "error"
 	fieldDuration      = "duration_milliseconds"
 	fieldCallsInFlight = "calls_in_flight"
@@ -70,7 +72,7 @@
 	eventFloorLearned     = Event{204, "floor learned", LevelInfo, []string{fieldVersion, "source"}, "The lowest version that this process may run, and who told it."}
 	eventFloorMissing     = Event{205, "floor missing", LevelWarning, []string{fieldReason}, "The process may run nothing yet, for neither the store nor enough peers told the floor."}
 	eventVersionCommitted = Event{206, "version committed", LevelInfo, []string{fieldVersion, "silent"}, "This node, as coordinator, committed the version; silent counts the nodes that had not reported within the bound."}
-	eventVersionAborted   = Event{207, "version aborted", LevelWarning, []string{fieldVersion, "refused_by", fieldReason}, "This node, as coordinator, aborted the version; its number is not used again."}
+	eventVersionAborted   = Event{207, "version aborted", LevelWarning, []string{fieldVersion, fieldRefusedBy, fieldReason}, "This node, as coordinator, aborted the version; its number is not used again."}
 	eventRoutesInForce    = Event{208, "routes in force", LevelDebug, []string{fieldVersion, "routes"}, "New calls are routed by this version from now on."}
 	eventRoutesRejected   = Event{209, "routes rejected", LevelError, []string{fieldVersion, fieldError}, "The routes of a version in force cannot be used; calls are routed as before. This is a fault of the program."}
 )
@@ -137,12 +139,12 @@
 )
 
 var callFields = []string{
-	"request", "route", "service", fieldTenant, fieldVersion, "outcome", fieldReason, "status", fieldFingerprint, "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
+	"request", "route", "service", fieldTenant, fieldVersion, "outcome", fieldReason, "status", fieldRefusedBy, fieldEvidence, fieldFingerprint, "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "limit", "came_back", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
 }
 
 var hopFields = []string{
-	"request", "service", fieldTenant, "instance", "outcome", fieldReason, "status", fieldFingerprint, "arrivals", "waited_milliseconds", "ran_milliseconds",
+	"request", "service", fieldTenant, "instance", "outcome", fieldReason, "status", fieldRefusedBy, fieldEvidence, fieldFingerprint, "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "limit", "left_milliseconds", fieldDuration, "truncated", fieldError,
 }
 
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -37,7 +37,7 @@
 
 // VersionAborted records an abort by this node as coordinator.
 func (l *Log) VersionAborted(version uint64, node, reason string) {
-	end(l.begin(eventVersionAborted).Uint64(fieldVersion, version).Str("refused_by", node).Str(fieldReason, reason))
+	end(l.begin(eventVersionAborted).Uint64(fieldVersion, version).Str(fieldRefusedBy, node).Str(fieldReason, reason))
 }
 
 // ParentChanged records a new parent in the distribution tree.
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -1,6 +1,7 @@
 package telemetry
 
 import (
+	"strconv"
 	"time"
 
 	"github.com/phuslu/log"
@@ -17,6 +18,8 @@
 	callLinesPerSecond = 50
 	callLinesBurst     = 200
 
+	// labelStatus is the label with the HTTP status of an answer.
+	labelStatus = "status"
 	// resultMade and resultDenied are the values of the label that says whether the retry
 	// budget allowed a retry.
 	resultMade   = "made"
@@ -35,6 +38,7 @@
 	clientRetries *prometheus.CounterVec
 	retries       *prometheus.CounterVec
 	held          *prometheus.CounterVec
+	unmarked      *prometheus.CounterVec
 	offers        prometheus.Counter
 	arrivals      prometheus.Counter
 	durations     prometheus.Histogram
@@ -58,13 +62,14 @@
 		clientRetries: prometheus.NewCounterVec(prometheus.CounterOpts{Name: "returned_calls_total", Help: "Calls of callers that were refused before and came back, by service and outcome."}, []string{"service", labelOutcome}),
 		retries:       prometheus.NewCounterVec(prometheus.CounterOpts{Name: "retries_total", Help: "Further attempts beside the first that reached a worker, by service and whether the retry budget paid for them."}, []string{"service", labelResult}),
 		held:          prometheus.NewCounterVec(prometheus.CounterOpts{Name: "held_calls_total", Help: "Calls that waited for their node to start, by service and outcome."}, []string{"service", labelOutcome}),
+		unmarked:      prometheus.NewCounterVec(prometheus.CounterOpts{Name: "unmarked_refusals_total", Help: "Answers of workers that look like refusals and lack the mark of one, by service and status."}, []string{"service", labelStatus}),
 		offers:        prometheus.NewCounter(prometheus.CounterOpts{Name: "call_offers_total", Help: "Nodes asked on behalf of callers."}),
 		arrivals:      prometheus.NewCounter(prometheus.CounterOpts{Name: "call_arrivals_total", Help: "Workers that may have had a call that failed there."}),
 		durations:     newLatencies("call_duration_seconds", "Time from the head of a caller's request to the end of its answer."),
 		waits:         newLatencies("worker_wait_seconds", "Time that calls waited for a slot of the worker beside this node, also when they got none."),
 		runs:          newLatencies("worker_run_seconds", "Time that the worker beside this node had a call."),
 	}
-	registerer.MustRegister(o.calls, o.hops, o.clientRetries, o.retries, o.held, o.offers, o.arrivals, o.durations, o.waits, o.runs)
+	registerer.MustRegister(o.calls, o.hops, o.clientRetries, o.retries, o.held, o.unmarked, o.offers, o.arrivals, o.durations, o.waits, o.runs)
 	return o
 }
 
@@ -110,7 +115,10 @@
 	o.arrivals.Add(float64(report.Arrivals))
 	o.durations.Observe(report.Duration.Seconds())
 	o.observeWorker(report)
-	served := report.Outcome == outcome.Answered && !report.Truncated
+	if report.LooksRefused() {
+		o.unmarked.WithLabelValues(report.Service, strconv.Itoa(report.Status)).Inc()
+	}
+	served := report.Outcome == outcome.Answered && !report.Truncated && !report.LooksRefused()
 	if served && report.Offers <= 1 || report.Reason == outcome.NotReady {
 		return
 	}
@@ -136,7 +144,7 @@
 func (o *ForwardingObserver) HopFinished(report forwarding.CallReport) {
 	o.hops.WithLabelValues(report.Service, string(report.Outcome), string(report.Reason)).Inc()
 	o.observeWorker(report)
-	expected := report.Outcome == outcome.Answered && !report.Truncated || report.Reason == outcome.Overloaded || report.Reason == outcome.Declined
+	expected := report.Outcome == outcome.Answered && !report.Truncated && !report.LooksRefused() || report.Reason == outcome.Overloaded || report.Reason == outcome.Declined
 	if expected || !o.allowLine() {
 		return
 	}
@@ -164,6 +172,7 @@
 
 func (o *ForwardingObserver) addOutcome(entry *log.Entry, report forwarding.CallReport) *log.Entry {
 	return entry.Str("outcome", string(report.Outcome)).Str(fieldReason, string(report.Reason)).Int("status", report.Status).
+		Str(fieldRefusedBy, report.RefusedBy).Str(fieldEvidence, string(report.Evidence)).
 		Str(fieldFingerprint, fingerprintText(report.Fingerprint))
 }
 
--- a/internal/telemetry/hosted_calls_test.go
+++ b/internal/telemetry/hosted_calls_test.go
@@ -1,7 +1,10 @@
 package telemetry
 
 import (
+	"bytes"
 	"io"
+	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -65,3 +68,19 @@
 		t.Errorf("retries %v, held %v", retries, held)
 	}
 }
+
+// TestCallThatLooksRefusedLeavesALine reports a call that its worker answered with 503 without the
+// mark of a refusal: nothing else shows a promise that nobody gave.
+func TestCallThatLooksRefusedLeavesALine(t *testing.T) {
+	registry, lines := prometheus.NewRegistry(), &bytes.Buffer{}
+	o := NewForwardingObserver(registry, NewLog(lines, "node", LevelWarning), func() {})
+	looksRefused := forwarding.CallReport{RequestID: "r1", Service: "ledger", Outcome: outcome.Answered, Status: http.StatusServiceUnavailable, Offers: 1, Instance: "w@1"}
+	o.CallFinished(looksRefused)
+	o.HopFinished(looksRefused)
+	if counted := countedBy(t, registry, "unmarked_refusals_total", labelStatus); counted["503"] != 1 {
+		t.Errorf("counted: %v", counted)
+	}
+	if got := strings.Count(lines.String(), `"request":"r1"`); got != 2 {
+		t.Errorf("%d lines: %s", got, lines)
+	}
+}
