Offer a call to a worker again over a connection that has not carried it

What callers saw: 503 for a request that ran (or, with three attempts, a request that ran twice). Cause: a request keeps its id over all offers. When a worker refuses it and it is offered to the worker again, net/http takes the same connection; a second copy of the refusal that is still on its way bears the right id and stands for the answer to the second offer. Class: evidence that was given about an earlier offer is taken for the later one. Ruled out by the logs: another worker or connection (same port, same worker, within 1 ms). Why this works: an offer to a worker that received the call before goes over a connection of its own, on which the call is sent once, so that whatever comes there in answer to its id answers this offer. Long bodies already go so. Price: one new connection for each such offer, bounded by the retry budget.

--- a/internal/forwarding/promises_test.go
+++ b/internal/forwarding/promises_test.go
@@ -63,14 +63,17 @@
 	}{{"two nodes", 2}, {"two nodes", 3}, {"own worker", 2}, {"own worker", 3}} {
 		t.Run(fmt.Sprint(c.place, ", attempts ", c.attempts), func(t *testing.T) {
 			var runs atomic.Int64
+			var refused atomic.Pointer[rawRequest]
 			worker := startRawWorker(t, func(r rawRequest) {
 				if r.number == 1 {
+					refused.Store(&r)
 					r.respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\n", "")
 					return
 				}
 				runs.Add(1)
-				// The surplus copy, late; then the answer of the run.
-				r.respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\n", "")
+				// The second copy comes on the connection of the first one, and before the
+				// answer of the run.
+				refused.Load().respond(http.StatusServiceUnavailable, "X-Not-Run: 1\r\n", "")
 				time.Sleep(20 * time.Millisecond)
 				r.respond(http.StatusOK, "", "ran")
 			})
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -46,9 +46,11 @@
 	failures failureShare
 	// makeTransport returns a transport to the worker.
 	makeTransport func(idle time.Duration, slots int) *http.Transport
-	// unshared sends long bodies, each over a connection that is not used again: a worker may
-	// answer before it has read the body and continue to read much later, and a request that
-	// followed on the connection would wait behind it. The worker is not sent "Connection:
+	// unshared sends long bodies and calls that a worker received before, each over a connection
+	// that is not used otherwise. A worker may answer before it has read a long body and continue
+	// to read much later, and a request that followed on the connection would wait behind it. A
+	// late second answer to the earlier offer of a call bears the call's id, and would be taken
+	// for the answer to the next offer on the connection. The worker is not sent "Connection:
 	// close", since it might then close the connection while its answer is still in transit.
 	unshared *http.Transport
 
@@ -229,11 +231,7 @@
 // send sends an admitted request to the worker and turns invalid answers and refusals into
 // failures.
 func (w *workerClient) send(ctx context.Context, call *workerCall) (*answer, error) {
-	transport := w.currentTransport()
-	if call.body.long() {
-		transport = w.unshared
-	}
-	exchange := httpExchange{transport: transport, request: w.request(call), body: call.body}
+	exchange := httpExchange{transport: w.transportFor(call), request: w.request(call), body: call.body}
 	sentAt := time.Now()
 	response, err := exchange.do(ctx)
 	if err != nil {
@@ -276,6 +274,14 @@
 	return newRequest(call.inbound, w.worker.Address, header)
 }
 
+// transportFor returns the transport for a call.
+func (w *workerClient) transportFor(call *workerCall) *http.Transport {
+	if call.body.long() || call.repeat {
+		return w.unshared
+	}
+	return w.currentTransport()
+}
+
 // currentTransport returns the transport for further requests.
 func (w *workerClient) currentTransport() *http.Transport {
 	w.mutex.Lock()
