Take the mark of a refusal only with a status that goes with it

What callers saw: 503 for a request that its worker ran and answered with 200, 302, 500, 502 or 504, if the answer bore the mark of a refusal; a success was thrown away. Cause: the mark alone counted, whatever the status. A worker that runs a request and passes on the headers of an answer to a call of its own sends both. Why this works: the mark counts with 4xx and 503; with any other status it and the status contradict each other, so the outcome is unknown (502), which is always safe. Evidence: TestMarkOfARefusalOnAnAnswerOfARunIsNoRefusal failed in 5 of 5 statuses and passes 10 times in a row with -race; refusals by 400, 408, 413, 429 and 503 with the mark stay refusals in the same test.

--- a/internal/forwarding/dialect.go
+++ b/internal/forwarding/dialect.go
@@ -72,15 +72,22 @@
 	return false
 }
 
+// marked reports whether an answer bears the mark that the worker did not run the call.
+func (d *Dialect) marked(response *http.Response) bool { return len(response.Header[d.NotRun]) > 0 }
+
+// refused reports whether an answer states that the worker did not run the call. The mark counts
+// only with a status that goes with it: a worker may pass on the headers of an answer to a call of
+// its own.
+func (d *Dialect) refused(response *http.Response) bool {
+	status := response.StatusCode
+	rejects := status == http.StatusServiceUnavailable || status >= http.StatusBadRequest && status < http.StatusInternalServerError
+	return status == http.StatusMisdirectedRequest || rejects && d.marked(response)
+}
+
 // evidence returns the evidence of an answer by which a worker refuses a call.
 func (d *Dialect) evidence(response *http.Response) Evidence {
-	if len(response.Header[d.NotRun]) > 0 {
+	if d.marked(response) {
 		return WorkerMarked
 	}
 	return WorkerMisdirected
 }
-
-// refused reports whether an answer states that the worker did not run the call.
-func (d *Dialect) refused(response *http.Response) bool {
-	return response.StatusCode == http.StatusMisdirectedRequest || len(response.Header[d.NotRun]) > 0
-}
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -259,6 +259,11 @@
 		}
 		return nil, withDecision(outcome.New(outcome.RefusedByOwnWorker), decision{by: w.incarnation().String(), evidence: w.dialect.evidence(response)})
 	}
+	if w.dialect.marked(response) {
+		// The mark and the status contradict each other.
+		_ = response.Body.Close()
+		return nil, outcome.New(outcome.InvalidAnswer)
+	}
 	return readAnswer(ctx, response)
 }
 
