Report a run that its worker answers like a refusal as unknown

What callers saw: 503, 429 or 408 for a request that its worker had run, which they take for the promise that nothing ran, and come back. Cause: a worker's status goes out unchanged, and four statuses are promises. Only the mark (or 421) is evidence; the node where a call begins did not ask for it. For a request that may run once, the promise goes first: 502, without the worker's stamp and body, since a failure with a stamp has to carry that worker's status. For a repeatable one, to which the promise does not apply, status, body and stamp are returned unchanged, and a 5xx is asked of another worker first, as before. Calls of workers are requests like any other.

--- a/internal/command/explain/explanation.go
+++ b/internal/command/explain/explanation.go
@@ -57,6 +57,7 @@
 	outcome.QuotaExceeded:       "the tenant had sent more than its limit over all nodes allows; the caller was told when to come back",
 	outcome.Timeout:             "the worker had the call when its time was over: compare the time with the route's, and with other calls to the instance",
 	outcome.Canceled:            "the caller left while a worker had the call",
+	outcome.UnmarkedRefusal:     "the worker answered with a status that promises that nothing has run (unmarked_status), and without the mark of a refusal; the call may have run",
 	outcome.InvalidAnswer:       "the worker answered with what belongs to another request; the call may have run",
 }
 
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -111,6 +111,9 @@
 	return c.charge(c.request.Context())
 }
 
+// mayRepeat reports whether the call may run more than once.
+func (c *call) mayRepeat() bool { return c.route.MayRepeat(c.request.Method) }
+
 // callerTimeout returns how long the caller will wait, or one hour if the caller does not state a
 // valid timeout.
 func (c *call) callerTimeout() time.Duration {
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -160,6 +160,9 @@
 		return
 	}
 	report.Outcome, report.Status = outcome.Answered, result.status
+	if PromisesNotRun(result.status) {
+		report.UnmarkedStatus = result.status
+	}
 	failure := result.write(w, c.plane.stopping.Load())
 	result.release(failure == nil)
 	report.Truncated, report.Cause = failure != nil, failure
--- a/internal/forwarding/observer.go
+++ b/internal/forwarding/observer.go
@@ -42,6 +42,9 @@
 	// incarnation, and by what; empty unless the outcome is not-run.
 	RefusedBy string
 	Evidence  Evidence
+	// UnmarkedStatus is the status of a worker's answer that callers take for the promise that the
+	// call has not run, and that lacks the mark of a refusal; zero where there was none.
+	UnmarkedStatus int
 	// Node and Instance identify the worker that the call was offered to last.
 	Node, Instance string
 	// Offers is how many offers to nodes were made, Arrivals how many workers received the call.
@@ -80,12 +83,6 @@
 	r.RefusedBy, r.Evidence = decided.by, decided.evidence
 }
 
-// LooksRefused reports whether the answer of a worker has a status that callers take for the
-// promise that the call has not run, without the evidence for it.
-func (r *CallReport) LooksRefused() bool {
-	return r.Outcome == outcome.Answered && PromisesNotRun(r.Status)
-}
-
 type noObserver struct{}
 
 func (noObserver) CallFinished(CallReport) {}
--- a/internal/forwarding/offers.go
+++ b/internal/forwarding/offers.go
@@ -79,7 +79,7 @@
 	o.arrivals++
 	work, _ := c.state.expected()
 	inTime := time.Until(c.end) > work
-	if ctx.Err() != nil || !inTime || !c.body.repeatable() || !c.route.MayRepeat(c.request.Method) || !o.mayArriveAgain() {
+	if ctx.Err() != nil || !inTime || !c.body.repeatable() || !c.mayRepeat() || !o.mayArriveAgain() {
 		return false
 	}
 	o.failure = result
@@ -172,7 +172,7 @@
 		return false
 	}
 	unknown := outcome.Of(err) == outcome.Unknown
-	if unknown && !o.call.route.MayRepeat(o.call.request.Method) {
+	if unknown && !o.call.mayRepeat() {
 		return false
 	}
 	if outcome.ReasonOf(err) == outcome.Declined && o.declines < maximumDeclines {
@@ -252,6 +252,15 @@
 		answered, arrived, err = o.offerNode(ctx, chosen, latestStart)
 	}
 	o.recordResult(chosen, answered, err)
+	if err == nil && PromisesNotRun(answered.status) {
+		report.UnmarkedStatus = answered.status
+		if !o.call.mayRepeat() {
+			// The status would promise the caller that the call has not run, which nobody has
+			// stated. Another status must not go with the worker's stamp and body.
+			answered.release(false)
+			return nil, true, outcome.New(outcome.UnmarkedRefusal)
+		}
+	}
 	return answered, arrived, err
 }
 
--- a/internal/telemetry/catalogue.go
+++ b/internal/telemetry/catalogue.go
@@ -139,12 +139,12 @@
 )
 
 var callFields = []string{
-	"request", "route", "service", fieldTenant, fieldVersion, "outcome", fieldReason, "status", fieldRefusedBy, fieldEvidence, fieldFingerprint, "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
+	"request", "route", "service", fieldTenant, fieldVersion, "outcome", fieldReason, "status", fieldRefusedBy, fieldEvidence, "unmarked_status", fieldFingerprint, "peer", "instance", "offers", "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "limit", "came_back", "budget", "left_milliseconds", fieldDuration, "retry_after_milliseconds", "truncated", fieldError,
 }
 
 var hopFields = []string{
-	"request", "service", fieldTenant, "instance", "outcome", fieldReason, "status", fieldRefusedBy, fieldEvidence, fieldFingerprint, "arrivals", "waited_milliseconds", "ran_milliseconds",
+	"request", "service", fieldTenant, "instance", "outcome", fieldReason, "status", fieldRefusedBy, fieldEvidence, "unmarked_status", fieldFingerprint, "arrivals", "waited_milliseconds", "ran_milliseconds",
 	"running", "waiting", "slots", "limit", "left_milliseconds", fieldDuration, "truncated", fieldError,
 }
 
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -115,10 +115,10 @@
 	o.arrivals.Add(float64(report.Arrivals))
 	o.durations.Observe(report.Duration.Seconds())
 	o.observeWorker(report)
-	if report.LooksRefused() {
-		o.unmarked.WithLabelValues(report.Service, strconv.Itoa(report.Status)).Inc()
+	if report.UnmarkedStatus > 0 {
+		o.unmarked.WithLabelValues(report.Service, strconv.Itoa(report.UnmarkedStatus)).Inc()
 	}
-	served := report.Outcome == outcome.Answered && !report.Truncated && !report.LooksRefused()
+	served := report.Outcome == outcome.Answered && !report.Truncated && report.UnmarkedStatus == 0
 	if served && report.Offers <= 1 || report.Reason == outcome.NotReady {
 		return
 	}
@@ -144,7 +144,7 @@
 func (o *ForwardingObserver) HopFinished(report forwarding.CallReport) {
 	o.hops.WithLabelValues(report.Service, string(report.Outcome), string(report.Reason)).Inc()
 	o.observeWorker(report)
-	expected := report.Outcome == outcome.Answered && !report.Truncated && !report.LooksRefused() || report.Reason == outcome.Overloaded || report.Reason == outcome.Declined
+	expected := report.Outcome == outcome.Answered && !report.Truncated && report.UnmarkedStatus == 0 || report.Reason == outcome.Overloaded || report.Reason == outcome.Declined
 	if expected || !o.allowLine() {
 		return
 	}
@@ -172,7 +172,7 @@
 
 func (o *ForwardingObserver) addOutcome(entry *log.Entry, report forwarding.CallReport) *log.Entry {
 	return entry.Str("outcome", string(report.Outcome)).Str(fieldReason, string(report.Reason)).Int("status", report.Status).
-		Str(fieldRefusedBy, report.RefusedBy).Str(fieldEvidence, string(report.Evidence)).
+		Str(fieldRefusedBy, report.RefusedBy).Str(fieldEvidence, string(report.Evidence)).Int("unmarked_status", report.UnmarkedStatus).
 		Str(fieldFingerprint, fingerprintText(report.Fingerprint))
 }
 
--- a/internal/telemetry/hosted_calls_test.go
+++ b/internal/telemetry/hosted_calls_test.go
@@ -74,7 +74,7 @@
 func TestCallThatLooksRefusedLeavesALine(t *testing.T) {
 	registry, lines := prometheus.NewRegistry(), &bytes.Buffer{}
 	o := NewForwardingObserver(registry, NewLog(lines, "node", LevelWarning), func() {})
-	looksRefused := forwarding.CallReport{RequestID: "r1", Service: "ledger", Outcome: outcome.Answered, Status: http.StatusServiceUnavailable, Offers: 1, Instance: "w@1"}
+	looksRefused := forwarding.CallReport{RequestID: "r1", Service: "ledger", Outcome: outcome.Answered, Status: http.StatusServiceUnavailable, UnmarkedStatus: http.StatusServiceUnavailable, Offers: 1, Instance: "w@1"}
 	o.CallFinished(looksRefused)
 	o.HopFinished(looksRefused)
 	if counted := countedBy(t, registry, "unmarked_refusals_total", labelStatus); counted["503"] != 1 {
--- a/pkg/outcome/reason.go
+++ b/pkg/outcome/reason.go
@@ -76,6 +76,9 @@
 	UploadFailed Reason = "upload-failed"
 	// InvalidAnswer: the worker's answer violates HTTP, or its end cannot be determined.
 	InvalidAnswer Reason = "invalid-answer"
+	// UnmarkedRefusal: the worker answered with a status that promises that the request did
+	// not run, and did not state that.
+	UnmarkedRefusal Reason = "unmarked-refusal"
 	// NotSpecified: a node reported Unknown without a reason known here.
 	NotSpecified Reason = "not-specified"
 )
@@ -115,6 +118,7 @@
 	Canceled:            {Unknown, http.StatusBadGateway, "the request was canceled before an answer came"},
 	UploadFailed:        {Unknown, http.StatusRequestTimeout, "the body of the request did not arrive"},
 	InvalidAnswer:       {Unknown, http.StatusBadGateway, "the answer is not valid"},
+	UnmarkedRefusal:     {Unknown, http.StatusBadGateway, "the worker answered like one that refuses, and may have run the request"},
 	NotSpecified:        {Unknown, http.StatusBadGateway, "the request failed"},
 }
 
