Believe only an answer that bears the id of the request between nodes, too

What callers would see: 503 for a request that its worker may have run, or another's answer, when something other than the node that was asked answers at its address or in the place of its answer. Not seen outside of the test. Cause: the id was compared for workers only; a response between nodes was taken for the answer whatever it bore, and one without any header of a node for a worker's. Why this works: nodes write the id on refusals (on answers the worker's own one was there); an answer without it, with another one, or with two is unknown. Evidence: TestOnlyTheNodeThatWasAskedRefuses failed in 4 of 5 forms (a refusal without an id, of another request, with two ids; a bare 503) and passes 3 times with -race.

--- a/internal/forwarding/dialect.go
+++ b/internal/forwarding/dialect.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"slices"
 
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/slotqueue"
@@ -72,6 +73,13 @@
 	return false
 }
 
+// answers reports whether a response is for the given request: it bears its id, and no other.
+func (d *Dialect) answers(request *http.Request, response *http.Response) bool {
+	sent := request.Header.Get(d.RequestID)
+	others := func(id string) bool { return id != sent }
+	return response.Header.Get(d.RequestID) == sent && !slices.ContainsFunc(response.Header[d.RequestID], others)
+}
+
 // marked reports whether an answer bears the mark that the worker did not run the call.
 func (d *Dialect) marked(response *http.Response) bool { return len(response.Header[d.NotRun]) > 0 }
 
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -149,6 +149,9 @@
 		c.setTerms(w.Header(), load, err)
 	}
 	if err != nil {
+		if ids := c.request.Header[c.plane.config.Dialect.RequestID]; len(ids) > 0 {
+			w.Header()[c.plane.config.Dialect.RequestID] = ids
+		}
 		w.Header()[hopFailureHeader] = []string{formatFailure(err, time.Since(c.began))}
 		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
 		report.refuse(decisionOf(err, c.plane.config.Node))
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -87,6 +87,10 @@
 		c.plane.recordFailure(e.node, err)
 		return nil, outcome.Of(err) != outcome.NotRun, err
 	}
+	if !c.plane.config.Dialect.answers(c.request, response) {
+		_ = response.Body.Close()
+		return nil, true, outcome.New(outcome.InvalidAnswer)
+	}
 	if besideWorker(response.Header) {
 		c.plane.config.Contacts.Reached(e.node)
 	}
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -243,7 +243,7 @@
 	}
 	call.arrived = true
 	w.followKeepAlive(response.Header)
-	if sent := call.inbound.Header.Get(w.dialect.RequestID); sent != response.Header.Get(w.dialect.RequestID) {
+	if !w.dialect.answers(call.inbound, response) {
 		// The answer belongs to an earlier request, or cannot be assigned to any.
 		_ = response.Body.Close()
 		return nil, outcome.New(outcome.InvalidAnswer)
