Report an upload that may have run with 502 in place of 408

What callers saw (standalone mode): 408 with Levertide-Outcome unknown for an upload whose body broke off after a part had been sent to the worker. 408 is one of the four statuses that promise that nothing ran, and callers that go by the status come back. Cause: the reason upload-failed was paired with the status of body-not-received. Why this works: 502 promises nothing; header and reason are as before. Evidence: TestUnknownOutcomeHasNoStatusThatPromises goes through all reasons and failed for this one. TestSlowUploadIsCut asked for 408 with the outcome unknown, which is the fault; it asks for 408 with not-run and 502 with unknown now, each exactly.

--- a/internal/dataplane/faults_test.go
+++ b/internal/dataplane/faults_test.go
@@ -368,7 +368,8 @@
 				t.Fatal(err)
 			}
 			_ = response.Body.Close()
-			if response.StatusCode != http.StatusRequestTimeout || !response.Close {
+			wantStatus := map[string]int{"short": http.StatusRequestTimeout, "long": http.StatusBadGateway}[name]
+			if response.StatusCode != wantStatus || !response.Close {
 				t.Errorf("status %d close %t: %+v", response.StatusCode, response.Close, m.entry.watch.last())
 			}
 			want := map[string]string{"short": "not-run", "long": "unknown"}[name]
--- a/pkg/outcome/outcome_test.go
+++ b/pkg/outcome/outcome_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"net/http"
+	"slices"
 	"testing"
 	"time"
 )
@@ -81,3 +82,14 @@
 		t.Error("503 without the marker is no refusal")
 	}
 }
+
+// TestUnknownOutcomeHasNoStatusThatPromises guards against a status that callers take for the
+// promise that a request did not run, where it may have run.
+func TestUnknownOutcomeHasNoStatusThatPromises(t *testing.T) {
+	promising := []int{http.StatusRequestTimeout, http.StatusMisdirectedRequest, http.StatusTooManyRequests, http.StatusServiceUnavailable}
+	for _, reason := range Reasons() {
+		if reason.Outcome() == Unknown && slices.Contains(promising, reason.Status()) {
+			t.Errorf("%s: status %d", reason, reason.Status())
+		}
+	}
+}
--- a/pkg/outcome/reason.go
+++ b/pkg/outcome/reason.go
@@ -116,7 +116,7 @@
 	ConnectionLost:      {Unknown, http.StatusBadGateway, "the connection was lost before an answer came"},
 	Timeout:             {Unknown, http.StatusGatewayTimeout, "the deadline passed before an answer came"},
 	Canceled:            {Unknown, http.StatusBadGateway, "the request was canceled before an answer came"},
-	UploadFailed:        {Unknown, http.StatusRequestTimeout, "the body of the request did not arrive"},
+	UploadFailed:        {Unknown, http.StatusBadGateway, "the body of the request did not arrive"},
 	InvalidAnswer:       {Unknown, http.StatusBadGateway, "the answer is not valid"},
 	UnmarkedRefusal:     {Unknown, http.StatusBadGateway, "the worker answered like one that refuses, and may have run the request"},
 	NotSpecified:        {Unknown, http.StatusBadGateway, "the request failed"},
