Bound what a node reads of answers that never end

What would be seen: another node, or what has come up at its address, whose answer to a message never ends: 3.5 GB read into memory in 10 s on a connection that buffers nothing, on a machine of 284 MB. Heads of the store's, other nodes' and health checks' answers: 10 MB each. Workers' answers to calls were bounded before. Cause: the answer to a message was read to its end whatever its size, and transports kept net/http's own bound of 10 MB for heads. Servers beside the call path had no bound on the time of a request's head. Mend: one bound for heads (64 KB), LimitAnswers for messages between nodes in both modes (moved from internal/control, which had it), bounds for heads of requests.

--- a/internal/control/clients.go
+++ b/internal/control/clients.go
@@ -10,6 +10,7 @@
 	"github.com/twitchtv/twirp"
 
 	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/topology"
 )
 
@@ -65,7 +66,7 @@
 		scheme:    scheme,
 		prefix:    config.pathPrefix(),
 		transport: transport,
-		client:    &http.Client{Transport: limitedAnswers{transport}},
+		client:    &http.Client{Transport: httpconn.LimitAnswers(transport, maximumAnswerBytes)},
 	}
 }
 
@@ -130,16 +131,3 @@
 func (p *peerClients) newClient(address string) controlpb.Control {
 	return controlpb.NewControlProtobufClient(p.scheme+"://"+address, p.client, twirp.WithClientPathPrefix(p.prefix))
 }
-
-// limitedAnswers fails the reading of answers that are larger than any node sends.
-type limitedAnswers struct{ next http.RoundTripper }
-
-// RoundTrip implements http.RoundTripper.
-func (b limitedAnswers) RoundTrip(request *http.Request) (*http.Response, error) {
-	response, err := b.next.RoundTrip(request)
-	if err != nil {
-		return nil, err
-	}
-	response.Body = http.MaxBytesReader(nil, response.Body, maximumAnswerBytes)
-	return response, nil
-}
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"time"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/telemetry"
 )
 
@@ -40,7 +41,7 @@
 		onAnswer:  answered,
 		onRestart: started,
 		log:       log,
-		client:    &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true}},
+		client:    &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead}},
 	}
 }
 
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -134,9 +134,11 @@
 	agent.announcer.onRewritten = config.Events.EntryRestored
 	server := &Server{peers: agent.peers, background: agent.background, onContact: agent.onContact, quotas: config.Quotas}
 	agent.web = &http.Server{
-		Handler:     server.handler(),
-		IdleTimeout: idleServerMessages,
-		ErrorLog:    log.New(io.Discard, "", 0),
+		Handler:           server.handler(),
+		ReadHeaderTimeout: readHeaderTime,
+		MaxHeaderBytes:    maximumMessageHead,
+		IdleTimeout:       idleServerMessages,
+		ErrorLog:          log.New(io.Discard, "", 0),
 	}
 	agent.supervisor = suture.New("hosted", suture.Spec{PassThroughPanics: true, Timeout: endBound})
 	reader := &Reader{
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -71,12 +71,13 @@
 		events:    config.Events,
 		clients:   map[string]exchangepb.Exchange{},
 		directory: sharedDirectory{list: config.Directory.ListAll},
-		web: &http.Client{Transport: &http.Transport{
-			DialContext:         httpconn.Track(config.Dial, messageDialBound),
-			IdleConnTimeout:     idleMessages,
-			MaxIdleConnsPerHost: 2,
-			DisableCompression:  true,
-		}},
+		web: &http.Client{Transport: httpconn.LimitAnswers(&http.Transport{
+			DialContext:            httpconn.Track(config.Dial, messageDialBound),
+			IdleConnTimeout:        idleMessages,
+			MaxIdleConnsPerHost:    2,
+			DisableCompression:     true,
+			MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
+		}, maximumMessage)},
 	}
 	p.relay = newRelay(func(ctx context.Context, u update, part partKey) {
 		p.BroadcastOwnZone(ctx, u, part.after, part.until)
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -3,14 +3,20 @@
 import (
 	"context"
 	"net/http"
+	"time"
 
 	"github.com/twitchtv/twirp"
 
 	"github.com/levertide/levertide/internal/exchangepb"
 )
 
-// maximumMessage bounds the size of a message from another node, in bytes.
-const maximumMessage = 16 << 20
+const (
+	// maximumMessage bounds the body of a message from another node, maximumMessageHead its head,
+	// in bytes, and readHeaderTime the time to read the head.
+	maximumMessage     = 16 << 20
+	maximumMessageHead = 64 << 10
+	readHeaderTime     = 10 * time.Second
+)
 
 // Server answers messages from other nodes.
 type Server struct {
--- a/internal/platform/consul/client.go
+++ b/internal/platform/consul/client.go
@@ -8,6 +8,7 @@
 	"strings"
 	"time"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/store"
 )
 
@@ -65,6 +66,8 @@
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
+
+		MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
 	}}
 }
 
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -8,6 +8,14 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
+)
+
+const (
+	// readHeaderTime bounds the time to read the head of a request, maximumRequestHead its size
+	// in bytes.
+	readHeaderTime     = 10 * time.Second
+	maximumRequestHead = 64 << 10
 )
 
 // server answers requests on a listener.
@@ -22,7 +30,12 @@
 // newServer returns an HTTP server for a handler. It discards its error log, since faults
 // of single connections are no events of the node.
 func newServer(handler http.Handler) *http.Server {
-	return &http.Server{Handler: handler, ErrorLog: log.New(io.Discard, "", 0)}
+	return &http.Server{
+		Handler:           handler,
+		ReadHeaderTimeout: readHeaderTime,
+		MaxHeaderBytes:    maximumRequestHead,
+		ErrorLog:          log.New(io.Discard, "", 0),
+	}
 }
 
 // listener is one HTTP server with its address, as a suture service.
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -5,6 +5,7 @@
 	"net/http"
 
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/settings"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -20,10 +21,12 @@
 
 func newProbe(s settings.Settings, config *configuration, network Network, adapter Adapter) *probe {
 	return &probe{
-		service:  s.Service,
-		address:  s.WorkerAddress,
-		config:   config,
-		client:   &http.Client{Transport: &http.Transport{DialContext: network.Dial, DisableKeepAlives: true}},
+		service: s.Service,
+		address: s.WorkerAddress,
+		config:  config,
+		client: &http.Client{Transport: &http.Transport{
+			DialContext: network.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
+		}},
 		identity: adapter.Identity,
 	}
 }
