--- a/internal/telemetry/calls.go
+++ b/internal/telemetry/calls.go
@@ -68,7 +68,7 @@
 
 // RuntimeRejected records that the routes of a version cannot be used.
 func (o *CallObserver) RuntimeRejected(version uint64, err error) {
-	end(o.log.begin(eventRoutesRejected).Uint64(fieldVersion, version).Str(fieldError, err.Error()))
+	end(o.log.begin(eventRoutesRejected).Uint64(fieldVersion, version).Str(fieldError, errorText(err)))
 }
 
 // DrainStarted records that calls of other nodes are refused from now on.
--- a/internal/telemetry/control.go
+++ b/internal/telemetry/control.go
@@ -60,7 +60,7 @@
 
 // StoreUnreachable records that the store stopped answering.
 func (l *Log) StoreUnreachable(err error) {
-	end(l.begin(eventStoreUnreachable).Str(fieldError, err.Error()))
+	end(l.begin(eventStoreUnreachable).Str(fieldError, errorText(err)))
 }
 
 // StoreReachable records that the store answers again.
@@ -68,7 +68,7 @@
 
 // StoreRegressed records that the store returned an older head than one seen before.
 func (l *Log) StoreRegressed(err error) {
-	end(l.begin(eventStoreRegressed).Str(fieldError, err.Error()))
+	end(l.begin(eventStoreRegressed).Str(fieldError, errorText(err)))
 }
 
 // PeerRefused records that a message of another node was rejected.
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -13,7 +13,7 @@
 
 // DocumentRejected records that a document of the platform cannot be used.
 func (l *Log) DocumentRejected(revision uint64, err error) {
-	end(l.begin(eventDocumentRejected).Uint64(fieldRevision, revision).Str(fieldError, err.Error()))
+	end(l.begin(eventDocumentRejected).Uint64(fieldRevision, revision).Str(fieldError, errorText(err)))
 }
 
 // DocumentPassedOver records that the store holds an older document than this node.
@@ -51,7 +51,7 @@
 
 // NodeLost records that another node cannot be reached.
 func (l *Log) NodeLost(id string, err error) {
-	end(l.begin(eventNodeLost).Str("peer", id).Str(fieldError, err.Error()))
+	end(l.begin(eventNodeLost).Str("peer", id).Str(fieldError, errorText(err)))
 }
 
 // NodeFound records that a lost node answers again.
@@ -65,7 +65,7 @@
 // RecallFailed records that the hub of the zone did not report the previous incarnations of
 // this node.
 func (l *Log) RecallFailed(id string, err error) {
-	end(l.begin(eventRecallFailed).Str("peer", id).Str(fieldError, err.Error()))
+	end(l.begin(eventRecallFailed).Str("peer", id).Str(fieldError, errorText(err)))
 }
 
 // WorkerChanged records a changed state of a worker beside this node.
@@ -77,15 +77,15 @@
 
 // HeartbeatRejected records that a call to the address for workers cannot be used.
 func (l *Log) HeartbeatRejected(instance string, err error) {
-	end(l.begin(eventHeartbeatRejected).Str("instance", instance).Str(fieldError, err.Error()))
+	end(l.begin(eventHeartbeatRejected).Str("instance", bounded(instance)).Str(fieldError, errorText(err)))
 }
 
 // EntryRejected records that an entry in the store is not a valid entry of a node.
-func (l *Log) EntryRejected(id string) { end(l.begin(eventEntryRejected).Str("entry", id)) }
+func (l *Log) EntryRejected(id string) { end(l.begin(eventEntryRejected).Str("entry", bounded(id))) }
 
 // DrainCommitmentHeld records that a worker's leave is about to be acknowledged.
 func (l *Log) DrainCommitmentHeld(instance string, holders int, stored bool) {
-	end(l.begin(eventDrainCommitmentHeld).Str("instance", instance).Int("holders", holders).Bool("stored", stored))
+	end(l.begin(eventDrainCommitmentHeld).Str("instance", bounded(instance)).Int("holders", holders).Bool("stored", stored))
 }
 
 // PreviousIncarnationFound records that the store or another node holds a record of a previous
@@ -118,11 +118,7 @@
 
 // SettingsReloaded records that the settings were read again.
 func (l *Log) SettingsReloaded(err error) {
-	text := ""
-	if err != nil {
-		text = err.Error()
-	}
-	end(l.begin(eventSettingsReloaded).Str(fieldError, text))
+	end(l.begin(eventSettingsReloaded).Str(fieldError, errorText(err)))
 }
 
 // LinesDropped records that lines were not written.
--- a/internal/telemetry/hosted_calls.go
+++ b/internal/telemetry/hosted_calls.go
@@ -128,7 +128,7 @@
 	if !o.allowLine() {
 		return
 	}
-	entry := o.log.begin(eventCallFailed).Str("request", report.RequestID).Str("route", report.Route).Str("service", report.Service).
+	entry := o.log.begin(eventCallFailed).Str("request", bounded(report.RequestID)).Str("route", report.Route).Str("service", report.Service).
 		Uint64(fieldVersion, report.Version)
 	o.addTenant(entry, report)
 	o.addOutcome(entry, report).Str("peer", report.Node).Str("instance", report.Instance).
@@ -136,7 +136,7 @@
 	o.addDecision(entry, report).Bool("came_back", report.ClientRetry).Float64("budget", report.BudgetLeft).
 		Int64("left_milliseconds", report.Left.Milliseconds()).Int64(fieldDuration, report.Duration.Milliseconds()).
 		Int64("retry_after_milliseconds", report.RetryAfter.Milliseconds()).Bool("truncated", report.Truncated)
-	end(entry.Str(fieldError, causeText(report.Cause)))
+	end(entry.Str(fieldError, errorText(report.Cause)))
 }
 
 // HopFinished counts a call of another node, and logs one that may have run without
@@ -148,12 +148,12 @@
 	if expected || !o.allowLine() {
 		return
 	}
-	entry := o.log.begin(eventHopFailed).Str("request", report.RequestID).Str("service", report.Service).Str("instance", report.Instance)
+	entry := o.log.begin(eventHopFailed).Str("request", bounded(report.RequestID)).Str("service", report.Service).Str("instance", report.Instance)
 	o.addTenant(entry, report)
 	o.addOutcome(entry, report)
 	o.addDecision(entry, report).Int64("left_milliseconds", report.Left.Milliseconds()).
 		Int64(fieldDuration, report.Duration.Milliseconds()).Bool("truncated", report.Truncated)
-	end(entry.Str(fieldError, causeText(report.Cause)))
+	end(entry.Str(fieldError, errorText(report.Cause)))
 }
 
 func (o *ForwardingObserver) allowLine() bool {
@@ -189,10 +189,3 @@
 	}
 	return f.String()
 }
-
-func causeText(err error) string {
-	if err == nil {
-		return ""
-	}
-	return err.Error()
-}
--- a/internal/telemetry/log.go
+++ b/internal/telemetry/log.go
@@ -56,15 +56,15 @@
 
 // PartFailed records that a supervised part ended and is started again.
 func (l *Log) PartFailed(part, reason string) {
-	end(l.begin(eventPartFailed).Str("part", part).Str(fieldError, reason))
+	end(l.begin(eventPartFailed).Str("part", part).Str(fieldError, bounded(reason)))
 }
 
 // StartFailed records why the process cannot start.
-func (l *Log) StartFailed(err error) { end(l.begin(eventStartFailed).Str(fieldError, err.Error())) }
+func (l *Log) StartFailed(err error) { end(l.begin(eventStartFailed).Str(fieldError, errorText(err))) }
 
 // WorkerHealth records that the worker's health endpoint changed its answer.
 func (l *Log) WorkerHealth(healthy bool, reason string) {
-	end(l.begin(eventWorkerHealth).Bool("healthy", healthy).Str(fieldReason, reason))
+	end(l.begin(eventWorkerHealth).Bool("healthy", healthy).Str(fieldReason, bounded(reason)))
 }
 
 // CertificatesLoaded records that certificate files were read.
@@ -74,5 +74,5 @@
 
 // CertificatesFailed records that changed certificate files cannot be used.
 func (l *Log) CertificatesFailed(err error) {
-	end(l.begin(eventCertificatesFailed).Str(fieldError, err.Error()))
+	end(l.begin(eventCertificatesFailed).Str(fieldError, errorText(err)))
 }
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -174,3 +174,33 @@
 	slices.Sort(ordered)
 	return ordered
 }
+
+// TestLineStaysShortWhateverWasSent guards against log lines that quote without a bound what a
+// worker or a caller has sent.
+func TestLineStaysShortWhateverWasSent(t *testing.T) {
+	endless := strings.Repeat("\x00é", 1<<20)
+	err := errors.New(endless)
+	for name, write := range map[string]func(l *Log, o *ForwardingObserver){
+		"call": func(_ *Log, o *ForwardingObserver) {
+			o.CallFinished(forwarding.CallReport{RequestID: endless, Reason: outcome.ConnectionLost, Cause: err})
+		},
+		"hop": func(_ *Log, o *ForwardingObserver) {
+			o.HopFinished(forwarding.CallReport{RequestID: endless, Reason: outcome.ConnectionLost, Cause: err})
+		},
+		"heartbeat":  func(l *Log, _ *ForwardingObserver) { l.HeartbeatRejected(endless, err) },
+		"lost node":  func(l *Log, _ *ForwardingObserver) { l.NodeLost("n", err) },
+		"store":      func(l *Log, _ *ForwardingObserver) { l.StoreUnreachable(err) },
+		"worker":     func(l *Log, _ *ForwardingObserver) { l.WorkerHealth(false, endless) },
+		"entry":      func(l *Log, _ *ForwardingObserver) { l.EntryRejected(endless) },
+		"part ended": func(l *Log, _ *ForwardingObserver) { l.PartFailed("part", endless) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			lines := &bytes.Buffer{}
+			l := NewLog(lines, "node", LevelDebug)
+			write(l, NewForwardingObserver(prometheus.NewRegistry(), l, func() {}))
+			if n := lines.Len(); n == 0 || n > 8*longestText {
+				t.Errorf("a line of %d bytes", n)
+			}
+		})
+	}
+}
--- a/internal/telemetry/terms.go
+++ b/internal/telemetry/terms.go
@@ -31,7 +31,7 @@
 
 // WorkerLimitUnreadable records that a worker names a limit that cannot be read.
 func (l *Log) WorkerLimitUnreadable(instance string, err error) {
-	end(l.begin(eventLimitUnreadable).Str("instance", instance).Str(fieldError, err.Error()))
+	end(l.begin(eventLimitUnreadable).Str("instance", bounded(instance)).Str(fieldError, errorText(err)))
 }
 
 // termsLog writes the events on the terms of workers, within bounds. It is safe for concurrent use.
