Cut an answer whose head begins and does not end

What callers saw: a request answered 504 after its whole time, though its worker was idle. Seen once in a test of the standalone mode (10.00 s, the timeout of the route): a worker writes bytes behind a whole answer by drops; the next request is on the connection when the first of them comes, and waits for a head that never ends. Interim answers without end were passed on until the deadline (standalone mode). Cause: only the deadline bounded the time of a head, and nothing the number of interim answers. Why this works: a worker is on the machine of its node and writes a head at once, so one that has begun and is not complete after 0.5 s is no answer; the request ends as invalid-answer, and a repeatable one goes to another worker. The time until the first byte, and that after an interim answer, are bounded by the deadline only, as before; so are answers between nodes, whose heads cross links.

--- a/internal/dataplane/send.go
+++ b/internal/dataplane/send.go
@@ -5,6 +5,8 @@
 	"errors"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
+	"time"
 
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/outcome"
@@ -16,6 +18,9 @@
 	request   *http.Request
 	body      *requestBody
 	relay     *informationalRelay
+	// headTime bounds the time from the first byte of the answer's head to its end; zero sets no
+	// bound.
+	headTime time.Duration
 
 	conn   *httpconn.Conn // nil until the request got a connection
 	reused bool
@@ -34,7 +39,15 @@
 func (r *roundTrip) sendOnce(ctx context.Context) (*http.Response, error) {
 	r.conn, r.reused = nil, false
 	r.body.attach(r.request)
-	trace := &httptrace.ClientTrace{GotConn: r.gotConn, Got1xxResponse: r.relay.relay}
+	ctx, head := httpconn.WatchHead(ctx, r.headTime)
+	defer head.End()
+	interim := func(code int, header textproto.MIMEHeader) error {
+		if err := head.Interim(); err != nil {
+			return err
+		}
+		return r.relay.relay(code, header)
+	}
+	trace := &httptrace.ClientTrace{GotConn: r.gotConn, GotFirstResponseByte: head.Begun, Got1xxResponse: interim}
 	response, err := r.transport.RoundTrip(r.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, r.classify(ctx, err)
@@ -67,7 +80,7 @@
 	if nothingWritten {
 		return outcome.Wrap(r.reasonBeforeStart(ctx), err)
 	}
-	return outcome.Wrap(r.reasonAfterStart(ctx), err)
+	return outcome.Wrap(r.reasonAfterStart(ctx, err), err)
 }
 
 func (r *roundTrip) reasonBeforeStart(ctx context.Context) outcome.Reason {
@@ -83,13 +96,15 @@
 	}
 }
 
-func (r *roundTrip) reasonAfterStart(ctx context.Context) outcome.Reason {
+func (r *roundTrip) reasonAfterStart(ctx context.Context, err error) outcome.Reason {
 	switch {
 	case errors.Is(context.Cause(ctx), errDeadline):
 		return outcome.Timeout
 	case r.body.failed.Load():
 		// The server cancels the context, too, when it cannot read the body.
 		return outcome.UploadFailed
+	case errors.Is(err, httpconn.ErrEndlessHead), errors.Is(context.Cause(ctx), httpconn.ErrEndlessHead):
+		return outcome.InvalidAnswer
 	case ctx.Err() != nil:
 		return outcome.Canceled
 	default:
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -178,6 +178,7 @@
 		request:   w.request(call),
 		body:      call.body,
 		relay:     call.relay,
+		headTime:  httpconn.WorkerHeadTime,
 	}
 	w.crashes.Begin()
 	response, err := trip.do(call.lifetime.ctx)
--- a/internal/forwarding/endless_test.go
+++ b/internal/forwarding/endless_test.go
@@ -11,6 +11,7 @@
 
 	"github.com/levertide/levertide/internal/testendless"
 	"github.com/levertide/levertide/internal/testwait"
+	"github.com/levertide/levertide/pkg/outcome"
 )
 
 // looksWhole reports whether a caller gets a complete success.
@@ -75,3 +76,26 @@
 		}
 	}
 }
+
+// TestBytesBehindAnAnswerDoNotHoldTheNextRequest guards against the first bytes of something that
+// never becomes an answer, which come when the next request is on the connection already: that one
+// must not wait for it until its deadline.
+func TestBytesBehindAnAnswerDoNotHoldTheNextRequest(t *testing.T) {
+	worker := startRawWorker(t, func(r rawRequest) {
+		if r.number == 1 {
+			r.respond(http.StatusOK, "", "whole")
+			return
+		}
+		_, _ = io.WriteString(r.conn, "surplus")
+		_, _ = io.Copy(io.Discard, r.conn)
+	})
+	front, _ := nodesBesideRawWorker(t, worker)
+	if status, _, body := post(t, front, "/file/1", "vat"); status != http.StatusOK || body != "whole" {
+		t.Fatalf("the first request: %d %q", status, body)
+	}
+	<-front.reports
+	status, _, _ := post(t, front, "/file/1", "vat")
+	if report := <-front.reports; status != http.StatusBadGateway || report.Reason != outcome.InvalidAnswer {
+		t.Errorf("status %d, %s", status, report.Reason)
+	}
+}
--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptrace"
+	"net/textproto"
 	"sync/atomic"
 	"time"
 
@@ -32,6 +33,9 @@
 	// expectContinue is set when the other side begins nothing before it has the complete body,
 	// and confirms by 100-continue that it accepts the body before that is sent.
 	expectContinue bool
+	// headTime bounds the time from the first byte of the answer's head to its end; zero sets no
+	// bound.
+	headTime time.Duration
 	// sending is the transmission of the body; nil unless the body is long.
 	sending atomic.Pointer[sending]
 }
@@ -52,6 +56,13 @@
 	e.conn, e.reused = nil, false
 	e.sending.Store(e.body.attach(e.request, e.pace))
 	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
+	if e.headTime > 0 {
+		var head *httpconn.HeadWatch
+		ctx, head = httpconn.WatchHead(ctx, e.headTime)
+		defer head.End()
+		trace.GotFirstResponseByte = head.Begun
+		trace.Got1xxResponse = func(int, textproto.MIMEHeader) error { return head.Interim() }
+	}
 	response, err := e.transport.RoundTrip(e.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
 		return nil, e.classify(ctx, err)
@@ -91,6 +102,8 @@
 		return withDecision(failureBeforeStart(ctx, err), decision{evidence: BodyWithheld})
 	case errors.Is(context.Cause(ctx), errEnd):
 		return outcome.Wrap(outcome.Timeout, err)
+	case errors.Is(err, httpconn.ErrEndlessHead), errors.Is(context.Cause(ctx), httpconn.ErrEndlessHead):
+		return outcome.Wrap(outcome.InvalidAnswer, err)
 	case ctx.Err() != nil:
 		return outcome.Wrap(outcome.Canceled, err)
 	default:
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -12,6 +12,7 @@
 	"github.com/joomcode/errorx"
 
 	"github.com/levertide/levertide/internal/crashwatch"
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/slotqueue"
 	"github.com/levertide/levertide/pkg/workers"
@@ -231,7 +232,7 @@
 // send sends an admitted request to the worker and turns invalid answers and refusals into
 // failures.
 func (w *workerClient) send(ctx context.Context, call *workerCall) (*answer, error) {
-	exchange := httpExchange{transport: w.transportFor(call), request: w.request(call), body: call.body}
+	exchange := httpExchange{transport: w.transportFor(call), request: w.request(call), body: call.body, headTime: httpconn.WorkerHeadTime}
 	sentAt := time.Now()
 	response, err := exchange.do(ctx)
 	if err != nil {
