Reset the connection under a cut answer that its end would make whole

What a caller of HTTP/1.0 saw: a success whose body ends early and looks whole, if the worker's answer has no length and is cut (by the deadline, a break, the end of the worker). Found with answers without end. Cause: such an answer goes out without chunks, marked by the end of the connection, and an aborted answer closed the connection in the usual way. Why this works: where the end of the connection ends the answer, an aborted one resets it, which no reader takes for an orderly end. Callers of HTTP/1.1 get chunks or a length, which the cut leaves visibly incomplete.

--- a/internal/forwarding/endless_test.go
+++ b/internal/forwarding/endless_test.go
@@ -4,7 +4,9 @@
 	"fmt"
 	"io"
 	"maps"
+	"net"
 	"net/http"
+	"strings"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -99,3 +101,24 @@
 		t.Errorf("status %d, %s", status, report.Reason)
 	}
 }
+
+// TestCutAnswerOfAnEarlierProtocolDoesNotLookWhole guards against an answer that the end of the
+// connection marks for a caller of HTTP/1.0, and that is cut.
+func TestCutAnswerOfAnEarlierProtocolDoesNotLookWhole(t *testing.T) {
+	worker := startRawWorker(t, func(r rawRequest) {
+		testendless.Forms["chunks"].Write(r.conn, "X-Id: "+r.id+"\r\n", false)
+	})
+	front, back := nodesBesideRawWorker(t, worker)
+	configure(t, []routeSpec{{prefix: "/read/", service: "ledger", safe: true, timeout: 300 * time.Millisecond, attempts: 1}}, front, back)
+	conn, err := net.Dial("tcp", front.caller.Listener.Addr().String())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer func() { _ = conn.Close() }()
+	_ = conn.SetDeadline(time.Now().Add(testTimeout))
+	_, _ = io.WriteString(conn, "GET /read/1 HTTP/1.0\r\nHost: mesh.example\r\nX-Id: id-1\r\n\r\n")
+	answer, err := io.ReadAll(conn)
+	if err == nil && strings.HasPrefix(string(answer), "HTTP/1.1 200") {
+		t.Errorf("%d bytes look whole", len(answer))
+	}
+}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -51,6 +51,9 @@
 	// stopping makes the next answer end the connection; sealed is set when no
 	// further request is accepted.
 	stopping, sealed bool
+	// endsAnswer is set when the end of the connection marks the end of the last answer. It belongs
+	// to the exchange whose turn it is.
+	endsAnswer bool
 }
 
 func newConn(s *Server, rwc net.Conn) *conn {
@@ -307,6 +310,15 @@
 	_ = c.rwc.Close()
 }
 
+// abortAnswer ends the connection in an answer that is not complete. Where the end of the connection
+// would make it look complete, the connection is reset.
+func (c *conn) abortAnswer() {
+	if tcp, ok := c.rwc.(*net.TCPConn); ok && c.endsAnswer {
+		_ = tcp.SetLinger(0)
+	}
+	c.abort()
+}
+
 // linger closes the sending side and discards what still arrives, up to lingerTime and
 // lingerBytes.
 func (c *conn) linger() {
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -81,7 +81,7 @@
 	}
 	x.body.close()
 	if failure != nil || x.response.finish() != nil {
-		x.conn.abort()
+		x.conn.abortAnswer()
 	}
 	close(x.ended)
 	x.conn.release()
--- a/internal/pipeline/response.go
+++ b/internal/pipeline/response.go
@@ -86,7 +86,11 @@
 		return
 	}
 	delete(w.header, "Content-Length")
-	if w.empty || !w.exchange.request.ProtoAtLeast(1, 1) {
+	if w.empty {
+		return
+	}
+	if !w.exchange.request.ProtoAtLeast(1, 1) {
+		w.exchange.conn.endsAnswer = true
 		return
 	}
 	w.header["Transfer-Encoding"] = []string{"chunked"}
