--- a/internal/lab/soak/ledger.go
+++ b/internal/lab/soak/ledger.go
@@ -146,6 +146,14 @@
 func (l *ledger) recordOutcome(id string, status int, body string) {
 	l.mutex.Lock()
 	defer l.mutex.Unlock()
+	if promised(status, body, id, l.repeatable[id]) {
+		l.report.Refused++
+		l.refused[id] = true
+		if l.runs[id] > 0 {
+			l.violate("request %s was told not to have run by status %d, and has run", id, status)
+		}
+		return
+	}
 	switch status {
 	case statusServed:
 		l.report.Served++
@@ -155,12 +163,6 @@
 		if l.runs[id] == 0 {
 			l.violate("request %s was answered and never ran", id)
 		}
-	case statusRefused:
-		l.report.Refused++
-		l.refused[id] = true
-		if l.runs[id] > 0 {
-			l.violate("request %s was told not to have run, and has run", id)
-		}
 	case statusUnauthenticated:
 		l.report.Unauthenticated++
 		l.refused[id] = true
--- a/internal/lab/soak/ledger_test.go
+++ b/internal/lab/soak/ledger_test.go
@@ -31,6 +31,26 @@
 			l.recordRun("a", "w", now)
 			l.recordOutcome("a", statusRefused, "")
 		}, "told not to have run"},
+		"refused after run, by 429": {func(l *ledger) {
+			l.recordCall("a", false)
+			l.recordRun("a", "w", now)
+			l.recordOutcome("a", http.StatusTooManyRequests, "")
+		}, "told not to have run by status 429"},
+		"refused after run, by 408": {func(l *ledger) {
+			l.recordCall("a", false)
+			l.recordRun("a", "w", now)
+			l.recordOutcome("a", http.StatusRequestTimeout, "")
+		}, "told not to have run by status 408"},
+		"run after refusal, by 421": {func(l *ledger) {
+			l.recordCall("a", false)
+			l.recordOutcome("a", http.StatusMisdirectedRequest, "")
+			l.recordRun("a", "w", now)
+		}, "told that it would not"},
+		"run that its worker answers like a refusal": {func(l *ledger) {
+			l.recordCall("a", false)
+			l.recordRun("a", "w", now)
+			l.recordOutcome("a", statusRefused, answerTo("a"))
+		}, "told not to have run by status 503"},
 		"another's answer": {func(l *ledger) {
 			l.recordCall("a", true)
 			l.recordRun("a", "w", now)
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -54,6 +54,8 @@
 	incarnations int
 	replacements int    // how many other machines have taken the place
 	lowest       uint64 // lowest version that may be in force, in this incarnation of the node
+	// answering is how the machine's worker answers at present; nil in the usual way.
+	answering atomic.Pointer[answering]
 	// suspended is the last suspension of the machine; nil if there was none.
 	suspended atomic.Pointer[suspension]
 	// workerCrashed is called when the worker has crashed under a request.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -98,6 +98,9 @@
 	s.callWhile(ctx, func() {
 		bounded, cancel := context.WithTimeout(ctx, s.options.Duration)
 		defer cancel()
+		var varying sync.WaitGroup
+		defer varying.Wait()
+		varying.Go(func() { varyAnswers(bounded, s.options.Seed, s.machines) })
 		injector.run(bounded)
 	})
 }
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -74,7 +74,7 @@
 			(*crashed)()
 		}
 	}
-	w.server = &http.Server{Handler: w}
+	w.server = &http.Server{Handler: w, ConnContext: rememberConn}
 	w.ended.Go(func() { _ = w.server.Serve(opened) })
 	w.ended.Go(func() { w.sendHeartbeats(ctx, m) })
 	return w, nil
@@ -84,10 +84,14 @@
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
 	id := r.Header.Get(dialect.RequestID)
 	if expected := r.Header.Get(dialect.ExpectInstance); expected != w.incarnation.Instance {
+		out.Header().Set(dialect.RequestID, id)
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
 	_, _ = io.Copy(io.Discard, r.Body)
+	if w.refuse(out, r) {
+		return
+	}
 	w.runs.Add(1)
 	w.ledger.recordRun(id, w.incarnation.String(), time.Now())
 	w.ledger.recordTimeLimit(id, r.Header.Get(dialect.Timeout), time.Now())
@@ -105,6 +109,7 @@
 	if rand.Uint32N(100) < w.lostAnswerPercent.Load() {
 		panic(http.ErrAbortHandler)
 	}
+	out.WriteHeader(w.statusOfRun(out))
 	_, _ = io.WriteString(out, answerTo(id))
 }
 
