--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -86,8 +86,6 @@
 	// incarnation.
 	commitmentsKnown atomic.Bool
 	commitmentsMu    sync.Mutex
-	// informed is closed when commitmentsKnown is set.
-	informed chan struct{}
 	// listed is set once the store has listed other nodes.
 	listed atomic.Bool
 	// zoneHub is set when this node is the hub of its zone among the listed nodes: the others of
@@ -117,7 +115,7 @@
 // New returns an agent. Nothing runs before Serve.
 func New(config Config) *Agent {
 	agent := &Agent{
-		config: config, started: time.Now(), peersAsked: make(chan struct{}), informed: make(chan struct{}), withoutStore: map[string]bool{},
+		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -34,7 +34,8 @@
 		if err != nil {
 			return err
 		}
-		return a.workerChanged(ctx, change, "heartbeat")
+		a.workerChanged(ctx, change, "heartbeat")
+		return nil
 	}
 	return a.commit(ctx, heartbeat.Instance, "heartbeat", func(now time.Time) (workers.Change, error) {
 		return a.config.Workers.Heartbeat(heartbeat, now)
@@ -52,47 +53,12 @@
 	}
 	if !change.Changed {
 		wait(ctx)
-		if !a.commitments.isUnheld(instance) {
-			return nil
-		}
-		return a.keepCommitment(ctx, instance)
-	}
-	return a.workerChanged(ctx, change, cause)
-}
-
-// keepCommitment returns once a drain commitment outlasts this node. A node that has just started
-// may know no other one, and the store may be one that comes back from a copy without the
-// commitment: it is then not kept yet, and the worker has to ask again.
-func (a *Agent) keepCommitment(ctx context.Context, instance string) error {
-	informed := a.commitmentsKnown.Load()
-	holders, stored := a.replicateCommitment(ctx)
-	if holders == 0 && !informed && a.awaitInformed(ctx) {
-		informed = true
-		holders, stored = a.replicateCommitment(ctx)
-	}
-	kept := holders > 0 || informed
-	a.commitments.setUnheld(instance, !kept)
-	if !kept {
-		return ErrUnheld.New("no other node is known yet that keeps the drain of worker %q", instance)
+		return nil
 	}
-	a.config.Events.DrainCommitmentHeld(instance, holders, stored)
+	a.workerChanged(ctx, change, cause)
 	return nil
 }
 
-// awaitInformed waits until the node knows the commitments of its previous incarnation, at most for
-// commitmentBound: it then knows other nodes, if there are any.
-func (a *Agent) awaitInformed(ctx context.Context) bool {
-	bound := time.NewTimer(commitmentBound)
-	defer bound.Stop()
-	select {
-	case <-a.informed:
-		return true
-	case <-bound.C:
-	case <-ctx.Done():
-	}
-	return a.commitmentsKnown.Load()
-}
-
 // Reject records an invalid call to the node's address for workers. Log lines are limited: a client
 // that calls it by mistake mostly does so for long.
 func (a *Agent) Reject(instance string, err error) {
@@ -112,8 +78,7 @@
 
 // workerProbed processes the registration of a worker that was probed.
 func (a *Agent) workerProbed(ctx context.Context, change workers.Change) {
-	// Without an error: nobody waits for an acknowledgement.
-	_ = a.workerChanged(ctx, change, "asked at the start")
+	a.workerChanged(ctx, change, "asked at the start")
 }
 
 // Leave processes a worker's sign-off, like Heartbeat.
@@ -134,19 +99,18 @@
 	})
 }
 
-// workerChanged tells the other nodes of a change. An error means that a drain commitment is not
-// kept yet.
-func (a *Agent) workerChanged(ctx context.Context, change workers.Change, cause string) error {
+func (a *Agent) workerChanged(ctx context.Context, change workers.Change, cause string) {
 	if !change.Changed {
-		return nil
+		return
 	}
 	a.refreshWorkers()
 	a.config.Events.WorkerChanged(change.Worker, cause)
 	if !change.Worker.State.DrainCommitted() {
 		a.background(a.spreadRecord)
-		return nil
+		return
 	}
-	return a.keepCommitment(ctx, change.Worker.Instance)
+	holders, stored := a.replicateCommitment(ctx)
+	a.config.Events.DrainCommitmentHeld(change.Worker.Instance, holders, stored)
 }
 
 // replicateCommitment sends this node's record to other nodes and to the store. It returns once
--- a/internal/hosted/errors.go
+++ b/internal/hosted/errors.go
@@ -24,9 +24,6 @@
 // ErrOtherNode: another node than the one that was asked has answered at its address.
 var ErrOtherNode = newType("other_node")
 
-// ErrUnheld: a drain commitment is kept by nobody but this node yet.
-var ErrUnheld = newType("unheld")
-
 func newType(name string) *errorx.Type {
 	return namespace.NewType(name).ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 }
--- a/internal/hosted/previous.go
+++ b/internal/hosted/previous.go
@@ -157,7 +157,6 @@
 	}
 	a.config.Serving.Open()
 	a.commitmentsKnown.Store(true)
-	close(a.informed)
 	a.refreshWorkers()
 	a.background(a.spreadRecord)
 }
