--- a/internal/command/explain/explanation.go
+++ b/internal/command/explain/explanation.go
@@ -165,5 +165,15 @@
 	if limit := deciding.text("limit"); limit != "" && reason == outcome.Overloaded {
 		explanation = fmt.Sprintf("the worker asked last takes %s requests a second from all nodes together, as it states itself, and no room was expected in time there or elsewhere (650); the caller was told when to come back", limit)
 	}
-	return fmt.Sprintf("%s (%s), decided by %s: %s", reason, deciding.text("outcome"), deciding.Node, explanation)
+	return fmt.Sprintf("%s (%s), decided by %s: %s", reason, deciding.text("outcome"), decidedBy(deciding), explanation)
+}
+
+// decidedBy returns who decided what a line says: for a refusal the node or the worker that refused,
+// with the evidence.
+func decidedBy(line *Line) string {
+	by := line.text("refused_by")
+	if by == "" {
+		return line.Node
+	}
+	return fmt.Sprintf("%s (%s)", by, line.text("evidence"))
 }
--- a/internal/command/root/explain_test.go
+++ b/internal/command/root/explain_test.go
@@ -112,3 +112,17 @@
 	run(t, "explain", path).want(t, exit.Usage)
 	run(t, "explain", "--request", "id-1", path+"-missing").want(t, exit.Usage)
 }
+
+const refusedLog = `{"time":"2026-12-02T10:00:02.000000Z","level":"warn","node":"n1","event":701,"name":"call not served","request":"id-1","route":"r","service":"ledger","version":7,"outcome":"not-run","reason":"refused-by-worker","status":503,"refused_by":"w1@5","evidence":"node-reported","peer":"n2","instance":"w1@5"}
+{"time":"2026-12-02T10:00:01.900000Z","level":"warn","node":"n2","event":702,"name":"hop not served","request":"id-1","service":"ledger","outcome":"not-run","reason":"refused-by-worker","status":503,"refused_by":"w1@5","evidence":"worker-marked","instance":"w1@5"}
+`
+
+// TestExplainNamesWhoRefused explains a refused request: the caller was promised that it has not
+// run, on the word of its worker.
+func TestExplainNamesWhoRefused(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(refusedLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(t, "explain", "--request", "id-1", path).want(t, exit.Accepted, "cause: refused-by-worker (not-run), decided by w1@5 (", "worker-marked")
+}
--- a/internal/forwarding/promises_test.go
+++ b/internal/forwarding/promises_test.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/levertide/levertide/pkg/fleet"
+	"github.com/levertide/levertide/pkg/outcome"
 )
 
 // TestRunThatItsWorkerAnswersLikeARefusalIsNoRefusal guards against passing on the status of a
@@ -147,3 +148,18 @@
 		}
 	}
 }
+
+// TestStatusPromisesOnlyWhatDidNotRun guards against a reason whose outcome is unknown and whose
+// status callers take for a promise, and against one that surely did not run and is not told so.
+func TestStatusPromisesOnlyWhatDidNotRun(t *testing.T) {
+	final := map[outcome.Reason]bool{
+		// With these the caller is not to come back with the same request.
+		outcome.TooLarge: true, outcome.NoRoute: true, outcome.Unauthenticated: true, outcome.Malformed: true, outcome.Quarantined: true,
+	}
+	for _, reason := range outcome.Reasons() {
+		status := statusOf(outcome.New(reason))
+		if want := reason.Outcome() == outcome.NotRun && !final[reason]; PromisesNotRun(status) != want {
+			t.Errorf("%s, %s: status %d", reason, reason.Outcome(), status)
+		}
+	}
+}
