--- /dev/null
+++ b/review/standin-2/cases.go
@@ -0,0 +1,9 @@
+package main
+
+// cases are the days that the scripts play. Each returns whether the rule was broken; without
+// trouble it does the same without the disruption.
+var cases = map[string]func(trouble bool) (broken bool){
+	"pausing": pausing,
+	"forgets": forgets,
+	"setback": setback,
+}
