--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -216,7 +216,7 @@
 		reply(w, http.StatusBadRequest, nil)
 		return
 	}
-	_ = json.Unmarshal(raw[names["expected_revision"]], &expected)
+	_ = json.Unmarshal(raw[names["condition"]], &expected)
 	_ = json.Unmarshal(raw["put"], &put)
 	_ = json.Unmarshal(raw["remove"], &removed)
 	s.mu.Lock()
