--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -6,4 +6,5 @@
 	"pausing": pausing,
 	"forgets": forgets,
 	"setback": setback,
+	"rolled":  rolled,
 }
