Have case 5 acknowledge the sign-off in calm

Cause: the store holds a drain commitment under the node's lease only, and leases may run out in an outage. Done: review/5 plays lapses: sign-off in calm, then a silent store whose leases run out, then all processes killed.

--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -4,7 +4,8 @@
 // trouble it does the same without the disruption.
 var cases = map[string]func(trouble bool) (broken bool){
 	"pausing": pausing,
-	"forgets": forgets,
+	"lapses":  forgetting(true),
+	"forgets": forgetting(false),
 	"setback": setback,
 	"rolled":  rolled,
 }
--- a/review/standin-2/forgets.go
+++ b/review/standin-2/forgets.go
@@ -7,9 +7,15 @@
 	"time"
 )
 
-// forgets has a worker sign off while the store is away, all nodes killed at once after the
-// acknowledgement, and a heartbeat of the worker arrive late.
-func forgets(trouble bool) bool {
+// forgetting has a worker sign off, all nodes killed at once while the store is silent, and a
+// heartbeat of the worker arrive late. With lapse the sign-off is acknowledged in calm, one second
+// before the store falls silent and its leases run out; without, while it is silent, and no lease
+// runs out.
+func forgetting(lapse bool) func(trouble bool) bool {
+	return func(trouble bool) bool { return forgets(lapse, trouble) }
+}
+
+func forgets(lapse, trouble bool) bool {
 	const drain = 2000 * time.Millisecond
 	const contact = 3000 * time.Millisecond
 	m, ws := deploy([]route{{"r-order", "unsafe", "/order/", "orders", 3000, 500}}, "orders", "orders", "proofs", "orders")
@@ -35,7 +41,7 @@
 		})
 	}
 	time.Sleep(1500 * time.Millisecond)
-	if trouble {
+	if trouble && !lapse {
 		m.store.silent.Store(true)
 		note("the store falls silent")
 	}
@@ -51,6 +57,15 @@
 	if status != 200 {
 		fail("the sign-off is not acknowledged")
 	}
+	if lapse {
+		time.Sleep(time.Second)
+	}
+	if trouble && lapse {
+		m.store.silent.Store(true)
+		m.store.endLeases()
+		note("the store falls silent, and its leases run out")
+		time.Sleep(500 * time.Millisecond)
+	}
 	if trouble {
 		for _, n := range m.nodes {
 			n.signal(syscall.SIGKILL)
--- a/review/standin-2/store.go
+++ b/review/standin-2/store.go
@@ -109,6 +109,15 @@
 	}
 }
 
+// endLeases has all leases run out.
+func (s *store) endLeases() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	for id := range s.leases {
+		s.dropLease(id)
+	}
+}
+
 func (s *store) remove(key string) {
 	s.revision++
 	delete(s.items, key)
