--- a/review/standin-2/cases.go
+++ b/review/standin-2/cases.go
@@ -8,4 +8,5 @@
 	"forgets": forgetting(false),
 	"setback": setback,
 	"rolled":  rolled,
+	"stray":   stray,
 }
