--- a/review/standin-2/main.go
+++ b/review/standin-2/main.go
@@ -55,11 +55,29 @@
 				_ = n.command.Process.Kill()
 			}
 		}
+		running.awaitEnds()
 		_ = os.RemoveAll(running.folder)
 	}
 	os.Exit(code)
 }
 
+// awaitEnds waits until the killed processes have ended.
+func (m *mesh) awaitEnds() {
+	bound := time.After(3 * time.Second)
+	for _, n := range m.nodes {
+		if n.exited == nil {
+			continue
+		}
+		for open := true; open; {
+			select {
+			case _, open = <-n.exited:
+			case <-bound:
+				return
+			}
+		}
+	}
+}
+
 // newMesh starts the store with a first configuration, and makes nodes on addresses of their own.
 func newMesh(services ...string) *mesh {
 	root, err := os.Getwd()
--- a/review/standin-2/node.go
+++ b/review/standin-2/node.go
@@ -86,7 +86,10 @@
 	exited := make(chan error, 1)
 	n.exited = exited
 	command := n.command
-	go func() { exited <- command.Wait() }()
+	go func() {
+		exited <- command.Wait()
+		close(exited)
+	}()
 }
 
 // runWords returns the command of the deploy file, with the settings file of this process.
