Keep the drain of a worker whose start time is below that of a crashed incarnation

Cause: the registry took the order of start times for the order of starts, and dropped what an incarnation with a lower one said; the agent took a call that changed nothing for a leave that another call had recorded, and acknowledged it. The same answer was given to a drain whose sequence is not above the held one, as after a heartbeat of another writer. Ruled out: replication and other nodes (all go by the record of the node beside the worker, which never changed). The soak never drew it: start times only rose, and each incarnation of a worker had an address of its own, so that believing in the wrong one cost nothing. Mend: which incarnation runs is decided by what the node beside it hears (succession.go): the order in which it heard them, whether one counts from its start, and who goes on to be heard alone. A leave is recorded or refused (409), never acknowledged without effect; a drain holds whatever its sequence. A record names the ended incarnations whose start times are not lower, so that the next incarnation of the node does not take a late heartbeat of them for a new worker.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -108,6 +108,8 @@
 
 	// commitments are the drain commitments that are being replicated.
 	commitments pendingCommitments
+	// ignored counts the calls of workers that had no effect.
+	ignored *ignoredCalls
 
 	backgroundContext atomic.Pointer[context.Context]
 }
@@ -117,6 +119,7 @@
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
+		ignored:    newIgnoredCalls(config.Events),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.peers = newPeers(config, agent.documents)
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -83,6 +83,8 @@
 			Address:    worker.Address,
 			Version:    worker.Version,
 			BornUnixMs: worker.StartedAt,
+
+			SupersededBornUnixMs: worker.DisorderedPredecessors(),
 		})
 	}
 	return messages
@@ -100,6 +102,8 @@
 			Address:   message.GetAddress(),
 			Version:   message.GetVersion(),
 			StartedAt: message.GetBornUnixMs(),
+
+			Predecessors: message.GetSupersededBornUnixMs(),
 		})
 	}
 	return list
--- a/internal/hosted/documents_test.go
+++ b/internal/hosted/documents_test.go
@@ -23,25 +23,26 @@
 // discardEvents discards all events.
 type discardEvents struct{}
 
-func (discardEvents) DocumentRejected(uint64, error)                 {}
-func (discardEvents) DocumentPassedOver(uint64, uint64, uint64)      {}
-func (discardEvents) ReaderRoleChanged(bool)                         {}
-func (discardEvents) StoreReachable()                                {}
-func (discardEvents) StoreUnreachable(error)                         {}
-func (discardEvents) StoreRestored(uint64, Era)                      {}
-func (discardEvents) HeartbeatRejected(string, error)                {}
-func (discardEvents) EntryRejected(string)                           {}
-func (discardEvents) EntryRestored(uint64, int)                      {}
-func (discardEvents) NodeLost(string, error)                         {}
-func (discardEvents) NodeFound(string)                               {}
-func (discardEvents) NodeReplaced(string, string)                    {}
-func (discardEvents) RecallFailed(string, error)                     {}
-func (discardEvents) WorkerChanged(workers.Worker, string)           {}
-func (discardEvents) DrainCommitmentHeld(string, int, bool)          {}
-func (discardEvents) PreviousIncarnationFound(uint64, int)           {}
-func (discardEvents) RequestQuarantined(quarantine.Verdict, string)  {}
-func (discardEvents) QuarantineEnded(quarantine.Fingerprint, string) {}
-func (discardEvents) RolloutOrdered(string, string, time.Duration)   {}
+func (discardEvents) DocumentRejected(uint64, error)                      {}
+func (discardEvents) DocumentPassedOver(uint64, uint64, uint64)           {}
+func (discardEvents) ReaderRoleChanged(bool)                              {}
+func (discardEvents) StoreReachable()                                     {}
+func (discardEvents) StoreUnreachable(error)                              {}
+func (discardEvents) StoreRestored(uint64, Era)                           {}
+func (discardEvents) HeartbeatRejected(string, error)                     {}
+func (discardEvents) EntryRejected(string)                                {}
+func (discardEvents) EntryRestored(uint64, int)                           {}
+func (discardEvents) NodeLost(string, error)                              {}
+func (discardEvents) NodeFound(string)                                    {}
+func (discardEvents) NodeReplaced(string, string)                         {}
+func (discardEvents) RecallFailed(string, error)                          {}
+func (discardEvents) WorkerChanged(workers.Worker, string)                {}
+func (discardEvents) WorkerCallIgnored(workers.Heartbeat, workers.Change) {}
+func (discardEvents) DrainCommitmentHeld(string, int, bool)               {}
+func (discardEvents) PreviousIncarnationFound(uint64, int)                {}
+func (discardEvents) RequestQuarantined(quarantine.Verdict, string)       {}
+func (discardEvents) QuarantineEnded(quarantine.Fingerprint, string)      {}
+func (discardEvents) RolloutOrdered(string, string, time.Duration)        {}
 func (discardEvents) RolloutDecided(string, string, canary.State, float64, string, float64, float64) {
 }
 
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -23,7 +23,8 @@
 )
 
 // Heartbeat processes a worker's heartbeat. When it returns nil the heartbeat may be acknowledged:
-// a drain commitment in it is kept from now on, whichever nodes fail.
+// a drain commitment in it is kept from now on, whichever nodes fail. It returns workers.ErrNotRunning
+// for a leave that cannot be committed to.
 func (a *Agent) Heartbeat(ctx context.Context, heartbeat workers.Heartbeat) error {
 	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
 		// A worker of another service would take the address of the worker beside this node.
@@ -34,23 +35,29 @@
 		if err != nil {
 			return err
 		}
+		a.ignored.observe(heartbeat, change)
 		a.workerChanged(ctx, change, "heartbeat")
 		return nil
 	}
-	return a.commit(ctx, heartbeat.Instance, "heartbeat", func(now time.Time) (workers.Change, error) {
+	return a.commit(ctx, heartbeat, "heartbeat", func(now time.Time) (workers.Change, error) {
 		return a.config.Workers.Heartbeat(heartbeat, now)
 	})
 }
 
 // commit makes a drain commitment, which record enters in the registrations. When it returns nil
-// the commitment is kept, also when another call has made it.
-func (a *Agent) commit(ctx context.Context, instance, cause string, record func(now time.Time) (workers.Change, error)) error {
-	wait, end := a.commitments.begin(instance)
+// the commitment is kept, also when another call has made it. The leave of a worker that is not the
+// running one as far as this node knows is refused: the worker goes on to say it, or ends.
+func (a *Agent) commit(ctx context.Context, leave workers.Heartbeat, cause string, record func(now time.Time) (workers.Change, error)) error {
+	wait, end := a.commitments.begin(leave.Instance)
 	defer end()
 	change, err := record(time.Now())
 	if err != nil {
 		return err
 	}
+	if change.Ignored != "" {
+		a.ignored.observe(leave, change)
+		return workers.ErrNotRunning.New("another incarnation of %q is registered (%s)", leave.Instance, change.Ignored)
+	}
 	if !change.Changed {
 		wait(ctx)
 		return nil
@@ -83,7 +90,7 @@
 
 // Leave processes a worker's sign-off, like Heartbeat.
 func (a *Agent) Leave(ctx context.Context, incarnation workers.Incarnation) error {
-	return a.commit(ctx, incarnation.Instance, "sign-off", func(now time.Time) (workers.Change, error) {
+	return a.commit(ctx, leaveOf(incarnation), "sign-off", func(now time.Time) (workers.Change, error) {
 		return a.config.Workers.Leave(incarnation, now)
 	})
 }
@@ -92,13 +99,18 @@
 // the commitment is spread as if the worker had asked for it.
 func (a *Agent) WorkerLeaving(incarnation workers.Incarnation) {
 	a.background(func(ctx context.Context) {
-		// Without an error: the drain of a known worker is never rejected.
-		_ = a.commit(ctx, incarnation.Instance, "its answers", func(now time.Time) (workers.Change, error) {
+		// The answer of an incarnation that is not registered any more has no effect, and is logged.
+		_ = a.commit(ctx, leaveOf(incarnation), "its answers", func(now time.Time) (workers.Change, error) {
 			return a.config.Workers.Drain(incarnation, now), nil
 		})
 	})
 }
 
+// leaveOf returns what a leave that is no heartbeat says of its worker.
+func leaveOf(incarnation workers.Incarnation) workers.Heartbeat {
+	return workers.Heartbeat{Instance: incarnation.Instance, StartedAt: incarnation.StartedAt, Draining: true}
+}
+
 func (a *Agent) workerChanged(ctx context.Context, change workers.Change, cause string) {
 	if !change.Changed {
 		return
--- a/internal/hosted/entry_test.go
+++ b/internal/hosted/entry_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"reflect"
 	"testing"
 
 	"github.com/levertide/levertide/pkg/fleet"
@@ -10,14 +11,14 @@
 func exampleRecord() fleet.Node {
 	return fleet.Node{
 		ID: "a", Incarnation: 7, Sequence: 2, Zone: "z", ControlAddress: "10.0.0.1:70", CallAddress: "10.0.0.1:71", State: fleet.StateLive,
-		Workers: []workers.Worker{{Instance: "i", Service: "s", Address: "10.0.0.1:80", Slots: 6, State: workers.StateReady, StartedAt: 5}},
+		Workers: []workers.Worker{{Instance: "i", Service: "s", Address: "10.0.0.1:80", Slots: 6, State: workers.StateReady, StartedAt: 5, Predecessors: []int64{9, 5}}},
 	}
 }
 
 func TestEntryOfANodeIsRead(t *testing.T) {
 	record := exampleRecord()
 	read, ok := decodeEntry(Entry{ID: "a", Content: encodeEntry(record)})
-	if !ok || read.Incarnation != 7 || len(read.Workers) != 1 || read.Workers[0] != record.Workers[0] {
+	if !ok || read.Incarnation != 7 || !reflect.DeepEqual(read.Workers, record.Workers) {
 		t.Errorf("%+v, %t", read, ok)
 	}
 }
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -39,6 +39,9 @@
 	WorkerChanged(worker workers.Worker, cause string)
 	// HeartbeatRejected reports an invalid call to the address for workers.
 	HeartbeatRejected(instance string, err error)
+	// WorkerCallIgnored reports a heartbeat or a leave that had no effect, and the registration that
+	// stayed; a leave is one that says it drains.
+	WorkerCallIgnored(call workers.Heartbeat, change workers.Change)
 	// EntryRejected reports an entry in the store that was not written by a node.
 	EntryRejected(id string)
 	// DrainCommitmentHeld reports how many nodes hold a drain commitment when it is acknowledged,
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -10,7 +10,9 @@
 	"testing"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"github.com/levertide/levertide/internal/hosted"
+
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/lab/hostedstore"
 	"github.com/levertide/levertide/internal/testwait"
@@ -94,24 +96,25 @@
 	r.limits = append(r.limits, tenant+" ended")
 }
 
-func (r *recorder) RequestQuarantined(quarantine.Verdict, string)  {}
-func (r *recorder) QuarantineEnded(quarantine.Fingerprint, string) {}
-func (r *recorder) DocumentRejected(uint64, error)                 {}
-func (r *recorder) DocumentPassedOver(uint64, uint64, uint64)      {}
-func (r *recorder) ReaderRoleChanged(bool)                         {}
-func (r *recorder) StoreReachable()                                {}
-func (r *recorder) StoreUnreachable(error)                         {}
-func (r *recorder) StoreRestored(uint64, hosted.Era)               {}
-func (r *recorder) HeartbeatRejected(string, error)                {}
-func (r *recorder) EntryRejected(string)                           {}
-func (r *recorder) EntryRestored(uint64, int)                      {}
-func (r *recorder) NodeLost(string, error)                         {}
-func (r *recorder) NodeFound(string)                               {}
-func (r *recorder) NodeReplaced(string, string)                    {}
-func (r *recorder) RecallFailed(string, error)                     {}
-func (r *recorder) WorkerChanged(workers.Worker, string)           {}
-func (r *recorder) PreviousIncarnationFound(uint64, int)           {}
-func (r *recorder) RolloutOrdered(string, string, time.Duration)   {}
+func (r *recorder) RequestQuarantined(quarantine.Verdict, string)       {}
+func (r *recorder) QuarantineEnded(quarantine.Fingerprint, string)      {}
+func (r *recorder) DocumentRejected(uint64, error)                      {}
+func (r *recorder) DocumentPassedOver(uint64, uint64, uint64)           {}
+func (r *recorder) ReaderRoleChanged(bool)                              {}
+func (r *recorder) StoreReachable()                                     {}
+func (r *recorder) StoreUnreachable(error)                              {}
+func (r *recorder) StoreRestored(uint64, hosted.Era)                    {}
+func (r *recorder) HeartbeatRejected(string, error)                     {}
+func (r *recorder) EntryRejected(string)                                {}
+func (r *recorder) EntryRestored(uint64, int)                           {}
+func (r *recorder) NodeLost(string, error)                              {}
+func (r *recorder) NodeFound(string)                                    {}
+func (r *recorder) NodeReplaced(string, string)                         {}
+func (r *recorder) RecallFailed(string, error)                          {}
+func (r *recorder) WorkerChanged(workers.Worker, string)                {}
+func (r *recorder) WorkerCallIgnored(workers.Heartbeat, workers.Change) {}
+func (r *recorder) PreviousIncarnationFound(uint64, int)                {}
+func (r *recorder) RolloutOrdered(string, string, time.Duration)        {}
 func (r *recorder) RolloutDecided(string, string, canary.State, float64, string, float64, float64) {
 }
 func (r *recorder) DrainCommitmentHeld(instance string, holders int, _ bool) {
@@ -401,3 +404,48 @@
 	nodes[0].agent.AnnounceStop(t.Context(), fleet.StateLeft)
 	testwait.Eventually(t, "its entry is gone", func() bool { return store.Entries() == 2 })
 }
+
+// TestLeaveThatCannotBeHeldIsRefused guards against an acknowledgement of a leave that changes nothing,
+// since another incarnation of the worker is taken for the running one.
+func TestLeaveThatCannotBeHeldIsRefused(t *testing.T) {
+	node := startNodes(t, newStore(), "a1")[0]
+	running, other := heartbeat("w1", 9, false), heartbeat("w1", 9, true)
+	running.StartedAt, other.StartedAt = 12_400, 12_000
+	mustHeartbeat(t, node, running)
+	if err := node.agent.Heartbeat(t.Context(), other); !errorx.IsOfType(err, workers.ErrNotRunning) {
+		t.Errorf("a draining heartbeat: %v", err)
+	}
+	if err := node.agent.Leave(t.Context(), workers.Incarnation{Instance: "w1", StartedAt: 12_000}); !errorx.IsOfType(err, workers.ErrNotRunning) {
+		t.Errorf("a sign-off: %v", err)
+	}
+	if ignored := node.agent.IgnoredCalls().Leaves[workers.IgnoredUnproven]; ignored != 2 {
+		t.Errorf("%d leaves are counted as ignored", ignored)
+	}
+	if _, ready := node.workers.Ready("ledger"); !ready {
+		t.Error("the running worker is held")
+	}
+}
+
+// TestDrainOfAWorkerWithALowerStartTimeOutlastsItsNode kills the node that acknowledged the drain of a
+// worker whose crashed incarnation started at a later time of day, and sends late heartbeats of that one
+// to the next incarnation of the node.
+func TestDrainOfAWorkerWithALowerStartTimeOutlastsItsNode(t *testing.T) {
+	store := newStore()
+	nodes := startNodes(t, store, "a1", "b1", "c1", "d1")
+	crashed, leaving := heartbeat("w1", 1, false), heartbeat("w1", 1, false)
+	crashed.StartedAt, leaving.StartedAt = 12_400, 12_000
+	mustHeartbeat(t, nodes[0], crashed)
+	mustHeartbeat(t, nodes[0], leaving)
+	leaving.Sequence, leaving.Draining = 2, true
+	mustHeartbeat(t, nodes[0], leaving)
+	nodes[0].kill()
+	restarted := startNode(t, store, "a1", nodes[0].address)
+	crashed.Sequence = 2
+	mustHeartbeat(t, restarted, crashed)
+	testwait.Eventually(t, "the restarted node is ready", restarted.agent.Ready)
+	crashed.Sequence = 3
+	mustHeartbeat(t, restarted, crashed)
+	if worker, ready := restarted.workers.Ready("ledger"); ready {
+		t.Fatalf("%v gets work after its drain was acknowledged", worker)
+	}
+}
--- a/internal/lab/soak/faults.go
+++ b/internal/lab/soak/faults.go
@@ -60,7 +60,7 @@
 }
 
 // faultKinds is how many kinds of faults there are.
-const faultKinds = 22
+const faultKinds = 23
 
 // injectKind injects a fault of the given kind.
 func (f *faults) injectKind(ctx context.Context, kind int, target *machine, duration time.Duration) {
@@ -106,6 +106,8 @@
 		f.limitWorker(ctx, target)
 	case 21:
 		f.onMachine(target, "leave of the worker by its answers", func() { f.leaveByAnswers(ctx, target) })
+	case 22:
+		f.jumpClock(ctx, target, duration)
 	}
 }
 
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -44,6 +44,8 @@
 	ledger          *ledger
 	control, call   string
 	callers, probes string
+	// local is the address of the worker: each incarnation has it in turn.
+	local string
 
 	mutex        sync.Mutex
 	node         *sidecar.Node
@@ -58,6 +60,8 @@
 	answering atomic.Pointer[answering]
 	// suspended is the last suspension of the machine; nil if there was none.
 	suspended atomic.Pointer[suspension]
+	// clockError is by how much the machine's time of day is ahead, in nanoseconds.
+	clockError atomic.Int64
 	// workerCrashed is called when the worker has crashed under a request.
 	workerCrashed atomic.Pointer[func()]
 }
@@ -78,10 +82,13 @@
 	return last.duration
 }
 
+// timeOfDay returns the time of day on the machine, from which its worker takes its start time.
+func (m *machine) timeOfDay() time.Time { return time.Now().Add(time.Duration(m.clockError.Load())) }
+
 // newMachine returns a machine with reserved addresses, which outlast its processes.
 func newMachine(id, zone string, network MachineNetwork, store *hostedstore.Store, l *ledger) (*machine, error) {
 	m := &machine{id: id, zone: zone, network: network, store: store, ledger: l}
-	for _, address := range []*string{&m.control, &m.call, &m.callers, &m.probes} {
+	for _, address := range []*string{&m.control, &m.call, &m.callers, &m.probes, &m.local} {
 		reserved, err := network.Reserve()
 		if err != nil {
 			return nil, err
@@ -203,9 +210,10 @@
 func (m *machine) startNextWorker() (*worker, error) {
 	m.incarnations++
 	before := m.worker
-	name := workers.Incarnation{Instance: instanceName(m.id, m.incarnations), StartedAt: time.Now().UnixMilli()}
-	if before != nil {
-		name.StartedAt = max(name.StartedAt, before.incarnation.StartedAt+1)
+	name := workers.Incarnation{Instance: instanceName(m.id, m.incarnations), StartedAt: m.timeOfDay().UnixMilli()}
+	if before != nil && before.incarnation == name {
+		// The ledger tells two incarnations apart by their start times.
+		name.StartedAt++
 	}
 	next, err := startWorker(name, m.ledger, m)
 	if err != nil {
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -22,6 +22,8 @@
 	// the time in which requests may still arrive, and how many heartbeats of an ended
 	// incarnation are sent late.
 	lateHeartbeats = 10
+	// incarnationsOfInstance is how many incarnations of a worker share the name of its instance.
+	incarnationsOfInstance = 4
 	// staleHeartbeatShare is the chance, at each heartbeat, that the one before it is sent again.
 	staleHeartbeatShare = 0.1
 )
@@ -63,7 +65,7 @@
 // startWorker starts an incarnation of a machine's worker. It looks up the machine's
 // node at each heartbeat, as the node may have been restarted.
 func startWorker(incarnation workers.Incarnation, l *ledger, m *machine) (*worker, error) {
-	opened, err := m.network.Listen(m.network.AnyPort())
+	opened, err := m.network.Listen(m.local)
 	if err != nil {
 		return nil, ErrStart.Wrap(err, "worker")
 	}
@@ -156,6 +158,33 @@
 	}
 }
 
+// startLeaving has the worker say that it leaves, by its heartbeats or by a sign-off alone. It returns a
+// function that ends the worker once no more requests should arrive.
+func (w *worker) startLeaving(ctx context.Context, signOff bool) (end func(ctx context.Context)) {
+	if signOff {
+		w.heartbeatsPaused.Store(true)
+		w.signOff(ctx, w.machine)
+	} else {
+		w.draining.Store(true)
+	}
+	return func(ctx context.Context) {
+		wait(ctx, drainSlack+lateHeartbeats*heartbeatInterval)
+		w.kill()
+	}
+}
+
+// signOff has the worker sign off, until it is acknowledged or a few tries have failed.
+func (w *worker) signOff(ctx context.Context, m *machine) {
+	for range lateHeartbeats {
+		registrar := m.currentRegistrar()
+		if registrar != nil && registrar.Leave(ctx, w.incarnation) == nil && m.currentRegistrar() == registrar {
+			w.ledger.recordDrainCommitment(w.incarnation.String(), time.Now())
+			return
+		}
+		wait(ctx, heartbeatInterval)
+	}
+}
+
 // leave drains the worker, and ends it once no more requests should arrive.
 func (w *worker) leave(ctx context.Context) {
 	w.draining.Store(true)
@@ -175,9 +204,20 @@
 }
 
 // instanceName returns the instance name of a worker's incarnation with the given number.
-// Incarnations 2n and 2n+1 share a name, so that every second one starts under the
-// instance of the one before.
-func instanceName(machine string, number int) string { return fmt.Sprintf("%s-%d", machine, number/2) }
+// Most start under the instance of the one before.
+func instanceName(machine string, number int) string {
+	return fmt.Sprintf("%s-%d", machine, number/incarnationsOfInstance)
+}
+
+// sendReadyHeartbeats sends ready heartbeats of an incarnation that has ended, as if they had been
+// delayed, and so for a time.
+func (w *worker) sendReadyHeartbeats(ctx context.Context, m *machine, d time.Duration) {
+	first := w.sequence.Load()
+	for n := range uint64(d / heartbeatInterval) {
+		w.send(ctx, m, first+n, false)
+		wait(ctx, heartbeatInterval)
+	}
+}
 
 // sendLateHeartbeats sends heartbeats of an incarnation that has ended, as if they had
 // been delayed.
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -80,6 +80,14 @@
 	end(l.begin(eventHeartbeatRejected).Str("instance", bounded(instance)).Str(fieldError, errorText(err)))
 }
 
+// WorkerCallIgnored records that a heartbeat or a leave had no effect, and what is registered.
+func (l *Log) WorkerCallIgnored(call workers.Heartbeat, change workers.Change) {
+	held := change.Worker
+	end(l.begin(eventWorkerCallIgnored).Str("instance", bounded(call.Instance)).Str(fieldReason, string(change.Ignored)).Bool("leaves", call.Draining).
+		Uint64("sequence", call.Sequence).Int64("born_unix_milliseconds", call.StartedAt).Str("held_state", held.State.String()).
+		Uint64("held_sequence", held.Sequence).Int64("held_born_unix_milliseconds", held.StartedAt))
+}
+
 // EntryRejected records that an entry in the store is not a valid entry of a node.
 func (l *Log) EntryRejected(id string) { end(l.begin(eventEntryRejected).Str("entry", bounded(id))) }
 
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -38,6 +38,8 @@
 	Quarantined, Suspected int
 	// StoreRestores counts the effects on the node of restores of the store from a copy.
 	StoreRestores hosted.StoreRestores
+	// IgnoredCalls counts the calls of workers that had no effect.
+	IgnoredCalls hosted.IgnoredCalls
 	// Messages counts what the node has sent to others.
 	Messages hosted.Messages
 	// Quotas is what the node holds of the limits of tenants, and what it decided on requests.
@@ -81,6 +83,7 @@
 		counter("comparisons_total", "Questions to other nodes whether they know the same.", func(r HostedReading) uint64 { return r.Messages.Exchanges }),
 		counter("broadcasts_total", "Messages with news to other nodes.", func(r HostedReading) uint64 { return r.Messages.Broadcasts }),
 		counter("reader_questions_total", "Messages that ask nodes which read the store whether they are there.", func(r HostedReading) uint64 { return r.Messages.Probes }),
+		newIgnoredCallsCollector(func() hosted.IgnoredCalls { return read().IgnoredCalls }),
 		newQuotaCollector(func() hosted.QuotaReading { return read().Quotas }),
 		counter("misdirected_messages_total", "Messages that another node has answered than the one they were for, since it has its address.", func(r HostedReading) uint64 { return r.Messages.Misdirected }),
 		counter("borrowings_total", "Messages to other nodes on the limits of tenants.", func(r HostedReading) uint64 { return r.Messages.QuotaRequests }),
--- a/pkg/workers/errors.go
+++ b/pkg/workers/errors.go
@@ -7,3 +7,7 @@
 // ErrInvalid is the type of errors for heartbeats that cannot be used. The
 // registrations are left unchanged.
 var ErrInvalid = namespace.NewType("invalid").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// ErrNotRunning is the type of errors for the leave of an incarnation that is not known to be the
+// running one of its instance. Nothing was recorded: the leave must not be acknowledged.
+var ErrNotRunning = namespace.NewType("not_running").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
--- a/pkg/workers/incarnation.go
+++ b/pkg/workers/incarnation.go
@@ -17,12 +17,6 @@
 	return i.Instance == other.Instance && (i.StartedAt == 0 || other.StartedAt == 0 || i.StartedAt == other.StartedAt)
 }
 
-// Before reports whether the incarnation is known to precede the other one of the
-// same instance, and so to have ended when that one started.
-func (i Incarnation) Before(other Incarnation) bool {
-	return i.Instance == other.Instance && i.StartedAt != 0 && i.StartedAt < other.StartedAt
-}
-
 // String returns a name that is unique to the incarnation.
 func (i Incarnation) String() string {
 	if i.StartedAt == 0 {
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -40,6 +40,9 @@
 	Worker Worker
 	// Changed is set when other nodes must be notified.
 	Changed bool
+	// Ignored says why the call had no effect: a leave that it asks for is not recorded, and must not
+	// be acknowledged. It is empty for a call that has an effect, or that repeats one.
+	Ignored IgnoreReason
 }
 
 // Registry holds the workers beside one node. It is safe for concurrent use.
@@ -53,32 +56,16 @@
 	Worker
 	lastHeard    time.Time
 	registeredAt time.Time
-	// earlier is an incarnation with an earlier start time that still sends heartbeats.
-	earlier earlierIncarnation
-}
-
-// earlierIncarnation is an incarnation with an earlier start time than the registered one.
-// Usually its heartbeats are delayed ones of a previous incarnation. But if the machine's
-// clock was set back between two incarnations, it is the newer one.
-type earlierIncarnation struct {
-	incarnation Incarnation
-	sequence    uint64
-	since       time.Time
-}
-
-// earlierIsRunning records a heartbeat of an incarnation with an earlier start time. It reports
-// whether that incarnation is the running one: the registered one has sent nothing for the
-// heartbeat timeout, and this one has sent heartbeats for longer than the timeout. Delayed
-// heartbeats arrive together and do not last that long.
-func (r *registration) earlierIsRunning(heartbeat Heartbeat, heartbeatTimeout time.Duration, now time.Time) bool {
-	incarnation := Incarnation{Instance: heartbeat.Instance, StartedAt: heartbeat.StartedAt}
-	if r.earlier.incarnation != incarnation || now.Sub(r.lastHeard) <= heartbeatTimeout {
-		r.earlier = earlierIncarnation{incarnation: incarnation, sequence: heartbeat.Sequence, since: now}
-		return false
-	}
-	newer := heartbeat.Sequence > r.earlier.sequence
-	r.earlier.sequence = max(r.earlier.sequence, heartbeat.Sequence)
-	return newer && now.Sub(r.earlier.since) > heartbeatTimeout
+	// contender is another run of the worker, which may be the one that runs now.
+	contender contender
+	// learned is set for a drain commitment of a previous incarnation of the node while nothing of its
+	// worker was heard.
+	learned bool
+	// fromStart is set for an incarnation that was heard from its start on: one before it would have been
+	// heard, too.
+	fromStart bool
+	// abandoned is the sequence up to which a run with the same start time had counted.
+	abandoned uint64
 }
 
 // NewRegistry returns an empty registry. A worker that sends no heartbeat for the
@@ -87,9 +74,9 @@
 	return &Registry{heartbeatTimeout: heartbeatTimeout, workers: map[string]*registration{}}
 }
 
-// Heartbeat records a heartbeat. One that is not newer than the registration changes
-// nothing and is no error, since the worker did nothing wrong. A later incarnation of the
-// instance starts afresh: the drain, sign-off and sequence of the previous one do not apply to it.
+// Heartbeat records a heartbeat. One that does not tell anything new of the running incarnation has
+// no effect and is no error, since the worker did nothing wrong. A new incarnation starts afresh: the
+// drain, sign-off and sequence of the previous one do not apply to it.
 func (r *Registry) Heartbeat(heartbeat Heartbeat, now time.Time) (Change, error) {
 	if err := validate(heartbeat); err != nil {
 		return Change{}, err
@@ -97,28 +84,56 @@
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	held, known := r.workers[heartbeat.Instance]
-	incarnation := Incarnation{Instance: heartbeat.Instance, StartedAt: heartbeat.StartedAt}
 	switch {
-	case known && held.StartedAt != 0 && heartbeat.StartedAt == 0:
+	case !known:
+		return r.register(heartbeat, nil, now), nil
+	case held.StartedAt != 0 && heartbeat.StartedAt == 0:
 		return Change{}, ErrInvalid.New("born is missing, but is known of this instance")
-	case known && incarnation.Before(held.Incarnation()) && !held.earlierIsRunning(heartbeat, r.heartbeatTimeout, now):
-		return Change{Worker: held.Worker}, nil
-	case known && incarnation != held.Incarnation() && held.StartedAt != 0:
-		delete(r.workers, heartbeat.Instance)
-		known = false
-	case known && (heartbeat.Sequence <= held.Sequence || held.State.DrainCommitted() && !heartbeat.Draining):
-		return Change{Worker: held.Worker}, nil
+	case !held.Incarnation().Same(heartbeat.incarnation()):
+		if reason := r.judge(held, heartbeat.claim(), now); reason != "" {
+			return held.ignore(reason), nil
+		}
+		return r.register(heartbeat, held.succession(), now), nil
+	case heartbeat.Draining:
+		return r.drainHeld(held, heartbeat, now), nil
 	}
-	if !known {
-		held = &registration{registeredAt: now}
-		r.evictOldest()
-		r.workers[heartbeat.Instance] = held
+	if reason := r.judgeSequence(held, heartbeat, now); reason != "" {
+		return held.ignore(reason), nil
 	}
+	return r.update(held, heartbeat, now), nil
+}
+
+// register replaces the registration of an instance by one of a new incarnation, which succeeds those
+// with the given start times. The caller holds the mutex.
+func (r *Registry) register(heartbeat Heartbeat, predecessors []int64, now time.Time) Change {
+	delete(r.workers, heartbeat.Instance)
+	r.evictOldest()
+	held := &registration{registeredAt: now, fromStart: heartbeat.claim().starts}
+	held.Predecessors = predecessors
+	r.workers[heartbeat.Instance] = held
+	return r.update(held, heartbeat, now)
+}
+
+// drainHeld records that the registered incarnation says that it drains. That is final, so it holds
+// whatever its sequence is: a heartbeat of another writer may have counted further. The caller holds
+// the mutex.
+func (r *Registry) drainHeld(held *registration, heartbeat Heartbeat, now time.Time) Change {
+	if held.ofAbandonedRun(heartbeat.Sequence) {
+		return held.ignore(IgnoredSuperseded)
+	}
+	if heartbeat.Sequence > held.Sequence {
+		return r.update(held, heartbeat, now)
+	}
+	return r.commitToDrain(Worker{Instance: heartbeat.Instance, StartedAt: heartbeat.StartedAt, State: StateDraining}, now)
+}
+
+// update records what a heartbeat of the registered incarnation says. The caller holds the mutex.
+func (r *Registry) update(held *registration, heartbeat Heartbeat, now time.Time) Change {
 	before := held.Worker
-	held.lastHeard = now
+	held.lastHeard, held.contender, held.learned = now, contender{}, false
 	held.Worker = Worker{
 		Instance: heartbeat.Instance, StartedAt: heartbeat.StartedAt, Service: heartbeat.Service, Address: heartbeat.Address, Version: heartbeat.Version,
-		Slots: heartbeat.Slots, State: StateReady, Sequence: heartbeat.Sequence, Busy: before.Busy, Limit: before.Limit,
+		Slots: heartbeat.Slots, State: StateReady, Sequence: heartbeat.Sequence, Busy: before.Busy, Limit: before.Limit, Predecessors: before.Predecessors,
 	}
 	if heartbeat.ColdRemaining > 0 {
 		held.WarmUntil = now.Add(heartbeat.ColdRemaining)
@@ -133,7 +148,7 @@
 		r.markOthersUnresponsive(held)
 	}
 	changed := before.State != held.State || before.StartedAt != held.StartedAt || before.Service != held.Service || before.Slots != held.Slots || before.Address != held.Address || before.Version != held.Version
-	return Change{Worker: held.Worker, Changed: changed}, nil
+	return Change{Worker: held.Worker, Changed: changed}
 }
 
 // markOthersUnresponsive marks the other ready workers at the address of the current one as
@@ -195,7 +210,15 @@
 	}
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	return r.commitToDrain(Worker{Instance: incarnation.Instance, StartedAt: incarnation.StartedAt, State: StateGone}, now), nil
+	leaving := Worker{Instance: incarnation.Instance, StartedAt: incarnation.StartedAt, State: StateGone}
+	held, known := r.workers[incarnation.Instance]
+	if !known || held.Incarnation().Same(incarnation) {
+		return r.commitToDrain(leaving, now), nil
+	}
+	if reason := r.judge(held, held.signOff(incarnation), now); reason != "" {
+		return held.ignore(reason), nil
+	}
+	return r.replaceByCommitted(leaving, held.succession(), now), nil
 }
 
 // Drain records that a worker leaves, which its answers may state before its heartbeats do. A worker
@@ -205,47 +228,73 @@
 	defer r.mutex.Unlock()
 	held, known := r.workers[incarnation.Instance]
 	if !known || !held.Incarnation().Same(incarnation) {
-		return Change{}
+		return Change{Ignored: IgnoredUnknown}
 	}
 	return r.commitToDrain(Worker{Instance: incarnation.Instance, StartedAt: held.StartedAt, State: StateDraining}, now)
 }
 
-// Learn applies the drain commitments that a previous incarnation of the node has made.
-// It returns the registrations that changed.
+// Learn applies the drain commitments that a previous incarnation of the node has made, given its
+// workers. It returns the registrations that changed.
 func (r *Registry) Learn(previous []Worker, now time.Time) []Worker {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
 	var changed []Worker
 	for _, worker := range previous {
-		if !worker.State.DrainCommitted() {
+		if !worker.State.DrainCommitted() || isSuperseded(worker, previous) {
 			continue
 		}
-		if change := r.commitToDrain(worker, now); change.Changed {
+		if change := r.learnCommitment(worker, now); change.Changed {
 			changed = append(changed, change.Worker)
 		}
 	}
 	return changed
 }
 
-// commitToDrain moves a registration to a state with a drain commitment. A commitment to a
-// previous incarnation does not affect the registered one. The caller holds the mutex.
-func (r *Registry) commitToDrain(worker Worker, now time.Time) Change {
+// learnCommitment applies one drain commitment of a previous incarnation of the node. Other nodes tell it
+// again and again, which is no sign of life of the worker. The caller holds the mutex.
+func (r *Registry) learnCommitment(worker Worker, now time.Time) Change {
 	held, known := r.workers[worker.Instance]
-	switch {
-	case known && worker.Incarnation().Before(held.Incarnation()):
-		return Change{Worker: held.Worker}
-	case known && held.Incarnation().Before(worker.Incarnation()):
+	if known && !held.Incarnation().Same(worker.Incarnation()) {
+		if !worker.succeeds(held.Worker) {
+			held.Predecessors = withPredecessor(held.Predecessors, worker.StartedAt)
+			return held.ignore(IgnoredSuperseded)
+		}
 		delete(r.workers, worker.Instance)
 		known = false
 	}
+	heard := registration{learned: true}
+	if known {
+		heard = *held
+	}
+	change := r.commitToDrain(worker, now)
+	held = r.workers[worker.Instance]
+	held.contender, held.learned = heard.contender, heard.learned
+	return change
+}
+
+// replaceByCommitted replaces a registration by one of another incarnation with a drain commitment.
+// The caller holds the mutex.
+func (r *Registry) replaceByCommitted(worker Worker, predecessors []int64, now time.Time) Change {
+	delete(r.workers, worker.Instance)
+	worker.Predecessors = predecessors
+	return r.commitToDrain(worker, now)
+}
+
+// commitToDrain moves a registration to a state with a drain commitment. A registration of the
+// instance must be of the same incarnation. The caller holds the mutex.
+func (r *Registry) commitToDrain(worker Worker, now time.Time) Change {
+	held, known := r.workers[worker.Instance]
 	if !known {
 		r.evictOldest()
 		r.workers[worker.Instance] = &registration{Worker: worker, lastHeard: now, registeredAt: now}
 		return Change{Worker: worker, Changed: true}
 	}
-	held.lastHeard = now
+	held.lastHeard, held.contender, held.learned = now, contender{}, false
 	held.Sequence = max(held.Sequence, worker.Sequence)
 	held.StartedAt = max(held.StartedAt, worker.StartedAt)
+	for _, startedAt := range worker.Predecessors {
+		held.Predecessors = withPredecessor(held.Predecessors, startedAt)
+	}
 	if held.State == StateGone || held.State == worker.State {
 		return Change{Worker: held.Worker}
 	}
--- a/pkg/workers/worker.go
+++ b/pkg/workers/worker.go
@@ -58,6 +58,10 @@
 	Busy int
 	// Limit is the limit that the worker named then.
 	Limit Limit
+	// Predecessors are the start times of incarnations of the instance that ended before this one
+	// started, the newest last. The clock may have been set back between, so that the start times
+	// alone do not tell. The slice is not changed after it was handed out.
+	Predecessors []int64
 }
 
 // Incarnation returns the identity of the worker's incarnation.
