Acknowledge no leave that nobody else holds

Cause: a leave was acknowledged once replication had ended, whoever held it then, also nobody; and the next call of the worker was acknowledged as a repetition of that one. Mend: without another node or the store holding it a leave is answered 503, at each call, until one does. The worker gets nothing new from the first call on, so that callers lose nothing by it; it ends some seconds later in any case. A node that is known to be alone acknowledges as before.

--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -24,7 +24,7 @@
 
 // Heartbeat processes a worker's heartbeat. When it returns nil the heartbeat may be acknowledged:
 // a drain commitment in it is kept from now on, whichever nodes fail. It returns workers.ErrNotRunning
-// for a leave that cannot be committed to.
+// for a leave that cannot be committed to, and workers.ErrNotHeld for one that nobody else holds yet.
 func (a *Agent) Heartbeat(ctx context.Context, heartbeat workers.Heartbeat) error {
 	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
 		// A worker of another service would take the address of the worker beside this node.
@@ -36,8 +36,7 @@
 			return err
 		}
 		a.ignored.observe(heartbeat, change)
-		a.workerChanged(ctx, change, "heartbeat")
-		return nil
+		return a.workerChanged(ctx, change, "heartbeat")
 	}
 	return a.commit(ctx, heartbeat, "heartbeat", func(now time.Time) (workers.Change, error) {
 		return a.config.Workers.Heartbeat(heartbeat, now)
@@ -60,12 +59,32 @@
 	}
 	if !change.Changed {
 		wait(ctx)
-		return nil
+		if !a.commitments.isUnheld(leave.Instance) {
+			return nil
+		}
+		return a.keepCommitment(ctx, leave.Instance)
+	}
+	return a.workerChanged(ctx, change, cause)
+}
+
+// keepCommitment returns once a drain commitment outlasts this node. If neither another node nor the
+// store holds it, it would be gone with this node: the worker has to ask again.
+func (a *Agent) keepCommitment(ctx context.Context, instance string) error {
+	holders, stored := a.replicateCommitment(ctx)
+	kept := holders > 0 || stored || a.isAlone()
+	a.commitments.setUnheld(instance, !kept)
+	if !kept {
+		return workers.ErrNotHeld.New("neither another node nor the store holds the drain of %q yet", instance)
 	}
-	a.workerChanged(ctx, change, cause)
+	a.config.Events.DrainCommitmentHeld(instance, holders, stored)
 	return nil
 }
 
+// isAlone reports whether the mesh is known to have no other node.
+func (a *Agent) isAlone() bool {
+	return a.Ready() && len(a.config.Table.View().Nodes()) == 1
+}
+
 // Reject records an invalid call to the node's address for workers. Log lines are limited: a client
 // that calls it by mistake mostly does so for long.
 func (a *Agent) Reject(instance string, err error) {
@@ -85,7 +104,8 @@
 
 // workerProbed processes the registration of a worker that was probed.
 func (a *Agent) workerProbed(ctx context.Context, change workers.Change) {
-	a.workerChanged(ctx, change, "asked at the start")
+	// Without an error: a worker that was asked is not draining.
+	_ = a.workerChanged(ctx, change, "asked at the start")
 }
 
 // Leave processes a worker's sign-off, like Heartbeat.
@@ -111,18 +131,19 @@
 	return workers.Heartbeat{Instance: incarnation.Instance, StartedAt: incarnation.StartedAt, Draining: true}
 }
 
-func (a *Agent) workerChanged(ctx context.Context, change workers.Change, cause string) {
+// workerChanged tells the other nodes of a change. It fails with workers.ErrNotHeld when a drain
+// commitment is not kept yet.
+func (a *Agent) workerChanged(ctx context.Context, change workers.Change, cause string) error {
 	if !change.Changed {
-		return
+		return nil
 	}
 	a.refreshWorkers()
 	a.config.Events.WorkerChanged(change.Worker, cause)
 	if !change.Worker.State.DrainCommitted() {
 		a.background(a.spreadRecord)
-		return
+		return nil
 	}
-	holders, stored := a.replicateCommitment(ctx)
-	a.config.Events.DrainCommitmentHeld(change.Worker.Instance, holders, stored)
+	return a.keepCommitment(ctx, change.Worker.Instance)
 }
 
 // replicateCommitment sends this node's record to other nodes and to the store. It returns once
--- a/internal/hosted/pending_commitments.go
+++ b/internal/hosted/pending_commitments.go
@@ -12,6 +12,8 @@
 	mu sync.Mutex
 	// done holds, by instance, a channel that is closed at the end of the last call that began.
 	done map[string]chan struct{}
+	// unheld holds the instances whose commitment nobody but this node holds yet.
+	unheld map[string]bool
 }
 
 // begin marks a call that may make a commitment to a worker. It returns a function that waits for
@@ -45,3 +47,23 @@
 		delete(p.done, instance)
 	}
 }
+
+// isUnheld reports whether nobody but this node holds the commitment to a worker yet.
+func (p *pendingCommitments) isUnheld(instance string) bool {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	return p.unheld[instance]
+}
+
+func (p *pendingCommitments) setUnheld(instance string, unheld bool) {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if !unheld {
+		delete(p.unheld, instance)
+		return
+	}
+	if p.unheld == nil {
+		p.unheld = map[string]bool{}
+	}
+	p.unheld[instance] = true
+}
--- a/pkg/workers/errors.go
+++ b/pkg/workers/errors.go
@@ -11,3 +11,7 @@
 // ErrNotRunning is the type of errors for the leave of an incarnation that is not known to be the
 // running one of its instance. Nothing was recorded: the leave must not be acknowledged.
 var ErrNotRunning = namespace.NewType("not_running").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
+
+// ErrNotHeld is the type of errors for a leave that is recorded, but that nobody else holds yet: it must not
+// be acknowledged, and the worker is to say it again.
+var ErrNotHeld = namespace.NewType("not_held").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
