Keep an acknowledged leave in the store when leases run out

Cause: the store holds leaves in the node's entry, and the entry under the node's lease, so that entries of lost machines go; the leave went with it, although it has to outlast the node. Mend: an entry with leaves is bound to no lease, and to one again once they are over (2 min). The entry of a node that is forgotten (5 min after its loss or its planned stop) is removed by the first reader. Cost: one write more for each entry with leaves. On the way: what other nodes remember of a node's leaves renewed them for as long as it ran, so that they never ended; a learned leave is no sign of life now, and none is learned 2 min after the start. Left: an entry stays for ever if its node is lost within the second between the end of its leaves and the next write, or if the first reader is lost while it removes the entry.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -165,7 +165,7 @@
 	agent.supervisor.Add(agent.announcer)
 	agent.supervisor.Add(&Syncer{
 		peers: agent.peers, table: config.Table, contacts: config.Contacts,
-		housekeeping: agent.housekeeping,
+		housekeeping: agent.housekeeping, onForgotten: agent.forgotten,
 	})
 	if config.Quotas != nil {
 		config.Quotas.peers, config.Quotas.known = agent.peers, agent.knowsMesh
@@ -303,6 +303,7 @@
 		a.announcer.StoreRecovered()
 	}
 	a.followEras()
+	a.announcer.CommitmentsChecked()
 	a.evidence.expire()
 	expired := a.config.Workers.Expire(time.Now())
 	if len(expired) == 0 {
--- a/internal/hosted/announcer.go
+++ b/internal/hosted/announcer.go
@@ -107,6 +107,9 @@
 	// lease is the lease of the entry; empty while this incarnation has none.
 	lease    Lease
 	revision uint64
+	// unleased is set while the entry is bound to no lease, since it has drain commitments: they have
+	// to outlast an outage of the store in which leases run out.
+	unleased bool
 	// era is the one in which the lease was granted, or found alive. Leases and revisions of an
 	// earlier era are invalid, or may belong to another node.
 	era uint64
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -2,8 +2,10 @@
 
 import (
 	"context"
+	"slices"
 	"time"
 
+	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -15,6 +17,9 @@
 	// acknowledged, and commitmentBound the longest wait for them.
 	commitmentHolders = 2
 	commitmentBound   = 400 * time.Millisecond
+	// removeTries and removePause are how often the entry of a forgotten node is tried to be removed.
+	removeTries = 10
+	removePause = 30 * time.Second
 	// rejectionLogRate and rejectionLogBurst bound the log lines a second on invalid calls for
 	// workers, and longestLoggedName the part of the sender's name that is logged, in bytes.
 	rejectionLogRate  = 0.2
@@ -85,6 +90,24 @@
 	return a.Ready() && len(a.config.Table.View().Nodes()) == 1
 }
 
+// forgotten removes the entry that a node which is gone for good has left in the store with drain
+// commitments. The first of the nodes that read for all does it.
+func (a *Agent) forgotten(n fleet.Node) {
+	view := a.config.Table.View()
+	first := fleet.Readers(view, a.config.Contacts.Reachable, 1)
+	if len(drainCommittedOnly(n.Workers)) == 0 || !slices.Contains(first, view.Self().ID) {
+		return
+	}
+	a.background(func(ctx context.Context) {
+		for range removeTries {
+			if bounded(ctx, func(ctx context.Context) error { return a.announcer.removeForgotten(ctx, n) }) == nil {
+				return
+			}
+			sleep(ctx, removePause)
+		}
+	})
+}
+
 // Reject records an invalid call to the node's address for workers. Log lines are limited: a client
 // that calls it by mistake mostly does so for long.
 func (a *Agent) Reject(instance string, err error) {
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -6,6 +6,8 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/pkg/fleet"
 )
 
 // adopt takes over the entry of a previous incarnation: others find this node through it, and
@@ -24,7 +26,7 @@
 	}
 	a.setLease(e.Lease, before)
 	a.mu.Lock()
-	a.revision = e.Revision
+	a.revision, a.unleased = e.Revision, own && len(drainCommittedOnly(previous.Workers)) > 0
 	a.mu.Unlock()
 	again := a.writeSoon
 	if self := a.table.View().Self(); e.Lease != "" && previous.ControlAddress == self.ControlAddress && previous.CallAddress == self.CallAddress {
@@ -54,10 +56,10 @@
 
 // take records the revision of the held entry, and reports a previous incarnation found in it.
 func (a *Announcer) take(held Entry) {
+	n, ok := decodeEntry(held)
 	a.mu.Lock()
-	a.revision = held.Revision
+	a.revision, a.unleased = held.Revision, ok && len(drainCommittedOnly(n.Workers)) > 0
 	a.mu.Unlock()
-	n, ok := decodeEntry(held)
 	switch {
 	case ok:
 		a.onPrevious(n)
@@ -127,6 +129,10 @@
 		lease = granted
 	}
 	own := a.table.View().Self()
+	committed := len(drainCommittedOnly(own.Workers))
+	if committed > 0 {
+		lease = ""
+	}
 	held, replaced, err := a.directory.Replace(ctx, Entry{ID: own.ID, Content: encodeEntry(own), Revision: revision}, lease)
 	switch {
 	case errorx.IsOfType(err, ErrLeaseEnded):
@@ -138,18 +144,18 @@
 		a.take(held)
 		return false, nil
 	}
-	if a.wrote(held.Revision) {
-		a.onRewritten(a.newestEra(), len(drainCommittedOnly(own.Workers)))
+	if a.wrote(held.Revision, committed > 0) {
+		a.onRewritten(a.newestEra(), committed)
 	}
 	return !a.outdated(), nil
 }
 
-// wrote records the revision of the entry that was written. It reports whether that was the first
-// write since the store was restored from a copy.
-func (a *Announcer) wrote(revision uint64) bool {
+// wrote records the revision of the entry that was written, and whether it is bound to no lease. It
+// reports whether that was the first write since the store was restored from a copy.
+func (a *Announcer) wrote(revision uint64, unleased bool) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.revision = revision
+	a.revision, a.unleased = revision, unleased
 	restored := a.restoring
 	a.restoring = false
 	return restored
@@ -209,14 +215,45 @@
 	}
 }
 
+// CommitmentsChecked is called now and then: an entry without drain commitments is bound to a lease
+// again, with which it goes when its machine is lost.
+func (a *Announcer) CommitmentsChecked() {
+	a.mu.Lock()
+	unleased := a.unleased
+	a.mu.Unlock()
+	if unleased && len(drainCommittedOnly(a.table.View().Self().Workers)) == 0 {
+		a.writeSoon()
+	}
+}
+
+// removeForgotten removes the entry of a node that is gone for good, unless a later incarnation of the
+// node has written it.
+func (a *Announcer) removeForgotten(ctx context.Context, n fleet.Node) error {
+	held, err := a.directory.Entry(ctx, n.ID)
+	if err != nil || held.Revision == 0 {
+		return err
+	}
+	if written, ok := decodeEntry(held); !ok || written.Incarnation > n.Incarnation {
+		return nil
+	}
+	return a.directory.Remove(ctx, n.ID, held.Revision)
+}
+
 // withdraw removes the entry at a planned stop. An entry with drain commitments, or with
-// quarantined requests, stays for the next incarnation, until its lease ends.
+// quarantined requests, stays for the next incarnation, until its lease ends or the node is forgotten.
 func (a *Announcer) withdraw(ctx context.Context) {
-	lease, _ := a.held()
+	a.mu.Lock()
+	lease, revision, unleased := a.lease, a.revision, a.unleased
+	a.mu.Unlock()
 	own := a.table.View().Self()
 	// A lease of an earlier era may have been granted to another node since.
 	if lease == "" || a.outdated() || len(drainCommittedOnly(own.Workers)) > 0 || len(own.Quarantined) > 0 {
 		return
 	}
-	_ = bounded(ctx, func(ctx context.Context) error { return a.directory.Withdraw(ctx, lease) })
+	_ = bounded(ctx, func(ctx context.Context) error {
+		if unleased {
+			return a.directory.Remove(ctx, own.ID, revision)
+		}
+		return a.directory.Withdraw(ctx, lease)
+	})
 }
--- a/internal/hosted/observed.go
+++ b/internal/hosted/observed.go
@@ -105,6 +105,14 @@
 	return err
 }
 
+// Remove implements Directory.
+func (d observedDirectory) Remove(ctx context.Context, id string, revision uint64) error {
+	began := time.Now()
+	err := d.Directory.Remove(ctx, id, revision)
+	d.observer.report("remove", began, err)
+	return err
+}
+
 // List implements Directory.
 func (d observedDirectory) List(ctx context.Context, stale bool) ([]Entry, error) {
 	began := time.Now()
--- a/internal/hosted/previous.go
+++ b/internal/hosted/previous.go
@@ -128,6 +128,10 @@
 		a.evidence.takePrevious(*merged.PreviousSelf)
 		a.config.Events.PreviousIncarnationFound(merged.PreviousSelf.Incarnation, len(drainCommitted))
 	}
+	if time.Since(a.started) > workers.CommitmentRetention {
+		// Other nodes remember them for longer than they matter.
+		return
+	}
 	changed := a.config.Workers.Learn(previous, time.Now())
 	if len(changed) > 0 {
 		a.refreshWorkers()
--- a/internal/hosted/source.go
+++ b/internal/hosted/source.go
@@ -91,7 +91,8 @@
 	// Grant returns a new lease with the given time to live.
 	Grant(ctx context.Context, ttl time.Duration) (Lease, error)
 	// Replace writes a node's entry under a lease if the held entry still has the given revision,
-	// and returns the entry held afterwards. When replaced is false, nothing was written.
+	// and returns the entry held afterwards. When replaced is false, nothing was written. Without a
+	// lease the entry stays until it is replaced or removed.
 	Replace(ctx context.Context, e Entry, lease Lease) (held Entry, replaced bool, err error)
 	// Entry returns the entry of a node; one of revision zero when there is none.
 	Entry(ctx context.Context, id string) (Entry, error)
@@ -99,6 +100,8 @@
 	Renew(ctx context.Context, lease Lease) error
 	// Withdraw ends the lease, which removes the entry.
 	Withdraw(ctx context.Context, lease Lease) error
+	// Remove removes a node's entry if it still has the given revision.
+	Remove(ctx context.Context, id string, revision uint64) error
 	// List returns entries, not necessarily all. When stale is set they may be seconds old, which
 	// costs the store less.
 	List(ctx context.Context, stale bool) ([]Entry, error)
--- a/internal/hosted/syncer.go
+++ b/internal/hosted/syncer.go
@@ -33,8 +33,8 @@
 	// remembered.
 	forgetLost = 5 * time.Minute
 	forgetLeft = 30 * time.Second
-	// forgetReplaced is how long a node is remembered whose address another one has: longer than
-	// its entry in the store lasts.
+	// forgetReplaced is how long a node is remembered whose address another one has, or which has left
+	// with drain commitments: longer than its entry in the store, or a late heartbeat, lasts.
 	forgetReplaced = 5 * time.Minute
 )
 
@@ -46,6 +46,8 @@
 	contacts *fleet.Contacts
 	// housekeeping is called in each round.
 	housekeeping func(ctx context.Context)
+	// onForgotten is called with the last record of a node that was removed from the table.
+	onForgotten func(n fleet.Node)
 	// leftSince are the nodes that have left, with when this node learned of it.
 	leftSince map[string]time.Time
 	// started is when Serve began.
@@ -139,6 +141,7 @@
 			s.forgetGone(node, left, now)
 		case lost && now.Sub(since) > forgetLost:
 			s.table.Remove(node.ID)
+			s.onForgotten(*node)
 			s.contacts.Reached(node.ID)
 		}
 	}
@@ -148,7 +151,7 @@
 // forgetGone removes a node that has left for long enough, and notes in left since when until then.
 func (s *Syncer) forgetGone(node *fleet.Node, left map[string]time.Time, now time.Time) {
 	term := forgetLeft
-	if node.Replaced() {
+	if node.Replaced() || len(drainCommittedOnly(node.Workers)) > 0 {
 		term = forgetReplaced
 	}
 	since, known := s.leftSince[node.ID]
@@ -157,6 +160,7 @@
 	}
 	if now.Sub(since) > term {
 		s.table.Remove(node.ID)
+		s.onForgotten(*node)
 		return
 	}
 	left[node.ID] = since
--- a/internal/lab/hostedstore/client.go
+++ b/internal/lab/hostedstore/client.go
@@ -209,6 +209,22 @@
 	return nil
 }
 
+// Remove implements hosted.Directory.
+func (c *Client) Remove(ctx context.Context, id string, revision uint64) error {
+	faults, err := c.begin(ctx, CallRemove)
+	if err != nil {
+		return err
+	}
+	c.store.mutex.Lock()
+	if held, exists := c.store.entries[id]; exists && held.Revision == revision {
+		c.store.revision++
+		delete(c.store.entries, id)
+	}
+	c.store.mutex.Unlock()
+	c.observePosition(faults)
+	return faults.loseAnswer(ctx)
+}
+
 // Entry implements hosted.Directory.
 func (c *Client) Entry(ctx context.Context, id string) (hosted.Entry, error) {
 	faults, err := c.begin(ctx, CallEntry)
@@ -218,7 +234,9 @@
 	c.store.mutex.Lock()
 	defer c.store.mutex.Unlock()
 	c.position(faults)
-	return c.store.entries[id].Entry, nil
+	held := c.store.entries[id]
+	held.Lease = held.lease
+	return held.Entry, nil
 }
 
 // ListAll implements hosted.Directory.
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -36,6 +36,7 @@
 	CallReplace   Call = "replace"
 	CallRenew     Call = "renew"
 	CallWithdraw  Call = "withdraw"
+	CallRemove    Call = "remove"
 	CallEntry     Call = "entry"
 	CallList      Call = "list"
 	CallStaleList Call = "stale list"
@@ -151,7 +152,7 @@
 func (s *Store) EndLeases() {
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
-	s.entries = map[string]entry{}
+	maps.DeleteFunc(s.entries, func(_ string, e entry) bool { return e.lease != "" })
 	s.granted = map[hosted.Lease]bool{}
 }
 
@@ -215,7 +216,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	s.written++
-	if !s.granted[lease] {
+	if lease != "" && !s.granted[lease] {
 		return hosted.Entry{}, false, hosted.ErrLeaseEnded.New("the lease has ended or was never granted")
 	}
 	if held := s.entries[e.ID]; held.Revision != e.Revision {
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -12,12 +12,13 @@
 	// maximumNameBytes bounds identifiers, services, addresses and versions.
 	maximumNameBytes = 200
 	maximumSlots     = 1 << 16
-	// commitmentRetention is how long a drain commitment is kept. No heartbeat is delayed longer.
-	commitmentRetention = 2 * time.Minute
 	// maximumWorkers bounds the number of registrations.
 	maximumWorkers = 64
 )
 
+// CommitmentRetention is how long a drain commitment is kept. No heartbeat is delayed longer.
+const CommitmentRetention = 2 * time.Minute
+
 // Heartbeat is what a worker reports about itself.
 type Heartbeat struct {
 	Instance, Service, Address string
@@ -269,6 +270,9 @@
 	change := r.commitToDrain(worker, now)
 	held = r.workers[worker.Instance]
 	held.contender, held.learned = heard.contender, heard.learned
+	if known {
+		held.lastHeard = heard.lastHeard
+	}
 	return change
 }
 
@@ -312,7 +316,7 @@
 	for instance, held := range r.workers {
 		elapsed := now.Sub(held.lastHeard)
 		switch {
-		case elapsed > commitmentRetention:
+		case elapsed > CommitmentRetention:
 			delete(r.workers, instance)
 			changed = append(changed, held.Worker)
 		case held.State == StateReady && elapsed > r.heartbeatTimeout:
