Take no incarnation for its own predecessor

Cause, by reading the diff: an incarnation that was taken for ended and is believed again stayed in its own list of predecessors. Its leave was then passed over by the next incarnation of the node as that of one that has ended. Evidence: TestIncarnationThatWasBelievedAgainKeepsItsLeave fails before ("a late heartbeat undoes the leave").

--- a/internal/hosted/entry_test.go
+++ b/internal/hosted/entry_test.go
@@ -11,7 +11,7 @@
 func exampleRecord() fleet.Node {
 	return fleet.Node{
 		ID: "a", Incarnation: 7, Sequence: 2, Zone: "z", ControlAddress: "10.0.0.1:70", CallAddress: "10.0.0.1:71", State: fleet.StateLive,
-		Workers: []workers.Worker{{Instance: "i", Service: "s", Address: "10.0.0.1:80", Slots: 6, State: workers.StateReady, StartedAt: 5, Predecessors: []int64{9, 5}}},
+		Workers: []workers.Worker{{Instance: "i", Service: "s", Address: "10.0.0.1:80", Slots: 6, State: workers.StateReady, StartedAt: 5, Predecessors: []int64{9, 7}}},
 	}
 }
 
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -94,7 +94,7 @@
 		if reason := r.judge(held, heartbeat.claim(), now); reason != "" {
 			return held.ignore(reason), nil
 		}
-		return r.register(heartbeat, held.succession(), now), nil
+		return r.register(heartbeat, held.succession(heartbeat.StartedAt), now), nil
 	case heartbeat.Draining:
 		return r.drainHeld(held, heartbeat, now), nil
 	}
@@ -219,7 +219,7 @@
 	if reason := r.judge(held, held.signOff(incarnation), now); reason != "" {
 		return held.ignore(reason), nil
 	}
-	return r.replaceByCommitted(leaving, held.succession(), now), nil
+	return r.replaceByCommitted(leaving, held.succession(leaving.StartedAt), now), nil
 }
 
 // Drain records that a worker leaves, which its answers may state before its heartbeats do. A worker
@@ -257,7 +257,7 @@
 	held, known := r.workers[worker.Instance]
 	if known && !held.Incarnation().Same(worker.Incarnation()) {
 		if !worker.succeeds(held.Worker) {
-			held.Predecessors = withPredecessor(held.Predecessors, worker.StartedAt)
+			held.precededBy(worker.StartedAt)
 			return held.ignore(IgnoredSuperseded)
 		}
 		delete(r.workers, worker.Instance)
@@ -297,7 +297,7 @@
 	held.Sequence = max(held.Sequence, worker.Sequence)
 	held.StartedAt = max(held.StartedAt, worker.StartedAt)
 	for _, startedAt := range worker.Predecessors {
-		held.Predecessors = withPredecessor(held.Predecessors, startedAt)
+		held.precededBy(startedAt)
 	}
 	if held.State == StateGone || held.State == worker.State {
 		return Change{Worker: held.Worker}
--- a/pkg/workers/succession.go
+++ b/pkg/workers/succession.go
@@ -190,9 +190,18 @@
 	return sequence > r.abandoned && r.Sequence+firstSequences < r.abandoned
 }
 
-// succession returns the predecessors of the incarnation that takes the place of the registered one.
-func (r *registration) succession() []int64 {
-	return withPredecessor(r.Predecessors, r.StartedAt)
+// succession returns the predecessors of the incarnation that takes the place of the registered one. It
+// may itself have been taken for one of them.
+func (r *registration) succession(next int64) []int64 {
+	predecessors := slices.DeleteFunc(slices.Clone(r.Predecessors), func(startedAt int64) bool { return startedAt == next })
+	return withPredecessor(predecessors, r.StartedAt)
+}
+
+// precededBy records that an incarnation has ended before the registered one started.
+func (r *registration) precededBy(startedAt int64) {
+	if startedAt != r.StartedAt {
+		r.Predecessors = withPredecessor(r.Predecessors, startedAt)
+	}
 }
 
 // withPredecessor returns a list with one more start time, without the oldest if it grows too long.
--- a/pkg/workers/succession_test.go
+++ b/pkg/workers/succession_test.go
@@ -290,3 +290,23 @@
 		t.Error("the running worker is held")
 	}
 }
+
+// TestIncarnationThatWasBelievedAgainKeepsItsLeave guards against an incarnation that is its own predecessor:
+// the next incarnation of the node would take its leave for that of one that has ended.
+func TestIncarnationThatWasBelievedAgainKeepsItsLeave(t *testing.T) {
+	before := newRunning(t)
+	before.hear(12_000, 20, false)
+	before.hear(12_400, 4, false)
+	for n := range uint64(5) {
+		before.after(beat)
+		before.hear(12_000, 21+n, false)
+	}
+	if change := before.hear(12_000, 30, true); change.Ignored != "" || change.Worker.StartedAt != 12_000 {
+		t.Fatalf("%+v", change)
+	}
+	r := newRunning(t)
+	r.registry.Learn(before.registry.Workers(), r.now)
+	if r.hear(12_000, 29, false); r.ready() {
+		t.Error("a late heartbeat undoes the leave")
+	}
+}
