Log a leave that nobody else holds

Cause: the 503 for such a leave had no line and no count. Done: event 622 and levertide_ignored_worker_calls_total with the reason unheld.

--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -67,21 +67,23 @@
 		if !a.commitments.isUnheld(leave.Instance) {
 			return nil
 		}
-		return a.keepCommitment(ctx, leave.Instance)
+		return a.keepCommitment(ctx, change.Worker)
 	}
 	return a.workerChanged(ctx, change, cause)
 }
 
 // keepCommitment returns once a drain commitment outlasts this node. If neither another node nor the
 // store holds it, it would be gone with this node: the worker has to ask again.
-func (a *Agent) keepCommitment(ctx context.Context, instance string) error {
+func (a *Agent) keepCommitment(ctx context.Context, leaving workers.Worker) error {
 	holders, stored := a.replicateCommitment(ctx)
 	kept := holders > 0 || stored || a.isAlone()
-	a.commitments.setUnheld(instance, !kept)
+	a.commitments.setUnheld(leaving.Instance, !kept)
 	if !kept {
-		return workers.ErrNotHeld.New("neither another node nor the store holds the drain of %q yet", instance)
+		call := workers.Heartbeat{Instance: leaving.Instance, StartedAt: leaving.StartedAt, Sequence: leaving.Sequence, Draining: true}
+		a.ignored.observe(call, workers.Change{Worker: leaving, Ignored: workers.IgnoredUnheld})
+		return workers.ErrNotHeld.New("neither another node nor the store holds the drain of %q yet", leaving.Instance)
 	}
-	a.config.Events.DrainCommitmentHeld(instance, holders, stored)
+	a.config.Events.DrainCommitmentHeld(leaving.Instance, holders, stored)
 	return nil
 }
 
@@ -166,7 +168,7 @@
 		a.background(a.spreadRecord)
 		return nil
 	}
-	return a.keepCommitment(ctx, change.Worker.Instance)
+	return a.keepCommitment(ctx, change.Worker)
 }
 
 // replicateCommitment sends this node's record to other nodes and to the store. It returns once
--- a/internal/hosted/kept_commitments_test.go
+++ b/internal/hosted/kept_commitments_test.go
@@ -70,6 +70,9 @@
 				t.Fatal("the worker gets work although it has said that it leaves")
 			}
 		}
+		if unheld := alone.agent.IgnoredCalls().Leaves[workers.IgnoredUnheld]; unheld != 3 {
+			t.Errorf("%d leaves are counted as unheld, want 3", unheld)
+		}
 		m.store.SetFaults("", hostedstore.Faults{})
 		m.within(t, 10*time.Second, "the drain is acknowledged", func() bool {
 			return alone.agent.Heartbeat(t.Context(), heartbeat("w1", 5, true)) == nil
--- a/pkg/workers/succession.go
+++ b/pkg/workers/succession.go
@@ -38,11 +38,13 @@
 	IgnoredUnproven IgnoreReason = "unproven"
 	// IgnoredUnknown: no such incarnation is registered.
 	IgnoredUnknown IgnoreReason = "unknown"
+	// IgnoredUnheld: the leave is recorded, but nobody else holds it yet.
+	IgnoredUnheld IgnoreReason = "unheld"
 )
 
 // IgnoreReasons returns all reasons.
 func IgnoreReasons() []IgnoreReason {
-	return []IgnoreReason{IgnoredSequence, IgnoredDraining, IgnoredSuperseded, IgnoredUnproven, IgnoredUnknown}
+	return []IgnoreReason{IgnoredSequence, IgnoredDraining, IgnoredSuperseded, IgnoredUnproven, IgnoredUnknown, IgnoredUnheld}
 }
 
 // contender is a run of a worker other than the registered one.
