--- a/internal/command/explain/explain.go
+++ b/internal/command/explain/explain.go
@@ -36,13 +36,18 @@
 		title string
 		lines []Line
 	}{{"the request", r.Calls}, {"what the nodes on its way believed", r.StateChanges}} {
-		if len(part.lines) == 0 {
-			continue
-		}
-		_, _ = fmt.Fprintf(out, "%s:\n", part.title)
-		for _, line := range part.lines {
-			_, _ = fmt.Fprintf(out, "  %s  %-20s %d %s%s\n", line.Time.Format(timeFormat), line.Node, line.Event, line.Name, fieldsOf(line))
-		}
+		writeLines(out, part.title, part.lines)
+	}
+}
+
+// writeLines writes lines of a log under a title, nothing when there are none.
+func writeLines(out io.Writer, title string, lines []Line) {
+	if len(lines) == 0 {
+		return
+	}
+	_, _ = fmt.Fprintf(out, "%s:\n", title)
+	for _, line := range lines {
+		_, _ = fmt.Fprintf(out, "  %s  %-20s %d %s%s\n", line.Time.Format(timeFormat), line.Node, line.Event, line.Name, fieldsOf(line))
 	}
 }
 
@@ -62,24 +67,29 @@
 func Command(terminal *console.Console) *ffcli.Command {
 	flags := flag.NewFlagSet(name, flag.ContinueOnError)
 	request := flags.String("request", "", "`ID` of the request, as the caller sent it")
+	worker := flags.String("worker", "", "`INSTANCE` of a worker, in place of a request")
 	terminal.RegisterFormat(flags)
 	return &ffcli.Command{
 		Name:       name,
-		ShortUsage: "levertide explain --request ID FILE [FILE ...] [-o text|json]",
-		ShortHelp:  "tell from logs what became of a request",
+		ShortUsage: "levertide explain --request ID | --worker INSTANCE FILE [FILE ...] [-o text|json]",
+		ShortHelp:  "tell from logs what became of a request, or what nodes hold of a worker",
 		LongHelp: `Reads the logs of nodes in hosted mode, given as files ("-" is standard input), and shows
 in order of time what they tell of the request, what the nodes on its way came to believe
 shortly before, and the cause. Requests that were served in time at the first attempt leave
-no line. Exit code 1 when no line names the request.`,
+no line. With --worker it shows what the nodes logged of a worker: the incarnation that they hold
+and the calls of it that had no effect. Exit code 1 when no line names the request or the worker.`,
 		FlagSet: flags,
 		Exec: func(_ context.Context, files []string) error {
-			if *request == "" || len(files) == 0 {
-				return exit.UsageError("explain needs --request and at least one file")
+			if (*request == "") == (*worker == "") || len(files) == 0 {
+				return exit.UsageError("explain needs --request or --worker, and at least one file")
 			}
 			lines, err := readFiles(files)
 			if err != nil {
 				return exit.UsageError(err.Error())
 			}
+			if *worker != "" {
+				return terminal.Emit(reportWorker(lines, *worker))
+			}
 			return terminal.Emit(report(lines, *request))
 		},
 	}
--- a/internal/command/root/explain_test.go
+++ b/internal/command/root/explain_test.go
@@ -126,3 +126,26 @@
 	}
 	run(t, "explain", "--request", "id-1", path).want(t, exit.Accepted, "cause: refused-by-worker (not-run), decided by w1@5 (", "worker-marked")
 }
+
+const workerLog = `{"time":"2026-12-02T10:00:01.000000Z","level":"info","node":"n1","event":606,"name":"worker changed","instance":"w1","service":"ledger","slots":6,"state":"ready","sequence":1,"born_unix_milliseconds":1796400222019,"cause":"heartbeat"}
+{"time":"2026-12-02T10:00:03.000000Z","level":"info","node":"n1","event":622,"name":"worker call ignored","instance":"w1","reason":"superseded","leaves":true,"sequence":9,"born_unix_milliseconds":1796400221122,"held_state":"ready","held_sequence":3,"held_born_unix_milliseconds":1796400222019}
+{"time":"2026-12-02T10:00:02.000000Z","level":"info","node":"n1","event":606,"name":"worker changed","instance":"w2","service":"ledger","slots":6,"state":"gone","sequence":1,"born_unix_milliseconds":1,"cause":"sign-off"}
+`
+
+// TestExplainShowsWhatNodesHoldOfAWorker goes from the id of a worker to its incarnation, and to why a
+// call of it had no effect.
+func TestExplainShowsWhatNodesHoldOfAWorker(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(workerLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(t, "explain", "--worker", "w1", path).want(t, exit.Accepted,
+		"622 worker call ignored", "n1 holds it as ready, started at 1796400222019, sequence 1; last call without effect: superseded")
+	var report explain.WorkerReport
+	run(t, "explain", "--worker", "w1", "-o", "json", path).want(t, exit.Accepted).decode(t, &report)
+	if len(report.Lines) != 2 {
+		t.Errorf("%d lines, want the two of this worker", len(report.Lines))
+	}
+	run(t, "explain", "--worker", "w3", path).want(t, exit.Rejected, "no line names worker w3")
+	run(t, "explain", "--worker", "w1", "--request", "id-1", path).want(t, exit.Usage)
+}
