Bound the connections of callers, and close who keeps the node waiting

Callers saw: with as many silent connections as the process has descriptors, nobody is answered any more; the same descriptors are those of the store, the workers and other nodes. Cause: the server for callers accepts whatever comes; each connection is bounded, their sum is not. A silent connection was kept for 120 s, whoever waited. Done: package intake. A Ledger counts connections and memory of all clients before they are taken; each connection has an Account, each request a Hold. At a bound the client that has kept the node waiting for longest (250 ms or more) is closed; one for which the node works never is, and a byte now and then does not pass for progress (4 KiB do). New connections wait in the queue of the listener, first come first served. NewPlan derives the bounds from memory-limit and the descriptors (setting descriptor-limit, or the process's own limit), with shares that add up to one and a test of that. Pipelined requests beyond the first of a connection are counted with 32 KiB each. Event 623, metrics intake_used, intake_limit, intake_closed_total, intake_refused_total. Why it works: whoever comes next gets the place of the longest silent one after 250 ms at most, in order of arrival.

--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -5,6 +5,7 @@
 	"time"
 
 	"github.com/levertide/levertide/internal/httpconn"
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/quota"
@@ -20,8 +21,8 @@
 	MaximumBody int64
 }
 
-// Config sets up a Plane. All fields but Quarantine, Evidence, Leaving, Suspended, Observer and
-// LinkSpeed must be given.
+// Config sets up a Plane. All fields but Quarantine, Evidence, Leaving, Suspended, Intake,
+// IntakeReached, Observer and LinkSpeed must be given.
 type Config struct {
 	// Node is the identifier of this node, Zone the zone it is in.
 	Node, Zone string
@@ -58,6 +59,11 @@
 	Suspended func(since time.Time) time.Duration
 	// Quota enforces the limits of tenants over all nodes; nil means that there are no limits.
 	Quota Quota
+	// Intake bounds what clients can make the node hold; zero sets no bounds.
+	Intake intake.Plan
+	// IntakeReached is called when a client is closed or refused at a bound; nil means that nobody is
+	// told. It must not block.
+	IntakeReached func(pool string, bound intake.Bound)
 	// Observer is notified how calls ended; nil means no notifications.
 	Observer Observer
 }
@@ -105,12 +111,12 @@
 	// connection that is being closed.
 	peerIdle       = 60 * time.Second
 	peerServerIdle = 180 * time.Second
-	// callerIdle is how long an unused connection of a caller is kept. Operators configure a
-	// shorter time in callers.
+	// callerIdle is how long an unused connection of a caller is kept where the operators do not
+	// say.
 	callerIdle = 120 * time.Second
-	// readHeaderTime bounds the time to read the head of a request.
+	// readHeaderTime bounds the time to read the head of a request, where the operators do not say.
 	readHeaderTime = 10 * time.Second
-	// maximumHeaderBytes bounds the size of the head of a request.
+	// maximumHeaderBytes bounds the size of the head of a request, where the operators do not say.
 	maximumHeaderBytes = 64 << 10
 	// maximumPipelined bounds the requests on one caller's connection that are served
 	// concurrently. Each may buffer an answer of up to bufferedAnswer bytes until those before it
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -11,6 +11,7 @@
 
 	"golang.org/x/time/rate"
 
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/internal/pipeline"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/retry"
@@ -27,6 +28,8 @@
 	local   localWorkers
 	routes  routeStates
 	memory  bodyMemory
+	// callers, hopConnections and hopBodies count what clients hold.
+	callers, hopConnections, hopBodies *intake.Ledger
 	// transfers admits long bodies of other nodes to the link of this one.
 	transfers *slotqueue.Queue
 	// refusedTransfers counts the transfers that were refused because they were not admitted in
@@ -81,12 +84,15 @@
 		config.Evidence = func([]quarantine.Report) {}
 	}
 	p := &Plane{
-		config:       config,
-		started:      time.Now(),
-		peers:        newTransport(config.Dial, peerIdle, idleConnections),
-		transfers:    slotqueue.New(parallelTransfers),
-		pace:         linkPace(config.LinkSpeed),
-		destinations: map[string]*destination{},
+		config:         config,
+		started:        time.Now(),
+		peers:          newTransport(config.Dial, peerIdle, idleConnections),
+		callers:        intake.New("callers", config.Intake.Callers, config.IntakeReached),
+		hopConnections: intake.New("calls", config.Intake.Hops, config.IntakeReached),
+		hopBodies:      intake.New("call-bodies", config.Intake.HopBodies, config.IntakeReached),
+		transfers:      slotqueue.New(parallelTransfers),
+		pace:           linkPace(config.LinkSpeed),
+		destinations:   map[string]*destination{},
 	}
 	p.local = localWorkers{plane: p, clients: map[string]*workerClient{}}
 	p.routes.states = map[string]*routeState{}
@@ -156,12 +162,25 @@
 // CallerServer returns a server for callers. It does not open a listener itself.
 func (p *Plane) CallerServer() *pipeline.Server {
 	return pipeline.New(pipeline.Config{
-		Handler:           http.HandlerFunc(p.serveCaller),
-		MaxPipelined:      maximumPipelined,
+		Handler:      http.HandlerFunc(p.serveCaller),
+		MaxPipelined: maximumPipelined,
+		Limits:       p.callerLimits,
+		Ledger:       p.callers,
+	})
+}
+
+// callerLimits returns the limits of callers in force.
+func (p *Plane) callerLimits() pipeline.Limits {
+	return pipeline.Limits{
 		MaxHeaderBytes:    maximumHeaderBytes,
 		ReadHeaderTimeout: readHeaderTime,
 		IdleTimeout:       callerIdle,
-	})
+	}
+}
+
+// Intake returns what clients hold of the node.
+func (p *Plane) Intake() []intake.Reading {
+	return []intake.Reading{p.callers.Read(), p.hopConnections.Read(), p.hopBodies.Read()}
 }
 
 // HopServer returns a server for other nodes. Their requests are trusted.
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -9,6 +9,8 @@
 	"os"
 	"sync"
 	"time"
+
+	"github.com/levertide/levertide/internal/intake"
 )
 
 const (
@@ -20,6 +22,10 @@
 	// caller could lose the answer on its way.
 	lingerTime  = 500 * time.Millisecond
 	lingerBytes = 1 << 20
+	// pipelinedBytes is what a request costs that is handled beside another one of its connection.
+	pipelinedBytes = 32 << 10
+	// writeBytes is how much of an answer is written at a time.
+	writeBytes = 16 << 10
 )
 
 // expiredDeadline is a deadline that ends a read in progress.
@@ -39,8 +45,13 @@
 	cancel context.CancelFunc
 	// slots bounds the requests in flight.
 	slots chan struct{}
+	// account counts what the caller holds. idle is set while it counts as awaited between requests.
+	account *intake.Account
+	idle    bool
 
 	mu sync.Mutex
+	// readingBody is set while a body is read, evicted once the caller was told to end for that.
+	readingBody, evicted bool
 	// newest is the last request that was passed to the handler.
 	newest   *exchange
 	inFlight int
@@ -64,13 +75,31 @@
 		remote: rwc.RemoteAddr().String(),
 		limit:  limit,
 		br:     bufio.NewReaderSize(limit, bufferSize),
-		bw:     bufio.NewWriterSize(rwc, bufferSize),
 		slots:  make(chan struct{}, s.cfg.MaxPipelined),
 	}
+	c.bw = bufio.NewWriterSize(answerWriter{c}, bufferSize)
 	c.ctx, c.cancel = context.WithCancel(context.Background())
 	return c
 }
 
+// answerWriter writes to the caller.
+type answerWriter struct{ conn *conn }
+
+// Write implements io.Writer.
+func (w answerWriter) Write(p []byte) (int, error) {
+	c, written := w.conn, 0
+	for {
+		part := p[written:min(written+writeBytes, len(p))]
+		c.account.Await()
+		n, err := c.rwc.Write(part)
+		c.account.Progress(n)
+		written += n
+		if err != nil || written == len(p) {
+			return written, err
+		}
+	}
+}
+
 // serve reads requests until the connection is to end, waits until those in
 // flight are answered, and closes it.
 func (c *conn) serve() {
@@ -100,12 +129,11 @@
 		if err != nil {
 			return err
 		}
-		if err := c.acquireSlot(); err != nil {
+		admitted, err := c.admitInTurn(x)
+		if !admitted {
+			x.hold.Close()
 			return err
 		}
-		if !c.admit(x) {
-			return nil
-		}
 		go x.handle()
 		select {
 		case <-x.bodyEnded:
@@ -115,6 +143,18 @@
 	}
 }
 
+// admitInTurn waits until a request may be handled beside those in flight. It reports false when the
+// connection ends before, or is to end.
+func (c *conn) admitInTurn(x *exchange) (bool, error) {
+	if err := c.acquireSlot(); err != nil {
+		return false, err
+	}
+	if err := c.reservePipelined(x); err != nil {
+		return false, err
+	}
+	return c.admit(x), nil
+}
+
 // errStopped ends the wait for a request on a connection that is to end.
 var errStopped = errors.New("connection is stopping")
 
@@ -150,6 +190,7 @@
 
 // updateReadDeadline sets the deadline of the wait for a request. The mutex is held.
 func (c *conn) updateReadDeadline() {
+	c.countIdle(c.awaitingRequest && c.inFlight == 0)
 	switch {
 	case !c.awaitingRequest:
 	case c.inFlight > 0:
@@ -157,8 +198,19 @@
 	case c.sealed || c.stopping:
 		c.setDeadline(expiredDeadline)
 	default:
-		c.setDeadline(time.Now().Add(c.server.cfg.IdleTimeout))
+		c.setDeadline(time.Now().Add(c.server.cfg.limits().IdleTimeout))
+	}
+}
+
+// countIdle counts the caller as awaited, or not, between requests. The mutex is held.
+func (c *conn) countIdle(idle bool) {
+	switch {
+	case idle && !c.idle:
+		c.account.Await()
+	case !idle && c.idle:
+		c.account.Resume()
 	}
+	c.idle = idle
 }
 
 // setDeadline sets the deadline of reads of requests; it does nothing when a
@@ -196,6 +248,21 @@
 	return c.watch(taken)
 }
 
+// reservePipelined reserves the memory for a request beside others. Where there is none, it waits
+// until the others are answered: the connection includes the memory for one.
+func (c *conn) reservePipelined(x *exchange) error {
+	if c.hasInFlight() && !x.hold.TryReserve(pipelinedBytes) {
+		return c.watch(c.lastEnded())
+	}
+	return nil
+}
+
+func (c *conn) hasInFlight() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	return c.inFlight > 0
+}
+
 // watch reads ahead until the channel is closed, so that a disconnect of the caller
 // is noticed. It returns the error of a connection that has ended.
 func (c *conn) watch(until <-chan struct{}) error {
@@ -310,6 +377,39 @@
 	_ = c.rwc.Close()
 }
 
+// evict ends a caller that keeps the node waiting while others need the room. One that is sending a
+// body is told first that its request has not been received.
+func (c *conn) evict() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.readingBody && !c.evicted {
+		c.evicted = true
+		c.setDeadline(expiredDeadline)
+		return
+	}
+	c.abort()
+}
+
+// beginBody reports whether a part of a body may be read, which is then counted as a wait for the
+// caller until endBody.
+func (c *conn) beginBody() bool {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.evicted {
+		return false
+	}
+	c.readingBody = true
+	c.account.Await()
+	return true
+}
+
+func (c *conn) endBody(n int) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.readingBody = false
+	c.account.Progress(n)
+}
+
 // abortAnswer ends the connection in an answer that is not complete. Where the end of the connection
 // would make it look complete, the connection is reset.
 func (c *conn) abortAnswer() {
@@ -326,6 +426,8 @@
 	if !ok || half.CloseWrite() != nil {
 		return
 	}
+	c.account.Await()
+	defer c.account.Resume()
 	_ = c.rwc.SetReadDeadline(time.Now().Add(lingerTime))
 	_, _ = io.CopyN(io.Discard, c.rwc, lingerBytes)
 }
--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -5,8 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"sync"
+
+	"github.com/levertide/levertide/internal/intake"
 )
 
 // exchange is one request and its answer.
@@ -25,6 +28,8 @@
 	body      *body // nil for a request without one
 	// ended is closed when the answer is complete, or never will be.
 	ended chan struct{}
+	// hold is the memory that the request holds.
+	hold *intake.Hold
 }
 
 func newExchange(c *conn, r *http.Request) *exchange {
@@ -56,7 +61,8 @@
 // handle runs the handler, completes the answer or aborts the connection, and then lets the next
 // answer be written.
 func (x *exchange) handle() {
-	x.request = x.request.WithContext(x.conn.ctx)
+	x.conn.account.Renew()
+	x.request = x.request.WithContext(intake.NewContext(x.conn.ctx, x.hold))
 	defer x.end()
 	if x.fault != 0 {
 		writeFault(&x.response, x.fault)
@@ -83,6 +89,8 @@
 	if failure != nil || x.response.finish() != nil {
 		x.conn.abortAnswer()
 	}
+	x.hold.Close()
+	x.conn.account.Renew()
 	close(x.ended)
 	x.conn.release()
 }
@@ -127,7 +135,7 @@
 			return 0, err
 		}
 	}
-	n, err := b.source.Read(p)
+	n, err := b.read(p)
 	switch {
 	case err == io.EOF && !b.complete:
 		b.complete = true
@@ -138,6 +146,17 @@
 	return n, err
 }
 
+// read reads a part of the body. A caller that is told to end is one that is too slow.
+func (b *body) read(p []byte) (int, error) {
+	c := b.exchange.conn
+	if !c.beginBody() {
+		return 0, os.ErrDeadlineExceeded
+	}
+	n, err := b.source.Read(p)
+	c.endBody(n)
+	return n, err
+}
+
 // callerDisconnected reports whether an error of a body means that the caller has
 // disconnected, as opposed to being too slow or sending an invalid body.
 func callerDisconnected(err error) bool {
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -18,8 +18,10 @@
 // becomes an exchange that is answered with the fault and ends the connection. An
 // error means that the connection has ended, or is too slow.
 func (c *conn) readExchange() (*exchange, error) {
-	c.limit.limited, c.limit.left = true, c.server.cfg.MaxHeaderBytes+bufferSize
+	c.limit.limited, c.limit.left = true, c.server.cfg.limits().MaxHeaderBytes+bufferSize
 	defer func() { c.limit.limited = false }()
+	c.account.Await()
+	defer c.account.Resume()
 	head, err := c.peekHead()
 	var r *http.Request
 	if err == nil {
@@ -37,7 +39,9 @@
 	if status := faultOf(r, head); status != 0 {
 		return newFault(c, status), nil
 	}
-	return newExchange(c, r), nil
+	x := newExchange(c, r)
+	x.hold = c.account.NewHold()
+	return x, nil
 }
 
 // peekHead waits until the head has arrived and returns it without consuming it. Of
@@ -53,7 +57,7 @@
 			return buffered, nil
 		}
 		if !timed {
-			c.setReadDeadline(time.Now().Add(c.server.cfg.ReadHeaderTimeout))
+			c.setReadDeadline(time.Now().Add(c.server.cfg.limits().ReadHeaderTimeout))
 			timed = true
 		}
 		if _, err := c.br.Peek(len(buffered) + 1); err != nil {
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -8,6 +8,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"github.com/levertide/levertide/internal/intake"
 )
 
 // The shortest and the longest pause after a connection could not be accepted, as
@@ -17,7 +19,7 @@
 	longestAcceptPause = time.Second
 )
 
-// Config sets up a Server. All fields must be given.
+// Config sets up a Server. Handler and MaxPipelined must be given, and the three limits or Limits.
 type Config struct {
 	Handler http.Handler
 	// MaxPipelined bounds the requests of one connection that are handled at the
@@ -29,6 +31,25 @@
 	ReadHeaderTimeout time.Duration
 	// IdleTimeout is how long a connection without a request is kept.
 	IdleTimeout time.Duration
+	// Limits returns the limits in force, in place of the three above; nil means that these hold.
+	Limits func() Limits
+	// Ledger counts what callers hold; nil means that there are no bounds.
+	Ledger *intake.Ledger
+}
+
+// Limits are those of a Config that may change.
+type Limits struct {
+	MaxHeaderBytes    int
+	ReadHeaderTimeout time.Duration
+	IdleTimeout       time.Duration
+}
+
+// limits returns the limits in force.
+func (cfg *Config) limits() Limits {
+	if cfg.Limits != nil {
+		return cfg.Limits()
+	}
+	return Limits{MaxHeaderBytes: cfg.MaxHeaderBytes, ReadHeaderTimeout: cfg.ReadHeaderTimeout, IdleTimeout: cfg.IdleTimeout}
 }
 
 // Server accepts connections and serves the requests on them. Use New.
@@ -39,6 +60,9 @@
 	closed    bool
 	listeners map[net.Listener]struct{}
 	conns     map[*conn]struct{}
+	// ctx ends when the server stops.
+	ctx    context.Context
+	cancel context.CancelFunc
 	// cachedDate is the Date header of the current second.
 	cachedDate atomic.Pointer[dateHeader]
 	// ended is closed and replaced whenever a connection has ended.
@@ -64,8 +88,11 @@
 
 // New returns a Server. It listens on nothing by itself.
 func New(cfg Config) *Server {
+	ctx, cancel := context.WithCancel(context.Background())
 	return &Server{
 		cfg:       cfg,
+		ctx:       ctx,
+		cancel:    cancel,
 		listeners: map[net.Listener]struct{}{},
 		conns:     map[*conn]struct{}{},
 		ended:     make(chan struct{}),
@@ -121,12 +148,18 @@
 	return s.closed
 }
 
+// start serves a connection once there is room for it. Connections that come meanwhile wait in
+// the queue of the listener.
 func (s *Server) start(rwc net.Conn) {
 	c := newConn(s, rwc)
+	if s.cfg.Ledger != nil {
+		c.account = s.cfg.Ledger.Open(s.ctx, c.evict)
+	}
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	if s.closed {
 		_ = rwc.Close()
+		c.account.Close()
 		return
 	}
 	s.conns[c] = struct{}{}
@@ -137,6 +170,7 @@
 }
 
 func (s *Server) removeConn(c *conn) {
+	c.account.Close()
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	delete(s.conns, c)
@@ -176,6 +210,7 @@
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	s.closed = true
+	s.cancel()
 	for l := range s.listeners {
 		_ = l.Close()
 	}
--- a/internal/settings/settings.go
+++ b/internal/settings/settings.go
@@ -105,6 +105,9 @@
 	// MemoryLimit is the memory, in MiB, within which the garbage collector keeps the
 	// process; zero leaves the limit to the collector's defaults.
 	MemoryLimit int `key:"memory-limit" validate:"min=0,max=1048576"`
+	// DescriptorLimit bounds the open files and sockets of the process in hosted mode, beside the limit
+	// of the operating system, which holds alone when it is zero.
+	DescriptorLimit int `key:"descriptor-limit" validate:"min=0,max=16777216"`
 
 	// LogLevel is the lowest level of events that are written.
 	LogLevel string `key:"log-level" validate:"oneof=debug info warn error"`
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/internal/settings"
 	"github.com/levertide/levertide/internal/suspend"
 	"github.com/levertide/levertide/internal/telemetry"
@@ -71,7 +72,10 @@
 	// quarantine is what the node knows of requests that crash workers.
 	quarantine *quarantine.Table
 	// quotas enforces the limits of tenants.
-	quotas             *hosted.Quotas
+	quotas *hosted.Quotas
+	plan   intake.Plan
+	bounds *boundLog
+
 	callerListener     *listener
 	hopListener        *listener
 	auxiliaryListeners []*listener
@@ -85,6 +89,8 @@
 func New(s settings.Settings, adapter Adapter, network Network, log *telemetry.Log, logQueue *telemetry.Queue) (*Node, error) {
 	node := &Node{settings: s, network: network, log: log, logQueue: logQueue, aborted: make(chan struct{})}
 	logQueue.OnDropped(log.LinesDropped)
+	node.plan = intake.NewPlan(s.MemoryLimit, s.DescriptorLimit)
+	node.bounds = newBoundLog(log)
 	node.workers = workers.NewRegistry(unresponsiveHeartbeats * s.HeartbeatInterval)
 	contacts := fleet.NewContacts()
 	config := &configuration{translate: adapter.Translate, onInForce: log.DocumentInForce, onOmitted: log.TenantOmitted, snapshot: snapshot.Empty()}
@@ -117,10 +123,12 @@
 			SlackFrom: time.Now().Add(settleTime),
 			Draw:      rand.Float64,
 		},
-		LinkSpeed:  s.LinkSpeed * bitsPerMegabit,
-		Suspended:  adapter.Suspended,
-		Quarantine: node.quarantine,
-		Quota:      node.quotas,
+		LinkSpeed:     s.LinkSpeed * bitsPerMegabit,
+		Intake:        node.plan,
+		IntakeReached: node.bounds.reached,
+		Suspended:     adapter.Suspended,
+		Quarantine:    node.quarantine,
+		Quota:         node.quotas,
 		// The agent is set below, before the first call can arrive.
 		Evidence: func(reports []quarantine.Report) { node.agent.ReportEvidence(reports) },
 		Leaving:  func(incarnation workers.Incarnation) { node.agent.WorkerLeaving(incarnation) },
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
@@ -88,6 +89,11 @@
 		Uint64("held_sequence", held.Sequence).Int64("held_born_unix_milliseconds", held.StartedAt))
 }
 
+// IntakeReached records that clients have reached a bound on what they can make the node hold.
+func (l *Log) IntakeReached(pool string, bound intake.Bound) {
+	end(l.begin(eventIntakeReached).Str("pool", pool).Str("bound", string(bound)))
+}
+
 // EntryRejected records that an entry in the store is not a valid entry of a node.
 func (l *Log) EntryRejected(id string) { end(l.begin(eventEntryRejected).Str("entry", bounded(id))) }
 
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -7,6 +7,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/intake"
 )
 
 // HostedReading is the state of one node in hosted mode at the moment of a scrape.
@@ -40,6 +41,8 @@
 	StoreRestores hosted.StoreRestores
 	// IgnoredCalls counts the calls of workers that had no effect.
 	IgnoredCalls hosted.IgnoredCalls
+	// Intake is what clients hold of each listener, and what was done at its bounds.
+	Intake []intake.Reading
 	// Messages counts what the node has sent to others.
 	Messages hosted.Messages
 	// Quotas is what the node holds of the limits of tenants, and what it decided on requests.
@@ -83,6 +86,7 @@
 		counter("comparisons_total", "Questions to other nodes whether they know the same.", func(r HostedReading) uint64 { return r.Messages.Exchanges }),
 		counter("broadcasts_total", "Messages with news to other nodes.", func(r HostedReading) uint64 { return r.Messages.Broadcasts }),
 		counter("reader_questions_total", "Messages that ask nodes which read the store whether they are there.", func(r HostedReading) uint64 { return r.Messages.Probes }),
+		newIntakeCollector(func() []intake.Reading { return read().Intake }),
 		newIgnoredCallsCollector(func() hosted.IgnoredCalls { return read().IgnoredCalls }),
 		newQuotaCollector(func() hosted.QuotaReading { return read().Quotas }),
 		counter("misdirected_messages_total", "Messages that another node has answered than the one they were for, since it has its address.", func(r HostedReading) uint64 { return r.Messages.Misdirected }),
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -72,6 +72,7 @@
 	l.RecallFailed("n", errors.New("fault"))
 	l.WorkerChanged(workers.Worker{Instance: "i"}, "heartbeat")
 	l.HeartbeatRejected("i", errors.New("fault"))
+	l.IntakeReached("callers", "memory")
 	l.WorkerCallIgnored(workers.Heartbeat{Instance: "i"}, workers.Change{Ignored: workers.IgnoredUnproven})
 	l.EntryRejected("n")
 	l.WorkerLimitChanged(workers.TermsChange{})
