Hold callers to the operators' limits of heads, and count large heads

Callers saw: heads of 60,000 bytes without an end take 92 MB from 700 connections; the operators allow 16,384 bytes and 3 s. Cause: the node went by constants of its own (64 KiB, 10 s, and 120 s for a rest). What a head holds beyond the buffer of its connection was counted nowhere; and a head whose first part filled the buffer at once had no time limit but that of the rest. Done: max_header_bytes, header_timeout_ms and idle_timeout_ms of the document in force hold from the next head, or rest, on; without a document the constants do. A head beyond the buffer reserves twice the limit before it is read on, and is answered 503 where there is no room in time. The time of a head begins with its first byte, whatever comes with it.

--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -6,6 +6,7 @@
 
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/intake"
+	"github.com/levertide/levertide/internal/pipeline"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/quota"
@@ -19,6 +20,8 @@
 	Table *routing.Table
 	// MaximumBody bounds the body of a request, in bytes; zero sets no bound.
 	MaximumBody int64
+	// Callers are the limits of callers; zero stands for those that hold without a configuration.
+	Callers pipeline.Limits
 }
 
 // Config sets up a Plane. All fields but Quarantine, Evidence, Leaving, Suspended, Intake,
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -1,6 +1,7 @@
 package forwarding
 
 import (
+	"cmp"
 	"context"
 	"io"
 	"log"
@@ -171,10 +172,14 @@
 
 // callerLimits returns the limits of callers in force.
 func (p *Plane) callerLimits() pipeline.Limits {
+	limits := pipeline.Limits{}
+	if configuration := p.config.Current(); configuration != nil {
+		limits = configuration.Callers
+	}
 	return pipeline.Limits{
-		MaxHeaderBytes:    maximumHeaderBytes,
-		ReadHeaderTimeout: readHeaderTime,
-		IdleTimeout:       callerIdle,
+		MaxHeaderBytes:    cmp.Or(limits.MaxHeaderBytes, maximumHeaderBytes),
+		ReadHeaderTimeout: cmp.Or(limits.ReadHeaderTimeout, readHeaderTime),
+		IdleTimeout:       cmp.Or(limits.IdleTimeout, callerIdle),
 	}
 }
 
--- a/internal/pipeline/limits_test.go
+++ b/internal/pipeline/limits_test.go
@@ -40,6 +40,14 @@
 	}
 }
 
+// TestHeadThatBeginsWithMuchAtOnceHasItsTime has heads whose first part fills the buffer.
+func TestHeadThatBeginsWithMuchAtOnceHasItsTime(t *testing.T) {
+	s := startTestServer(t, func(cfg *Config) { cfg.ReadHeaderTimeout = 50 * time.Millisecond })
+	c := dial(t, s.address)
+	c.send(t, "GET / HTTP/1.1\r\nHost: x\r\nLong: "+strings.Repeat("x", 2*bufferSize))
+	c.expectEnd(t)
+}
+
 func TestStalledBodyIsRefusedInFavorOfOthers(t *testing.T) {
 	ledger := intake.New("test", intake.Limits{Connections: 1}, nil)
 	s := startTestServer(t, func(cfg *Config) { cfg.Ledger = ledger })
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -9,6 +9,10 @@
 	"net/textproto"
 	"strings"
 	"time"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/internal/intake"
 )
 
 // headEnds are the ends of a head: lines may end without a carriage return.
@@ -18,16 +22,35 @@
 // becomes an exchange that is answered with the fault and ends the connection. An
 // error means that the connection has ended, or is too slow.
 func (c *conn) readExchange() (*exchange, error) {
-	c.limit.limited, c.limit.left = true, c.server.cfg.limits().MaxHeaderBytes+bufferSize
+	limits := c.server.cfg.limits()
+	c.limit.limited, c.limit.left = true, limits.MaxHeaderBytes+bufferSize
 	defer func() { c.limit.limited = false }()
+	hold := c.account.NewHold()
 	c.account.Await()
-	defer c.account.Resume()
-	head, err := c.peekHead()
+	head, err := c.peekHead(limits.ReadHeaderTimeout)
+	if err == nil && len(head) == c.br.Size() {
+		// The parsed head holds as much as its text, beside a copy of it while it is read.
+		err = hold.Reserve(c.ctx, 2*int64(limits.MaxHeaderBytes))
+	}
 	var r *http.Request
 	if err == nil {
 		r, err = http.ReadRequest(c.br)
 	}
+	c.account.Resume()
+	x, err := c.exchangeOf(r, head, err)
+	if x == nil {
+		hold.Close()
+		return nil, err
+	}
+	x.hold = hold
+	return x, nil
+}
+
+// exchangeOf returns the exchange of a request whose head was read, or was not.
+func (c *conn) exchangeOf(r *http.Request, head []byte, err error) (*exchange, error) {
 	switch {
+	case errorx.IsOfType(err, intake.ErrFull):
+		return newFault(c, http.StatusServiceUnavailable), nil
 	case errors.Is(err, errTooLong):
 		return newFault(c, http.StatusRequestHeaderFieldsTooLarge), nil
 	case errors.Is(err, io.EOF), errors.Is(err, io.ErrUnexpectedEOF), isTimeout(err):
@@ -39,27 +62,28 @@
 	if status := faultOf(r, head); status != 0 {
 		return newFault(c, status), nil
 	}
-	x := newExchange(c, r)
-	x.hold = c.account.NewHold()
-	return x, nil
+	return newExchange(c, r), nil
 }
 
 // peekHead waits until the head has arrived and returns it without consuming it. Of
 // one that does not fit into the buffer it returns the part that does.
-func (c *conn) peekHead() ([]byte, error) {
+func (c *conn) peekHead(timeout time.Duration) ([]byte, error) {
 	timed := false
 	for {
 		buffered, err := c.br.Peek(c.br.Buffered())
 		if err != nil {
 			return nil, err
 		}
-		if hasHeadEnd(buffered) || len(buffered) == c.br.Size() {
+		if hasHeadEnd(buffered) {
 			return buffered, nil
 		}
 		if !timed {
-			c.setReadDeadline(time.Now().Add(c.server.cfg.limits().ReadHeaderTimeout))
+			c.setReadDeadline(time.Now().Add(timeout))
 			timed = true
 		}
+		if len(buffered) == c.br.Size() {
+			return buffered, nil
+		}
 		if _, err := c.br.Peek(len(buffered) + 1); err != nil {
 			return nil, err
 		}
--- a/internal/sidecar/adapter.go
+++ b/internal/sidecar/adapter.go
@@ -18,6 +18,10 @@
 	Resources []model.Resource
 	// MaximumBody bounds the body of a request, in bytes; zero sets no bound.
 	MaximumBody int64
+	// MaximumHead bounds the head of a request, in bytes, HeadTimeout its arrival, and IdleTimeout the
+	// rest of a connection between two requests; zero leaves that to the node.
+	MaximumHead              int
+	HeadTimeout, IdleTimeout time.Duration
 	// Omitted describes each part of the document that could not be used, without showing any
 	// key. The rest is used.
 	Omitted []string
--- a/internal/sidecar/configuration.go
+++ b/internal/sidecar/configuration.go
@@ -7,6 +7,7 @@
 
 	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/pipeline"
 	"github.com/levertide/levertide/pkg/model"
 	"github.com/levertide/levertide/pkg/routing"
 	"github.com/levertide/levertide/pkg/snapshot"
@@ -93,7 +94,12 @@
 	c.healthPaths.Store(&paths)
 	c.hasTenantLimits.Store(limitsTenants(translation.Resources))
 	c.snapshot = built
-	c.current.Store(&forwarding.Configuration{Table: table, MaximumBody: translation.MaximumBody})
+	c.current.Store(&forwarding.Configuration{
+		Table: table, MaximumBody: translation.MaximumBody,
+		Callers: pipeline.Limits{
+			MaxHeaderBytes: translation.MaximumHead, ReadHeaderTimeout: translation.HeadTimeout, IdleTimeout: translation.IdleTimeout,
+		},
+	})
 	c.onInForce(translation.Version, table.Len())
 	return nil
 }
