Count bodies before their memory is taken

Bodies with a length that lack a byte had all others refused, for as long as their timeouts let them. Cause: a body without a length reserved nothing; it was counted once it was complete, and its buffer grew by doubling to twice its size. The bound of 96 MiB was a constant, more than some machines have; at the bound the next caller was refused, not the client that had stalled. Done: Hold.ReadUpTo reserves each buffer before it takes it, growth included, and gives back the former one. Where there is no room, the client that has stalled for longest is told 408 and closed; whoever needs the room waits for that for up to a second and is told 503 then: nothing of it has gone to a worker. The same for bodies from other nodes, in a pool of their own. What a request holds is given back in one place, when it ends. FuzzBytesOfACaller checks that nothing stays counted. Why it works: the sum of all that bodies hold is at most the pool, and the pools are shares of the machine.

--- a/internal/forwarding/answers_test.go
+++ b/internal/forwarding/answers_test.go
@@ -109,7 +109,7 @@
 		}
 	}
 	for _, node := range []*testNode{front, back} {
-		testwait.Eventually(t, "the memory of bodies is given back", func() bool { return node.plane.memory.used.Load() == 0 })
+		testwait.Eventually(t, "the memory of bodies is given back", func() bool { return node.plane.callers.Read().Memory == 0 && node.plane.hopBodies.Read().Memory == 0 })
 	}
 	// The caller waits for 100-continue before it sends its body, so that no part of the body is
 	// in transit when the answer arrives.
--- a/internal/forwarding/body.go
+++ b/internal/forwarding/body.go
@@ -8,9 +8,11 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"golang.org/x/time/rate"
 
 	"github.com/levertide/levertide/internal/httpconn"
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/outcome"
 )
 
@@ -38,46 +40,9 @@
 	sent atomic.Bool
 }
 
-// bodyMemory counts the bytes of the bodies that a node buffers.
-type bodyMemory struct{ used atomic.Int64 }
-
-// reserve reserves memory for a body; it reports false when there is too little.
-func (m *bodyMemory) reserve(bytes int64) bool {
-	if m.used.Add(bytes) > maximumBodyBytes {
-		m.used.Add(-bytes)
-		return false
-	}
-	return true
-}
-
-func (m *bodyMemory) release(bytes int64) { m.used.Add(-bytes) }
-
-// holdBody reads the body of a request within the memory limit for bodies. Release it with
-// releaseBody. Errors are those of package outcome.
-func (p *Plane) holdBody(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) (*requestBody, error) {
-	reserved := min(max(r.ContentLength, 0), bufferedBody)
-	if !p.memory.reserve(reserved) {
-		return nil, outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter)
-	}
-	body, err := readBody(w, r, limit, end)
-	if err != nil {
-		p.memory.release(reserved)
-		return nil, err
-	}
-	p.memory.used.Add(int64(len(body.held)) - reserved)
-	return body, nil
-}
-
-// releaseBody releases the memory of a body, which may be nil.
-func (p *Plane) releaseBody(body *requestBody) {
-	if body != nil {
-		p.memory.release(int64(len(body.held)))
-	}
-}
-
-// readBody reads the part of a request's body that is buffered, until the given end. Errors are
-// those of package outcome; nothing of the call has run.
-func readBody(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) (*requestBody, error) {
+// holdBody reads the part of a request's body that is buffered, until the given end, into memory of
+// the request. Errors are those of package outcome; nothing of the call has run.
+func holdBody(w http.ResponseWriter, r *http.Request, limit int64, end time.Time) (*requestBody, error) {
 	if r.ContentLength == 0 {
 		return &requestBody{}, nil
 	}
@@ -86,44 +51,21 @@
 	}
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(end)
-	body := &requestBody{length: r.ContentLength}
-	held, complete, err := readHead(r.Body, r.ContentLength)
-	if err != nil {
+	// The server watches for the caller to leave only after the end of the body was read.
+	held, complete, err := intake.FromContext(r.Context()).ReadUpTo(r.Context(), r.Body, r.ContentLength, bufferedBody)
+	switch {
+	case errorx.IsOfType(err, intake.ErrFull):
+		return nil, outcome.WithRetryAfter(outcome.Overloaded, fullRetryAfter)
+	case err != nil:
 		return nil, outcome.Wrap(outcome.BodyNotReceived, err)
-	}
-	body.held = held
-	if !complete {
-		body.rest = r.Body
+	case !complete:
 		// An answer that begins before the body has ended must not wait for the rest of it.
 		_ = control.EnableFullDuplex()
-		return body, nil
+		return &requestBody{held: held, rest: r.Body, length: r.ContentLength}, nil
 	}
-	body.length = int64(len(held))
 	// Clear the deadline: when it passed, the server would report that the caller has left.
 	_ = control.SetReadDeadline(time.Time{})
-	return body, nil
-}
-
-// readHead reads up to bufferedBody bytes, and reports whether that was the complete body.
-func readHead(source io.Reader, length int64) (held []byte, complete bool, err error) {
-	if length > 0 && length <= bufferedBody {
-		held = make([]byte, length)
-		if _, err = io.ReadFull(source, held); err != nil {
-			return nil, false, err
-		}
-		// The server watches for the caller to leave only after the end of the body was read.
-		_, err = source.Read(make([]byte, 1))
-		if err == io.EOF {
-			err = nil
-		}
-		return held, true, err
-	}
-	var buffer bytes.Buffer
-	count, err := io.CopyN(&buffer, source, bufferedBody)
-	if err == io.EOF {
-		return buffer.Bytes(), true, nil
-	}
-	return buffer.Bytes(), count < bufferedBody, err
+	return &requestBody{held: held, length: int64(len(held))}, nil
 }
 
 // repeatable reports whether the body can be sent from its beginning.
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -52,7 +52,6 @@
 	parent, nested := p.config.Dialect.parent(c.report.RequestID)
 	c.nested, c.repeat = nested, nested && p.running.repeats(parent)
 	result, err := c.answer(w)
-	p.releaseBody(c.body)
 	c.conclude(w, result, err)
 }
 
@@ -69,7 +68,7 @@
 	rare := c.state.observeTimeout(timeout)
 	c.clientRetry = !c.nested && (rare || c.plane.refusals.isRetry(c.request, c.began.Add(timeout)))
 	c.report.ClientRetry = c.clientRetry
-	body, err := c.plane.holdBody(w, c.request, configuration.MaximumBody, c.end)
+	body, err := holdBody(w, c.request, configuration.MaximumBody, c.end)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -103,9 +103,6 @@
 	// bufferedAnswer is the size in bytes up to which an answer is buffered completely before it
 	// is forwarded, so that the call can be attempted again if the answer is truncated.
 	bufferedAnswer = 256 << 10
-	// maximumBodyBytes bounds the memory for all bodies that this node buffers.
-	maximumBodyBytes = 96 << 20
-
 	// dialBound bounds the opening of a connection. It is shorter than the second after which TCP
 	// retransmits a lost first packet: another node is tried instead.
 	dialBound = 300 * time.Millisecond
@@ -163,8 +160,10 @@
 	shallowWait = 3 * time.Millisecond
 
 	// defaultRetryAfter is the retry time reported to a refused caller when nothing better is
-	// known, and shortestRetryAfter the shortest one.
+	// known, and shortestRetryAfter the shortest one. fullRetryAfter is for callers for whose body
+	// there was no memory: clients that keep the node waiting have given up theirs by then.
 	defaultRetryAfter  = 100 * time.Millisecond
+	fullRetryAfter     = 250 * time.Millisecond
 	shortestRetryAfter = 20 * time.Millisecond
 	// overloadWaitLeast and overloadWaitSpread, in targets of the route, are the start and the
 	// width of the range over which the retries of callers refused for overload are spread, and
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -25,6 +25,8 @@
 func (p *Plane) serveHop(w http.ResponseWriter, r *http.Request) {
 	p.hops.Add(1)
 	defer p.hops.Add(-1)
+	w, r, done := p.boundHop(w, r)
+	defer done()
 	c := &hopCall{plane: p, request: r, began: time.Now()}
 	parsed, ok := parseHop(r.Header.Get(hopHeader))
 	if !ok {
@@ -36,7 +38,6 @@
 	ctx, cancel := context.WithDeadlineCause(r.Context(), c.began.Add(parsed.left), errEnd)
 	defer cancel()
 	result, err := c.run(ctx, w)
-	p.releaseBody(c.body)
 	c.conclude(w, result, err)
 }
 
@@ -100,7 +101,7 @@
 func (c *hopCall) receiveBody(ctx context.Context, w http.ResponseWriter, wanted claim, end time.Time) error {
 	if c.request.ContentLength >= 0 && c.request.ContentLength < expectContinueBody {
 		var err error
-		c.body, err = c.plane.holdBody(w, c.request, 0, end)
+		c.body, err = holdBody(w, c.request, 0, end)
 		return err
 	}
 	permit, err := c.plane.transfers.Admit(ctx, wanted.forTransfer().request())
@@ -109,7 +110,7 @@
 		return admissionFailure(ctx, err)
 	}
 	slow := time.AfterFunc(slowTransfer, func() { permit.Release(false) })
-	c.body, err = c.plane.holdBody(w, c.request, 0, end)
+	c.body, err = holdBody(w, c.request, 0, end)
 	if slow.Stop() {
 		permit.Release(err == nil)
 	}
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -28,7 +28,6 @@
 	peers   *http.Transport
 	local   localWorkers
 	routes  routeStates
-	memory  bodyMemory
 	// callers, hopConnections and hopBodies count what clients hold.
 	callers, hopConnections, hopBodies *intake.Ledger
 	// transfers admits long bodies of other nodes to the link of this one.
--- a/internal/intake/ledger_test.go
+++ b/internal/intake/ledger_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"context"
+	"io"
+	"strings"
 	"sync"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"pgregory.net/rapid"
 )
 
 // client opens an account whose eviction closes it, after its hold.
@@ -116,6 +119,49 @@
 	sending.Wait()
 }
 
+// oneByte reads a byte at a time.
+type oneByte struct{ io.Reader }
+
+func (r oneByte) Read(p []byte) (int, error) { return r.Reader.Read(p[:min(len(p), 1)]) }
+
+func TestMemoryOfABufferIsReservedBeforeItGrows(t *testing.T) {
+	const limit = 64 << 10
+	rapid.Check(t, func(t *rapid.T) {
+		length := rapid.IntRange(0, 2*limit).Draw(t, "length")
+		known := rapid.Bool().Draw(t, "known")
+		l := New("test", Limits{Memory: 2 * limit}, nil)
+		h := l.Open(t.Context(), func() {}).NewHold()
+		announced := int64(-1)
+		if known {
+			announced = int64(length)
+		}
+		content, complete, err := h.ReadUpTo(t.Context(), oneByte{strings.NewReader(strings.Repeat("x", length))}, announced, limit)
+		if err != nil || complete != (length < limit || known && length == limit) {
+			t.Fatalf("%d bytes, complete %v, %v", len(content), complete, err)
+		}
+		if complete && len(content) != length || !complete && len(content) < limit {
+			t.Fatalf("%d of %d bytes", len(content), length)
+		}
+		if read := l.Read(); read.Memory != int64(cap(content)) {
+			t.Fatalf("%d bytes are counted, the buffer has %d", read.Memory, cap(content))
+		}
+		h.Close()
+		if read := l.Read(); read.Memory != 0 {
+			t.Fatalf("%d bytes are left", read.Memory)
+		}
+	})
+}
+
+func TestWithoutRoomToGrowWhatWasReadIsKept(t *testing.T) {
+	const length = 20 << 10
+	l := New("test", Limits{Memory: 24 << 10}, nil)
+	h := l.Open(t.Context(), func() {}).NewHold()
+	content, complete, err := h.ReadUpTo(t.Context(), strings.NewReader(strings.Repeat("x", length)), -1, 64<<10)
+	if !errorx.IsOfType(err, ErrFull) || complete || len(content) != 16<<10 {
+		t.Errorf("%d bytes, complete %v, %v", len(content), complete, err)
+	}
+}
+
 func TestNothingIsBoundedWithoutAnAccount(t *testing.T) {
 	var a *Account
 	a.Await()
--- a/internal/pipeline/limits_test.go
+++ b/internal/pipeline/limits_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"io"
+	"net"
 	"net/http"
 	"strings"
 	"sync/atomic"
@@ -73,3 +74,53 @@
 	busy.expect(t, "GET /hold/1 ")
 	next.expect(t, "GET /2 ")
 }
+
+// FuzzBytesOfACaller sends bytes to a server, on two connections, and ends them. Nothing of them may
+// stay counted.
+func FuzzBytesOfACaller(f *testing.F) {
+	for _, seed := range []string{
+		get("/1") + get("/2"), post("/1", "abc"), "POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\n\r\nab",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\n1;a=b\r\nx\r\n0\r\nT: y\r\n\r\n",
+		"POST / HTTP/1.1\r\nHost: x\r\nTransfer-Encoding: chunked\r\n\r\nfffff\r\nabc",
+		"GET / HTTP/1.1\r\nHost: x\r\nLong: " + strings.Repeat("x", 2*bufferSize),
+		"POST / HTTP/1.1\r\nHost: x\r\nContent-Length: 5\r\nExpect: 100-continue\r\n\r\n",
+	} {
+		f.Add([]byte(seed), len(seed)/2)
+	}
+	f.Fuzz(func(t *testing.T, sent []byte, pause int) {
+		ledger := intake.New("test", intake.Limits{Connections: 2, Memory: 64 << 10}, nil)
+		server := New(Config{
+			Handler:      http.HandlerFunc(handleCounted),
+			MaxPipelined: 4, MaxHeaderBytes: 16 << 10, ReadHeaderTimeout: time.Second, IdleTimeout: time.Second, Ledger: ledger,
+		})
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		go func() { _ = server.Serve(l) }()
+		defer func() { _ = server.Close() }()
+		pause = min(max(pause, 0), len(sent))
+		for _, part := range [][]byte{sent, sent[:pause]} {
+			conn, err := net.Dial("tcp", l.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			_, _ = conn.Write(part)
+			_ = conn.Close()
+		}
+		eventually(t, "something of a caller that is gone is still counted", func() bool {
+			read := ledger.Read()
+			return read.Connections == 0 && read.Memory == 0
+		})
+	})
+}
+
+// handleCounted answers with the body of a request, which it reads into counted memory.
+func handleCounted(w http.ResponseWriter, r *http.Request) {
+	content, _, err := intake.FromContext(r.Context()).ReadUpTo(r.Context(), r.Body, r.ContentLength, 32<<10)
+	if err != nil {
+		w.WriteHeader(http.StatusRequestTimeout)
+		return
+	}
+	_, _ = w.Write(content)
+}
