Count answers before their memory is taken

Callers saw: 200 requests in a row on a connection that reads no answer take memory without a bound: sixteen answers of up to 256 KiB wait on each connection. Cause: answers that wait for their turn, or for their caller to read, were counted nowhere. Done: an answer reserves its buffer as a body does. Where there is no room it is forwarded as it arrives: the call has run, so that it is not refused. Answers that are forwarded are counted with what their connections hold. Why it works: an answer that is ready is still delivered, and those that nobody reads are the first to be given up.

--- a/internal/forwarding/answer.go
+++ b/internal/forwarding/answer.go
@@ -1,14 +1,16 @@
 package forwarding
 
 import (
-	"bytes"
 	"context"
 	"io"
 	"net/http"
 	"strconv"
 	"time"
 
+	"github.com/joomcode/errorx"
+
 	"github.com/levertide/levertide/internal/httpconn"
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/slotqueue"
 )
@@ -34,11 +36,18 @@
 // unknown: the call has run, but its answer is not complete.
 func readAnswer(ctx context.Context, response *http.Response) (*answer, error) {
 	a := &answer{status: response.StatusCode, header: response.Header, length: response.ContentLength}
+	hold := intake.FromContext(ctx)
 	if response.ContentLength > bufferedAnswer {
+		hold.Take(streamBytes)
 		a.rest = response.Body
 		return a, nil
 	}
-	held, complete, err := readAnswerHead(response)
+	held, complete, err := readAnswerHead(ctx, response, hold)
+	if errorx.IsOfType(err, intake.ErrFull) {
+		// The call has run: its answer is forwarded as it arrives.
+		hold.Take(streamBytes)
+		complete, err = false, nil
+	}
 	if err != nil {
 		_ = response.Body.Close()
 		return nil, brokenAnswer(ctx, err)
@@ -64,25 +73,13 @@
 	}
 }
 
-func readAnswerHead(response *http.Response) (held []byte, complete bool, err error) {
+// readAnswerHead reads the part of an answer that is buffered.
+func readAnswerHead(ctx context.Context, response *http.Response, hold *intake.Hold) (held []byte, complete bool, err error) {
 	if response.Request.Method == http.MethodHead {
 		return nil, true, nil
 	}
-	if response.ContentLength >= 0 {
-		held = make([]byte, response.ContentLength)
-		_, err = io.ReadFull(response.Body, held)
-		if err == nil {
-			// The connection can be used again only after the end of the body was read.
-			_, _ = response.Body.Read(make([]byte, 1))
-		}
-		return held, true, err
-	}
-	var buffer bytes.Buffer
-	_, err = io.CopyN(&buffer, response.Body, bufferedAnswer)
-	if err == io.EOF {
-		return buffer.Bytes(), true, nil
-	}
-	return buffer.Bytes(), false, err
+	// The connection can be used again only after the end of the body was read.
+	return hold.ReadUpTo(ctx, response.Body, response.ContentLength, bufferedAnswer)
 }
 
 // release closes the rest of an answer and releases what it holds. complete reports whether the
--- a/internal/forwarding/config.go
+++ b/internal/forwarding/config.go
@@ -103,6 +103,10 @@
 	// bufferedAnswer is the size in bytes up to which an answer is buffered completely before it
 	// is forwarded, so that the call can be attempted again if the answer is truncated.
 	bufferedAnswer = 256 << 10
+	// streamBytes is what a call holds whose answer is forwarded as it arrives: a buffer, and what
+	// the operating system holds of the two connections.
+	streamBytes = 96 << 10
+
 	// dialBound bounds the opening of a connection. It is shorter than the second after which TCP
 	// retransmits a lost first packet: another node is tried instead.
 	dialBound = 300 * time.Millisecond
