Bound what the operating system holds of callers, and the time to read an answer

Callers saw: beside the process's own memory the kernel held 649 MB for 200 connections that did not read (a machine counts them); such a connection stayed for as long as the client liked. Cause: the send buffer of a connection grows to megabytes, receive buffers do under uploads, and up to 4,096 connections with what they have sent wait to be accepted. No write to a caller had an end. A caller has idle_timeout_ms to read each part of an answer.

--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -162,10 +162,11 @@
 // CallerServer returns a server for callers. It does not open a listener itself.
 func (p *Plane) CallerServer() *pipeline.Server {
 	return pipeline.New(pipeline.Config{
-		Handler:      http.HandlerFunc(p.serveCaller),
-		MaxPipelined: maximumPipelined,
-		Limits:       p.callerLimits,
-		Ledger:       p.callers,
+		Handler:       http.HandlerFunc(p.serveCaller),
+		MaxPipelined:  maximumPipelined,
+		Limits:        p.callerLimits,
+		Ledger:        p.callers,
+		ReceiveBuffer: p.receiveBuffer(),
 	})
 }
 
@@ -182,6 +183,14 @@
 	}
 }
 
+// receiveBuffer returns how large the receive buffers of callers are; nil where no plan says.
+func (p *Plane) receiveBuffer() func(open int) int {
+	if p.config.Intake.FullBuffers == 0 {
+		return nil
+	}
+	return p.config.Intake.ReceiveBuffer
+}
+
 // Intake returns what clients hold of the node.
 func (p *Plane) Intake() []intake.Reading {
 	return []intake.Reading{p.callers.Read(), p.hopConnections.Read(), p.hopBodies.Read()}
--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -82,7 +82,7 @@
 	return c
 }
 
-// answerWriter writes to the caller.
+// answerWriter writes to the caller, which has to read each part in time.
 type answerWriter struct{ conn *conn }
 
 // Write implements io.Writer.
@@ -90,6 +90,7 @@
 	c, written := w.conn, 0
 	for {
 		part := p[written:min(written+writeBytes, len(p))]
+		_ = c.rwc.SetWriteDeadline(time.Now().Add(c.server.cfg.limits().IdleTimeout))
 		c.account.Await()
 		n, err := c.rwc.Write(part)
 		c.account.Progress(n)
--- a/internal/pipeline/limits_test.go
+++ b/internal/pipeline/limits_test.go
@@ -49,6 +49,26 @@
 	c.expectEnd(t)
 }
 
+func TestCallerThatDoesNotReadIsClosed(t *testing.T) {
+	s := startTestServer(t, func(cfg *Config) {
+		cfg.Handler = http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			content := make([]byte, 1<<20)
+			for range 64 {
+				if _, err := w.Write(content); err != nil {
+					return
+				}
+			}
+		})
+		cfg.IdleTimeout = 100 * time.Millisecond
+	})
+	c := dial(t, s.address)
+	c.send(t, get("/"))
+	eventually(t, "a connection whose caller does not read stays open", func() bool {
+		open, _ := s.server.open()
+		return open == 0
+	})
+}
+
 func TestStalledBodyIsRefusedInFavorOfOthers(t *testing.T) {
 	ledger := intake.New("test", intake.Limits{Connections: 1}, nil)
 	s := startTestServer(t, func(cfg *Config) { cfg.Ledger = ledger })
--- a/internal/pipeline/server.go
+++ b/internal/pipeline/server.go
@@ -9,6 +9,7 @@
 	"sync/atomic"
 	"time"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/intake"
 )
 
@@ -29,12 +30,16 @@
 	// once it has begun.
 	MaxHeaderBytes    int
 	ReadHeaderTimeout time.Duration
-	// IdleTimeout is how long a connection without a request is kept.
+	// IdleTimeout is how long a connection without a request is kept, and how long the caller may
+	// take to read a part of an answer.
 	IdleTimeout time.Duration
 	// Limits returns the limits in force, in place of the three above; nil means that these hold.
 	Limits func() Limits
 	// Ledger counts what callers hold; nil means that there are no bounds.
 	Ledger *intake.Ledger
+	// ReceiveBuffer returns the size of the receive buffer of a connection, in bytes, when a number
+	// of others is open; nil leaves it to the operating system.
+	ReceiveBuffer func(open int) int
 }
 
 // Limits are those of a Config that may change.
@@ -162,6 +167,7 @@
 		c.account.Close()
 		return
 	}
+	s.boundBuffers(rwc)
 	s.conns[c] = struct{}{}
 	go func() {
 		c.serve()
@@ -169,6 +175,13 @@
 	}()
 }
 
+// boundBuffers bounds what the operating system holds of a connection. The mutex is held.
+func (s *Server) boundBuffers(rwc net.Conn) {
+	if s.cfg.ReceiveBuffer != nil {
+		httpconn.BoundBuffers(rwc, s.cfg.ReceiveBuffer(len(s.conns)))
+	}
+}
+
 func (s *Server) removeConn(c *conn) {
 	c.account.Close()
 	s.mu.Lock()
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -13,6 +13,7 @@
 
 	"github.com/levertide/levertide/internal/forwarding"
 	"github.com/levertide/levertide/internal/hosted"
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/internal/settings"
 	"github.com/levertide/levertide/internal/suspend"
@@ -160,6 +161,7 @@
 	if n.callerListener, err = listen(n.network, "callers", n.settings.CallerAddress, n.plane.CallerServer()); err != nil {
 		return err
 	}
+	httpconn.BoundBacklog(n.callerListener.initial, n.plan.Backlog)
 	if n.hopListener, err = listen(n.network, "calls", n.settings.CallAddress, n.plane.HopServer()); err != nil {
 		return err
 	}
