Bound the calls that are on their way to other nodes

Callers saw: pipelined requests take all descriptors of a node: each needs a connection to another node, 2,165 with 200 callers. Cause: the connections of callers and the requests of each were bounded, their product was not. Evidence: TestPipelinesTakeDescriptors, TestLongAnswersThatNobodyReads and TestAnswersThatNobodyReads failed on: all 256 descriptors in the first two, 828 MB of 96 and 2,165 descriptors in the third. Done: offers to other nodes are counted up to a share of the descriptors, until their answer is read; one more is refused as overloaded with nothing sent. No more unused connections are kept than that. Why it works: descriptors for the store, the worker and messages are a share that calls do not reach.

--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -137,6 +137,14 @@
 	}
 }
 
+// newPeerTransport returns a transport to other nodes that keeps no more unused connections than
+// offers are made at a time; zero sets no bound.
+func newPeerTransport(dial httpconn.DialFunc, offers int) *http.Transport {
+	transport := newTransport(dial, peerIdle, idleConnections)
+	transport.MaxIdleConns = offers
+	return transport
+}
+
 // newWorkerTransport returns a transport to a worker with the given number of slots.
 func newWorkerTransport(dial httpconn.DialFunc, idle time.Duration, slots int) *http.Transport {
 	connections := connectionsPerSlot * slots
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -81,12 +81,17 @@
 	exchange := httpExchange{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body, expectContinue: c.body.long(), pace: c.plane.pace}
 	ctx, stop := exchange.boundTransfer(ctx, c.began.Add(c.target()))
 	defer stop()
+	if !c.plane.beginOffer() {
+		return nil, false, withDecision(outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter), decision{by: c.plane.config.Node, evidence: NothingSent})
+	}
 	response, err := exchange.do(ctx)
 	o.roundTrip = time.Since(now)
 	if err != nil {
+		c.plane.endOffer()
 		c.plane.recordFailure(e.node, err)
 		return nil, outcome.Of(err) != outcome.NotRun, err
 	}
+	response.Body = &offerBody{ReadCloser: response.Body, plane: c.plane}
 	if !c.plane.config.Dialect.answers(c.request, response) {
 		_ = response.Body.Close()
 		return nil, true, outcome.New(outcome.InvalidAnswer)
--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -30,6 +30,10 @@
 	routes  routeStates
 	// callers, hopConnections and hopBodies count what clients hold.
 	callers, hopConnections, hopBodies *intake.Ledger
+	// offers counts the calls that are on their way to other nodes.
+	offers atomic.Int64
+	// refusedOffers counts the offers that were not made for want of descriptors.
+	refusedOffers atomic.Uint64
 	// transfers admits long bodies of other nodes to the link of this one.
 	transfers *slotqueue.Queue
 	// refusedTransfers counts the transfers that were refused because they were not admitted in
@@ -86,7 +90,7 @@
 	p := &Plane{
 		config:         config,
 		started:        time.Now(),
-		peers:          newTransport(config.Dial, peerIdle, idleConnections),
+		peers:          newPeerTransport(config.Dial, config.Intake.Offers),
 		callers:        intake.New("callers", config.Intake.Callers, config.IntakeReached),
 		hopConnections: intake.New("calls", config.Intake.Hops, config.IntakeReached),
 		hopBodies:      intake.New("call-bodies", config.Intake.HopBodies, config.IntakeReached),
@@ -193,7 +197,11 @@
 
 // Intake returns what clients hold of the node.
 func (p *Plane) Intake() []intake.Reading {
-	return []intake.Reading{p.callers.Read(), p.hopConnections.Read(), p.hopBodies.Read()}
+	offers := intake.Reading{
+		Pool: "offers", Limits: intake.Limits{Connections: p.config.Intake.Offers}, Connections: int(p.offers.Load()),
+		Refused: map[intake.Bound]uint64{intake.Connections: p.refusedOffers.Load()},
+	}
+	return []intake.Reading{p.callers.Read(), p.hopConnections.Read(), p.hopBodies.Read(), offers}
 }
 
 // HopServer returns a server for other nodes. Their requests are trusted.
