Bound the connections of every other listener

Callers saw: silent connections at the listener for calls, messages, workers or readiness take all descriptors of the node. Cause: none of these listeners had a bound; requests to them had a time limit for their head only. Done: intake.Guard counts the connections of an http.Server: one that keeps the node waiting for longest gives way, one whose request is being handled does not. Whole requests to the small listeners and messages have 20 s. Why it works: each listener has a share of the descriptors, which the others cannot take.

--- a/internal/forwarding/plane.go
+++ b/internal/forwarding/plane.go
@@ -205,15 +205,15 @@
 }
 
 // HopServer returns a server for other nodes. Their requests are trusted.
-func (p *Plane) HopServer() *http.Server {
-	return &http.Server{
+func (p *Plane) HopServer() *intake.Server {
+	return intake.Guard(&http.Server{
 		Handler:                      http.HandlerFunc(p.serveHop),
 		ReadHeaderTimeout:            readHeaderTime,
 		IdleTimeout:                  peerServerIdle,
 		MaxHeaderBytes:               2 * maximumHeaderBytes,
 		DisableGeneralOptionsHandler: true,
 		ErrorLog:                     log.New(io.Discard, "", 0),
-	}
+	}, p.hopConnections)
 }
 
 // Open allows calls to the workers beside this node. Before that, the node may not know which of
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -15,6 +15,7 @@
 
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/internal/httpconn"
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
@@ -59,8 +60,10 @@
 	Probe WorkerProbe
 	// Listener accepts the messages of other nodes.
 	Listener net.Listener
-	Dial     httpconn.DialFunc
-	Events   Events
+	// Connections counts the connections of other nodes; nil means that there is no bound.
+	Connections *intake.Ledger
+	Dial        httpconn.DialFunc
+	Events      Events
 }
 
 // Serving is the part of the node that gives work to its workers.
@@ -79,7 +82,7 @@
 	evidence   *evidence
 	reader     *Reader
 	supervisor *suture.Supervisor
-	web        *http.Server
+	web        *intake.Server
 
 	started time.Time
 	// commitmentsKnown is set once the node knows the drain commitments of its previous
@@ -116,6 +119,9 @@
 
 // New returns an agent. Nothing runs before Serve.
 func New(config Config) *Agent {
+	if config.Connections == nil {
+		config.Connections = intake.New("messages", intake.Limits{}, nil)
+	}
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
@@ -136,13 +142,14 @@
 	agent.announcer.onRejected = agent.rejectEntry
 	agent.announcer.onRewritten = config.Events.EntryRestored
 	server := &Server{peers: agent.peers, background: agent.background, onContact: agent.onContact, quotas: config.Quotas}
-	agent.web = &http.Server{
+	agent.web = intake.Guard(&http.Server{
 		Handler:           server.handler(),
 		ReadHeaderTimeout: readHeaderTime,
 		MaxHeaderBytes:    maximumMessageHead,
+		ReadTimeout:       readTime,
 		IdleTimeout:       idleServerMessages,
 		ErrorLog:          log.New(io.Discard, "", 0),
-	}
+	}, config.Connections)
 	agent.supervisor = suture.New("hosted", suture.Spec{PassThroughPanics: true, Timeout: endBound})
 	reader := &Reader{
 		source: config.Source, documents: agent.documents, table: config.Table, contacts: config.Contacts,
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -12,10 +12,11 @@
 
 const (
 	// maximumMessage bounds the body of a message from another node, maximumMessageHead its head,
-	// in bytes, and readHeaderTime the time to read the head.
+	// in bytes, readHeaderTime the time to read the head, and readTime that to read all of it.
 	maximumMessage     = 16 << 20
 	maximumMessageHead = 64 << 10
 	readHeaderTime     = 10 * time.Second
+	readTime           = 20 * time.Second
 )
 
 // Server answers messages from other nodes.
--- /dev/null
+++ b/internal/intake/server.go
@@ -0,0 +1,89 @@
+package intake
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"sync"
+
+	"github.com/levertide/levertide/internal/httpconn"
+)
+
+// Server is an http.Server whose connections are counted. A connection counts as one that keeps the
+// node waiting while no request of it is being handled.
+type Server struct {
+	*http.Server
+	ledger *Ledger
+}
+
+// Guard returns a server that counts its connections in a ledger.
+func Guard(server *http.Server, ledger *Ledger) *Server {
+	handler := server.Handler
+	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		account, _ := r.Context().Value(accountKey{}).(*Account)
+		account.Resume()
+		defer func() {
+			account.Renew()
+			account.Await()
+		}()
+		handler.ServeHTTP(w, r)
+	})
+	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
+		if counted, ok := c.(*countedConn); ok {
+			return context.WithValue(ctx, accountKey{}, counted.account)
+		}
+		return ctx
+	}
+	return &Server{Server: server, ledger: ledger}
+}
+
+type accountKey struct{}
+
+// Serve serves the connections of a listener.
+func (s *Server) Serve(l net.Listener) error {
+	ctx, cancel := context.WithCancel(context.Background())
+	return s.Server.Serve(&countedListener{Listener: l, ledger: s.ledger, ctx: ctx, cancel: cancel})
+}
+
+// countedListener accepts connections when there is room for them.
+type countedListener struct {
+	net.Listener
+	ledger *Ledger
+	ctx    context.Context
+	cancel context.CancelFunc
+}
+
+// Accept implements net.Listener.
+func (l *countedListener) Accept() (net.Conn, error) {
+	conn, err := l.Listener.Accept()
+	if err != nil {
+		return nil, err
+	}
+	account := l.ledger.Open(l.ctx, func() { _ = conn.Close() })
+	if account == nil {
+		_ = conn.Close()
+		return nil, net.ErrClosed
+	}
+	httpconn.BoundUnsent(conn)
+	account.Await()
+	return &countedConn{Conn: conn, account: account}, nil
+}
+
+// Close implements net.Listener.
+func (l *countedListener) Close() error {
+	l.cancel()
+	return l.Listener.Close()
+}
+
+// countedConn is a connection whose end closes its account.
+type countedConn struct {
+	net.Conn
+	account *Account
+	once    sync.Once
+}
+
+// Close implements net.Conn.
+func (c *countedConn) Close() error {
+	c.once.Do(c.account.Close)
+	return c.Conn.Close()
+}
--- a/internal/sidecar/intake.go
+++ b/internal/sidecar/intake.go
@@ -47,5 +47,9 @@
 
 // intakeReadings returns what clients hold of each listener.
 func (n *Node) intakeReadings() []intake.Reading {
-	return n.plane.Intake()
+	readings := append(n.plane.Intake(), n.messages.Read())
+	for _, ledger := range n.auxiliary {
+		readings = append(readings, ledger.Read())
+	}
+	return readings
 }
--- a/internal/sidecar/listener.go
+++ b/internal/sidecar/listener.go
@@ -13,8 +13,10 @@
 
 const (
 	// readHeaderTime bounds the time to read the head of a request, maximumRequestHead its size
-	// in bytes.
+	// in bytes, readTime the time to read a whole request, and idleTime the rest between two.
 	readHeaderTime     = 10 * time.Second
+	readTime           = 20 * time.Second
+	idleTime           = 120 * time.Second
 	maximumRequestHead = 64 << 10
 )
 
@@ -33,6 +35,8 @@
 	return &http.Server{
 		Handler:           handler,
 		ReadHeaderTimeout: readHeaderTime,
+		ReadTimeout:       readTime,
+		IdleTimeout:       idleTime,
 		MaxHeaderBytes:    maximumRequestHead,
 		ErrorLog:          log.New(io.Discard, "", 0),
 	}
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -74,8 +74,11 @@
 	quarantine *quarantine.Table
 	// quotas enforces the limits of tenants.
 	quotas *hosted.Quotas
-	plan   intake.Plan
-	bounds *boundLog
+	// messages and auxiliary count the connections of the listeners that are not for calls.
+	messages  *intake.Ledger
+	auxiliary []*intake.Ledger
+	plan      intake.Plan
+	bounds    *boundLog
 
 	callerListener     *listener
 	hopListener        *listener
@@ -92,6 +95,7 @@
 	logQueue.OnDropped(log.LinesDropped)
 	node.plan = intake.NewPlan(s.MemoryLimit, s.DescriptorLimit)
 	node.bounds = newBoundLog(log)
+	node.messages = intake.New("messages", node.plan.Messages, node.bounds.reached)
 	node.workers = workers.NewRegistry(unresponsiveHeartbeats * s.HeartbeatInterval)
 	contacts := fleet.NewContacts()
 	config := &configuration{translate: adapter.Translate, onInForce: log.DocumentInForce, onOmitted: log.TenantOmitted, snapshot: snapshot.Empty()}
@@ -151,7 +155,7 @@
 		Rollouts: rollouts, Steering: node.plane,
 		Quarantine: node.quarantine, Quotas: node.quotas,
 		Probe:    newProbe(s, config, network, adapter),
-		Listener: controlListener, Dial: network.Dial, Events: log,
+		Listener: controlListener, Connections: node.messages, Dial: network.Dial, Events: log,
 	})
 	return node, node.openListeners(adapter, registry)
 }
@@ -176,7 +180,9 @@
 		if auxiliary.address == "" {
 			continue
 		}
-		opened, err := listen(n.network, auxiliary.name, auxiliary.address, newServer(auxiliary.handler))
+		ledger := intake.New(auxiliary.name, n.plan.Auxiliary, n.bounds.reached)
+		n.auxiliary = append(n.auxiliary, ledger)
+		opened, err := listen(n.network, auxiliary.name, auxiliary.address, intake.Guard(newServer(auxiliary.handler), ledger))
 		if err != nil && auxiliary.name == metricsName {
 			// The node serves calls also when another program occupies the port of the metrics.
 			n.log.PartFailed(metricsName, err.Error())
