Count the wait of a call from when its body has arrived

Cause: a call may wait for a slot, and its body may cross to another node, for some part of the route's target after the call began. A body that takes longer than the target to arrive had used all that up, although it had waited for nobody. Done: both waits count from when the buffered part of the body had arrived, or the node had started. Why it works: the time that a caller takes to send says nothing of the load.

--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -23,6 +23,8 @@
 	// heldUntil is when the call last stopped waiting for its node to start; zero when it did not
 	// wait.
 	heldUntil time.Time
+	// received is when the part of its body that is buffered had arrived; zero until then.
+	received time.Time
 	// end is when an answer is no longer of use to the caller, or the timeout of the route is
 	// over.
 	end time.Time
@@ -72,7 +74,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.body = body
+	c.body, c.received = body, time.Now()
 	ctx, cancel := context.WithDeadlineCause(c.request.Context(), c.end, errEnd)
 	result, err := c.attempts(ctx)
 	if err != nil || result.rest == nil {
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -79,7 +79,7 @@
 	o.setHop(header, chosen, latestStart, now, level)
 	o.setTerms(header, e, now)
 	exchange := httpExchange{transport: c.plane.peers, request: newRequest(c.request, e.address, header), body: c.body, expectContinue: c.body.long(), pace: c.plane.pace}
-	ctx, stop := exchange.boundTransfer(ctx, c.began.Add(c.target()))
+	ctx, stop := exchange.boundTransfer(ctx, c.offeredFrom().Add(c.target()))
 	defer stop()
 	if !c.plane.beginOffer() {
 		return nil, false, withDecision(outcome.WithRetryAfter(outcome.Overloaded, defaultRetryAfter), decision{by: c.plane.config.Node, evidence: NothingSent})
--- a/internal/forwarding/waitlimit.go
+++ b/internal/forwarding/waitlimit.go
@@ -15,12 +15,16 @@
 	return latest
 }
 
-// offeredFrom returns since when the call could be offered to workers.
+// offeredFrom returns since when the call could be offered to workers: since its body had arrived and
+// the node had started. While a caller sends, its call waits for nobody.
 func (c *call) offeredFrom() time.Time {
-	if c.heldUntil.IsZero() {
-		return c.began
+	from := c.began
+	for _, later := range []time.Time{c.received, c.heldUntil} {
+		if later.After(from) {
+			from = later
+		}
 	}
-	return c.heldUntil
+	return from
 }
 
 // waitLimit returns how long the call may wait for a slot: never so long that no time would be
