Test a planned stop beside crowds that keep the node waiting

Callers saw: nothing; no check looked at what a planned stop does with clients that send or read nothing. Done: TestPlannedStopBesideACrowd has 200 clients (silent, bodies and uploads without an end, answers that nobody reads) at a node that gets SIGTERM: it ends by itself with 0.

--- a/tests/clients/crowds_test.go
+++ b/tests/clients/crowds_test.go
@@ -1,11 +1,15 @@
 package clients_test
 
 import (
+	"context"
 	"fmt"
 	"io"
 	"net"
 	"strings"
+	"sync"
+	"syscall"
 	"testing"
+	"time"
 
 	"github.com/levertide/levertide/platform/standin"
 )
@@ -125,6 +129,31 @@
 	}}.run()
 }
 
+// TestPlannedStopBesideACrowd stops a node as planned while clients keep it waiting in every way.
+func TestPlannedStopBesideACrowd(t *testing.T) {
+	d := deploy(t, machineMB, manyDescriptors)
+	ctx, leave := context.WithCancel(t.Context())
+	var crowds sync.WaitGroup
+	for _, play := range []func(conn net.Conn, id string){
+		func(net.Conn, string) {},
+		func(conn net.Conn, id string) { sendChunks(conn, "/write/", id, 64<<10, 1000<<10) },
+		func(conn net.Conn, id string) { sendChunks(conn, "/upload/", id, 32<<10, 1500<<10) },
+		func(conn net.Conn, id string) { pipeline(conn, "/read/", id, 200, 200<<10) },
+	} {
+		c := crowd{d: d, address: d.nodes[0].Callers, clients: members / 4, play: play}
+		crowds.Go(func() { c.stay(ctx) })
+	}
+	time.Sleep(holdTime)
+	d.check()
+	d.nodes[0].Signal(syscall.SIGTERM)
+	d.await(d.nodes[0].Ended, "the node does not end")
+	leave()
+	crowds.Wait()
+	if code := d.nodes[0].ExitCode(); code != 0 {
+		t.Errorf("the node ended with %d:\n%s", code, d.nodes[0].Log())
+	}
+}
+
 // TestCrowdAtAnyListener has silent connections at the listeners that are not for callers.
 func TestCrowdAtAnyListener(t *testing.T) {
 	for _, listener := range []struct {
--- a/tests/clients/fixture_test.go
+++ b/tests/clients/fixture_test.go
@@ -298,6 +298,20 @@
 func (c crowd) run() {
 	c.d.t.Helper()
 	ctx, leave := context.WithCancel(context.Background())
+	var staying sync.WaitGroup
+	staying.Go(func() { c.stay(ctx) })
+	time.Sleep(holdTime)
+	c.d.mustServe("/here/", "while the crowd is there")
+	c.d.mustServe("/write/", "while the crowd is there")
+	leave()
+	staying.Wait()
+	c.d.mustServe("/here/", "afterwards")
+	c.d.mustServe("/write/", "afterwards")
+	c.d.check()
+}
+
+// stay plays the crowd until the context ends.
+func (c crowd) stay(ctx context.Context) {
 	var members sync.WaitGroup
 	for range c.clients {
 		members.Go(func() {
@@ -307,14 +321,7 @@
 			}
 		})
 	}
-	time.Sleep(holdTime)
-	c.d.mustServe("/here/", "while the crowd is there")
-	c.d.mustServe("/write/", "while the crowd is there")
-	leave()
 	members.Wait()
-	c.d.mustServe("/here/", "afterwards")
-	c.d.mustServe("/write/", "afterwards")
-	c.d.check()
 }
 
 // member plays one connection to its end.
