Take a body that its caller breaks off for no failure of a node or worker

Callers saw: after one client had broken the encoding of a long body (or had it closed for stalling), the node gave no calls to the node that was receiving it, and that node counted its worker as one that fails; others paid for that. Cause: a body that cannot be read to its end fails the request that carries it, which was taken for a lost connection. Evidence: TestBrokenBodyIsNoFailureOfAnotherNode failed before: the other node counted as unreachable. Done: the transmission records that its source has failed; the outcome is then that of a caller that has left, unknown as before. Why it works: only errors that do not come from the caller say something of the other side.

--- a/internal/forwarding/body.go
+++ b/internal/forwarding/body.go
@@ -87,6 +87,9 @@
 	begun bool
 	// sealed is set when nothing more of the body will be sent.
 	sealed bool
+	// broken is set when the rest of the body cannot be read: its sender has failed, and neither the
+	// receiver nor the connection to it.
+	broken atomic.Bool
 	// pace limits how fast the body is sent; nil sets no limit.
 	pace *rate.Limiter
 }
@@ -108,6 +111,9 @@
 	if s.left >= 0 {
 		s.left -= n
 	}
+	if err != nil && err != io.EOF {
+		s.broken.Store(true)
+	}
 	return n, err
 }
 
--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -102,6 +102,8 @@
 		return withDecision(failureBeforeStart(ctx, err), decision{evidence: BodyWithheld})
 	case errors.Is(context.Cause(ctx), errEnd):
 		return outcome.Wrap(outcome.Timeout, err)
+	case e.bodyBroken():
+		return outcome.Wrap(outcome.Canceled, err)
 	case errors.Is(err, httpconn.ErrEndlessHead), errors.Is(context.Cause(ctx), httpconn.ErrEndlessHead):
 		return outcome.Wrap(outcome.InvalidAnswer, err)
 	case ctx.Err() != nil:
@@ -111,6 +113,12 @@
 	}
 }
 
+// bodyBroken reports whether the body could not be read to its end.
+func (e *httpExchange) bodyBroken() bool {
+	s := e.sending.Load()
+	return s != nil && s.broken.Load()
+}
+
 // failureBeforeStart returns the failure of a request that has not run.
 func failureBeforeStart(ctx context.Context, err error) error {
 	switch {
