Bound bodies without a length by the operators' limit, too

Callers saw: a chunked body goes on for as long as the timeouts let it, whatever max_body_bytes says; workers and other nodes carry it. Cause: the limit was compared with the Content-Length only. Evidence: TestChunkedBodyIsBoundedToo failed before: bodies of 4 KiB, 1 MiB and 2 MiB and one byte more were answered 200. Done: bodies without a length are counted where they are read. One that does not fit is answered 413 if nothing of it has been sent on, and ends as a body that its caller has broken off otherwise. Why it works: nothing beyond the limit is read into memory or sent on. A body of exactly the limit is served (same test).

--- a/internal/forwarding/body.go
+++ b/internal/forwarding/body.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"errors"
 	"io"
 	"net/http"
 	"sync"
@@ -52,22 +53,48 @@
 	control := http.NewResponseController(w)
 	_ = control.SetReadDeadline(end)
 	// The server watches for the caller to leave only after the end of the body was read.
-	held, complete, err := intake.FromContext(r.Context()).ReadUpTo(r.Context(), r.Body, r.ContentLength, bufferedBody)
+	rest := r.Body
+	if limit > 0 && r.ContentLength < 0 {
+		rest = &limitedBody{ReadCloser: r.Body, left: limit}
+	}
+	held, complete, err := intake.FromContext(r.Context()).ReadUpTo(r.Context(), rest, r.ContentLength, bufferedBody)
 	switch {
 	case errorx.IsOfType(err, intake.ErrFull):
 		return nil, outcome.WithRetryAfter(outcome.Overloaded, fullRetryAfter)
+	case errors.Is(err, errBodyTooLong):
+		return nil, outcome.New(outcome.TooLarge)
 	case err != nil:
 		return nil, outcome.Wrap(outcome.BodyNotReceived, err)
 	case !complete:
 		// An answer that begins before the body has ended must not wait for the rest of it.
 		_ = control.EnableFullDuplex()
-		return &requestBody{held: held, rest: r.Body, length: r.ContentLength}, nil
+		return &requestBody{held: held, rest: rest, length: r.ContentLength}, nil
 	}
 	// Clear the deadline: when it passed, the server would report that the caller has left.
 	_ = control.SetReadDeadline(time.Time{})
 	return &requestBody{held: held, length: int64(len(held))}, nil
 }
 
+// errBodyTooLong ends a body of unknown length that is larger than the operators allow.
+var errBodyTooLong = errors.New("the body is longer than the configuration allows")
+
+// limitedBody is a body of unknown length that may have so many more bytes.
+type limitedBody struct {
+	io.ReadCloser
+	left int64
+}
+
+// Read implements io.Reader. Nothing beyond the limit is returned.
+func (b *limitedBody) Read(p []byte) (int, error) {
+	n, err := b.ReadCloser.Read(p[:min(int64(len(p)), b.left+1)])
+	if int64(n) > b.left {
+		n, b.left = int(b.left), 0
+		return n, errBodyTooLong
+	}
+	b.left -= int64(n)
+	return n, err
+}
+
 // repeatable reports whether the body can be sent from its beginning.
 func (b *requestBody) repeatable() bool { return b.rest == nil || !b.sent.Load() }
 
--- a/internal/forwarding/brokenbody_test.go
+++ b/internal/forwarding/brokenbody_test.go
@@ -67,3 +67,27 @@
 	}
 	_, _ = io.WriteString(w, "read")
 }
+
+// TestChunkedBodyIsBoundedToo has bodies without a length that are larger than the operators allow.
+func TestChunkedBodyIsBoundedToo(t *testing.T) {
+	front, _, worker := twoNodes(t)
+	worker.answer(readAll)
+	configuration := *front.config.Load()
+	for _, limit := range []int64{4 << 10, bufferedBody, 2 << 20} {
+		configuration.MaximumBody = limit
+		bounded := configuration
+		front.config.Store(&bounded)
+		const size = 1 << 10
+		fits := int(limit / size)
+		if status := sendRaw(t, front, chunkedUpload("/file/1", chunks(fits, size)+"0\r\n\r\n")); status != http.StatusOK {
+			t.Errorf("a body of %d bytes: status %d", limit, status)
+		}
+		ran := worker.calls.Load()
+		if status := sendRaw(t, front, chunkedUpload("/file/1", chunks(fits, size)+"1\r\nx\r\n0\r\n\r\n")); status == http.StatusOK || PromisesNotRun(status) {
+			t.Errorf("a body of %d bytes and one more: status %d", limit, status)
+		}
+		if limit < bufferedBody && worker.calls.Load() != ran {
+			t.Error("the worker received a body that is too large")
+		}
+	}
+}
