--- a/internal/pipeline/limits_test.go
+++ b/internal/pipeline/limits_test.go
@@ -22,6 +22,15 @@
 	}
 }
 
+// awaitOpen waits until a number of connections is open.
+func (s *testServer) awaitOpen(t *testing.T, connections int) {
+	t.Helper()
+	eventually(t, "another number of connections stays open", func() bool {
+		open, _ := s.server.open()
+		return open == connections
+	})
+}
+
 func TestLimitsInForceHold(t *testing.T) {
 	var bytes atomic.Int64
 	bytes.Store(64 << 10)
@@ -43,10 +52,13 @@
 
 // TestHeadThatBeginsWithMuchAtOnceHasItsTime has heads whose first part fills the buffer.
 func TestHeadThatBeginsWithMuchAtOnceHasItsTime(t *testing.T) {
-	s := startTestServer(t, func(cfg *Config) { cfg.ReadHeaderTimeout = 50 * time.Millisecond })
+	s := startTestServer(t, func(cfg *Config) {
+		cfg.ReadHeaderTimeout, cfg.IdleTimeout = 50*time.Millisecond, 10*testTimeout
+	})
 	c := dial(t, s.address)
 	c.send(t, "GET / HTTP/1.1\r\nHost: x\r\nLong: "+strings.Repeat("x", 2*bufferSize))
-	c.expectEnd(t)
+	s.awaitOpen(t, 1)
+	s.awaitOpen(t, 0)
 }
 
 func TestCallerThatDoesNotReadIsClosed(t *testing.T) {
@@ -63,10 +75,8 @@
 	})
 	c := dial(t, s.address)
 	c.send(t, get("/"))
-	eventually(t, "a connection whose caller does not read stays open", func() bool {
-		open, _ := s.server.open()
-		return open == 0
-	})
+	s.awaitOpen(t, 1)
+	s.awaitOpen(t, 0)
 }
 
 func TestStalledBodyIsRefusedInFavorOfOthers(t *testing.T) {
