Have a crowd come to the nodes of the soak

Callers saw: nothing; the soak's callers keep to the limits. Done: option Crowd, clients that are silent, send heads of 40 KiB, bodies that lack a byte, long bodies that break their encoding, or read no answers, at nodes with 256 descriptors, beside all faults of the soak. The faults of a seed are as they were: the crowd draws from a stream of its own. Changes of the operators' limits are not drawn.

--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -58,6 +58,8 @@
 	lowest       uint64 // lowest version that may be in force, in this incarnation of the node
 	// answering is how the machine's worker answers at present; nil in the usual way.
 	answering atomic.Pointer[answering]
+	// descriptors is the limit of descriptors of its node; zero for that of the process.
+	descriptors int
 	// suspended is the last suspension of the machine; nil if there was none.
 	suspended atomic.Pointer[suspension]
 	// clockError is by how much the machine's time of day is ahead, in nanoseconds.
@@ -155,7 +157,7 @@
 		NodeID: m.nodeID(), Region: "region", Zone: m.zone, Service: serviceName, Mode: settings.ModeHosted,
 		CallerAddress: m.callers, CallAddress: m.call, ControlAddress: m.control, ReadinessAddress: m.probes, AdminAddress: m.network.AnyPort(),
 		StoreAddresses: []string{"in memory"}, DrainBound: stopBound, StopNotice: 200 * time.Millisecond,
-		HeartbeatInterval: heartbeatInterval, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
+		HeartbeatInterval: heartbeatInterval, DescriptorLimit: m.descriptors, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
 	}, adapter, m.network, telemetry.NewLog(logQueue, m.id, telemetry.LevelError), logQueue)
 	if err != nil {
 		return err
--- a/internal/lab/soak/options.go
+++ b/internal/lab/soak/options.go
@@ -24,6 +24,9 @@
 	Machines int
 	// Callers is how many callers send requests, one at a time each.
 	Callers int
+	// Crowd is how many clients outside the limits come to the machines, which then have few
+	// descriptors.
+	Crowd int
 	// RunTime is how long a worker runs a request.
 	RunTime time.Duration
 	// Network connects the machines; nil takes Loopback.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -20,6 +20,8 @@
 	// or two are enough.
 	settleBound    = 60 * time.Second
 	settleInterval = 20 * time.Millisecond
+	// crowdStream is the stream of random numbers of the crowd.
+	crowdStream = 7
 )
 
 // Run starts a deployment, injects faults while callers send requests, and checks the
@@ -37,6 +39,7 @@
 	}
 	run.checkSettled(injector.version)
 	run.checkRestore(injector)
+	run.checkIntake()
 	return run.ledger.result(), nil
 }
 
@@ -79,6 +82,9 @@
 			return err
 		}
 		m.runTime = s.options.RunTime
+		if s.options.Crowd > 0 {
+			m.descriptors = crowdDescriptors
+		}
 		if err := m.startNode(); err != nil {
 			return err
 		}
@@ -101,6 +107,8 @@
 		var varying sync.WaitGroup
 		defer varying.Wait()
 		varying.Go(func() { varyAnswers(bounded, s.options.Seed, s.machines) })
+		crowd := crowd{soak: s, random: rand.New(rand.NewPCG(s.options.Seed, crowdStream)), members: s.options.Crowd}
+		varying.Go(func() { crowd.run(bounded) })
 		injector.run(bounded)
 	})
 }
--- a/internal/sidecar/intake.go
+++ b/internal/sidecar/intake.go
@@ -45,8 +45,8 @@
 	}
 }
 
-// intakeReadings returns what clients hold of each listener.
-func (n *Node) intakeReadings() []intake.Reading {
+// Intake returns what clients hold of each listener.
+func (n *Node) Intake() []intake.Reading {
 	readings := append(n.plane.Intake(), n.messages.Read())
 	for _, ledger := range n.auxiliary {
 		readings = append(readings, ledger.Read())
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -24,7 +24,7 @@
 	reading.Transfers, reading.WaitingTransfers = transfers.Running, transfers.Waiting
 	reading.RefusedTransfers = n.plane.RefusedTransfers()
 	reading.Quarantined, reading.Suspected = len(n.quarantine.Verdicts(time.Now())), n.quarantine.Suspects()
-	reading.Intake = n.intakeReadings()
+	reading.Intake = n.Intake()
 	reading.Quotas = n.quotas.Reading()
 	return reading
 }
