Count the wait of another node's call to be accepted against its time

What callers saw: a worker worked for them after their deadline. Cause: a node tells another how much time a call has left, and the other counts from when it begins to handle the call. Connections of other nodes' calls are bounded since; one that waits in the queue of the listener holds its request unread, and the wait was taken from nobody. Class: time that passes between two nodes' clocks. Ruled out by the trace: a suspension or cut (none had been), memory for the body (that account has no bound on connections). Why this works: the system knows when the last bytes of a connection came (TCP_INFO); asked when the connection is accepted, that is when its first request came.

--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -5,6 +5,7 @@
 	"net/http"
 	"time"
 
+	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/slotqueue"
 	"github.com/levertide/levertide/pkg/workers"
@@ -27,7 +28,7 @@
 	defer p.hops.Add(-1)
 	w, r, done := p.boundHop(w, r)
 	defer done()
-	c := &hopCall{plane: p, request: r, began: time.Now()}
+	c := &hopCall{plane: p, request: r, began: intake.Arrived(r.Context())}
 	parsed, ok := parseHop(r.Header.Get(hopHeader))
 	if !ok {
 		c.conclude(w, nil, outcome.New(outcome.Misdirected))
--- a/internal/intake/server.go
+++ b/internal/intake/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"time"
 
 	"github.com/levertide/levertide/internal/httpconn"
 )
@@ -20,7 +21,7 @@
 func Guard(server *http.Server, ledger *Ledger) *Server {
 	handler := server.Handler
 	server.Handler = http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		account, _ := r.Context().Value(accountKey{}).(*Account)
+		account := connOf(r.Context()).accountOf()
 		account.Resume()
 		defer func() {
 			account.Renew()
@@ -30,14 +31,32 @@
 	})
 	server.ConnContext = func(ctx context.Context, c net.Conn) context.Context {
 		if counted, ok := c.(*countedConn); ok {
-			return context.WithValue(ctx, accountKey{}, counted.account)
+			return context.WithValue(ctx, connKey{}, counted)
 		}
 		return ctx
 	}
 	return &Server{Server: server, ledger: ledger}
 }
 
-type accountKey struct{}
+type connKey struct{}
+
+// connOf returns the connection of a context; nil where it has none.
+func connOf(ctx context.Context) *countedConn {
+	conn, _ := ctx.Value(connKey{}).(*countedConn)
+	return conn
+}
+
+// Arrived returns when the request of a context came. That is now, unless it had to wait for its
+// connection to be accepted. It must be called once for each request, by its handler.
+func Arrived(ctx context.Context) time.Time {
+	conn := connOf(ctx)
+	if conn == nil || conn.waitedSince.IsZero() {
+		return time.Now()
+	}
+	arrived := conn.waitedSince
+	conn.waitedSince = time.Time{}
+	return arrived
+}
 
 // Serve serves the connections of a listener.
 func (s *Server) Serve(l net.Listener) error {
@@ -66,7 +85,11 @@
 	}
 	httpconn.BoundUnsent(conn)
 	account.Await()
-	return &countedConn{Conn: conn, account: account}, nil
+	counted := &countedConn{Conn: conn, account: account}
+	if waited := httpconn.SinceReceived(conn); waited > 0 {
+		counted.waitedSince = time.Now().Add(-waited)
+	}
+	return counted, nil
 }
 
 // Close implements net.Listener.
@@ -80,6 +103,17 @@
 	net.Conn
 	account *Account
 	once    sync.Once
+	// waitedSince is when the first request came if that was before the connection was accepted, and
+	// zero once it is being handled.
+	waitedSince time.Time
+}
+
+// accountOf returns the account of a connection; nil where there is none.
+func (c *countedConn) accountOf() *Account {
+	if c == nil {
+		return nil
+	}
+	return c.account
 }
 
 // Close implements net.Conn.
--- a/internal/lab/memnet/conn.go
+++ b/internal/lab/memnet/conn.go
@@ -36,6 +36,10 @@
 	return nil
 }
 
+// SinceReceived returns for how long the bytes that have arrived wait to be read; zero when there are
+// none.
+func (c *conn) SinceReceived() time.Duration { return c.reads.sinceReceived() }
+
 // CloseWrite ends the sending direction.
 func (c *conn) CloseWrite() error {
 	c.writes.finish()
@@ -151,6 +155,15 @@
 	return total
 }
 
+func (p *pipe) sinceReceived() time.Duration {
+	p.mu.Lock()
+	defer p.mu.Unlock()
+	if len(p.sent) == 0 {
+		return 0
+	}
+	return max(time.Since(p.sent[0].due), 0)
+}
+
 // await waits for a change, or for the next segment to arrive. The mutex is held.
 func (p *pipe) await() {
 	if len(p.sent) > 0 {
