Tell a caller without room for its head when to return

What callers saw: 503 without Retry-After for a head that there was no memory for; docs/design/clients.md says that such a refusal has one, and bodies' refusals do. Cause: the pipeline answers what it does not pass to the handler by itself, with the status alone. Evidence: TestCallerWithoutRoomForItsHeadIsToldWhenToReturn failed before (headers Content-Length, Content-Type, Date), passes now. Why this works: 0.25 s, as for bodies: clients that keep the node waiting have given up their memory by then.

--- a/internal/pipeline/exchange.go
+++ b/internal/pipeline/exchange.go
@@ -71,10 +71,18 @@
 	x.conn.server.cfg.Handler.ServeHTTP(&x.response, x.request)
 }
 
+// fullRetryAfter is when callers for whose head there was no memory may return, in seconds: clients
+// that keep the node waiting have given up theirs by then.
+const fullRetryAfter = "0.250"
+
+// writeFault answers a request that is not passed to the handler.
 func writeFault(w http.ResponseWriter, status int) {
 	text := http.StatusText(status) + "\n"
 	w.Header()["Content-Type"] = []string{"text/plain; charset=utf-8"}
 	w.Header()["Content-Length"] = []string{strconv.Itoa(len(text))}
+	if status == http.StatusServiceUnavailable {
+		w.Header()["Retry-After"] = []string{fullRetryAfter}
+	}
 	w.WriteHeader(status)
 	_, _ = io.WriteString(w, text)
 }
--- a/internal/pipeline/limits_test.go
+++ b/internal/pipeline/limits_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net"
 	"net/http"
+	"strconv"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -92,6 +93,24 @@
 	next.expect(t, "GET /2 ")
 }
 
+// TestCallerWithoutRoomForItsHeadIsToldWhenToReturn has a head that there is no memory for.
+func TestCallerWithoutRoomForItsHeadIsToldWhenToReturn(t *testing.T) {
+	const most = 64 << 10
+	ledger := intake.New("test", intake.Limits{Memory: most}, nil)
+	s := startTestServer(t, func(cfg *Config) { cfg.Ledger, cfg.MaxHeaderBytes = ledger, most })
+	c := dial(t, s.address)
+	c.send(t, "GET /1 HTTP/1.1\r\nHost: x\r\nLong: "+strings.Repeat("x", 2*bufferSize)+"\r\n\r\n")
+	response, err := http.ReadResponse(c.reader, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	_ = response.Body.Close()
+	wait, err := strconv.ParseFloat(response.Header.Get("Retry-After"), 64)
+	if response.StatusCode != http.StatusServiceUnavailable || err != nil || wait <= 0 {
+		t.Errorf("status %d, headers %v", response.StatusCode, response.Header)
+	}
+}
+
 func TestRequestBeingHandledIsNotClosed(t *testing.T) {
 	ledger := intake.New("test", intake.Limits{Connections: 1}, nil)
 	s := startTestServer(t, func(cfg *Config) { cfg.Ledger = ledger })
