Wait until a paused process stands still

Cause: the system call that sends SIGSTOP returns before the threads of the process have stopped; a node ran on, was told of the new version and read the good record. Ruled out: an answer of the store that carries the record to a paused node (the test passes with 300 ms between proposal and overwriting). Why this works: Pause returns once the system counts each thread as stopped. Tests that pause are stricter for it; no check, bound or wait of theirs is changed. Conclusion: a fault of the harness, none of the product.

--- a/internal/lab/mesh/node.go
+++ b/internal/lab/mesh/node.go
@@ -6,7 +6,6 @@
 	"net/netip"
 	"strings"
 	"sync"
-	"syscall"
 	"time"
 
 	"github.com/levertide/levertide/internal/identity"
@@ -267,13 +266,10 @@
 }
 
 // Pause suspends the node's process; Resume continues it.
-func (n *Node) Pause() { n.signal(syscall.SIGSTOP) }
+func (n *Node) Pause() { n.currentProcess().Pause() }
 
 // Resume continues a paused process.
-func (n *Node) Resume() { n.signal(syscall.SIGCONT) }
-
-// signal sends a signal to the node's process.
-func (n *Node) signal(signal syscall.Signal) { n.currentProcess().Signal(signal) }
+func (n *Node) Resume() { n.currentProcess().Resume() }
 
 // Usage returns the processor time and memory that the node's process uses. It fails with
 // process.ErrUsage.
--- a/internal/lab/process/process_test.go
+++ b/internal/lab/process/process_test.go
@@ -57,6 +57,39 @@
 	}
 }
 
+// TestPausedProcessStandsStill guards against what a process does after it counts as paused.
+func TestPausedProcessStandsStill(t *testing.T) {
+	var group process.Group
+	written := make(chan struct{}, 1)
+	defer group.StopAll(longBound)
+	running, err := group.Start(process.Options{
+		Name: "writer", Path: "/bin/sh", Arguments: []string{"-c", "while :; do echo more; done"},
+		OnOutputLine: func([]byte) {
+			select {
+			case written <- struct{}{}:
+			default:
+			}
+		},
+	})
+	if err != nil {
+		t.Fatal(err)
+	}
+	<-written
+	running.Pause()
+	before, err := running.Usage()
+	if err != nil {
+		t.Fatal(err)
+	}
+	time.Sleep(100 * time.Millisecond)
+	if after, err := running.Usage(); err != nil || after.Processor != before.Processor {
+		t.Errorf("it used %v of the processor, %v", after.Processor-before.Processor, err)
+	}
+	running.Resume()
+	for range cap(written) + 1 {
+		<-written
+	}
+}
+
 func TestUsageOfRunningProcess(t *testing.T) {
 	var group process.Group
 	ready := make(chan struct{}, 1)
--- a/tests/integration/harness/node.go
+++ b/tests/integration/harness/node.go
@@ -133,10 +133,10 @@
 }
 
 // Pause suspends the process; Resume continues it.
-func (n *Node) Pause() { n.running.Signal(syscall.SIGSTOP) }
+func (n *Node) Pause() { n.running.Pause() }
 
 // Resume continues a paused process.
-func (n *Node) Resume() { n.running.Signal(syscall.SIGCONT) }
+func (n *Node) Resume() { n.running.Resume() }
 
 func (n *Node) markStopped() {
 	n.Control.Shut()
