Play a slow upload inside the limits with real processes

Cause: the mend of slow uploads was shown within one process only; the users saw the fault with processes and an upload of 200 KiB in 14.5 s (target 5 s, timeouts 20 s). Conclusion: the mend holds between processes; no product code changes.

--- a/tests/clients/calm_test.go
+++ b/tests/clients/calm_test.go
@@ -41,6 +41,14 @@
 			time.Sleep(2 * time.Second)
 			_, _ = io.WriteString(w, "67890")
 		}},
+		{"a slow upload", "/upload/", func(w io.Writer, path, id string) {
+			const parts, partBytes, pause = 29, 7 << 10, 500 * time.Millisecond
+			_, _ = io.WriteString(w, head("POST", path, id, fmt.Sprint("Content-Length: ", parts*partBytes)))
+			for range parts {
+				time.Sleep(pause)
+				_, _ = io.WriteString(w, strings.Repeat("x", partBytes))
+			}
+		}},
 	} {
 		t.Run(request.name, func(t *testing.T) {
 			conn, err := dial(d.nodes[0].Callers)
