--- a/tests/clients/fixture_test.go
+++ b/tests/clients/fixture_test.go
@@ -138,7 +138,10 @@
 		}
 		time.Sleep(readyPause)
 	}
-	d.t.Fatalf("%s; log of the first node:\n%s", failure, d.nodes[0].Log())
+	for i, node := range d.nodes {
+		d.t.Logf("log of node %d:\n%s", i, node.Log())
+	}
+	d.t.Fatal(failure)
 }
 
 // watch records the most that the processes hold until the test ends.
