Say in the log why a service has no worker

The error now counts what the node knows: nodes that name a worker of the service, these workers by state, nodes that leave or have no address, the endpoints it may choose from and why these take nothing, and what is registered beside the node itself. 702 names the incarnation that takes calls, its address and whether it is paused, and the one asked for.

--- a/internal/command/explain/explanation.go
+++ b/internal/command/explain/explanation.go
@@ -38,7 +38,7 @@
 var causes = map[outcome.Reason]string{
 	outcome.NotReady:            "the node had no configuration yet: see when it started, and whether it reaches the store or another node (402, 604)",
 	outcome.NoRoute:             "no route of the version in force takes the host and path: compare the version with the operators' document (602); if it is old everywhere, see which nodes read the store (603)",
-	outcome.NoWorker:            "no worker of the service could be given the call: see what the nodes said of their workers (606) and which nodes were lost (604)",
+	outcome.NoWorker:            "no worker of the service could be given the call: see the counts in its error, what the nodes said of their workers (606) and which nodes were lost (604)",
 	outcome.Unreachable:         "the connection to the node or the worker was not made, and nothing was sent: see whether it was lost or restarted (604, 101)",
 	outcome.Overloaded:          "no slot was expected to be free in time on any node asked: see running, waiting and slots; the caller was told when to come back",
 	outcome.Draining:            "the worker or its node was leaving (606, 105)",
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -144,7 +144,7 @@
 	c.refund(err)
 	if err != nil {
 		closing = closing || c.body == nil && c.request.ContentLength != 0 || c.body != nil && c.body.rest != nil
-		c.report.Outcome, c.report.Reason, c.report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
+		c.report.Outcome, c.report.Reason, c.report.Cause = outcome.Of(err), outcome.ReasonOf(err), c.explained(err)
 		c.report.refuse(decisionOf(err, c.plane.config.Node))
 		if c.body != nil && (outcome.Of(err) == outcome.Unknown || c.report.Reason == outcome.Quarantined) {
 			c.report.Fingerprint = c.fingerprint()
--- a/internal/forwarding/inbound.go
+++ b/internal/forwarding/inbound.go
@@ -168,7 +168,7 @@
 			w.Header()[c.plane.config.Dialect.RequestID] = ids
 		}
 		w.Header()[hopFailureHeader] = []string{formatFailure(err, time.Since(c.began))}
-		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), err
+		report.Outcome, report.Reason, report.Cause = outcome.Of(err), outcome.ReasonOf(err), c.explained(err)
 		report.refuse(decisionOf(err, c.plane.config.Node))
 		if c.body != nil && (outcome.Of(err) == outcome.Unknown || report.Reason == outcome.Quarantined) {
 			report.Fingerprint = c.sent.fingerprint()
