Refuse heartbeats whose address is none where they come in

What callers saw: a heartbeat of another writer with an odd address ("10.1.0.9 :80", no port, a URL, a port of twelve digits) names an instance beside the node to which no connection can be opened. It is registered like a worker, and the requests of the service go to it: 503 in place of the worker's answers.

Cause: the address of a worker was a text from the heartbeat to the dial; nothing between them parsed it.

Fix: workers.Worker and workers.Heartbeat have a netip.AddrPort. The wire and the stored entries stay as they are.

--- a/internal/forwarding/early_test.go
+++ b/internal/forwarding/early_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -56,7 +57,7 @@
 func TestCallsDoNotWaitBehindABodyThatIsNotRead(t *testing.T) {
 	front := startNode(t, "front", "ledger", nil)
 	_, err := front.registry.Heartbeat(workers.Heartbeat{
-		Instance: "w", Service: "ledger", Address: earlyWorker(t).Addr().String(), Slots: 4, Sequence: 1,
+		Instance: "w", Service: "ledger", Address: netip.MustParseAddrPort(earlyWorker(t).Addr().String()), Slots: 4, Sequence: 1,
 	}, time.Now())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forwarding/fixture_test.go
+++ b/internal/forwarding/fixture_test.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -147,7 +148,7 @@
 func (n *testNode) heartbeat(t testing.TB, instance, service string, worker *testWorker, sequence uint64, draining bool) {
 	t.Helper()
 	_, err := n.registry.Heartbeat(workers.Heartbeat{
-		Instance: instance, Service: service, Address: worker.address(), Slots: 4, Sequence: sequence, Draining: draining,
+		Instance: instance, Service: service, Address: netip.MustParseAddrPort(worker.address()), Slots: 4, Sequence: sequence, Draining: draining,
 	}, time.Now())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forwarding/incarnations_test.go
+++ b/internal/forwarding/incarnations_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"sync"
 	"testing"
 	"time"
@@ -14,7 +15,7 @@
 func (n *testNode) heartbeatOfIncarnation(t *testing.T, w *testWorker, startedAt int64, sequence uint64, draining bool) {
 	t.Helper()
 	_, err := n.registry.Heartbeat(workers.Heartbeat{
-		Instance: "w1", StartedAt: startedAt, Service: "ledger", Address: w.address(), Slots: 4, Sequence: sequence, Draining: draining,
+		Instance: "w1", StartedAt: startedAt, Service: "ledger", Address: netip.MustParseAddrPort(w.address()), Slots: 4, Sequence: sequence, Draining: draining,
 	}, time.Now())
 	if err != nil {
 		t.Fatal(err)
--- a/internal/forwarding/inheritedrequests_test.go
+++ b/internal/forwarding/inheritedrequests_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -20,7 +21,7 @@
 	node.plane.config.Dialect.WorkerLoad = func(http.Header) (slotqueue.Load, bool) {
 		return slotqueue.Load{Running: held + 1, Slots: 4}, true
 	}
-	heartbeat := workers.Heartbeat{Instance: "w", Service: "ledger", Address: worker.address(), Slots: 4, Busy: held}
+	heartbeat := workers.Heartbeat{Instance: "w", Service: "ledger", Address: netip.MustParseAddrPort(worker.address()), Slots: 4, Busy: held}
 	if _, err := node.registry.RegisterProbed(heartbeat, time.Now()); err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forwarding/rawworker_test.go
+++ b/internal/forwarding/rawworker_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -78,7 +79,7 @@
 // register registers a worker at the given address.
 func (n *testNode) register(t testing.TB, instance, service, address string) {
 	t.Helper()
-	_, err := n.registry.Heartbeat(workers.Heartbeat{Instance: instance, Service: service, Address: address, Slots: 4, Sequence: 1}, time.Now())
+	_, err := n.registry.Heartbeat(workers.Heartbeat{Instance: instance, Service: service, Address: netip.MustParseAddrPort(address), Slots: 4, Sequence: 1}, time.Now())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forwarding/steering_test.go
+++ b/internal/forwarding/steering_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"math"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -22,7 +23,7 @@
 		for version, worker := range map[string]*testWorker{"v1": former, "v2": next} {
 			node := startNode(t, fmt.Sprintf("%s-%d", version, i), "ledger", nil)
 			_, err := node.registry.Heartbeat(workers.Heartbeat{
-				Instance: "w-" + version + fmt.Sprint(i), Service: "ledger", Address: worker.address(), Version: version, Slots: 4, Sequence: 1,
+				Instance: "w-" + version + fmt.Sprint(i), Service: "ledger", Address: netip.MustParseAddrPort(worker.address()), Version: version, Slots: 4, Sequence: 1,
 			}, time.Now())
 			if err != nil {
 				t.Fatal(err)
--- a/internal/forwarding/suspects.go
+++ b/internal/forwarding/suspects.go
@@ -83,7 +83,7 @@
 
 // ended reports whether the worker has ended after a connection to it was lost.
 func (w *workerClient) ended(ctx context.Context) bool {
-	ended := w.crashes.Ended(ctx, w.worker.Address)
+	ended := w.crashes.Ended(ctx, w.address)
 	if ended {
 		w.pausedUntil.Store(time.Now().Add(unreachablePause).UnixNano())
 	}
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -55,8 +55,10 @@
 	// close", since it might then close the connection while its answer is still in transit.
 	unshared *http.Transport
 
-	mutex     contain.Mutex
-	worker    workers.Worker
+	mutex  contain.Mutex
+	worker workers.Worker
+	// address is the text of the worker's address.
+	address   string
 	transport *http.Transport
 	idle      time.Duration
 	// reportedSlowness is the slowness that the worker reports in its answers.
@@ -87,6 +89,7 @@
 		dialect:           &p.config.Dialect,
 		queue:             slotqueue.New(worker.Slots - worker.Busy),
 		worker:            worker,
+		address:           worker.Address.String(),
 		inheritedRequests: worker.Busy,
 		slots:             worker.Slots,
 		idle:              workerIdle,
@@ -294,7 +297,7 @@
 	header[w.dialect.Timeout] = []string{strconv.FormatInt(left, 10)}
 	header[w.dialect.CallerService] = []string{call.caller}
 	header[w.dialect.ExpectInstance] = []string{w.worker.Instance}
-	return newRequest(call.inbound, w.worker.Address, header)
+	return newRequest(call.inbound, w.address, header)
 }
 
 // transportFor returns the transport for a call.
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -11,6 +11,7 @@
 	"github.com/levertide/levertide/internal/evidencewire"
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/canary"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -91,7 +92,7 @@
 			Slots:      uint32(worker.Slots),
 			Sequence:   worker.Sequence,
 			State:      exchangepb.WorkerState(worker.State),
-			Address:    worker.Address,
+			Address:    endpoint.String(worker.Address),
 			Version:    worker.Version,
 			BornUnixMs: worker.StartedAt,
 
@@ -101,16 +102,22 @@
 	return messages
 }
 
+// workersOf decodes the workers of a record. One whose address is none cannot be called, and is left out
+// unless it is draining or gone, which needs no address.
 func workersOf(messages []*exchangepb.Worker) []workers.Worker {
 	list := make([]workers.Worker, 0, len(messages))
 	for _, message := range messages {
+		address, err := endpoint.Parse(message.GetAddress())
+		if err != nil && !workers.State(message.GetState()).DrainCommitted() {
+			continue
+		}
 		list = append(list, workers.Worker{
 			Instance:  message.GetInstance(),
 			Service:   message.GetService(),
 			Slots:     int(message.GetSlots()),
 			Sequence:  message.GetSequence(),
 			State:     workers.State(message.GetState()),
-			Address:   message.GetAddress(),
+			Address:   address,
 			Version:   message.GetVersion(),
 			StartedAt: message.GetBornUnixMs(),
 
@@ -218,7 +225,7 @@
 func usable(w workers.Worker) bool {
 	switch w.State {
 	case workers.StateReady, workers.StateUnresponsive:
-		return w.Instance != "" && w.Service != "" && w.Address != "" && w.Slots > 0
+		return w.Instance != "" && w.Service != "" && w.Address.IsValid() && w.Slots > 0
 	case workers.StateDraining, workers.StateGone:
 		return w.Instance != ""
 	default:
--- a/internal/hosted/entry_test.go
+++ b/internal/hosted/entry_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"math"
+	"net/netip"
 	"reflect"
 	"testing"
 
 	"github.com/joomcode/errorx"
 
+	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -14,7 +16,7 @@
 func exampleRecord() fleet.Node {
 	return fleet.Node{
 		ID: "a", Incarnation: 7, Sequence: 2, Zone: "z", ControlAddress: "10.0.0.1:70", CallAddress: "10.0.0.1:71", State: fleet.StateLive,
-		Workers: []workers.Worker{{Instance: "i", Service: "s", Address: "10.0.0.1:80", Slots: 6, State: workers.StateReady, StartedAt: 5, Predecessors: []int64{9, 7}}},
+		Workers: []workers.Worker{{Instance: "i", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 6, State: workers.StateReady, StartedAt: 5, Predecessors: []int64{9, 7}}},
 	}
 }
 
@@ -73,7 +75,7 @@
 	for name, change := range map[string]func(w *workers.Worker){
 		"no instance":               func(w *workers.Worker) { w.Instance = "" },
 		"no service":                func(w *workers.Worker) { w.Service = "" },
-		"no address":                func(w *workers.Worker) { w.Address = "" },
+		"no address":                func(w *workers.Worker) { w.Address = netip.AddrPort{} },
 		"no slots":                  func(w *workers.Worker) { w.Slots = 0 },
 		"no state":                  func(w *workers.Worker) { w.State = 0 },
 		"a state that there is not": func(w *workers.Worker) { w.State = 99 },
@@ -100,3 +102,15 @@
 		}
 	})
 }
+
+// TestOddAddressOfAWorkerCostsItsOwnRecord guards against one worker of odd address that costs another one its place,
+// or a leaving one its drain commitment.
+func TestOddAddressOfAWorkerCostsItsOwnRecord(t *testing.T) {
+	messages := workerMessages([]workers.Worker{exampleRecord().Workers[0], exampleRecord().Workers[0], exampleRecord().Workers[0]})
+	messages[0].Address, messages[1].Address = "10.0.0.1 :80", "http://10.0.0.1:80/"
+	messages[1].State = exchangepb.WorkerState_WORKER_STATE_DRAINING
+	read := workersOf(messages)
+	if len(read) != 2 || read[0].State != workers.StateDraining || read[0].Address.IsValid() || read[1].Address != exampleRecord().Workers[0].Address {
+		t.Errorf("%+v", read)
+	}
+}
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -321,7 +322,7 @@
 }
 
 func heartbeat(instance string, sequence uint64, draining bool) workers.Heartbeat {
-	return workers.Heartbeat{Instance: instance, Service: "ledger", Address: "127.0.0.1:1", Slots: 6, Sequence: sequence, Draining: draining}
+	return workers.Heartbeat{Instance: instance, Service: "ledger", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 6, Sequence: sequence, Draining: draining}
 }
 
 func mustHeartbeat(t *testing.T, node *testNode, heartbeat workers.Heartbeat) {
--- a/internal/hosted/mesh_cost_test.go
+++ b/internal/hosted/mesh_cost_test.go
@@ -6,6 +6,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"testing/synctest"
@@ -106,7 +107,7 @@
 		time.Sleep(time.Second)
 		before := m.sent()
 		for range 5 {
-			if err := m.nodes[0].agent.Heartbeat(t.Context(), workers.Heartbeat{Instance: "w1", Service: "ledger", Address: "127.0.0.1:1", Slots: 6, Sequence: 1}); err != nil {
+			if err := m.nodes[0].agent.Heartbeat(t.Context(), workers.Heartbeat{Instance: "w1", Service: "ledger", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 6, Sequence: 1}); err != nil {
 				t.Fatal(err)
 			}
 		}
--- a/internal/hosted/rollouts_test.go
+++ b/internal/hosted/rollouts_test.go
@@ -8,6 +8,7 @@
 import (
 	"fmt"
 	"math/rand/v2"
+	"net/netip"
 	"testing"
 	"testing/synctest"
 	"time"
@@ -56,7 +57,7 @@
 		version = nextVersion
 	}
 	return workers.Heartbeat{
-		Instance: fmt.Sprintf("i%d-%d", place, n), Service: "ledger", Address: "127.0.0.1:1", Version: version, Slots: 6, Sequence: 1,
+		Instance: fmt.Sprintf("i%d-%d", place, n), Service: "ledger", Address: netip.MustParseAddrPort("127.0.0.1:1"), Version: version, Slots: 6, Sequence: 1,
 	}
 }
 
--- a/internal/lab/soak/odd.go
+++ b/internal/lab/soak/odd.go
@@ -15,6 +15,7 @@
 
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/internal/sidecar"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
@@ -134,27 +135,38 @@
 	f.running.Go(func() {
 		for range 1 + random.IntN(oddHeartbeats) {
 			if registrar := m.currentRegistrar(); registrar != nil {
-				f.sendOdd(ctx, registrar, drawOddHeartbeat(random))
+				f.sendOdd(ctx, registrar, drawOddHeartbeat(random), drawOne(random, oddAddresses))
 			}
 			wait(ctx, oddPause)
 		}
 	})
 }
 
-// drawOddHeartbeat draws a heartbeat of a worker that there is not.
+// drawOddHeartbeat draws a heartbeat of a worker that there is not, without its address.
 func drawOddHeartbeat(random *rand.Rand) workers.Heartbeat {
 	return workers.Heartbeat{
 		Instance:  drawOne(random, []string{"odd-1", "odd-2", "\xff", "odd-\xc3\x28", "odd\x00", strings.Repeat("i", longText), ""}),
-		StartedAt: int64(drawOne(random, oddNumbers)), Service: serviceName, Address: drawOne(random, oddAddresses), Slots: int(int32(drawOne(random, oddNumbers))),
+		StartedAt: int64(drawOne(random, oddNumbers)), Service: serviceName, Slots: int(int32(drawOne(random, oddNumbers))),
 		Sequence: drawOne(random, oddNumbers), Draining: random.IntN(2) == 0, Busy: int(drawOne(random, oddNumbers)), ColdRemaining: time.Duration(drawOne(random, oddNumbers)),
 		Limit: workers.Limit{Set: random.IntN(2) == 0, PerSecond: drawOne(random, []float64{0, -1, 1, math.MaxFloat64, math.Inf(1), math.NaN()})},
 	}
 }
 
-// sendOdd sends an odd heartbeat, which must be refused if its instance cannot be sent on.
-func (f *faults) sendOdd(ctx context.Context, registrar sidecar.Registrar, odd workers.Heartbeat) {
-	err := registrar.Heartbeat(ctx, odd)
+// sendOdd sends an odd heartbeat from an address, which must be refused if its instance cannot be sent on.
+func (f *faults) sendOdd(ctx context.Context, registrar sidecar.Registrar, odd workers.Heartbeat, address string) {
+	err := reportHeartbeat(ctx, registrar, odd, address)
 	if !utf8.ValidString(odd.Instance) && !errorx.IsOfType(err, workers.ErrInvalid) {
 		f.ledger.fail("a heartbeat whose instance %q is not UTF-8 was answered %v", odd.Instance, err)
 	}
 }
+
+// reportHeartbeat reports a heartbeat as the interface for workers does, which parses its address.
+func reportHeartbeat(ctx context.Context, registrar sidecar.Registrar, heartbeat workers.Heartbeat, address string) error {
+	parsed, err := endpoint.Parse(address)
+	if err != nil {
+		registrar.Reject(heartbeat.Instance, err)
+		return workers.ErrInvalid.Wrap(err, "address")
+	}
+	heartbeat.Address = parsed
+	return registrar.Heartbeat(ctx, heartbeat)
+}
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -6,6 +6,7 @@
 	"io"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -155,7 +156,7 @@
 		return
 	}
 	err := registrar.Heartbeat(ctx, workers.Heartbeat{
-		Instance: w.incarnation.Instance, StartedAt: w.incarnation.StartedAt, Service: serviceName, Address: w.address, Slots: workerSlots, Sequence: sequence, Draining: draining,
+		Instance: w.incarnation.Instance, StartedAt: w.incarnation.StartedAt, Service: serviceName, Address: netip.MustParseAddrPort(w.address), Slots: workerSlots, Sequence: sequence, Draining: draining,
 	})
 	if err == nil && draining && m.currentRegistrar() == registrar {
 		w.ledger.recordDrainCommitment(w.incarnation.String(), time.Now())
--- a/internal/sidecar/endless_test.go
+++ b/internal/sidecar/endless_test.go
@@ -33,7 +33,7 @@
 				configured := &configuration{}
 				configured.healthPaths.Store(&map[string]string{"ledger": "/health"})
 				adapter := Adapter{Identity: func(http.Header) (Identity, bool) { return Identity{}, false }}
-				p := newProbe(settings.Settings{Service: "ledger", WorkerAddress: "worker:1"}, configured, endlessNetwork{server: server}, adapter)
+				p := newProbe(settings.Settings{Service: "ledger", WorkerAddress: "192.0.2.1:1"}, configured, endlessNetwork{server: server}, adapter)
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
 				if _, err := p.Identify(ctx); err == nil {
--- a/internal/sidecar/lateheartbeat_test.go
+++ b/internal/sidecar/lateheartbeat_test.go
@@ -4,6 +4,7 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -30,8 +31,8 @@
 	testwait.Eventually(t, "the node is ready", n.isReady)
 	n.heartbeat(t, "running", "intake", address)
 	for _, late := range []workers.Heartbeat{
-		{Instance: "former", Service: "books", Address: address, Slots: 6, Sequence: 40},
-		{Instance: "former", Service: "books", Address: address, Slots: 6, Sequence: 41, Draining: true},
+		{Instance: "former", Service: "books", Address: netip.MustParseAddrPort(address), Slots: 6, Sequence: 40},
+		{Instance: "former", Service: "books", Address: netip.MustParseAddrPort(address), Slots: 6, Sequence: 41, Draining: true},
 	} {
 		if err := n.registrar.Heartbeat(t.Context(), late); !errorx.IsOfType(err, workers.ErrInvalid) {
 			t.Errorf("the heartbeat was taken: %v", err)
@@ -57,7 +58,7 @@
 	beside, n := startNode(t, store, "b1", "books"), startNode(t, store, "a1", "intake")
 	testwait.Eventually(t, "both are ready", func() bool { return beside.isReady() && n.isReady() })
 	beside.heartbeat(t, "w1", "books", worker.Listener.Addr().String())
-	n.node.workers.Learn([]workers.Worker{{Instance: "former", Service: "books", Address: "127.0.0.1:1", Slots: 6, State: workers.StateDraining}}, time.Now())
+	n.node.workers.Learn([]workers.Worker{{Instance: "former", Service: "books", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 6, State: workers.StateDraining}}, time.Now())
 	testwait.Eventually(t, "a call is served", func() bool {
 		status, _, err := n.call(t, http.DefaultClient, "/ledger/1")
 		return err == nil && status == http.StatusOK
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -8,6 +8,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"os"
 	"strings"
 	"sync"
@@ -164,7 +165,7 @@
 
 func (n *runningNode) heartbeat(t *testing.T, instance, service, address string) {
 	t.Helper()
-	err := n.registrar.Heartbeat(t.Context(), workers.Heartbeat{Instance: instance, Service: service, Address: address, Slots: 6, Sequence: 1})
+	err := n.registrar.Heartbeat(t.Context(), workers.Heartbeat{Instance: instance, Service: service, Address: netip.MustParseAddrPort(address), Slots: 6, Sequence: 1})
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -3,26 +3,31 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 
 	"github.com/levertide/levertide/internal/hosted"
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
 // probe identifies the worker beside the node by a request to its health path. It
 // implements hosted.WorkerProbe.
 type probe struct {
-	service, address string
-	config           *configuration
-	client           *http.Client
-	identity         func(header http.Header) (Identity, bool)
+	service  string
+	address  netip.AddrPort
+	config   *configuration
+	client   *http.Client
+	identity func(header http.Header) (Identity, bool)
 }
 
 func newProbe(s settings.Settings, config *configuration, network Network, adapter Adapter) *probe {
+	// A setting that is no address is as good as none.
+	address, _ := endpoint.Parse(s.WorkerAddress)
 	return &probe{
 		service: s.Service,
-		address: s.WorkerAddress,
+		address: address,
 		config:  config,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: network.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
@@ -34,10 +39,10 @@
 // Identify implements hosted.WorkerProbe.
 func (p *probe) Identify(ctx context.Context) (workers.Heartbeat, error) {
 	path := p.config.healthPath(p.service)
-	if p.address == "" || path == "" {
+	if !p.address.IsValid() || path == "" {
 		return workers.Heartbeat{}, hosted.ErrUnanswered.New("cannot probe the worker: its address or health path is not known")
 	}
-	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+p.address+path, nil)
+	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint.String(p.address)+path, nil)
 	if err != nil {
 		return workers.Heartbeat{}, hosted.ErrUnanswered.Wrap(err, "cannot build the request that probes the worker")
 	}
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +12,7 @@
 
 // Bounds of the registry.
 const (
-	// maximumNameBytes bounds identifiers, services, addresses and versions.
+	// maximumNameBytes bounds identifiers, services and versions.
 	maximumNameBytes = 200
 	maximumSlots     = 1 << 16
 	// maximumWorkers bounds the number of registrations.
@@ -23,7 +24,8 @@
 
 // Heartbeat is what a worker reports about itself.
 type Heartbeat struct {
-	Instance, Service, Address string
+	Instance, Service string
+	Address           netip.AddrPort
 	// StartedAt is as in Worker.
 	StartedAt int64
 	// Version is the version of the worker's software; empty when the worker does not report it.
@@ -198,11 +200,14 @@
 }
 
 func validate(heartbeat Heartbeat) error {
-	for name, value := range map[string]string{"instance": heartbeat.Instance, "service": heartbeat.Service, "address": heartbeat.Address} {
+	for name, value := range map[string]string{"instance": heartbeat.Instance, "service": heartbeat.Service} {
 		if !isName(value) {
 			return errName(name)
 		}
 	}
+	if !heartbeat.Address.IsValid() {
+		return ErrInvalid.New("address is missing")
+	}
 	if heartbeat.Version != "" && !isName(heartbeat.Version) {
 		return errName("version")
 	}
--- a/pkg/workers/registry_test.go
+++ b/pkg/workers/registry_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -12,7 +13,7 @@
 var start = time.Unix(1000, 0)
 
 func heartbeatOf(instance string, sequence uint64, draining bool) Heartbeat {
-	return Heartbeat{Instance: instance, Service: "ledger", Address: "127.0.0.1:1", Slots: 6, Sequence: sequence, Draining: draining}
+	return Heartbeat{Instance: instance, Service: "ledger", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 6, Sequence: sequence, Draining: draining}
 }
 
 func mustHeartbeat(t *testing.T, r *Registry, b Heartbeat, now time.Time) Change {
@@ -26,7 +27,7 @@
 
 func TestWorkerThatLeavesByItsAnswersIsNotReadyAgain(t *testing.T) {
 	registry, now := NewRegistry(time.Minute), time.Now()
-	heartbeat := Heartbeat{Instance: "i1", StartedAt: 7, Service: "s", Address: "127.0.0.1:1", Slots: 1, Sequence: 1}
+	heartbeat := Heartbeat{Instance: "i1", StartedAt: 7, Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 1, Sequence: 1}
 	if change := registry.Drain(Incarnation{Instance: "i1"}, now); change.Changed {
 		t.Errorf("an unknown worker drains: %+v", change)
 	}
@@ -243,7 +244,7 @@
 	for field, change := range map[string]func(h *Heartbeat){
 		"instance": func(h *Heartbeat) { h.Instance = "i\xff" },
 		"service":  func(h *Heartbeat) { h.Service = "s\xff" },
-		"address":  func(h *Heartbeat) { h.Address = "a\xff" },
+		"address":  func(h *Heartbeat) { h.Address = netip.AddrPort{} },
 		"version":  func(h *Heartbeat) { h.Version = "v\xff" },
 	} {
 		bad := heartbeatOf("i", 1, false)
@@ -369,7 +370,7 @@
 
 func TestInvalidHeartbeatIsRefused(t *testing.T) {
 	r := NewRegistry(time.Minute)
-	for _, bad := range []Heartbeat{{}, {Instance: "i", Service: "s", Address: "a"}, {Instance: "i", Service: "s", Slots: 1}} {
+	for _, bad := range []Heartbeat{{}, {Instance: "i", Service: "s", Address: netip.MustParseAddrPort("127.0.0.1:1")}, {Instance: "i", Service: "s", Slots: 1}} {
 		if _, err := r.Heartbeat(bad, start); !errorx.IsOfType(err, ErrInvalid) {
 			t.Errorf("%+v: %v", bad, err)
 		}
@@ -412,7 +413,7 @@
 func TestProbedWorkerYieldsToRegistrations(t *testing.T) {
 	now := time.Now()
 	r := NewRegistry(time.Minute)
-	probed := Heartbeat{Instance: "w1", Service: "ledger", Address: "10.0.0.1:80", Slots: 4}
+	probed := Heartbeat{Instance: "w1", Service: "ledger", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 4}
 	change, err := r.RegisterProbed(probed, now)
 	if err != nil || !change.Changed || change.Worker.State != StateReady {
 		t.Fatalf("%+v, %v", change, err)
@@ -475,8 +476,8 @@
 // long as its worker is remembered.
 func TestServiceIsThatOfTheRunningWorker(t *testing.T) {
 	r := NewRegistry(6 * time.Second)
-	running := Heartbeat{Instance: "running", Service: "intake", Address: "127.0.0.1:1", Slots: 6, Sequence: 1}
-	late := Heartbeat{Instance: "former", Service: "books", Address: "127.0.0.1:1", Slots: 6, Sequence: 40}
+	running := Heartbeat{Instance: "running", Service: "intake", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 6, Sequence: 1}
+	late := Heartbeat{Instance: "former", Service: "books", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 6, Sequence: 40}
 	mustHeartbeat(t, r, running, start)
 	mustHeartbeat(t, r, late, start.Add(time.Second))
 	running.Sequence++
--- a/pkg/workers/worker.go
+++ b/pkg/workers/worker.go
@@ -1,6 +1,9 @@
 package workers
 
-import "time"
+import (
+	"net/netip"
+	"time"
+)
 
 // State says whether a worker may be given work.
 type State uint8
@@ -43,7 +46,8 @@
 	// clock; zero when the worker does not report it.
 	StartedAt int64
 	Service   string
-	Address   string
+	// Address is the zero value of a worker that only a sign-off or a drain of another node tells of.
+	Address netip.AddrPort
 	// Version is the version of the worker's software; empty when the worker does not report it.
 	Version string
 	// Slots is how many requests the worker runs at once.
