Refuse heartbeats from another address than that of the node's worker

What callers saw: another writer sends heartbeats for the worker's service to the worker's own node, each second, with an address where no worker of the node is. All nodes are killed and started again: the service is not served, 503 "the service has no worker", for as long as these heartbeats come.

Cause: a node has one worker, at the address of its settings, and took any heartbeat of the right service for one of it. Of several ready instances Registry.Ready returns the one that registered last. After a start the true worker is registered by the node's own question, before any heartbeat, so that the other instance comes later and stays first: the true worker's heartbeats renew its own registration only.

Without the setting all is as before.

TestHeartbeatFromAnotherAddressTakesNoPlace fails without the fix: taken, and 503 in place of the worker's answer.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,7 @@
 	announceStopBound = 300 * time.Millisecond
 )
 
-// Config configures an Agent. All fields except MayBeBeside, Rollouts, Steering, Quotas and
+// Config configures an Agent. All fields except MayBeBeside, WorkerAddress, Rollouts, Steering, Quotas and
 // Panicked must be given.
 type Config struct {
 	// Mesh names the mesh; messages from nodes of another one are refused.
@@ -46,9 +47,11 @@
 	// MayBeBeside reports whether a worker of the service may be beside this node; nil accepts
 	// every service.
 	MayBeBeside func(service string) bool
-	Source      Source
-	Directory   Directory
-	Consumer    Consumer
+	// WorkerAddress is the address of the worker beside this node; the zero value accepts every address.
+	WorkerAddress netip.AddrPort
+	Source        Source
+	Directory     Directory
+	Consumer      Consumer
 	// Rollouts and Steering move services to other versions; nil where roll-outs are not used.
 	Rollouts RolloutStore
 	Steering Steering
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -31,9 +31,8 @@
 // a drain commitment in it is kept from now on, whichever nodes fail. It returns workers.ErrNotRunning
 // for a leave that cannot be committed to, and workers.ErrNotHeld for one that nobody else holds yet.
 func (a *Agent) Heartbeat(ctx context.Context, heartbeat workers.Heartbeat) error {
-	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
-		// A worker of another service would take the address of the worker beside this node.
-		return workers.ErrInvalid.New("no worker of a service %q is beside this node", heartbeat.Service)
+	if err := a.checkBeside(heartbeat); err != nil {
+		return err
 	}
 	if !heartbeat.Draining {
 		change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
@@ -48,6 +47,17 @@
 	})
 }
 
+// checkBeside checks that a heartbeat may be of the worker beside this node: another one would take its place.
+func (a *Agent) checkBeside(heartbeat workers.Heartbeat) error {
+	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
+		return workers.ErrOtherService.New("no worker of a service %q is beside this node", heartbeat.Service)
+	}
+	if beside := a.config.WorkerAddress; beside.IsValid() && heartbeat.Address != beside {
+		return workers.ErrOtherAddress.New("no worker at %v is beside this node, want %v", heartbeat.Address, beside)
+	}
+	return nil
+}
+
 // commit makes a drain commitment, which record enters in the registrations. When it returns nil
 // the commitment is kept, also when another call has made it. The leave of a worker that is not the
 // running one as far as this node knows is refused: the worker goes on to say it, or ends.
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -155,7 +155,8 @@
 			// A late heartbeat may be of a worker that had the address before, of another service.
 			return service == s.Service || s.Service == "" && config.knowsService(service)
 		},
-		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
+		WorkerAddress: workerAddress(s),
+		Source:        source, Directory: directory, Consumer: config, Serving: node.plane,
 		Rollouts: rollouts, Steering: node.plane,
 		Quarantine: node.quarantine, Quotas: node.quotas,
 		Probe:    newProbe(s, config, network, adapter),
--- /dev/null
+++ b/internal/sidecar/otheraddress_test.go
@@ -0,0 +1,85 @@
+package sidecar
+
+import (
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+
+	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/internal/lab/hostedstore"
+	"github.com/levertide/levertide/internal/settings"
+	"github.com/levertide/levertide/internal/testwait"
+	"github.com/levertide/levertide/pkg/workers"
+)
+
+// instanceServer is a worker whose instance can change.
+type instanceServer struct {
+	instance atomic.Pointer[string]
+	// silent is set while it answers no probe.
+	silent  atomic.Bool
+	address netip.AddrPort
+}
+
+func startInstance(t *testing.T, instance string) *instanceServer {
+	t.Helper()
+	s := &instanceServer{}
+	s.instance.Store(&instance)
+	server := httptest.NewServer(s)
+	t.Cleanup(server.Close)
+	s.address = netip.MustParseAddrPort(server.Listener.Addr().String())
+	return s
+}
+
+// ServeHTTP tells who answers, and refuses requests for another instance.
+func (s *instanceServer) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	instance := *s.instance.Load()
+	w.Header().Set("X-Id", r.Header.Get("X-Id"))
+	expected := r.Header.Get("X-Expect")
+	switch {
+	case expected == "" && s.silent.Load():
+		w.WriteHeader(http.StatusServiceUnavailable)
+	case expected != "" && expected != instance:
+		w.WriteHeader(http.StatusMisdirectedRequest)
+	default:
+		w.Header().Set("X-Instance", instance)
+		_, _ = io.WriteString(w, instance)
+	}
+}
+
+// startBeside starts a node beside a worker, which it registers.
+func startBeside(t *testing.T, worker *instanceServer) *runningNode {
+	t.Helper()
+	store := hostedstore.New()
+	store.Put(testDocument{Version: 1, Routes: map[string]string{"/ledger/": "books"}}.encode())
+	n := startNodeWith(t, store, settings.Settings{NodeID: "a1", Service: "books", WorkerAddress: worker.address.String(), MetricsAddress: "127.0.0.1:0"})
+	testwait.Eventually(t, "the node is ready", n.isReady)
+	n.heartbeat(t, *worker.instance.Load(), "books", worker.address.String())
+	return n
+}
+
+// mustAnswer checks which instance is given a call.
+func (n *runningNode) mustAnswer(t *testing.T, instance string) {
+	t.Helper()
+	status, body, err := n.call(t, http.DefaultClient, "/ledger/1")
+	if err != nil || status != http.StatusOK || body != instance {
+		t.Errorf("status %d, %q, %v; want %q", status, body, err, instance)
+	}
+}
+
+// TestHeartbeatFromAnotherAddressTakesNoPlace guards against a worker that loses its place to an
+// instance at an address where no worker of the node is.
+func TestHeartbeatFromAnotherAddressTakesNoPlace(t *testing.T) {
+	worker := startInstance(t, "running")
+	n := startBeside(t, worker)
+	for _, draining := range []bool{false, true} {
+		other := workers.Heartbeat{Instance: "other", StartedAt: 1, Service: "books", Address: netip.MustParseAddrPort("127.0.0.9:1"), Slots: 6, Sequence: 9, Draining: draining}
+		if err := n.registrar.Heartbeat(t.Context(), other); !errorx.IsOfType(err, workers.ErrOtherAddress) {
+			t.Errorf("draining %t: the heartbeat was taken: %v", draining, err)
+		}
+		n.mustAnswer(t, "running")
+	}
+}
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -22,12 +22,16 @@
 	identity func(header http.Header) (Identity, bool)
 }
 
-func newProbe(s settings.Settings, config *configuration, network Network, adapter Adapter) *probe {
-	// A setting that is no address is as good as none.
+// workerAddress returns the address of the worker beside the node; the zero value when the settings name none.
+func workerAddress(s settings.Settings) netip.AddrPort {
 	address, _ := endpoint.Parse(s.WorkerAddress)
+	return address
+}
+
+func newProbe(s settings.Settings, config *configuration, network Network, adapter Adapter) *probe {
 	return &probe{
 		service: s.Service,
-		address: address,
+		address: workerAddress(s),
 		config:  config,
 		client: &http.Client{Transport: &http.Transport{
 			DialContext: network.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
--- a/pkg/workers/errors.go
+++ b/pkg/workers/errors.go
@@ -8,6 +8,13 @@
 // registrations are left unchanged.
 var ErrInvalid = namespace.NewType("invalid").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
 
+// ErrOtherService and ErrOtherAddress are the types of errors for heartbeats of a service or from an address of
+// which no worker is beside the node; they are of type ErrInvalid.
+var (
+	ErrOtherService = ErrInvalid.NewSubtype("service")
+	ErrOtherAddress = ErrInvalid.NewSubtype("address")
+)
+
 // ErrNotRunning is the type of errors for the leave of an incarnation that is not known to be the
 // running one of its instance. Nothing was recorded: the leave must not be acknowledged.
 var ErrNotRunning = namespace.NewType("not_running").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
