Ask the process at the worker's address which of two instances runs

What callers saw: 503 "the worker refused the request" and "the service has no worker", in bursts, while another writer sends heartbeats of another instance at the worker's own address; and after a worker has started again under another identifier, for each late heartbeat of the one before.

Cause: an address has one process, and the instance heard last was taken for it. So each heartbeat of the other one marked the running worker as unresponsive until its own next heartbeat; what was sent meanwhile went to the worker with the other one's identifier, and the worker refuses that (421).

If nobody answers, as from a busy worker, one that has been confirmed and whose heartbeats go on keeps the place; otherwise the last one heard is believed, as before. A worker that starts again under another identifier is asked at its first heartbeat and taken at once. The other's heartbeat has no effect: reason "contended" in event 622, which now names the instance held, and in levertide_ignored_worker_calls_total. Draining heartbeats and sign-offs take no place and are not asked about. Where the settings name no address of a worker nothing is asked, and all is as before.

Without the fix TestAnotherInstanceAtTheAddressTakesNoPlace fails with 503 in place of answers, and TestNextInstanceAtTheAddressIsTakenAtOnce at the late heartbeat.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -120,6 +120,8 @@
 
 	// commitments are the drain commitments that are being replicated.
 	commitments pendingCommitments
+	// contention decides between instances at the address of the worker.
+	contention *contention
 	// ignored counts the calls of workers that had no effect.
 	ignored *ignoredCalls
 
@@ -134,6 +136,7 @@
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
+		contention: newContention(config),
 		ignored:    newIgnoredCalls(config.Events),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -35,18 +35,31 @@
 		return err
 	}
 	if !heartbeat.Draining {
-		change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
-		if err != nil {
-			return err
-		}
-		a.ignored.observe(heartbeat, change)
-		return a.workerChanged(ctx, change, "heartbeat")
+		return a.readyHeartbeat(ctx, heartbeat)
 	}
 	return a.commit(ctx, heartbeat, "heartbeat", func(now time.Time) (workers.Change, error) {
 		return a.config.Workers.Heartbeat(heartbeat, now)
 	})
 }
 
+// readyHeartbeat processes a heartbeat of a worker that does not leave.
+func (a *Agent) readyHeartbeat(ctx context.Context, heartbeat workers.Heartbeat) error {
+	rival, judged := a.contention.judge(ctx, heartbeat)
+	if judged == verdictStaysOut {
+		a.ignored.observe(heartbeat, workers.Change{Worker: rival, Ignored: workers.IgnoredContended})
+		return nil
+	}
+	change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
+	if err != nil {
+		return err
+	}
+	if judged == verdictRuns {
+		a.config.Workers.Confirm(heartbeat.Instance)
+	}
+	a.ignored.observe(heartbeat, change)
+	return a.workerChanged(ctx, change, "heartbeat")
+}
+
 // checkBeside checks that a heartbeat may be of the worker beside this node: another one would take its place.
 func (a *Agent) checkBeside(heartbeat workers.Heartbeat) error {
 	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
--- a/internal/hosted/prober.go
+++ b/internal/hosted/prober.go
@@ -58,11 +58,7 @@
 func (p *Prober) probeOnce(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, probeBound)
 	defer cancel()
-	var heartbeat workers.Heartbeat
-	err := contain.Read("probe of the worker", p.panicked, func() (err error) {
-		heartbeat, err = p.probe.Identify(bounded)
-		return err
-	})
+	heartbeat, err := identify(bounded, p.probe, p.panicked)
 	if err != nil {
 		return
 	}
@@ -72,3 +68,12 @@
 	}
 	p.onProbed(ctx, change)
 }
+
+// identify asks the worker beside the node to identify itself, with panics contained.
+func identify(ctx context.Context, probe WorkerProbe, panicked contain.Report) (heartbeat workers.Heartbeat, err error) {
+	err = contain.Read("probe of the worker", panicked, func() (err error) {
+		heartbeat, err = probe.Identify(ctx)
+		return err
+	})
+	return heartbeat, err
+}
--- a/internal/sidecar/otheraddress_test.go
+++ b/internal/sidecar/otheraddress_test.go
@@ -83,3 +83,38 @@
 		n.mustAnswer(t, "running")
 	}
 }
+
+// TestAnotherInstanceAtTheAddressTakesNoPlace guards against a worker that loses its place to an instance
+// that another writer has made up, also while the worker answers no probe.
+func TestAnotherInstanceAtTheAddressTakesNoPlace(t *testing.T) {
+	worker := startInstance(t, "running")
+	n := startBeside(t, worker)
+	for sequence := range uint64(6) {
+		other := workers.Heartbeat{Instance: "other", StartedAt: 1, Service: "books", Address: worker.address, Slots: 6, Sequence: sequence + 1}
+		if err := n.registrar.Heartbeat(t.Context(), other); err != nil {
+			t.Fatal(err)
+		}
+		n.mustAnswer(t, "running")
+		worker.silent.Store(sequence > 0)
+	}
+	if ignored := n.node.agent.IgnoredCalls().Heartbeats[workers.IgnoredContended]; ignored != 6 {
+		t.Errorf("%d heartbeats had no effect, want 6", ignored)
+	}
+}
+
+// TestNextInstanceAtTheAddressIsTakenAtOnce guards against a worker that starts again under another identifier
+// and is taken for a stranger, or loses its place to late heartbeats of the one before.
+func TestNextInstanceAtTheAddressIsTakenAtOnce(t *testing.T) {
+	worker := startInstance(t, "former")
+	n := startBeside(t, worker)
+	n.mustAnswer(t, "former")
+	next := "next"
+	worker.instance.Store(&next)
+	n.heartbeat(t, "next", "books", worker.address.String())
+	n.mustAnswer(t, "next")
+	late := workers.Heartbeat{Instance: "former", Service: "books", Address: worker.address, Slots: 6, Sequence: 2}
+	if err := n.registrar.Heartbeat(t.Context(), late); err != nil {
+		t.Fatal(err)
+	}
+	n.mustAnswer(t, "next")
+}
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -86,7 +86,8 @@
 	held := change.Worker
 	end(l.begin(eventWorkerCallIgnored).Str("instance", bounded(call.Instance)).Str(fieldReason, string(change.Ignored)).Bool("leaves", call.Draining).
 		Uint64("sequence", call.Sequence).Int64("born_unix_milliseconds", call.StartedAt).Str("held_state", held.State.String()).
-		Uint64("held_sequence", held.Sequence).Int64("held_born_unix_milliseconds", held.StartedAt))
+		Uint64("held_sequence", held.Sequence).Int64("held_born_unix_milliseconds", held.StartedAt).
+		Str("held_instance", bounded(held.Instance)))
 }
 
 // IntakeReached records that clients have reached a bound on what they can make the node hold.
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -63,6 +63,8 @@
 	registeredAt time.Time
 	// contender is another run of the worker, which may be the one that runs now.
 	contender contender
+	// confirmed is set when the process at the address has said that it is this instance.
+	confirmed bool
 	// learned is set for a drain commitment of a previous incarnation of the node while nothing of its
 	// worker was heard.
 	learned bool
@@ -195,7 +197,7 @@
 	}
 	registered := Worker{Instance: probed.Instance, Service: probed.Service, Address: probed.Address, Slots: probed.Slots, State: StateReady, Busy: probed.Busy, Limit: probed.Limit}
 	r.evictOldest()
-	r.workers[probed.Instance] = &registration{Worker: registered, lastHeard: now, registeredAt: now}
+	r.workers[probed.Instance] = &registration{Worker: registered, lastHeard: now, registeredAt: now, confirmed: true}
 	return Change{Worker: registered, Changed: true}, nil
 }
 
--- a/pkg/workers/succession.go
+++ b/pkg/workers/succession.go
@@ -43,13 +43,15 @@
 	IgnoredUnproven IgnoreReason = "unproven"
 	// IgnoredUnknown: no such incarnation is registered.
 	IgnoredUnknown IgnoreReason = "unknown"
+	// IgnoredContended: another instance runs at the address.
+	IgnoredContended IgnoreReason = "contended"
 	// IgnoredUnheld: the leave is recorded, but nobody else holds it yet.
 	IgnoredUnheld IgnoreReason = "unheld"
 )
 
 // IgnoreReasons returns all reasons.
 func IgnoreReasons() []IgnoreReason {
-	return []IgnoreReason{IgnoredSequence, IgnoredDraining, IgnoredSuperseded, IgnoredUnproven, IgnoredUnknown, IgnoredUnheld}
+	return []IgnoreReason{IgnoredSequence, IgnoredDraining, IgnoredSuperseded, IgnoredUnproven, IgnoredUnknown, IgnoredContended, IgnoredUnheld}
 }
 
 // contender is a run of a worker other than the registered one.
