Take an answer that ends with its connection for whole only if its request was sent

What callers saw: a worker answers a long upload at once with a 200 without a length, sends part of its body and resets the connection, or closes it with the upload unread.

Cause: the system gives the error of a reset once, to whichever of write and read asks first. Here the write of the upload gets it, which net/http looks at only while it waits for the head; the read gets an ordinary end, and the end of such an answer is that of its connection. After an ordinary end, a later reset shows in no read at all.

Why it works: the connection knows whether the request was sent to its last byte. At the end of an answer without a length and chunks its read waits for that, returns the failure of a write in place of the end, and then asks the system whether the connection was reset and all bytes were acknowledged. It is no delay: the close of the connection, by the end of the call too, ends the wait. Other answers are read as before: those with a length or chunks stay whole though their upload is cut.

requestBody.attach returns the body that the transport reads besides; its callers in expectcontinue_test.go leave it out.

--- a/internal/forwarding/body.go
+++ b/internal/forwarding/body.go
@@ -119,6 +119,8 @@
 	// may begin before it has received all of it.
 	left  int
 	begun bool
+	// unread is what Len returns.
+	unread int64
 	// sealed is set when nothing more of the body will be sent.
 	sealed bool
 	// broken is set when the rest of the body cannot be read: its sender has failed, and neither the
@@ -156,12 +158,26 @@
 	if s.left >= 0 {
 		s.left -= n
 	}
+	s.count(n, err)
 	if err != nil && err != io.EOF {
 		s.broken.Store(true)
 	}
 	return n, err
 }
 
+// count records that bytes, or the end, of the body were read.
+func (s *sending) count(n int, err error) {
+	switch {
+	case s.body.length >= 0:
+		s.unread -= int64(n)
+	case err == io.EOF:
+		s.unread = 0
+	}
+}
+
+// Len implements httpconn.Unsent. A body whose length is not known counts as one byte up to its end.
+func (s *sending) Len() int { return int(s.unread) }
+
 // seal prevents the body from being sent any further. It reports whether the other side lacks so
 // much of it that it begins nothing: all of it, or any part of a body that the other side buffers
 // completely before it begins.
@@ -178,22 +194,26 @@
 
 // attach sets the body of an outgoing request in a form that http.Transport cannot send twice by
 // itself: a non-nil body without GetBody. For a long body it returns the transmission, limited to
-// the given pace; otherwise nil.
-func (b *requestBody) attach(out *http.Request, pace *rate.Limiter) *sending {
+// the given pace; otherwise nil. unsent is the body that the transport reads, nil if there is none.
+func (b *requestBody) attach(out *http.Request, pace *rate.Limiter) (s *sending, unsent httpconn.Unsent) {
 	switch {
 	case b.rest != nil:
 		out.ContentLength = b.length
 		if b.length < 0 {
 			out.TransferEncoding = chunkedEncoding
 		}
-		return b.send(out, io.MultiReader(bytes.NewReader(b.held), b.rest), -1, pace)
+		s = b.send(out, io.MultiReader(bytes.NewReader(b.held), b.rest), -1, pace)
+		return s, s
 	case len(b.held) > 0:
 		out.ContentLength = int64(len(b.held))
 		if b.long() {
-			return b.send(out, bytes.NewReader(b.held), len(b.held), pace)
+			s = b.send(out, bytes.NewReader(b.held), len(b.held), pace)
+			return s, s
 		}
 		// The transport writes the body of a reader of this kind together with the head.
-		out.Body = io.NopCloser(bytes.NewReader(b.held))
+		reader := bytes.NewReader(b.held)
+		out.Body = io.NopCloser(reader)
+		return nil, reader
 	case httpconn.NeedsContentLength(out.Method):
 		out.Body = nil
 		httpconn.HideIdempotencyKey(out.Header)
@@ -201,11 +221,15 @@
 		out.Body = httpconn.EmptyBody{}
 		out.TransferEncoding = httpconn.IdentityEncoding
 	}
-	return nil
+	return nil, nil
 }
 
 func (b *requestBody) send(out *http.Request, source io.Reader, left int, pace *rate.Limiter) *sending {
-	s := &sending{source: source, body: b, left: left, pace: pace}
+	const unknown = 1
+	s := &sending{source: source, body: b, left: left, unread: unknown, pace: pace}
+	if b.length >= 0 {
+		s.unread = b.length
+	}
 	out.Body = io.NopCloser(s)
 	return s
 }
--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -28,6 +28,7 @@
 	body      *requestBody
 	conn      *httpconn.Conn // nil until the request got a connection
 	use       httpconn.Use   // of conn by this request
+	sent      *httpconn.Sending
 	reused    bool
 	// pace limits how fast a long body is sent; nil sets no limit.
 	pace *rate.Limiter
@@ -55,8 +56,11 @@
 
 func (e *httpExchange) attempt(ctx context.Context) (*http.Response, error) {
 	e.conn, e.reused = nil, false
-	e.sending.Store(e.body.attach(e.request, e.pace))
-	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
+	sending, unsent := e.body.attach(e.request, e.pace)
+	e.sending.Store(sending)
+	e.sent = httpconn.NewSending(e.request, unsent)
+	trace := &e.sent.Trace
+	trace.GotConn = e.gotConn
 	if e.headTime > 0 {
 		var head *httpconn.HeadWatch
 		ctx, head = httpconn.WatchHead(ctx, e.headTime)
@@ -71,6 +75,7 @@
 	if !httpconn.IsFinalAnswer(response) {
 		return nil, e.reject(response)
 	}
+	e.sent.Answered(response)
 	return response, nil
 }
 
@@ -87,6 +92,7 @@
 func (e *httpExchange) gotConn(info httptrace.GotConnInfo) {
 	if tracked, ok := info.Conn.(*httpconn.Conn); ok {
 		e.conn, e.use, e.reused = tracked, tracked.Begin(), info.Reused
+		e.sent.Begin(tracked)
 	}
 }
 
--- a/internal/forwarding/expectcontinue_test.go
+++ b/internal/forwarding/expectcontinue_test.go
@@ -85,7 +85,7 @@
 func TestSealedBodyIsNeverSent(t *testing.T) {
 	body := &requestBody{held: make([]byte, expectContinueBody)}
 	var out http.Request
-	untouched := body.attach(&out, nil)
+	untouched, _ := body.attach(&out, nil)
 	for range 2 {
 		if !untouched.seal() {
 			t.Error("a body of which nothing was taken must seal, and stay sealed")
@@ -94,7 +94,7 @@
 	if n, err := out.Body.Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Error("a sealed body was read")
 	}
-	begun := body.attach(&out, nil)
+	begun, _ := body.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, expectContinueBody-1))
 	if !begun.seal() {
 		t.Error("a body that is buffered completely before anything begins must seal while a part is missing")
@@ -102,13 +102,13 @@
 	if n, err := out.Body.Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Error("the rest of a sealed body was read")
 	}
-	complete := body.attach(&out, nil)
+	complete, _ := body.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, expectContinueBody))
 	if complete.seal() {
 		t.Error("a body that was read completely sealed")
 	}
 	streamed := &requestBody{rest: bytes.NewReader(make([]byte, expectContinueBody)), length: expectContinueBody}
-	stream := streamed.attach(&out, nil)
+	stream, _ := streamed.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, 1))
 	if stream.seal() {
 		t.Error("a streamed body that was begun sealed")
--- a/internal/httpconn/arrival.go
+++ b/internal/httpconn/arrival.go
@@ -26,16 +26,22 @@
 }
 
 func sinceReceived(conn syscall.Conn) time.Duration {
+	info, ok := tcpInfo(conn)
+	if !ok || info.Bytes_received == 0 {
+		return 0
+	}
+	return time.Duration(info.Last_data_recv) * time.Millisecond
+}
+
+// tcpInfo returns what the system tells of a connection; false where it tells nothing.
+func tcpInfo(conn syscall.Conn) (*unix.TCPInfo, bool) {
 	raw, err := conn.SyscallConn()
 	if err != nil {
-		return 0
+		return nil, false
 	}
 	var info *unix.TCPInfo
 	err = raw.Control(func(descriptor uintptr) {
 		info, _ = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
 	})
-	if err != nil || info == nil || info.Bytes_received == 0 {
-		return 0
-	}
-	return time.Duration(info.Last_data_recv) * time.Millisecond
+	return info, err == nil && info != nil
 }
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -24,6 +24,7 @@
 	state atomic.Uint64
 	// retired is set when no further request may be written.
 	retired atomic.Bool
+	sent    sent
 }
 
 // Use is one request's use of a connection. The transport gives the connection to the next request
@@ -62,7 +63,7 @@
 	if !first && c.state.Load() != use+connWritten {
 		return 0, net.ErrClosed
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.sent.write(c.Conn, p)
 	if first && n == 0 && err != nil {
 		c.state.CompareAndSwap(use+connWritten, use+connUntouched)
 	}
