--- a/internal/dataplane/answer.go
+++ b/internal/dataplane/answer.go
@@ -19,13 +19,6 @@
 	_ = response.Body.Close()
 }
 
-// endsDetectably reports whether the end of an answer can be distinguished from a
-// broken connection: the answer has a length, or is chunked, or has no body.
-func endsDetectably(response *http.Response) bool {
-	return response.ContentLength >= 0 || slices.Contains(response.TransferEncoding, "chunked") ||
-		response.Body == http.NoBody || response.Request.Method == http.MethodHead
-}
-
 // delivery forwards one answer to whoever sent the request.
 type delivery struct {
 	writer   http.ResponseWriter
--- a/internal/dataplane/attempt.go
+++ b/internal/dataplane/attempt.go
@@ -8,6 +8,7 @@
 	"strconv"
 	"time"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/balance"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/retry"
@@ -245,7 +246,7 @@
 func failureOf(response *http.Response, hasStatus bool) error {
 	reported, reason := outcome.FromResponse(response.Header)
 	if reported == outcome.Answered {
-		if !hasStatus || !endsDetectably(response) {
+		if !hasStatus || httpconn.EndsWithConnection(response) {
 			return outcome.New(outcome.InvalidAnswer)
 		}
 		return nil
--- a/internal/dataplane/cut_test.go
+++ b/internal/dataplane/cut_test.go
@@ -78,3 +78,42 @@
 		})
 	}
 }
+
+// TestAnswerThatEndsWithItsConnectionIsRefusedWithAnUpload guards against the whole 200 of a part where a
+// worker answers an upload at once and ends the connection within it, beside the caller's node and beside
+// another.
+func TestAnswerThatEndsWithItsConnectionIsRefusedWithAnUpload(t *testing.T) {
+	const part = 20_000
+	heads := []string{"HTTP/1.1 200 OK\r\n\r\n", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n", "HTTP/1.0 200 OK\r\n\r\n"}
+	for _, place := range []string{"beside the caller's node", "beside another"} {
+		t.Run(place, func(t *testing.T) {
+			m := newMesh(t)
+			raw := func(_ *rawWorker, conn net.Conn) {
+				request, err := http.ReadRequest(bufio.NewReader(conn))
+				if err != nil {
+					return
+				}
+				var head int
+				_, _ = fmt.Sscan(request.Header.Get("X-Head"), &head)
+				_, _ = io.WriteString(conn, heads[head]+strings.Repeat("p", part))
+				if request.Header.Get("X-End") == "reset" {
+					_ = conn.(*net.TCPConn).SetLinger(0)
+				}
+			}
+			m.addRaw(raw, "b")
+			if place == "beside the caller's node" {
+				m.entry = m.addWorker("a", newRawWorker(t, raw).address())
+			}
+			for head := range heads {
+				for _, end := range []string{"close", "reset"} {
+					for _, upload := range []int{300 << 10, 2 << 20, 8 << 20} {
+						got := m.call(http.MethodPost, "/never", strings.Repeat("u", upload), "X-Head", fmt.Sprint(head), "X-End", end)
+						if got.status != http.StatusBadGateway {
+							t.Errorf("%q by %s with %d bytes: %d with %d bytes, %v", heads[head], end, upload, got.status, len(got.body), got.err)
+						}
+					}
+				}
+			}
+		})
+	}
+}
--- a/internal/dataplane/worker.go
+++ b/internal/dataplane/worker.go
@@ -223,7 +223,7 @@
 		permit.Release(admission.Result{Refused: true})
 		return nil, outcome.WithRetryAfter(outcome.RefusedByOwnWorker, refusedRetryAfter)
 	}
-	if !endsDetectably(response) {
+	if httpconn.EndsWithConnection(response) {
 		_ = response.Body.Close()
 		permit.Release(admission.Result{})
 		return nil, outcome.New(outcome.InvalidAnswer)
--- a/internal/forwarding/uploadcut_test.go
+++ b/internal/forwarding/uploadcut_test.go
@@ -197,6 +197,29 @@
 	checkNothingIsHeld(t, nodes...)
 }
 
+// TestStreamedPartOfAnAnswerIsNotEndedAsWhole guards against the end of an answer whose beginning was
+// passed on before its worker broke it off.
+func TestStreamedPartOfAnAnswerIsNotEndedAsWhole(t *testing.T) {
+	const plays = 96
+	nodes := nodesBesideEarlyWorker(t)
+	random := rand.New(rand.NewPCG(75, 2))
+	group := errgroup.Group{}
+	group.SetLimit(4)
+	for i := range plays {
+		p := drawUpload(random, []string{"1.1", "1.1 close", "1.0"}[i%3], []string{"reset", "close"}[i/3%2])
+		p.part += bufferedAnswer
+		node, version := nodes[i/6%2], []string{"1.1", "1.0"}[i/12%2]
+		group.Go(func() error {
+			if got := p.play(t, node, version); got.err == nil && got.status == http.StatusOK {
+				t.Errorf("%+v on HTTP/%s at %s: a whole 200 with %d bytes", p, version, node.plane.config.Node, len(got.body))
+			}
+			return nil
+		})
+	}
+	_ = group.Wait()
+	checkNothingIsHeld(t, nodes...)
+}
+
 // TestAnswerThatEndsWithItsConnectionIsWholeOnceTheUploadIsTaken guards against a whole answer that is
 // lost or hangs, for bodies of all sizes around the buffers between the node and its worker.
 func TestAnswerThatEndsWithItsConnectionIsWholeOnceTheUploadIsTaken(t *testing.T) {
