Ask a worker again that has answered 421

One answer 421 took a worker out for as long as it lived: its node refused every call with no-worker, although the heartbeats of the same run came on. A real process whose worker answered one request so served none of the next 20 s (503, no-worker), which is how it was found.

The cause: the client of the worker remembered for ever that another one had answered at the address. A worker that is gone for good has heartbeats no more, and one that takes over its address marks it by its own heartbeat, so remembering matters only for the seconds between.

The worker is now paused for a second, as it is for a quarter of one when it accepts no connection. A call that comes too early is refused by 421 again, which has run nothing.

TestRefusalKeepsTheConnection pauses its worker for the test's whole time, as the removed mark did.

--- a/internal/forwarding/absence.go
+++ b/internal/forwarding/absence.go
@@ -153,10 +153,8 @@
 	switch {
 	case !known || !client.isOf(worker.Incarnation()):
 		return ""
-	case client.replaced.Load():
-		return " (replaced at its address)"
 	case client.paused():
-		return " (paused after failures)"
+		return " (paused)"
 	case client.terms.Terms().Leaving:
 		return " (leaving by its answers)"
 	}
--- a/internal/forwarding/absence_test.go
+++ b/internal/forwarding/absence_test.go
@@ -4,7 +4,6 @@
 	"net/http"
 	"strings"
 	"testing"
-	"time"
 
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/outcome"
@@ -75,7 +74,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client.pausedUntil.Store(time.Now().Add(testTimeout).UnixNano())
+	client.pause(testTimeout)
 	mustExplain(t, front, "ready 1, silent 0", "paused 1")
-	mustExplain(t, nodes[0], `takes calls "w-a" at `, "(paused after failures)")
+	mustExplain(t, nodes[0], `takes calls "w-a" at `, "(paused)")
 }
--- a/internal/forwarding/refusal_test.go
+++ b/internal/forwarding/refusal_test.go
@@ -18,7 +18,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	client.replaced.Store(true)
+	client.pause(testTimeout)
 	const calls = 20
 	for range calls {
 		if status, _, _ := ask(t, callerRequest(t, front, http.MethodGet, "/short/1", nil)); status != http.StatusServiceUnavailable {
--- a/internal/forwarding/suspects.go
+++ b/internal/forwarding/suspects.go
@@ -85,7 +85,7 @@
 func (w *workerClient) ended(ctx context.Context) bool {
 	ended := w.crashes.Ended(ctx, w.worker.Address)
 	if ended {
-		w.pausedUntil.Store(time.Now().Add(unreachablePause).UnixNano())
+		w.pause(unreachablePause)
 	}
 	return ended
 }
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -29,6 +29,8 @@
 	shortestWorkerIdle = 100 * time.Millisecond
 	// unreachablePause is how long a worker that accepts no connection gets no calls.
 	unreachablePause = 250 * time.Millisecond
+	// misdirectedPause is how long a worker gets no calls after another one has answered at its address.
+	misdirectedPause = time.Second
 	// shortestTime is the shortest remaining time with which a call is still sent to a worker.
 	shortestTime = 2 * time.Millisecond
 	// connectionsPerSlot bounds the connections to a worker per slot, including unused ones and
@@ -68,12 +70,10 @@
 	// slots is how many slots the worker has.
 	slots int
 	// pausedUntil, in Unix nanoseconds, is until when the worker gets no calls after it accepted
-	// no connection.
+	// no connection, or another one has answered at its address.
 	pausedUntil atomic.Int64
 	// startedAt is when the worker's incarnation started, as far as it is known.
 	startedAt atomic.Int64
-	// replaced is set when another worker has answered at the address.
-	replaced atomic.Bool
 	// terms are what the worker states about the requests that it takes.
 	terms *workers.TermsKeeper
 
@@ -253,7 +253,7 @@
 	if err != nil {
 		call.arrived = outcome.Of(err) != outcome.NotRun
 		if outcome.ReasonOf(err) == outcome.Unreachable {
-			w.pausedUntil.Store(time.Now().Add(unreachablePause).UnixNano())
+			w.pause(unreachablePause)
 		}
 		return nil, err
 	}
@@ -274,7 +274,7 @@
 	}
 	if w.dialect.refused(response) {
 		if response.StatusCode == http.StatusMisdirectedRequest {
-			w.replaced.Store(true)
+			w.pause(misdirectedPause)
 		}
 		return nil, withDecision(outcome.New(outcome.RefusedByOwnWorker), decision{by: w.incarnation().String(), evidence: w.dialect.evidence(response)})
 	}
@@ -399,5 +399,10 @@
 
 // paused reports whether the worker gets no calls for now.
 func (w *workerClient) paused() bool {
-	return w.replaced.Load() || time.Now().UnixNano() < w.pausedUntil.Load()
+	return time.Now().UnixNano() < w.pausedUntil.Load()
+}
+
+// pause has the worker get no calls for a time.
+func (w *workerClient) pause(duration time.Duration) {
+	w.pausedUntil.Store(time.Now().Add(duration).UnixNano())
 }
