--- a/internal/dataplane/endless_test.go
+++ b/internal/dataplane/endless_test.go
@@ -41,7 +41,7 @@
 					done := make(chan struct{})
 					go func() {
 						defer close(done)
-						if whole, status := m.looksWhole(t, path); whole && name != "body behind a length" {
+						if whole, status := m.looksWhole(t, path); whole && !form.Whole() {
 							t.Errorf("%s: a whole answer with status %d", path, status)
 						}
 					}()
--- a/internal/forwarding/endless_test.go
+++ b/internal/forwarding/endless_test.go
@@ -60,7 +60,7 @@
 						go func() {
 							defer close(done)
 							whole, status := looksWhole(callerRequest(t, node, call.method, call.path, nil))
-							if whole && name != "body behind a length" || name == "body of a refusal" && status != http.StatusServiceUnavailable {
+							if whole && !form.Whole() || name == "body of a refusal" && status != http.StatusServiceUnavailable {
 								t.Errorf("%s, %s: status %d, whole %t", place, call.path, status, whole)
 							}
 						}()
--- a/internal/httpconn/answer_test.go
+++ b/internal/httpconn/answer_test.go
@@ -32,7 +32,7 @@
 				_, err = io.ReadAll(response.Body)
 				_ = response.Body.Close()
 			}
-			if (err == nil) != (name == "body behind a length") {
+			if (err == nil) != form.Whole() {
 				t.Errorf("error %v", err)
 			}
 			testwait.Eventually(t, "the connection is closed", func() bool { return server.Answered.Load() == 1 && server.Open.Load() == 0 })
--- a/internal/testendless/testendless.go
+++ b/internal/testendless/testendless.go
@@ -23,28 +23,56 @@
 type Form struct {
 	// first may hold %s, for header lines.
 	first, repeated string
+	// whole is set when what comes first is an answer that is whole without the rest.
+	whole bool
 }
 
+// Whole reports whether what the form begins with is an answer that is whole without the rest.
+func (f Form) Whole() bool { return f.whole }
+
+// chunked begins an answer whose body comes in chunks.
+const chunked = "HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n"
+
 // Forms are the forms by name. Those that begin with "head" never come to a body.
 var Forms = map[string]Form{
-	"head: status line":     {"HTTP/1.1 200 ", "O"},
-	"head: no status line":  {"", "x"},
-	"head: long line":       {"HTTP/1.1 200 OK\r\n%sX-Long: ", "y"},
-	"head: many lines":      {"HTTP/1.1 200 OK\r\n%s", "X-More: y\r\n"},
-	"head: interim answers": {"", "HTTP/1.1 103 Early Hints\r\nX-Hint: y\r\n\r\n"},
-	"chunk extension":       {"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n1;a=", "z"},
-	"chunk extensions":      {"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", "1;a=zzzzzzzz\r\nz\r\n"},
-	"chunks":                {"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n", "4\r\nbody\r\n"},
-	"trailer":               {"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\n", "X-Trailer: z\r\n"},
-	"trailer: long line":    {"HTTP/1.1 200 OK\r\n%sTransfer-Encoding: chunked\r\n\r\n0\r\nX-Trailer: ", "z"},
-	"body without a length": {"HTTP/1.1 200 OK\r\n%s\r\n", "body"},
-	"body of a failure":     {"HTTP/1.1 500 Internal Server Error\r\n%s\r\n", "body"},
-	"body behind a length":  {"HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", "surplus"},
+	"head: status line":      {first: "HTTP/1.1 200 ", repeated: "O"},
+	"head: status":           {first: "HTTP/1.1 2", repeated: "0"},
+	"head: no status line":   {repeated: "x"},
+	"head: zeros":            {repeated: "\x00"},
+	"head: lines":            {repeated: "line\n"},
+	"head: blank lines":      {repeated: "\r\n"},
+	"head: long line":        {first: "HTTP/1.1 200 OK\r\n%sX-Long: ", repeated: "y"},
+	"head: long name":        {first: "HTTP/1.1 200 OK\r\n%sX-", repeated: "y"},
+	"head: many lines":       {first: "HTTP/1.1 200 OK\r\n%s", repeated: "X-More: y\r\n"},
+	"head: folded lines":     {first: "HTTP/1.1 200 OK\r\n%sX-Long: y", repeated: "\r\n y"},
+	"head: interim answers":  {repeated: "HTTP/1.1 103 Early Hints\r\nX-Hint: y\r\n\r\n"},
+	"head: continue":         {repeated: "HTTP/1.1 100 Continue\r\n\r\n"},
+	"chunk size":             {first: chunked, repeated: "0"},
+	"chunk extension":        {first: chunked + "1;a=", repeated: "z"},
+	"chunk extensions":       {first: chunked, repeated: "1;a=zzzzzzzz\r\nz\r\n"},
+	"chunks":                 {first: chunked, repeated: "4\r\nbody\r\n"},
+	"chunk of 2^63-1":        {first: chunked + "7fffffffffffffff\r\n", repeated: "body"},
+	"trailer":                {first: chunked + "0\r\n", repeated: "X-Trailer: z\r\n"},
+	"trailer: long line":     {first: chunked + "0\r\nX-Trailer: ", repeated: "z"},
+	"body without a length":  {first: "HTTP/1.1 200 OK\r\n%s\r\n", repeated: "body"},
+	"body of HTTP/1.0":       {first: "HTTP/1.0 200 OK\r\n%s\r\n", repeated: "body"},
+	"body of a failure":      {first: "HTTP/1.1 500 Internal Server Error\r\n%s\r\n", repeated: "body"},
+	"body of 503":            {first: "HTTP/1.1 503 Service Unavailable\r\n%s\r\n", repeated: "body"},
+	"body of 2^63-1":         {first: "HTTP/1.1 200 OK\r\n%sContent-Length: 9223372036854775807\r\n\r\n", repeated: "body"},
+	"failure of 9 GB":        {first: "HTTP/1.1 500 Internal Server Error\r\n%sContent-Length: 9000000000\r\n\r\n", repeated: "body"},
+	"body behind a length":   {first: "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", repeated: "surplus", whole: true},
+	"body behind 204":        {first: "HTTP/1.1 204 No Content\r\n%s\r\n", repeated: "body", whole: true},
+	"body behind 304":        {first: "HTTP/1.1 304 Not Modified\r\n%s\r\n", repeated: "body", whole: true},
+	"answers behind another": {first: "HTTP/1.1 200 OK\r\n%sContent-Length: 2\r\n\r\nok", repeated: "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok", whole: true},
 }
 
+// Misdirected is the form of an answer by which a worker says that it is not the one that was asked, with a
+// body that never ends. It gets no calls for a while after that.
+var Misdirected = Form{first: "HTTP/1.1 421 Misdirected Request\r\n%s\r\n", repeated: "body"}
+
 // Refusal returns the form of a refusal with the given mark and a body that never ends.
 func Refusal(mark string) Form {
-	return Form{"HTTP/1.1 503 Service Unavailable\r\n%s" + mark + "\r\n\r\n", "body"}
+	return Form{first: "HTTP/1.1 503 Service Unavailable\r\n%s" + mark + "\r\n\r\n", repeated: "body"}
 }
 
 const (
