Take back entries that others write under a node's own name

Cause: three, of one class: an entry in the store was taken for the word of the node that it names. - Announcer.adopt took such an entry for its own. It kept its lease and wrote the entry again within rejoinSpread (20 s). Until then all nodes read each other at wrong addresses, and a node with an entry never read the list again. - A listed record had the incarnation and sequence of the node's own record, or a later sequence: two records with one identity, which no exchange tells apart, or one that outranks the node. - A record under the own name with the own incarnation was passed over by the node, though all others took it. Incarnations up to 1<<63 were accepted, and the node's next one was then refused by all.

Why it works: an entry through which others do not find the node is taken (drain commitments, incarnation, revision) and replaced before the list is read again, so that of two nodes that start one sees the other, as at a first start. A node that reaches nobody, and the readers for nodes that are not reached, search the list again: each second at first. Listed records have sequences below those of nodes. A record under the own name is outranked at once, and the readers tell a node at its former address that a record has moved it. A node whose record nobody got sends it once another contacts it.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -103,6 +103,8 @@
 	// peersAsked is closed when the first nodes that were asked have answered or timed out.
 	peersAsked     chan struct{}
 	peersAskedOnce sync.Once
+	// unheard is set if there was nobody to send this node's record to when it was sent last.
+	unheard atomic.Bool
 	// queryingContact is set while this node queries others because one has contacted it.
 	queryingContact atomic.Bool
 
@@ -112,6 +114,12 @@
 	// uses it.
 	withoutStore map[string]bool
 
+	// lookups are the searches of the directory for nodes that are not reached. Only housekeeping uses
+	// them.
+	lookups lookups
+	// retaken limits how often the record of this node is spread because another program has written
+	// one under its name.
+	retaken *rate.Limiter
 	// rejections limits the log lines on invalid calls.
 	rejections *rate.Limiter
 
@@ -130,6 +138,7 @@
 	}
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
+		retaken:    rate.NewLimiter(rate.Every(retakePause), retakeBurst),
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
 		ignored:    newIgnoredCalls(config.Events),
 	}
@@ -148,6 +157,8 @@
 	agent.announcer.sharedEntry = agent.peers.recall
 	agent.announcer.onRejected, agent.announcer.onUnencodable = agent.rejectEntry, agent.recordUnencodable
 	agent.announcer.onRewritten = config.Events.EntryRestored
+	agent.announcer.isAlone = agent.reachesNobody
+	agent.announcer.isLost = func(id string) bool { return !config.Contacts.Reachable(id) }
 	server := &Server{peers: agent.peers, background: agent.background, onContact: agent.onContact, quotas: config.Quotas}
 	agent.web = intake.Guard(&http.Server{
 		Handler:           contain.Handler(messagesName, config.Panicked, server.handler()),
@@ -270,6 +281,7 @@
 
 // spreadRecord sends this node's record to all other nodes.
 func (a *Agent) spreadRecord(ctx context.Context) {
+	a.unheard.Store(a.reachesNobody())
 	a.peers.Announce(ctx, a.ownRecord())
 }
 
@@ -335,6 +347,7 @@
 	}
 	a.followEras()
 	a.announcer.CommitmentsChecked()
+	a.searchLost(time.Now())
 	a.evidence.expire()
 	expired := a.config.Workers.Expire(time.Now())
 	if len(expired) == 0 {
--- a/internal/hosted/announcer.go
+++ b/internal/hosted/announcer.go
@@ -5,6 +5,7 @@
 	"math"
 	"math/rand/v2"
 	"slices"
+	"sync/atomic"
 	"time"
 
 	"github.com/levertide/levertide/pkg/contain"
@@ -35,7 +36,7 @@
 	// left. These were renewed 60 s before at most, which leaves enough time.
 	rejoinSpread = 20 * time.Second
 	// entryTTL is the time to live of this node's entry in the store, and renewInterval how often
-	// it is renewed, or, on a node without one, how often it is checked whether there are too few.
+	// it is renewed, and checked which other nodes have one, and whether they are too few.
 	entryTTL      = 2 * time.Minute
 	renewInterval = 40 * time.Second
 	// recoverySpread is the time over which nodes check their entries when the store has recovered.
@@ -103,6 +104,15 @@
 	// after an outage or was restored.
 	writeDue chan struct{}
 	checkDue chan struct{}
+	// searchDue is signalled when the directory may list nodes that cannot be reached where this node
+	// knows them.
+	searchDue chan struct{}
+	// isLost reports whether a node is taken to be lost, and isAlone whether no other node is reached.
+	isLost  func(id string) bool
+	isAlone func() bool
+	// unreached is set if the directory had entries under the names of nodes that were not reached when
+	// it was read last.
+	unreached atomic.Bool
 
 	// seenEra returns the highest era that the store has reported to this node.
 	seenEra func() Era
@@ -131,6 +141,7 @@
 		writeTurn: make(chan struct{}, 1),
 		writeDue:  make(chan struct{}, 1),
 		checkDue:  make(chan struct{}, 1),
+		searchDue: make(chan struct{}, 1),
 	}
 }
 
@@ -195,14 +206,18 @@
 	}
 }
 
-// wait waits for the next task and does it: renewing the entry or checking the directory at
-// intervals, confirming the entry after an outage, or writing it on request.
+// wait waits for the next task and does it: renewing the entry and checking the directory at
+// intervals, searching the directory, confirming the entry after an outage, or writing it on request.
 func (a *Announcer) wait(ctx context.Context) {
 	t := time.NewTimer(a.nextCheck())
 	defer t.Stop()
 	select {
 	case <-t.C:
 		a.renew(ctx)
+		_ = bounded(ctx, a.checkDirectory)
+		a.enterHub()
+	case <-a.searchDue:
+		_ = bounded(ctx, a.checkDirectory)
 	case <-a.checkDue:
 		a.confirm(ctx)
 	case <-a.writeDue:
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"slices"
 
 	"github.com/levertide/levertide/pkg/contain"
 	"github.com/levertide/levertide/pkg/fleet"
@@ -73,13 +74,14 @@
 	}
 	var listed listing
 	own := a.table.View().Self().ID
+	a.unreached.Store(slices.ContainsFunc(entries, func(e Entry) bool { return e.ID != own && !a.isReached(e.ID) }))
 	for _, entry := range entries {
 		n, ok := a.decode(entry)
 		switch {
 		case entry.ID == own:
 			listed.own = &entry
 		case ok:
-			listed.nodes = append(listed.nodes, n)
+			listed.nodes = append(listed.nodes, n.AsListed())
 		default:
 			a.onRejected(entry.ID)
 		}
@@ -87,22 +89,42 @@
 	return listed, nil
 }
 
+// checkDirectory contacts the listed nodes that this one does not know, or knows where they cannot be
+// reached, and writes the entry of this node if it was displaced, or is needed.
 func (a *Announcer) checkDirectory(ctx context.Context) error {
 	listed, err := a.list(ctx, true)
 	if err != nil {
 		return err
 	}
-	var unknown []fleet.Node
+	if listed.own != nil && a.displaced(*listed.own) {
+		a.take(*listed.own)
+		if err := a.write(ctx); err != nil {
+			a.writeSoon()
+			return err
+		}
+		// Entries of others may have been displaced, too, and be back by now.
+		if listed, err = a.list(ctx, false); err != nil {
+			return err
+		}
+	}
+	var news []fleet.Node
 	for _, n := range listed.nodes {
-		if _, known := a.table.View().Node(n.ID); !known {
-			unknown = append(unknown, n)
+		held, known := a.table.View().Node(n.ID)
+		if !known || !a.isReached(n.ID) && (n.NewerThan(held) || n.ControlAddress != held.ControlAddress) {
+			news = append(news, n)
 		}
 	}
-	if len(unknown) > 0 {
-		a.contact(ctx, listing{nodes: unknown})
+	if len(news) > 0 {
+		a.contact(ctx, listing{nodes: news})
 	}
-	if listed.others() < directorySize {
+	if lease, _ := a.held(); lease == "" && (listed.others() < directorySize || a.isAlone()) {
 		a.writeSoon()
 	}
 	return nil
 }
+
+// isReached reports whether a node is known, has not left, and is not taken to be lost.
+func (a *Announcer) isReached(id string) bool {
+	held, known := a.table.View().Node(id)
+	return known && held.State != fleet.StateLeft && !a.isLost(id)
+}
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -12,35 +12,47 @@
 )
 
 // adopt takes over the entry of a previous incarnation: others find this node through it, and
-// renewing its lease is enough. An entry that cannot be kept, or has another address, is replaced.
-// Before is the newest era known when the entry was requested. It reports whether the entry is that of
-// a node: one of another writer must be replaced at once, since nobody finds this node through it, and
-// its lease is not for this node to renew.
+// renewing its lease is enough. Before is the newest era known when the entry was requested. It reports
+// whether others find this node through the entry: one with another address, or of another writer, must
+// be replaced at once, and its lease is not for this node to renew.
 func (a *Announcer) adopt(e Entry, before uint64) bool {
 	if a.hasWritten() {
 		// A drain commitment was written before the list arrived: what the list shows is older.
 		return true
 	}
 	previous, own := a.decode(e)
-	if !own {
-		a.onRejected(e.ID)
-		a.mu.Lock()
-		a.revision, a.unleased = e.Revision, false
-		a.mu.Unlock()
+	if !own || !a.leadsHere(previous) {
+		a.take(e)
 		return false
 	}
 	a.setLease(e.Lease, before)
 	a.mu.Lock()
 	a.revision, a.unleased = e.Revision, len(drainCommittedOnly(previous.Workers)) > 0
 	a.mu.Unlock()
-	again := a.writeSoon
-	if self := a.table.View().Self(); e.Lease != "" && previous.ControlAddress == self.ControlAddress && previous.CallAddress == self.CallAddress {
-		again = a.check
+	again := a.check
+	if e.Lease == "" {
+		again = a.writeSoon
 	}
 	time.AfterFunc(rand.N(rejoinSpread), again)
 	return true
 }
 
+// leadsHere reports whether whoever reads the record finds this node.
+func (a *Announcer) leadsHere(n fleet.Node) bool {
+	self := a.table.View().Self()
+	return n.ControlAddress == self.ControlAddress && n.CallAddress == self.CallAddress
+}
+
+// displaced reports whether the entry of this node, as read from the store, was replaced by one through
+// which others do not find it. A list may be older than what this node has written.
+func (a *Announcer) displaced(e Entry) bool {
+	if _, revision := a.held(); e.Revision <= revision {
+		return false
+	}
+	n, ok := a.decode(e)
+	return !ok || !a.leadsHere(n)
+}
+
 // decode decodes an entry. One whose decoding panics counts as one that is not a node's.
 func (a *Announcer) decode(e Entry) (n fleet.Node, ok bool) {
 	err := contain.Read("entry", a.panicked, func() error {
@@ -57,15 +69,18 @@
 	if a.commitmentsKnown() || a.firstStart {
 		return nil
 	}
-	if e, answered := a.sharedEntry(ctx); answered {
-		a.take(e)
-		return nil
-	}
-	e, err := a.directory.Entry(ctx, a.table.View().Self().ID)
-	if err != nil {
-		return err
+	e, answered := a.sharedEntry(ctx)
+	if !answered {
+		var err error
+		if e, err = a.directory.Entry(ctx, a.table.View().Self().ID); err != nil {
+			return err
+		}
 	}
+	displaced := a.displaced(e)
 	a.take(e)
+	if displaced {
+		a.writeSoon()
+	}
 	return nil
 }
 
@@ -208,13 +223,10 @@
 }
 
 // renew renews the lease of a node that has an entry, and writes the entry again when the lease has
-// ended. A node without an entry checks whether there are enough, and contacts nodes that it does
-// not know.
+// ended.
 func (a *Announcer) renew(ctx context.Context) {
 	lease, _ := a.held()
 	if lease == "" {
-		_ = bounded(ctx, a.checkDirectory)
-		a.enterHub()
 		return
 	}
 	if a.outdated() {
@@ -229,11 +241,7 @@
 
 // confirm makes sure that the entry of this node, if it has one, has outlasted an outage of the
 // store, or a restore.
-func (a *Announcer) confirm(ctx context.Context) {
-	if lease, _ := a.held(); lease != "" {
-		a.renew(ctx)
-	}
-}
+func (a *Announcer) confirm(ctx context.Context) { a.renew(ctx) }
 
 // CommitmentsChecked is called now and then: an entry without drain commitments is bound to a lease
 // again, with which it goes when its machine is lost.
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -148,7 +148,7 @@
 func startNodeOn(t testing.TB, store *hostedstore.Store, id string, listener net.Listener, dial httpconn.DialFunc, firstStart bool) *testNode {
 	t.Helper()
 	record := fleet.Node{
-		ID: id, Incarnation: uint64(time.Now().UnixNano()), Sequence: 1, Region: "r", Zone: "zone-" + id[:1],
+		ID: id, Incarnation: uint64(time.Now().UnixNano()), Sequence: fleet.FirstSequence, Region: "r", Zone: "zone-" + id[:1],
 		ControlAddress: listener.Addr().String(), State: fleet.StateLive, ReadsStore: true,
 	}
 	node := &testNode{
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -209,7 +209,9 @@
 
 // mergeRecords merges records, and acts on nodes that were restarted or replaced.
 func (p *Peers) mergeRecords(nodes []fleet.Node) fleet.Merged {
+	before := p.table.View()
 	merged := p.table.Merge(nodes)
+	p.checkMoves(before, merged.NewIncarnations)
 	for _, id := range merged.NewIncarnations {
 		// The node was lost, and others have had contact with its new incarnation: it need not be
 		// probed first.
--- a/internal/hosted/previous.go
+++ b/internal/hosted/previous.go
@@ -75,9 +75,15 @@
 // onContact is called when another node has contacted this one. A node that has just started and
 // cannot read the store learns from that node, including which others to ask. A node to which the
 // store has listed others asks those instead: when all nodes start at once, each is contacted by
-// some.
+// some. One whose record nobody has got sends it to those that it learns of.
 func (a *Agent) onContact(id string) {
 	node, known := a.config.Table.View().Node(id)
+	if known && a.unheard.CompareAndSwap(true, false) {
+		a.background(func(ctx context.Context) {
+			a.peers.Sync(ctx, node)
+			a.spreadRecord(ctx)
+		})
+	}
 	asking := a.listed.Load() && time.Since(a.started) < recallBound
 	if a.commitmentsKnown.Load() || asking || !known || !a.queryingContact.CompareAndSwap(false, true) {
 		return
@@ -121,8 +127,13 @@
 // learnPrevious adopts what previous incarnations of this node have left with other nodes.
 func (a *Agent) learnPrevious(merged fleet.Merged, drainCommitted []*exchangepb.Worker) {
 	previous := workersOf(drainCommitted)
-	if merged.PreviousSelf != nil {
-		a.config.Table.SupersedePrevious(*merged.PreviousSelf)
+	own := a.config.Table.View().Self().Incarnation
+	switch {
+	case merged.PreviousSelf != nil && merged.PreviousSelf.Incarnation == own:
+		// Another program has changed a record of this incarnation.
+		a.supersede(*merged.PreviousSelf)
+	case merged.PreviousSelf != nil:
+		a.supersede(*merged.PreviousSelf)
 		previous = append(previous, merged.PreviousSelf.Workers...)
 		a.evidence.takePrevious(*merged.PreviousSelf)
 		a.config.Events.PreviousIncarnationFound(merged.PreviousSelf.Incarnation, len(drainCommitted))
@@ -140,6 +151,22 @@
 	}
 }
 
+// supersede gives this node a later incarnation than a record under its name has. Others that have
+// taken that record reach this node again once they have its own.
+func (a *Agent) supersede(n fleet.Node) {
+	if !n.NewerThan(a.config.Table.View().Self()) {
+		return
+	}
+	a.config.Table.SupersedePrevious(n)
+	if !a.retaken.Allow() {
+		return
+	}
+	a.background(a.spreadRecord)
+	if a.announcer.hasWritten() {
+		a.announcer.writeSoon()
+	}
+}
+
 // learnFromEntry adopts the drain commitments in an entry of the store. The entry may also be one
 // of this incarnation whose write arrived late.
 func (a *Agent) learnFromEntry(previous fleet.Node) {
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -217,7 +217,7 @@
 	return fleet.Node{
 		ID:             n.settings.NodeID,
 		Incarnation:    uint64(time.Now().UnixNano()),
-		Sequence:       1,
+		Sequence:       fleet.FirstSequence,
 		Region:         n.settings.Region,
 		Zone:           n.settings.Zone,
 		ControlAddress: n.settings.ControlAddress,
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -49,14 +49,27 @@
 	StoreEra uint64
 }
 
-// maximumIncarnation bounds incarnations: beyond it the next ones of a node would soon be at the end
-// of the numbers.
-const maximumIncarnation = 1 << 63
+// maximumIncarnation bounds incarnations, which are times in nanoseconds since 1970: it is that of the
+// year 2100. The record of another writer with a later one could not be outranked for good.
+const maximumIncarnation = 4_102_444_800_000_000_000
 
 // IncarnationInRange reports whether the incarnation leaves room for the next ones of the node, which
 // must outrank the record.
 func (n Node) IncarnationInRange() bool { return n.Incarnation <= maximumIncarnation }
 
+// FirstSequence is the sequence with which nodes begin their records. Those of records that are not
+// from nodes are below.
+const FirstSequence = 1 << 32
+
+// AsListed returns the record as it is taken from a list that other programs may write, too: whatever
+// a node tells of itself in the same incarnation is newer. Listed records keep their order.
+func (n Node) AsListed() Node {
+	if n.Sequence >= FirstSequence {
+		n.Sequence = min(n.Sequence-FirstSequence, FirstSequence-1)
+	}
+	return n
+}
+
 // NewerThan reports whether the record replaces another one of the same node.
 func (n Node) NewerThan(other Node) bool {
 	if n.Incarnation != other.Incarnation {
--- a/pkg/fleet/replaced.go
+++ b/pkg/fleet/replaced.go
@@ -25,6 +25,13 @@
 	return &n
 }
 
+// ends reports whether the record is the last one of the incarnation that has written the other
+// record, by the node that has its address now. One that names another address is not: whoever has
+// that can tell nothing of this node.
+func (n Node) ends(other Node) bool {
+	return n.Replaced() && n.Incarnation == other.Incarnation && n.ControlAddress == other.ControlAddress
+}
+
 // hasAddressOf reports whether only one of two nodes can be there, since both have the
 // same address. An address without a host or port is that of no node in particular.
 func (n Node) hasAddressOf(other Node) bool {
--- a/pkg/fleet/table.go
+++ b/pkg/fleet/table.go
@@ -45,8 +45,8 @@
 	// NewIncarnations are the nodes of which a record of a later incarnation than the
 	// one held was accepted.
 	NewIncarnations []string
-	// PreviousSelf is a record of the own node, written by a previous incarnation, that
-	// is newer than the one held; it is not accepted.
+	// PreviousSelf is a record of the own node that is newer than the one held, written by a
+	// previous incarnation or by another program; it is not accepted.
 	PreviousSelf *Node
 	// Replaced are the last records of nodes whose address this one has. It has written
 	// them, and other nodes must get them.
@@ -68,7 +68,7 @@
 		}
 		switch {
 		case n.ID == "" || !n.IncarnationInRange() || known && !n.NewerThan(held):
-		case n.ID == t.self && n.Incarnation == t.ownIncarnation():
+		case n.ID == t.self && n.ends(held):
 			// Another node has the address of this one. What it says stands.
 		case n.ID == t.self:
 			previous := n
@@ -101,12 +101,6 @@
 	return last
 }
 
-// ownIncarnation returns the incarnation of the own record. The caller holds mu.
-func (t *Table) ownIncarnation() uint64 {
-	own, _ := t.held(t.self)
-	return own.Incarnation
-}
-
 // maximumCommitments bounds the commitments kept of the previous incarnations of one node.
 const maximumCommitments = 32
 
--- a/pkg/fleet/table_test.go
+++ b/pkg/fleet/table_test.go
@@ -258,3 +258,33 @@
 		t.Fatalf("nodes %v", after.Nodes())
 	}
 }
+
+// TestListedRecordIsOlderThanWhatItsNodeTells guards against a record that another program has written
+// into a list, and that no record of the node outranks.
+func TestListedRecordIsOlderThanWhatItsNodeTells(t *testing.T) {
+	for _, sequence := range []uint64{0, 1, FirstSequence - 1, FirstSequence, FirstSequence + 9, 1 << 63, math.MaxUint64} {
+		listed := node("a", 3, sequence).AsListed()
+		if !node("a", 3, FirstSequence).NewerThan(listed) || listed.Replaced() {
+			t.Errorf("sequence %d is listed as %d", sequence, listed.Sequence)
+		}
+	}
+	if earlier, later := node("a", 3, FirstSequence+1).AsListed(), node("a", 3, FirstSequence+2).AsListed(); !later.NewerThan(earlier) {
+		t.Error("listed records have lost their order")
+	}
+}
+
+// TestRecordOfAnotherProgramUnderTheOwnNameIsOutranked guards against a node that all others take to be
+// elsewhere, or gone, since a record under its name has its incarnation and a later sequence.
+func TestRecordOfAnotherProgramUnderTheOwnNameIsOutranked(t *testing.T) {
+	for _, other := range []Node{at(addressY, "self", 5, 9), *at(addressY, "self", 5, 1).asReplaced()} {
+		table := NewTable(at(addressX, "self", 5, 1))
+		merged := table.Merge([]Node{other})
+		if merged.PreviousSelf == nil {
+			t.Fatalf("%+v: merged %+v", other, merged)
+		}
+		table.SupersedePrevious(*merged.PreviousSelf)
+		if own := table.View().Self(); !own.NewerThan(other) || own.State != StateLive || own.ControlAddress != addressX {
+			t.Errorf("own record %+v", own)
+		}
+	}
+}
