--- a/internal/httpconn/sending.go
+++ b/internal/httpconn/sending.go
@@ -43,13 +43,13 @@
 	chunked bool
 	conn    *Conn // nil until the request got one
 	// closing is set when the next write carries the end of the request.
-	closing bool
+	closing atomic.Bool
 }
 
 // NewSending returns the Sending of one attempt to send a request whose body, if it has one, is read by
 // the transport from the given one.
 func NewSending(r *http.Request, body Unsent) *Sending {
-	s := &Sending{body: body, chunked: body != nil && r.ContentLength < 0}
+	s := &Sending{body: body, chunked: body != nil && r.ContentLength <= 0}
 	if body == nil {
 		s.Trace.WroteHeaders = s.wroteHead
 	} else {
@@ -73,7 +73,7 @@
 
 // wroteHead is called when the transport has put together the head of a request without a body. It has
 // yet to write the end of it.
-func (s *Sending) wroteHead() { s.closing = true }
+func (s *Sending) wroteHead() { s.closing.Store(true) }
 
 // wroteRequest is called when the transport has put together a request with a body. It has yet to write
 // the end of a chunked one; of one with a length it may have written all.
@@ -86,13 +86,13 @@
 		// The other side has answered without asking for the body.
 		s.conn.sent.end(nil)
 	case s.chunked:
-		s.closing = true
+		s.closing.Store(true)
 	}
 }
 
 // last reports whether the write that begins carries the end of the request.
 func (s *Sending) last() bool {
-	return s.closing || s.body != nil && !s.chunked && s.body.Len() == 0
+	return s.closing.Load() || s.body != nil && !s.chunked && s.body.Len() == 0
 }
 
 // sent is whether the current request of a Conn was sent.
