Refuse answers whose heads are not HTTP, in one place, wherever answers are read

What callers saw: an answer of a worker with a name such as "Content-Length ", "Set-Cookie " or "Na me" in its head, or with a folded line, came as an answer, with that line passed on or with a body that was not the worker's; the same in interim heads and trailers, and from the store, other nodes and probes.

Cause: net/textproto takes names with blanks as they are, and joins a folded line to the value before it; nothing behind it looked at names, and only the clients of calls looked at the status.

Why this works: httpconn says once what a head may be (final status 200 to 599, the version, names that are tokens, values without control bytes, no folded line), for final and interim heads and trailers, and each client asks it before it uses anything of the answer. Folded lines show only in the bytes: the connection follows the first bytes of the lines of each head. It also finds an answer that was read before its request began, which belongs to no request. The failure is invalid-answer, and names the field or the line, never a value; the text of net/http for lines that it cannot read itself, which shows values, is reduced to the name, too. An answer's era counts only when its trailer is HTTP.

Not seen: a folded line within a trailer, which net/http joins behind the body; the names in it are checked.

--- a/internal/command/connect/node.go
+++ b/internal/command/connect/node.go
@@ -15,6 +15,7 @@
 
 	"github.com/levertide/levertide/internal/command/exit"
 	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/identity"
 )
 
@@ -80,7 +81,8 @@
 
 // Open reads the certificate files; it opens no connection yet.
 func (n *NodeFlags) Open() (*Nodes, error) {
-	nodes := &Nodes{addresses: split(n.addresses), mesh: n.mesh, scheme: "http", transport: newTransport()}
+	dial := (&net.Dialer{}).DialContext
+	nodes := &Nodes{addresses: split(n.addresses), mesh: n.mesh, scheme: "http", transport: newTransport(dial)}
 	if n.files.Authorities == "" {
 		return nodes, nil
 	}
@@ -89,12 +91,12 @@
 		return nil, err
 	}
 	nodes.scheme = "https"
-	nodes.transport.TLSClientConfig = config
+	nodes.transport.DialTLSContext = httpconn.Track(httpconn.Encrypt(dial, config), dialTimeout)
 	return nodes, nil
 }
 
-func newTransport() *http.Transport {
-	return &http.Transport{DialContext: (&net.Dialer{Timeout: dialTimeout}).DialContext}
+func newTransport(dial httpconn.DialFunc) *http.Transport {
+	return &http.Transport{DialContext: httpconn.Track(dial, dialTimeout)}
 }
 
 // clientTLS reads the files once: a command ends too soon for them to be reloaded.
@@ -130,7 +132,7 @@
 	ctx, cancel := context.WithTimeout(ctx, nodeTimeout)
 	defer cancel()
 	prefix := twirp.WithClientPathPrefix(controlpb.PathPrefix(n.mesh))
-	client := controlpb.NewControlProtobufClient(n.scheme+"://"+address, &http.Client{Transport: n.transport}, prefix)
+	client := controlpb.NewControlProtobufClient(n.scheme+"://"+address, &http.Client{Transport: httpconn.CheckAnswers(n.transport, 1)}, prefix)
 	return client.Status(ctx, &controlpb.StatusRequest{Hops: maximumHops})
 }
 
--- a/internal/control/clients.go
+++ b/internal/control/clients.go
@@ -66,7 +66,7 @@
 		scheme:    scheme,
 		prefix:    config.pathPrefix(),
 		transport: transport,
-		client:    &http.Client{Transport: httpconn.LimitAnswers(transport, maximumAnswerBytes)},
+		client:    &http.Client{Transport: httpconn.LimitAnswers(httpconn.CheckAnswers(transport, 2), maximumAnswerBytes)},
 	}
 }
 
--- a/internal/daemon/worker.go
+++ b/internal/daemon/worker.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"time"
 
@@ -41,7 +42,9 @@
 		onAnswer:  answered,
 		onRestart: started,
 		log:       log,
-		client:    &http.Client{Timeout: probeTimeout, Transport: &http.Transport{DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead}},
+		client: &http.Client{Timeout: probeTimeout, Transport: httpconn.CheckAnswers(&http.Transport{
+			DialContext: httpconn.Track((&net.Dialer{}).DialContext, probeTimeout), DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
+		}, 1)},
 	}
 }
 
--- a/internal/dataplane/send.go
+++ b/internal/dataplane/send.go
@@ -25,6 +25,8 @@
 	conn   *httpconn.Conn // nil until the request got a connection
 	use    httpconn.Use   // of conn by this request
 	reused bool
+	// interims counts the interim answers.
+	interims int
 }
 
 // do sends the request and returns the head of the answer. Errors are those of
@@ -43,30 +45,34 @@
 	ctx, head := httpconn.WatchHead(ctx, r.headTime)
 	defer head.End()
 	interim := func(code int, header textproto.MIMEHeader) error {
+		r.interims++
 		if err := head.Interim(); err != nil {
 			return err
 		}
+		if err := httpconn.CheckInterim(r.interims, header, r.conn, r.use); err != nil {
+			return err
+		}
 		return r.relay.relay(code, header)
 	}
 	trace := &httptrace.ClientTrace{GotConn: r.gotConn, GotFirstResponseByte: head.Begun, Got1xxResponse: interim}
 	response, err := r.transport.RoundTrip(r.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, r.classify(ctx, err)
+		return nil, r.classify(ctx, httpconn.NameOnly(err))
 	}
-	if !httpconn.IsFinalAnswer(response) {
-		return nil, r.reject(response)
+	if err := httpconn.CheckAnswer(response, r.conn, r.use); err != nil {
+		return nil, r.reject(response, err)
 	}
 	return response, nil
 }
 
-// reject returns the failure of a request whose answer is not valid, and ends the use of its
-// connection.
-func (r *roundTrip) reject(response *http.Response) error {
+// reject returns the failure of a request whose answer is not valid for the given cause, and ends the
+// use of its connection.
+func (r *roundTrip) reject(response *http.Response, cause error) error {
 	if r.conn != nil {
 		r.conn.Retire()
 	}
 	_ = response.Body.Close()
-	return outcome.New(outcome.InvalidAnswer)
+	return outcome.Wrap(outcome.InvalidAnswer, cause)
 }
 
 func (r *roundTrip) gotConn(info httptrace.GotConnInfo) {
@@ -112,7 +118,7 @@
 	case r.body.failed.Load():
 		// The server cancels the context, too, when it cannot read the body.
 		return outcome.UploadFailed
-	case errors.Is(context.Cause(ctx), httpconn.ErrEndlessHead):
+	case errors.Is(context.Cause(ctx), httpconn.ErrEndlessHead), httpconn.IsInvalidAnswer(err):
 		return outcome.InvalidAnswer
 	case ctx.Err() != nil:
 		return outcome.Canceled
--- a/internal/dataplane/transport.go
+++ b/internal/dataplane/transport.go
@@ -1,9 +1,6 @@
 package dataplane
 
 import (
-	"context"
-	"crypto/tls"
-	"net"
 	"net/http"
 	"time"
 
@@ -25,7 +22,7 @@
 	transport.IdleConnTimeout = config.Limits.PeerIdle
 	transport.MaxResponseHeaderBytes += addedHeaderBytes
 	if config.PeerTLS != nil {
-		transport.DialTLSContext = httpconn.Track(encrypt(config.Dial, config.PeerTLS), config.Limits.Connect)
+		transport.DialTLSContext = httpconn.Track(httpconn.Encrypt(config.Dial, config.PeerTLS), config.Limits.Connect)
 	}
 	return transport
 }
@@ -49,33 +46,3 @@
 		MaxResponseHeaderBytes: int64(config.Limits.HeaderBytes),
 	}
 }
-
-// encrypt returns a dial function that completes the TLS handshake of each connection.
-func encrypt(dial httpconn.DialFunc, config *tls.Config) httpconn.DialFunc {
-	return func(ctx context.Context, network, address string) (net.Conn, error) {
-		conn, err := dial(ctx, network, address)
-		if err != nil {
-			return nil, err
-		}
-		encrypted := tls.Client(conn, configFor(config, address))
-		if err := encrypted.HandshakeContext(ctx); err != nil {
-			_ = conn.Close()
-			return nil, err
-		}
-		return encrypted, nil
-	}
-}
-
-// configFor fills in the server name that the standard verification needs.
-func configFor(config *tls.Config, address string) *tls.Config {
-	if config.ServerName != "" || config.InsecureSkipVerify {
-		return config
-	}
-	host, _, err := net.SplitHostPort(address)
-	if err != nil {
-		return config
-	}
-	named := config.Clone()
-	named.ServerName = host
-	return named
-}
--- a/internal/forwarding/answer.go
+++ b/internal/forwarding/answer.go
@@ -70,6 +70,8 @@
 		return outcome.Wrap(outcome.Timeout, err)
 	case ctx.Err() != nil:
 		return outcome.Wrap(outcome.Canceled, err)
+	case httpconn.IsInvalidAnswer(err):
+		return outcome.Wrap(outcome.InvalidAnswer, err)
 	default:
 		return outcome.Wrap(outcome.ConnectionLost, err)
 	}
--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -37,6 +37,9 @@
 	// headTime bounds the time from the first byte of the answer's head to its end; zero sets no
 	// bound.
 	headTime time.Duration
+	head     *httpconn.HeadWatch
+	// interims counts the interim answers.
+	interims int
 	// sending is the transmission of the body; nil unless the body is long.
 	sending atomic.Pointer[sending]
 }
@@ -56,32 +59,41 @@
 func (e *httpExchange) attempt(ctx context.Context) (*http.Response, error) {
 	e.conn, e.reused = nil, false
 	e.sending.Store(e.body.attach(e.request, e.pace))
-	trace := &httptrace.ClientTrace{GotConn: e.gotConn}
+	trace := &httptrace.ClientTrace{GotConn: e.gotConn, Got1xxResponse: e.interim}
 	if e.headTime > 0 {
-		var head *httpconn.HeadWatch
-		ctx, head = httpconn.WatchHead(ctx, e.headTime)
-		defer head.End()
-		trace.GotFirstResponseByte = head.Begun
-		trace.Got1xxResponse = func(int, textproto.MIMEHeader) error { return head.Interim() }
+		ctx, e.head = httpconn.WatchHead(ctx, e.headTime)
+		defer e.head.End()
+		trace.GotFirstResponseByte = e.head.Begun
 	}
 	response, err := e.transport.RoundTrip(e.request.WithContext(httptrace.WithClientTrace(ctx, trace)))
 	if err != nil {
-		return nil, e.classify(ctx, err)
+		return nil, e.classify(ctx, httpconn.NameOnly(err))
 	}
-	if !httpconn.IsFinalAnswer(response) {
-		return nil, e.reject(response)
+	if err := httpconn.CheckAnswer(response, e.conn, e.use); err != nil {
+		return nil, e.reject(response, err)
 	}
 	return response, nil
 }
 
-// reject returns the failure of a request whose answer is not valid, and ends the use of its
-// connection.
-func (e *httpExchange) reject(response *http.Response) error {
+// interim is called for each interim answer. An error ends the request.
+func (e *httpExchange) interim(_ int, header textproto.MIMEHeader) error {
+	e.interims++
+	if e.headTime > 0 {
+		if err := e.head.Interim(); err != nil {
+			return err
+		}
+	}
+	return httpconn.CheckInterim(e.interims, header, e.conn, e.use)
+}
+
+// reject returns the failure of a request whose answer is not valid for the given cause, and ends the
+// use of its connection.
+func (e *httpExchange) reject(response *http.Response, cause error) error {
 	if e.conn != nil {
 		e.conn.Retire()
 	}
 	_ = response.Body.Close()
-	return outcome.New(outcome.InvalidAnswer)
+	return outcome.Wrap(outcome.InvalidAnswer, cause)
 }
 
 func (e *httpExchange) gotConn(info httptrace.GotConnInfo) {
@@ -117,7 +129,7 @@
 		return outcome.Wrap(outcome.Timeout, err)
 	case e.bodyBroken():
 		return outcome.Wrap(outcome.Canceled, err)
-	case errors.Is(context.Cause(ctx), httpconn.ErrEndlessHead):
+	case errors.Is(context.Cause(ctx), httpconn.ErrEndlessHead), httpconn.IsInvalidAnswer(err):
 		return outcome.Wrap(outcome.InvalidAnswer, err)
 	case ctx.Err() != nil:
 		return outcome.Wrap(outcome.Canceled, err)
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -96,7 +96,7 @@
 		}
 	}()
 	if !c.plane.config.Dialect.answers(c.request, response) {
-		return nil, true, exchange.reject(response)
+		return nil, true, exchange.reject(response, errOtherAnswer)
 	}
 	if besideWorker(response.Header) {
 		c.plane.config.Contacts.Reached(e.node)
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"errors"
 	"net/http"
 	"strconv"
 	"strings"
@@ -38,6 +39,9 @@
 	connectionsPerSlot = 2
 )
 
+// errOtherAnswer is the failure of an answer without the id of its request.
+var errOtherAnswer = errors.New("the answer does not have the id of its request")
+
 // workerClient sends calls from this node to one incarnation of a worker beside it, and
 // admits them to its slots.
 type workerClient struct {
@@ -266,7 +270,7 @@
 	w.followKeepAlive(response.Header)
 	if !w.dialect.answers(call.inbound, response) {
 		// The answer belongs to an earlier request, or cannot be assigned to any.
-		return nil, exchange.reject(response)
+		return nil, exchange.reject(response, errOtherAnswer)
 	}
 	w.observeLoad(response.Header)
 	if response.StatusCode != http.StatusMisdirectedRequest {
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -73,13 +73,13 @@
 		panicked:  config.Panicked,
 		clients:   map[string]exchangepb.Exchange{},
 		directory: sharedDirectory{list: config.Directory.ListAll, panicked: config.Panicked},
-		web: &http.Client{Transport: httpconn.LimitAnswers(&http.Transport{
+		web: &http.Client{Transport: httpconn.LimitAnswers(httpconn.CheckAnswers(&http.Transport{
 			DialContext:            httpconn.Track(config.Dial, messageDialBound),
 			IdleConnTimeout:        idleMessages,
 			MaxIdleConnsPerHost:    2,
 			DisableCompression:     true,
 			MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
-		}, maximumMessage)},
+		}, 1), maximumMessage)},
 	}
 	p.relay = newRelay(func(ctx context.Context, u update, part partKey) {
 		p.BroadcastOwnZone(ctx, u, part.after, part.until)
--- a/internal/httpconn/answer.go
+++ b/internal/httpconn/answer.go
@@ -13,11 +13,6 @@
 // asks for another protocol) nor one that HTTP does not have.
 func IsFinal(status int) bool { return status >= http.StatusOK && status <= highestStatus }
 
-// IsFinalAnswer reports whether an answer is a final one of HTTP/1.
-func IsFinalAnswer(response *http.Response) bool {
-	return response.ProtoMajor == 1 && IsFinal(response.StatusCode)
-}
-
 // LimitAnswers returns a RoundTripper that fails the reading of an answer's body beyond the given
 // number of bytes.
 func LimitAnswers(next http.RoundTripper, bytes int64) http.RoundTripper {
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -17,13 +17,15 @@
 	connStates = 4
 )
 
-// Conn is a connection that records whether anything of the current request was written to it.
+// Conn is a connection that records whether anything of the current request was written to it, and
+// whether a line of its answer's head is folded.
 type Conn struct {
 	net.Conn
 	// state is the number of the current use, times connStates, and its state.
 	state atomic.Uint64
 	// retired is set when no further request may be written.
 	retired atomic.Bool
+	lines   answerLines
 }
 
 // Use is one request's use of a connection. The transport gives the connection to the next request
@@ -46,6 +48,13 @@
 // requests. The transport may have given it to the next request already, which keeps it.
 func (c *Conn) Retire() { c.retired.Store(true) }
 
+// retire is Retire for a connection that may not be known.
+func (c *Conn) retire() {
+	if c != nil {
+		c.Retire()
+	}
+}
+
 // Seal forbids further writes of a use and reports whether nothing was written in it. When it reports
 // true, nothing of the request can reach the other side.
 func (c *Conn) Seal(use Use) bool {
@@ -54,6 +63,13 @@
 	return c.state.CompareAndSwap(untouched, sealed) || c.state.Load() == sealed
 }
 
+// Read implements net.Conn.
+func (c *Conn) Read(p []byte) (int, error) {
+	n, err := c.Conn.Read(p)
+	c.lines.follow(Use(c.state.Load()/connStates), p[:max(n, 0)])
+	return n, err
+}
+
 // Write implements net.Conn. The connection counts as written to before the write
 // is attempted; this is undone when the network accepted nothing of a first write.
 func (c *Conn) Write(p []byte) (int, error) {
--- a/internal/platform/consul/client.go
+++ b/internal/platform/consul/client.go
@@ -44,6 +44,7 @@
 type Client struct {
 	config    Config
 	transport *http.Transport
+	answers   http.RoundTripper
 }
 
 var (
@@ -60,15 +61,16 @@
 	if config.Dial == nil {
 		config.Dial = (&net.Dialer{Timeout: DefaultDialTimeout}).DialContext
 	}
-	return &Client{config: config, transport: &http.Transport{
-		DialContext:         config.Dial,
-		TLSClientConfig:     config.TLS,
+	transport := &http.Transport{
+		DialContext:         httpconn.Track(config.Dial, 0),
+		DialTLSContext:      httpconn.Track(httpconn.Encrypt(config.Dial, config.TLS), 0),
 		MaxIdleConnsPerHost: maxIdleConnections,
 		IdleConnTimeout:     idleTimeout,
 		DisableCompression:  true,
 
 		MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
-	}}
+	}
+	return &Client{config: config, transport: transport, answers: httpconn.CheckAnswers(transport, 1)}
 }
 
 // Close closes the idle connections.
--- a/internal/platform/consul/request.go
+++ b/internal/platform/consul/request.go
@@ -80,7 +80,7 @@
 	if err != nil {
 		return answer{}, store.ErrRefused.Wrap(err, "%s %s cannot be sent", call.method, call.path)
 	}
-	response, err := c.transport.RoundTrip(message)
+	response, err := c.answers.RoundTrip(message)
 	if err != nil && !connected.Load() {
 		return answer{}, store.ErrUnreachable.Wrap(err, "%s %s was not sent", call.method, call.path)
 	}
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -24,9 +24,9 @@
 		service: s.Service,
 		address: s.WorkerAddress,
 		config:  config,
-		client: &http.Client{Transport: &http.Transport{
-			DialContext: network.Dial, DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
-		}},
+		client: &http.Client{Transport: httpconn.CheckAnswers(&http.Transport{
+			DialContext: httpconn.Track(network.Dial, 0), DisableKeepAlives: true, MaxResponseHeaderBytes: httpconn.MaximumAnswerHead,
+		}, 1)},
 		identity: adapter.Identity,
 	}
 }
