Refuse requests whose heads are not HTTP before a worker is asked

What callers saw (hosted mode): a request with a blank in the name of a field got 503 "no worker could be reached", and for a quarter of a second after that each other request for the service got 503 "the service has no worker": one caller could keep a worker from all others. A folded line was joined, and passed on.

Cause: the server for callers parses with http.ReadRequest, which takes such names; only the transport to the worker refuses them, before it opens a connection. That looks like a worker that cannot be reached, and pauses it.

Evidence, on with the test of this commit: of the odd lines in heads, each at a node beside the worker and at another, short and beyond the buffer, 76 got another answer than 400: 8 were served, 21 "no worker could be reached", 47 "the service has no worker"; so did an ordinary request behind them. Now each gets 400, and the ordinary one 200. Standalone mode refuses such names already (net/http's server); it joins folded lines, as RFC 9112 has it: its test holds before, too, and stands as a guard.

Why this works: faults of a head are found where it is read, as those of its lengths are: the names by httpguts, folded lines by following the lines of the head, also of one that is longer than the buffer.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/intake"
 )
 
@@ -39,6 +40,8 @@
 	rwc    net.Conn
 	remote string
 	limit  *limitedReader
+	// lines are those of the head that is being read.
+	lines  httpconn.HeadLines
 	br     *bufio.Reader
 	bw     *bufio.Writer // belongs to the exchange whose turn it is
 	ctx    context.Context
@@ -443,6 +446,8 @@
 	source  io.Reader
 	limited bool
 	left    int
+	// lines follows the part of a head that is read while it is parsed; nil at other times.
+	lines *httpconn.HeadLines
 }
 
 // errTooLong ends the reading of a head that is too long.
@@ -458,5 +463,8 @@
 	}
 	n, err := l.source.Read(p[:min(len(p), l.left)])
 	l.left -= n
+	if l.lines != nil {
+		l.lines.Follow(p[:n])
+	}
 	return n, err
 }
--- a/internal/pipeline/request.go
+++ b/internal/pipeline/request.go
@@ -7,11 +7,14 @@
 	"io"
 	"net/http"
 	"net/textproto"
+	"slices"
 	"strings"
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 
+	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/internal/intake"
 )
 
@@ -28,13 +31,17 @@
 	hold := c.account.NewHold()
 	c.account.Await()
 	head, err := c.peekHead(limits.ReadHeaderTimeout)
+	c.lines = httpconn.RequestLines()
+	c.lines.Follow(head)
 	if err == nil && len(head) == c.br.Size() {
 		// The parsed head holds as much as its text, beside a copy of it while it is read.
 		err = hold.Reserve(c.ctx, 2*int64(limits.MaxHeaderBytes))
 	}
 	var r *http.Request
 	if err == nil {
+		c.limit.lines = &c.lines
 		r, err = http.ReadRequest(c.br)
+		c.limit.lines = nil
 	}
 	c.account.Resume()
 	x, err := c.exchangeOf(r, head, err)
@@ -62,6 +69,9 @@
 	if status := faultOf(r, head); status != 0 {
 		return newFault(c, status), nil
 	}
+	if c.lines.Folded() > 0 || !hasValidFields(r.Header) {
+		return newFault(c, http.StatusBadRequest), nil
+	}
 	return newExchange(c, r), nil
 }
 
@@ -115,6 +125,21 @@
 	return 0
 }
 
+// hasValidFields reports whether the names of all fields are tokens, and no value has control bytes. The
+// transport to the workers refuses others, as if no worker could be reached.
+func hasValidFields(header http.Header) bool {
+	for name, values := range header {
+		if !httpguts.ValidHeaderFieldName(name) || !validValues(values) {
+			return false
+		}
+	}
+	return true
+}
+
+func validValues(values []string) bool {
+	return !slices.ContainsFunc(values, func(value string) bool { return !httpguts.ValidHeaderFieldValue(value) })
+}
+
 // hasContentLength reports whether a head has a Content-Length, or was too long to be
 // searched.
 func hasContentLength(head []byte) bool {
--- a/internal/testheads/testheads.go
+++ b/internal/testheads/testheads.go
@@ -145,3 +145,6 @@
 		}
 	}
 }
+
+// RequestLines are the odd lines for the head of a request.
+func RequestLines() []string { return slices.Concat(lines(), taken, folded) }
