--- a/internal/httpconn/sending.go
+++ b/internal/httpconn/sending.go
@@ -8,20 +8,12 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-
-	"github.com/joomcode/errorx"
 )
 
-var namespace = errorx.NewNamespace("httpconn")
-
-// ErrCut is the type of errors for an answer that ends with its connection and is not known to be whole:
-// the request behind it could not be sent, or the other side has reset the connection.
-var ErrCut = namespace.NewType("answer_cut").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
-
-// EndsWithConnection reports whether the end of an answer's body is that of its connection: it has
-// neither a length nor chunks.
+// EndsWithConnection reports whether the end of an answer's body is that of its connection: in HTTP/1, where it
+// has neither a length nor chunks.
 func EndsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") &&
+	return response.ProtoMajor == 1 && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") &&
 		response.Body != http.NoBody && response.Request.Method != http.MethodHead
 }
 
@@ -170,10 +162,11 @@
 	return n, err
 }
 
-// Read implements net.Conn. At the end of an answer that ends with the connection it waits until the
+// Read implements net.Conn. It follows the lines of the heads that are read. At the end of an answer that ends with the connection it waits until the
 // request was sent and taken, and returns an ErrCut where it was not.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.lines.follow(Use(c.state.Load()/connStates), p[:max(n, 0)])
 	if err != io.EOF || !c.sent.untilEnd.Load() {
 		return n, err
 	}
--- a/internal/httpconn/whole.go
+++ b/internal/httpconn/whole.go
@@ -12,11 +12,9 @@
 // bytes.Reader together with the head.
 const maximumMemoryBody = 64 << 10
 
-// WholeAnswers returns a RoundTripper that fails the reading of an answer that ends with its connection
-// and is not known to be whole, with an ErrCut. The connections of the next one must be of Track. Where
-// they are encrypted, the encryption tells a broken connection from an end.
-func WholeAnswers(next http.RoundTripper) http.RoundTripper { return wholeAnswers{next} }
-
+// wholeAnswers is a RoundTripper that fails the reading of an answer that ends with its connection and is
+// not known to be whole, with an ErrCut. The connections of the next one must be of Track. Where they are
+// encrypted, the encryption tells a broken connection from an end.
 type wholeAnswers struct{ next http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
@@ -97,7 +95,6 @@
 	if !ok {
 		return
 	}
-	conn.Begin()
 	s := NewSending(f.request, f.body)
 	f.attempt.Store(s)
 	s.Begin(conn)
--- a/internal/httpconn/whole_test.go
+++ b/internal/httpconn/whole_test.go
@@ -23,7 +23,7 @@
 	}
 	transport := &http.Transport{DialContext: Track(dial, time.Second)}
 	t.Cleanup(transport.CloseIdleConnections)
-	return &http.Client{Timeout: 10 * time.Second, Transport: WholeAnswers(transport)}
+	return &http.Client{Timeout: 10 * time.Second, Transport: CheckAnswers(transport, 1)}
 }
 
 // bodiesOf are the ways in which a client gives a body of a number of bytes.
