Ask which instance runs only once the node knows how to ask

What callers saw: 503 for some two seconds after a loss of all nodes beside a slow store, with another writer's instance at the worker's own address ten times a second.

Cause: the probe that tells two instances apart needs the health path of the document in force. Before there is one it fails at once, and each failure was counted against the limit of one in five seconds, so that the first answer came seconds after the document.

Fix: nothing is asked before a document is in force, and one a second may be asked while no instance is confirmed.

TestInstancesThatContendBeforeADocumentAreToldApartAfterIt fails before.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -136,11 +136,11 @@
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
-		contention: newContention(config),
 		ignored:    newIgnoredCalls(config.Events),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.documents.panicked = config.Panicked
+	agent.contention = newContention(config, agent.documents.InForce)
 	agent.peers = newPeers(config, agent.documents)
 	agent.evidence = newEvidence(agent, config.Quarantine)
 	agent.peers.evidence = agent.evidence
--- a/internal/hosted/contention.go
+++ b/internal/hosted/contention.go
@@ -10,11 +10,12 @@
 	"github.com/levertide/levertide/pkg/workers"
 )
 
-// contendedProbeRate and contendedProbeBurst bound the probes a second for instances that contend: another
-// writer may send heartbeats on and on.
+// Bounds of the probes for instances that contend, a second and at once: another writer may send heartbeats on
+// and on. While nobody is confirmed, each answer missed is one more change of the ready instance.
 const (
-	contendedProbeRate  = 0.2
-	contendedProbeBurst = 3
+	unconfirmedProbeRate = 1
+	confirmedProbeRate   = 0.2
+	contendedProbeBurst  = 3
 )
 
 // contention decides which of two instances at the address of the worker beside this node runs. The process at
@@ -23,13 +24,17 @@
 	workers  *workers.Registry
 	probe    WorkerProbe
 	panicked contain.Report
-	probes   *rate.Limiter
+	// canAsk reports whether the document that says how to ask is in force.
+	canAsk func() bool
+	// unconfirmed and confirmed limit the probes by whether the worker that would lose its place is confirmed.
+	unconfirmed, confirmed *rate.Limiter
 }
 
-func newContention(config Config) *contention {
+func newContention(config Config, canAsk func() bool) *contention {
 	return &contention{
-		workers: config.Workers, probe: config.Probe, panicked: config.Panicked,
-		probes: rate.NewLimiter(contendedProbeRate, contendedProbeBurst),
+		workers: config.Workers, probe: config.Probe, panicked: config.Panicked, canAsk: canAsk,
+		unconfirmed: rate.NewLimiter(unconfirmedProbeRate, contendedProbeBurst),
+		confirmed:   rate.NewLimiter(confirmedProbeRate, contendedProbeBurst),
 	}
 }
 
@@ -52,7 +57,7 @@
 	if !contended {
 		return workers.Worker{}, verdictOpen
 	}
-	running := c.running(ctx)
+	running := c.running(ctx, rival.Confirmed)
 	switch {
 	case running == heartbeat.Instance:
 		return rival.Worker, verdictRuns
@@ -69,8 +74,12 @@
 
 // running returns the instance that the process at the address says it is; empty when it was not asked, or did
 // not answer.
-func (c *contention) running(ctx context.Context) string {
-	if !c.probes.Allow() {
+func (c *contention) running(ctx context.Context, confirmed bool) string {
+	limit := c.unconfirmed
+	if confirmed {
+		limit = c.confirmed
+	}
+	if !c.canAsk() || !limit.Allow() {
 		return ""
 	}
 	bounded, cancel := context.WithTimeout(ctx, probeBound)
--- a/internal/sidecar/otheraddress_test.go
+++ b/internal/sidecar/otheraddress_test.go
@@ -118,3 +118,30 @@
 	}
 	n.mustAnswer(t, "next")
 }
+
+// TestInstancesThatContendBeforeADocumentAreToldApartAfterIt guards against probes that are used up while the
+// node does not know yet how to ask.
+func TestInstancesThatContendBeforeADocumentAreToldApartAfterIt(t *testing.T) {
+	worker, store := startInstance(t, "running"), hostedstore.New()
+	n := startNodeWith(t, store, settings.Settings{NodeID: "a1", Service: "books", WorkerAddress: worker.address.String(), MetricsAddress: "127.0.0.1:0"})
+	testwait.Eventually(t, "the node takes heartbeats", func() bool { return n.registrar != nil })
+	sequence := uint64(0)
+	contend := func() {
+		sequence++
+		for _, instance := range []string{"running", "other"} {
+			heartbeat := workers.Heartbeat{Instance: instance, StartedAt: 1, Service: "books", Address: worker.address, Slots: 6, Sequence: sequence}
+			if err := n.registrar.Heartbeat(t.Context(), heartbeat); err != nil {
+				t.Fatal(err)
+			}
+		}
+	}
+	for range 8 {
+		contend()
+	}
+	store.Put(testDocument{Version: 1, Routes: map[string]string{"/ledger/": "books"}}.encode())
+	testwait.Eventually(t, "the node is ready", n.isReady)
+	for range 4 {
+		contend()
+		n.mustAnswer(t, "running")
+	}
+}
