Lose all nodes beside odd entries and odd texts of a document

tests/addresses plays, with real processes: entries of nodes that there are not with 27 odd addresses, there at the start or written on and on; entries under the nodes' own names with other control and call addresses, written while all nodes are away; documents in which an address stands for the name of a service, for a host or in a prefix. Each service must be served at each node within 10 s, and stay so. The drawn plays have another id at the worker's own address, too.

--- a/tests/addresses/heartbeats_test.go
+++ b/tests/addresses/heartbeats_test.go
@@ -9,6 +9,7 @@
 	"net"
 	"net/http"
 	"net/url"
+	"slices"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -185,13 +186,14 @@
 
 func playDrawn(t *testing.T, random *rand.Rand) {
 	const mostWriters, mostLosses, longestFault = 6, 3, 3000
+	forms := append(slices.Clone(oddForms), "H:P")
 	d := deploy(t)
 	for range *restarts {
 		var writers []*writer
 		for _, p := range d.places {
 			for range random.IntN(mostWriters + 1) {
 				writers = append(writers, &writer{
-					place: p, instance: fmt.Sprintf("h%d", random.IntN(mostWriters)), address: of(oddForms[random.IntN(len(oddForms))], p.node.Worker),
+					place: p, instance: fmt.Sprintf("h%d", random.IntN(mostWriters)), address: of(forms[random.IntN(len(forms))], p.node.Worker),
 					interval: time.Duration(100+random.IntN(1500)) * time.Millisecond,
 				})
 			}
