Check that a node's log tells of each refused heartbeat, with real processes

tests/addresses looks for event 618 with reason, count and expectation for each of the 27 odd addresses, and plays bodies that are too large or no heartbeat each second through two losses of all nodes: none is taken, and all services are served again.

--- a/tests/addresses/heartbeats_test.go
+++ b/tests/addresses/heartbeats_test.go
@@ -46,12 +46,17 @@
 	instance string
 	address  string
 	interval time.Duration
+	// body is sent in place of a heartbeat, if it is not empty.
+	body string
 	// taken counts the heartbeats that were acknowledged, refused those that were not.
 	taken, refused atomic.Int64
 }
 
 // oddHeartbeat returns a heartbeat as that of the true worker, with another address.
 func (w *writer) oddHeartbeat(sequence int) []byte {
+	if w.body != "" {
+		return []byte(w.body)
+	}
 	body, _ := json.Marshal(map[string]any{
 		"address": w.address, "born": w.place.worker.StartedAt().UnixMilli(),
 		"info":   map[string]any{"service": w.place.worker.Service(), "version": "v1", "zone": "z", "slots": 6},
@@ -119,6 +124,56 @@
 		d.mustBeServed(what+" before the loss", servedTime)
 		d.mustReturn(what)
 		end()
+		for i, w := range writers {
+			d.mustTell(d.places[i].node, w.instance)
+		}
+	}
+}
+
+// mustTell checks that the log of a node says that the heartbeats of an instance are refused.
+func (d *deployment) mustTell(node *standin.Node, instance string) {
+	d.t.Helper()
+	const heartbeatRejected = 618
+	for line := range strings.Lines(node.Log()) {
+		var event struct {
+			Event                   int
+			Instance, Reason, Error string
+			Calls                   int
+		}
+		if json.Unmarshal([]byte(line), &event) == nil && event.Event == heartbeatRejected && event.Instance == instance {
+			if event.Calls == 0 || event.Reason == "" || !strings.Contains(event.Error, "want ") {
+				d.t.Errorf("%s says of %s: %s", node.ID(), instance, line)
+			}
+			return
+		}
+	}
+	d.t.Errorf("%s does not say that heartbeats of %s are refused", node.ID(), instance)
+}
+
+// TestHeartbeatThatCannotBeReadChangesNothing guards against the same by bodies that are no heartbeat.
+func TestHeartbeatThatCannotBeReadChangesNothing(t *testing.T) {
+	t.Parallel()
+	d := deploy(t)
+	bodies := []string{
+		strings.Repeat("a", 64<<10), `{"address":` + strings.Repeat(`{"a":`, 3000), "\x00\xff{", "null", `{"address":null,"info":null,"status":null}`,
+		`{"address":["127.0.0.1:1"],"info":{},"status":{}}`, `{"address":{"ip":"127.0.0.1"},"info":[],"status":7}`,
+	}
+	var writers []*writer
+	for i, p := range d.places {
+		for n, body := range bodies {
+			writers = append(writers, &writer{place: p, instance: fmt.Sprintf("h%d-%d", i, n), body: body, interval: heartbeatInterval})
+			writers = append(writers, &writer{place: p, instance: p.instance, body: body, interval: heartbeatInterval})
+		}
+	}
+	end := startWriters(writers...)
+	defer end()
+	for range 2 {
+		d.mustReturn("heartbeats that cannot be read")
+	}
+	for _, w := range writers {
+		if taken := w.taken.Load(); taken > 0 {
+			t.Errorf("%d heartbeats %.40q were taken", taken, w.body)
+		}
 	}
 }
 
