--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -123,13 +123,15 @@
 	// retaken limits how often the record of this node is spread because another program has written
 	// one under its name.
 	retaken *rate.Limiter
-	// rejections limits the log lines on invalid calls.
+	// rejections limits the log lines on entries that cannot be read or written.
 	rejections *rate.Limiter
 
 	// commitments are the drain commitments that are being replicated.
 	commitments pendingCommitments
 	// contention decides between instances at the address of the worker.
 	contention *contention
+	// refusals counts the calls of workers that cannot be used.
+	refusals *refusals
 	// ignored counts the calls of workers that had no effect.
 	ignored *ignoredCalls
 
@@ -145,11 +147,12 @@
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		retaken:    rate.NewLimiter(rate.Every(retakePause), retakeBurst),
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
-		contention: newContention(config),
 		ignored:    newIgnoredCalls(config.Events),
+		refusals:   newRefusals(config.Events),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.documents.panicked = config.Panicked
+	agent.contention = newContention(config, agent.documents.InForce)
 	agent.peers = newPeers(config, agent.documents)
 	agent.evidence = newEvidence(agent, config.Quarantine)
 	agent.peers.evidence = agent.evidence
