Parse the addresses of records and entries where they come in

What callers saw: entries and records of odd form name nodes that nobody can reach; each node keeps them for five minutes and retries them. The log said only "entry rejected" with the key, and nothing while odd heartbeats came.

Cause: an entry's control address was any text that net.SplitHostPort takes, and its call address, and both addresses of a record from another node, any text at all. Event 619 had no reason, and one limit on lines together with 618.

Now none, by TestRecordsWithoutAnAddressNameNoNode.

Why it works: fleet.Node has netip.AddrPort; endpoint.Parse is called once, in addressesOf, for records in messages and in entries. A record without a control or call address names no node and is not forwarded; the drain commitments of an entry under the own name are learned all the same, also when its addresses are none. A worker of odd address costs its record that worker. The errors name the field, the value and what is expected. Event 619 has them, and how many entries there were since its last line; its limit is its own. A node whose own address in the settings is none for others (of no machine, with a zone) does not start, with the same message.

Clients for messages are kept for 4,096 addresses at most: other writers could make a node keep one for each address that they name.

Fixtures of tests have addresses where they had none. The seeds of FuzzMessages keep their odd numbers in a record with addresses, and one without is added.

--- a/internal/forwarding/absence.go
+++ b/internal/forwarding/absence.go
@@ -4,7 +4,6 @@
 	"fmt"
 	"time"
 
-	addresses "github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/outcome"
 	"github.com/levertide/levertide/pkg/workers"
@@ -76,7 +75,7 @@
 		if node.State != fleet.StateLive {
 			away++
 		}
-		if _, err := addresses.Parse(node.CallAddress); err != nil {
+		if !node.CallAddress.IsValid() {
 			unaddressed++
 		}
 	}
--- a/internal/forwarding/calls_test.go
+++ b/internal/forwarding/calls_test.go
@@ -181,7 +181,7 @@
 func TestRequestWithoutHopHeaderIsRefused(t *testing.T) {
 	_, back, worker := twoNodes(t)
 	address := back.table.View().Self().CallAddress
-	conn, err := net.Dial("tcp", address)
+	conn, err := net.Dial("tcp", address.String())
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/forwarding/endpoints.go
+++ b/internal/forwarding/endpoints.go
@@ -3,11 +3,13 @@
 import (
 	"math"
 	"math/rand/v2"
+	"net/netip"
 	"sync/atomic"
 	"time"
 
 	"github.com/levertide/levertide/pkg/canary"
 	"github.com/levertide/levertide/pkg/contain"
+	addresses "github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/retry"
 	"github.com/levertide/levertide/pkg/slotqueue"
@@ -57,7 +59,10 @@
 
 // endpoint is one worker as seen by the node where calls begin.
 type endpoint struct {
-	node, zone, address, instance string
+	node, zone, instance string
+	// calls is where the node takes calls, and address its text.
+	calls   netip.AddrPort
+	address string
 	// startedAt is when the worker's incarnation started; zero until it is known.
 	startedAt atomic.Int64
 	// version is the version of the worker's software; empty when the worker has not reported it.
@@ -144,8 +149,8 @@
 	for _, node := range d.serving(view, steering) {
 		worker, _ := node.Serves(d.service)
 		found, same := known[node.ID]
-		if !same || !found.incarnation().Same(worker.Incarnation()) || found.address != node.CallAddress {
-			found = &endpoint{node: node.ID, zone: node.Zone, address: node.CallAddress, instance: worker.Instance, slowness: 1}
+		if !same || !found.incarnation().Same(worker.Incarnation()) || found.calls != node.CallAddress {
+			found = &endpoint{node: node.ID, zone: node.Zone, calls: node.CallAddress, address: addresses.String(node.CallAddress), instance: worker.Instance, slowness: 1}
 		}
 		if worker.StartedAt != 0 {
 			found.startedAt.Store(worker.StartedAt)
--- a/internal/forwarding/expectcontinue_test.go
+++ b/internal/forwarding/expectcontinue_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -135,7 +136,7 @@
 		}
 	}()
 	record := back.table.View().Self()
-	record.CallAddress = listener.Addr().String()
+	record.CallAddress = netip.MustParseAddrPort(listener.Addr().String())
 	record.Sequence += 10
 	front.table.Merge([]fleet.Node{record})
 	request := callerRequest(t, front, http.MethodPost, "/file/1", bytes.NewReader(make([]byte, 100_000)))
--- a/internal/forwarding/finalstatus_test.go
+++ b/internal/forwarding/finalstatus_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync"
 	"testing"
@@ -89,7 +90,7 @@
 	front := startNode(t, "front", "desk", nil)
 	configure(t, ledgerRoutes, front)
 	front.table.Merge([]fleet.Node{{
-		ID: "back", Incarnation: 1, Zone: "z", CallAddress: other.listener.Addr().String(), State: fleet.StateLive,
+		ID: "back", Incarnation: 1, Zone: "z", CallAddress: netip.MustParseAddrPort(other.listener.Addr().String()), State: fleet.StateLive,
 		Workers: []workers.Worker{{Instance: "w-back", Service: "ledger", Slots: 4, State: workers.StateReady}},
 	}})
 	for _, line = range noFinalAnswers {
--- a/internal/forwarding/fixture_test.go
+++ b/internal/forwarding/fixture_test.go
@@ -121,7 +121,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	node.table = fleet.NewTable(fleet.Node{ID: id, Incarnation: 1, Zone: "z", CallAddress: listener.Addr().String(), State: fleet.StateLive})
+	node.table = fleet.NewTable(fleet.Node{ID: id, Incarnation: 1, Zone: "z", CallAddress: netip.MustParseAddrPort(listener.Addr().String()), State: fleet.StateLive})
 	node.plane = New(Config{
 		Node: id, Zone: "z", Service: service, Dialect: testDialect,
 		Current: node.config.Load, View: node.table.View, Contacts: fleet.NewContacts(), Workers: node.registry,
--- a/internal/forwarding/promises_test.go
+++ b/internal/forwarding/promises_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -115,7 +116,7 @@
 			})
 			front := startNode(t, "front", "desk", nil)
 			back := startNode(t, "back", "ledger", startWorker(t))
-			back.table.Update(func(own *fleet.Node) { own.CallAddress = other.listener.Addr().String() })
+			back.table.Update(func(own *fleet.Node) { own.CallAddress = netip.MustParseAddrPort(other.listener.Addr().String()) })
 			exchangeRecords(front, back)
 			configure(t, ledgerRoutes, front, back)
 			if status, _, _ := post(t, front, "/file/1", "vat"); status != http.StatusBadGateway {
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -120,6 +120,8 @@
 	// retaken limits how often the record of this node is spread because another program has written
 	// one under its name.
 	retaken *rate.Limiter
+	// entries are the entries of the store that were not written by a node.
+	entries *rejectedEntries
 	// rejections limits the log lines on invalid calls.
 	rejections *rate.Limiter
 
@@ -139,6 +141,7 @@
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		retaken:    rate.NewLimiter(rate.Every(retakePause), retakeBurst),
+		entries:    newRejectedEntries(),
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
 		ignored:    newIgnoredCalls(config.Events),
 	}
--- a/internal/hosted/announcer.go
+++ b/internal/hosted/announcer.go
@@ -87,8 +87,8 @@
 	// onRewritten is called when the entry was written again after a restore of the store, with the
 	// number of drain commitments in it.
 	onRewritten func(era uint64, commitments int)
-	// onRejected is called with the identifiers of entries that were not written by a node.
-	onRejected func(id string)
+	// onRejected is called with the identifiers of entries that were not written by a node, and why.
+	onRejected func(id string, err error)
 	// onUnencodable is called when the record of this node cannot be written.
 	onUnencodable func(err error)
 
--- a/internal/hosted/convert.go
+++ b/internal/hosted/convert.go
@@ -2,10 +2,11 @@
 
 import (
 	"math"
-	"net"
+	"net/netip"
 	"slices"
 	"time"
 
+	"github.com/joomcode/errorx"
 	"google.golang.org/protobuf/proto"
 
 	"github.com/levertide/levertide/internal/evidencewire"
@@ -23,8 +24,8 @@
 		Sequence:       node.Sequence,
 		Region:         node.Region,
 		Zone:           node.Zone,
-		ControlAddress: node.ControlAddress,
-		CallAddress:    node.CallAddress,
+		ControlAddress: endpoint.String(node.ControlAddress),
+		CallAddress:    endpoint.String(node.CallAddress),
 		State:          exchangepb.NodeState(node.State),
 		ReadsStore:     node.ReadsStore,
 		Workers:        workerMessages(node.Workers),
@@ -35,15 +36,18 @@
 	}
 }
 
-func nodeOf(message *exchangepb.Node) fleet.Node {
+// nodeOf decodes a record. A record whose control or call address is none names no node: it is returned
+// without addresses, with an error of type endpoint.ErrInvalid that says which one it is.
+func nodeOf(message *exchangepb.Node) (fleet.Node, error) {
+	control, call, err := addressesOf(message)
 	return fleet.Node{
 		ID:             message.GetId(),
 		Incarnation:    message.GetIncarnation(),
 		Sequence:       message.GetSequence(),
 		Region:         message.GetRegion(),
 		Zone:           message.GetZone(),
-		ControlAddress: message.GetControlAddress(),
-		CallAddress:    message.GetCallAddress(),
+		ControlAddress: control,
+		CallAddress:    call,
 		State:          fleet.State(message.GetState()),
 		ReadsStore:     message.GetReadsStore(),
 		Workers:        workersOf(message.GetWorkers()),
@@ -51,7 +55,18 @@
 		Rollouts:       rolloutsOf(message.GetRollouts()),
 		Quarantined:    evidencewire.DecodeVerdicts(message.GetQuarantined()),
 		StoreEra:       eraOf(message.GetStoreEra()),
+	}, err
+}
+
+// addressesOf parses the addresses of a record.
+func addressesOf(message *exchangepb.Node) (control, call netip.AddrPort, err error) {
+	if control, err = endpoint.Parse(message.GetControlAddress()); err != nil {
+		return netip.AddrPort{}, netip.AddrPort{}, errorx.Decorate(err, "control address")
 	}
+	if call, err = endpoint.Parse(message.GetCallAddress()); err != nil {
+		return netip.AddrPort{}, netip.AddrPort{}, errorx.Decorate(err, "call address")
+	}
+	return control, call, nil
 }
 
 // maximumEra bounds eras: no store is restored from a copy more often.
@@ -73,11 +88,25 @@
 	return messages
 }
 
+// rankOf decodes what says which of two records of a node is newer.
+func rankOf(message *exchangepb.Node) fleet.Node {
+	return fleet.Node{ID: message.GetId(), Incarnation: message.GetIncarnation(), Sequence: message.GetSequence()}
+}
+
+// naming returns the records that name a node, to be forwarded.
+func naming(messages []*exchangepb.Node) []*exchangepb.Node {
+	return slices.DeleteFunc(slices.Clone(messages), func(message *exchangepb.Node) bool {
+		_, _, err := addressesOf(message)
+		return err != nil
+	})
+}
+
+// nodesOf decodes records, without those that name no node.
 func nodesOf(messages ...*exchangepb.Node) []fleet.Node {
 	nodes := make([]fleet.Node, 0, len(messages))
 	for _, message := range messages {
-		if message != nil {
-			nodes = append(nodes, nodeOf(message))
+		if n, err := nodeOf(message); message != nil && err == nil {
+			nodes = append(nodes, n)
 		}
 	}
 	return nodes
@@ -202,22 +231,31 @@
 	return encoded, nil
 }
 
-// decodeEntry decodes an entry of the store; false when it is not a record of the node that its key
-// names: another program may write there, or have left bytes that cannot be decoded. Workers with
-// missing fields, or with an unknown state, are left out.
-func decodeEntry(e Entry) (fleet.Node, bool) {
+// decodeEntry decodes an entry of the store. An error of type ErrInvalidEntry says why it is not a record
+// of the node that its key names: another program may write there, or have left bytes that cannot be
+// decoded. Of a record whose addresses are none the rest is returned, too. Workers with missing fields,
+// or with an unknown state, are left out.
+func decodeEntry(e Entry) (fleet.Node, error) {
 	var message exchangepb.Node
 	if err := proto.Unmarshal(e.Content, &message); err != nil {
-		return fleet.Node{}, false
+		return fleet.Node{}, ErrInvalidEntry.New("%d bytes that are no record of a node", len(e.Content))
 	}
-	node := nodeOf(&message)
-	_, _, addressErr := net.SplitHostPort(node.ControlAddress)
-	known := node.State >= fleet.StateLive && node.State <= fleet.StateLeft
-	if node.ID == "" || node.ID != e.ID || node.Incarnation == 0 || !node.IncarnationInRange() || node.Zone == "" || addressErr != nil || !known {
-		return fleet.Node{}, false
+	node, addressErr := nodeOf(&message)
+	switch {
+	case node.ID == "" || node.ID != e.ID:
+		return fleet.Node{}, ErrInvalidEntry.New("the node is %q, want that of the key", shortened(node.ID))
+	case node.Incarnation == 0 || !node.IncarnationInRange():
+		return fleet.Node{}, ErrInvalidEntry.New("the incarnation is %d, want a time in nanoseconds since 1970", node.Incarnation)
+	case node.Zone == "":
+		return fleet.Node{}, ErrInvalidEntry.New("the zone is empty, want a name")
+	case node.State < fleet.StateLive || node.State > fleet.StateLeft:
+		return fleet.Node{}, ErrInvalidEntry.New("the state is %d, want %d to %d", node.State, fleet.StateLive, fleet.StateLeft)
 	}
 	node.Workers = slices.DeleteFunc(node.Workers, func(w workers.Worker) bool { return !usable(w) })
-	return node, true
+	if addressErr != nil {
+		return node, ErrInvalidEntry.Wrap(addressErr, "an address that is none")
+	}
+	return node, nil
 }
 
 // usable reports whether a worker of an entry has the fields that its state requires: what is
--- a/internal/hosted/convert_test.go
+++ b/internal/hosted/convert_test.go
@@ -44,11 +44,11 @@
 // copy any more, since a record names an era that it does not reach.
 func TestEraOfOneRecordDoesNotHideRestores(t *testing.T) {
 	for _, era := range []uint64{math.MaxUint64, math.MaxInt64, 1 << 40} {
-		if held := nodeOf(&exchangepb.Node{Id: "a", StoreEra: era}); held.StoreEra != 0 {
+		if held, _ := nodeOf(&exchangepb.Node{Id: "a", StoreEra: era}); held.StoreEra != 0 {
 			t.Errorf("era %d counts as %d", era, held.StoreEra)
 		}
 	}
-	if held := nodeOf(&exchangepb.Node{Id: "a", StoreEra: 7}); held.StoreEra != 7 {
+	if held, _ := nodeOf(&exchangepb.Node{Id: "a", StoreEra: 7}); held.StoreEra != 7 {
 		t.Errorf("era 7 counts as %d", held.StoreEra)
 	}
 }
--- a/internal/hosted/directory.go
+++ b/internal/hosted/directory.go
@@ -76,14 +76,14 @@
 	own := a.table.View().Self().ID
 	a.unreached.Store(slices.ContainsFunc(entries, func(e Entry) bool { return e.ID != own && !a.isReached(e.ID) }))
 	for _, entry := range entries {
-		n, ok := a.decode(entry)
+		n, err := a.decode(entry)
 		switch {
 		case entry.ID == own:
 			listed.own = &entry
-		case ok:
+		case err == nil:
 			listed.nodes = append(listed.nodes, n.AsListed())
 		default:
-			a.onRejected(entry.ID)
+			a.onRejected(entry.ID, err)
 		}
 	}
 	return listed, nil
--- a/internal/hosted/documents_test.go
+++ b/internal/hosted/documents_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -30,12 +31,12 @@
 func (discardEvents) StoreUnreachable(error)                              {}
 func (discardEvents) StoreRestored(uint64, Era)                           {}
 func (discardEvents) HeartbeatRejected(string, error)                     {}
-func (discardEvents) EntryRejected(string)                                {}
+func (discardEvents) EntryRejected(string, error, uint64)                 {}
 func (discardEvents) RecordUnencodable(error)                             {}
 func (discardEvents) EntryRestored(uint64, int)                           {}
 func (discardEvents) NodeLost(string, error)                              {}
 func (discardEvents) NodeFound(string)                                    {}
-func (discardEvents) NodeReplaced(string, string)                         {}
+func (discardEvents) NodeReplaced(string, netip.AddrPort)                 {}
 func (discardEvents) RecallFailed(string, error)                          {}
 func (discardEvents) PartFailed(string, string)                           {}
 func (discardEvents) WorkerChanged(workers.Worker, string)                {}
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -119,14 +119,6 @@
 	}
 }
 
-// rejectEntry records an entry in the store that was not written by a node, within the same limit.
-func (a *Agent) rejectEntry(id string) {
-	a.documents.restores.rejected.Add(1)
-	if a.rejections.Allow() {
-		a.config.Events.EntryRejected(id[:min(len(id), longestLoggedName)])
-	}
-}
-
 // recordUnencodable reports that the record of this node cannot be written, within the same limit.
 func (a *Agent) recordUnencodable(err error) {
 	if a.rejections.Allow() {
--- a/internal/hosted/endless_test.go
+++ b/internal/hosted/endless_test.go
@@ -25,7 +25,7 @@
 				}, nil)
 				ctx, cancel := context.WithTimeout(t.Context(), 2*time.Second)
 				defer cancel()
-				if _, err := p.client("other:1").Sync(ctx, nil); err == nil {
+				if _, err := p.client(callsAt).Sync(ctx, nil); err == nil {
 					t.Error("an answer was read")
 				}
 				testwait.Eventually(t, "the connection is closed", func() bool { return server.Answered.Load() == 1 && server.Open.Load() == 0 })
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -20,8 +20,8 @@
 		// A drain commitment was written before the list arrived: what the list shows is older.
 		return true
 	}
-	previous, own := a.decode(e)
-	if !own || !a.leadsHere(previous) {
+	previous, err := a.decode(e)
+	if err != nil || !a.leadsHere(previous) {
 		a.take(e)
 		return false
 	}
@@ -49,17 +49,18 @@
 	if _, revision := a.held(); e.Revision <= revision {
 		return false
 	}
-	n, ok := a.decode(e)
-	return !ok || !a.leadsHere(n)
+	n, err := a.decode(e)
+	return err != nil || !a.leadsHere(n)
 }
 
 // decode decodes an entry. One whose decoding panics counts as one that is not a node's.
-func (a *Announcer) decode(e Entry) (n fleet.Node, ok bool) {
-	err := contain.Read("entry", a.panicked, func() error {
-		n, ok = decodeEntry(e)
-		return nil
+func (a *Announcer) decode(e Entry) (n fleet.Node, err error) {
+	err = contain.Read("entry", a.panicked, func() error {
+		var invalid error
+		n, invalid = decodeEntry(e)
+		return invalid
 	})
-	return n, ok && err == nil
+	return n, err
 }
 
 // recall reads the drain commitments of previous incarnations of this node, unless other nodes have
@@ -84,17 +85,18 @@
 	return nil
 }
 
-// take records the revision of the held entry, and reports a previous incarnation found in it.
+// take records the revision of the held entry, and reports a previous incarnation found in it, also in
+// one whose addresses are none.
 func (a *Announcer) take(held Entry) {
-	n, ok := a.decode(held)
+	n, err := a.decode(held)
 	a.mu.Lock()
-	a.revision, a.unleased = held.Revision, ok && len(drainCommittedOnly(n.Workers)) > 0
+	a.revision, a.unleased = held.Revision, len(drainCommittedOnly(n.Workers)) > 0
 	a.mu.Unlock()
-	switch {
-	case ok:
+	if err != nil && held.Revision != 0 {
+		a.onRejected(held.ID, err)
+	}
+	if n.ID != "" {
 		a.onPrevious(n)
-	case held.Revision != 0:
-		a.onRejected(held.ID)
 	}
 }
 
@@ -261,7 +263,7 @@
 	if err != nil || held.Revision == 0 {
 		return err
 	}
-	if written, ok := a.decode(held); !ok || written.Incarnation > n.Incarnation {
+	if written, err := a.decode(held); err != nil || written.Incarnation > n.Incarnation {
 		return nil
 	}
 	return a.directory.Remove(ctx, n.ID, held.Revision)
--- a/internal/hosted/entry_test.go
+++ b/internal/hosted/entry_test.go
@@ -4,18 +4,24 @@
 	"math"
 	"net/netip"
 	"reflect"
+	"strconv"
+	"strings"
 	"testing"
 
 	"github.com/joomcode/errorx"
+	"google.golang.org/protobuf/proto"
 
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/workers"
 )
 
+// callsAt is where nodes of the tests take calls.
+var callsAt = netip.MustParseAddrPort("10.0.0.1:71")
+
 func exampleRecord() fleet.Node {
 	return fleet.Node{
-		ID: "a", Incarnation: 7, Sequence: 2, Zone: "z", ControlAddress: "10.0.0.1:70", CallAddress: "10.0.0.1:71", State: fleet.StateLive,
+		ID: "a", Incarnation: 7, Sequence: 2, Zone: "z", ControlAddress: netip.MustParseAddrPort("10.0.0.1:70"), CallAddress: callsAt, State: fleet.StateLive,
 		Workers: []workers.Worker{{Instance: "i", Service: "s", Address: netip.MustParseAddrPort("10.0.0.1:80"), Slots: 6, State: workers.StateReady, StartedAt: 5, Predecessors: []int64{9, 7}}},
 	}
 }
@@ -37,9 +43,9 @@
 
 func TestEntryOfANodeIsRead(t *testing.T) {
 	record := exampleRecord()
-	read, ok := decodeEntry(Entry{ID: "a", Content: entryOf(record)})
-	if !ok || read.Incarnation != 7 || !reflect.DeepEqual(read.Workers, record.Workers) {
-		t.Errorf("%+v, %t", read, ok)
+	read, err := decodeEntry(Entry{ID: "a", Content: entryOf(record)})
+	if err != nil || read.Incarnation != 7 || !reflect.DeepEqual(read.Workers, record.Workers) {
+		t.Errorf("%+v, %v", read, err)
 	}
 }
 
@@ -51,20 +57,70 @@
 		"no incarnation":            func(n *fleet.Node) { n.Incarnation = 0 },
 		"the last incarnation":      func(n *fleet.Node) { n.Incarnation = math.MaxUint64 },
 		"no zone":                   func(n *fleet.Node) { n.Zone = "" },
-		"no address":                func(n *fleet.Node) { n.ControlAddress = "" },
-		"an address that is none":   func(n *fleet.Node) { n.ControlAddress = "somewhere" },
 		"no state":                  func(n *fleet.Node) { n.State = 0 },
 		"a state that there is not": func(n *fleet.Node) { n.State = 9 },
 	} {
 		record := exampleRecord()
 		change(&record)
-		if read, ok := decodeEntry(Entry{ID: "a", Content: entryOf(record)}); ok {
-			t.Errorf("%s: %+v", name, read)
+		if read, err := decodeEntry(Entry{ID: "a", Content: entryOf(record)}); !errorx.IsOfType(err, ErrInvalidEntry) || read.ID != "" {
+			t.Errorf("%s: %+v, %v", name, read, err)
 		}
 	}
 	for _, content := range []string{"", "{}", `{"id":"a"}`, "\xff\xff\xff", "\x0a\x01a"} {
-		if read, ok := decodeEntry(Entry{ID: "a", Content: []byte(content)}); ok {
-			t.Errorf("%q: %+v", content, read)
+		if read, err := decodeEntry(Entry{ID: "a", Content: []byte(content)}); !errorx.IsOfType(err, ErrInvalidEntry) || read.ID != "" {
+			t.Errorf("%q: %+v, %v", content, read, err)
+		}
+	}
+}
+
+// oddAddresses are texts that are no address of another process.
+var oddAddresses = []string{
+	"", "127.0.0.1", "127.0.0.1:", ":8080", "127.0.0.1 :8080", "[127.0.0.1:8080", "http://127.0.0.1:8080/", "127.0.0.1:http", "::1:8080",
+	"0.1:8080", "127.0..1:8080", "127.0.0.1:-1", "127.0.0.1:123456789012", "127.0.0.1:0", "[::%réseau]:8080", "localhost:8080", "0x7f.1:8080",
+	"127.0.0.1:99999", "0.0.0.0:8080", "127.0.0.1:8080/path", "127.0.0.1:8080\x00", "somewhere",
+}
+
+// TestRecordsWithoutAnAddressNameNoNode guards against nodes that others know and that nobody can reach,
+// and against a log that does not say what is odd.
+func TestRecordsWithoutAnAddressNameNoNode(t *testing.T) {
+	for _, text := range oddAddresses {
+		for name, change := range map[string]func(n *exchangepb.Node){
+			"control address": func(n *exchangepb.Node) { n.ControlAddress = text },
+			"call address":    func(n *exchangepb.Node) { n.CallAddress = text },
+		} {
+			message := nodeMessage(exampleRecord())
+			message.Workers[0].State = exchangepb.WorkerState_WORKER_STATE_DRAINING
+			change(message)
+			if nodes := nodesOf(message, nodeMessage(exampleRecord())); len(nodes) != 1 {
+				t.Errorf("%s %q: %d nodes of one good record and one odd one", name, text, len(nodes))
+			}
+			content, err := proto.Marshal(message)
+			if err != nil {
+				t.Fatal(err)
+			}
+			read, err := decodeEntry(Entry{ID: "a", Content: content})
+			if !errorx.IsOfType(err, ErrInvalidEntry) || !strings.Contains(err.Error(), name) || !strings.Contains(err.Error(), strconv.Quote(text)) {
+				t.Errorf("%s %q: %v", name, text, err)
+			}
+			if read.ControlAddress.IsValid() || len(drainCommittedOnly(read.Workers)) != 1 {
+				t.Errorf("%s %q: %+v", name, text, read)
+			}
+		}
+	}
+}
+
+// TestWorkerOfOddAddressCostsItsRecordNothingElse guards against a node, or another worker beside it, that
+// is lost for the address of one worker.
+func TestWorkerOfOddAddressCostsItsRecordNothingElse(t *testing.T) {
+	for _, text := range oddAddresses {
+		message := nodeMessage(exampleRecord())
+		message.Workers = append(message.Workers,
+			&exchangepb.Worker{Instance: "odd", Service: "s", Slots: 1, Address: text, State: exchangepb.WorkerState_WORKER_STATE_READY},
+			&exchangepb.Worker{Instance: "left", Address: text, State: exchangepb.WorkerState_WORKER_STATE_GONE},
+		)
+		nodes := nodesOf(message)
+		if len(nodes) != 1 || len(nodes[0].Workers) != 2 || nodes[0].Workers[0].Instance != "i" || nodes[0].Workers[1].Instance != "left" {
+			t.Errorf("%q: %+v", text, nodes)
 		}
 	}
 }
@@ -85,9 +141,9 @@
 		other.Instance = "other"
 		change(&record.Workers[0])
 		record.Workers = append(record.Workers, other)
-		read, ok := decodeEntry(Entry{ID: "a", Content: entryOf(record)})
-		if !ok || len(read.Workers) != 1 || read.Workers[0].Instance != "other" {
-			t.Errorf("%s: %+v, %t", name, read.Workers, ok)
+		read, err := decodeEntry(Entry{ID: "a", Content: entryOf(record)})
+		if err != nil || len(read.Workers) != 1 || read.Workers[0].Instance != "other" {
+			t.Errorf("%s: %+v, %v", name, read.Workers, err)
 		}
 	}
 }
@@ -96,8 +152,11 @@
 func FuzzEntry(f *testing.F) {
 	f.Add(entryOf(exampleRecord()))
 	f.Fuzz(func(t *testing.T, content []byte) {
-		read, ok := decodeEntry(Entry{ID: "a", Content: content})
-		if ok && (read.ID != "a" || read.Incarnation == 0) {
+		read, err := decodeEntry(Entry{ID: "a", Content: content})
+		if err == nil && (!read.ControlAddress.IsValid() || !read.CallAddress.IsValid()) {
+			t.Errorf("%+v", read)
+		}
+		if err == nil && (read.ID != "a" || read.Incarnation == 0) {
 			t.Errorf("%+v", read)
 		}
 	})
--- a/internal/hosted/errors.go
+++ b/internal/hosted/errors.go
@@ -24,6 +24,9 @@
 // ErrUnencodable: a record cannot be encoded as a message, and is not written.
 var ErrUnencodable = newType("unencodable")
 
+// ErrInvalidEntry: an entry of the store is not a record of the node that its key names.
+var ErrInvalidEntry = newType("invalid_entry")
+
 // ErrOtherNode: another node than the one that was asked has answered at its address.
 var ErrOtherNode = newType("other_node")
 
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/levertide/levertide/pkg/canary"
@@ -31,7 +32,7 @@
 	NodeLost(id string, err error)
 	NodeFound(id string)
 	// NodeReplaced reports that a node has ended and another one has its address.
-	NodeReplaced(id, address string)
+	NodeReplaced(id string, address netip.AddrPort)
 	// PartFailed reports that a part of the agent has ended and is started again.
 	PartFailed(part, reason string)
 	// RecallFailed reports that the hub of the zone did not return the store's entry of this node,
@@ -44,8 +45,9 @@
 	// WorkerCallIgnored reports a heartbeat or a leave that had no effect, and the registration that
 	// stayed; a leave is one that says it drains.
 	WorkerCallIgnored(call workers.Heartbeat, change workers.Change)
-	// EntryRejected reports an entry in the store that was not written by a node.
-	EntryRejected(id string)
+	// EntryRejected reports an entry in the store that was not written by a node, why, and how many
+	// there were since the last report, with this one.
+	EntryRejected(id string, err error, entries uint64)
 	// RecordUnencodable reports that the record of this node cannot be written to the store.
 	RecordUnencodable(err error)
 	// DrainCommitmentHeld reports how many nodes hold a drain commitment when it is acknowledged,
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -24,6 +24,9 @@
 	"github.com/levertide/levertide/pkg/workers"
 )
 
+// callsAt is where nodes of the tests take calls.
+var callsAt = netip.MustParseAddrPort("10.0.0.1:71")
+
 // testNode is one agent with what its parts have received.
 type testNode struct {
 	agent    *hosted.Agent
@@ -106,12 +109,12 @@
 func (r *recorder) StoreUnreachable(error)                              {}
 func (r *recorder) StoreRestored(uint64, hosted.Era)                    {}
 func (r *recorder) HeartbeatRejected(string, error)                     {}
-func (r *recorder) EntryRejected(string)                                {}
+func (r *recorder) EntryRejected(string, error, uint64)                 {}
 func (r *recorder) RecordUnencodable(error)                             {}
 func (r *recorder) EntryRestored(uint64, int)                           {}
 func (r *recorder) NodeLost(string, error)                              {}
 func (r *recorder) NodeFound(string)                                    {}
-func (r *recorder) NodeReplaced(string, string)                         {}
+func (r *recorder) NodeReplaced(string, netip.AddrPort)                 {}
 func (r *recorder) RecallFailed(string, error)                          {}
 func (r *recorder) PartFailed(string, string)                           {}
 func (r *recorder) WorkerChanged(workers.Worker, string)                {}
@@ -150,7 +153,7 @@
 	t.Helper()
 	record := fleet.Node{
 		ID: id, Incarnation: uint64(time.Now().UnixNano()), Sequence: fleet.FirstSequence, Region: "r", Zone: "zone-" + id[:1],
-		ControlAddress: listener.Addr().String(), State: fleet.StateLive, ReadsStore: true,
+		ControlAddress: netip.MustParseAddrPort(listener.Addr().String()), CallAddress: callsAt, State: fleet.StateLive, ReadsStore: true,
 	}
 	node := &testNode{
 		table:      fleet.NewTable(record),
--- a/internal/hosted/messages_fuzz_test.go
+++ b/internal/hosted/messages_fuzz_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"math"
+	"net/netip"
 	"slices"
 	"testing"
 	"time"
@@ -19,7 +20,7 @@
 
 // receiving returns a node that takes messages, without a network.
 func receiving() *Server {
-	self := fleet.Node{ID: "self", Incarnation: 5, Zone: "z", ControlAddress: "10.0.0.2:70", State: fleet.StateLive}
+	self := fleet.Node{ID: "self", Incarnation: 5, Zone: "z", ControlAddress: netip.MustParseAddrPort("10.0.0.2:70"), CallAddress: callsAt, State: fleet.StateLive}
 	table := fleet.NewTable(self)
 	documents := NewDocuments(&recordingConsumer{}, discardEvents{})
 	directory := struct{ Directory }{}
@@ -58,13 +59,20 @@
 // oddNode returns a record whose numbers are all as large as they can be.
 func oddNode(id string) *exchangepb.Node {
 	return &exchangepb.Node{
-		Id: id, Incarnation: math.MaxUint64, Sequence: math.MaxUint64, Zone: "z", ControlAddress: "10.0.0.1:99999", State: 300, Capacity: math.MaxUint32, StoreEra: math.MaxUint64,
+		Id: id, Incarnation: math.MaxUint64, Sequence: math.MaxUint64, Zone: "z", ControlAddress: "10.0.0.1:9", CallAddress: "[::ffff:10.0.0.1]:8", State: 300, Capacity: math.MaxUint32, StoreEra: math.MaxUint64,
 		Workers:     slices.Repeat([]*exchangepb.Worker{{Instance: "i", Service: "s", Slots: math.MaxUint32, Sequence: math.MaxUint64, State: 300, BornUnixMs: math.MinInt64, SupersededBornUnixMs: make([]int64, 64)}, {}}, 3),
 		Rollouts:    []*exchangepb.Rollout{{Service: "s", Era: math.MaxUint64, Revision: math.MaxUint64, DeadlineUnixMs: math.MinInt64, ShareThousandths: math.MaxUint32, State: -1, Runs: []*exchangepb.RouteRuns{{LogTime: math.NaN()}}}},
 		Quarantined: []*exchangepb.Quarantine{{Fingerprint: make([]byte, 16), SinceUnixMs: math.MinInt64, UntilUnixMs: math.MaxInt64, Instances: make([]string, 64)}, {}},
 	}
 }
 
+// unaddressed returns a record whose addresses are none.
+func unaddressed(id string) *exchangepb.Node {
+	n := oddNode(id)
+	n.ControlAddress, n.CallAddress = "10.0.0.1:99999", "[::1%zz]:port"
+	return n
+}
+
 // mustFollow checks that a node that has taken odd messages follows the next good record, and that its
 // own can be sent.
 func mustFollow(t *testing.T, s *Server, number uint64) {
@@ -91,7 +99,7 @@
 // call that tells evidence.
 func FuzzMessages(f *testing.F) {
 	for _, message := range []proto.Message{
-		&exchangepb.SyncRequest{Sender: oddNode("a"), Nodes: []*exchangepb.Node{oddNode("self"), oddNode(""), oddNode("a")}, Buckets: []uint32{0, 63, 64, math.MaxUint32}, DocumentVersion: math.MaxUint64, Document: &exchangepb.Document{Version: math.MaxUint64, Base: 7}},
+		&exchangepb.SyncRequest{Sender: oddNode("a"), Nodes: []*exchangepb.Node{oddNode("self"), oddNode(""), oddNode("a"), unaddressed("a"), nil}, Buckets: []uint32{0, 63, 64, math.MaxUint32}, DocumentVersion: math.MaxUint64, Document: &exchangepb.Document{Version: math.MaxUint64, Base: 7}},
 		&exchangepb.BroadcastRequest{Sender: "a", Nodes: []*exchangepb.Node{oddNode("b")}, After: "z", Until: "a", Reach: 9, Evidence: []*exchangepb.Evidence{{Fingerprint: make([]byte, 16), Instance: "i", Level: math.MaxUint32, AgeMs: math.MinInt64}, {AgeMs: math.MaxInt64}}},
 		&exchangepb.BorrowRequest{Sender: "a", Life: math.MaxUint64, Number: math.MaxUint64, Stamp: &exchangepb.Stamp{Life: 5, AtNs: math.MaxInt64}, Share: math.Inf(1), Wants: []*exchangepb.TokenWant{
 			{Tenant: "t", Rate: math.MaxFloat64, Burst: math.MaxFloat64, Held: math.MaxFloat32, Returned: math.MaxFloat32, Wanted: math.MaxFloat32, Waiting: math.MaxFloat32}, {Tenant: "t", Rate: math.NaN()}, {Rate: 1},
--- a/internal/hosted/own_entry_test.go
+++ b/internal/hosted/own_entry_test.go
@@ -166,16 +166,20 @@
 // TestPromisesInAnEntryWithOtherAddressesAreKept guards against a node that writes over an entry of its
 // previous incarnation, at another address, without what that has promised.
 func TestPromisesInAnEntryWithOtherAddressesAreKept(t *testing.T) {
-	synctest.Test(t, func(t *testing.T) {
-		m := meshWithEntries(t, 6)
-		mustHeartbeat(t, m.nodes[0], heartbeat("w1", 1, false))
-		mustHeartbeat(t, m.nodes[0], heartbeat("w1", 2, true))
-		if !bytes.Contains(m.store.Entry(m.nodes[0].id()), []byte("w1")) {
-			t.Fatal("the drain commitment is not in the store")
-		}
-		m.forge(t, forgeries["of nobody"])
-		m.restartAll(t)
-		m.within(t, 5*time.Second, "all find each other", m.findEachOther)
-		m.nodes[0].expectNoWork(t)
-	})
+	for _, name := range []string{"of nobody", "that are none"} {
+		t.Run("addresses "+name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				m := meshWithEntries(t, 6)
+				mustHeartbeat(t, m.nodes[0], heartbeat("w1", 1, false))
+				mustHeartbeat(t, m.nodes[0], heartbeat("w1", 2, true))
+				if !bytes.Contains(m.store.Entry(m.nodes[0].id()), []byte("w1")) {
+					t.Fatal("the drain commitment is not in the store")
+				}
+				m.forge(t, forgeries[name])
+				m.restartAll(t)
+				m.within(t, 5*time.Second, "all find each other", m.findEachOther)
+				m.nodes[0].expectNoWork(t)
+			})
+		})
+	}
 }
--- a/internal/hosted/peers.go
+++ b/internal/hosted/peers.go
@@ -4,6 +4,7 @@
 	"context"
 	"math/rand/v2"
 	"net/http"
+	"net/netip"
 	"slices"
 	"sync/atomic"
 	"time"
@@ -13,6 +14,7 @@
 	"github.com/levertide/levertide/internal/exchangepb"
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/contain"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/fleet"
 )
 
@@ -24,6 +26,8 @@
 	idleMessages       = 20 * time.Second
 	idleServerMessages = 60 * time.Second
 	messageDialBound   = 400 * time.Millisecond
+	// maximumClients bounds the addresses for which a client is kept.
+	maximumClients = 4096
 )
 
 // Peers sends messages to other nodes and processes their answers.
@@ -59,7 +63,7 @@
 	onReplaced func(records []fleet.Node)
 
 	mutex   contain.Mutex
-	clients map[string]exchangepb.Exchange
+	clients map[netip.AddrPort]exchangepb.Exchange
 }
 
 func newPeers(config Config, documents *Documents) *Peers {
@@ -71,7 +75,7 @@
 		documents: documents,
 		events:    config.Events,
 		panicked:  config.Panicked,
-		clients:   map[string]exchangepb.Exchange{},
+		clients:   map[netip.AddrPort]exchangepb.Exchange{},
 		directory: sharedDirectory{list: config.Directory.ListAll, panicked: config.Panicked},
 		web: &http.Client{Transport: httpconn.LimitAnswers(&http.Transport{
 			DialContext:            httpconn.Track(config.Dial, messageDialBound),
@@ -87,12 +91,17 @@
 	return p
 }
 
-func (p *Peers) client(address string) exchangepb.Exchange {
+// client returns the client for messages to an address. Clients hold no connections: those of addresses
+// that are not used any more go when there are too many.
+func (p *Peers) client(address netip.AddrPort) exchangepb.Exchange {
 	p.mutex.Lock()
 	defer p.mutex.Unlock()
 	client, known := p.clients[address]
 	if !known {
-		client = exchangepb.NewExchangeProtobufClient("http://"+address, p.web, twirp.WithClientPathPrefix(""))
+		if len(p.clients) >= maximumClients {
+			clear(p.clients)
+		}
+		client = exchangepb.NewExchangeProtobufClient("http://"+endpoint.String(address), p.web, twirp.WithClientPathPrefix(""))
 		p.clients[address] = client
 	}
 	return client
--- a/internal/hosted/receiver_test.go
+++ b/internal/hosted/receiver_test.go
@@ -5,6 +5,7 @@
 	"errors"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"strings"
 	"testing"
 	"time"
@@ -28,7 +29,7 @@
 }
 
 func (a *answering) Sync(context.Context, *exchangepb.SyncRequest) (*exchangepb.SyncResponse, error) {
-	return &exchangepb.SyncResponse{Receiver: &exchangepb.Node{Id: a.id, Incarnation: 1}}, nil
+	return &exchangepb.SyncResponse{Receiver: &exchangepb.Node{Id: a.id, Incarnation: 1, ControlAddress: "10.0.0.1:70", CallAddress: "10.0.0.1:71"}}, nil
 }
 
 func (a *answering) Broadcast(_ context.Context, request *exchangepb.BroadcastRequest) (*exchangepb.BroadcastResponse, error) {
@@ -45,13 +46,13 @@
 	t.Helper()
 	server := httptest.NewServer(exchangepb.NewExchangeServer(there, twirp.WithServerPathPrefix("")))
 	t.Cleanup(server.Close)
-	asked := fleet.Node{ID: "asked", Incarnation: 1, State: fleet.StateLive, ControlAddress: strings.TrimPrefix(server.URL, "http://")}
+	asked := fleet.Node{ID: "asked", Incarnation: 1, State: fleet.StateLive, ControlAddress: netip.MustParseAddrPort(strings.TrimPrefix(server.URL, "http://"))}
 	table := fleet.NewTable(fleet.Node{ID: "self", State: fleet.StateLive})
 	table.Merge([]fleet.Node{asked})
 	documents := NewDocuments(&recordingConsumer{}, discardEvents{})
 	p := &Peers{
 		mesh: "test", table: table, contacts: fleet.NewContacts(), documents: documents, events: discardEvents{},
-		web: &http.Client{}, clients: map[string]exchangepb.Exchange{}, evidence: newEvidence(&Agent{}, quarantine.New(quarantine.Options{})),
+		web: &http.Client{}, clients: map[netip.AddrPort]exchangepb.Exchange{}, evidence: newEvidence(&Agent{}, quarantine.New(quarantine.Options{})),
 	}
 	return p, asked
 }
--- a/internal/hosted/relay.go
+++ b/internal/hosted/relay.go
@@ -76,7 +76,7 @@
 		case !known:
 			place[message.GetId()] = len(nodes)
 			nodes = append(nodes, message)
-		case nodeOf(message).NewerThan(nodeOf(nodes[i])):
+		case rankOf(message).NewerThan(rankOf(nodes[i])):
 			nodes[i] = message
 		}
 	}
--- a/internal/hosted/restored_test.go
+++ b/internal/hosted/restored_test.go
@@ -294,7 +294,7 @@
 		m.within(t, time.Minute, "nodes have written their entries over the foreign ones", func() bool {
 			for _, n := range m.nodes {
 				self := n.table.View().Self()
-				if !bytes.Contains(m.store.Entry(self.ID), []byte(self.ControlAddress)) {
+				if !bytes.Contains(m.store.Entry(self.ID), []byte(self.ControlAddress.String())) {
 					return false
 				}
 			}
--- a/internal/hosted/server.go
+++ b/internal/hosted/server.go
@@ -74,7 +74,7 @@
 		digests := view.Digests()
 		response.BucketDigests = digests[:]
 	}
-	if known && held.NewerThan(nodeOf(request.GetSender())) {
+	if known && held.NewerThan(rankOf(request.GetSender())) {
 		response.Nodes = append(response.Nodes, nodeMessage(held))
 	}
 	return response, nil
@@ -91,7 +91,7 @@
 	p.merge(nodesOf(request.GetNodes()...), nil)
 	p.evidence.take(request.GetEvidence())
 	held := p.documents.TakeMessage(request.GetDocument()) || p.documents.Version() >= request.GetDocumentVersion()
-	u := update{nodes: request.GetNodes(), evidence: request.GetEvidence(), document: request.GetDocument(), version: request.GetDocumentVersion()}
+	u := update{nodes: naming(request.GetNodes()), evidence: request.GetEvidence(), document: request.GetDocument(), version: request.GetDocumentVersion()}
 	if reach := request.GetReach(); reach != exchangepb.Reach_REACH_RANGE {
 		p.hub.accept(u, reach)
 		return &exchangepb.BroadcastResponse{Addressed: request.GetReceiver() != ""}, nil
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -19,6 +19,7 @@
 	"github.com/levertide/levertide/internal/suspend"
 	"github.com/levertide/levertide/internal/telemetry"
 	"github.com/levertide/levertide/pkg/contain"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/quota"
@@ -108,7 +109,11 @@
 	}
 	node.quarantine = quarantine.New(quarantine.Options{})
 	registry := telemetry.NewHostedRegistry(node.panics, metricsName, node.reading)
-	node.table = fleet.NewTable(node.initialRecord())
+	record, err := node.initialRecord()
+	if err != nil {
+		return nil, err
+	}
+	node.table = fleet.NewTable(record)
 	node.quotas = hosted.NewQuotas(hosted.QuotaConfig{
 		Table: node.table, Tolerance: quota.Tolerance{Overage: s.QuotaOverage, Slack: s.QuotaSlack},
 		Limited: config.hasTenantLimits.Load, Suspended: adapter.Suspended, Events: log,
@@ -213,19 +218,28 @@
 }
 
 // initialRecord returns the node's own record in the table of nodes when it starts.
-func (n *Node) initialRecord() fleet.Node {
+// Its addresses are those of the settings, at which other nodes must be able to reach it.
+func (n *Node) initialRecord() (fleet.Node, error) {
+	control, err := endpoint.Parse(n.settings.ControlAddress)
+	if err != nil {
+		return fleet.Node{}, ErrStart.Wrap(err, "address for messages between nodes")
+	}
+	call, err := endpoint.Parse(n.settings.CallAddress)
+	if err != nil {
+		return fleet.Node{}, ErrStart.Wrap(err, "address for calls of other nodes")
+	}
 	return fleet.Node{
 		ID:             n.settings.NodeID,
 		Incarnation:    uint64(time.Now().UnixNano()),
 		Sequence:       fleet.FirstSequence,
 		Region:         n.settings.Region,
 		Zone:           n.settings.Zone,
-		ControlAddress: n.settings.ControlAddress,
-		CallAddress:    n.settings.CallAddress,
+		ControlAddress: control,
+		CallAddress:    call,
 		State:          fleet.StateLive,
 		ReadsStore:     true,
 		Capacity:       int(n.settings.Capacity),
-	}
+	}, nil
 }
 
 // ready reports whether the node accepts calls.
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -1,11 +1,13 @@
 package telemetry
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/levertide/levertide/internal/hosted"
 	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/canary"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -59,8 +61,8 @@
 func (l *Log) NodeFound(id string) { end(l.begin(eventNodeFound).Str("peer", id)) }
 
 // NodeReplaced records that a node has ended and another one has its address.
-func (l *Log) NodeReplaced(id, address string) {
-	end(l.begin(eventNodeReplaced).Str("peer", id).Str("address", address))
+func (l *Log) NodeReplaced(id string, address netip.AddrPort) {
+	end(l.begin(eventNodeReplaced).Str("peer", id).Str("address", endpoint.String(address)))
 }
 
 // RecallFailed records that the hub of the zone did not report the previous incarnations of
@@ -94,8 +96,11 @@
 	end(l.begin(eventIntakeReached).Str("pool", pool).Str("bound", string(bound)))
 }
 
-// EntryRejected records that an entry in the store is not a valid entry of a node.
-func (l *Log) EntryRejected(id string) { end(l.begin(eventEntryRejected).Str("entry", bounded(id))) }
+// EntryRejected records that an entry in the store is not a valid entry of a node, and how many there were
+// since the last line.
+func (l *Log) EntryRejected(id string, err error, entries uint64) {
+	end(l.begin(eventEntryRejected).Str("entry", bounded(id)).Str(fieldError, errorText(err)).Uint64("entries", entries))
+}
 
 // RecordUnencodable records that the record of this node cannot be written to the store.
 func (l *Log) RecordUnencodable(err error) {
--- a/internal/telemetry/log_test.go
+++ b/internal/telemetry/log_test.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"net/netip"
 	"os"
 	"slices"
 	"strings"
@@ -71,13 +72,13 @@
 	l.StoreRestored(2, hosted.Era{Number: 2, PreviousHighest: 20, First: 14})
 	l.NodeLost("n", errors.New("fault"))
 	l.NodeFound("n")
-	l.NodeReplaced("n", "m")
+	l.NodeReplaced("n", netip.MustParseAddrPort("192.0.2.1:1"))
 	l.RecallFailed("n", errors.New("fault"))
 	l.WorkerChanged(workers.Worker{Instance: "i"}, "heartbeat")
 	l.HeartbeatRejected("i", errors.New("fault"))
 	l.IntakeReached("callers", "memory")
 	l.WorkerCallIgnored(workers.Heartbeat{Instance: "i"}, workers.Change{Ignored: workers.IgnoredUnproven})
-	l.EntryRejected("n")
+	l.EntryRejected("n", errors.New("fault"), 1)
 	l.RecordUnencodable(errors.New("e"))
 	l.WorkerLimitChanged(workers.TermsChange{})
 	l.WorkerLeaving(workers.TermsChange{})
@@ -197,7 +198,7 @@
 		"lost node":  func(l *Log, _ *ForwardingObserver) { l.NodeLost("n", err) },
 		"store":      func(l *Log, _ *ForwardingObserver) { l.StoreUnreachable(err) },
 		"worker":     func(l *Log, _ *ForwardingObserver) { l.WorkerHealth(false, endless) },
-		"entry":      func(l *Log, _ *ForwardingObserver) { l.EntryRejected(endless) },
+		"entry":      func(l *Log, _ *ForwardingObserver) { l.EntryRejected(endless, err, 1) },
 		"part ended": func(l *Log, _ *ForwardingObserver) { l.PartFailed("part", endless) },
 	} {
 		t.Run(name, func(t *testing.T) {
--- a/pkg/fleet/node.go
+++ b/pkg/fleet/node.go
@@ -2,6 +2,7 @@
 
 import (
 	"math/bits"
+	"net/netip"
 
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
@@ -28,7 +29,7 @@
 	Incarnation, Sequence uint64
 	Region, Zone          string
 	// ControlAddress takes control messages, CallAddress takes calls.
-	ControlAddress, CallAddress string
+	ControlAddress, CallAddress netip.AddrPort
 	State                       State
 	// ReadsStore is set if the node reaches the store and may read it for others.
 	ReadsStore bool
--- a/pkg/fleet/replaced.go
+++ b/pkg/fleet/replaced.go
@@ -1,9 +1,6 @@
 package fleet
 
-import (
-	"math"
-	"net/netip"
-)
+import "math"
 
 // An address may go from a node that has ended to another one. Whoever then asks at that
 // address gets an answer, and would take the ended node to be there for as long as the
@@ -35,9 +32,6 @@
 // hasAddressOf reports whether only one of two nodes can be there, since both have the
 // same address. An address without a host or port is that of no node in particular.
 func (n Node) hasAddressOf(other Node) bool {
-	if n.ControlAddress != other.ControlAddress {
-		return false
-	}
-	address, err := netip.ParseAddrPort(n.ControlAddress)
-	return err == nil && address.Port() != 0 && !address.Addr().IsUnspecified()
+	address := n.ControlAddress
+	return address == other.ControlAddress && address.IsValid() && address.Port() != 0 && !address.Addr().IsUnspecified()
 }
--- a/pkg/fleet/replaced_test.go
+++ b/pkg/fleet/replaced_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"slices"
 	"testing"
 
@@ -10,14 +11,14 @@
 )
 
 // Control addresses of nodes.
-const (
-	addressX = "10.0.0.1:70"
-	addressY = "10.0.0.2:70"
-	addressZ = "10.0.0.3:70"
+var (
+	addressX = netip.MustParseAddrPort("10.0.0.1:70")
+	addressY = netip.MustParseAddrPort("10.0.0.2:70")
+	addressZ = netip.MustParseAddrPort("10.0.0.3:70")
 )
 
 // at returns the record of a node with a control address.
-func at(address, id string, incarnation, sequence uint64) Node {
+func at(address netip.AddrPort, id string, incarnation, sequence uint64) Node {
 	n := node(id, incarnation, sequence)
 	n.ControlAddress = address
 	return n
@@ -62,13 +63,13 @@
 	left.State = StateLeft
 	for _, c := range []struct{ own, other Node }{
 		{at(addressX, "self", 5, 1), left},
-		{at("", "self", 5, 1), at("", "other", 1, 1)},
-		{at("127.0.0.1:0", "self", 5, 1), at("127.0.0.1:0", "other", 1, 1)},
-		{at("0.0.0.0:70", "self", 5, 1), at("0.0.0.0:70", "other", 1, 1)},
-		{at("[::]:70", "self", 5, 1), at("[::]:70", "other", 1, 1)},
+		{at(netip.AddrPort{}, "self", 5, 1), at(netip.AddrPort{}, "other", 1, 1)},
+		{at(netip.MustParseAddrPort("127.0.0.1:0"), "self", 5, 1), at(netip.MustParseAddrPort("127.0.0.1:0"), "other", 1, 1)},
+		{at(netip.MustParseAddrPort("0.0.0.0:70"), "self", 5, 1), at(netip.MustParseAddrPort("0.0.0.0:70"), "other", 1, 1)},
+		{at(netip.MustParseAddrPort("[::]:70"), "self", 5, 1), at(netip.MustParseAddrPort("[::]:70"), "other", 1, 1)},
 	} {
 		if merged := NewTable(c.own).Merge([]Node{c.other}); len(merged.Replaced) > 0 {
-			t.Errorf("%q: merged %+v", c.own.ControlAddress, merged)
+			t.Errorf("%v: merged %+v", c.own.ControlAddress, merged)
 		}
 	}
 }
