Read the addresses of the standalone mode with the one reader

Why it works: endpoint.Parse reads them all. A member of odd address is left out of a list, or its message is refused, with the value in the reason. Seeds are netip.AddrPort behind the settings. The call address of a machine in the list was not used, and is gone from store.Machine. A member without a call address takes no calls.

Open: membership.Record, topology.Peer and balance.Endpoint still hold the checked addresses as texts.

--- a/internal/command/connect/node.go
+++ b/internal/command/connect/node.go
@@ -16,6 +16,7 @@
 	"github.com/levertide/levertide/internal/command/exit"
 	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/internal/identity"
+	"github.com/levertide/levertide/pkg/endpoint"
 )
 
 // NodeFlags holds the control addresses of nodes and the operator's certificate.
@@ -41,8 +42,8 @@
 // Check returns a usage error unless the flags can be used together.
 func (n *NodeFlags) Check() error {
 	for _, address := range split(n.addresses) {
-		if _, _, err := net.SplitHostPort(address); err != nil {
-			return exit.UsageError(fmt.Sprintf("--node: %q is not an address such as 127.0.0.1:7000", address))
+		if _, err := endpoint.Parse(address); err != nil {
+			return exit.UsageError("--node: " + err.Error())
 		}
 	}
 	given := 0
--- a/internal/control/bootstrap.go
+++ b/internal/control/bootstrap.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/store"
 	"github.com/levertide/levertide/pkg/topology"
@@ -56,7 +57,7 @@
 // askSeeds queries the seeds in a random order until one has answered.
 func (n *Node) askSeeds(ctx context.Context) bool {
 	for _, index := range rand.Perm(len(n.config.Seeds)) {
-		if n.askMembers(ctx, n.config.Seeds[index]) {
+		if n.askMembers(ctx, endpoint.String(n.config.Seeds[index])) {
 			return true
 		}
 	}
@@ -129,17 +130,22 @@
 }
 
 // addHints adds machines to the plan that no node has reported yet. The list
-// lags behind, so a hint is dropped as soon as its machine does not answer.
+// lags behind, so a hint is dropped as soon as its machine does not answer. A
+// machine whose address is none costs the list nothing else.
 func (n *Node) addHints(machines []store.Machine) {
 	for _, machine := range machines {
-		if machine.Leaving || machine.Node == n.self.ID || !isAddress(machine.ControlAddress) {
+		if machine.Leaving || machine.Node == n.self.ID {
+			continue
+		}
+		if machine.Invalid != nil {
+			n.events.PeerRefused(machine.Node, machine.Invalid.Error())
 			continue
 		}
 		n.plan.hints[machine.Node] = topology.Peer{
 			ID:             machine.Node,
 			Region:         machine.Region,
 			Zone:           machine.Zone,
-			ControlAddress: machine.ControlAddress,
+			ControlAddress: endpoint.String(machine.ControlAddress),
 		}
 	}
 	n.plan.dueAt = now()
@@ -202,7 +208,7 @@
 	if len(n.config.Seeds) == 0 {
 		return nil
 	}
-	seed := n.config.Seeds[rand.IntN(len(n.config.Seeds))]
+	seed := endpoint.String(n.config.Seeds[rand.IntN(len(n.config.Seeds))])
 	for id := range n.children.byID {
 		if record, found := n.table.Get(id); found && record.ControlAddress == seed {
 			return nil
--- a/internal/control/config.go
+++ b/internal/control/config.go
@@ -4,11 +4,13 @@
 	"context"
 	"crypto/tls"
 	"net"
+	"net/netip"
 	"regexp"
 	"time"
 
 	"github.com/levertide/levertide/internal/controlpb"
 	"github.com/levertide/levertide/pkg/contain"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/snapshot"
 	"github.com/levertide/levertide/pkg/store"
@@ -45,8 +47,8 @@
 	Mesh string
 	// Gateway makes the node hold every resource. It is implied by an empty Self.Service.
 	Gateway bool
-	// Seeds are control addresses (IP:port) that are queried for members first.
-	Seeds []string
+	// Seeds are control addresses that are queried for members first.
+	Seeds []netip.AddrPort
 
 	// FanOut is how many children a relay inside a zone has; zero means DefaultFanOut.
 	FanOut int
@@ -143,13 +145,14 @@
 
 // check returns ErrConfig when the configuration is invalid.
 func (c Config) check() error {
+	_, controlErr := endpoint.Parse(c.Self.ControlAddress)
 	switch {
 	case c.Self.ID == "":
 		return ErrConfig.New("the node has no identifier")
 	case c.Self.Zone == "" || c.Self.Region == "":
 		return ErrConfig.New("the node has no zone or no region")
-	case !isAddress(c.Self.ControlAddress):
-		return ErrConfig.New("invalid control address %q: want an IP address and a port", c.Self.ControlAddress)
+	case controlErr != nil:
+		return ErrConfig.Wrap(controlErr, "control address")
 	case !meshName.MatchString(c.Mesh):
 		return ErrConfig.New("invalid mesh name %q: want at most 64 lower-case letters, digits and dashes", c.Mesh)
 	case c.Listener == nil:
--- a/internal/control/fabric_test.go
+++ b/internal/control/fabric_test.go
@@ -5,6 +5,7 @@
 	"fmt"
 	"math/rand/v2"
 	"net"
+	"net/netip"
 	"strings"
 	"sync"
 	"sync/atomic"
@@ -162,10 +163,10 @@
 	return node
 }
 
-func (m *mesh) seeds() []string {
-	var seeds []string
+func (m *mesh) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
 	for _, run := range m.nodes {
-		if seeds = append(seeds, run.address); len(seeds) == 3 {
+		if seeds = append(seeds, netip.MustParseAddrPort(run.address)); len(seeds) == 3 {
 			break
 		}
 	}
--- a/internal/control/floor_test.go
+++ b/internal/control/floor_test.go
@@ -4,6 +4,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"slices"
 	"strings"
 	"sync"
@@ -113,7 +114,7 @@
 
 	m.start("b0", "b", "ledger", sides.configure("b0", quick, withoutStore, func(config *Config) {
 		sides.put(1, config.Self.ControlAddress)
-		config.Seeds = []string{m.nodes["b1"].address}
+		config.Seeds = []netip.AddrPort{netip.MustParseAddrPort(m.nodes["b1"].address)}
 	}))
 	restarted := m.nodes["b0"].node
 	m.eventually("the restarted node lacks nothing but another zone", func() bool {
--- a/internal/control/limits.go
+++ b/internal/control/limits.go
@@ -1,10 +1,10 @@
 package control
 
 import (
-	"net/netip"
 	"time"
 
 	"github.com/levertide/levertide/internal/controlpb"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/membership"
 )
 
@@ -41,8 +41,8 @@
 	if member.GetId() == "" || member.GetZone() == "" || member.GetRegion() == "" {
 		return ErrMalformed.New("member without identifier, zone or region")
 	}
-	if !isAddress(member.GetControlAddress()) {
-		return ErrMalformed.New("member whose control address is not an IP address and a port")
+	if err := checkAddresses(member); err != nil {
+		return err
 	}
 	if member.GetState() > uint32(membership.StateLost) {
 		return ErrMalformed.New("member in an unknown state")
@@ -59,10 +59,19 @@
 	return nil
 }
 
-// isAddress reports whether a text is an IP address and a port.
-func isAddress(text string) bool {
-	_, err := netip.ParseAddrPort(text)
-	return err == nil
+// checkAddresses refuses a member that others cannot reach. A member that takes no calls names no address
+// for them.
+func checkAddresses(member *controlpb.Member) error {
+	if _, err := endpoint.Parse(member.GetControlAddress()); err != nil {
+		return ErrMalformed.Wrap(err, "control address of a member")
+	}
+	if member.GetCallAddress() == "" {
+		return nil
+	}
+	if _, err := endpoint.Parse(member.GetCallAddress()); err != nil {
+		return ErrMalformed.Wrap(err, "call address of a member")
+	}
+	return nil
 }
 
 func checkWatch(request *controlpb.WatchRequest) error {
--- a/internal/control/peer_test.go
+++ b/internal/control/peer_test.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -172,7 +173,7 @@
 	other := newMesh(t).start("other", "a", "ledger")
 	m := newMesh(t)
 	node := m.start("a0", "a", "ledger", func(c *Config) {
-		c.Seeds = []string{other.config.Self.ControlAddress}
+		c.Seeds = []netip.AddrPort{netip.MustParseAddrPort(other.config.Self.ControlAddress)}
 	})
 	m.eventually("the node becomes a root", func() bool { return node.Tree().Root })
 	version := m.propose("first")
--- a/internal/control/reader_lease.go
+++ b/internal/control/reader_lease.go
@@ -7,6 +7,7 @@
 
 	"github.com/joomcode/errorx"
 
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/lease"
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/topology"
@@ -90,7 +91,12 @@
 	if n.memberPresent(holder.Node) {
 		return false
 	}
-	return !n.askMembers(ctx, holder.ControlAddress)
+	address, err := endpoint.Parse(holder.ControlAddress)
+	if err != nil {
+		n.events.PeerRefused(holder.Node, err.Error())
+		return true
+	}
+	return !n.askMembers(ctx, endpoint.String(address))
 }
 
 func (n *Node) memberPresent(id string) bool {
--- a/internal/daemon/daemon.go
+++ b/internal/daemon/daemon.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/thejerf/suture/v4"
@@ -14,6 +15,7 @@
 	"github.com/levertide/levertide/internal/settings"
 	"github.com/levertide/levertide/internal/telemetry"
 	"github.com/levertide/levertide/pkg/contain"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/membership"
 	"github.com/levertide/levertide/pkg/snapshot"
 	"github.com/levertide/levertide/pkg/validation"
@@ -127,13 +129,24 @@
 	}
 }
 
+// seeds returns the control addresses of the settings, which are checked when they are loaded.
+func (d *Daemon) seeds() []netip.AddrPort {
+	var seeds []netip.AddrPort
+	for _, text := range d.settings.Seeds {
+		if seed, err := endpoint.Parse(text); err == nil {
+			seeds = append(seeds, seed)
+		}
+	}
+	return seeds
+}
+
 func (d *Daemon) makeControl() error {
 	d.store = d.newStoreClient()
 	config := control.Config{
 		Self:              d.self(),
 		Mesh:              d.settings.Mesh,
 		Gateway:           d.settings.Gateway,
-		Seeds:             d.settings.Seeds,
+		Seeds:             d.seeds(),
 		FanOut:            d.settings.FanOut,
 		Hold:              d.settings.Hold,
 		UnresponsiveBound: d.settings.UnresponsiveBound,
--- a/internal/dataplane/destination.go
+++ b/internal/dataplane/destination.go
@@ -75,6 +75,9 @@
 	members := view.ByService(service)
 	endpoints := make([]balance.Endpoint, 0, len(members))
 	for _, member := range members {
+		if member.CallAddress == "" {
+			continue // It takes no calls.
+		}
 		endpoints = append(endpoints, balance.Endpoint{
 			ID:          member.ID,
 			Zone:        member.Zone,
--- a/internal/hosted/entry_test.go
+++ b/internal/hosted/entry_test.go
@@ -12,6 +12,7 @@
 	"google.golang.org/protobuf/proto"
 
 	"github.com/levertide/levertide/internal/exchangepb"
+	"github.com/levertide/levertide/internal/testaddress"
 	"github.com/levertide/levertide/pkg/fleet"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -73,17 +74,10 @@
 	}
 }
 
-// oddAddresses are texts that are no address of another process.
-var oddAddresses = []string{
-	"", "127.0.0.1", "127.0.0.1:", ":8080", "127.0.0.1 :8080", "[127.0.0.1:8080", "http://127.0.0.1:8080/", "127.0.0.1:http", "::1:8080",
-	"0.1:8080", "127.0..1:8080", "127.0.0.1:-1", "127.0.0.1:123456789012", "127.0.0.1:0", "[::%réseau]:8080", "localhost:8080", "0x7f.1:8080",
-	"127.0.0.1:99999", "0.0.0.0:8080", "127.0.0.1:8080/path", "127.0.0.1:8080\x00", "somewhere",
-}
-
 // TestRecordsWithoutAnAddressNameNoNode guards against nodes that others know and that nobody can reach,
 // and against a log that does not say what is odd.
 func TestRecordsWithoutAnAddressNameNoNode(t *testing.T) {
-	for _, text := range oddAddresses {
+	for _, text := range testaddress.Odd {
 		for name, change := range map[string]func(n *exchangepb.Node){
 			"control address": func(n *exchangepb.Node) { n.ControlAddress = text },
 			"call address":    func(n *exchangepb.Node) { n.CallAddress = text },
@@ -99,7 +93,7 @@
 				t.Fatal(err)
 			}
 			read, err := decodeEntry(Entry{ID: "a", Content: content})
-			if !errorx.IsOfType(err, ErrInvalidEntry) || !strings.Contains(err.Error(), name) || !strings.Contains(err.Error(), strconv.Quote(text)) {
+			if !errorx.IsOfType(err, ErrInvalidEntry) || !strings.Contains(err.Error(), name) || !strings.Contains(err.Error(), strconv.Quote(text[:min(len(text), 64)])) {
 				t.Errorf("%s %q: %v", name, text, err)
 			}
 			if read.ControlAddress.IsValid() || len(drainCommittedOnly(read.Workers)) != 1 {
@@ -112,7 +106,7 @@
 // TestWorkerOfOddAddressCostsItsRecordNothingElse guards against a node, or another worker beside it, that
 // is lost for the address of one worker.
 func TestWorkerOfOddAddressCostsItsRecordNothingElse(t *testing.T) {
-	for _, text := range oddAddresses {
+	for _, text := range testaddress.Odd {
 		message := nodeMessage(exampleRecord())
 		message.Workers = append(message.Workers,
 			&exchangepb.Worker{Instance: "odd", Service: "s", Slots: 1, Address: text, State: exchangepb.WorkerState_WORKER_STATE_READY},
--- a/internal/platform/consul/client_test.go
+++ b/internal/platform/consul/client_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"encoding/json"
+	"fmt"
 	"net/http"
 	"net/http/httptest"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -15,6 +17,7 @@
 	"github.com/levertide/levertide/internal/lab/platform"
 	"github.com/levertide/levertide/internal/platform/consul"
 	"github.com/levertide/levertide/internal/platform/consul/wire"
+	"github.com/levertide/levertide/internal/testaddress"
 	"github.com/levertide/levertide/pkg/store"
 )
 
@@ -165,7 +168,7 @@
 	}
 	server.SetFaults(platform.Faults{})
 	server.SetLeaving("node-1", true)
-	want := store.Machine{Node: "node-1", Region: "nl", Zone: "west-1", ControlAddress: "127.0.0.1:1", Leaving: true}
+	want := store.Machine{Node: "node-1", Region: "nl", Zone: "west-1", ControlAddress: netip.MustParseAddrPort("127.0.0.1:1"), Leaving: true}
 	machines, err = client.Machines(t.Context())
 	if err != nil || len(machines) != 1 || machines[0] != want {
 		t.Errorf("after the lag: %+v, %v", machines, err)
@@ -176,6 +179,34 @@
 	}
 }
 
+// TestMachinesOfOddAddressesCostTheListNothingElse guards against a list of machines that is lost for one of
+// them, and against machines that nobody can reach.
+func TestMachinesOfOddAddressesCostTheListNothingElse(t *testing.T) {
+	server := platform.New(platform.Config{})
+	defer server.Close()
+	address, err := server.Listen("127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	client := consul.New(consul.Config{Address: "http://" + address})
+	defer client.Close()
+	for i, text := range append(testaddress.Odd, "127.0.0.1:1") {
+		register(t, address, wire.ServiceRegistration{
+			ID: fmt.Sprint("node-", i), Name: wire.ServiceName, Meta: map[string]string{wire.MetaControlAddress: text},
+		})
+	}
+	machines, err := client.Machines(t.Context())
+	if err != nil || len(machines) != len(testaddress.Odd)+1 {
+		t.Fatalf("%d machines, %v", len(machines), err)
+	}
+	for _, machine := range machines {
+		good := machine.Node == fmt.Sprint("node-", len(testaddress.Odd))
+		if machine.ControlAddress.IsValid() != good || (machine.Invalid == nil) != good {
+			t.Errorf("%+v", machine)
+		}
+	}
+}
+
 func register(t *testing.T, address string, registration wire.ServiceRegistration) {
 	t.Helper()
 	body, err := json.Marshal(registration)
--- a/internal/platform/consul/machines.go
+++ b/internal/platform/consul/machines.go
@@ -6,6 +6,7 @@
 	"strings"
 
 	"github.com/levertide/levertide/internal/platform/consul/wire"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/store"
 )
 
@@ -30,13 +31,14 @@
 
 func machineOf(entry wire.ServiceEntry) store.Machine {
 	meta := entry.Service.Meta
+	control, err := endpoint.Parse(meta[wire.MetaControlAddress])
 	return store.Machine{
 		Node:           entry.Service.ID,
 		Region:         meta[wire.MetaRegion],
 		Zone:           meta[wire.MetaZone],
 		Service:        meta[wire.MetaService],
-		ControlAddress: meta[wire.MetaControlAddress],
-		CallAddress:    meta[wire.MetaCallAddress],
+		ControlAddress: control,
+		Invalid:        err,
 		Leaving:        inMaintenance(entry.Checks),
 	}
 }
--- a/internal/settings/load_test.go
+++ b/internal/settings/load_test.go
@@ -7,11 +7,14 @@
 	"io"
 	"os"
 	"path/filepath"
+	"slices"
 	"strings"
 	"testing"
 	"time"
 
 	"github.com/joomcode/errorx"
+
+	"github.com/levertide/levertide/internal/testaddress"
 )
 
 var minimal = []string{"-node-id", "n1", "-region", "kingston", "-zone", "a", "-store-address", "127.0.0.1:8500"}
@@ -118,3 +121,26 @@
 		t.Errorf("docs/SETTINGS.md does not hold this table:\n%s", MarkdownTable())
 	}
 }
+
+// TestOddAddressesOfOtherNodesAreNamed guards against a node that starts with addresses at which it finds
+// nobody, and against a message that does not name them.
+func TestOddAddressesOfOtherNodesAreNamed(t *testing.T) {
+	for _, text := range testaddress.Odd {
+		if text == "" {
+			continue // Not given.
+		}
+		for _, key := range []string{"seeds", "advertise-call-address", "advertise-control-address", "store-address"} {
+			if strings.TrimSpace(text) != text && (key == "seeds" || key == "store-address") {
+				continue // Blanks around the items of a list do not count.
+			}
+			if strings.HasPrefix(text, "http://") && key == "store-address" {
+				continue // The store may be given as a URL.
+			}
+			_, problems := load(t, "-"+key, text)
+			named := slices.ContainsFunc(problems, func(p Problem) bool { return p.Key == key && p.Value != "" && p.Allowed != "" })
+			if !named {
+				t.Errorf("%s %q: %v", key, text, problems)
+			}
+		}
+	}
+}
--- a/internal/settings/validate.go
+++ b/internal/settings/validate.go
@@ -9,6 +9,8 @@
 	"strings"
 
 	"github.com/go-playground/validator/v10"
+
+	"github.com/levertide/levertide/pkg/endpoint"
 )
 
 // defaultSource is the Problem.Source of a key that no source has set.
@@ -139,8 +141,8 @@
 }
 
 func isEndpoint(text string) bool {
-	parsed, err := netip.ParseAddrPort(text)
-	return err == nil && parsed.Port() != 0 && !parsed.Addr().IsUnspecified()
+	_, err := endpoint.Parse(text)
+	return err == nil
 }
 
 func isStoreAddress(text string) bool {
--- a/pkg/store/store.go
+++ b/pkg/store/store.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"time"
 )
 
@@ -88,8 +89,10 @@
 	Region         string
 	Zone           string
 	Service        string
-	ControlAddress string
-	CallAddress    string
+	ControlAddress netip.AddrPort
+	// Invalid says why the list names no control address of the machine; nil if it
+	// names one.
+	Invalid error
 	// Leaving reports that the platform is about to remove the machine.
 	Leaving bool
 }
