--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -140,15 +140,7 @@
 	a.refusals.observe(instance, err)
 }
 
-// rejectEntry records an entry in the store that was not written by a node. Log lines are limited.
-func (a *Agent) rejectEntry(id string) {
-	a.documents.restores.rejected.Add(1)
-	if a.rejections.Allow() {
-		a.config.Events.EntryRejected(id[:min(len(id), longestLoggedName)])
-	}
-}
-
-// recordUnencodable reports that the record of this node cannot be written, within the same limit.
+// recordUnencodable reports that the record of this node cannot be written. Log lines are limited.
 func (a *Agent) recordUnencodable(err error) {
 	if a.rejections.Allow() {
 		a.config.Events.RecordUnencodable(err)
