Announce no trailer to a worker under a name that is no token

What callers saw (standalone mode): a request with a long body in chunks that announced a trailer such as "X Odd" got 503 "no worker could be reached", and the balancer counted it against the node.

Cause: net/http's server takes the names of announced trailers as they are, the transport refuses them before it opens a connection.

Now it gets 200, and the worker is sent no such name.

Why this works: a name that is no token announces no field; what net/http finds behind the body under such a name is not written by it either.

--- a/internal/dataplane/body.go
+++ b/internal/dataplane/body.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"github.com/joomcode/errorx"
+	"golang.org/x/net/http/httpguts"
 
 	"github.com/levertide/levertide/internal/httpconn"
 	"github.com/levertide/levertide/pkg/contain"
@@ -113,8 +114,9 @@
 	}
 }
 
-// outgoingTrailer announces the trailers that the caller announced. Their values
-// are filled in at the end of the body.
+// outgoingTrailer announces the trailers that the caller announced, but for names that are no tokens:
+// the transport refuses these, as if the other side could not be reached. The values are filled in at
+// the end of the body.
 func (b *requestBody) outgoingTrailer() http.Header {
 	if len(b.request.Trailer) == 0 {
 		return nil
@@ -123,7 +125,7 @@
 	defer b.mutex.Unlock()
 	b.trailer = make(http.Header, len(b.request.Trailer))
 	for name := range b.request.Trailer {
-		if forwardable(name) {
+		if forwardable(name) && httpguts.ValidHeaderFieldName(name) {
 			b.trailer[name] = nil
 		}
 	}
--- a/internal/dataplane/oddrequest_test.go
+++ b/internal/dataplane/oddrequest_test.go
@@ -1,6 +1,7 @@
 package dataplane
 
 import (
+	"fmt"
 	"io"
 	"net"
 	"strings"
@@ -40,3 +41,28 @@
 		}
 	}
 }
+
+// TestOddTrailerOfARequestCostsNoWorker guards against a request that the transport refuses to send, as if its node could not be reached.
+func TestOddTrailerOfARequestCostsNoWorker(t *testing.T) {
+	m := newMesh(t)
+	recorder := &headRecorder{}
+	back := m.addWorker("a", newRawWorker(t, recorder.serve).address())
+	for _, name := range []string{"X Odd", "X(Odd", "X-Odd\xff", "X-Even"} {
+		for _, node := range []*testNode{m.entry, back} {
+			conn, err := net.Dial("tcp", node.callers.Listener.Addr().String())
+			if err != nil {
+				t.Fatal(err)
+			}
+			body := strings.Repeat("x", 2*DefaultBufferedBody)
+			_, _ = fmt.Fprintf(conn, "POST /never HTTP/1.1\r\nHost: %s\r\nConnection: close\r\nTrailer: %s\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s\r\n0\r\n\r\n", testHost, name, len(body), body)
+			got, _ := io.ReadAll(conn)
+			_ = conn.Close()
+			if !strings.HasPrefix(string(got), "HTTP/1.1 200 ") {
+				t.Errorf("%q: %.300q", name, got)
+			}
+		}
+	}
+	if strings.Contains(strings.Join(recorder.heads, ""), "Odd") {
+		t.Error("the name reached the worker")
+	}
+}
