--- a/internal/dataplane/oddhead_test.go
+++ b/internal/dataplane/oddhead_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -90,14 +91,27 @@
 
 // TestAnswerOfANodeWithAnOddHeadIsNotPassedOn guards against the same in the answers between nodes.
 func TestAnswerOfANodeWithAnOddHeadIsNotPassedOn(t *testing.T) {
+	checkOddNode(t, newMesh(t), testheads.Serve)
+}
+
+// TestEncryptedAnswerOfANodeWithAnOddHeadIsNotPassedOn guards against the same over TLS.
+func TestEncryptedAnswerOfANodeWithAnOddHeadIsNotPassedOn(t *testing.T) {
+	m := newMesh(t, func(c *Config) { c.PeerTLS = &tls.Config{InsecureSkipVerify: true} })
+	checkOddNode(t, m, func(t testing.TB, answer func(*http.Request) string) string {
+		return testheads.ServeTLS(t, answer).Listener.Addr().String()
+	})
+}
+
+// checkOddNode checks that a node passes on no odd answer of another one.
+func checkOddNode(t *testing.T, m *mesh, serve func(testing.TB, func(*http.Request) string) string) {
+	t.Helper()
 	const fields = "X-Stamp: w\r\nLevertide-Load: 1\r\n"
 	answers := testheads.Taken(fields, "odd")
 	for _, status := range testheads.Statuses() {
 		answers = append(answers, testheads.WithStatus(status, fields, "odd"))
 	}
 	var text atomic.Value
-	m := newMesh(t)
-	m.join("a", testheads.Serve(t, func(*http.Request) string { return text.Load().(string) }))
+	m.join("a", serve(t, func(*http.Request) string { return text.Load().(string) }))
 	for _, answer := range answers {
 		text.Store(answer.Text)
 		checkOddHead(t, m.entry, answer, http.MethodPost)
--- a/internal/httpconn/answercheck_test.go
+++ b/internal/httpconn/answercheck_test.go
@@ -5,9 +5,11 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"net/http/httptrace"
 	"net/textproto"
 	"strings"
+	"sync"
 	"sync/atomic"
 	"testing"
 	"testing/iotest"
@@ -188,3 +190,53 @@
 		t.Error(err)
 	}
 }
+
+// TestWholeAnswersOfBusyConnectionsAreTaken guards against an answer that is refused for what another request does on its connection.
+func TestWholeAnswersOfBusyConnectionsAreTaken(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		switch r.URL.Path {
+		case "/none":
+			w.WriteHeader(http.StatusNoContent)
+		case "/interim":
+			w.WriteHeader(http.StatusEarlyHints)
+		case "/chunks":
+			_ = http.NewResponseController(w).Flush()
+		}
+		if r.URL.Path != "/none" {
+			_, _ = io.WriteString(w, "a: b\r\n c")
+		}
+	}))
+	defer server.Close()
+	transport := &http.Transport{DialContext: Track((&net.Dialer{}).DialContext, time.Second), MaxIdleConnsPerHost: 4, ExpectContinueTimeout: time.Second}
+	defer transport.CloseIdleConnections()
+	client := &http.Client{Transport: CheckAnswers(transport, 1)}
+	var wg sync.WaitGroup
+	for i := range 8 {
+		wg.Go(func() {
+			for call := range busyCalls {
+				path := []string{"/none", "/interim", "/chunks", "/length"}[(i+call)%4]
+				method := []string{http.MethodGet, http.MethodHead, http.MethodPost}[call%3]
+				r, err := http.NewRequestWithContext(t.Context(), method, server.URL+path, strings.NewReader("body"))
+				if err != nil {
+					t.Error(err)
+					return
+				}
+				r.Header.Set("Expect", "100-continue")
+				response, err := client.Do(r)
+				if err != nil {
+					t.Errorf("%s %s: %v", method, path, err)
+					return
+				}
+				if _, err := io.Copy(io.Discard, response.Body); err != nil {
+					t.Errorf("%s %s: %v", method, path, err)
+				}
+				_ = response.Body.Close()
+			}
+		})
+	}
+	wg.Wait()
+}
+
+// busyCalls is how many calls each of the callers makes.
+const busyCalls = 300
--- a/internal/platform/consul/oddhead_test.go
+++ b/internal/platform/consul/oddhead_test.go
@@ -1,6 +1,8 @@
 package consul_test
 
 import (
+	"crypto/tls"
+	"crypto/x509"
 	"net/http"
 	"sync/atomic"
 	"testing"
@@ -33,3 +35,29 @@
 		t.Errorf("%+v, %v", record, err)
 	}
 }
+
+// TestEncryptedAnswerWithAnOddHeadIsNotBelieved guards against the same over TLS.
+func TestEncryptedAnswerWithAnOddHeadIsNotBelieved(t *testing.T) {
+	const body = `[{"Key":"a","Value":"MQ==","ModifyIndex":9,"CreateIndex":9}]`
+	var text atomic.Value
+	server := testheads.ServeTLS(t, func(*http.Request) string { return text.Load().(string) })
+	trusted := x509.NewCertPool()
+	trusted.AddCert(server.Certificate())
+	client := consul.New(consul.Config{Address: server.URL, TLS: &tls.Config{RootCAs: trusted}})
+	defer client.Close()
+	for _, answer := range testheads.Taken("X-Consul-Index: 9\r\n", body) {
+		text.Store(answer.Text)
+		if record, _, err := client.Get(t.Context(), "a", store.ReadOptions{}); err == nil {
+			t.Errorf("%s: %+v", answer.Name, record)
+		}
+	}
+	text.Store(testheads.WithStatus("200", "X-Consul-Index: 9\r\n", body).Text)
+	if record, _, err := client.Get(t.Context(), "a", store.ReadOptions{}); err != nil || string(record.Value) != "1" {
+		t.Errorf("%+v, %v", record, err)
+	}
+	stranger := consul.New(consul.Config{Address: server.URL})
+	defer stranger.Close()
+	if _, _, err := stranger.Get(t.Context(), "a", store.ReadOptions{}); err == nil {
+		t.Error("a server was believed whose certificate no authority has signed")
+	}
+}
--- a/internal/testheads/testheads.go
+++ b/internal/testheads/testheads.go
@@ -7,6 +7,7 @@
 	"io"
 	"net"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -148,3 +149,19 @@
 
 // RequestLines are the odd lines for the head of a request.
 func RequestLines() []string { return slices.Concat(lines(), taken, folded) }
+
+// ServeTLS is Serve over TLS, with a certificate that no authority has signed. It returns the server.
+func ServeTLS(t testing.TB, answer func(r *http.Request) string) *httptest.Server {
+	t.Helper()
+	server := httptest.NewTLSServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err != nil {
+			t.Error(err)
+			return
+		}
+		defer func() { _ = conn.Close() }()
+		_, _ = io.WriteString(conn, answer(r))
+	}))
+	t.Cleanup(server.Close)
+	return server
+}
