--- a/internal/forwarding/exchange.go
+++ b/internal/forwarding/exchange.go
@@ -28,6 +28,7 @@
 	body      *requestBody
 	conn      *httpconn.Conn // nil until the request got a connection
 	use       httpconn.Use   // of conn by this request
+	sent      *httpconn.Sending
 	reused    bool
 	// pace limits how fast a long body is sent; nil sets no limit.
 	pace *rate.Limiter
@@ -58,8 +59,11 @@
 
 func (e *httpExchange) attempt(ctx context.Context) (*http.Response, error) {
 	e.conn, e.reused = nil, false
-	e.sending.Store(e.body.attach(e.request, e.pace))
-	trace := &httptrace.ClientTrace{GotConn: e.gotConn, Got1xxResponse: e.interim}
+	sending, unsent := e.body.attach(e.request, e.pace)
+	e.sending.Store(sending)
+	e.sent = httpconn.NewSending(e.request, unsent)
+	trace := &e.sent.Trace
+	trace.GotConn, trace.Got1xxResponse = e.gotConn, e.interim
 	if e.headTime > 0 {
 		ctx, e.head = httpconn.WatchHead(ctx, e.headTime)
 		defer e.head.End()
@@ -72,6 +76,7 @@
 	if err := httpconn.CheckAnswer(response, e.conn, e.use); err != nil {
 		return nil, e.reject(response, err)
 	}
+	e.sent.Answered(response)
 	return response, nil
 }
 
@@ -99,6 +104,7 @@
 func (e *httpExchange) gotConn(info httptrace.GotConnInfo) {
 	if tracked, ok := info.Conn.(*httpconn.Conn); ok {
 		e.conn, e.use, e.reused = tracked, tracked.Begin(), info.Reused
+		e.sent.Begin(tracked)
 	}
 }
 
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -6,6 +6,7 @@
 	"log"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -33,7 +34,7 @@
 	announceStopBound = 300 * time.Millisecond
 )
 
-// Config configures an Agent. All fields except MayBeBeside, Rollouts, Steering, Quotas and
+// Config configures an Agent. All fields except MayBeBeside, WorkerAddress, Rollouts, Steering, Quotas and
 // Panicked must be given.
 type Config struct {
 	// Mesh names the mesh; messages from nodes of another one are refused.
@@ -46,9 +47,11 @@
 	// MayBeBeside reports whether a worker of the service may be beside this node; nil accepts
 	// every service.
 	MayBeBeside func(service string) bool
-	Source      Source
-	Directory   Directory
-	Consumer    Consumer
+	// WorkerAddress is the address of the worker beside this node; the zero value accepts every address.
+	WorkerAddress netip.AddrPort
+	Source        Source
+	Directory     Directory
+	Consumer      Consumer
 	// Rollouts and Steering move services to other versions; nil where roll-outs are not used.
 	Rollouts RolloutStore
 	Steering Steering
@@ -103,6 +106,8 @@
 	// peersAsked is closed when the first nodes that were asked have answered or timed out.
 	peersAsked     chan struct{}
 	peersAskedOnce sync.Once
+	// unheard is set if there was nobody to send this node's record to when it was sent last.
+	unheard atomic.Bool
 	// queryingContact is set while this node queries others because one has contacted it.
 	queryingContact atomic.Bool
 
@@ -112,11 +117,19 @@
 	// uses it.
 	withoutStore map[string]bool
 
+	// lookups are the searches of the directory for nodes that are not reached. Only housekeeping uses
+	// them.
+	lookups lookups
+	// retaken limits how often the record of this node is spread because another program has written
+	// one under its name.
+	retaken *rate.Limiter
 	// rejections limits the log lines on invalid calls.
 	rejections *rate.Limiter
 
 	// commitments are the drain commitments that are being replicated.
 	commitments pendingCommitments
+	// contention decides between instances at the address of the worker.
+	contention *contention
 	// ignored counts the calls of workers that had no effect.
 	ignored *ignoredCalls
 
@@ -130,7 +143,9 @@
 	}
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
+		retaken:    rate.NewLimiter(rate.Every(retakePause), retakeBurst),
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
+		contention: newContention(config),
 		ignored:    newIgnoredCalls(config.Events),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
@@ -148,6 +163,8 @@
 	agent.announcer.sharedEntry = agent.peers.recall
 	agent.announcer.onRejected, agent.announcer.onUnencodable = agent.rejectEntry, agent.recordUnencodable
 	agent.announcer.onRewritten = config.Events.EntryRestored
+	agent.announcer.isAlone = agent.reachesNobody
+	agent.announcer.isLost = func(id string) bool { return !config.Contacts.Reachable(id) }
 	server := &Server{peers: agent.peers, background: agent.background, onContact: agent.onContact, quotas: config.Quotas}
 	agent.web = intake.Guard(&http.Server{
 		Handler:           contain.Handler(messagesName, config.Panicked, server.handler()),
@@ -270,6 +287,7 @@
 
 // spreadRecord sends this node's record to all other nodes.
 func (a *Agent) spreadRecord(ctx context.Context) {
+	a.unheard.Store(a.reachesNobody())
 	a.peers.Announce(ctx, a.ownRecord())
 }
 
@@ -335,6 +353,7 @@
 	}
 	a.followEras()
 	a.announcer.CommitmentsChecked()
+	a.searchLost(time.Now())
 	a.evidence.expire()
 	expired := a.config.Workers.Expire(time.Now())
 	if len(expired) == 0 {
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"fmt"
 	"net"
+	"net/netip"
 	"sync"
 	"sync/atomic"
 	"testing"
@@ -148,7 +149,7 @@
 func startNodeOn(t testing.TB, store *hostedstore.Store, id string, listener net.Listener, dial httpconn.DialFunc, firstStart bool) *testNode {
 	t.Helper()
 	record := fleet.Node{
-		ID: id, Incarnation: uint64(time.Now().UnixNano()), Sequence: 1, Region: "r", Zone: "zone-" + id[:1],
+		ID: id, Incarnation: uint64(time.Now().UnixNano()), Sequence: fleet.FirstSequence, Region: "r", Zone: "zone-" + id[:1],
 		ControlAddress: listener.Addr().String(), State: fleet.StateLive, ReadsStore: true,
 	}
 	node := &testNode{
@@ -321,7 +322,7 @@
 }
 
 func heartbeat(instance string, sequence uint64, draining bool) workers.Heartbeat {
-	return workers.Heartbeat{Instance: instance, Service: "ledger", Address: "127.0.0.1:1", Slots: 6, Sequence: sequence, Draining: draining}
+	return workers.Heartbeat{Instance: instance, Service: "ledger", Address: netip.MustParseAddrPort("127.0.0.1:1"), Slots: 6, Sequence: sequence, Draining: draining}
 }
 
 func mustHeartbeat(t *testing.T, node *testNode, heartbeat workers.Heartbeat) {
--- a/internal/httpconn/answercheck.go
+++ b/internal/httpconn/answercheck.go
@@ -110,8 +110,12 @@
 
 // CheckAnswers returns a RoundTripper that returns an error of the type ErrInvalidAnswer in place of an
 // answer that is not a final one of the given major version of HTTP, or whose interim answers are not
-// HTTP. Folded lines are found on connections of the type Conn.
+// HTTP, and an ErrCut in place of the end of an answer that is not known to be whole. Folded lines and cut
+// answers are found on connections of the type Conn.
 func CheckAnswers(next http.RoundTripper, major int) http.RoundTripper {
+	if major == 1 {
+		next = wholeAnswers{next}
+	}
 	return checkedAnswers{next, major}
 }
 
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -26,6 +26,7 @@
 	// retired is set when no further request may be written.
 	retired atomic.Bool
 	lines   answerLines
+	sent    sent
 }
 
 // Use is one request's use of a connection. The transport gives the connection to the next request
@@ -63,13 +64,6 @@
 	return c.state.CompareAndSwap(untouched, sealed) || c.state.Load() == sealed
 }
 
-// Read implements net.Conn.
-func (c *Conn) Read(p []byte) (int, error) {
-	n, err := c.Conn.Read(p)
-	c.lines.follow(Use(c.state.Load()/connStates), p[:max(n, 0)])
-	return n, err
-}
-
 // Write implements net.Conn. The connection counts as written to before the write
 // is attempted; this is undone when the network accepted nothing of a first write.
 func (c *Conn) Write(p []byte) (int, error) {
@@ -78,7 +72,7 @@
 	if !first && c.state.Load() != use+connWritten {
 		return 0, net.ErrClosed
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.sent.write(c.Conn, p)
 	if first && n == 0 && err != nil {
 		c.state.CompareAndSwap(use+connWritten, use+connUntouched)
 	}
--- a/internal/httpconn/errors.go
+++ b/internal/httpconn/errors.go
@@ -14,6 +14,10 @@
 // its value, which may be a secret.
 var ErrInvalidAnswer = namespace.NewType("invalid_answer")
 
+// ErrCut is the type of errors for an answer that ends with its connection and is not known to be whole:
+// the request behind it could not be sent, or the other side has reset the connection.
+var ErrCut = namespace.NewType("answer_cut")
+
 // IsInvalidAnswer reports whether an error, or one that it wraps, is of the type ErrInvalidAnswer.
 func IsInvalidAnswer(err error) bool {
 	var typed *errorx.Error
--- a/internal/sidecar/node.go
+++ b/internal/sidecar/node.go
@@ -155,7 +155,8 @@
 			// A late heartbeat may be of a worker that had the address before, of another service.
 			return service == s.Service || s.Service == "" && config.knowsService(service)
 		},
-		Source: source, Directory: directory, Consumer: config, Serving: node.plane,
+		WorkerAddress: workerAddress(s),
+		Source:        source, Directory: directory, Consumer: config, Serving: node.plane,
 		Rollouts: rollouts, Steering: node.plane,
 		Quarantine: node.quarantine, Quotas: node.quotas,
 		Probe:    newProbe(s, config, network, adapter),
@@ -217,7 +218,7 @@
 	return fleet.Node{
 		ID:             n.settings.NodeID,
 		Incarnation:    uint64(time.Now().UnixNano()),
-		Sequence:       1,
+		Sequence:       fleet.FirstSequence,
 		Region:         n.settings.Region,
 		Zone:           n.settings.Zone,
 		ControlAddress: n.settings.ControlAddress,
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"net/netip"
 	"slices"
 	"strings"
 	"time"
@@ -11,7 +12,7 @@
 
 // Bounds of the registry.
 const (
-	// maximumNameBytes bounds identifiers, services, addresses and versions.
+	// maximumNameBytes bounds identifiers, services and versions.
 	maximumNameBytes = 200
 	maximumSlots     = 1 << 16
 	// maximumWorkers bounds the number of registrations.
@@ -23,7 +24,8 @@
 
 // Heartbeat is what a worker reports about itself.
 type Heartbeat struct {
-	Instance, Service, Address string
+	Instance, Service string
+	Address           netip.AddrPort
 	// StartedAt is as in Worker.
 	StartedAt int64
 	// Version is the version of the worker's software; empty when the worker does not report it.
@@ -61,6 +63,8 @@
 	registeredAt time.Time
 	// contender is another run of the worker, which may be the one that runs now.
 	contender contender
+	// confirmed is set when the process at the address has said that it is this instance.
+	confirmed bool
 	// learned is set for a drain commitment of a previous incarnation of the node while nothing of its
 	// worker was heard.
 	learned bool
@@ -193,16 +197,19 @@
 	}
 	registered := Worker{Instance: probed.Instance, Service: probed.Service, Address: probed.Address, Slots: probed.Slots, State: StateReady, Busy: probed.Busy, Limit: probed.Limit}
 	r.evictOldest()
-	r.workers[probed.Instance] = &registration{Worker: registered, lastHeard: now, registeredAt: now}
+	r.workers[probed.Instance] = &registration{Worker: registered, lastHeard: now, registeredAt: now, confirmed: true}
 	return Change{Worker: registered, Changed: true}, nil
 }
 
 func validate(heartbeat Heartbeat) error {
-	for name, value := range map[string]string{"instance": heartbeat.Instance, "service": heartbeat.Service, "address": heartbeat.Address} {
+	for name, value := range map[string]string{"instance": heartbeat.Instance, "service": heartbeat.Service} {
 		if !isName(value) {
 			return errName(name)
 		}
 	}
+	if !heartbeat.Address.IsValid() {
+		return ErrInvalid.New("address is missing")
+	}
 	if heartbeat.Version != "" && !isName(heartbeat.Version) {
 		return errName("version")
 	}
