Give the fixtures of odd heads typed addresses

Merged with the one reader of heads, the tests of both sides no longer built: records and the clients for messages take netip.AddrPort. Fixtures only; checks and bounds are as they were. The tests named Odd of internal/hosted and internal/forwarding pass.

--- a/internal/forwarding/oddhead_test.go
+++ b/internal/forwarding/oddhead_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"net/http"
+	"net/netip"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -98,7 +99,7 @@
 	front := startNode(t, "front", "desk", nil)
 	configure(t, ledgerRoutes, front)
 	front.table.Merge([]fleet.Node{{
-		ID: "back", Incarnation: 1, Zone: "z", CallAddress: other.listener.Addr().String(), State: fleet.StateLive,
+		ID: "back", Incarnation: 1, Zone: "z", CallAddress: netip.MustParseAddrPort(other.listener.Addr().String()), State: fleet.StateLive,
 		Workers: []workers.Worker{{Instance: "w-back", Service: "ledger", Slots: 4, State: workers.StateReady}},
 	}})
 	fields := oddFields + "Levertide-Hop-Load: 1,0,4,0,0,0,0\r\n"
--- a/internal/hosted/oddhead_test.go
+++ b/internal/hosted/oddhead_test.go
@@ -3,6 +3,7 @@
 import (
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 
@@ -32,12 +33,12 @@
 	}, nil)
 	for _, answer := range answers {
 		text.Store(answer.Text)
-		if _, err := p.client(address).Sync(t.Context(), &exchangepb.SyncRequest{}); err == nil {
+		if _, err := p.client(netip.MustParseAddrPort(address)).Sync(t.Context(), &exchangepb.SyncRequest{}); err == nil {
 			t.Errorf("%s: an answer", answer.Name)
 		}
 	}
 	text.Store(testheads.WithStatus("200", fields, string(encoded)).Text)
-	if response, err := p.client(address).Sync(t.Context(), &exchangepb.SyncRequest{}); err != nil || response.GetReceiver().GetId() != "other" {
+	if response, err := p.client(netip.MustParseAddrPort(address)).Sync(t.Context(), &exchangepb.SyncRequest{}); err != nil || response.GetReceiver().GetId() != "other" {
 		t.Errorf("%v, %v", response, err)
 	}
 }
