--- a/tests/answers/fixture_test.go
+++ b/tests/answers/fixture_test.go
@@ -98,13 +98,19 @@
 func start(t *testing.T, plays []play, bare func(d *deployment, r *http.Request) func(net.Conn)) *deployment {
 	t.Helper()
 	d := startStore(t, plays)
+	d.startNodes(bare)
+	return d
+}
+
+// startNodes starts the nodes and their workers, the second of which answers as bare says.
+func (d *deployment) startNodes(bare func(d *deployment, r *http.Request) func(net.Conn)) {
+	d.t.Helper()
 	d.startNode(here, nil)
 	d.startNode(faulty, bare)
 	d.mustServe("/here/")
 	d.mustServe("/read/")
 	d.peaks = standin.WatchPeaks(d.nodes)
-	t.Cleanup(func() { d.peaks.Stop() })
-	return d
+	d.t.Cleanup(func() { d.peaks.Stop() })
 }
 
 // startNode starts a node with a worker of a service, and waits until it is ready.
@@ -203,6 +209,13 @@
 func (d *deployment) check() {
 	d.t.Helper()
 	d.mustLive("after the plays")
+	d.checkPeaks()
+	d.mustClose()
+}
+
+// checkPeaks ends the watch of what the nodes hold, and checks that they have stayed within their machines.
+func (d *deployment) checkPeaks() {
+	d.t.Helper()
 	for i, peak := range d.peaks.Stop() {
 		held := peak.Memory + peak.Queued
 		d.t.Logf("node %d: peak of memory %d MB, of queued bytes %d MB, of descriptors %d", i+1, peak.Memory/bytesPerMB, peak.Queued/bytesPerMB, peak.Descriptors)
@@ -213,6 +226,11 @@
 			d.t.Errorf("node %d had %d descriptors, all there are", i+1, peak.Descriptors)
 		}
 	}
+}
+
+// mustClose checks that all connections of plays are closed in the end.
+func (d *deployment) mustClose() {
+	d.t.Helper()
 	var open []string
 	closed := func() bool {
 		d.mu.Lock()
