--- a/internal/hosted/oddhead_test.go
+++ b/internal/hosted/oddhead_test.go
@@ -26,7 +26,7 @@
 		answers = append(answers, testheads.WithStatus(status, fields, string(encoded)))
 	}
 	var text atomic.Value
-	address := netip.MustParseAddrPort(testheads.Serve(t, func(*http.Request) string { return text.Load().(string) }))
+	address := testheads.Serve(t, func(*http.Request) string { return text.Load().(string) })
 	self := fleet.Node{ID: "self", Incarnation: 1, Zone: "z", State: fleet.StateLive}
 	p := newPeers(Config{
 		Table: fleet.NewTable(self), Contacts: fleet.NewContacts(), Dial: (&net.Dialer{}).DialContext, Directory: struct{ Directory }{},
