--- a/internal/httpconn/sending.go
+++ b/internal/httpconn/sending.go
@@ -162,8 +162,9 @@
 	return n, err
 }
 
-// Read implements net.Conn. It follows the lines of the heads that are read. At the end of an answer that ends with the connection it waits until the
-// request was sent and taken, and returns an ErrCut where it was not.
+// Read implements net.Conn. It follows the lines of the heads that are read. At the end of an answer that
+// ends with the connection it waits until the request was sent and taken, and returns an ErrCut where it
+// was not.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
 	c.lines.follow(Use(c.state.Load()/connStates), p[:max(n, 0)])
