Have the soak send odd heartbeats of other writers through the loss of all nodes

The soak drew odd heartbeats singly, with a few odd addresses, in calm, to nodes whose settings named no worker's address: a displaced worker was back at its next heartbeat, and nothing was lost for long.

Now up to three other writers beside each machine send heartbeats each 20 to 500 ms, through all faults and until the end, with the start time of the true worker and an address of 28: the worker's own, odd texts made of it, and others. After the last fault all nodes are lost at once, twice, and each must serve calls again within 10 s, and each worker get requests. The nodes' settings name the worker's address, and workers answer at a health path, so that nodes register and tell them apart by it.

--- a/internal/lab/soak/document.go
+++ b/internal/lab/soak/document.go
@@ -17,6 +17,8 @@
 	oncePrefix = "/once/"
 	callBound  = 2 * time.Second
 	idleRoutes = 50
+	// healthPath is the path at which a worker says who it is.
+	healthPath = "/health"
 )
 
 // document is the configuration document that the soak's operators write.
@@ -55,7 +57,7 @@
 		return sidecar.Translation{}, hosted.ErrInvalidDocument.Wrap(err, "soak")
 	}
 	translation := sidecar.Translation{Version: parsed.Version, Resources: []model.Resource{
-		{Key: model.Key{Kind: model.KindService, Name: serviceName}, Service: &model.Service{}},
+		{Key: model.Key{Kind: model.KindService, Name: serviceName}, Service: &model.Service{HealthPath: healthPath}},
 		route(safePrefix, model.RepeatAlways), route(oncePrefix, model.RepeatNever), route(versionPrefix(parsed.Version), model.RepeatAlways),
 	}}
 	translation.Resources = append(translation.Resources, tenantsOf(parsed.Version)...)
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -160,7 +160,7 @@
 		},
 		Translate: translate,
 		Suspended: m.suspendedSince,
-		Identity:  func(http.Header) (sidecar.Identity, bool) { return sidecar.Identity{}, false },
+		Identity:  identityOf,
 		Registration: func(given sidecar.Registrar) http.Handler {
 			registrar = given
 			return http.NotFoundHandler()
@@ -174,7 +174,7 @@
 		},
 	}
 	started, err := newLife(settings.Settings{
-		NodeID: m.nodeID(), Region: "region", Zone: m.zone, Service: serviceName, Mode: settings.ModeHosted,
+		NodeID: m.nodeID(), Region: "region", Zone: m.zone, Service: serviceName, WorkerAddress: m.local, Mode: settings.ModeHosted,
 		CallerAddress: m.callers, CallAddress: m.call, ControlAddress: m.control, ReadinessAddress: m.probes, AdminAddress: m.network.AnyPort(),
 		StoreAddresses: []string{"in memory"}, DrainBound: stopBound, StopNotice: 200 * time.Millisecond,
 		HeartbeatInterval: heartbeatInterval, DescriptorLimit: m.descriptors, RetryRatio: 0.2, RetrySlack: 64, RetryWindow: 10 * time.Second,
@@ -188,6 +188,12 @@
 	return nil
 }
 
+// identityOf returns who has answered at the health path.
+func identityOf(header http.Header) (sidecar.Identity, bool) {
+	instance := header.Get(instanceHeader)
+	return sidecar.Identity{Instance: instance, Slots: workerSlots}, instance != ""
+}
+
 // endNode ends the node, either by a planned stop or as a crash would.
 func (m *machine) endNode(planned bool) {
 	m.mutex.Lock()
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -35,16 +35,26 @@
 		return Report{}, err
 	}
 	injector := run.faults()
-	run.play(ctx, injector)
+	run.besideWriters(ctx, func() {
+		run.play(ctx, injector)
+		if injector.err == nil {
+			run.check(injector)
+		}
+	})
 	if injector.err != nil {
 		return Report{}, injector.err
 	}
-	run.checkSettled(injector.version)
-	run.checkRestore(injector)
-	run.checkIntake()
 	return run.finish(), nil
 }
 
+// check checks what must hold in the end.
+func (s *soak) check(injector *faults) {
+	s.checkSettled(injector.version)
+	s.checkReturns(injector.version)
+	s.checkRestore(injector)
+	s.checkIntake()
+}
+
 // soak is one run.
 type soak struct {
 	options  Options
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -85,6 +85,10 @@
 
 // ServeHTTP implements http.Handler: it runs a request.
 func (w *worker) ServeHTTP(out http.ResponseWriter, r *http.Request) {
+	if r.URL.Path == healthPath {
+		w.answerProbe(out)
+		return
+	}
 	id := r.Header.Get(dialect.RequestID)
 	if expected := r.Header.Get(dialect.ExpectInstance); expected != w.incarnation.Instance {
 		out.Header().Set(dialect.RequestID, id)
@@ -120,6 +124,15 @@
 	_, _ = io.WriteString(out, answerTo(id))
 }
 
+// answerProbe says who the worker is, unless it leaves.
+func (w *worker) answerProbe(out http.ResponseWriter) {
+	if w.draining.Load() || w.leavingByAnswers.Load() {
+		out.WriteHeader(http.StatusServiceUnavailable)
+		return
+	}
+	out.Header().Set(instanceHeader, w.incarnation.Instance)
+}
+
 // runCrashing crashes the worker crashDelay after it has begun a crashing request.
 func (w *worker) runCrashing(path string) {
 	w.ledger.recordCrashingRun(path, time.Now())
