--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -123,7 +123,9 @@
 	// retaken limits how often the record of this node is spread because another program has written
 	// one under its name.
 	retaken *rate.Limiter
-	// rejections limits the log lines on entries that cannot be read or written.
+	// entries are the entries of the store that were not written by a node.
+	entries *rejectedEntries
+	// rejections limits the log lines on a record that cannot be written.
 	rejections *rate.Limiter
 
 	// commitments are the drain commitments that are being replicated.
@@ -146,6 +148,7 @@
 	agent := &Agent{
 		config: config, started: time.Now(), peersAsked: make(chan struct{}), withoutStore: map[string]bool{},
 		retaken:    rate.NewLimiter(rate.Every(retakePause), retakeBurst),
+		entries:    newRejectedEntries(),
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
 		ignored:    newIgnoredCalls(config.Events),
 		refusals:   newRefusals(config.Events),
--- a/internal/httpconn/sending.go
+++ b/internal/httpconn/sending.go
@@ -8,20 +8,12 @@
 	"slices"
 	"sync"
 	"sync/atomic"
-
-	"github.com/joomcode/errorx"
 )
 
-var namespace = errorx.NewNamespace("httpconn")
-
-// ErrCut is the type of errors for an answer that ends with its connection and is not known to be whole:
-// the request behind it could not be sent, or the other side has reset the connection.
-var ErrCut = namespace.NewType("answer_cut").ApplyModifiers(errorx.TypeModifierOmitStackTrace)
-
-// EndsWithConnection reports whether the end of an answer's body is that of its connection: it has
-// neither a length nor chunks.
+// EndsWithConnection reports whether the end of an answer's body is that of its connection: in HTTP/1, where it
+// has neither a length nor chunks.
 func EndsWithConnection(response *http.Response) bool {
-	return response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") &&
+	return response.ProtoMajor == 1 && response.ContentLength < 0 && !slices.Contains(response.TransferEncoding, "chunked") &&
 		response.Body != http.NoBody && response.Request.Method != http.MethodHead
 }
 
@@ -43,13 +35,13 @@
 	chunked bool
 	conn    *Conn // nil until the request got one
 	// closing is set when the next write carries the end of the request.
-	closing bool
+	closing atomic.Bool
 }
 
 // NewSending returns the Sending of one attempt to send a request whose body, if it has one, is read by
 // the transport from the given one.
 func NewSending(r *http.Request, body Unsent) *Sending {
-	s := &Sending{body: body, chunked: body != nil && r.ContentLength < 0}
+	s := &Sending{body: body, chunked: body != nil && r.ContentLength <= 0}
 	if body == nil {
 		s.Trace.WroteHeaders = s.wroteHead
 	} else {
@@ -73,7 +65,7 @@
 
 // wroteHead is called when the transport has put together the head of a request without a body. It has
 // yet to write the end of it.
-func (s *Sending) wroteHead() { s.closing = true }
+func (s *Sending) wroteHead() { s.closing.Store(true) }
 
 // wroteRequest is called when the transport has put together a request with a body. It has yet to write
 // the end of a chunked one; of one with a length it may have written all.
@@ -86,13 +78,13 @@
 		// The other side has answered without asking for the body.
 		s.conn.sent.end(nil)
 	case s.chunked:
-		s.closing = true
+		s.closing.Store(true)
 	}
 }
 
 // last reports whether the write that begins carries the end of the request.
 func (s *Sending) last() bool {
-	return s.closing || s.body != nil && !s.chunked && s.body.Len() == 0
+	return s.closing.Load() || s.body != nil && !s.chunked && s.body.Len() == 0
 }
 
 // sent is whether the current request of a Conn was sent.
@@ -170,10 +162,11 @@
 	return n, err
 }
 
-// Read implements net.Conn. At the end of an answer that ends with the connection it waits until the
+// Read implements net.Conn. It follows the lines of the heads that are read. At the end of an answer that ends with the connection it waits until the
 // request was sent and taken, and returns an ErrCut where it was not.
 func (c *Conn) Read(p []byte) (int, error) {
 	n, err := c.Conn.Read(p)
+	c.lines.follow(Use(c.state.Load()/connStates), p[:max(n, 0)])
 	if err != io.EOF || !c.sent.untilEnd.Load() {
 		return n, err
 	}
