--- a/internal/forwarding/expectcontinue_test.go
+++ b/internal/forwarding/expectcontinue_test.go
@@ -5,6 +5,7 @@
 	"context"
 	"net"
 	"net/http"
+	"net/netip"
 	"sync/atomic"
 	"testing"
 	"time"
@@ -85,7 +86,7 @@
 func TestSealedBodyIsNeverSent(t *testing.T) {
 	body := &requestBody{held: make([]byte, expectContinueBody)}
 	var out http.Request
-	untouched := body.attach(&out, nil)
+	untouched, _ := body.attach(&out, nil)
 	for range 2 {
 		if !untouched.seal() {
 			t.Error("a body of which nothing was taken must seal, and stay sealed")
@@ -94,7 +95,7 @@
 	if n, err := out.Body.Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Error("a sealed body was read")
 	}
-	begun := body.attach(&out, nil)
+	begun, _ := body.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, expectContinueBody-1))
 	if !begun.seal() {
 		t.Error("a body that is buffered completely before anything begins must seal while a part is missing")
@@ -102,13 +103,13 @@
 	if n, err := out.Body.Read(make([]byte, 1)); n != 0 || err == nil {
 		t.Error("the rest of a sealed body was read")
 	}
-	complete := body.attach(&out, nil)
+	complete, _ := body.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, expectContinueBody))
 	if complete.seal() {
 		t.Error("a body that was read completely sealed")
 	}
 	streamed := &requestBody{rest: bytes.NewReader(make([]byte, expectContinueBody)), length: expectContinueBody}
-	stream := streamed.attach(&out, nil)
+	stream, _ := streamed.attach(&out, nil)
 	_, _ = out.Body.Read(make([]byte, 1))
 	if stream.seal() {
 		t.Error("a streamed body that was begun sealed")
@@ -135,7 +136,7 @@
 		}
 	}()
 	record := back.table.View().Self()
-	record.CallAddress = listener.Addr().String()
+	record.CallAddress = netip.MustParseAddrPort(listener.Addr().String())
 	record.Sequence += 10
 	front.table.Merge([]fleet.Node{record})
 	request := callerRequest(t, front, http.MethodPost, "/file/1", bytes.NewReader(make([]byte, 100_000)))
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -20,8 +20,8 @@
 	// removeTries and removePause are how often the entry of a forgotten node is tried to be removed.
 	removeTries = 10
 	removePause = 30 * time.Second
-	// rejectionLogRate and rejectionLogBurst bound the log lines a second on invalid calls for
-	// workers, and longestLoggedName the part of the sender's name that is logged, in bytes.
+	// rejectionLogRate and rejectionLogBurst bound the log lines a second on what others write,
+	// and longestLoggedName the part of the sender's name that is logged, in bytes.
 	rejectionLogRate  = 0.2
 	rejectionLogBurst = 5
 	longestLoggedName = 64
@@ -31,23 +31,46 @@
 // a drain commitment in it is kept from now on, whichever nodes fail. It returns workers.ErrNotRunning
 // for a leave that cannot be committed to, and workers.ErrNotHeld for one that nobody else holds yet.
 func (a *Agent) Heartbeat(ctx context.Context, heartbeat workers.Heartbeat) error {
-	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
-		// A worker of another service would take the address of the worker beside this node.
-		return workers.ErrInvalid.New("no worker of a service %q is beside this node", heartbeat.Service)
+	if err := a.checkBeside(heartbeat); err != nil {
+		return err
 	}
 	if !heartbeat.Draining {
-		change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
-		if err != nil {
-			return err
-		}
-		a.ignored.observe(heartbeat, change)
-		return a.workerChanged(ctx, change, "heartbeat")
+		return a.readyHeartbeat(ctx, heartbeat)
 	}
 	return a.commit(ctx, heartbeat, "heartbeat", func(now time.Time) (workers.Change, error) {
 		return a.config.Workers.Heartbeat(heartbeat, now)
 	})
 }
 
+// readyHeartbeat processes a heartbeat of a worker that does not leave.
+func (a *Agent) readyHeartbeat(ctx context.Context, heartbeat workers.Heartbeat) error {
+	rival, judged := a.contention.judge(ctx, heartbeat)
+	if judged == verdictStaysOut {
+		a.ignored.observe(heartbeat, workers.Change{Worker: rival, Ignored: workers.IgnoredContended})
+		return nil
+	}
+	change, err := a.config.Workers.Heartbeat(heartbeat, time.Now())
+	if err != nil {
+		return err
+	}
+	if judged == verdictRuns {
+		a.config.Workers.Confirm(heartbeat.Instance)
+	}
+	a.ignored.observe(heartbeat, change)
+	return a.workerChanged(ctx, change, "heartbeat")
+}
+
+// checkBeside checks that a heartbeat may be of the worker beside this node: another one would take its place.
+func (a *Agent) checkBeside(heartbeat workers.Heartbeat) error {
+	if a.config.MayBeBeside != nil && !a.config.MayBeBeside(heartbeat.Service) {
+		return workers.ErrOtherService.New("no worker of a service %q is beside this node", heartbeat.Service)
+	}
+	if beside := a.config.WorkerAddress; beside.IsValid() && heartbeat.Address != beside {
+		return workers.ErrOtherAddress.New("no worker at %v is beside this node, want %v", heartbeat.Address, beside)
+	}
+	return nil
+}
+
 // commit makes a drain commitment, which record enters in the registrations. When it returns nil
 // the commitment is kept, also when another call has made it. The leave of a worker that is not the
 // running one as far as this node knows is refused: the worker goes on to say it, or ends.
@@ -114,20 +137,10 @@
 // that calls it by mistake mostly does so for long.
 func (a *Agent) Reject(instance string, err error) {
 	a.documents.restores.rejected.Add(1)
-	if a.rejections.Allow() {
-		a.config.Events.HeartbeatRejected(instance[:min(len(instance), longestLoggedName)], err)
-	}
-}
-
-// rejectEntry records an entry in the store that was not written by a node, within the same limit.
-func (a *Agent) rejectEntry(id string) {
-	a.documents.restores.rejected.Add(1)
-	if a.rejections.Allow() {
-		a.config.Events.EntryRejected(id[:min(len(id), longestLoggedName)])
-	}
+	a.refusals.observe(instance, err)
 }
 
-// recordUnencodable reports that the record of this node cannot be written, within the same limit.
+// recordUnencodable reports that the record of this node cannot be written. Log lines are limited.
 func (a *Agent) recordUnencodable(err error) {
 	if a.rejections.Allow() {
 		a.config.Events.RecordUnencodable(err)
--- a/internal/httpconn/conn.go
+++ b/internal/httpconn/conn.go
@@ -17,13 +17,16 @@
 	connStates = 4
 )
 
-// Conn is a connection that records whether anything of the current request was written to it.
+// Conn is a connection that records whether anything of the current request was written to it, and
+// whether a line of its answer's head is folded.
 type Conn struct {
 	net.Conn
 	// state is the number of the current use, times connStates, and its state.
 	state atomic.Uint64
 	// retired is set when no further request may be written.
 	retired atomic.Bool
+	lines   answerLines
+	sent    sent
 }
 
 // Use is one request's use of a connection. The transport gives the connection to the next request
@@ -46,6 +49,13 @@
 // requests. The transport may have given it to the next request already, which keeps it.
 func (c *Conn) Retire() { c.retired.Store(true) }
 
+// retire is Retire for a connection that may not be known.
+func (c *Conn) retire() {
+	if c != nil {
+		c.Retire()
+	}
+}
+
 // Seal forbids further writes of a use and reports whether nothing was written in it. When it reports
 // true, nothing of the request can reach the other side.
 func (c *Conn) Seal(use Use) bool {
@@ -62,7 +72,7 @@
 	if !first && c.state.Load() != use+connWritten {
 		return 0, net.ErrClosed
 	}
-	n, err := c.Conn.Write(p)
+	n, err := c.sent.write(c.Conn, p)
 	if first && n == 0 && err != nil {
 		c.state.CompareAndSwap(use+connWritten, use+connUntouched)
 	}
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -1,11 +1,13 @@
 package telemetry
 
 import (
+	"net/netip"
 	"time"
 
 	"github.com/levertide/levertide/internal/hosted"
 	"github.com/levertide/levertide/internal/intake"
 	"github.com/levertide/levertide/pkg/canary"
+	"github.com/levertide/levertide/pkg/endpoint"
 	"github.com/levertide/levertide/pkg/quarantine"
 	"github.com/levertide/levertide/pkg/workers"
 )
@@ -59,8 +61,8 @@
 func (l *Log) NodeFound(id string) { end(l.begin(eventNodeFound).Str("peer", id)) }
 
 // NodeReplaced records that a node has ended and another one has its address.
-func (l *Log) NodeReplaced(id, address string) {
-	end(l.begin(eventNodeReplaced).Str("peer", id).Str("address", address))
+func (l *Log) NodeReplaced(id string, address netip.AddrPort) {
+	end(l.begin(eventNodeReplaced).Str("peer", id).Str("address", endpoint.String(address)))
 }
 
 // RecallFailed records that the hub of the zone did not report the previous incarnations of
@@ -76,9 +78,10 @@
 		Int64("born_unix_milliseconds", worker.StartedAt).Str("cause", cause))
 }
 
-// HeartbeatRejected records that a call to the address for workers cannot be used.
-func (l *Log) HeartbeatRejected(instance string, err error) {
-	end(l.begin(eventHeartbeatRejected).Str("instance", bounded(instance)).Str(fieldError, errorText(err)))
+// HeartbeatRejected records that calls to the address for workers cannot be used.
+func (l *Log) HeartbeatRejected(refusal hosted.Refusal) {
+	end(l.begin(eventHeartbeatRejected).Str("instance", bounded(refusal.Instance)).Str(fieldReason, string(refusal.Reason)).
+		Int("calls", refusal.Calls).Str(fieldError, errorText(refusal.Err)))
 }
 
 // WorkerCallIgnored records that a heartbeat or a leave had no effect, and what is registered.
@@ -86,7 +89,8 @@
 	held := change.Worker
 	end(l.begin(eventWorkerCallIgnored).Str("instance", bounded(call.Instance)).Str(fieldReason, string(change.Ignored)).Bool("leaves", call.Draining).
 		Uint64("sequence", call.Sequence).Int64("born_unix_milliseconds", call.StartedAt).Str("held_state", held.State.String()).
-		Uint64("held_sequence", held.Sequence).Int64("held_born_unix_milliseconds", held.StartedAt))
+		Uint64("held_sequence", held.Sequence).Int64("held_born_unix_milliseconds", held.StartedAt).
+		Str("held_instance", bounded(held.Instance)))
 }
 
 // IntakeReached records that clients have reached a bound on what they can make the node hold.
@@ -94,8 +98,11 @@
 	end(l.begin(eventIntakeReached).Str("pool", pool).Str("bound", string(bound)))
 }
 
-// EntryRejected records that an entry in the store is not a valid entry of a node.
-func (l *Log) EntryRejected(id string) { end(l.begin(eventEntryRejected).Str("entry", bounded(id))) }
+// EntryRejected records that an entry in the store is not a valid entry of a node, and how many there were
+// since the last line.
+func (l *Log) EntryRejected(id string, err error, entries uint64) {
+	end(l.begin(eventEntryRejected).Str("entry", bounded(id)).Str(fieldError, errorText(err)).Uint64("entries", entries))
+}
 
 // RecordUnencodable records that the record of this node cannot be written to the store.
 func (l *Log) RecordUnencodable(err error) {
