Ask a worker for its instance alone where two contend

What callers saw: 503 "the worker refused the request" beside a made-up instance at the worker's own address, where the service's workers do not tell their load.

Cause: the probe that tells two instances apart was the one by which a worker is registered at a start; that one needs the slots, which are in the load, and took an answer without them for none. Such a worker was never confirmed.

Fix: the question which instance answers needs the identifier only. The registration at a start is as before.

--- a/internal/hosted/contention.go
+++ b/internal/hosted/contention.go
@@ -84,9 +84,13 @@
 	}
 	bounded, cancel := context.WithTimeout(ctx, probeBound)
 	defer cancel()
-	identity, err := identify(bounded, c.probe, c.panicked)
+	instance := ""
+	err := contain.Read("probe of the worker", c.panicked, func() (err error) {
+		instance, err = c.probe.Instance(bounded)
+		return err
+	})
 	if err != nil {
 		return ""
 	}
-	return identity.Instance
+	return instance
 }
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -192,6 +192,12 @@
 	return workers.Heartbeat{}, hosted.ErrUnanswered.New("no worker")
 }
 
+// Instance implements hosted.WorkerProbe.
+func (n *testNode) Instance(ctx context.Context) (string, error) {
+	heartbeat, err := n.Identify(ctx)
+	return heartbeat.Instance, err
+}
+
 // kill ends an agent without notice to the others.
 func (n *testNode) kill() {
 	n.cancel()
--- a/internal/hosted/prober.go
+++ b/internal/hosted/prober.go
@@ -23,6 +23,9 @@
 	// Identify returns the worker's description of itself. The error is ErrUnanswered when no
 	// worker that accepts requests has answered.
 	Identify(ctx context.Context) (workers.Heartbeat, error)
+	// Instance returns the instance that answers, also of a worker that does not describe itself further.
+	// The error is as that of Identify.
+	Instance(ctx context.Context) (string, error)
 }
 
 // Prober registers the worker beside a node that has just started: its next heartbeat may be
@@ -58,7 +61,11 @@
 func (p *Prober) probeOnce(ctx context.Context) {
 	bounded, cancel := context.WithTimeout(ctx, probeBound)
 	defer cancel()
-	heartbeat, err := identify(bounded, p.probe, p.panicked)
+	var heartbeat workers.Heartbeat
+	err := contain.Read("probe of the worker", p.panicked, func() (err error) {
+		heartbeat, err = p.probe.Identify(bounded)
+		return err
+	})
 	if err != nil {
 		return
 	}
@@ -68,12 +75,3 @@
 	}
 	p.onProbed(ctx, change)
 }
-
-// identify asks the worker beside the node to identify itself, with panics contained.
-func identify(ctx context.Context, probe WorkerProbe, panicked contain.Report) (heartbeat workers.Heartbeat, err error) {
-	err = contain.Read("probe of the worker", panicked, func() (err error) {
-		heartbeat, err = probe.Identify(ctx)
-		return err
-	})
-	return heartbeat, err
-}
--- a/internal/settings/keys.go
+++ b/internal/settings/keys.go
@@ -47,7 +47,7 @@
 		{"region", "region that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Region) }},
 		{"zone", "zone that the node is in", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Zone) }},
 		{"service", "service of the worker beside the node; empty for none", allowedIdentifier, "", func(s *Settings) flag.Value { return (*textValue)(&s.Service) }},
-		{"worker-address", "address of the worker beside the node", allowedEndpoint + "; required with service", "", func(s *Settings) flag.Value { return (*textValue)(&s.WorkerAddress) }},
+		{"worker-address", "address of the worker beside the node; in hosted mode heartbeats from another one are refused", allowedEndpoint + "; required with service", "", func(s *Settings) flag.Value { return (*textValue)(&s.WorkerAddress) }},
 		{"gateway", "hold every resource, whatever the service calls", "true or false", "false", func(s *Settings) flag.Value { return (*switchValue)(&s.Gateway) }},
 		{"caller-address", "listener for callers", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.CallerAddress) }},
 		{"call-address", "listener for calls from other nodes", allowedListener, loopbackAnyPort, func(s *Settings) flag.Value { return (*textValue)(&s.CallAddress) }},
--- a/internal/sidecar/node_test.go
+++ b/internal/sidecar/node_test.go
@@ -122,7 +122,7 @@
 		},
 		Translate: translateTest,
 		Identity: func(header http.Header) (Identity, bool) {
-			return Identity{Instance: header.Get("X-Instance"), Slots: 4}, header.Get("X-Instance") != ""
+			return Identity{Instance: header.Get("X-Instance"), Slots: 4}, header.Get("X-Instance") != "" && header.Get("X-Terse") == ""
 		},
 		Registration: func(registrar Registrar) http.Handler {
 			running.registrar = registrar
--- a/internal/sidecar/otheraddress_test.go
+++ b/internal/sidecar/otheraddress_test.go
@@ -19,9 +19,9 @@
 // instanceServer is a worker whose instance can change.
 type instanceServer struct {
 	instance atomic.Pointer[string]
-	// silent is set while it answers no probe.
-	silent  atomic.Bool
-	address netip.AddrPort
+	// silent is set while it answers no probe, terse while its answers do not tell its load.
+	silent, terse atomic.Bool
+	address       netip.AddrPort
 }
 
 func startInstance(t *testing.T, instance string) *instanceServer {
@@ -46,6 +46,9 @@
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	default:
 		w.Header().Set("X-Instance", instance)
+		if s.terse.Load() {
+			w.Header().Set("X-Terse", "1")
+		}
 		_, _ = io.WriteString(w, instance)
 	}
 }
@@ -102,6 +105,19 @@
 	}
 }
 
+// TestInstanceThatDoesNotTellItsLoadKeepsItsPlace guards against the same for workers that tell no more
+// than who they are.
+func TestInstanceThatDoesNotTellItsLoadKeepsItsPlace(t *testing.T) {
+	worker := startInstance(t, "running")
+	worker.terse.Store(true)
+	n := startBeside(t, worker)
+	other := workers.Heartbeat{Instance: "other", StartedAt: 1, Service: "books", Address: worker.address, Slots: 6, Sequence: 1}
+	if err := n.registrar.Heartbeat(t.Context(), other); err != nil {
+		t.Fatal(err)
+	}
+	n.mustAnswer(t, "running")
+}
+
 // TestNextInstanceAtTheAddressIsTakenAtOnce guards against a worker that starts again under another identifier
 // and is taken for a stranger, or loses its place to late heartbeats of the one before.
 func TestNextInstanceAtTheAddressIsTakenAtOnce(t *testing.T) {
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -42,22 +42,47 @@
 
 // Identify implements hosted.WorkerProbe.
 func (p *probe) Identify(ctx context.Context) (workers.Heartbeat, error) {
+	header, err := p.ask(ctx)
+	if err != nil {
+		return workers.Heartbeat{}, err
+	}
+	identity, ok := p.identity(header)
+	if !ok {
+		return workers.Heartbeat{}, hosted.ErrUnanswered.New("the worker's answer to the probe does not tell its load")
+	}
+	return workers.Heartbeat{Instance: identity.Instance, Service: p.service, Address: p.address, Slots: identity.Slots, Busy: identity.Busy, Limit: identity.Limit}, nil
+}
+
+// Instance implements hosted.WorkerProbe.
+func (p *probe) Instance(ctx context.Context) (string, error) {
+	header, err := p.ask(ctx)
+	if err != nil {
+		return "", err
+	}
+	identity, _ := p.identity(header)
+	if identity.Instance == "" {
+		return "", hosted.ErrUnanswered.New("the worker's answer to the probe does not identify it")
+	}
+	return identity.Instance, nil
+}
+
+// ask returns the header of the worker's answer to a probe.
+func (p *probe) ask(ctx context.Context) (http.Header, error) {
 	path := p.config.healthPath(p.service)
 	if !p.address.IsValid() || path == "" {
-		return workers.Heartbeat{}, hosted.ErrUnanswered.New("cannot probe the worker: its address or health path is not known")
+		return nil, hosted.ErrUnanswered.New("cannot probe the worker: its address or health path is not known")
 	}
 	r, err := http.NewRequestWithContext(ctx, http.MethodGet, "http://"+endpoint.String(p.address)+path, nil)
 	if err != nil {
-		return workers.Heartbeat{}, hosted.ErrUnanswered.Wrap(err, "cannot build the request that probes the worker")
+		return nil, hosted.ErrUnanswered.Wrap(err, "cannot build the request that probes the worker")
 	}
 	response, err := p.client.Do(r)
 	if err != nil {
-		return workers.Heartbeat{}, hosted.ErrUnanswered.Wrap(err, "the worker does not answer the probe")
+		return nil, hosted.ErrUnanswered.Wrap(err, "the worker does not answer the probe")
 	}
 	_ = response.Body.Close()
-	identity, ok := p.identity(response.Header)
-	if response.StatusCode != http.StatusOK || !ok {
-		return workers.Heartbeat{}, hosted.ErrUnanswered.New("the worker's answer to the probe has a status other than 200, or does not identify it")
+	if response.StatusCode != http.StatusOK {
+		return nil, hosted.ErrUnanswered.New("the worker's answer to the probe has the status %d", response.StatusCode)
 	}
-	return workers.Heartbeat{Instance: identity.Instance, Service: p.service, Address: p.address, Slots: identity.Slots, Busy: identity.Busy, Limit: identity.Limit}, nil
+	return response.Header, nil
 }
