--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -125,13 +125,15 @@
 	retaken *rate.Limiter
 	// entries are the entries of the store that were not written by a node.
 	entries *rejectedEntries
-	// rejections limits the log lines on invalid calls.
+	// rejections limits the log lines on a record that cannot be written.
 	rejections *rate.Limiter
 
 	// commitments are the drain commitments that are being replicated.
 	commitments pendingCommitments
 	// contention decides between instances at the address of the worker.
 	contention *contention
+	// refusals counts the calls of workers that cannot be used.
+	refusals *refusals
 	// ignored counts the calls of workers that had no effect.
 	ignored *ignoredCalls
 
@@ -148,11 +150,12 @@
 		retaken:    rate.NewLimiter(rate.Every(retakePause), retakeBurst),
 		entries:    newRejectedEntries(),
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
-		contention: newContention(config),
 		ignored:    newIgnoredCalls(config.Events),
+		refusals:   newRefusals(config.Events),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.documents.panicked = config.Panicked
+	agent.contention = newContention(config, agent.documents.InForce)
 	agent.peers = newPeers(config, agent.documents)
 	agent.evidence = newEvidence(agent, config.Quarantine)
 	agent.peers.evidence = agent.evidence
