Keep workers that have served when leaves of unknown instances come

What callers saw: a node beside which another writer signs off, or drains, some sixty instances that there are not forgets its running worker (503 until that one's next heartbeat), and the drain commitments that it has acknowledged: a late heartbeat then gives a worker that has left new work. Found by reading, in the place where registrations are bounded; not seen by users.

Cause: the leave of an unknown instance is recorded, so that a late heartbeat does not bring it back. Of 64 registrations the one heard longest ago gives way, and a made-up leave is always the newest.

Fix: a registration whose instance may have had work, by a ready heartbeat, by the probe or as learned from a former life of the node, gives way only when there is none without. Between made-up leaves the oldest gives way, as before.

--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -65,6 +65,8 @@
 	contender contender
 	// confirmed is set when the process at the address has said that it is this instance.
 	confirmed bool
+	// served is set once the instance may have had work. Anyone can make up leaves of instances that never had.
+	served bool
 	// learned is set for a drain commitment of a previous incarnation of the node while nothing of its
 	// worker was heard.
 	learned bool
@@ -116,9 +118,10 @@
 // register replaces the registration of an instance by one of a new incarnation, which succeeds those
 // with the given start times. The caller holds the mutex.
 func (r *Registry) register(heartbeat Heartbeat, predecessors []int64, now time.Time) Change {
+	served := r.hasServed(heartbeat.Instance)
 	delete(r.workers, heartbeat.Instance)
 	r.evictOldest()
-	held := &registration{registeredAt: now, fromStart: heartbeat.claim().starts}
+	held := &registration{registeredAt: now, fromStart: heartbeat.claim().starts, served: served}
 	held.Predecessors = predecessors
 	r.workers[heartbeat.Instance] = held
 	change := r.update(held, heartbeat, now)
@@ -159,6 +162,7 @@
 		held.State = StateGone
 	}
 	if held.State == StateReady {
+		held.served = true
 		r.markOthersUnresponsive(held)
 	}
 	changed := before.State != held.State || before.StartedAt != held.StartedAt || before.Service != held.Service || before.Slots != held.Slots || before.Address != held.Address || before.Version != held.Version
@@ -197,7 +201,7 @@
 	}
 	registered := Worker{Instance: probed.Instance, Service: probed.Service, Address: probed.Address, Slots: probed.Slots, State: StateReady, Busy: probed.Busy, Limit: probed.Limit}
 	r.evictOldest()
-	r.workers[probed.Instance] = &registration{Worker: registered, lastHeard: now, registeredAt: now, confirmed: true}
+	r.workers[probed.Instance] = &registration{Worker: registered, lastHeard: now, registeredAt: now, confirmed: true, served: true}
 	return Change{Worker: registered, Changed: true}, nil
 }
 
@@ -295,7 +299,7 @@
 	}
 	change := r.commitToDrain(worker, now)
 	held = r.workers[worker.Instance]
-	held.contender, held.learned = heard.contender, heard.learned
+	held.contender, held.learned, held.served = heard.contender, heard.learned, true
 	if known {
 		held.lastHeard = heard.lastHeard
 	}
@@ -305,9 +309,12 @@
 // replaceByCommitted replaces a registration by one of another incarnation with a drain commitment.
 // The caller holds the mutex.
 func (r *Registry) replaceByCommitted(worker Worker, predecessors []int64, now time.Time) Change {
+	served := r.hasServed(worker.Instance)
 	delete(r.workers, worker.Instance)
 	worker.Predecessors = predecessors
-	return r.commitToDrain(worker, now)
+	change := r.commitToDrain(worker, now)
+	r.workers[worker.Instance].served = served
+	return change
 }
 
 // commitToDrain moves a registration to a state with a drain commitment. A registration of the
@@ -353,21 +360,35 @@
 	return changed
 }
 
-// evictOldest removes the least recently heard registration when there are
-// maximumWorkers of them. The caller holds the mutex.
+// hasServed reports whether an instance may have had work. The caller holds the mutex.
+func (r *Registry) hasServed(instance string) bool {
+	held, known := r.workers[instance]
+	return known && held.served
+}
+
+// evictOldest removes the least recently heard registration when there are maximumWorkers of them: one of a worker
+// that has had work only if there is no other. The caller holds the mutex.
 func (r *Registry) evictOldest() {
 	if len(r.workers) < maximumWorkers {
 		return
 	}
 	oldest := ""
 	for instance, held := range r.workers {
-		if oldest == "" || held.lastHeard.Before(r.workers[oldest].lastHeard) {
+		if oldest == "" || held.goesBefore(r.workers[oldest]) {
 			oldest = instance
 		}
 	}
 	delete(r.workers, oldest)
 }
 
+// goesBefore reports whether a registration is removed before another one.
+func (r *registration) goesBefore(other *registration) bool {
+	if r.served != other.served {
+		return other.served
+	}
+	return r.lastHeard.Before(other.lastHeard)
+}
+
 // Workers returns all registrations, ordered by instance.
 func (r *Registry) Workers() []Worker {
 	r.mutex.Lock()
--- a/pkg/workers/rival_test.go
+++ b/pkg/workers/rival_test.go
@@ -1,6 +1,7 @@
 package workers
 
 import (
+	"fmt"
 	"testing"
 	"time"
 )
@@ -37,3 +38,31 @@
 		t.Errorf("%+v", rival)
 	}
 }
+
+// TestLeavesOfUnknownInstancesPushNobodyOut guards against a running worker, or a drain commitment, that is forgotten
+// for the leaves of instances that another writer has made up.
+func TestLeavesOfUnknownInstancesPushNobodyOut(t *testing.T) {
+	r := NewRegistry(time.Minute)
+	mustHeartbeat(t, r, heartbeatOf("left", 1, false), start)
+	mustHeartbeat(t, r, heartbeatOf("left", 2, true), start)
+	r.Learn([]Worker{{Instance: "learned", State: StateDraining}}, start)
+	mustHeartbeat(t, r, heartbeatOf("running", 1, false), start)
+	for n := range 3 * maximumWorkers {
+		now := start.Add(time.Duration(n+1) * time.Millisecond)
+		mustHeartbeat(t, r, heartbeatOf(fmt.Sprint("drains-", n), 1, true), now)
+		if _, err := r.Leave(Incarnation{Instance: fmt.Sprint("leaves-", n)}, now); err != nil {
+			t.Fatal(err)
+		}
+	}
+	if worker, ready := r.Ready("ledger"); !ready || worker.Instance != "running" {
+		t.Errorf("ready %t: %+v", ready, worker)
+	}
+	for _, instance := range []string{"left", "learned"} {
+		if change := mustHeartbeat(t, r, heartbeatOf(instance, 1, false), start.Add(time.Second)); !change.Worker.State.DrainCommitted() {
+			t.Errorf("%s gets work after its leave: %+v", instance, change)
+		}
+	}
+	if held := len(r.Workers()); held > maximumWorkers {
+		t.Errorf("%d registrations", held)
+	}
+}
