--- a/internal/hosted/rejected_entries_test.go
+++ b/internal/hosted/rejected_entries_test.go
@@ -1,6 +1,7 @@
 package hosted
 
 import (
+	"fmt"
 	"testing"
 
 	"github.com/levertide/levertide/pkg/workers"
@@ -23,8 +24,8 @@
 func TestRejectedHeartbeatsDoNotHideRejectedEntries(t *testing.T) {
 	lines := &entryLines{}
 	a := New(Config{Events: lines, Source: struct{ Source }{}, Directory: struct{ Directory }{}})
-	for range 2 * rejectionLogBurst {
-		a.Reject("i", workers.ErrInvalid.New("odd"))
+	for i := range 2 * refusalLineBurst {
+		a.Reject(fmt.Sprint("i", i), workers.ErrInvalid.New("odd"))
 	}
 	const odd = 7
 	for range odd {
