Have the soak's workers cut answers amid uploads, and write heads that are none

The soak drew lost answers only with the request read and a length, and no odd head, so neither fault of the report on parts told as whole answers could show there.

A worker now answers a part of its requests before it has read their bodies, by a 200 without a length and a part of its answer, and resets the connection; where more of the body is due than a connection holds, half of the time an ordinary end comes first. Others are answered with a whole body behind a head with blanks in names, no name, or folded lines. Long uploads run meanwhile. Such an answer has a mark that must reach no caller in an answer that looks whole; bodies were compared already.

--- a/internal/lab/memnet/conn.go
+++ b/internal/lab/memnet/conn.go
@@ -50,6 +50,10 @@
 	return nil
 }
 
+// Reset breaks the connection, as a process does that ends it with bytes unread: the peer's reads and
+// writes fail.
+func (c *conn) Reset() { c.reset() }
+
 // reset breaks both directions.
 func (c *conn) reset() {
 	c.writes.fail(syscall.ECONNRESET)
--- a/internal/lab/soak/caller.go
+++ b/internal/lab/soak/caller.go
@@ -143,6 +143,9 @@
 	m.ledger.terms.recordAnswer(m.id, response.Header, time.Now())
 	defer func() { _ = response.Body.Close() }()
 	body, err := io.ReadAll(response.Body)
+	if err == nil {
+		m.ledger.checkBroken(q.id, response.Header)
+	}
 	return response.StatusCode, string(body), err
 }
 
--- a/internal/lab/soak/machine.go
+++ b/internal/lab/soak/machine.go
@@ -54,6 +54,8 @@
 	lowest       uint64 // lowest version that may be in force, in this incarnation of the node
 	// answering is how the machine's worker answers at present; nil in the usual way.
 	answering atomic.Pointer[answering]
+	// breaking is how the machine's worker breaks answers at present; nil when it breaks none.
+	breaking atomic.Pointer[breaking]
 	// descriptors is the limit of descriptors of its node; zero for that of the process.
 	descriptors int
 	// suspended is the last suspension of the machine; nil if there was none.
--- a/internal/lab/soak/soak.go
+++ b/internal/lab/soak/soak.go
@@ -109,6 +109,7 @@
 		var varying sync.WaitGroup
 		defer varying.Wait()
 		varying.Go(func() { varyAnswers(bounded, s.options.Seed, s.machines) })
+		varying.Go(func() { injector.breakAnswers(bounded) })
 		crowd := crowd{soak: s, random: rand.New(rand.NewPCG(s.options.Seed, crowdStream)), members: s.options.Crowd}
 		varying.Go(func() { crowd.run(bounded) })
 		injector.run(bounded)
--- a/internal/lab/soak/worker.go
+++ b/internal/lab/soak/worker.go
@@ -91,6 +91,9 @@
 		out.WriteHeader(http.StatusMisdirectedRequest)
 		return
 	}
+	if !isCrashing(r.URL.Path) && w.cutAnswer(out, r) {
+		return
+	}
 	length, err := io.Copy(io.Discard, r.Body)
 	if err != nil {
 		panic(http.ErrAbortHandler)
@@ -110,6 +113,9 @@
 		w.callNested(r.Context(), w.machine, r)
 	}
 	time.Sleep(time.Duration(float64(w.runTime) * w.slowness.at(time.Now())))
+	if w.answerOddly(out, id) {
+		return
+	}
 	out.Header().Set(dialect.RequestID, id)
 	w.slowness.report(out.Header(), time.Now())
 	w.stateTerms(out.Header())
