Split the connections of callers by job

The end of a connection stands in ending.go, the deadlines of reads in deadlines.go, the bound on heads in limitedreader.go; no line of code is changed.

--- a/internal/pipeline/conn.go
+++ b/internal/pipeline/conn.go
@@ -4,9 +4,7 @@
 	"bufio"
 	"context"
 	"errors"
-	"io"
 	"net"
-	"os"
 	"sync"
 	"time"
 
@@ -18,20 +16,12 @@
 	// bufferSize is the size of the read buffer and of the write buffer of one
 	// connection. It bounds what is read ahead of the requests in flight.
 	bufferSize = 4 << 10
-	// lingerTime and lingerBytes bound how long a connection is still read from
-	// after its last answer: closing with unread bytes would reset it, and the
-	// caller could lose the answer on its way.
-	lingerTime  = 500 * time.Millisecond
-	lingerBytes = 1 << 20
 	// pipelinedBytes is what a request costs that is handled beside another one of its connection.
 	pipelinedBytes = 32 << 10
 	// writeBytes is how much of an answer is written at a time.
 	writeBytes = 16 << 10
 )
 
-// expiredDeadline is a deadline that ends a read in progress.
-var expiredDeadline = time.Unix(1, 0)
-
 // conn is one connection of a caller. One goroutine reads the requests; each
 // request has a goroutine that handles it and writes the answer when its turn
 // has come.
@@ -166,71 +156,6 @@
 	return err
 }
 
-// awaitRequest waits for the first byte of a request.
-func (c *conn) awaitRequest() error {
-	var err error
-	if c.br.Buffered() == 0 {
-		c.setAwaitingRequest(true)
-		_, err = c.br.Peek(1)
-		c.setAwaitingRequest(false)
-	}
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.sealed || err != nil && c.stopping && isTimeout(err) {
-		return errStopped
-	}
-	return err
-}
-
-func (c *conn) setAwaitingRequest(waiting bool) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.awaitingRequest = waiting
-	c.updateReadDeadline()
-}
-
-// updateReadDeadline sets the deadline of the wait for a request. The mutex is held.
-func (c *conn) updateReadDeadline() {
-	c.countIdle(c.awaitingRequest && c.inFlight == 0)
-	switch {
-	case !c.awaitingRequest:
-	case c.inFlight > 0:
-		c.setDeadline(time.Time{})
-	case c.sealed || c.stopping:
-		c.setDeadline(expiredDeadline)
-	default:
-		c.setDeadline(time.Now().Add(c.server.cfg.limits().IdleTimeout))
-	}
-}
-
-// countIdle counts the caller as awaited, or not, between requests. The mutex is held.
-func (c *conn) countIdle(idle bool) {
-	switch {
-	case idle && !c.idle:
-		c.account.Await()
-	case !idle && c.idle:
-		c.account.Resume()
-	}
-	c.idle = idle
-}
-
-// setDeadline sets the deadline of reads of requests; it does nothing when a
-// deadline is cleared that is not set. The mutex is held.
-func (c *conn) setDeadline(t time.Time) {
-	if t.IsZero() && !c.hasDeadline {
-		return
-	}
-	c.hasDeadline = !t.IsZero()
-	_ = c.rwc.SetReadDeadline(t)
-}
-
-// setReadDeadline sets the deadline of the reads in progress.
-func (c *conn) setReadDeadline(t time.Time) {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.setDeadline(t)
-}
-
 // acquireSlot waits until a further request may be handled.
 func (c *conn) acquireSlot() error {
 	select {
@@ -364,33 +289,6 @@
 	return c
 }()
 
-// stop makes the connection end after the requests that were read are answered.
-func (c *conn) stop() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	c.stopping = true
-	c.updateReadDeadline()
-}
-
-// abort ends the connection at once.
-func (c *conn) abort() {
-	c.cancel()
-	_ = c.rwc.Close()
-}
-
-// evict ends a caller that keeps the node waiting while others need the room. One that is sending a
-// body is told first that its request has not been received.
-func (c *conn) evict() {
-	c.mu.Lock()
-	defer c.mu.Unlock()
-	if c.readingBody && !c.evicted {
-		c.evicted = true
-		c.setDeadline(expiredDeadline)
-		return
-	}
-	c.abort()
-}
-
 // beginBody reports whether a part of a body may be read, which is then counted as a wait for the
 // caller until endBody.
 func (c *conn) beginBody() bool {
@@ -410,61 +308,3 @@
 	c.readingBody = false
 	c.account.Progress(n)
 }
-
-// resetAtEnd sets whether the end of the connection is a reset, whoever ends it, the end of the
-// process included: while an answer is not complete that the end of the connection marks, an
-// orderly end would make it look so.
-func (c *conn) resetAtEnd(reset bool) {
-	tcp, ok := c.rwc.(*net.TCPConn)
-	if !ok {
-		return
-	}
-	seconds := -1
-	if reset {
-		seconds = 0
-	}
-	_ = tcp.SetLinger(seconds)
-}
-
-// linger closes the sending side and discards what still arrives, up to lingerTime and
-// lingerBytes.
-func (c *conn) linger() {
-	half, ok := c.rwc.(interface{ CloseWrite() error })
-	if !ok || half.CloseWrite() != nil {
-		return
-	}
-	c.account.Await()
-	defer c.account.Resume()
-	_ = c.rwc.SetReadDeadline(time.Now().Add(lingerTime))
-	_, _ = io.CopyN(io.Discard, c.rwc, lingerBytes)
-}
-
-func isTimeout(err error) bool { return errors.Is(err, os.ErrDeadlineExceeded) }
-
-// limitedReader bounds the bytes read for a head; it does not limit bodies.
-type limitedReader struct {
-	source  io.Reader
-	limited bool
-	left    int
-	// lines follows the part of a head that is read while it is parsed; nil at other times.
-	lines *httpconn.HeadLines
-}
-
-// errTooLong ends the reading of a head that is too long.
-var errTooLong = errors.New("request head is too long")
-
-// Read implements io.Reader.
-func (l *limitedReader) Read(p []byte) (int, error) {
-	if !l.limited {
-		return l.source.Read(p)
-	}
-	if l.left <= 0 {
-		return 0, errTooLong
-	}
-	n, err := l.source.Read(p[:min(len(p), l.left)])
-	l.left -= n
-	if l.lines != nil {
-		l.lines.Follow(p[:n])
-	}
-	return n, err
-}
