--- a/tests/addresses/fixture_test.go
+++ b/tests/addresses/fixture_test.go
@@ -4,8 +4,6 @@
 	"cmp"
 	"flag"
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -243,28 +241,7 @@
 	return failures
 }
 
-var lastID atomic.Int64
-
 // try sends a request to a node, once; nil when it is answered whole.
 func try(address, path string) error {
-	dialer := net.Dialer{Timeout: tryTime, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}}
-	client := &http.Client{Timeout: tryTime, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
-	request, err := http.NewRequest(http.MethodGet, "http://"+address+path, nil)
-	if err != nil {
-		return err
-	}
-	id := fmt.Sprintf("c%012x", lastID.Add(1))
-	request.Host = host
-	request.Header.Set("Levertide-Request-Id", id)
-	request.Header.Set("Levertide-Timeout-Ms", "1000")
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err == nil && (response.StatusCode != http.StatusOK || string(answer) != id) {
-		err = fmt.Errorf("status %d, %q", response.StatusCode, answer)
-	}
-	return err
+	return standin.Request{Method: http.MethodGet, Host: host, Path: path, Timeout: tryTime}.Send(address)
 }
--- a/tests/inputs/fixture_test.go
+++ b/tests/inputs/fixture_test.go
@@ -2,8 +2,6 @@
 
 import (
 	"fmt"
-	"io"
-	"net"
 	"net/http"
 	"os"
 	"path/filepath"
@@ -147,28 +145,7 @@
 	}
 }
 
-var lastID atomic.Int64
-
 // try sends a request to a node; nil when it is answered whole.
 func (d *deployment) try(node int, path string) error {
-	dialer := net.Dialer{Timeout: time.Second, LocalAddr: &net.TCPAddr{IP: net.IPv4(127, 0, 0, 1)}}
-	client := &http.Client{Timeout: tryTime, Transport: &http.Transport{DialContext: dialer.DialContext, DisableKeepAlives: true}}
-	request, err := http.NewRequest(http.MethodPost, "http://"+d.nodes[node].Callers+path, nil)
-	if err != nil {
-		return err
-	}
-	id := fmt.Sprintf("c%012x", lastID.Add(1))
-	request.Host = host
-	request.Header.Set("Levertide-Request-Id", id)
-	request.Header.Set("Levertide-Timeout-Ms", "2000")
-	response, err := client.Do(request)
-	if err != nil {
-		return err
-	}
-	defer func() { _ = response.Body.Close() }()
-	answer, err := io.ReadAll(response.Body)
-	if err == nil && (response.StatusCode != http.StatusOK || string(answer) != id) {
-		err = fmt.Errorf("status %d, %q", response.StatusCode, answer)
-	}
-	return err
+	return standin.Request{Method: http.MethodPost, Host: host, Path: path, Timeout: tryTime}.Send(d.nodes[node].Callers)
 }
