Begin no answer to an HTTP/1.0 caller that sends its body while its end could go unnoticed

What callers saw: a caller of HTTP/1.0 that still sends its upload is passed on the beginning of a long answer without a length, whose worker then breaks it off.

Cause: for HTTP/1.0 the end of a streamed answer is that of the connection, and a reset is told once.

Mend: such an answer is not begun before the request behind it was sent whole, that is, before all of the caller's body was read; then only the caller's reading can be told. Where the sending fails the caller gets 502. Answers with a length, and callers of HTTP/1.1, are as before.

The check of TestStreamedPartOfAnAnswerIsNotEndedAsWhole had been narrowed to the state of the caller's connection, which no caller asks for; it is back as it was.

--- a/internal/forwarding/answer.go
+++ b/internal/forwarding/answer.go
@@ -28,6 +28,8 @@
 	hasLoad bool
 	// ran is how long the worker had the call; zero when it is not known.
 	ran time.Duration
+	// sending is that of the request that was answered.
+	sending *httpconn.Sending
 	// finish releases the resources that a streamed answer holds.
 	finish func(complete bool)
 }
--- a/internal/forwarding/caller.go
+++ b/internal/forwarding/caller.go
@@ -141,6 +141,9 @@
 func (c *call) conclude(w http.ResponseWriter, result *answer, err error) {
 	closing := c.plane.leaving.Load()
 	c.concluded = true
+	if err == nil && c.endsUnnoticed(result) {
+		result, err = afterUpload(result)
+	}
 	c.refund(err)
 	if err != nil {
 		closing = closing || c.body == nil && c.request.ContentLength != 0 || c.body != nil && c.body.rest != nil
@@ -168,6 +171,22 @@
 	}
 }
 
+// endsUnnoticed reports whether the caller could take a part of a streamed answer for the whole: the end of
+// one without a length is for HTTP/1.0 that of the connection, and a reset may be told to the caller's own
+// writing only while it sends its body.
+func (c *call) endsUnnoticed(result *answer) bool {
+	return !c.request.ProtoAtLeast(1, 1) && result.rest != nil && result.length < 0 && c.body.rest != nil
+}
+
+// afterUpload returns an answer once the body of its request was sent, or the failure to send it.
+func afterUpload(result *answer) (*answer, error) {
+	if err := result.sending.Wait(); err != nil {
+		result.release(false)
+		return nil, outcome.Wrap(outcome.ConnectionLost, err)
+	}
+	return result, nil
+}
+
 // retryAfter returns after which time the caller is to retry. After an overload that is one and a
 // half to three targets: spread, so that callers that were refused together do not retry at the
 // same time, and long enough that a short overload is over. The causes of other refusals end
--- a/internal/forwarding/offer.go
+++ b/internal/forwarding/offer.go
@@ -104,6 +104,9 @@
 	o.observeTerms(e, response.Header, now)
 	o.roundTrip -= heldOf(response.Header.Get(hopFailureHeader))
 	answered, arrived, err = readHopAnswer(ctx, response)
+	if answered != nil {
+		answered.sending = exchange.sent
+	}
 	err = reportedBy(e, err)
 	if outcome.ReasonOf(err) == outcome.WorkerCrashed {
 		c.crashedElsewhere(e.incarnation(), level)
--- a/internal/forwarding/uploadcut_test.go
+++ b/internal/forwarding/uploadcut_test.go
@@ -11,12 +11,10 @@
 	"strconv"
 	"strings"
 	"sync/atomic"
-	"syscall"
 	"testing"
 	"time"
 
 	"golang.org/x/sync/errgroup"
-	"golang.org/x/sys/unix"
 )
 
 // openHeads are heads of answers that end with their connection.
@@ -138,26 +136,9 @@
 		return uploadResult{err: err}
 	}
 	body, err := io.ReadAll(response.Body)
-	if err == nil && version == "1.0" && response.ContentLength < 0 && wasReset(conn) {
-		err = syscall.ECONNRESET // the sending of the upload was told
-	}
 	return uploadResult{status: response.StatusCode, body: body, err: err}
 }
 
-// wasReset reports whether the system holds a connection for reset: one that the other side has ended in
-// order waits for its close.
-func wasReset(conn net.Conn) bool {
-	raw, err := conn.(syscall.Conn).SyscallConn()
-	if err != nil {
-		return false
-	}
-	var info *unix.TCPInfo
-	err = raw.Control(func(descriptor uintptr) {
-		info, _ = unix.GetsockoptTCPInfo(int(descriptor), unix.IPPROTO_TCP, unix.TCP_INFO)
-	})
-	return err == nil && info != nil && info.State == unix.BPF_TCP_CLOSE
-}
-
 // versionWriter writes a request with another version of HTTP.
 type versionWriter struct {
 	conn    net.Conn
--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -289,7 +289,11 @@
 		// The mark and the status contradict each other.
 		return nil, outcome.New(outcome.InvalidAnswer)
 	}
-	return readAnswer(ctx, response)
+	result, err = readAnswer(ctx, response)
+	if result != nil {
+		result.sending = exchange.sent
+	}
+	return result, err
 }
 
 func (w *workerClient) request(call *workerCall) *http.Request {
--- a/internal/httpconn/sending.go
+++ b/internal/httpconn/sending.go
@@ -63,6 +63,15 @@
 	}
 }
 
+// Wait returns once the request was sent to its last byte, with the error that prevented it. The close of
+// the connection, with which the context of the request ends, ends the wait.
+func (s *Sending) Wait() error {
+	if s.conn == nil {
+		return nil
+	}
+	return s.conn.sent.wait()
+}
+
 // wroteHead is called when the transport has put together the head of a request without a body. It has
 // yet to write the end of it.
 func (s *Sending) wroteHead() { s.closing.Store(true) }
