Take no answer for whole that ends with its encrypted connection

What callers saw: nothing yet. A part of an answer without a length counted as whole where its TLS connection was closed without a word of the encryption: the clients of Consul and of the command line over https. Found by the review.

Cause: crypto/tls returns io.EOF both for the end that the other side has told and for a bare end of the connection between two records; the comment of the RoundTripper claimed that the encryption tells them apart.

Mend: such an answer is refused, as nodes refuse it among themselves. Both servers announce lengths or send chunks, so that nothing of theirs is lost.

--- a/internal/httpconn/sending.go
+++ b/internal/httpconn/sending.go
@@ -1,6 +1,7 @@
 package httpconn
 
 import (
+	"crypto/tls"
 	"io"
 	"net"
 	"net/http"
@@ -183,6 +184,10 @@
 	if n > 0 {
 		return n, nil // the next read comes to the end again
 	}
+	if _, encrypted := c.Conn.(*tls.Conn); encrypted {
+		// crypto/tls has one error for an end that the other side has told and for one that it has not.
+		return 0, ErrCut.New("the end of an encrypted connection does not tell the end of an answer")
+	}
 	if err := c.sent.wait(); err != nil {
 		return 0, ErrCut.Wrap(err, "the request was not sent whole")
 	}
--- a/internal/httpconn/whole.go
+++ b/internal/httpconn/whole.go
@@ -14,7 +14,7 @@
 
 // wholeAnswers is a RoundTripper that fails the reading of an answer that ends with its connection and is
 // not known to be whole, with an ErrCut. The connections of the next one must be of Track. Where they are
-// encrypted, the encryption tells a broken connection from an end.
+// encrypted, no such answer is known to be whole.
 type wholeAnswers struct{ next http.RoundTripper }
 
 // RoundTrip implements http.RoundTripper.
