Renew the entry of a node while it searches the directory

By a review, nodes that start beside a lost one may get RECOVER: the entries of the nodes that run are gone from the store, so nobody is found there. No play of callers was made; seen are the entries.

Each pass of the announcer began a new pause of 20 to 60 s until the renewal, and each search for lost nodes ended the pass. Searches come more often than that while a node is lost or alone, so the renewal rarely came, and a lease of 120 s ran out. The stand-in for the store ignored the time to live, so no test saw it; it now ends leases as the platform's does, counted from the arrival of the call, and entries leave with them.

The announcer now keeps the moment at which the renewal is due, and sets it anew only by the pass that renews. It lies callBound earlier than before: a search under way may delay the renewal so long, and it is to come within 60 s.

Evidence: TestEntryIsRenewedWhileTheDirectoryIsSearched, 10 min of simulated time.

--- a/internal/hosted/announcer.go
+++ b/internal/hosted/announcer.go
@@ -97,6 +97,9 @@
 	// contacted is closed when the nodes that were last asked have answered or timed out. Only the
 	// announcer's own goroutine uses it.
 	contacted <-chan struct{}
+	// renewalDue is when the entry is to be renewed next, whatever else the announcer does until then.
+	// Only the announcer's own goroutine uses it.
+	renewalDue time.Time
 	// writeTurn is held while the entry is written, so that a newer write never overtakes an older
 	// one.
 	writeTurn chan struct{}
@@ -155,6 +158,7 @@
 	}
 	a.retryUntilDone(ctx, a.join)
 	a.settle(ctx)
+	a.renewalDue = nextRenewal(time.Now())
 	time.AfterFunc(jittered(hubEntryPause), func() { contain.Run(contain.Task, a.String(), a.panicked, a.enterHub) })
 	for ctx.Err() == nil {
 		a.wait(ctx)
@@ -213,9 +217,7 @@
 	defer t.Stop()
 	select {
 	case <-t.C:
-		a.renew(ctx)
-		_ = bounded(ctx, a.checkDirectory)
-		a.enterHub()
+		a.renewAtInterval(ctx)
 	case <-a.searchDue:
 		_ = bounded(ctx, a.checkDirectory)
 	case <-a.checkDue:
@@ -226,6 +228,20 @@
 	}
 }
 
+// renewAtInterval renews the entry and checks the directory.
+func (a *Announcer) renewAtInterval(ctx context.Context) {
+	a.renew(ctx)
+	a.renewalDue = nextRenewal(time.Now())
+	_ = bounded(ctx, a.checkDirectory)
+	a.enterHub()
+}
+
+// nextRenewal returns when an entry that is renewed now is to be renewed again. A search of the
+// directory that is under way then may delay the renewal by callBound.
+func nextRenewal(now time.Time) time.Time {
+	return now.Add(jittered(renewInterval) - callBound)
+}
+
 // retryUntilDone repeats a call until it succeeds, with growing pauses.
 func (a *Announcer) retryUntilDone(ctx context.Context, call func(ctx context.Context) error) {
 	pause := firstWritePause
@@ -275,10 +291,11 @@
 // nextCheck returns the time until the next check of the entry. A restore of the store may have
 // been reported while the announcer was busy with something else.
 func (a *Announcer) nextCheck() time.Duration {
+	left := time.Until(a.renewalDue)
 	if a.outdated() {
-		return a.restorePause()
+		return min(left, a.restorePause())
 	}
-	return jittered(renewInterval)
+	return left
 }
 
 // outdated reports whether the entry was written, or found, in an earlier era of the store.
--- a/internal/lab/hostedstore/client.go
+++ b/internal/lab/hostedstore/client.go
@@ -146,7 +146,8 @@
 }
 
 // Grant implements hosted.Directory.
-func (c *Client) Grant(ctx context.Context, _ time.Duration) (hosted.Lease, error) {
+func (c *Client) Grant(ctx context.Context, ttl time.Duration) (hosted.Lease, error) {
+	arrived := time.Now()
 	faults, err := c.begin(ctx, CallGrant)
 	if err != nil {
 		return "", err
@@ -156,7 +157,7 @@
 	c.store.leases++
 	c.store.written++
 	lease := hosted.Lease(strconv.FormatUint(c.store.leases, 10))
-	c.store.granted[lease] = true
+	c.store.granted[lease] = grant{ttl: ttl, renewed: arrived}
 	c.store.mutex.Unlock()
 	return lease, faults.loseAnswer(ctx)
 }
@@ -177,16 +178,20 @@
 
 // Renew implements hosted.Directory.
 func (c *Client) Renew(ctx context.Context, lease hosted.Lease) error {
+	arrived := time.Now()
 	faults, err := c.begin(ctx, CallRenew)
 	if err != nil {
 		return err
 	}
-	c.store.mutex.Lock()
+	c.store.lockCurrent()
 	defer c.store.mutex.Unlock()
 	c.position(faults)
-	if !c.store.granted[lease] {
+	g, granted := c.store.granted[lease]
+	if !granted {
 		return hosted.ErrLeaseEnded.New("the lease has ended or was never granted")
 	}
+	g.renewed = arrived
+	c.store.granted[lease] = g
 	return nil
 }
 
@@ -195,9 +200,9 @@
 	if _, err := c.begin(ctx, CallWithdraw); err != nil {
 		return err
 	}
-	c.store.mutex.Lock()
+	c.store.lockCurrent()
 	defer c.store.mutex.Unlock()
-	if !c.store.granted[lease] {
+	if !c.store.isGranted(lease) {
 		return hosted.ErrLeaseEnded.New("the lease has ended or was never granted")
 	}
 	delete(c.store.granted, lease)
@@ -215,7 +220,7 @@
 	if err != nil {
 		return err
 	}
-	c.store.mutex.Lock()
+	c.store.lockCurrent()
 	if held, exists := c.store.entries[id]; exists && held.Revision == revision {
 		c.store.revision++
 		delete(c.store.entries, id)
@@ -231,7 +236,7 @@
 	if err != nil {
 		return hosted.Entry{}, err
 	}
-	c.store.mutex.Lock()
+	c.store.lockCurrent()
 	defer c.store.mutex.Unlock()
 	c.position(faults)
 	held := c.store.entries[id]
@@ -252,7 +257,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c.store.mutex.Lock()
+	c.store.lockCurrent()
 	defer c.store.mutex.Unlock()
 	c.position(faults)
 	listed := make([]hosted.Entry, 0, len(c.store.entries))
--- a/internal/lab/hostedstore/copy.go
+++ b/internal/lab/hostedstore/copy.go
@@ -12,14 +12,14 @@
 	leases            uint64
 	document          *hosted.Document
 	entries           map[string]entry
-	granted           map[hosted.Lease]bool
+	granted           map[hosted.Lease]grant
 	orders            map[string]hosted.Order
 	statuses          map[string]hosted.RolloutStatus
 }
 
 // Copy returns the present content of the store.
 func (s *Store) Copy() *Copy {
-	s.mutex.Lock()
+	s.lockCurrent()
 	defer s.mutex.Unlock()
 	return &Copy{
 		revision: s.revision, history: s.history, leases: s.leases, document: s.document,
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -69,7 +69,7 @@
 	// orders and statuses are those of roll-outs, by service.
 	orders   map[string]hosted.Order
 	statuses map[string]hosted.RolloutStatus
-	granted  map[hosted.Lease]bool
+	granted  map[hosted.Lease]grant
 	// era counts the restores from a copy, starting at one.
 	era uint64
 	// silenced counts the calls of SilenceWatches.
@@ -90,7 +90,7 @@
 func New() *Store {
 	return &Store{
 		entries: map[string]entry{},
-		granted: map[hosted.Lease]bool{},
+		granted: map[hosted.Lease]grant{},
 		calls:   map[Call]int{},
 		changed: make(chan struct{}),
 		faults:  map[string]Faults{},
@@ -153,7 +153,7 @@
 	s.mutex.Lock()
 	defer s.mutex.Unlock()
 	maps.DeleteFunc(s.entries, func(_ string, e entry) bool { return e.lease != "" })
-	s.granted = map[hosted.Lease]bool{}
+	s.granted = map[hosted.Lease]grant{}
 }
 
 // SetFaults sets the faults for the client of one node, or for all when the name is empty.
@@ -200,23 +200,23 @@
 
 // Entries returns how many nodes have an entry.
 func (s *Store) Entries() int {
-	s.mutex.Lock()
+	s.lockCurrent()
 	defer s.mutex.Unlock()
 	return len(s.entries)
 }
 
 // Entry returns the entry of a node; nil when there is none.
 func (s *Store) Entry(id string) []byte {
-	s.mutex.Lock()
+	s.lockCurrent()
 	defer s.mutex.Unlock()
 	return s.entries[id].Content
 }
 
 func (s *Store) replace(e hosted.Entry, lease hosted.Lease) (hosted.Entry, bool, error) {
-	s.mutex.Lock()
+	s.lockCurrent()
 	defer s.mutex.Unlock()
 	s.written++
-	if lease != "" && !s.granted[lease] {
+	if lease != "" && !s.isGranted(lease) {
 		return hosted.Entry{}, false, hosted.ErrLeaseEnded.New("the lease has ended or was never granted")
 	}
 	if held := s.entries[e.ID]; held.Revision != e.Revision {
