Try a renewal that the store refused again before the lease ends

Callers are concerned as by any entry that runs out: nodes that start do not find the node. Seen are the entries, on simulated time.

After a renewal that was refused, as a store that throttles does, or that got no answer, the announcer waited a whole interval. With up to 60 s before and after it, a lease of 120 s was at its end. The store's recovery brings a check forward only if the readers' calls failed, too.

The due time is now set anew only when the renewal was made, and otherwise comes after longestWritePause, also when the check after an outage failed. The directory is not read after a failed renewal, so this adds a tenth of a call in 4 s per node with an entry, and none for the others.

Evidence: TestRefusedRenewalIsTriedAgainBeforeTheLeaseEnds, 24 nodes whose renewals are refused for 50 s, five times.

--- a/internal/hosted/announcer.go
+++ b/internal/hosted/announcer.go
@@ -228,9 +228,13 @@
 	}
 }
 
-// renewAtInterval renews the entry and checks the directory.
+// renewAtInterval renews the entry and checks the directory. When the store does not renew the entry,
+// it is tried again soon, since the lease runs on.
 func (a *Announcer) renewAtInterval(ctx context.Context) {
-	a.renew(ctx)
+	if !a.renew(ctx) {
+		a.renewalDue = time.Now().Add(jittered(longestWritePause))
+		return
+	}
 	a.renewalDue = nextRenewal(time.Now())
 	_ = bounded(ctx, a.checkDirectory)
 	a.enterHub()
--- a/internal/hosted/entry.go
+++ b/internal/hosted/entry.go
@@ -225,25 +225,39 @@
 }
 
 // renew renews the lease of a node that has an entry, and writes the entry again when the lease has
-// ended.
-func (a *Announcer) renew(ctx context.Context) {
+// ended. It reports whether the node has nothing left to renew.
+func (a *Announcer) renew(ctx context.Context) bool {
 	lease, _ := a.held()
 	if lease == "" {
-		return
+		return true
 	}
 	if a.outdated() {
 		a.retryUntilDone(ctx, a.write)
-		return
+		return true
 	}
 	err := bounded(ctx, func(ctx context.Context) error { return a.directory.Renew(ctx, lease) })
 	if errorx.IsOfType(err, ErrLeaseEnded) {
 		a.retryUntilDone(ctx, a.write)
+		return true
 	}
+	return err == nil
 }
 
 // confirm makes sure that the entry of this node, if it has one, has outlasted an outage of the
 // store, or a restore.
-func (a *Announcer) confirm(ctx context.Context) { a.renew(ctx) }
+func (a *Announcer) confirm(ctx context.Context) {
+	if !a.renew(ctx) {
+		a.renewalDue = earlier(a.renewalDue, time.Now().Add(jittered(longestWritePause)))
+	}
+}
+
+// earlier returns the earlier of two moments.
+func earlier(a, b time.Time) time.Time {
+	if a.Before(b) {
+		return a
+	}
+	return b
+}
 
 // CommitmentsChecked is called now and then: an entry without drain commitments is bound to a lease
 // again, with which it goes when its machine is lost.
--- a/internal/hosted/renewal_test.go
+++ b/internal/hosted/renewal_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"testing/synctest"
 	"time"
+
+	"github.com/levertide/levertide/internal/lab/hostedstore"
 )
 
 // TestEntryIsRenewedWhileTheDirectoryIsSearched guards against searches for lost nodes that put off the
@@ -48,3 +50,29 @@
 		})
 	}
 }
+
+// TestRefusedRenewalIsTriedAgainBeforeTheLeaseEnds guards against entries that run out since nodes wait
+// a whole interval after a renewal that the store has refused.
+func TestRefusedRenewalIsTriedAgainBeforeTheLeaseEnds(t *testing.T) {
+	const (
+		size    = 24
+		rounds  = 5
+		refused = 50 * time.Second
+		after   = 2 * time.Minute
+		step    = 100 * time.Millisecond
+	)
+	synctest.Test(t, func(t *testing.T) {
+		m := meshWithEntries(t, size)
+		for round := range rounds {
+			m.store.SetFaults("", hostedstore.Faults{RefuseRenewals: true})
+			time.Sleep(refused)
+			m.store.SetFaults("", hostedstore.Faults{})
+			for range after / step {
+				time.Sleep(step)
+				if entries := m.store.Entries(); entries < size {
+					t.Fatalf("round %d: %d of %d nodes have an entry", round, entries, size)
+				}
+			}
+		}
+	})
+}
--- a/internal/lab/hostedstore/client.go
+++ b/internal/lab/hostedstore/client.go
@@ -33,7 +33,7 @@
 		<-ctx.Done()
 		return faults, hosted.ErrUnanswered.New("the store is unresponsive")
 	}
-	if faults.Refuse {
+	if faults.Refuse || faults.RefuseRenewals && kind == CallRenew {
 		return faults, hosted.ErrRefused.New("the store refuses calls")
 	}
 	select {
--- a/internal/lab/hostedstore/store.go
+++ b/internal/lab/hostedstore/store.go
@@ -12,6 +12,8 @@
 type Faults struct {
 	// Refuse answers each call with hosted.ErrRefused.
 	Refuse bool
+	// RefuseRenewals answers renewals of leases with hosted.ErrRefused.
+	RefuseRenewals bool
 	// Silent makes the store unresponsive: no call gets an answer.
 	Silent bool
 	// LoseAnswers executes calls and loses their answers.
