Hear who the worker is from a health path that answers 503

What callers saw: while the health path of a worker answers 503, each heartbeat of another writer with a made-up instance at its address takes its place, and requests get 503 "the worker refused the request" and "the service has no worker" after it; and a worker that starts again under another identifier gets no calls until two heartbeats of the former one are missing.

Cause: the node asks the process at the address which of two instances it is, and took the answer with status 200 only. A worker that drains or fails answers 503 and names itself in the same header.

Why this works: Instance takes the identifier from either status. Identify, by which a worker is registered at a start, still wants 200.

Evidence: on the code before, with go test -race, TestWorkerThatIsUnwellFromItsStartKeepsItsPlace failed with 503 for each of its six calls and TestNextInstanceThatIsUnwellIsTakenAtOnce with 503 for its call; with the mend both pass, as does ./internal/sidecar.

--- a/internal/sidecar/otheraddress_test.go
+++ b/internal/sidecar/otheraddress_test.go
@@ -19,9 +19,10 @@
 // instanceServer is a worker whose instance can change.
 type instanceServer struct {
 	instance atomic.Pointer[string]
-	// silent is set while it answers no probe, terse while its answers do not tell its load.
-	silent, terse atomic.Bool
-	address       netip.AddrPort
+	// silent is set while it answers no probe, unwell while it answers them with status 503, terse while its answers
+	// do not tell its load.
+	silent, unwell, terse atomic.Bool
+	address               netip.AddrPort
 }
 
 func startInstance(t *testing.T, instance string) *instanceServer {
@@ -42,6 +43,9 @@
 	switch {
 	case expected == "" && s.silent.Load():
 		w.WriteHeader(http.StatusServiceUnavailable)
+	case expected == "" && s.unwell.Load():
+		w.Header().Set("X-Instance", instance)
+		w.WriteHeader(http.StatusServiceUnavailable)
 	case expected != "" && expected != instance:
 		w.WriteHeader(http.StatusMisdirectedRequest)
 	default:
@@ -161,3 +165,37 @@
 		n.mustAnswer(t, "running")
 	}
 }
+
+// heartbeatOfAnother sends a heartbeat of an instance that another writer has made up.
+func (n *runningNode) heartbeatOfAnother(t *testing.T, at *instanceServer, sequence uint64) {
+	t.Helper()
+	other := workers.Heartbeat{Instance: "other", StartedAt: 1, Service: "books", Address: at.address, Slots: 6, Sequence: sequence}
+	if err := n.registrar.Heartbeat(t.Context(), other); err != nil {
+		t.Fatal(err)
+	}
+}
+
+// TestWorkerThatIsUnwellFromItsStartKeepsItsPlace guards against a worker whose health path answers 503 and that
+// loses its place to each made-up instance.
+func TestWorkerThatIsUnwellFromItsStartKeepsItsPlace(t *testing.T) {
+	worker := startInstance(t, "running")
+	worker.unwell.Store(true)
+	n := startBeside(t, worker)
+	for sequence := range uint64(6) {
+		n.heartbeatOfAnother(t, worker, sequence+1)
+		n.mustAnswer(t, "running")
+	}
+}
+
+// TestNextInstanceThatIsUnwellIsTakenAtOnce guards against a worker that starts again under another identifier and
+// gets no calls while its health path answers 503.
+func TestNextInstanceThatIsUnwellIsTakenAtOnce(t *testing.T) {
+	worker := startInstance(t, "former")
+	n := startBeside(t, worker)
+	n.mustAnswer(t, "former")
+	next := "next"
+	worker.instance.Store(&next)
+	worker.unwell.Store(true)
+	n.heartbeat(t, "next", "books", worker.address.String())
+	n.mustAnswer(t, "next")
+}
--- a/internal/sidecar/probe.go
+++ b/internal/sidecar/probe.go
@@ -4,6 +4,7 @@
 	"context"
 	"net/http"
 	"net/netip"
+	"slices"
 
 	"github.com/levertide/levertide/internal/hosted"
 	"github.com/levertide/levertide/internal/httpconn"
@@ -42,7 +43,7 @@
 
 // Identify implements hosted.WorkerProbe.
 func (p *probe) Identify(ctx context.Context) (workers.Heartbeat, error) {
-	header, err := p.ask(ctx)
+	header, err := p.ask(ctx, http.StatusOK)
 	if err != nil {
 		return workers.Heartbeat{}, err
 	}
@@ -53,9 +54,9 @@
 	return workers.Heartbeat{Instance: identity.Instance, Service: p.service, Address: p.address, Slots: identity.Slots, Busy: identity.Busy, Limit: identity.Limit}, nil
 }
 
-// Instance implements hosted.WorkerProbe.
+// Instance implements hosted.WorkerProbe. A worker that takes no work answers with status 503, and says who it is.
 func (p *probe) Instance(ctx context.Context) (string, error) {
-	header, err := p.ask(ctx)
+	header, err := p.ask(ctx, http.StatusOK, http.StatusServiceUnavailable)
 	if err != nil {
 		return "", err
 	}
@@ -66,8 +67,8 @@
 	return identity.Instance, nil
 }
 
-// ask returns the header of the worker's answer to a probe.
-func (p *probe) ask(ctx context.Context) (http.Header, error) {
+// ask returns the header of the worker's answer to a probe; one with another status than those given is an error.
+func (p *probe) ask(ctx context.Context, statuses ...int) (http.Header, error) {
 	path := p.config.healthPath(p.service)
 	if !p.address.IsValid() || path == "" {
 		return nil, hosted.ErrUnanswered.New("cannot probe the worker: its address or health path is not known")
@@ -81,7 +82,7 @@
 		return nil, hosted.ErrUnanswered.Wrap(err, "the worker does not answer the probe")
 	}
 	_ = response.Body.Close()
-	if response.StatusCode != http.StatusOK {
+	if !slices.Contains(statuses, response.StatusCode) {
 		return nil, hosted.ErrUnanswered.New("the worker's answer to the probe has the status %d", response.StatusCode)
 	}
 	return response.Header, nil
