Tell by calls which instance runs at the worker's address

What callers saw: a worker whose health path answers nothing, as while it waits for a slot, is confirmed by nobody. Each heartbeat of another writer with a made-up instance takes its place, though the worker has served calls: requests get 503. And a worker that starts again under another identifier meanwhile gets no calls until heartbeats of the former one are missing, though each request for the former one is answered 421.

Cause: only the health path spoke for or against an instance. Requests name the instance that they are for, and their answers were not heard.

Why this works: an answer with the id of its request, and no refusal, confirms the incarnation that the request was for; the client of an incarnation records it once, and further calls read one atomic flag. An answer 421 takes the confirmation back, so the next heartbeat of another instance is asked about or, without an answer, believed. If that one is made up, it is refused in turn, and confirmed by nothing. Confirm and Unconfirm hold for the registration of the same incarnation only; the probe tells no start time and confirms as before. Registry.Confirm takes an incarnation now, which two lines of TestRivalIsTheReadyWorkerAtTheAddress follow.

--- a/internal/forwarding/worker.go
+++ b/internal/forwarding/worker.go
@@ -80,6 +80,8 @@
 	pausedUntil atomic.Int64
 	// startedAt is when the worker's incarnation started, as far as it is known.
 	startedAt atomic.Int64
+	// confirmed is set once an answer has confirmed the incarnation, until the worker denies it.
+	confirmed atomic.Bool
 	// terms are what the worker states about the requests that it takes.
 	terms *workers.TermsKeeper
 
@@ -281,7 +283,7 @@
 	}
 	if w.dialect.refused(response) {
 		if response.StatusCode == http.StatusMisdirectedRequest {
-			w.pause(misdirectedPause)
+			w.denied()
 		}
 		return nil, withDecision(outcome.New(outcome.RefusedByOwnWorker), decision{by: w.incarnation().String(), evidence: w.dialect.evidence(response)})
 	}
@@ -289,9 +291,25 @@
 		// The mark and the status contradict each other.
 		return nil, outcome.New(outcome.InvalidAnswer)
 	}
+	w.served()
 	return readAnswer(ctx, response)
 }
 
+// served records that the worker takes a request for its incarnation, so that it is this one that runs.
+func (w *workerClient) served() {
+	if !w.confirmed.Load() && w.confirmed.CompareAndSwap(false, true) {
+		w.plane.config.Workers.Confirm(w.incarnation())
+	}
+}
+
+// denied records that the process at the worker's address says that it is another one.
+func (w *workerClient) denied() {
+	w.pause(misdirectedPause)
+	w.plane.config.Workers.Unconfirm(w.incarnation())
+	// After the registry: an answer served meanwhile is otherwise the last one that could confirm.
+	w.confirmed.Store(false)
+}
+
 func (w *workerClient) request(call *workerCall) *http.Request {
 	header := forwardedHeader(call.inbound, w.dialect)
 	if call.principal.tenant != "" {
--- a/internal/hosted/contention.go
+++ b/internal/hosted/contention.go
@@ -62,7 +62,7 @@
 	case running == heartbeat.Instance:
 		return rival.Worker, verdictRuns
 	case running != "":
-		c.workers.Confirm(running)
+		c.workers.Confirm(workers.Incarnation{Instance: running})
 		return rival.Worker, verdictStaysOut
 	case rival.Confirmed && !rival.Silent:
 		// A busy worker may not answer. It keeps by its heartbeats the place that it has by its word.
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	if judged == verdictRuns {
-		a.config.Workers.Confirm(heartbeat.Instance)
+		a.config.Workers.Confirm(workers.Incarnation{Instance: heartbeat.Instance})
 	}
 	a.ignored.observe(heartbeat, change)
 	return a.workerChanged(ctx, change, "heartbeat")
--- a/internal/sidecar/otheraddress_test.go
+++ b/internal/sidecar/otheraddress_test.go
@@ -187,6 +187,19 @@
 	}
 }
 
+// TestWorkerThatServesKeepsItsPlaceUnprobed guards against a worker whose health path has never answered and that
+// loses its place to each made-up instance.
+func TestWorkerThatServesKeepsItsPlaceUnprobed(t *testing.T) {
+	worker := startInstance(t, "running")
+	worker.silent.Store(true)
+	n := startBeside(t, worker)
+	n.mustAnswer(t, "running")
+	for sequence := range uint64(6) {
+		n.heartbeatOfAnother(t, worker, sequence+1)
+		n.mustAnswer(t, "running")
+	}
+}
+
 // TestNextInstanceThatIsUnwellIsTakenAtOnce guards against a worker that starts again under another identifier and
 // gets no calls while its health path answers 503.
 func TestNextInstanceThatIsUnwellIsTakenAtOnce(t *testing.T) {
@@ -199,3 +212,23 @@
 	n.heartbeat(t, "next", "books", worker.address.String())
 	n.mustAnswer(t, "next")
 }
+
+// TestNextInstanceIsTakenOnceTheFormerIsRefused guards against a place that stays with an instance for which the
+// process at its address answers 421.
+func TestNextInstanceIsTakenOnceTheFormerIsRefused(t *testing.T) {
+	worker := startInstance(t, "former")
+	n := startBeside(t, worker)
+	n.mustAnswer(t, "former")
+	next := "next"
+	worker.instance.Store(&next)
+	worker.silent.Store(true)
+	if status, _, err := n.call(t, http.DefaultClient, "/ledger/1"); err != nil || status != http.StatusServiceUnavailable {
+		t.Errorf("status %d, %v", status, err)
+	}
+	n.heartbeat(t, "next", "books", worker.address.String())
+	n.mustAnswer(t, "next")
+	for sequence := range uint64(6) {
+		n.heartbeatOfAnother(t, worker, sequence+1)
+		n.mustAnswer(t, "next")
+	}
+}
--- a/pkg/workers/registry.go
+++ b/pkg/workers/registry.go
@@ -63,7 +63,7 @@
 	registeredAt time.Time
 	// contender is another run of the worker, which may be the one that runs now.
 	contender contender
-	// confirmed is set when the process at the address has said that it is this instance.
+	// confirmed is as in Rival.
 	confirmed bool
 	// served is set once the instance may have had work. Anyone can make up leaves of instances that never had.
 	served bool
--- a/pkg/workers/rival.go
+++ b/pkg/workers/rival.go
@@ -8,7 +8,7 @@
 // Rival is the ready worker of another instance at the address of a heartbeat.
 type Rival struct {
 	Worker Worker
-	// Confirmed is set when the process at the address has said that it is this instance.
+	// Confirmed is set when the process at the address has said, or shown by a served call, that it is this instance.
 	Confirmed bool
 	// Silent is set when heartbeats of this instance are missing.
 	Silent bool
@@ -27,11 +27,18 @@
 	return Rival{}, false
 }
 
-// Confirm records that the process at the address of an instance has said that it is this instance.
-func (r *Registry) Confirm(instance string) {
+// Confirm records that the process at the address of an incarnation is this incarnation. It has no effect on another
+// incarnation of the instance.
+func (r *Registry) Confirm(incarnation Incarnation) { r.setConfirmed(incarnation, true) }
+
+// Unconfirm records that the process at the address of an incarnation denies that it is this incarnation, which takes
+// back what Confirm has recorded. It has no effect on another incarnation of the instance.
+func (r *Registry) Unconfirm(incarnation Incarnation) { r.setConfirmed(incarnation, false) }
+
+func (r *Registry) setConfirmed(incarnation Incarnation, confirmed bool) {
 	r.mutex.Lock()
 	defer r.mutex.Unlock()
-	if held, known := r.workers[instance]; known {
-		held.confirmed = true
+	if held, known := r.workers[incarnation.Instance]; known && held.Incarnation().Same(incarnation) {
+		held.confirmed = confirmed
 	}
 }
--- a/pkg/workers/rival_test.go
+++ b/pkg/workers/rival_test.go
@@ -22,8 +22,8 @@
 	expect("its own heartbeat", heartbeatOf("running", 2, false), start, Rival{}, false)
 	expect("another instance", heartbeatOf("other", 1, false), start.Add(time.Second), Rival{Worker: running}, true)
 	expect("heartbeats missing", heartbeatOf("other", 1, false), start.Add(2*time.Second), Rival{Worker: running, Silent: true}, true)
-	r.Confirm("running")
-	r.Confirm("unknown")
+	r.Confirm(Incarnation{Instance: "running"})
+	r.Confirm(Incarnation{Instance: "unknown"})
 	expect("confirmed", heartbeatOf("other", 1, false), start, Rival{Worker: running, Confirmed: true}, true)
 	mustHeartbeat(t, r, heartbeatOf("running", 2, true), start.Add(time.Second))
 	expect("a draining one", heartbeatOf("other", 1, false), start.Add(time.Second), Rival{}, false)
@@ -39,6 +39,33 @@
 	}
 }
 
+// TestConfirmationIsOfOneIncarnation guards against a worker that is taken for the one that runs, or loses its place,
+// by an answer to a request for its previous incarnation.
+func TestConfirmationIsOfOneIncarnation(t *testing.T) {
+	r := NewRegistry(time.Minute)
+	running := heartbeatOf("running", 1, false)
+	running.StartedAt = 2
+	mustHeartbeat(t, r, running, start)
+	former, present := Incarnation{Instance: "running", StartedAt: 1}, Incarnation{Instance: "running", StartedAt: 2}
+	for _, step := range []struct {
+		name   string
+		record func(incarnation Incarnation)
+		of     Incarnation
+		want   bool
+	}{
+		{"the former one is confirmed", r.Confirm, former, false},
+		{"it is confirmed", r.Confirm, present, true},
+		{"the former one is denied", r.Unconfirm, former, true},
+		{"an unknown instance is denied", r.Unconfirm, Incarnation{Instance: "unknown"}, true},
+		{"it is denied", r.Unconfirm, present, false},
+	} {
+		step.record(step.of)
+		if rival, found := r.Rival(heartbeatOf("other", 1, false), start); !found || rival.Confirmed != step.want {
+			t.Errorf("%s: %+v, %t", step.name, rival, found)
+		}
+	}
+}
+
 // TestLeavesOfUnknownInstancesPushNobodyOut guards against a running worker, or a drain commitment, that is forgotten
 // for the leaves of instances that another writer has made up.
 func TestLeavesOfUnknownInstancesPushNobodyOut(t *testing.T) {
