Publish the workers of a node in the order in which they were read

What callers saw: after a plain loss of all nodes, without any other writer, one service was not served at any node for 10 s and more, 503 "the service has no worker".

Cause: refreshWorkers reads the registrations and publishes them in two steps, on several goroutines: the question to the worker at the start, its heartbeat, the end of the wait for former commitments. The one that had read the older list, or that commitments were not known yet, could publish last. Later heartbeats change nothing, so that nothing put it right.

Mend: a mutex over reading and publishing.

--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -98,6 +98,9 @@
 	// incarnation.
 	commitmentsKnown atomic.Bool
 	commitmentsMu    contain.Mutex
+	// refreshMu is held while the workers are read and published, so that an older list never replaces a
+	// newer one.
+	refreshMu contain.Mutex
 	// listed is set once the store has listed other nodes.
 	listed atomic.Bool
 	// zoneHub is set when this node is the hub of its zone among the listed nodes: the others of
@@ -275,6 +278,8 @@
 
 // refreshWorkers updates Serving and this node's record from the registrations.
 func (a *Agent) refreshWorkers() {
+	a.refreshMu.Lock()
+	defer a.refreshMu.Unlock()
 	registered := a.config.Workers.Workers()
 	a.config.Serving.Update(registered)
 	informed := a.commitmentsKnown.Load()
--- a/internal/hosted/fleet_test.go
+++ b/internal/hosted/fleet_test.go
@@ -49,6 +49,8 @@
 	updated []workers.Worker
 	open    bool
 
+	// onUpdate is called with each update of the workers before it is taken; nil when nobody waits for it.
+	onUpdate atomic.Pointer[func(registered []workers.Worker)]
 	// probed is the worker's answer to a probe; nil when it does not answer.
 	probed atomic.Pointer[workers.Heartbeat]
 }
@@ -63,6 +65,9 @@
 }
 
 func (n *testNode) Update(registered []workers.Worker) {
+	if notify := n.onUpdate.Load(); notify != nil {
+		(*notify)(registered)
+	}
 	n.mutex.Lock()
 	defer n.mutex.Unlock()
 	n.updated = registered
