--- a/internal/command/explain/worker.go
+++ b/internal/command/explain/worker.go
@@ -31,16 +31,19 @@
 	answer := WorkerReport{Instance: instance, Lines: []Line{}}
 	held, ignored := "", ""
 	for _, line := range sorted(lines) {
-		if line.text("instance") != instance {
+		contends := line.text("held_instance") == instance && line.text("instance") != instance
+		if line.text("instance") != instance && !contends {
 			continue
 		}
 		answer.Lines = append(answer.Lines, line)
-		switch line.Event {
-		case eventWorkerChanged:
+		switch {
+		case contends:
+			ignored = "; " + line.text("instance") + " claims its address"
+		case line.Event == eventWorkerChanged:
 			held = fmt.Sprintf("%s holds it as %s, started at %.0f, sequence %v", line.Node, line.text("state"), line.Fields["born_unix_milliseconds"], line.Fields["sequence"])
-		case eventWorkerCallIgnored:
+		case line.Event == eventWorkerCallIgnored:
 			ignored = "; last call without effect: " + line.text("reason")
-		case eventHeartbeatRejected:
+		case line.Event == eventHeartbeatRejected:
 			ignored = "; last call rejected: " + line.text("error")
 		}
 	}
--- a/internal/command/root/explain_test.go
+++ b/internal/command/root/explain_test.go
@@ -132,6 +132,22 @@
 {"time":"2026-12-02T10:00:02.000000Z","level":"info","node":"n1","event":606,"name":"worker changed","instance":"w2","service":"ledger","slots":6,"state":"gone","sequence":1,"born_unix_milliseconds":1,"cause":"sign-off"}
 `
 
+// contendedLog is of a worker whose address another writer claims, first with an address that is none.
+const contendedLog = `{"time":"2026-12-02T10:00:01.000000Z","level":"info","node":"n1","event":606,"name":"worker changed","instance":"w1","service":"ledger","slots":6,"state":"ready","sequence":1,"born_unix_milliseconds":1796400222019,"cause":"heartbeat"}
+{"time":"2026-12-02T10:00:02.000000Z","level":"warn","node":"n1","event":618,"name":"heartbeat rejected","instance":"h1","reason":"address","calls":7,"error":"\"10.0.0.1\" is no address"}
+{"time":"2026-12-02T10:00:03.000000Z","level":"info","node":"n1","event":622,"name":"worker call ignored","instance":"h1","reason":"contended","leaves":false,"sequence":9,"born_unix_milliseconds":1,"held_state":"ready","held_sequence":3,"held_born_unix_milliseconds":1796400222019,"held_instance":"w1"}
+`
+
+// TestExplainShowsWhoClaimsTheAddressOfAWorker goes from either of two instances to why one of them is refused.
+func TestExplainShowsWhoClaimsTheAddressOfAWorker(t *testing.T) {
+	path := filepath.Join(t.TempDir(), "log")
+	if err := os.WriteFile(path, []byte(contendedLog), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	run(t, "explain", "--worker", "w1", path).want(t, exit.Accepted, "n1 holds it as ready, started at 1796400222019, sequence 1; h1 claims its address")
+	run(t, "explain", "--worker", "h1", path).want(t, exit.Accepted, "618 heartbeat rejected", "no node has registered it in this time; last call without effect: contended")
+}
+
 // TestExplainShowsWhatNodesHoldOfAWorker goes from the id of a worker to its incarnation, and to why a
 // call of it had no effect.
 func TestExplainShowsWhatNodesHoldOfAWorker(t *testing.T) {
--- a/internal/hosted/agent.go
+++ b/internal/hosted/agent.go
@@ -123,13 +123,15 @@
 	// retaken limits how often the record of this node is spread because another program has written
 	// one under its name.
 	retaken *rate.Limiter
-	// rejections limits the log lines on invalid calls.
+	// rejections limits the log lines on entries that cannot be read or written.
 	rejections *rate.Limiter
 
 	// commitments are the drain commitments that are being replicated.
 	commitments pendingCommitments
 	// contention decides between instances at the address of the worker.
 	contention *contention
+	// refusals counts the calls of workers that cannot be used.
+	refusals *refusals
 	// ignored counts the calls of workers that had no effect.
 	ignored *ignoredCalls
 
@@ -146,6 +148,7 @@
 		retaken:    rate.NewLimiter(rate.Every(retakePause), retakeBurst),
 		rejections: rate.NewLimiter(rejectionLogRate, rejectionLogBurst),
 		ignored:    newIgnoredCalls(config.Events),
+		refusals:   newRefusals(config.Events),
 	}
 	agent.documents = NewDocuments(config.Consumer, config.Events)
 	agent.documents.panicked = config.Panicked
--- a/internal/hosted/drain_commitments.go
+++ b/internal/hosted/drain_commitments.go
@@ -20,8 +20,8 @@
 	// removeTries and removePause are how often the entry of a forgotten node is tried to be removed.
 	removeTries = 10
 	removePause = 30 * time.Second
-	// rejectionLogRate and rejectionLogBurst bound the log lines a second on invalid calls for
-	// workers, and longestLoggedName the part of the sender's name that is logged, in bytes.
+	// rejectionLogRate and rejectionLogBurst bound the log lines a second on what others write,
+	// and longestLoggedName the part of the sender's name that is logged, in bytes.
 	rejectionLogRate  = 0.2
 	rejectionLogBurst = 5
 	longestLoggedName = 64
@@ -137,12 +137,10 @@
 // that calls it by mistake mostly does so for long.
 func (a *Agent) Reject(instance string, err error) {
 	a.documents.restores.rejected.Add(1)
-	if a.rejections.Allow() {
-		a.config.Events.HeartbeatRejected(instance[:min(len(instance), longestLoggedName)], err)
-	}
+	a.refusals.observe(instance, err)
 }
 
-// rejectEntry records an entry in the store that was not written by a node, within the same limit.
+// rejectEntry records an entry in the store that was not written by a node. Log lines are limited.
 func (a *Agent) rejectEntry(id string) {
 	a.documents.restores.rejected.Add(1)
 	if a.rejections.Allow() {
--- a/internal/hosted/events.go
+++ b/internal/hosted/events.go
@@ -39,8 +39,8 @@
 	RecallFailed(id string, err error)
 	// WorkerChanged reports a change of a worker beside this node.
 	WorkerChanged(worker workers.Worker, cause string)
-	// HeartbeatRejected reports an invalid call to the address for workers.
-	HeartbeatRejected(instance string, err error)
+	// HeartbeatRejected reports invalid calls to the address for workers.
+	HeartbeatRejected(refusal Refusal)
 	// WorkerCallIgnored reports a heartbeat or a leave that had no effect, and the registration that
 	// stayed; a leave is one that says it drains.
 	WorkerCallIgnored(call workers.Heartbeat, change workers.Change)
--- a/internal/sidecar/reading.go
+++ b/internal/sidecar/reading.go
@@ -13,7 +13,7 @@
 // reading returns the state of the node that a scrape of the metrics shows.
 func (n *Node) reading() telemetry.HostedReading {
 	view := n.table.View()
-	reading := telemetry.HostedReading{Ready: n.ready(), ReadsStore: view.Self().ReadsStore, ReadsForAll: n.agent.ReadsForAll(), Version: n.Version(), Messages: n.agent.Messages(), StoreRestores: n.agent.StoreRestores(), IgnoredCalls: n.agent.IgnoredCalls()}
+	reading := telemetry.HostedReading{Ready: n.ready(), ReadsStore: view.Self().ReadsStore, ReadsForAll: n.agent.ReadsForAll(), Version: n.Version(), Messages: n.agent.Messages(), StoreRestores: n.agent.StoreRestores(), IgnoredCalls: n.agent.IgnoredCalls(), Refusals: n.agent.Refusals()}
 	reading.LiveNodes = len(n.LiveNodes())
 	calls, hops := n.plane.InFlight()
 	reading.InFlight = int(calls + hops)
--- a/internal/telemetry/hosted.go
+++ b/internal/telemetry/hosted.go
@@ -76,9 +76,10 @@
 		Int64("born_unix_milliseconds", worker.StartedAt).Str("cause", cause))
 }
 
-// HeartbeatRejected records that a call to the address for workers cannot be used.
-func (l *Log) HeartbeatRejected(instance string, err error) {
-	end(l.begin(eventHeartbeatRejected).Str("instance", bounded(instance)).Str(fieldError, errorText(err)))
+// HeartbeatRejected records that calls to the address for workers cannot be used.
+func (l *Log) HeartbeatRejected(refusal hosted.Refusal) {
+	end(l.begin(eventHeartbeatRejected).Str("instance", bounded(refusal.Instance)).Str(fieldReason, string(refusal.Reason)).
+		Int("calls", refusal.Calls).Str(fieldError, errorText(refusal.Err)))
 }
 
 // WorkerCallIgnored records that a heartbeat or a leave had no effect, and what is registered.
--- a/internal/telemetry/hosted_metrics.go
+++ b/internal/telemetry/hosted_metrics.go
@@ -39,6 +39,8 @@
 	Quarantined, Suspected int
 	// StoreRestores counts the effects on the node of restores of the store from a copy.
 	StoreRestores hosted.StoreRestores
+	// Refusals counts the calls of workers that could not be used.
+	Refusals map[hosted.RefusalReason]uint64
 	// IgnoredCalls counts the calls of workers that had no effect.
 	IgnoredCalls hosted.IgnoredCalls
 	// Intake is what clients hold of each listener, and what was done at its bounds.
@@ -90,6 +92,7 @@
 		counter("reader_questions_total", "Messages that ask nodes which read the store whether they are there.", func(r HostedReading) uint64 { return r.Messages.Probes }),
 		newIntakeCollector(func() []intake.Reading { return read().Intake }),
 		newPanicCollector(panics.Read),
+		newRefusalCollector(func() map[hosted.RefusalReason]uint64 { return read().Refusals }),
 		newIgnoredCallsCollector(func() hosted.IgnoredCalls { return read().IgnoredCalls }),
 		newQuotaCollector(func() hosted.QuotaReading { return read().Quotas }),
 		counter("misdirected_messages_total", "Messages that another node has answered than the one they were for, since it has its address.", func(r HostedReading) uint64 { return r.Messages.Misdirected }),
